--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,227 @@
+package admission
+
+import (
+	"container/heap"
+	"sort"
+	"time"
+)
+
+// Item is a waiting request.
+type Item struct {
+	ID       string
+	Customer string
+	Share    int
+	Priority int
+	// Work is its prefill work in tokens.
+	Work int
+	// Deadline is when its first token is due.
+	Deadline time.Time
+
+	pos int
+	in  *customer
+}
+
+// Queue holds the waiting requests of one entry.
+type Queue struct {
+	levels [levels]*level
+	byID   map[string]*Item
+}
+
+const levels = 10
+
+// level is one priority: the customers with waiting requests, ordered by the
+// work that each has had for its share.
+type level struct {
+	customers map[string]*customer
+	order     byVirtual
+	virtual   float64
+	work      int
+}
+
+type customer struct {
+	name    string
+	share   float64
+	virtual float64
+	items   byDeadline
+	work    int
+	pos     int
+}
+
+// New returns an empty queue.
+func New() *Queue {
+	q := &Queue{byID: map[string]*Item{}}
+	for i := range q.levels {
+		q.levels[i] = &level{customers: map[string]*customer{}}
+	}
+	return q
+}
+
+// Len counts the waiting requests.
+func (q *Queue) Len() int { return len(q.byID) }
+
+// Ahead returns the work in tokens that waits with a priority up to p.
+func (q *Queue) Ahead(p int) int {
+	sum := 0
+	for i := 0; i <= p; i++ {
+		sum += q.levels[i].work
+	}
+	return sum
+}
+
+// Add puts an item into the queue. An ID that waits already is ignored.
+func (q *Queue) Add(it *Item) {
+	if q.byID[it.ID] != nil {
+		return
+	}
+	q.byID[it.ID] = it
+	l := q.levels[it.Priority]
+	c := l.customer(it)
+	it.in = c
+	heap.Push(&c.items, it)
+	c.work += it.Work
+	l.work += it.Work
+	if c.pos < 0 {
+		// A customer that comes back starts at the level's present, so that it
+		// can't claim the share of the time in which it asked for nothing.
+		c.virtual = max(c.virtual, l.virtual)
+		heap.Push(&l.order, c)
+	}
+}
+
+func (l *level) customer(it *Item) *customer {
+	c := l.customers[it.Customer]
+	if c == nil {
+		c = &customer{name: it.Customer, virtual: l.virtual, pos: -1}
+		l.customers[it.Customer] = c
+	}
+	c.share = float64(max(it.Share, 1))
+	return c
+}
+
+// Remove takes an item out, if it waits.
+func (q *Queue) Remove(id string) *Item {
+	it := q.byID[id]
+	if it == nil {
+		return nil
+	}
+	delete(q.byID, id)
+	l, c := q.levels[it.Priority], it.in
+	heap.Remove(&c.items, it.pos)
+	c.work -= it.Work
+	l.work -= it.Work
+	if len(c.items) == 0 {
+		heap.Remove(&l.order, c.pos)
+		l.forget(c)
+	}
+	return it
+}
+
+// forget drops a customer that has had no more than its share.
+func (l *level) forget(c *customer) {
+	if c.virtual <= l.virtual || len(l.order) == 0 {
+		delete(l.customers, c.name)
+	}
+}
+
+// Next returns the item that goes next among the priorities from the given
+// one on, without taking it out; nil if none waits.
+func (q *Queue) Next(from int) *Item {
+	for i := from; i < levels; i++ {
+		if l := q.levels[i]; len(l.order) > 0 {
+			return l.order[0].items[0]
+		}
+	}
+	return nil
+}
+
+// Take takes an item out because it is served, and charges its customer.
+func (q *Queue) Take(id string) *Item {
+	it := q.byID[id]
+	if it == nil {
+		return nil
+	}
+	l, c := q.levels[it.Priority], it.in
+	l.virtual = max(l.virtual, c.virtual)
+	c.virtual += float64(max(it.Work, 1)) / c.share
+	heap.Fix(&l.order, c.pos)
+	return q.Remove(id)
+}
+
+// Due takes out the items of a priority whose first token can't come in time
+// any more: need is the shortest time from now to the first token.
+func (q *Queue) Due(priority int, now time.Time, need func(*Item) time.Duration) []*Item {
+	var out []*Item
+	for _, c := range q.levels[priority].customers {
+		out = append(out, c.items.late(now, need)...)
+	}
+	for _, it := range out {
+		q.Remove(it.ID)
+	}
+	return out
+}
+
+// late walks the heap from its earliest deadline and stops below items that
+// have time left.
+func (h byDeadline) late(now time.Time, need func(*Item) time.Duration) []*Item {
+	var out []*Item
+	stack := []int{0}
+	for len(stack) > 0 {
+		i := stack[len(stack)-1]
+		stack = stack[:len(stack)-1]
+		if i >= len(h) || now.Add(slack).Before(h[i].Deadline.Add(-maxNeed)) {
+			continue
+		}
+		if now.Add(need(h[i])).After(h[i].Deadline) {
+			out = append(out, h[i])
+		}
+		stack = append(stack, 2*i+1, 2*i+2)
+	}
+	return out
+}
+
+const (
+	slack = 10 * time.Millisecond
+	// maxNeed is the longest time that one request is thought to need.
+	maxNeed = time.Minute
+)
+
+// Shed takes out the items of a priority that can't all be done in time if the
+// level is served at rate tokens a second, the largest first. Each customer is
+// counted with its share of the rate.
+func (q *Queue) Shed(priority int, now time.Time, rate float64) []*Item {
+	l := q.levels[priority]
+	var shares float64
+	for _, c := range l.order {
+		shares += c.share
+	}
+	var out []*Item
+	for _, c := range l.order {
+		out = append(out, c.shed(now, rate*c.share/shares)...)
+	}
+	for _, it := range out {
+		q.Remove(it.ID)
+	}
+	return out
+}
+
+func (c *customer) shed(now time.Time, rate float64) []*Item {
+	if len(c.items) < 2 || rate <= 0 {
+		return nil
+	}
+	order := append(byDeadline(nil), c.items...)
+	sort.Slice(order, func(i, j int) bool { return order.before(i, j) })
+	var kept bySize
+	var out []*Item
+	var work float64
+	for _, it := range order {
+		heap.Push(&kept, it)
+		work += float64(it.Work)
+		end := now.Add(time.Duration(work / rate * float64(time.Second)))
+		if end.After(it.Deadline) {
+			big := heap.Pop(&kept).(*Item)
+			work -= float64(big.Work)
+			out = append(out, big)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,217 @@
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ledgepin/ledgepin/claim"
+	"github.com/ledgepin/ledgepin/decision"
+	"github.com/ledgepin/ledgepin/engine"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/lease"
+	"github.com/ledgepin/ledgepin/order"
+	"github.com/ledgepin/ledgepin/service"
+	"github.com/ledgepin/ledgepin/spread"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// Config is what an agent needs to know of itself.
+type Config struct {
+	// Name is the name of its backend server in the settings.
+	Name string
+	Zone string
+	// Engine and Service are the addresses beside it; one of them is set.
+	Engine, Service string
+	// Token is the bearer token that peers share.
+	Token string
+	// TLS is for the links that it opens; nil for plain TCP.
+	TLS *tls.Config
+	Log *slog.Logger
+	// FoundClaims makes its claim voter vote at once. It is for a group that
+	// starts for the first time, and for dev.
+	FoundClaims bool
+}
+
+// Times of the agent.
+const (
+	tickEvery   = 20 * time.Millisecond
+	cancelEvery = 500 * time.Millisecond
+	// orphanGrace is how long entries may claim what the engine was running
+	// when the agent restarted.
+	orphanGrace = time.Second
+	firstLease  = 3 * time.Second
+	records     = 2048
+)
+
+// job is a piece of work for an entry.
+type job struct {
+	owner    string
+	priority int
+	tokens   int
+	cancel   context.CancelFunc
+	// next is the index of the next token to send, for a decode.
+	next int
+	done *wire.Prefilled
+}
+
+// Agent is the process beside one backend server.
+type Agent struct {
+	cfg    Config
+	log    *slog.Logger
+	epoch  int64
+	engine engine.Engine
+	svc    *service.Client
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu       sync.Mutex
+	store    spread.Store
+	work     *lease.Table
+	kv       *lease.Table
+	jobs     map[lease.ID]*job
+	links    map[string]*wire.Link // by owner
+	gate     order.Gate
+	voter    *claim.Voter
+	group    groupKey
+	models   []string
+	engineOK bool
+	misses   int
+	lastEnd  time.Time // end of the last prefill at the engine
+	cacheSeq uint64
+	hashes   []uint64
+	orphans  map[lease.ID]time.Time
+	calls    map[lease.ID]time.Time
+	records  *decision.Ring
+	leaving  bool
+}
+
+// Start returns a running agent.
+func Start(cfg Config) *Agent {
+	ctx, cancel := context.WithCancel(context.Background())
+	opts := lease.Options{Time: firstLease, CancelEvery: cancelEvery}
+	a := &Agent{
+		cfg: cfg, log: cfg.Log.With("role", "agent", "name", cfg.Name), epoch: time.Now().UnixNano(),
+		ctx: ctx, cancel: cancel, work: lease.New(0, opts), kv: lease.New(kvSlots, opts),
+		jobs: map[lease.ID]*job{}, links: map[string]*wire.Link{}, orphans: map[lease.ID]time.Time{},
+		calls: map[lease.ID]time.Time{}, records: decision.NewRing(records),
+	}
+	if cfg.Engine != "" {
+		a.engine = engine.NewClient(cfg.Engine)
+		a.work.SetRecovering(true)
+		a.wg.Go(a.recoverLoop)
+		a.wg.Go(a.engineLoop)
+	}
+	if cfg.Service != "" {
+		a.svc = service.NewClient(cfg.Service)
+	}
+	a.wg.Go(a.tickLoop)
+	a.wg.Go(a.beatLoop)
+	event.Started.Log(a.log)
+	return a
+}
+
+// kvSlots bounds the prefill results that wait at one engine.
+const kvSlots = 4096
+
+// Handler serves the links of entries and peers.
+func (a *Agent) Handler() http.Handler {
+	return wire.Handler(a.log, wire.Options{Hello: a.hello, Token: a.cfg.Token, TLS: a.cfg.TLS}, a.serve)
+}
+
+func (a *Agent) hello() wire.Hello {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return wire.Hello{Name: a.cfg.Name, Role: wire.RoleAgent, Zone: a.cfg.Zone, Epoch: a.epoch, Revision: a.store.Revision()}
+}
+
+// Drain makes the agent tell everybody that its server is leaving, and waits
+// until its work has ended or ctx is done.
+func (a *Agent) Drain(ctx context.Context) {
+	a.mu.Lock()
+	a.leaving = true
+	a.work.SetLeaving(true)
+	a.mu.Unlock()
+	a.beat()
+	event.ServerLeaving.Log(a.log)
+	poll := time.NewTicker(tickEvery)
+	defer poll.Stop()
+	for ctx.Err() == nil && a.busy() {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (a *Agent) busy() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.work.Used() > 0 || a.kv.Used() > 0 || len(a.jobs) > 0
+}
+
+// Close ends the agent at once. What its engine runs is found again by the
+// next agent.
+func (a *Agent) Close() {
+	a.cancel()
+	a.mu.Lock()
+	for _, l := range a.links {
+		l.Close()
+	}
+	a.mu.Unlock()
+	a.wg.Wait()
+	if c, ok := a.engine.(*engine.Client); ok {
+		c.Close()
+	}
+	if a.svc != nil {
+		a.svc.Close()
+	}
+}
+
+func (a *Agent) tickLoop() {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-a.ctx.Done():
+			return
+		case now := <-t.C:
+			a.tick(now)
+		}
+	}
+}
+
+func (a *Agent) tick(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, until := range a.orphans {
+		if now.After(until) {
+			delete(a.orphans, id)
+			event.OrphanCancelled.Log(a.log, "request", id.Req)
+			a.effects(a.work, a.work.Adopt(now, id))
+		}
+	}
+	a.effects(a.work, a.work.Tick(now))
+	a.effects(a.kv, a.kv.Tick(now))
+	if a.voter != nil {
+		a.voter.Tick(now)
+	}
+}
+
+// note adds a step to the record of a request. Callers hold the lock.
+func (a *Agent) note(id lease.ID, kind decision.Kind, detail string) {
+	a.records.Open(id.Req).Add(decision.Step{
+		At: time.Now(), Kind: kind, Attempt: id.Attempt, Where: a.cfg.Name, Server: a.cfg.Name, Detail: detail,
+	})
+}
+
+// Explain returns the record of a request at this agent.
+func (a *Agent) Explain(id string) (decision.Record, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.records.Find(id)
+}
--- /dev/null
+++ b/agent/call.go
@@ -0,0 +1,94 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/ledgepin/ledgepin/decision"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/order"
+	"github.com/ledgepin/ledgepin/service"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// callMemory is how long an agent remembers the calls that it has sent, so
+// that a repeated message is no second call.
+const callMemory = time.Minute
+
+// call sends a call to the service, once for each attempt. Callers hold the
+// lock.
+func (a *Agent) call(now time.Time, l *wire.Link, m *wire.Call) {
+	switch {
+	case a.svc == nil:
+		a.answer(l, &wire.Answer{ID: m.ID, Detail: "no service beside this agent"})
+		return
+	case a.leaving:
+		a.answer(l, &wire.Answer{ID: m.ID, Detail: "leaving"})
+		return
+	case !a.calls[m.ID].IsZero():
+		return
+	}
+	a.forgetCalls(now)
+	a.calls[m.ID] = now
+	a.jobs[m.ID] = &job{owner: ownerOf(l.Peer)}
+	a.note(m.ID, decision.Called, m.Method+" "+m.Path)
+	a.wg.Go(func() { a.runCall(l, m) })
+}
+
+func (a *Agent) answer(l *wire.Link, m *wire.Answer) { _ = l.Send(&wire.Message{Answer: m}) }
+
+func (a *Agent) runCall(l *wire.Link, m *wire.Call) {
+	ctx, cancel := context.WithTimeout(a.ctx, m.Limit)
+	defer cancel()
+	res, sent, err := a.svc.Do(ctx, service.Call{Method: m.Method, Path: m.Path, Type: m.Type, Body: m.Body, Once: m.Once})
+	out := &wire.Answer{ID: m.ID, Sent: sent, Status: res.Status, Type: res.Type, Body: res.Body}
+	if err != nil {
+		out.Detail = fault.From(err).Detail
+	}
+	a.mu.Lock()
+	delete(a.jobs, m.ID)
+	a.mu.Unlock()
+	a.answer(l, out)
+}
+
+// forgetCalls drops old calls when there are many.
+func (a *Agent) forgetCalls(now time.Time) {
+	const many = 4096
+	if len(a.calls) < many {
+		return
+	}
+	for id, at := range a.calls {
+		if now.Sub(at) > callMemory {
+			delete(a.calls, id)
+		}
+	}
+}
+
+// order passes an order of control to the engine if its fence allows. Callers
+// hold the lock.
+func (a *Agent) order(l *wire.Link, m *order.Order) {
+	if m.Floor {
+		a.gate.Floor(m.Fence)
+		return
+	}
+	if a.engine == nil || !a.gate.Pass(m.Fence) {
+		event.OrderStale.Log(a.log, "order", m.ID, "term", m.Fence.Term, "seq", m.Fence.Seq)
+		high, _ := a.gate.High()
+		_ = l.Send(&wire.Message{Ordered: &order.Result{ID: m.ID, Detail: fault.StaleFence.ID, Fence: high}})
+		return
+	}
+	a.wg.Go(func() { a.carryOut(l, m) })
+}
+
+func (a *Agent) carryOut(l *wire.Link, m *order.Order) {
+	err := a.engine.Order(a.ctx, m.Do)
+	res := &order.Result{ID: m.ID, OK: err == nil, Fence: m.Fence}
+	if err != nil {
+		res.Detail = fault.From(err).Detail
+		event.OrderFailed.Log(a.log, "order", m.ID, "error", fault.From(err))
+	} else {
+		event.OrderDone.Log(a.log, "order", m.ID, "action", m.Do.Action, "model", m.Do.Model)
+	}
+	_ = l.Send(&wire.Message{Ordered: res})
+}
--- /dev/null
+++ b/agent/claims.go
@@ -0,0 +1,119 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/ledgepin/ledgepin/claim"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/settings"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// groupKey names a claim group: a service at a site.
+type groupKey struct{ service, site string }
+
+// joinGroup makes the agent a claim voter if the settings list it. Callers
+// hold the lock.
+func (a *Agent) joinGroup(now time.Time) {
+	tree := a.store.Tree()
+	key, members, life := findGroup(tree, a.cfg.Name)
+	if len(members) == 0 || a.voter != nil && a.group == key {
+		return
+	}
+	a.group = key
+	a.voter = claim.NewVoter(now, a.cfg.Name, uint64(a.epoch), members, life)
+	if a.cfg.FoundClaims {
+		a.voter.Found()
+		return
+	}
+	event.VoterCold.Log(a.log, "service", key.service, "site", key.site)
+	var peers []settings.Placed
+	for _, name := range members {
+		if p, ok := tree.Server(name); ok && name != a.cfg.Name {
+			peers = append(peers, p)
+		}
+	}
+	a.wg.Go(func() { a.warmUp(a.voter, peers) })
+}
+
+func findGroup(tree *settings.Tree, server string) (groupKey, []string, time.Duration) {
+	for name, svc := range tree.Fleet.Services {
+		for site, members := range svc.ClaimGroup {
+			if slices.Contains(members, server) {
+				return groupKey{name, site}, members, svc.ClaimLifetimeOrDefault()
+			}
+		}
+	}
+	return groupKey{}, nil, 0
+}
+
+// copyEvery is the time between two tries to copy grants.
+const copyEvery = 300 * time.Millisecond
+
+// warmUp copies the grants of the other members until the voter votes.
+func (a *Agent) warmUp(v *claim.Voter, peers []settings.Placed) {
+	for a.ctx.Err() == nil {
+		for _, p := range peers {
+			a.copyFrom(v, p)
+		}
+		a.mu.Lock()
+		warm := v.Warm()
+		a.mu.Unlock()
+		if warm {
+			event.VoterWarm.Log(a.log)
+			return
+		}
+		sleep(a.ctx, copyEvery)
+	}
+}
+
+// copyFrom asks one member for its grants over a link of its own.
+func (a *Agent) copyFrom(v *claim.Voter, p settings.Placed) {
+	ctx, cancel := context.WithTimeout(a.ctx, time.Second)
+	defer cancel()
+	l, err := wire.Dial(ctx, p.Agent, wire.Options{Hello: a.hello, Token: a.cfg.Token, TLS: a.cfg.TLS})
+	if err != nil {
+		return
+	}
+	a.mu.Lock()
+	ask := v.Copy()
+	a.mu.Unlock()
+	if ask == nil {
+		l.Close()
+		return
+	}
+	_ = l.Send(&wire.Message{Copy: ask})
+	_ = l.Run(ctx, func(m *wire.Message) {
+		if m.Copied == nil {
+			return
+		}
+		a.mu.Lock()
+		v.Copied(time.Now(), *m.Copied)
+		a.mu.Unlock()
+		l.Close()
+	})
+}
+
+// grant votes on a claim. Callers hold the lock.
+func (a *Agent) grant(now time.Time, l *wire.Link, m *claim.Ask) {
+	vote := claim.Vote{Key: m.Key, Attempt: m.Attempt, Voter: a.cfg.Name, Cold: true}
+	if a.voter != nil {
+		vote = a.voter.Ask(now, *m)
+	}
+	_ = l.Send(&wire.Message{Granted: &vote})
+}
+
+func (a *Agent) record(m *claim.Record) {
+	if a.voter != nil {
+		a.voter.Record(*m)
+	}
+}
+
+func (a *Agent) copyFor(now time.Time, l *wire.Link, m *claim.Copy) {
+	if a.voter != nil {
+		c := a.voter.CopyFor(now, *m)
+		_ = l.Send(&wire.Message{Copied: &c})
+	}
+}
--- /dev/null
+++ b/agent/links.go
@@ -0,0 +1,164 @@
+package agent
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/placement"
+	"github.com/ledgepin/ledgepin/spread"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// beatEvery is the time between two heartbeats on a link.
+const beatEvery = time.Second
+
+// ownerOf names the holder of leases: an entry that restarts is another one.
+func ownerOf(h wire.Hello) string { return fmt.Sprintf("%s/%d", h.Name, h.Epoch) }
+
+// serve runs one link until it ends.
+func (a *Agent) serve(l *wire.Link) {
+	owner := ownerOf(l.Peer)
+	if l.Peer.Role == wire.RoleEntry {
+		a.join(owner, l)
+		defer a.part(owner, l)
+	}
+	err := l.Run(a.ctx, func(m *wire.Message) { a.handle(owner, l, m) })
+	if a.ctx.Err() == nil && l.Peer.Role == wire.RoleEntry {
+		event.LinkDown.Log(a.log, "peer", l.Peer.Name, "why", err)
+	}
+}
+
+func (a *Agent) join(owner string, l *wire.Link) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if old := a.links[owner]; old != nil {
+		old.Close()
+	}
+	a.links[owner] = l
+	a.work.Seen(time.Now(), owner)
+	a.sendBeat(owner, l)
+}
+
+func (a *Agent) part(owner string, l *wire.Link) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.links[owner] == l {
+		delete(a.links, owner)
+	}
+}
+
+func (a *Agent) beatLoop() {
+	t := time.NewTicker(beatEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-a.ctx.Done():
+			return
+		case <-t.C:
+			a.beat()
+		}
+	}
+}
+
+// beat sends a heartbeat with the load to every entry.
+func (a *Agent) beat() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for owner, l := range a.links {
+		a.sendBeat(owner, l)
+	}
+	a.hashes = nil
+}
+
+func (a *Agent) sendBeat(owner string, l *wire.Link) {
+	load := a.load(owner)
+	load.Cached = a.hashes
+	_ = l.Send(&wire.Message{Heartbeat: &wire.Heartbeat{Revision: a.store.Revision(), Load: &load}})
+}
+
+// load returns what one entry is told. Callers hold the lock.
+func (a *Agent) load(owner string) placement.Load {
+	out := placement.Load{
+		Others: a.work.Used() - a.work.UsedBy(owner), Slots: a.work.Slots(), Leaving: a.leaving,
+		Models: a.models, NoModels: a.engine != nil && len(a.models) == 0,
+	}
+	var backlog [placement.Priorities]int32
+	top := 0
+	for _, j := range a.jobs {
+		if j.owner != owner && j.tokens > 0 {
+			backlog[j.priority] += int32(j.tokens)
+			top = max(top, j.priority+1)
+		}
+	}
+	out.Backlog = backlog[:top:top]
+	return out
+}
+
+// handle takes one message. The order of a link's messages is kept.
+func (a *Agent) handle(owner string, l *wire.Link, m *wire.Message) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	switch {
+	case m.Heartbeat != nil:
+		a.work.Seen(now, owner)
+		a.kv.Seen(now, owner)
+		if m.Heartbeat.Revision > a.store.Revision() {
+			_ = l.Send(&wire.Message{Pull: &wire.Pull{Have: a.store.Revision()}})
+		}
+	case m.Settings != nil:
+		a.takeSettings(now, l, m.Settings)
+	case m.Pull != nil:
+		if s := a.store.Push(m.Pull.Have); s != nil {
+			_ = l.Send(&wire.Message{Settings: s})
+		}
+	case m.Reserve != nil:
+		a.reserve(now, owner, l, m.Reserve)
+	case m.Prefill != nil:
+		a.startPrefill(owner, l, m.Prefill)
+	case m.Decode != nil:
+		a.startDecode(owner, l, m.Decode)
+	case m.Cancel != nil:
+		a.cancelWork(now, m.Cancel.ID)
+	case m.Resume != nil:
+		a.resume(now, owner, l, m.Resume)
+	case m.Grant != nil:
+		a.grant(now, l, m.Grant)
+	case m.Record != nil:
+		a.record(m.Record)
+	case m.Copy != nil:
+		a.copyFor(now, l, m.Copy)
+	case m.Call != nil:
+		a.call(now, l, m.Call)
+	case m.Order != nil:
+		a.order(l, m.Order)
+	}
+}
+
+func (a *Agent) takeSettings(now time.Time, l *wire.Link, m *wire.Settings) {
+	switch a.store.Apply(now, m) {
+	case spread.NeedWhole:
+		_ = l.Send(&wire.Message{Pull: &wire.Pull{}})
+	case spread.Bad:
+		event.SettingsBad.Log(a.log, "peer", l.Peer.Name, "revision", m.Revision)
+	case spread.Taken:
+		event.SettingsInForce.Log(a.log, "revision", m.Revision)
+		a.applySettings(now)
+	}
+}
+
+// applySettings brings the agent in line with new settings.
+func (a *Agent) applySettings(now time.Time) {
+	p, ok := a.store.Tree().Server(a.cfg.Name)
+	a.leaving = a.leaving || !ok
+	a.work.SetLeaving(a.leaving)
+	if !ok {
+		event.ServerLeaving.Log(a.log, "why", "not in the settings")
+		return
+	}
+	a.work.SetSlots(p.Slots)
+	a.work.SetTime(p.LeaseTime)
+	a.kv.SetTime(p.LeaseTime)
+	a.joinGroup(now)
+}
--- /dev/null
+++ b/agent/recover.go
@@ -0,0 +1,217 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/ledgepin/ledgepin/decision"
+	"github.com/ledgepin/ledgepin/engine"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/lease"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// recoverLoop lists what the engine runs when the agent starts. Until that is
+// known, no slot is given.
+func (a *Agent) recoverLoop() {
+	for a.ctx.Err() == nil {
+		ids, err := a.engine.Running(a.ctx)
+		if err == nil {
+			a.recovered(ids)
+			return
+		}
+		sleep(a.ctx, cancelEvery)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (a *Agent) recovered(ids []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	until := time.Now().Add(orphanGrace)
+	for _, s := range ids {
+		if id, ok := parseID(s); ok {
+			a.orphans[id] = until
+		}
+	}
+	a.work.SetRecovering(false)
+}
+
+// resume tells an entry on a new link what became of an attempt. Callers hold
+// the lock.
+func (a *Agent) resume(now time.Time, owner string, l *wire.Link, m *wire.Resume) {
+	if _, ok := a.orphans[m.ID]; ok && m.Decode {
+		delete(a.orphans, m.ID)
+		a.work.Claim(now, m.ID, owner, m.Keep)
+		a.jobs[m.ID] = &job{owner: owner}
+		a.note(m.ID, decision.Retried, fmt.Sprintf("claimed by %s after a restart of the agent", l.Peer.Name))
+		a.reopen(owner, m)
+		return
+	}
+	j := a.jobs[m.ID]
+	switch {
+	case j == nil:
+		step := fault.StepPrefill
+		if m.Decode {
+			step = fault.StepDecode
+		}
+		a.sendFailed(l, m.ID, step, "the agent does not know the attempt", false)
+	case m.Decode:
+		a.reopen(owner, m)
+	case j.done != nil:
+		_ = l.Send(&wire.Message{Prefilled: j.done})
+	}
+}
+
+// reopen reads the stream of a running decode again from an index on.
+func (a *Agent) reopen(owner string, m *wire.Resume) {
+	j := a.jobs[m.ID]
+	if j.cancel != nil {
+		j.cancel()
+	}
+	ctx, cancel := context.WithCancel(a.ctx)
+	next := &job{owner: owner, priority: j.priority, cancel: cancel, next: m.From}
+	a.jobs[m.ID] = next
+	a.wg.Go(func() {
+		s, err := a.engine.Resume(ctx, engineID(m.ID), m.From)
+		if err != nil {
+			a.lost(owner, m.ID, fault.StepDecode, err)
+			return
+		}
+		a.pump(ctx, owner, m.ID, next, s)
+	})
+}
+
+// Times of the engine's reports.
+const (
+	engineEvery   = 250 * time.Millisecond
+	engineTimeout = time.Second
+	// missesToLose is the number of reports that may fail in a row.
+	missesToLose = 2
+	// maxHashes bounds the cache hints in one heartbeat, for the budget of
+	// control traffic.
+	maxHashes = 16
+)
+
+// engineLoop reads the engine's load and cache events.
+func (a *Agent) engineLoop() {
+	t := time.NewTicker(engineEvery)
+	defer t.Stop()
+	for {
+		a.readEngine()
+		select {
+		case <-a.ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (a *Agent) readEngine() {
+	ctx, cancel := context.WithTimeout(a.ctx, engineTimeout)
+	defer cancel()
+	load, err := a.engine.Load(ctx)
+	if err != nil {
+		a.engineMissed(err)
+		return
+	}
+	events, _ := a.engine.CacheEvents(ctx, a.cacheSeq)
+	a.engineSeen(load, events)
+}
+
+func (a *Agent) engineMissed(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.misses++
+	if a.misses != missesToLose || a.ctx.Err() != nil {
+		return
+	}
+	event.EngineLost.Log(a.log, "error", fault.From(err))
+	a.engineOK, a.models = false, nil
+	a.beatLocked()
+}
+
+func (a *Agent) engineSeen(load engine.Load, events []engine.CacheEvent) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	changed := !a.engineOK || len(load.Models) != len(a.models)
+	if !a.engineOK {
+		event.EngineBack.Log(a.log)
+	}
+	a.engineOK, a.misses, a.models = true, 0, load.Models
+	for _, e := range events {
+		a.cacheSeq = max(a.cacheSeq, e.Seq)
+		if !e.Removed && len(a.hashes) < maxHashes {
+			a.hashes = append(a.hashes, e.Prefix)
+		}
+	}
+	if changed {
+		a.beatLocked()
+	}
+}
+
+// beatLocked tells all entries at once of a change. Callers hold the lock.
+func (a *Agent) beatLocked() {
+	for owner, l := range a.links {
+		a.sendBeat(owner, l)
+	}
+}
+
+// Dump is the state of an agent.
+type Dump struct {
+	Name     string        `json:"name"`
+	Revision uint64        `json:"settings_revision"`
+	Leaving  bool          `json:"leaving"`
+	EngineOK bool          `json:"engine_ok"`
+	Models   []string      `json:"models"`
+	Slots    int           `json:"slots"`
+	Work     []lease.Lease `json:"work"`
+	KV       []lease.Lease `json:"kv"`
+	Links    []string      `json:"links"`
+	Keys     int           `json:"claim_keys"`
+	Voting   bool          `json:"claim_votes"`
+	Fence    any           `json:"fence"`
+}
+
+// Dump returns the state of the agent.
+func (a *Agent) Dump() any {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	fence, _ := a.gate.High()
+	d := Dump{
+		Name: a.cfg.Name, Revision: a.store.Revision(), Leaving: a.leaving, EngineOK: a.engineOK,
+		Models: a.models, Slots: a.work.Slots(), Work: a.work.Dump(), KV: a.kv.Dump(), Fence: fence,
+	}
+	for _, l := range a.links {
+		d.Links = append(d.Links, l.Peer.Name)
+	}
+	if a.voter != nil {
+		d.Keys, d.Voting = a.voter.Keys(), a.voter.Warm()
+	}
+	return d
+}
+
+// Ready tells whether the agent can serve, and if not, why.
+func (a *Agent) Ready() (bool, string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.leaving:
+		return false, "leaving"
+	case a.store.Tree() == nil:
+		return false, "no settings yet"
+	case a.engine != nil && !a.engineOK:
+		return false, "the engine does not answer"
+	}
+	return true, ""
+}
--- /dev/null
+++ b/agent/work.go
@@ -0,0 +1,260 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ledgepin/ledgepin/decision"
+	"github.com/ledgepin/ledgepin/engine"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/lease"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// engineID is the name of an attempt at the engine.
+func engineID(id lease.ID) string { return fmt.Sprintf("%s.%d", id.Req, id.Attempt) }
+
+// parseID reads a name that engineID made.
+func parseID(s string) (lease.ID, bool) {
+	req, num, ok := cutLast(s, ".")
+	n, err := strconv.ParseUint(num, 10, 32)
+	return lease.ID{Req: req, Attempt: uint32(n)}, ok && err == nil
+}
+
+func cutLast(s, sep string) (before, after string, ok bool) {
+	i := strings.LastIndex(s, sep)
+	if i < 0 {
+		return s, "", false
+	}
+	return s[:i], s[i+len(sep):], true
+}
+
+// reserve answers at once. Callers hold the lock.
+func (a *Agent) reserve(now time.Time, owner string, l *wire.Link, m *wire.Reserve) {
+	reason := a.work.Reserve(now, m.ID, owner, m.Hold, m.Keep)
+	if reason == lease.None {
+		a.jobs[m.ID] = &job{owner: owner, priority: m.Priority, tokens: m.Tokens}
+		a.note(m.ID, decision.Reserved, fmt.Sprintf("for %s, %d of %d slots in use", l.Peer.Name, a.work.Used(), a.work.Slots()))
+	} else {
+		a.note(m.ID, decision.NotGiven, string(reason))
+	}
+	answer := &wire.Reserved{ID: m.ID, OK: reason == lease.None, Reason: string(reason), Load: a.load(owner)}
+	_ = l.Send(&wire.Message{Reserved: answer})
+}
+
+// begin moves a reservation to work; nil if there is none.
+func (a *Agent) begin(l *wire.Link, id lease.ID, step fault.Step) (*job, context.Context) {
+	j := a.jobs[id]
+	if j == nil || !a.work.Start(id) {
+		a.sendFailed(l, id, step, "no reservation", false)
+		return nil, nil
+	}
+	ctx, cancel := context.WithCancel(a.ctx)
+	j.cancel = cancel
+	return j, ctx
+}
+
+func (a *Agent) sendFailed(l *wire.Link, id lease.ID, step fault.Step, detail string, blame bool) {
+	_ = l.Send(&wire.Message{Failed: &wire.Failed{ID: id, Step: string(step), Detail: detail, Server: blame}})
+}
+
+// send gives a message to the present link of an owner, if there is one.
+func (a *Agent) send(owner string, m *wire.Message) {
+	a.mu.Lock()
+	l := a.links[owner]
+	a.mu.Unlock()
+	if l != nil {
+		_ = l.Send(m)
+	}
+}
+
+func (a *Agent) startPrefill(owner string, l *wire.Link, m *wire.Prefill) {
+	j, ctx := a.begin(l, m.ID, fault.StepPrefill)
+	if j == nil {
+		return
+	}
+	a.note(m.ID, decision.Prefilling, "")
+	r := m.Request
+	r.ID = engineID(m.ID)
+	a.wg.Go(func() { a.prefill(ctx, owner, m.ID, j, r) })
+}
+
+func (a *Agent) prefill(ctx context.Context, owner string, id lease.ID, j *job, r engine.Request) {
+	start := time.Now()
+	res, err := a.engine.Prefill(ctx, r)
+	if err != nil {
+		a.lost(owner, id, fault.StepPrefill, err)
+		return
+	}
+	a.prefilled(owner, id, j, res, start)
+}
+
+// prefilled frees the slot of the work and keeps the result under a lease of
+// its own until the decode engine has it.
+func (a *Agent) prefilled(owner string, id lease.ID, j *job, res engine.Prefilled, start time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if state, ok := a.work.State(id); !ok || state != lease.Running {
+		return // cancelled meanwhile; the cancel frees the result too
+	}
+	a.work.Finish(id)
+	a.kv.Claim(now, id, owner, false)
+	a.kv.Limit(id, now.Add(res.KV.TTL))
+	if a.lastEnd.After(start) {
+		start = a.lastEnd // it waited for the one before
+	}
+	a.lastEnd = now
+	j.tokens = 0
+	j.done = &wire.Prefilled{ID: id, KV: res.KV, Cached: res.Cached, Took: now.Sub(start), Load: a.load(owner)}
+	a.note(id, decision.Prefilled, fmt.Sprintf("%d tokens, %d cached", res.KV.Tokens, res.Cached))
+	if l := a.links[owner]; l != nil {
+		_ = l.Send(&wire.Message{Prefilled: j.done})
+	}
+}
+
+func (a *Agent) startDecode(owner string, l *wire.Link, m *wire.Decode) {
+	j, ctx := a.begin(l, m.ID, fault.StepTransfer)
+	if j == nil {
+		return
+	}
+	a.note(m.ID, decision.Transfer, fmt.Sprintf("%d bytes from %s", m.KV.Bytes, m.KV.Source))
+	j.next = m.From
+	r := m.Request
+	r.ID = engineID(m.ID)
+	a.wg.Go(func() { a.decode(ctx, owner, m, j, r) })
+}
+
+func (a *Agent) decode(ctx context.Context, owner string, m *wire.Decode, j *job, r engine.Request) {
+	start := time.Now()
+	s, err := a.engine.Decode(ctx, r, m.KV, m.From)
+	if err != nil {
+		a.lost(owner, m.ID, fault.StepTransfer, err)
+		return
+	}
+	a.mu.Lock()
+	a.note(m.ID, decision.Imported, "")
+	a.mu.Unlock()
+	a.send(owner, &wire.Message{Imported: &wire.Imported{ID: m.ID, Took: time.Since(start)}})
+	a.pump(ctx, owner, m.ID, j, s)
+}
+
+// resumes bounds how often a broken stream is opened again at the engine.
+const resumes = 2
+
+// pump passes the chunks of a stream on, and opens the stream again if it
+// breaks while the engine still has the request.
+func (a *Agent) pump(ctx context.Context, owner string, id lease.ID, j *job, s engine.Stream) {
+	for try := 0; ; try++ {
+		err := a.copyStream(owner, id, j, s)
+		_ = s.Close()
+		if errors.Is(err, io.EOF) {
+			a.decoded(id)
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if try < resumes {
+			s, err = a.engine.Resume(ctx, engineID(id), j.next)
+		}
+		if err != nil {
+			a.lost(owner, id, fault.StepDecode, err)
+			return
+		}
+	}
+}
+
+func (a *Agent) copyStream(owner string, id lease.ID, j *job, s engine.Stream) error {
+	for {
+		c, err := s.Next()
+		if err != nil {
+			return err
+		}
+		a.send(owner, &wire.Message{Chunk: &wire.Chunk{ID: id, Chunk: c}})
+		j.next = c.Index + 1
+	}
+}
+
+func (a *Agent) decoded(id lease.ID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.work.Finish(id)
+	a.note(id, decision.Done, "")
+	a.endJob(id)
+}
+
+// endJob forgets a job. Callers hold the lock.
+func (a *Agent) endJob(id lease.ID) {
+	if j := a.jobs[id]; j != nil {
+		if j.cancel != nil {
+			j.cancel()
+		}
+		delete(a.jobs, id)
+	}
+}
+
+// lost ends work that the engine failed. The slot stays in use until the
+// engine has confirmed that nothing is left.
+func (a *Agent) lost(owner string, id lease.ID, step fault.Step, err error) {
+	a.mu.Lock()
+	state, ok := a.work.State(id)
+	cancelled := !ok || state == lease.Cancelling
+	if !cancelled {
+		a.note(id, decision.Failure, fault.From(err).Error())
+	}
+	a.cancelWork(time.Now(), id)
+	a.mu.Unlock()
+	if !cancelled && a.ctx.Err() == nil {
+		a.send(owner, &wire.Message{Failed: &wire.Failed{
+			ID: id, Step: string(step), Code: fault.From(err).Code.ID, Detail: fault.From(err).Detail, Server: true,
+		}})
+	}
+}
+
+// cancelWork gives up all that an attempt holds here. Callers hold the lock.
+func (a *Agent) cancelWork(now time.Time, id lease.ID) {
+	a.effects(a.work, a.work.Cancel(now, id))
+	a.effects(a.kv, a.kv.Cancel(now, id))
+	if _, ok := a.work.State(id); !ok {
+		if _, ok := a.kv.State(id); !ok {
+			a.endJob(id)
+		}
+	}
+}
+
+// effects carries out the cancels that a table asks for. Callers hold the lock.
+func (a *Agent) effects(t *lease.Table, list []lease.Effect) {
+	for _, e := range list {
+		if e.Try == 1 {
+			a.note(e.ID, decision.Cancelled, "")
+		} else {
+			event.CancelRepeated.Log(a.log, "request", e.ID.Req, "try", e.Try)
+		}
+		if j := a.jobs[e.ID]; j != nil && j.cancel != nil {
+			j.cancel()
+		}
+		a.wg.Go(func() { a.cancelAtEngine(t, e.ID) })
+	}
+}
+
+const cancelTimeout = 2 * time.Second
+
+func (a *Agent) cancelAtEngine(t *lease.Table, id lease.ID) {
+	ctx, cancel := context.WithTimeout(a.ctx, cancelTimeout)
+	defer cancel()
+	if err := a.engine.Cancel(ctx, engineID(id)); err != nil {
+		return // the table repeats it
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t.Finish(id)
+	a.note(id, decision.Confirmed, "")
+	a.endJob(id)
+}
--- /dev/null
+++ b/app/listen.go
@@ -0,0 +1,58 @@
+package app
+
+import (
+	"crypto/tls"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// listeners are the HTTP servers of a process.
+type listeners struct {
+	log     *slog.Logger
+	tls     *tls.Config
+	servers []*http.Server
+	wg      sync.WaitGroup
+}
+
+// serve opens a listener and returns its address.
+func (l *listeners) serve(addr string, srv *http.Server) (string, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		event.ListenFailed.Log(l.log, "address", addr, "error", err)
+		return "", fault.Wrap(err, fault.SettingsInvalid, fault.StepConfig, addr)
+	}
+	out := ln.Addr().String()
+	if l.tls != nil {
+		ln = tls.NewListener(ln, l.tls)
+	}
+	l.servers = append(l.servers, srv)
+	l.wg.Go(func() {
+		if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			event.ListenFailed.Log(l.log, "address", out, "error", err)
+		}
+	})
+	return out, nil
+}
+
+// links serves the links of other processes.
+func (l *listeners) links(addr string, h http.Handler) (string, error) {
+	mux := http.NewServeMux()
+	mux.Handle(wire.Path, h)
+	return l.serve(addr, &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second})
+}
+
+// close ends all listeners and their connections.
+func (l *listeners) close() {
+	for _, s := range l.servers {
+		_ = s.Close()
+	}
+	l.wg.Wait()
+}
--- /dev/null
+++ b/app/run.go
@@ -0,0 +1,167 @@
+package app
+
+import (
+	"context"
+	"log/slog"
+	"os"
+
+	"github.com/ledgepin/ledgepin/agent"
+	"github.com/ledgepin/ledgepin/caller"
+	"github.com/ledgepin/ledgepin/config"
+	"github.com/ledgepin/ledgepin/control"
+	"github.com/ledgepin/ledgepin/entry"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/operator"
+	"github.com/ledgepin/ledgepin/spread"
+)
+
+// Process is a running process with the roles of its settings file.
+type Process struct {
+	file    *config.File
+	log     *slog.Logger
+	ln      listeners
+	entry   *entry.Entry
+	agent   *agent.Agent
+	control *control.Control
+	// Callers, Operators and Links are the addresses in use; Links by role.
+	Callers, Operators string
+	Links              map[string]string
+}
+
+// Start starts the roles of a settings file. On an error nothing is left
+// running.
+func Start(f *config.File, log *slog.Logger) (*Process, error) {
+	p := &Process{file: f, log: log, Links: map[string]string{}}
+	p.ln.log = log
+	if err := p.start(); err != nil {
+		p.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Process) start() error {
+	token, err := config.ReadToken(p.file.Tokens.Peers)
+	if err != nil {
+		return err
+	}
+	operators, err := config.ReadToken(p.file.Tokens.Operators)
+	if err != nil {
+		return err
+	}
+	serverTLS, clientTLS, err := p.file.TLS.Load()
+	if err != nil {
+		return err
+	}
+	p.ln.tls = serverTLS
+	if p.file.Data != "" {
+		if err := os.MkdirAll(p.file.Data, 0o700); err != nil {
+			return fault.Wrap(err, fault.SettingsInvalid, fault.StepConfig, p.file.Data)
+		}
+	}
+	if err := p.startControl(control.Config{Token: token, TLS: clientTLS}); err != nil {
+		return err
+	}
+	if err := p.startAgent(agent.Config{Token: token, TLS: clientTLS}); err != nil {
+		return err
+	}
+	if err := p.startEntry(entry.Config{Token: token, TLS: clientTLS}); err != nil {
+		return err
+	}
+	return p.startOperators(operators)
+}
+
+func (p *Process) startControl(c control.Config) error {
+	part := p.file.Control
+	if part == nil {
+		return nil
+	}
+	c.Name, c.Zone, c.Log = p.file.Name, p.file.Zone, p.log
+	c.Members, c.Dir = part.Members, p.file.Data
+	var err error
+	if p.control, err = control.Start(c); err != nil {
+		return err
+	}
+	p.Links[config.RoleControl], err = p.ln.links(part.Links, p.control.Handler())
+	return err
+}
+
+func (p *Process) startAgent(c agent.Config) error {
+	part := p.file.Agent
+	if part == nil {
+		return nil
+	}
+	c.Name, c.Zone, c.Log = part.Server, p.file.Zone, p.log
+	c.Engine, c.Service, c.FoundClaims = part.Engine, part.Service, part.FoundClaims
+	p.agent = agent.Start(c)
+	var err error
+	p.Links[config.RoleAgent], err = p.ln.links(part.Links, p.agent.Handler())
+	return err
+}
+
+func (p *Process) startEntry(c entry.Config) error {
+	part := p.file.Entry
+	if part == nil {
+		return nil
+	}
+	c.Name, c.Zone, c.Log = p.file.Name, p.file.Zone, p.log
+	c.Upstream, c.Peers, c.Platform = part.Upstream, part.Peers, part.Platform
+	if p.file.Data != "" {
+		c.Keep = spread.NewFile(p.file.Data)
+	}
+	p.entry = entry.Start(c)
+	var err error
+	if part.Links != "" {
+		if p.Links[config.RoleEntry], err = p.ln.links(part.Links, p.entry.Handler()); err != nil {
+			return err
+		}
+	}
+	p.Callers, err = p.ln.serve(part.Callers, caller.NewServer(caller.Handler(p.entry, p.log)))
+	return err
+}
+
+func (p *Process) startOperators(token string) error {
+	roles := map[string]operator.Process{}
+	if p.entry != nil {
+		roles[config.RoleEntry] = p.entry
+	}
+	if p.agent != nil {
+		roles[config.RoleAgent] = p.agent
+	}
+	if p.control != nil {
+		roles[config.RoleControl] = p.control
+	}
+	o := operator.Options{Token: token, Processes: roles, Control: p.control, Log: p.log}
+	var err error
+	p.Operators, err = p.ln.serve(p.file.Operators, operator.NewServer(operator.Handler(o)))
+	return err
+}
+
+// Drain takes no new work and waits for the work in progress, at most for the
+// drain time of the settings file.
+func (p *Process) Drain(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, p.file.Drain.D())
+	defer cancel()
+	event.Draining.Log(p.log)
+	if p.agent != nil {
+		p.agent.Drain(ctx)
+	}
+	if p.entry != nil {
+		p.entry.Drain(ctx)
+	}
+}
+
+// Close ends the process at once.
+func (p *Process) Close() {
+	if p.entry != nil {
+		p.entry.Close()
+	}
+	if p.agent != nil {
+		p.agent.Close()
+	}
+	if p.control != nil {
+		p.control.Close()
+	}
+	p.ln.close()
+}
--- /dev/null
+++ b/caller/answer.go
@@ -0,0 +1,223 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/ledgepin/ledgepin/entry"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/stream"
+)
+
+func (s *server) chat(c echo.Context) error       { return s.complete(c, true) }
+func (s *server) completion(c echo.Context) error { return s.complete(c, false) }
+
+func (s *server) complete(c echo.Context, chat bool) error {
+	g, err := s.grant(c)
+	if err != nil {
+		return err
+	}
+	k, err := key(c)
+	if err != nil {
+		return err
+	}
+	data, err := body(c)
+	if err != nil {
+		return err
+	}
+	p, err := Parse(data, chat)
+	if err != nil {
+		return err
+	}
+	f, err := s.entry.Submit(c.Request().Context(), entry.Job{Grant: g, Key: k, Request: p.Request})
+	if err != nil {
+		return err
+	}
+	defer f.Cancel()
+	c.Response().Header().Set(echo.HeaderXRequestID, f.ID)
+	a := &answer{c: c, flow: f, chat: chat, model: p.Request.Model, created: time.Now().Unix(), usage: p.Usage}
+	if p.Stream {
+		return a.stream()
+	}
+	return a.whole()
+}
+
+// answer writes one completion to its caller.
+type answer struct {
+	c       echo.Context
+	flow    *entry.Flow
+	chat    bool
+	model   string
+	created int64
+	usage   bool
+	tokens  int
+}
+
+// completion is an answer or a chunk of one, in the shape of the OpenAI API.
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index   int      `json:"index"`
+	Text    *string  `json:"text,omitempty"`
+	Message *message `json:"message,omitempty"`
+	Delta   *message `json:"delta,omitempty"`
+	Finish  *string  `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	Prompt     int `json:"prompt_tokens"`
+	Completion int `json:"completion_tokens"`
+	Total      int `json:"total_tokens"`
+}
+
+func (a *answer) shell(object string) completion {
+	return completion{ID: "cmpl-" + a.flow.ID, Object: object, Created: a.created, Model: a.model, Choices: []choice{}}
+}
+
+func (a *answer) counts() *usage {
+	p := a.flow.PromptTokens()
+	return &usage{Prompt: p, Completion: a.tokens, Total: p + a.tokens}
+}
+
+// whole gathers the answer and writes it at once.
+func (a *answer) whole() error {
+	var text strings.Builder
+	finish := ""
+	for finish == "" {
+		p, err := a.flow.Next(a.c.Request().Context())
+		if err != nil {
+			return err
+		}
+		text.WriteString(p.Text)
+		finish = p.Finish
+		if finish == "" {
+			a.tokens++
+		}
+	}
+	out := a.shell("text_completion")
+	ch := choice{Finish: &finish}
+	full := text.String()
+	if a.chat {
+		out.Object = "chat.completion"
+		ch.Message = &message{Role: "assistant", Content: full}
+	} else {
+		ch.Text = &full
+	}
+	out.Choices = []choice{ch}
+	out.Usage = a.counts()
+	return a.c.JSON(http.StatusOK, out)
+}
+
+// stream writes the answer as server-sent events. The status is written with
+// the first token, so that a refusal still has its own status.
+func (a *answer) stream() error {
+	ctx := a.c.Request().Context()
+	started := false
+	for {
+		p, err := a.flow.Next(ctx)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil && !started {
+			return err
+		}
+		if err != nil {
+			return a.broken(err)
+		}
+		if !started {
+			started = true
+			a.head()
+		}
+		if err := a.part(p); err != nil {
+			return nil // the caller is gone or too slow; Cancel cleans up
+		}
+	}
+}
+
+func (a *answer) head() {
+	h := a.c.Response().Header()
+	h.Set(echo.HeaderContentType, "text/event-stream")
+	h.Set(echo.HeaderCacheControl, "no-cache")
+	a.c.Response().WriteHeader(http.StatusOK)
+}
+
+func (a *answer) part(p stream.Part) error {
+	out := a.shell("text_completion")
+	ch := choice{}
+	if a.chat {
+		out.Object = "chat.completion.chunk"
+		ch.Delta = &message{Content: p.Text}
+		if p.Index == 0 {
+			ch.Delta.Role = "assistant"
+		}
+	} else {
+		ch.Text = &p.Text
+	}
+	if p.Finish != "" {
+		ch.Finish = &p.Finish
+	} else {
+		a.tokens++
+	}
+	out.Choices = []choice{ch}
+	if err := a.event(out); err != nil || p.Finish == "" {
+		return err
+	}
+	return a.tail(out.Object)
+}
+
+// tail writes what follows the last token.
+func (a *answer) tail(object string) error {
+	if a.usage {
+		out := a.shell(object)
+		out.Usage = a.counts()
+		if err := a.event(out); err != nil {
+			return err
+		}
+	}
+	return a.write([]byte("[DONE]"))
+}
+
+func (a *answer) event(v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return a.write(data)
+}
+
+func (a *answer) write(data []byte) error {
+	w := a.c.Response()
+	rc := http.NewResponseController(w.Writer)
+	_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
+		return err
+	}
+	return rc.Flush()
+}
+
+// broken tells, within a stream that has begun, that it has no whole answer.
+func (a *answer) broken(err error) error {
+	if a.c.Request().Context().Err() != nil {
+		return nil
+	}
+	return a.event(errorBody(fault.From(err)))
+}
--- /dev/null
+++ b/caller/parse.go
@@ -0,0 +1,197 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/ledgepin/ledgepin/engine"
+	"github.com/ledgepin/ledgepin/fault"
+)
+
+// input is a completion request of the OpenAI API, as far as it is carried.
+type input struct {
+	Model            string          `json:"model"`
+	Prompt           json.RawMessage `json:"prompt"`
+	Messages         []turn          `json:"messages"`
+	Stream           bool            `json:"stream"`
+	StreamOptions    *streamOptions  `json:"stream_options"`
+	MaxTokens        *int            `json:"max_tokens"`
+	MaxCompletion    *int            `json:"max_completion_tokens"`
+	Temperature      *float64        `json:"temperature"`
+	TopP             *float64        `json:"top_p"`
+	Seed             *int64          `json:"seed"`
+	Stop             json.RawMessage `json:"stop"`
+	PresencePenalty  *float64        `json:"presence_penalty"`
+	FrequencyPenalty *float64        `json:"frequency_penalty"`
+	N                *int            `json:"n"`
+	User             string          `json:"user"`
+	Store            *bool           `json:"store"`
+	Metadata         json.RawMessage `json:"metadata"`
+}
+
+type streamOptions struct {
+	IncludeUsage       bool `json:"include_usage"`
+	IncludeObfuscation bool `json:"include_obfuscation"`
+}
+
+// turn is one message; its content is a text or a list of text parts.
+type turn struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+	Name    string          `json:"name"`
+}
+
+type textPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+// Parsed is a request that has passed the checks.
+type Parsed struct {
+	Request engine.Request
+	Stream  bool
+	// Usage tells that the caller wants the counts in a last chunk.
+	Usage bool
+}
+
+func bad(format string, args ...any) error {
+	return fault.New(fault.BadRequest, fault.StepParse, "", fmt.Sprintf(format, args...))
+}
+
+const maxTurns = 4096
+
+// Parse reads a completion request; chat tells which of the two kinds.
+func Parse(data []byte, chat bool) (Parsed, error) {
+	in, err := decode(data)
+	if err != nil {
+		return Parsed{}, err
+	}
+	out := Parsed{Stream: in.Stream, Usage: in.StreamOptions != nil && in.StreamOptions.IncludeUsage}
+	out.Request.Model = in.Model
+	if in.Model == "" {
+		return Parsed{}, bad("model is missing")
+	}
+	if in.N != nil && *in.N != 1 {
+		return Parsed{}, fault.New(fault.Unsupported, fault.StepParse, "", "n must be 1")
+	}
+	if chat {
+		err = in.chat(&out.Request)
+	} else {
+		err = in.plain(&out.Request)
+	}
+	if err != nil {
+		return Parsed{}, err
+	}
+	out.Request.Sampling, err = in.sampling()
+	return out, err
+}
+
+func decode(data []byte) (*input, error) {
+	in := &input{}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(in); err != nil {
+		if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+			return nil, fault.New(fault.Unsupported, fault.StepParse, "", "the parameter "+name+" is not carried")
+		}
+		return nil, bad("the body is not a request in JSON: %v", err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, bad("the body has more than one JSON value")
+	}
+	return in, nil
+}
+
+func (in *input) chat(r *engine.Request) error {
+	if len(in.Messages) == 0 || len(in.Messages) > maxTurns {
+		return bad("messages must have 1 to %d entries", maxTurns)
+	}
+	for i, t := range in.Messages {
+		text, err := content(t.Content)
+		if err != nil {
+			return bad("messages[%d].content: %v", i, err)
+		}
+		switch t.Role {
+		case "system", "developer", "user", "assistant":
+		default:
+			return bad("messages[%d].role: want system, developer, user or assistant", i)
+		}
+		r.Messages = append(r.Messages, engine.Turn{Role: t.Role, Content: text})
+	}
+	return nil
+}
+
+var errText = errors.New("want a text or a list of text parts")
+
+func content(raw json.RawMessage) (string, error) {
+	var s string
+	if json.Unmarshal(raw, &s) == nil {
+		return s, nil
+	}
+	var parts []textPart
+	if json.Unmarshal(raw, &parts) != nil {
+		return "", errText
+	}
+	var b strings.Builder
+	for _, p := range parts {
+		if p.Type != "text" {
+			return "", errText
+		}
+		b.WriteString(p.Text)
+	}
+	return b.String(), nil
+}
+
+func (in *input) plain(r *engine.Request) error {
+	if json.Unmarshal(in.Prompt, &r.Prompt) != nil || r.Prompt == "" {
+		return bad("prompt: want a text that is not empty")
+	}
+	return nil
+}
+
+func (in *input) sampling() (engine.Sampling, error) {
+	s := engine.Sampling{
+		Temperature: in.Temperature, TopP: in.TopP, Seed: in.Seed,
+		PresencePenalty: in.PresencePenalty, FrequencyPenalty: in.FrequencyPenalty,
+	}
+	limit := in.MaxTokens
+	if in.MaxCompletion != nil {
+		limit = in.MaxCompletion
+	}
+	if limit != nil {
+		if *limit < 1 {
+			return s, bad("max_tokens must be at least 1")
+		}
+		s.MaxTokens = *limit
+	}
+	if in.Temperature != nil && (*in.Temperature < 0 || *in.Temperature > 2) {
+		return s, bad("temperature must be from 0 to 2")
+	}
+	if in.TopP != nil && (*in.TopP < 0 || *in.TopP > 1) {
+		return s, bad("top_p must be from 0 to 1")
+	}
+	stop, err := in.stop()
+	s.Stop = stop
+	return s, err
+}
+
+const maxStops = 4
+
+func (in *input) stop() ([]string, error) {
+	if len(in.Stop) == 0 || string(in.Stop) == "null" {
+		return nil, nil
+	}
+	var one string
+	if json.Unmarshal(in.Stop, &one) == nil {
+		return []string{one}, nil
+	}
+	var list []string
+	if json.Unmarshal(in.Stop, &list) != nil || len(list) > maxStops {
+		return nil, bad("stop: want a text or a list of at most %d texts", maxStops)
+	}
+	return list, nil
+}
--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,231 @@
+package caller
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/ledgepin/ledgepin/entry"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/settings"
+)
+
+// Bounds on what callers may send.
+const (
+	MaxBody     = 8 << 20
+	MaxHeader   = 32 << 10
+	maxKey      = 200
+	headTimeout = 10 * time.Second
+	// bodyTimeout is how long a body may take to come in.
+	bodyTimeout = 30 * time.Second
+	// writeTimeout is how long one write to a caller may block.
+	writeTimeout = 10 * time.Second
+)
+
+// MaxOpen bounds the open requests of one process.
+const MaxOpen = 20000
+
+type server struct {
+	entry *entry.Entry
+	log   *slog.Logger
+	open  chan struct{}
+}
+
+// Handler serves callers.
+func Handler(e *entry.Entry, log *slog.Logger) http.Handler {
+	s := &server{entry: e, log: log, open: make(chan struct{}, MaxOpen)}
+	r := echo.New()
+	r.HideBanner = true
+	r.HTTPErrorHandler = s.fail
+	r.Use(s.bound)
+	r.POST("/v1/chat/completions", s.chat)
+	r.POST("/v1/completions", s.completion)
+	r.GET("/v1/models", s.models)
+	r.Any("/services/:name/*", s.service)
+	return r
+}
+
+// NewServer returns an HTTP server with the bounds of this package.
+func NewServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, MaxHeaderBytes: MaxHeader, ReadHeaderTimeout: headTimeout, IdleTimeout: 2 * time.Minute,
+	}
+}
+
+// bound limits the open requests and the time that a body takes.
+func (s *server) bound(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		select {
+		case s.open <- struct{}{}:
+		default:
+			return fault.New(fault.QueueFull, fault.StepAdmit, "", "too many open requests")
+		}
+		defer func() { <-s.open }()
+		rc := http.NewResponseController(c.Response().Writer)
+		_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+		return next(c)
+	}
+}
+
+// grant finds what the caller's token allows.
+func (s *server) grant(c echo.Context) (settings.Grant, error) {
+	token, ok := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
+	if ok {
+		g, err := s.entry.Grant(token)
+		if err == nil {
+			return g, nil
+		}
+		if !fault.Is(err, fault.Unauthorized) {
+			return g, err
+		}
+	}
+	event.BadToken.Log(s.log, "peer", c.RealIP())
+	return settings.Grant{}, fault.New(fault.Unauthorized, fault.StepAuth, "", "send a known token as Authorization: Bearer")
+}
+
+// key returns the Idempotency-Key.
+func key(c echo.Context) (string, error) {
+	k := c.Request().Header.Get("Idempotency-Key")
+	if len(k) > maxKey {
+		return "", fault.New(fault.BadRequest, fault.StepParse, "", fmt.Sprintf("the Idempotency-Key is over %d bytes", maxKey))
+	}
+	return k, nil
+}
+
+// body reads the whole body within its bound.
+func body(c echo.Context) ([]byte, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(c.Response().Writer, c.Request().Body, MaxBody))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, fault.New(fault.PromptTooLong, fault.StepParse, "", fmt.Sprintf("the body is over %d bytes", MaxBody))
+	case err != nil:
+		return nil, fault.Wrap(err, fault.BadRequest, fault.StepParse, "")
+	}
+	// The body is here; from now on a long wait is for the answer.
+	_ = http.NewResponseController(c.Response().Writer).SetReadDeadline(time.Time{})
+	return data, nil
+}
+
+// Body is an error in the shape of the OpenAI API.
+type Body struct {
+	Error Error `json:"error"`
+}
+
+// Error is the inner part of an error body.
+type Error struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+	// NotRun tells that no engine or service was asked to do the work.
+	NotRun bool   `json:"not_run,omitempty"`
+	Step   string `json:"step,omitempty"`
+	Peer   string `json:"peer,omitempty"`
+}
+
+// errorBody returns what a caller sees of an error.
+func errorBody(f *fault.Error) Body {
+	kind := "server_error"
+	if f.Code.Status < http.StatusInternalServerError {
+		kind = "invalid_request_error"
+	}
+	return Body{Error: Error{
+		Message: f.Detail, Type: kind, Code: f.Code.ID, NotRun: f.Code.NotRun, Step: string(f.Step), Peer: f.Peer,
+	}}
+}
+
+// fail answers a request with its error.
+func (s *server) fail(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	f := toFault(err)
+	if f.Code == fault.BadRequest || f.Code == fault.Unsupported {
+		event.BadInput.Log(s.log, "detail", f.Detail)
+	}
+	setRetryAfter(c, f)
+	_ = c.JSON(f.Code.Status, errorBody(f))
+}
+
+func toFault(err error) *fault.Error {
+	var he *echo.HTTPError
+	if errors.As(err, &he) {
+		code := fault.BadRequest
+		if he.Code == http.StatusNotFound || he.Code == http.StatusMethodNotAllowed {
+			code = fault.NotFound
+		}
+		return &fault.Error{Code: code, Step: fault.StepParse, Detail: fmt.Sprint(he.Message)}
+	}
+	return fault.From(err)
+}
+
+// setRetryAfter tells the caller of a refusal when to come back.
+func setRetryAfter(c echo.Context, f *fault.Error) {
+	retry := f.Code.Status == http.StatusServiceUnavailable || f.Code.Status == http.StatusTooManyRequests
+	if !retry {
+		return
+	}
+	seconds := math.Ceil(max(f.RetryAfter, time.Second).Seconds())
+	c.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(int(seconds)))
+}
+
+func (s *server) service(c echo.Context) error {
+	g, err := s.grant(c)
+	if err != nil {
+		return err
+	}
+	k, err := key(c)
+	if err != nil {
+		return err
+	}
+	data, err := body(c)
+	if err != nil {
+		return err
+	}
+	path := "/" + c.Param("*")
+	if q := c.Request().URL.RawQuery; q != "" {
+		path += "?" + q
+	}
+	ans, id, err := s.entry.Call(c.Request().Context(), entry.ServiceCall{
+		Grant: g, Service: c.Param("name"), Key: k, Method: c.Request().Method, Path: path,
+		Type: c.Request().Header.Get(echo.HeaderContentType), Body: data,
+	})
+	c.Response().Header().Set(echo.HeaderXRequestID, id)
+	if err != nil {
+		return err
+	}
+	return c.Blob(ans.Status, ans.Type, ans.Body)
+}
+
+// modelList is the answer of GET /v1/models.
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *server) models(c echo.Context) error {
+	if _, err := s.grant(c); err != nil {
+		return err
+	}
+	out := modelList{Object: "list", Data: []model{}}
+	for _, name := range s.entry.Models() {
+		out.Data = append(out.Data, model{ID: name, Object: "model", OwnedBy: "ledgepin"})
+	}
+	return c.JSON(http.StatusOK, out)
+}
--- /dev/null
+++ b/claim/proposer.go
@@ -0,0 +1,127 @@
+package claim
+
+// Verdict is what an attempt knows about its claim.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Waiting means that more votes are needed.
+	Waiting Verdict = iota
+	// Won means that the attempt may send its call, once.
+	Won
+	// Lost means that the attempt has sent nothing and never will, and that no
+	// other attempt has won: the call did not run.
+	Lost
+	// Unreached means that the attempt has sent nothing and never will, but so
+	// many voters are out of reach that an earlier attempt with the same key
+	// may have won.
+	Unreached
+	// Taken means that another attempt may have sent the call.
+	Taken
+	// Answered means that another attempt has the recorded answer.
+	Answered
+	// Misused means that the key was used with another body.
+	Misused
+)
+
+// String returns the verdict in words.
+func (v Verdict) String() string {
+	return [...]string{"waiting", "won", "not won", "voters out of reach", "held by another attempt", "answered before", "key used for another call"}[v]
+}
+
+// Proposer counts the votes for one attempt.
+type Proposer struct {
+	attempt string
+	size    int
+	votes   map[string]Vote
+	final   Verdict
+}
+
+// NewProposer returns a proposer for an attempt in a group of size voters.
+func NewProposer(attempt string, size int) *Proposer {
+	return &Proposer{attempt: attempt, size: size, votes: map[string]Vote{}}
+}
+
+// Vote takes one vote and returns the verdict. Once it is not Waiting, it
+// stays.
+func (p *Proposer) Vote(v Vote) Verdict {
+	if p.final != Waiting || v.Attempt != p.attempt {
+		return p.final
+	}
+	p.votes[v.Voter] = v
+	p.final = p.judge(false)
+	return p.final
+}
+
+// Close ends the wait: voters that have not answered count as unknown.
+func (p *Proposer) Close() Verdict {
+	if p.final == Waiting {
+		p.final = p.judge(true)
+	}
+	return p.final
+}
+
+// Answer returns the recorded answer, if the verdict is Answered.
+func (p *Proposer) Answer() *Answer {
+	for _, v := range p.votes {
+		if v.Answer != nil {
+			return v.Answer
+		}
+	}
+	return nil
+}
+
+func (p *Proposer) judge(last bool) Verdict {
+	granted, unknown := 0, p.size
+	holders := map[string]int{}
+	for _, v := range p.votes {
+		if v.Other {
+			return Misused
+		}
+		if v.Answer != nil {
+			return Answered
+		}
+		if v.Cold || p.stale(v) || v.Holder == blocked {
+			continue
+		}
+		unknown--
+		switch {
+		case v.OK:
+			granted++
+		case v.Holder != "":
+			holders[v.Holder]++
+		}
+	}
+	if granted >= majority(p.size) {
+		return Won
+	}
+	if granted+unknown >= majority(p.size) && !last {
+		return Waiting
+	}
+	return p.lost(holders, unknown)
+}
+
+// lost tells whether another attempt may have won. Grants that this attempt
+// holds can't have gone to another one.
+func (p *Proposer) lost(holders map[string]int, unknown int) Verdict {
+	for _, n := range holders {
+		if n+unknown >= majority(p.size) {
+			return Taken
+		}
+	}
+	if unknown >= majority(p.size) {
+		return Unreached
+	}
+	return Lost
+}
+
+// stale tells whether a vote came from a voter that another one knows to have
+// restarted since.
+func (p *Proposer) stale(v Vote) bool {
+	for _, w := range p.votes {
+		if w.Known[v.Voter] > v.Incarnation {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/claim/voter.go
@@ -0,0 +1,213 @@
+package claim
+
+import (
+	"container/heap"
+	"time"
+)
+
+// blocked holds a key in place of an attempt; no attempt has this name.
+const blocked = "?"
+
+type grant struct {
+	key     string
+	attempt string
+	body    uint64
+	expires time.Time
+	answer  *Answer
+	// given marks the attempts that gave the key up: they may not get it back.
+	given map[string]bool
+}
+
+// Voter is one member of a claim group.
+type Voter struct {
+	name        string
+	incarnation uint64
+	members     []string
+	warm        bool
+	warmAt      time.Time
+	known       map[string]uint64
+	copied      map[string]bool
+	grants      map[string]*grant
+	expiry      expiry
+}
+
+// NewVoter returns a voter without grants. It is cold: it votes only after it
+// has copied the grants of a majority, or when wait has passed, by which time
+// every key that it may have forgotten has ended. The incarnation must be
+// higher at each start.
+func NewVoter(now time.Time, name string, incarnation uint64, members []string, wait time.Duration) *Voter {
+	return &Voter{
+		name: name, incarnation: incarnation, members: members, warmAt: now.Add(wait),
+		known: map[string]uint64{}, copied: map[string]bool{}, grants: map[string]*grant{},
+	}
+}
+
+// Warm tells whether the voter votes.
+func (v *Voter) Warm() bool { return v.warm }
+
+// Keys counts the keys that are kept.
+func (v *Voter) Keys() int { return len(v.grants) }
+
+// Found makes the voter vote at once: the group is new and has no past. Only
+// the operator, or a test, can know that.
+func (v *Voter) Found() { v.warm = true }
+
+// Copy returns what a cold voter asks the other members; nil once it is warm.
+func (v *Voter) Copy() *Copy {
+	if v.warm {
+		return nil
+	}
+	return &Copy{Voter: v.name, Incarnation: v.incarnation}
+}
+
+// Tick forgets keys whose lifetime is over and ends a long wait.
+func (v *Voter) Tick(now time.Time) {
+	if !v.warm && !now.Before(v.warmAt) {
+		v.warm = true
+	}
+	for len(v.expiry) > 0 && !v.expiry[0].expires.After(now) {
+		g := heap.Pop(&v.expiry).(*grant)
+		if v.grants[g.key] == g {
+			delete(v.grants, g.key)
+		}
+	}
+}
+
+// Ask decides on one attempt.
+func (v *Voter) Ask(now time.Time, a Ask) Vote {
+	v.Tick(now)
+	out := Vote{Key: a.Key, Attempt: a.Attempt, Voter: v.name, Incarnation: v.incarnation, Known: v.knownCopy()}
+	if !v.warm {
+		out.Cold = true
+		return out
+	}
+	g := v.grants[a.Key]
+	if g == nil {
+		g = &grant{key: a.Key, attempt: a.Attempt, body: a.Body, expires: now.Add(a.Lifetime)}
+		v.grants[a.Key] = g
+		heap.Push(&v.expiry, g)
+	}
+	if g.attempt == "" && !g.given[a.Attempt] {
+		g.attempt = a.Attempt
+	}
+	out.Other = g.body != a.Body
+	out.OK = g.attempt == a.Attempt && !out.Other
+	if !out.OK {
+		out.Holder = g.attempt
+		out.Answer = g.answer
+	}
+	return out
+}
+
+// Record keeps the outcome of an attempt. An attempt that was given up frees
+// the key for others, but never for itself.
+func (v *Voter) Record(r Record) {
+	g := v.grants[r.Key]
+	if g == nil || g.attempt != r.Attempt {
+		return
+	}
+	if r.Answer != nil {
+		g.answer = r.Answer
+		return
+	}
+	g.giveUp()
+}
+
+func (g *grant) giveUp() {
+	if g.given == nil {
+		g.given = map[string]bool{}
+	}
+	g.given[g.attempt] = true
+	g.attempt = ""
+}
+
+// CopyFor answers a restarted member. Its incarnation is noted first, so that
+// every later vote tells it.
+func (v *Voter) CopyFor(now time.Time, c Copy) Copied {
+	if c.Incarnation > v.known[c.Voter] {
+		v.known[c.Voter] = c.Incarnation
+	}
+	out := Copied{Voter: v.name, Incarnation: v.incarnation, Known: v.knownCopy(), For: c.Incarnation, Cold: !v.warm}
+	if !v.warm {
+		return out
+	}
+	for _, g := range v.grants {
+		h := Held{Key: g.key, Attempt: g.attempt, Body: g.body, Left: g.expires.Sub(now), Answer: g.answer}
+		out.Held = append(out.Held, h)
+	}
+	return out
+}
+
+// Copied takes the grants of another member and makes the voter warm once a
+// majority of the group has answered.
+func (v *Voter) Copied(now time.Time, c Copied) {
+	if v.warm || c.Cold || c.For != v.incarnation || !v.member(c.Voter) {
+		return
+	}
+	for _, h := range c.Held {
+		v.merge(now, h)
+	}
+	for name, inc := range c.Known {
+		v.known[name] = max(v.known[name], inc)
+	}
+	v.known[c.Voter] = max(v.known[c.Voter], c.Incarnation)
+	v.copied[c.Voter] = true
+	v.warm = len(v.copied) >= majority(len(v.members))
+}
+
+// merge takes one grant of another member. If two members hold different
+// attempts, this voter's forgotten grant may have given either of them the
+// majority, so the key is blocked unless an answer shows which one ran.
+func (v *Voter) merge(now time.Time, h Held) {
+	g := v.grants[h.Key]
+	if g == nil {
+		g = &grant{key: h.Key, attempt: h.Attempt, body: h.Body, expires: now.Add(h.Left), answer: h.Answer}
+		v.grants[h.Key] = g
+		heap.Push(&v.expiry, g)
+		return
+	}
+	switch {
+	case g.answer != nil:
+	case h.Answer != nil || g.attempt == "":
+		g.attempt, g.answer = h.Attempt, h.Answer
+	case h.Attempt != "" && h.Attempt != g.attempt:
+		g.attempt = blocked
+	}
+}
+
+func (v *Voter) member(name string) bool {
+	for _, m := range v.members {
+		if m == name && m != v.name {
+			return true
+		}
+	}
+	return false
+}
+
+func (v *Voter) knownCopy() map[string]uint64 {
+	out := make(map[string]uint64, len(v.known))
+	for k, n := range v.known {
+		out[k] = n
+	}
+	return out
+}
+
+func majority(n int) int { return n/2 + 1 }
+
+// expiry orders grants by the end of their lifetime.
+type expiry []*grant
+
+func (e expiry) Len() int           { return len(e) }
+func (e expiry) Less(i, j int) bool { return e[i].expires.Before(e[j].expires) }
+func (e expiry) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *expiry) Push(x any) { *e = append(*e, x.(*grant)) }
+
+// Pop implements heap.Interface.
+func (e *expiry) Pop() any {
+	old := *e
+	g := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return g
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,294 @@
+// Package config reads the YAML file of one process: the roles that it has and
+// where it stands. What the fleet should do stands in the settings tree, not
+// here.
+package config
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/strict"
+)
+
+// File is the settings file of a process.
+type File struct {
+	// Name is the name of the process in logs and links.
+	Name string `yaml:"name" check:"required"`
+	// Zone is its availability zone.
+	Zone string `yaml:"zone" check:"required"`
+	// Roles are entry, agent and control, or entry and control together.
+	Roles []string `yaml:"roles" check:"required"`
+	// Operators is the address of the operators' listener.
+	Operators string `yaml:"operators" check:"required"`
+	// Data is the data folder; empty on a VM without a disk.
+	Data string `yaml:"data,omitempty"`
+	// Drain bounds the time for streams in progress after SIGTERM.
+	Drain  strict.Duration `yaml:"drain,omitempty" check:"min=0,max=86400000000000"`
+	Log    Log             `yaml:"log,omitempty"`
+	TLS    *TLS            `yaml:"tls,omitempty"`
+	Tokens Tokens          `yaml:"tokens,omitempty"`
+
+	Entry   *Entry   `yaml:"entry,omitempty"`
+	Agent   *Agent   `yaml:"agent,omitempty"`
+	Control *Control `yaml:"control,omitempty"`
+}
+
+// Log is how the process logs.
+type Log struct {
+	Level  string `yaml:"level,omitempty" check:"oneof=debug|info|warn|error"`
+	Format string `yaml:"format,omitempty" check:"oneof=json|text"`
+}
+
+// TLS names the files for encrypted listeners and links.
+type TLS struct {
+	Cert string `yaml:"cert" check:"required"`
+	Key  string `yaml:"key" check:"required"`
+	// CA is what peers' certificates are checked against.
+	CA string `yaml:"ca" check:"required"`
+}
+
+// Tokens names the files that hold bearer tokens.
+type Tokens struct {
+	// Peers is shared by all processes of the fleet.
+	Peers string `yaml:"peers,omitempty"`
+	// Operators is what operators present.
+	Operators string `yaml:"operators,omitempty"`
+}
+
+// Entry is the part of the entry role.
+type Entry struct {
+	// Callers is the address of the callers' listener.
+	Callers string `yaml:"callers" check:"required"`
+	// Links is the address at which other entries use this one as a relay.
+	Links string `yaml:"links,omitempty"`
+	// Upstream are control replicas or relays, tried in turn.
+	Upstream []string `yaml:"upstream" check:"required"`
+	// Peers are processes of the site to ask when control is out of reach.
+	Peers []string `yaml:"peers,omitempty"`
+	// Platform is the address of the platform's list of VMs.
+	Platform string `yaml:"platform,omitempty"`
+}
+
+// Agent is the part of the agent role.
+type Agent struct {
+	// Server is the name of its backend server in the settings.
+	Server string `yaml:"server" check:"required"`
+	// Links is the address at which entries reach the agent.
+	Links string `yaml:"links" check:"required"`
+	// Engine and Service are addresses on the VM; one of them is given.
+	Engine  string `yaml:"engine,omitempty"`
+	Service string `yaml:"service,omitempty"`
+	// FoundClaims is given once, when a claim group starts for the first time.
+	FoundClaims bool `yaml:"found_claims,omitempty"`
+}
+
+// Control is the part of the control role.
+type Control struct {
+	// Links is the address at which replicas and relays reach it.
+	Links string `yaml:"links" check:"required"`
+	// Members are the first replicas by name.
+	Members map[string]string `yaml:"members" check:"required"`
+}
+
+// Roles of a process.
+const (
+	RoleEntry   = "entry"
+	RoleAgent   = "agent"
+	RoleControl = "control"
+)
+
+// DefaultDrain is the time for streams in progress if the file has none.
+const DefaultDrain = 10 * time.Minute
+
+// Load reads and checks a file.
+func Load(path string) (*File, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.SettingsInvalid, fault.StepConfig, path)
+	}
+	return Parse(path, data)
+}
+
+// Parse checks the text of a file.
+func Parse(path string, data []byte) (*File, error) {
+	f := &File{}
+	if err := strict.Decode(path, data, f); err != nil {
+		return nil, err
+	}
+	if f.Drain == 0 {
+		f.Drain = strict.Duration(DefaultDrain)
+	}
+	c := checker{path: path, file: f}
+	c.roles()
+	c.addresses()
+	c.tokens()
+	return f, c.found.Err()
+}
+
+type checker struct {
+	path  string
+	file  *File
+	found strict.Problems
+}
+
+func (c *checker) report(path, format string, args ...any) {
+	c.found = append(c.found, strict.Problem{File: c.path, Line: 1, Path: path, Want: fmt.Sprintf(format, args...)})
+}
+
+// roles wants the part of each role, and no other.
+func (c *checker) roles() {
+	has := map[string]bool{RoleEntry: c.file.Entry != nil, RoleAgent: c.file.Agent != nil, RoleControl: c.file.Control != nil}
+	named := map[string]bool{}
+	for _, r := range c.file.Roles {
+		if _, ok := has[r]; !ok {
+			c.report("roles", "want entry, agent or control, not %q", r)
+		}
+		named[r] = true
+	}
+	for _, r := range []string{RoleEntry, RoleAgent, RoleControl} {
+		if named[r] != has[r] {
+			c.report(r, "want this part if and only if roles names %s", r)
+		}
+	}
+	if named[RoleAgent] && len(named) > 1 {
+		c.report("roles", "want agent alone")
+	}
+	if a := c.file.Agent; a != nil && (a.Engine == "") == (a.Service == "") {
+		c.report("agent", "want engine or service, one of them")
+	}
+	if c.file.Control != nil && c.file.Data == "" {
+		c.report("data", "want a data folder, because control must keep its log")
+	}
+}
+
+func (c *checker) addresses() {
+	c.address("operators", c.file.Operators)
+	if e := c.file.Entry; e != nil {
+		c.address("entry.callers", e.Callers)
+		if e.Links != "" {
+			c.address("entry.links", e.Links)
+		}
+		for i, a := range append(append([]string{}, e.Upstream...), e.Peers...) {
+			c.address(fmt.Sprintf("entry.upstream or peers, number %d", i+1), a)
+		}
+		if e.Platform != "" {
+			c.address("entry.platform", e.Platform)
+		}
+	}
+	if a := c.file.Agent; a != nil {
+		c.address("agent.links", a.Links)
+		if a.Engine+a.Service != "" {
+			c.address("agent.engine or service", a.Engine+a.Service)
+		}
+	}
+	if k := c.file.Control; k != nil {
+		c.address("control.links", k.Links)
+		for name, a := range k.Members {
+			c.address("control.members."+name, a)
+		}
+	}
+}
+
+func (c *checker) address(path, addr string) {
+	if _, err := netip.ParseAddrPort(addr); err != nil {
+		c.report(path, "want an IP number and a port, not %q", addr)
+	}
+}
+
+// tokens wants a token where a listener can be reached from other VMs.
+func (c *checker) tokens() {
+	if c.file.Tokens.Operators == "" && !loopback(c.file.Operators) {
+		c.report("operators", "want a loopback address, or a token file in tokens.operators")
+	}
+	if c.file.Tokens.Peers != "" {
+		return
+	}
+	for _, addr := range c.links() {
+		if addr != "" && !loopback(addr) {
+			c.report("tokens.peers", "want a token file, because links listen on %s", addr)
+		}
+	}
+}
+
+func (c *checker) links() []string {
+	var out []string
+	if c.file.Entry != nil {
+		out = append(out, c.file.Entry.Links)
+	}
+	if c.file.Agent != nil {
+		out = append(out, c.file.Agent.Links)
+	}
+	if c.file.Control != nil {
+		out = append(out, c.file.Control.Links)
+	}
+	return out
+}
+
+func loopback(addr string) bool {
+	host, _, err := net.SplitHostPort(addr)
+	ip := net.ParseIP(host)
+	return err == nil && ip != nil && ip.IsLoopback()
+}
+
+const minToken = 16
+
+// ReadToken reads a bearer token from a file; no file gives no token.
+func ReadToken(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", fault.Wrap(err, fault.SettingsInvalid, fault.StepConfig, path)
+	}
+	token := strings.TrimSpace(string(data))
+	if len(token) < minToken {
+		return "", fault.New(fault.SettingsInvalid, fault.StepConfig, path, fmt.Sprintf("want a token of at least %d characters", minToken))
+	}
+	return token, nil
+}
+
+// Load returns the TLS settings for listeners and for links; nil for plain TCP.
+func (t *TLS) Load() (server, client *tls.Config, err error) {
+	if t == nil {
+		return nil, nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(t.Cert, t.Key)
+	if err != nil {
+		return nil, nil, fault.Wrap(err, fault.SettingsInvalid, fault.StepConfig, t.Cert)
+	}
+	pem, err := os.ReadFile(t.CA)
+	if err != nil {
+		return nil, nil, fault.Wrap(err, fault.SettingsInvalid, fault.StepConfig, t.CA)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		err := errors.New("no certificate in PEM")
+		return nil, nil, fault.Wrap(err, fault.SettingsInvalid, fault.StepConfig, t.CA)
+	}
+	server = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
+	client = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	return server, client, nil
+}
+
+// Logger returns the logger that the file asks for.
+func (l Log) Logger() *slog.Logger {
+	var level slog.Level
+	if l.Level != "" {
+		_ = level.UnmarshalText([]byte(l.Level))
+	}
+	o := &slog.HandlerOptions{Level: level}
+	if l.Format == "text" {
+		return slog.New(slog.NewTextHandler(os.Stderr, o))
+	}
+	return slog.New(slog.NewJSONHandler(os.Stderr, o))
+}
--- /dev/null
+++ b/consensus/election.go
@@ -0,0 +1,144 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+)
+
+func (n *Node) voter(id string) bool { return slices.Contains(n.members.Voters, id) }
+
+func (n *Node) resetElection(now time.Time) {
+	spread := int64(n.cfg.ElectionMax - n.cfg.ElectionMin)
+	n.electionDue = now.Add(n.cfg.ElectionMin + time.Duration(n.rng.Int64N(max(spread, 1))))
+}
+
+// follow makes the replica a follower in a term; leader may be empty.
+func (n *Node) follow(now time.Time, term uint64, leader string) {
+	if term > n.hard.Term {
+		n.hard = Hard{Term: term}
+		n.hardDirty = true
+	}
+	n.role = Follower
+	n.leader = leader
+	n.peers, n.votes, n.sentAt = nil, nil, nil
+	n.resetElection(now)
+}
+
+func (n *Node) send(p Packet) {
+	p.From = n.cfg.ID
+	n.out.Packets = append(n.out.Packets, p)
+}
+
+// startPreVote asks whether an election could be won, without a new term, so
+// that a replica that was cut off does not disturb the leader.
+func (n *Node) startPreVote(now time.Time) {
+	n.role = PreCandidate
+	n.leader = ""
+	n.votes = map[string]bool{n.cfg.ID: true}
+	n.resetElection(now)
+	n.ask(PreVote, n.hard.Term+1)
+	n.countVotes(now)
+}
+
+func (n *Node) startElection(now time.Time) {
+	n.role = Candidate
+	n.hard = Hard{Term: n.hard.Term + 1, Vote: n.cfg.ID}
+	n.hardDirty = true
+	n.votes = map[string]bool{n.cfg.ID: true}
+	n.resetElection(now)
+	n.ask(Vote, n.hard.Term)
+	n.countVotes(now)
+}
+
+func (n *Node) ask(kind Kind, term uint64) {
+	for _, v := range n.members.Voters {
+		if v != n.cfg.ID {
+			n.send(Packet{Kind: kind, To: v, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm()})
+		}
+	}
+}
+
+func (n *Node) countVotes(now time.Time) {
+	yes := 0
+	for _, v := range n.members.Voters {
+		if n.votes[v] {
+			yes++
+		}
+	}
+	if yes < majority(len(n.members.Voters)) {
+		return
+	}
+	if n.role == PreCandidate {
+		n.startElection(now)
+		return
+	}
+	n.lead(now)
+}
+
+// lead makes the replica the leader. The entry without a command that it
+// appends lets it know which older entries are committed.
+func (n *Node) lead(now time.Time) {
+	n.role = Leader
+	n.leader = n.cfg.ID
+	n.votes = nil
+	n.peers = map[string]*progress{}
+	n.sentAt = map[uint64]time.Time{}
+	n.syncPeers(now)
+	n.firstOwn = n.append(Entry{})
+	n.broadcast(now)
+	n.advance(now)
+}
+
+// upToDate tells whether a candidate's log has all that this one has.
+func (n *Node) upToDate(p Packet) bool {
+	if p.LogTerm != n.log.lastTerm() {
+		return p.LogTerm > n.log.lastTerm()
+	}
+	return p.Index >= n.log.last()
+}
+
+// sticky tells whether a leader was heard so lately that its lease may live.
+func (n *Node) sticky(now time.Time) bool {
+	return n.role == Leader && n.Lead(now) || now.Sub(n.lastHeard) < n.cfg.ElectionMin
+}
+
+func (n *Node) onPreVote(now time.Time, p Packet) {
+	ok := p.Term > n.hard.Term && n.upToDate(p) && !n.sticky(now)
+	term := p.Term
+	if !ok {
+		// A candidate with a lower term but a longer log has to learn the term,
+		// or neither of the two could ever be elected.
+		term = n.hard.Term
+	}
+	n.send(Packet{Kind: PreVoted, To: p.From, Term: term, OK: ok})
+}
+
+func (n *Node) onVote(now time.Time, p Packet) {
+	if n.sticky(now) || p.Term < n.hard.Term {
+		n.send(Packet{Kind: Voted, To: p.From, Term: max(p.Term, n.hard.Term), OK: false})
+		return
+	}
+	if p.Term > n.hard.Term {
+		n.follow(now, p.Term, "")
+	}
+	ok := (n.hard.Vote == "" || n.hard.Vote == p.From) && n.upToDate(p)
+	if ok {
+		n.hard.Vote = p.From
+		n.hardDirty = true
+		n.resetElection(now)
+	}
+	n.send(Packet{Kind: Voted, To: p.From, Term: n.hard.Term, OK: ok})
+}
+
+func (n *Node) onVoted(now time.Time, p Packet) {
+	want := Candidate
+	term := n.hard.Term
+	if p.Kind == PreVoted {
+		want, term = PreCandidate, n.hard.Term+1
+	}
+	if n.role != want || p.Term != term || !p.OK {
+		return
+	}
+	n.votes[p.From] = true
+	n.countVotes(now)
+}
--- /dev/null
+++ b/consensus/log.go
@@ -0,0 +1,73 @@
+package consensus
+
+// log holds the entries after the snapshot.
+type log struct {
+	snap    Snapshot
+	entries []Entry
+}
+
+func newLog(s Snapshot, entries []Entry) log {
+	l := log{snap: s}
+	for _, e := range entries {
+		if e.Index > s.Index {
+			l.entries = append(l.entries, e)
+		}
+	}
+	return l
+}
+
+// last returns the index of the last entry.
+func (l *log) last() uint64 { return l.snap.Index + uint64(len(l.entries)) }
+
+// lastTerm returns the term of the last entry.
+func (l *log) lastTerm() uint64 { return l.term(l.last()) }
+
+// has tells whether the term of an index is known.
+func (l *log) has(index uint64) bool { return index >= l.snap.Index && index <= l.last() }
+
+// term returns the term of an index that has reports true for.
+func (l *log) term(index uint64) uint64 {
+	if index == l.snap.Index {
+		return l.snap.Term
+	}
+	return l.entries[index-l.snap.Index-1].Term
+}
+
+func (l *log) append(e Entry) { l.entries = append(l.entries, e) }
+
+// cut drops the entries from an index on.
+func (l *log) cut(index uint64) {
+	l.entries = l.entries[: index-l.snap.Index-1 : index-l.snap.Index-1]
+}
+
+// from returns the entries from an index on.
+func (l *log) from(index uint64) []Entry {
+	if index <= l.snap.Index {
+		index = l.snap.Index + 1
+	}
+	if index > l.last() {
+		return nil
+	}
+	return append([]Entry(nil), l.entries[index-l.snap.Index-1:]...)
+}
+
+// between returns the entries from low to high, both included.
+func (l *log) between(low, high uint64) []Entry {
+	low = max(low, l.snap.Index+1)
+	if low > high {
+		return nil
+	}
+	return append([]Entry(nil), l.entries[low-l.snap.Index-1:high-l.snap.Index]...)
+}
+
+// compact drops the entries that a snapshot covers.
+func (l *log) compact(s Snapshot) {
+	l.entries = append([]Entry(nil), l.entries[s.Index-l.snap.Index:]...)
+	l.snap = s
+}
+
+// reset replaces all by a snapshot.
+func (l *log) reset(s Snapshot) {
+	l.snap = s
+	l.entries = nil
+}
--- /dev/null
+++ b/consensus/members.go
@@ -0,0 +1,103 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+)
+
+// setMembers puts a membership in force: from the moment that it is in the
+// log, committed or not.
+func (n *Node) setMembers(m Members, index uint64) {
+	n.members, n.membersIndex = m, index
+	if n.role == Leader {
+		n.syncPeers(time.Time{})
+	}
+}
+
+// findMembers looks for the newest membership in the log.
+func (n *Node) findMembers(base Members) {
+	n.members, n.membersIndex = base, n.log.snap.Index
+	for _, e := range n.log.entries {
+		if e.Members != nil {
+			n.members, n.membersIndex = *e.Members, e.Index
+		}
+	}
+}
+
+// membersAt returns the membership in force at an index.
+func (n *Node) membersAt(index uint64) Members {
+	m := n.log.snap.Members
+	if n.log.snap.Index == 0 {
+		m = n.members
+	}
+	for _, e := range n.log.entries {
+		if e.Members != nil && e.Index <= index {
+			m = *e.Members
+		}
+	}
+	return m
+}
+
+// syncPeers keeps a progress for each other replica. A new one counts as heard
+// at zero time, so it adds nothing to the leader lease.
+func (n *Node) syncPeers(now time.Time) {
+	want := append(slices.Clone(n.members.Voters), n.members.Learners...)
+	for _, id := range want {
+		if id != n.cfg.ID && n.peers[id] == nil {
+			n.peers[id] = &progress{next: n.log.last() + 1, ackAt: now}
+		}
+	}
+	for id := range n.peers {
+		if !slices.Contains(want, id) {
+			delete(n.peers, id)
+		}
+	}
+}
+
+// Change is one step of membership.
+type Change struct {
+	// Add names a new learner, Promote a learner to become a voter, Remove a
+	// replica to leave. Exactly one is set.
+	Add, Promote, Remove string
+}
+
+// ChangeMembers proposes one step of membership. At most one may be under way,
+// and a learner is promoted only after it has caught up.
+func (n *Node) ChangeMembers(now time.Time, c Change) (uint64, error) {
+	if !n.Lead(now) {
+		return 0, ErrNotLeader
+	}
+	if n.membersIndex > n.commit {
+		return 0, ErrPending
+	}
+	m, ok := n.changed(c)
+	if !ok {
+		return 0, ErrMembers
+	}
+	index := n.append(Entry{Members: &m})
+	n.broadcast(now)
+	n.advance(now)
+	return index, nil
+}
+
+func (n *Node) changed(c Change) (Members, bool) {
+	m := Members{Voters: slices.Clone(n.members.Voters), Learners: slices.Clone(n.members.Learners)}
+	isVoter, isLearner := slices.Contains(m.Voters, c.Add+c.Promote+c.Remove), slices.Contains(m.Learners, c.Add+c.Promote+c.Remove)
+	switch {
+	case c.Add != "" && !isVoter && !isLearner:
+		m.Learners = append(m.Learners, c.Add)
+	case c.Promote != "" && isLearner && n.Caught(c.Promote):
+		m.Learners = remove(m.Learners, c.Promote)
+		m.Voters = append(m.Voters, c.Promote)
+	case c.Remove != "" && (isLearner || isVoter && len(m.Voters) > 1):
+		m.Learners = remove(m.Learners, c.Remove)
+		m.Voters = remove(m.Voters, c.Remove)
+	default:
+		return m, false
+	}
+	return m, true
+}
+
+func remove(list []string, id string) []string {
+	return slices.DeleteFunc(list, func(s string) bool { return s == id })
+}
--- /dev/null
+++ b/consensus/replicate.go
@@ -0,0 +1,233 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+)
+
+// Bounds of one Append.
+const (
+	maxEntries = 256
+	maxBytes   = 1 << 20
+	// installEvery is the time between two tries to send a snapshot.
+	installEvery = time.Second
+	// maxSent bounds the rounds whose times are kept.
+	maxSent = 256
+)
+
+// Step takes a packet from another replica.
+func (n *Node) Step(now time.Time, p Packet) {
+	if n.failed || p.To != n.cfg.ID {
+		return
+	}
+	switch p.Kind {
+	case PreVote:
+		n.onPreVote(now, p)
+	case Vote:
+		n.onVote(now, p)
+	case PreVoted, Voted:
+		if !p.OK && p.Term > n.hard.Term {
+			n.follow(now, p.Term, "")
+			return
+		}
+		n.onVoted(now, p)
+	case Append, Install:
+		n.fromLeader(now, p)
+	case Appended, Installed:
+		n.onAck(now, p)
+	}
+}
+
+// fromLeader takes what only a leader sends.
+func (n *Node) fromLeader(now time.Time, p Packet) {
+	if p.Term < n.hard.Term {
+		n.send(Packet{Kind: Appended, To: p.From, Term: n.hard.Term})
+		return
+	}
+	n.follow(now, p.Term, p.From)
+	n.lastHeard = now
+	if p.Kind == Install && p.Snapshot != nil {
+		n.onInstall(p)
+		return
+	}
+	n.onAppend(p)
+	if p.OK && n.commit >= p.Commit {
+		n.freshAt = now
+	}
+}
+
+func (n *Node) onAppend(p Packet) {
+	reply := Packet{Kind: Appended, To: p.From, Term: n.hard.Term, Seq: p.Seq}
+	if p.Index > n.log.last() || p.Index >= n.log.snap.Index && n.log.term(p.Index) != p.LogTerm {
+		reply.Hint = min(n.log.last(), p.Index-1)
+		n.send(reply)
+		return
+	}
+	for _, e := range p.Entries {
+		n.take(e)
+	}
+	last := p.Index + uint64(len(p.Entries))
+	reply.OK, reply.Index = true, max(last, n.log.snap.Index)
+	if c := min(p.Commit, last); c > n.commit {
+		n.commit = c
+	}
+	n.send(reply)
+}
+
+// take puts a leader's entry into the log; an own entry of another term gives
+// way with all after it.
+func (n *Node) take(e Entry) {
+	if e.Index <= n.log.snap.Index {
+		return
+	}
+	if n.log.has(e.Index) {
+		if n.log.term(e.Index) == e.Term {
+			return
+		}
+		n.log.cut(e.Index)
+		if n.membersIndex >= e.Index {
+			n.findMembers(n.log.snap.Members)
+		}
+	}
+	n.log.append(e)
+	n.markUnsynced(e.Index)
+	if e.Members != nil {
+		n.setMembers(*e.Members, e.Index)
+	}
+}
+
+// onInstall takes a snapshot. One that the log already covers only moves the
+// commit index: entries after it may have been acknowledged and must stay.
+func (n *Node) onInstall(p Packet) {
+	s := *p.Snapshot
+	reply := Packet{Kind: Installed, To: p.From, Term: n.hard.Term, Seq: p.Seq, OK: true}
+	switch {
+	case s.Index <= n.commit:
+	case n.log.has(s.Index) && n.log.term(s.Index) == s.Term:
+		n.commit = s.Index
+	default:
+		n.log.reset(s)
+		n.commit, n.applied, n.unsynced = s.Index, s.Index, 0
+		n.setMembers(s.Members, s.Index)
+		n.out.Snapshot = &s
+		n.out.Committed = nil
+	}
+	reply.Index = n.commit
+	n.send(reply)
+}
+
+// broadcast sends a round of Appends to all replicas.
+func (n *Node) broadcast(now time.Time) {
+	n.beatDue = now.Add(n.cfg.HeartbeatEvery)
+	n.seq++
+	n.sentAt[n.seq] = now
+	delete(n.sentAt, n.seq-maxSent)
+	for _, id := range sortedPeers(n.peers) {
+		n.sendAppend(now, id)
+	}
+}
+
+func sortedPeers(m map[string]*progress) []string {
+	out := make([]string, 0, len(m))
+	for id := range m {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (n *Node) sendAppend(now time.Time, id string) {
+	p := n.peers[id]
+	prev := p.next - 1
+	if prev < n.log.snap.Index {
+		n.sendInstall(now, id, p)
+		return
+	}
+	entries := bounded(n.log.between(p.next, min(n.log.last(), prev+maxEntries)))
+	n.send(Packet{
+		Kind: Append, To: id, Term: n.hard.Term, Index: prev, LogTerm: n.log.term(prev),
+		Entries: entries, Commit: n.commit, Seq: n.seq, OK: n.Lead(now),
+	})
+	p.next += uint64(len(entries))
+}
+
+// bounded cuts a run of entries at the size of one Append.
+func bounded(entries []Entry) []Entry {
+	size := 0
+	for i, e := range entries {
+		size += len(e.Data)
+		if size > maxBytes && i > 0 {
+			return entries[:i]
+		}
+	}
+	return entries
+}
+
+// sendInstall sends the snapshot, or only a heartbeat while one is under way.
+func (n *Node) sendInstall(now time.Time, id string, p *progress) {
+	if p.installing && now.Sub(p.installAt) < installEvery {
+		last := n.log.snap.Index
+		n.send(Packet{Kind: Append, To: id, Term: n.hard.Term, Index: last, LogTerm: n.log.snap.Term, Seq: n.seq})
+		return
+	}
+	p.installing, p.installAt = true, now
+	s := n.log.snap
+	n.send(Packet{Kind: Install, To: id, Term: n.hard.Term, Seq: n.seq, Snapshot: &s})
+}
+
+// onAck takes the answer to an Append or an Install.
+func (n *Node) onAck(now time.Time, a Packet) {
+	if a.Term > n.hard.Term {
+		n.follow(now, a.Term, "")
+		return
+	}
+	p := n.peers[a.From]
+	if n.role != Leader || a.Term < n.hard.Term || p == nil {
+		return
+	}
+	if at, ok := n.sentAt[a.Seq]; ok && at.After(p.ackAt) {
+		p.ackAt = at
+	}
+	if !a.OK {
+		if !p.installing {
+			p.next = max(min(a.Hint+1, p.next-1), p.match+1)
+			n.sendAppend(now, a.From)
+		}
+		return
+	}
+	if a.Kind == Installed || a.Index > p.match {
+		p.installing = false
+	}
+	p.match = max(p.match, a.Index)
+	p.next = max(p.next, p.match+1)
+	n.advance(now)
+	if n.role == Leader && p.next <= n.log.last() {
+		n.sendAppend(now, a.From)
+	}
+}
+
+// advance commits what a majority of the voters has. Entries of older terms
+// are only committed together with one of the present term.
+func (n *Node) advance(now time.Time) {
+	if n.role != Leader {
+		return
+	}
+	matches := make([]uint64, 0, len(n.members.Voters))
+	for _, v := range n.members.Voters {
+		if v == n.cfg.ID {
+			matches = append(matches, n.log.last())
+		} else if p := n.peers[v]; p != nil {
+			matches = append(matches, p.match)
+		}
+	}
+	slices.Sort(matches)
+	i := len(matches) - majority(len(n.members.Voters))
+	if i < 0 || matches[i] <= n.commit || n.log.term(matches[i]) != n.hard.Term {
+		return
+	}
+	n.commit = matches[i]
+	if n.membersIndex <= n.commit && !n.voter(n.cfg.ID) {
+		n.broadcast(now) // tell the others before leaving
+		n.follow(now, n.hard.Term, "")
+	}
+}
--- /dev/null
+++ b/control/change.go
@@ -0,0 +1,259 @@
+package control
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/fleet"
+	"github.com/ledgepin/ledgepin/settings"
+)
+
+// Proposal is an operator's wish to change the settings.
+type Proposal struct {
+	// ID names the change; a resent one gets the first answer again.
+	ID string
+	// Base is the revision that Text was made from.
+	Base uint64
+	// Text is the whole new tree in YAML.
+	Text []byte
+	Who  string
+	Note string
+	// Dry only checks and compares.
+	Dry bool
+}
+
+// Outcome is the answer to a proposal.
+type Outcome struct {
+	fleet.Result
+	// Edits are the values that the proposal changes.
+	Edits []string `json:"edits,omitempty"`
+	// Since are the changes made after the proposal's base, if it lost.
+	Since []fleet.Past `json:"since,omitempty"`
+}
+
+// commitTimeout is how long a proposal waits to be committed.
+const commitTimeout = 3 * time.Second
+
+// Change makes a change, or tells why not. An error of code change_outcome_unknown
+// means that it may still be made; the same ID can be sent again.
+func (c *Control) Change(ctx context.Context, p Proposal) (Outcome, error) {
+	out, done, w, err := c.propose(p)
+	if err != nil || done {
+		return out, err
+	}
+	t := time.NewTimer(commitTimeout)
+	defer t.Stop()
+	select {
+	case res := <-w:
+		out.Result = res
+		return c.judged(p, out)
+	case <-t.C:
+	case <-ctx.Done():
+	case <-c.ctx.Done():
+	}
+	c.forgetWaiter(p.ID, w)
+	return out, fault.New(fault.ChangeUnknown, fault.StepSettings, c.id, "not confirmed in time; send it again with the same change ID")
+}
+
+func (c *Control) forgetWaiter(id string, w chan fleet.Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiters[id] = slices.DeleteFunc(c.waiters[id], func(o chan fleet.Result) bool { return o == w })
+	if len(c.waiters[id]) == 0 {
+		delete(c.waiters, id)
+	}
+}
+
+// propose checks a proposal and puts it into the log.
+func (c *Control) propose(p Proposal) (Outcome, bool, chan fleet.Result, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if c.node == nil || !c.node.Lead(now) {
+		return Outcome{}, false, nil, c.notLeader()
+	}
+	if res, ok := c.state.Result(p.ID); ok && !p.Dry {
+		out, err := c.judgedLocked(p, Outcome{Result: res})
+		return out, true, nil, err
+	}
+	change, edits, err := c.check(p)
+	if err != nil {
+		return Outcome{}, false, nil, err
+	}
+	out := Outcome{Edits: edits, Result: fleet.Result{ID: p.ID, Revision: c.state.Revision()}}
+	if p.Base != c.state.Revision() {
+		out.Detail = fmt.Sprintf("based on revision %d, and %d is the newest", p.Base, c.state.Revision())
+		out, err := c.judgedLocked(p, out)
+		return out, true, nil, err
+	}
+	if p.Dry {
+		out.OK = true
+		return out, true, nil, nil
+	}
+	data, err := fleet.Encode(change)
+	if err != nil {
+		return Outcome{}, false, nil, fault.Wrap(err, fault.Internal, fault.StepSettings, c.id)
+	}
+	w := make(chan fleet.Result, 1)
+	c.waiters[p.ID] = append(c.waiters[p.ID], w)
+	if _, err := c.node.Propose(now, data); err != nil {
+		return Outcome{}, false, nil, c.notLeader()
+	}
+	c.flush(now)
+	return out, false, w, nil
+}
+
+func (c *Control) notLeader() error {
+	detail := "no leader with a live lease is known here"
+	if c.node != nil && c.node.Leader() != "" {
+		detail = "the leader is " + c.node.Leader()
+	}
+	return fault.New(fault.NotLeader, fault.StepSettings, c.id, detail)
+}
+
+// check parses the new tree and makes the command. Callers hold the lock.
+func (c *Control) check(p Proposal) (fleet.Change, []string, error) {
+	tree, err := settings.Parse("settings", p.Text)
+	if err != nil {
+		return fleet.Change{}, nil, fault.Wrap(err, fault.BadSettings, fault.StepSettings, "operator")
+	}
+	diff, err := settings.Diff(c.store.Tree(), tree)
+	if err != nil {
+		return fleet.Change{}, nil, fault.Wrap(err, fault.Internal, fault.StepSettings, c.id)
+	}
+	edits := make([]string, len(diff))
+	for i, e := range diff {
+		edits[i] = e.String()
+	}
+	return fleet.Change{
+		ID: p.ID, Base: p.Base, Delta: settings.MakeDelta(c.state.Text(), p.Text), Sum: sha256.Sum256(p.Text),
+		Who: p.Who, Note: p.Note, When: time.Now().UnixNano(), Edits: edits[:min(len(edits), fleet.MaxEdits)],
+	}, edits, nil
+}
+
+func (c *Control) judged(p Proposal, out Outcome) (Outcome, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.judgedLocked(p, out)
+}
+
+// judgedLocked turns a result into an answer: a lost race shows what changed.
+func (c *Control) judgedLocked(p Proposal, out Outcome) (Outcome, error) {
+	if out.OK {
+		event.SettingChanged.Log(c.log, "change", p.ID, "revision", out.Revision, "who", p.Who)
+		return out, nil
+	}
+	event.SettingRefused.Log(c.log, "change", p.ID, "detail", out.Detail)
+	out.Since = slices.Clone(c.state.History(p.Base))
+	return out, fault.New(fault.Conflict, fault.StepSettings, c.id, out.Detail)
+}
+
+// Current is what operators see of the settings.
+type Current struct {
+	Revision uint64 `json:"revision"`
+	Text     string `json:"text"`
+	// Current tells that a leader under its lease vouches for it.
+	Current bool `json:"current"`
+}
+
+// Settings returns the newest settings of this replica. Only a leader under
+// its lease, or a replica in touch with one, answers.
+func (c *Control) Settings() (Current, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.node == nil || !c.node.Fresh(time.Now()) {
+		return Current{}, c.notLeader()
+	}
+	return Current{Revision: c.state.Revision(), Text: string(c.state.Text()), Current: true}, nil
+}
+
+// History returns the changes after a revision.
+func (c *Control) History(after uint64) ([]fleet.Past, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.node == nil || !c.node.Fresh(time.Now()) {
+		return nil, c.notLeader()
+	}
+	return slices.Clone(c.state.History(after)), nil
+}
+
+// maxVoters is the number of voters; further replicas stand by as learners.
+const maxVoters = 3
+
+// reconcile brings the membership of the log in line with the settings, one
+// step at a time. Callers hold the lock.
+func (c *Control) reconcile(now time.Time) {
+	if !c.node.Lead(now) || c.store.Tree() == nil || len(c.store.Tree().Fleet.Control) == 0 {
+		return
+	}
+	var seen []string
+	for id := range c.seen {
+		seen = append(seen, id)
+	}
+	slices.Sort(seen)
+	members := c.node.Status(now).Members
+	step := nextStep(members, wanted(c.store.Tree()), seen, c.node.Caught)
+	if step == (consensus.Change{}) {
+		return
+	}
+	if _, err := c.node.ChangeMembers(now, step); err == nil {
+		c.flush(now)
+	}
+}
+
+func wanted(t *settings.Tree) []string {
+	var out []string
+	for name := range t.Fleet.Control {
+		out = append(out, name)
+	}
+	return out
+}
+
+// nextStep chooses one step of membership. A voter is removed only while every
+// learner that could take its place has caught up, so that a second loss right
+// after the first finds a whole group.
+func nextStep(m consensus.Members, want, seen []string, caught func(string) bool) consensus.Change {
+	for _, id := range seen {
+		if slices.Contains(want, baseName(id)) && !slices.Contains(m.Voters, id) && !slices.Contains(m.Learners, id) {
+			return consensus.Change{Add: id}
+		}
+	}
+	ready := ""
+	for _, id := range m.Learners {
+		if slices.Contains(seen, id) && !caught(id) {
+			return consensus.Change{} // wait for it
+		}
+		if caught(id) && slices.Contains(seen, id) && ready == "" {
+			ready = id
+		}
+	}
+	if ready != "" && len(m.Voters) < maxVoters {
+		return consensus.Change{Promote: ready}
+	}
+	for _, id := range m.Voters {
+		replaced := slices.ContainsFunc(m.Learners, func(l string) bool { return baseName(l) == baseName(id) })
+		gone := !slices.Contains(want, baseName(id)) || replaced
+		if gone && (ready != "" || len(m.Voters) > maxVoters) {
+			return consensus.Change{Remove: id}
+		}
+	}
+	for _, id := range m.Learners {
+		if !slices.Contains(want, baseName(id)) || !slices.Contains(seen, id) && hasTwin(m, id) {
+			return consensus.Change{Remove: id}
+		}
+	}
+	return consensus.Change{}
+}
+
+// hasTwin tells whether another replica of the same name is a member: the one
+// with the older identity has lost its disk.
+func hasTwin(m consensus.Members, id string) bool {
+	twin := func(s string) bool { return s != id && baseName(s) == baseName(id) }
+	return slices.ContainsFunc(m.Voters, twin) || slices.ContainsFunc(m.Learners, twin)
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,423 @@
+package control
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/fleet"
+	"github.com/ledgepin/ledgepin/journal"
+	"github.com/ledgepin/ledgepin/order"
+	"github.com/ledgepin/ledgepin/settings"
+	"github.com/ledgepin/ledgepin/spread"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// Config is what a control replica needs to know of itself.
+type Config struct {
+	// Name is its name in the settings.
+	Name string
+	Zone string
+	// Members are the addresses of the first replicas by name, itself included.
+	Members map[string]string
+	// Dir is the data folder; empty keeps all in memory, for dev and tests.
+	Dir   string
+	Token string
+	// TLS is for the links that it opens; nil for plain TCP.
+	TLS *tls.Config
+	Log *slog.Logger
+	// OpenFile opens the journal's log; nil for a plain file.
+	OpenFile journal.OpenFile
+	// SnapshotEvery is the number of entries after which the log is cut.
+	SnapshotEvery int
+}
+
+// Times of the replicated log.
+const (
+	tickEvery      = 20 * time.Millisecond
+	beatEvery      = time.Second
+	raftBeat       = 150 * time.Millisecond
+	electionMin    = time.Second
+	electionMax    = 2 * time.Second
+	clockDrift     = 0.05
+	reconcileEvery = 500 * time.Millisecond
+
+	// DefaultSnapshotEvery is the number of entries between snapshots.
+	DefaultSnapshotEvery = 1000
+)
+
+// Control is the process.
+type Control struct {
+	cfg    Config
+	id     string
+	log    *slog.Logger
+	epoch  int64
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	// mu serialises steps of the node with their disk writes, so that packets
+	// go out only after what they promise is synced.
+	mu      sync.Mutex
+	node    *consensus.Node // nil until the replica knows who it is
+	disk    *journal.Journal
+	state   *fleet.State
+	store   spread.Store
+	waiters map[string][]chan fleet.Result
+	out     map[string]*peerLink // links to other replicas, by name
+	down    map[*wire.Link]bool  // links of relays and entries
+	seen    map[string]bool      // identities that have dialled in
+	led     bool
+	zones   map[string]*wire.Summary
+	planner order.Planner
+	beatAt  time.Time
+	planAt  time.Time
+	floorAt time.Time
+}
+
+// Start opens the journal and returns a running replica.
+func Start(cfg Config) (*Control, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	if cfg.SnapshotEvery == 0 {
+		cfg.SnapshotEvery = DefaultSnapshotEvery
+	}
+	c := &Control{
+		cfg: cfg, log: cfg.Log.With("role", "control", "name", cfg.Name), epoch: time.Now().UnixNano(),
+		ctx: ctx, cancel: cancel, state: fleet.New(), waiters: map[string][]chan fleet.Result{},
+		out: map[string]*peerLink{}, down: map[*wire.Link]bool{}, seen: map[string]bool{}, zones: map[string]*wire.Summary{},
+	}
+	restored, fresh, err := c.openDisk()
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	c.wg.Go(func() { c.boot(restored, fresh) })
+	return c, nil
+}
+
+// boot finds out who the replica is, which may have to wait for others, and
+// then takes part.
+func (c *Control) boot(restored consensus.Restored, fresh bool) {
+	if err := c.restore(restored, fresh); err != nil {
+		event.JournalFailed.Log(c.log, "error", fault.From(err))
+		return
+	}
+	if c.ctx.Err() != nil {
+		return
+	}
+	event.Started.Log(c.log, "id", c.id)
+	c.mu.Lock()
+	for name, addr := range c.cfg.Members {
+		c.dialPeer(name, addr)
+	}
+	c.mu.Unlock()
+	c.tickLoop()
+}
+
+// openDisk reads the journal. Fresh tells that the replica has no past.
+func (c *Control) openDisk() (consensus.Restored, bool, error) {
+	if c.cfg.Dir == "" {
+		return consensus.Restored{}, true, nil
+	}
+	open := c.cfg.OpenFile
+	var j *journal.Journal
+	var o journal.Opened
+	var err error
+	if open == nil {
+		j, o, err = journal.Open(c.cfg.Dir)
+	} else {
+		j, o, err = journal.OpenWith(c.cfg.Dir, open)
+	}
+	if err != nil {
+		event.JournalBroken.Log(c.log, "error", fault.From(err))
+		return consensus.Restored{}, false, err
+	}
+	if o.Cut > 0 {
+		event.JournalTorn.Log(c.log, "bytes", o.Cut)
+	}
+	c.disk = j
+	return o.Restored, o.New, nil
+}
+
+// restore builds the replica from its disk. A fresh one has the first
+// membership if it founds the group; otherwise it joins as a learner under an
+// identity that no replica had before.
+func (c *Control) restore(r consensus.Restored, fresh bool) error {
+	id, err := c.identity(fresh)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.id = id
+	var first consensus.Members
+	if fresh && id == c.cfg.Name {
+		for name := range c.cfg.Members {
+			first.Voters = append(first.Voters, name)
+		}
+		r = consensus.Bootstrap(sortMembers(first))
+		if c.disk != nil {
+			if err := c.disk.Snapshot(r.Snapshot, r.Hard, nil); err != nil {
+				return err
+			}
+		}
+	}
+	c.state, err = fleet.Restore(r.Snapshot.Data)
+	if err != nil {
+		return fault.Wrap(err, fault.JournalBroken, fault.StepJournal, c.cfg.Dir)
+	}
+	cfg := consensus.Config{ID: id, HeartbeatEvery: raftBeat, ElectionMin: electionMin, ElectionMax: electionMax, Drift: clockDrift}
+	rng := rand.New(rand.NewPCG(uint64(c.epoch), 7))
+	c.node = consensus.New(cfg, r, r.Snapshot.Members, time.Now(), rng)
+	c.publish(time.Now())
+	return nil
+}
+
+// baseName returns the name in the settings of an identity.
+func baseName(id string) string {
+	name, _, _ := strings.Cut(id, "~")
+	return name
+}
+
+// Handler serves the links of replicas, relays and entries.
+func (c *Control) Handler() http.Handler {
+	return wire.Handler(c.log, c.options(), c.serve)
+}
+
+func (c *Control) options() wire.Options {
+	return wire.Options{Hello: c.hello, Token: c.cfg.Token, TLS: c.cfg.TLS}
+}
+
+func (c *Control) hello() wire.Hello {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := wire.Hello{Name: c.id, Role: wire.RoleControl, Zone: c.cfg.Zone, Epoch: c.epoch, Revision: c.state.Revision()}
+	if c.node != nil {
+		h.Commit = c.node.Status(time.Now()).Commit
+	}
+	return h
+}
+
+// Close ends the replica.
+func (c *Control) Close() {
+	c.cancel()
+	c.mu.Lock()
+	for _, p := range c.out {
+		p.stop()
+	}
+	for l := range c.down {
+		l.Close()
+	}
+	c.mu.Unlock()
+	c.wg.Wait()
+	if c.disk != nil {
+		_ = c.disk.Close()
+	}
+	event.Stopped.Log(c.log)
+}
+
+func (c *Control) tickLoop() {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case now := <-t.C:
+			c.tick(now)
+		}
+	}
+}
+
+func (c *Control) tick(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.node.Tick(now)
+	c.flush(now)
+	c.noteLeadership(now)
+	if now.Sub(c.beatAt) >= beatEvery {
+		c.beatAt = now
+		c.beat(now)
+	}
+	if now.Sub(c.planAt) >= reconcileEvery {
+		c.planAt = now
+		c.reconcile(now)
+		c.orders(now)
+	}
+}
+
+// flush does what the node asks for, in its order: snapshot, disk, network,
+// state. Callers hold the lock.
+func (c *Control) flush(now time.Time) {
+	for {
+		r := c.node.Take()
+		if r.Empty() {
+			return
+		}
+		if err := c.sync(r); err != nil {
+			event.JournalFailed.Log(c.log, "error", fault.From(err))
+			c.node.Fail()
+			return
+		}
+		for _, p := range r.Packets {
+			c.sendPacket(p)
+		}
+		c.applyAll(now, r.Committed)
+	}
+}
+
+// sync makes durable what the packets of r promise.
+func (c *Control) sync(r consensus.Ready) error {
+	if r.Snapshot != nil {
+		state, err := fleet.Restore(r.Snapshot.Data)
+		if err != nil {
+			return err
+		}
+		c.state = state
+		c.publish(time.Now())
+	}
+	if c.disk == nil {
+		return nil
+	}
+	if r.Snapshot != nil {
+		return c.disk.Snapshot(*r.Snapshot, c.node.Hard(), c.node.Entries())
+	}
+	if r.Hard == nil && len(r.Entries) == 0 {
+		return nil
+	}
+	return c.disk.Append(r.Hard, r.Entries)
+}
+
+func (c *Control) applyAll(now time.Time, entries []consensus.Entry) {
+	before := c.state.Revision()
+	for _, e := range entries {
+		if e.Members != nil {
+			event.MembersChanged.Log(c.log, "voters", e.Members.Voters, "learners", e.Members.Learners)
+		}
+		if len(e.Data) > 0 {
+			c.apply(e)
+		}
+	}
+	if c.state.Revision() > before {
+		c.publish(now)
+	}
+	if len(entries) > 0 {
+		c.compact(entries[len(entries)-1].Index)
+	}
+}
+
+func (c *Control) apply(e consensus.Entry) {
+	res, err := c.state.Apply(e.Data)
+	if err != nil {
+		event.SettingsBad.Log(c.log, "error", err)
+		return
+	}
+	for _, w := range c.waiters[res.ID] {
+		w <- res
+	}
+	delete(c.waiters, res.ID)
+}
+
+// compact takes a snapshot once the log has grown enough.
+func (c *Control) compact(index uint64) {
+	if len(c.node.Entries()) < c.cfg.SnapshotEvery {
+		return
+	}
+	data, err := c.state.Snapshot()
+	if err != nil {
+		return
+	}
+	s, ok := c.node.Compact(index, data)
+	if !ok {
+		return
+	}
+	event.SnapshotTaken.Log(c.log, "index", s.Index, "bytes", len(data))
+	if c.disk == nil {
+		return
+	}
+	if err := c.disk.Snapshot(s, c.node.Hard(), c.node.Entries()); err != nil {
+		event.JournalFailed.Log(c.log, "error", fault.From(err))
+		c.node.Fail()
+	}
+}
+
+func (c *Control) noteLeadership(now time.Time) {
+	leads := c.node.Lead(now)
+	if leads == c.led {
+		return
+	}
+	c.led = leads
+	if leads {
+		event.LeaderElected.Log(c.log, "term", c.node.Term())
+		c.planner = order.Planner{}
+		return
+	}
+	event.LeaderLost.Log(c.log, "term", c.node.Term())
+}
+
+// Tree returns the newest settings of this replica, or nil.
+func (c *Control) Tree() *settings.Tree {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.store.Tree()
+}
+
+// Status returns the state of the replica's log.
+func (c *Control) Status() consensus.Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.node == nil {
+		return consensus.Status{}
+	}
+	return c.node.Status(time.Now())
+}
+
+// Ready tells whether the replica knows the newest settings.
+func (c *Control) Ready() (bool, string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.node == nil || !c.node.Fresh(time.Now()) {
+		return false, "no leader with a live lease is in reach"
+	}
+	return true, ""
+}
+
+// Dump is the state of a control replica.
+type Dump struct {
+	Name     string           `json:"name"`
+	ID       string           `json:"id"`
+	Log      consensus.Status `json:"log"`
+	Revision uint64           `json:"settings_revision"`
+	Journal  int64            `json:"journal_bytes"`
+	Peers    []string         `json:"peers"`
+	Relays   []string         `json:"relays"`
+}
+
+// Dump returns the state of the replica.
+func (c *Control) Dump() any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := Dump{Name: c.cfg.Name, ID: c.id, Revision: c.state.Revision()}
+	if c.node != nil {
+		d.Log = c.node.Status(time.Now())
+	}
+	if c.disk != nil {
+		d.Journal = c.disk.Size()
+	}
+	for name, p := range c.out {
+		if p.link != nil {
+			d.Peers = append(d.Peers, name)
+		}
+	}
+	for l := range c.down {
+		d.Relays = append(d.Relays, l.Peer.Name)
+	}
+	return d
+}
--- /dev/null
+++ b/control/identity.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/spread"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// identity returns the name that this replica has in the log.
+//
+// A replica that lost its disk has forgotten its votes, so it must not take
+// part under its old identity. One that starts with an empty disk founds the
+// group under its plain name only if every other first member says that it is
+// empty too; otherwise it gets a new identity and joins as a learner.
+func (c *Control) identity(fresh bool) (string, error) {
+	path := filepath.Join(c.cfg.Dir, "control.identity")
+	if c.cfg.Dir != "" {
+		data, err := os.ReadFile(path)
+		if err == nil {
+			return string(data), nil
+		}
+		if !errors.Is(err, fs.ErrNotExist) {
+			return "", fault.Wrap(err, fault.JournalFailed, fault.StepJournal, path)
+		}
+	}
+	id := c.cfg.Name
+	if fresh && !c.founds() {
+		id += "~" + suffix()
+	}
+	if c.cfg.Dir == "" {
+		return id, nil
+	}
+	err := spread.WriteSynced(path, []byte(id))
+	return id, fault.Wrap(err, fault.JournalFailed, fault.StepJournal, path)
+}
+
+func suffix() string {
+	var b [4]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// founds asks the other first members until each of them has answered, or one
+// says that the group exists.
+func (c *Control) founds() bool {
+	if _, ok := c.cfg.Members[c.cfg.Name]; !ok {
+		return false
+	}
+	answered := map[string]bool{c.cfg.Name: true}
+	for c.ctx.Err() == nil && len(answered) < len(c.cfg.Members) {
+		for name, addr := range c.cfg.Members {
+			if answered[name] {
+				continue
+			}
+			rev, err := c.askEmpty(addr)
+			if err != nil {
+				continue
+			}
+			if rev > emptyRevision {
+				return false
+			}
+			answered[name] = true
+		}
+		wait(c.ctx, foundEvery)
+	}
+	return true
+}
+
+const (
+	foundEvery = 100 * time.Millisecond
+	// emptyRevision is the log index up to which a replica counts as empty: it
+	// has founded the group and nothing has been committed since.
+	emptyRevision = 1
+)
+
+// askEmpty returns the commit index of another first member.
+func (c *Control) askEmpty(addr string) (uint64, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, time.Second)
+	defer cancel()
+	l, err := wire.Dial(ctx, addr, wire.Options{Token: c.cfg.Token, TLS: c.cfg.TLS, Hello: func() wire.Hello {
+		return wire.Hello{Name: c.cfg.Name, Role: wire.RoleAsker}
+	}})
+	if err != nil {
+		return 0, err
+	}
+	defer l.Close()
+	return l.Peer.Commit, nil
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func sortMembers(m consensus.Members) consensus.Members {
+	slices.Sort(m.Voters)
+	return m
+}
--- /dev/null
+++ b/control/links.go
@@ -0,0 +1,195 @@
+package control
+
+import (
+	"context"
+	"crypto/sha256"
+	"time"
+
+	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/order"
+	"github.com/ledgepin/ledgepin/settings"
+	"github.com/ledgepin/ledgepin/spread"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// peerLink is the way to another replica. Packets that find no link are lost;
+// the protocol sends them again.
+type peerLink struct {
+	addr string
+	stop context.CancelFunc
+	link *wire.Link
+}
+
+// dialPeer starts the loop that keeps a link to a replica. Callers hold the
+// lock.
+func (c *Control) dialPeer(name, addr string) {
+	if old := c.out[name]; old != nil {
+		if old.addr == addr {
+			return
+		}
+		old.stop()
+	}
+	if name == c.cfg.Name {
+		return
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	p := &peerLink{addr: addr, stop: cancel}
+	c.out[name] = p
+	c.wg.Go(func() { c.peerLoop(ctx, p) })
+}
+
+const redial = 200 * time.Millisecond
+
+func (c *Control) peerLoop(ctx context.Context, p *peerLink) {
+	for ctx.Err() == nil {
+		l, err := wire.Dial(ctx, p.addr, c.options())
+		if err == nil {
+			c.mu.Lock()
+			p.link = l
+			c.mu.Unlock()
+			_ = l.Run(ctx, func(*wire.Message) {})
+			c.mu.Lock()
+			p.link = nil
+			c.mu.Unlock()
+		}
+		wait(ctx, redial)
+	}
+}
+
+// sendPacket sends to a replica; callers hold the lock.
+func (c *Control) sendPacket(p consensus.Packet) {
+	if peer := c.out[baseName(p.To)]; peer != nil && peer.link != nil {
+		_ = peer.link.Send(&wire.Message{Raft: &p})
+	}
+}
+
+// serve runs a link that somebody opened.
+func (c *Control) serve(l *wire.Link) {
+	below := l.Peer.Role != wire.RoleControl
+	c.mu.Lock()
+	if below {
+		c.down[l] = true
+	} else {
+		c.seen[l.Peer.Name] = true
+	}
+	c.mu.Unlock()
+	err := l.Run(c.ctx, func(m *wire.Message) { c.handle(l, m) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if below {
+		delete(c.down, l)
+	} else {
+		delete(c.seen, l.Peer.Name)
+	}
+	if c.ctx.Err() == nil {
+		event.LinkDown.Log(c.log, "peer", l.Peer.Name, "why", err)
+	}
+}
+
+func (c *Control) handle(l *wire.Link, m *wire.Message) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.node == nil {
+		return
+	}
+	now := time.Now()
+	switch {
+	case m.Raft != nil:
+		c.node.Step(now, *m.Raft)
+		c.flush(now)
+	case m.Pull != nil:
+		c.tell(now, l, m.Pull.Have)
+	case m.Heartbeat != nil:
+		if m.Heartbeat.Revision < c.state.Revision() {
+			c.tell(now, l, m.Heartbeat.Revision)
+		}
+	case m.Summary != nil:
+		c.zones[m.Summary.Zone] = m.Summary
+	case m.Ordered != nil:
+		c.ordered(m.Ordered)
+	}
+}
+
+// tell sends a peer what it lacks, with this replica's word for how current it
+// is.
+func (c *Control) tell(now time.Time, l *wire.Link, have uint64) {
+	if m := c.store.Push(have); m != nil {
+		m.Confirmed = c.node.Fresh(now)
+		_ = l.Send(&wire.Message{Settings: m})
+	}
+}
+
+// publish puts the newest revision of the state before all links below.
+func (c *Control) publish(now time.Time) {
+	text := c.state.Text()
+	if len(text) == 0 {
+		return
+	}
+	m := &wire.Settings{Revision: c.state.Revision(), Sum: sha256.Sum256(text), Whole: text}
+	if c.store.Apply(now, m) != spread.Taken {
+		return
+	}
+	for name, member := range c.store.Tree().Fleet.Control {
+		c.dialPeer(name, member.Address)
+	}
+	for l := range c.down {
+		c.tell(now, l, c.store.Revision()-1)
+	}
+}
+
+// beat tells every link below the newest revision.
+func (c *Control) beat(now time.Time) {
+	if !c.node.Fresh(now) {
+		// Peers still have to see life on the link.
+		c.toAll(&wire.Message{Heartbeat: &wire.Heartbeat{}})
+	} else {
+		c.toAll(&wire.Message{Heartbeat: &wire.Heartbeat{Revision: c.state.Revision()}})
+	}
+	for _, p := range c.out {
+		if p.link != nil {
+			_ = p.link.Send(&wire.Message{Heartbeat: &wire.Heartbeat{}})
+		}
+	}
+}
+
+func (c *Control) toAll(m *wire.Message) {
+	frame, err := wire.Marshal(m)
+	if err != nil {
+		return
+	}
+	for l := range c.down {
+		_ = l.SendFrame(frame)
+	}
+}
+
+// zoneLink returns the link below that speaks for an availability zone: the
+// one with the lowest name, so that an order takes one way only.
+func (c *Control) zoneLink(zone string) *wire.Link {
+	var best *wire.Link
+	for l := range c.down {
+		if l.Peer.Role != wire.RoleEntry || l.Peer.Zone != zone {
+			continue
+		}
+		if best == nil || l.Peer.Name < best.Peer.Name {
+			best = l
+		}
+	}
+	return best
+}
+
+// floor tells all agents, through one link for each availability zone, the
+// fence of this leader.
+func (c *Control) floor(tree *settings.Tree) {
+	m := &wire.Message{Order: &order.Order{Floor: true, Fence: order.Fence{Term: c.node.Term()}}}
+	done := map[string]bool{}
+	for _, site := range tree.Fleet.Sites {
+		if done[site.Zone] {
+			continue
+		}
+		done[site.Zone] = true
+		if l := c.zoneLink(site.Zone); l != nil {
+			_ = l.Send(m)
+		}
+	}
+}
--- /dev/null
+++ b/control/orders.go
@@ -0,0 +1,63 @@
+package control
+
+import (
+	"time"
+
+	"github.com/ledgepin/ledgepin/order"
+	"github.com/ledgepin/ledgepin/settings"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// orders gives the orders that bring the engines in line with the settings.
+// Only a leader under its lease does. Callers hold the lock.
+func (c *Control) orders(now time.Time) {
+	tree := c.store.Tree()
+	if tree == nil || !c.node.Lead(now) {
+		return
+	}
+	if now.Sub(c.floorAt) >= floorEvery {
+		c.floorAt = now
+		c.floor(tree)
+	}
+	models := map[string]order.Model{}
+	for name, m := range tree.Fleet.Models {
+		models[name] = order.Model{Version: m.Version, Weights: int64(m.Weights)}
+	}
+	limits := order.Limits{}
+	for site := range tree.Fleet.Sites {
+		limits[site] = tree.At(site, "", "").WeightRate
+	}
+	for _, o := range c.planner.Plan(now, c.node.Term(), c.servers(tree), models, limits) {
+		p, ok := tree.Server(o.Server)
+		if l := c.zoneLink(p.Zone); ok && l != nil {
+			_ = l.Send(&wire.Message{Order: &o})
+		}
+	}
+}
+
+// floorEvery is the time between two tellings of the fence, for agents that
+// have restarted.
+const floorEvery = 2 * time.Second
+
+// servers joins what the settings want with what the zones report.
+func (c *Control) servers(tree *settings.Tree) []order.Server {
+	has := map[string]wire.ServerState{}
+	for _, z := range c.zones {
+		for _, s := range z.Servers {
+			has[s.Name] = s
+		}
+	}
+	var out []order.Server
+	for _, p := range tree.Servers() {
+		if p.Role == settings.RoleService {
+			continue
+		}
+		s, up := has[p.Name]
+		out = append(out, order.Server{
+			Name: p.Name, Site: p.Site, Pool: p.Pool, Want: p.Models, Has: s.Models, Up: up, Leaving: s.Leaving,
+		})
+	}
+	return out
+}
+
+func (c *Control) ordered(r *order.Result) { c.planner.Done(*r) }
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,213 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/ledgepin/ledgepin/fault"
+)
+
+// Bounds on what an engine may send.
+const (
+	maxBody = 4 << 20
+	maxLine = 1 << 20
+)
+
+// Client is an Engine over HTTP.
+type Client struct {
+	addr string
+	http *http.Client
+}
+
+var _ Engine = (*Client)(nil)
+
+// NewClient returns a client of the engine at addr, an IP number and port.
+func NewClient(addr string) *Client {
+	t := &http.Transport{MaxIdleConnsPerHost: 64}
+	return &Client{addr: addr, http: &http.Client{Transport: t}}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// transfer is the KV-transfer object of a request.
+type transfer struct {
+	Export bool `json:"export,omitempty"`
+	Import *KV  `json:"import,omitempty"`
+	From   int  `json:"from_index,omitempty"`
+}
+
+// body is a completion request as it stands on the wire.
+type body struct {
+	Request
+	Stream   bool      `json:"stream"`
+	Transfer *transfer `json:"kv_transfer"`
+}
+
+func (r Request) path() string {
+	if len(r.Messages) > 0 {
+		return "/v1/chat/completions"
+	}
+	return "/v1/completions"
+}
+
+// Prefill implements Engine.
+func (c *Client) Prefill(ctx context.Context, r Request) (Prefilled, error) {
+	var out Prefilled
+	in := body{Request: r, Transfer: &transfer{Export: true}}
+	err := c.call(ctx, fault.StepPrefill, http.MethodPost, r.path(), in, &out)
+	return out, err
+}
+
+// Decode implements Engine.
+func (c *Client) Decode(ctx context.Context, r Request, kv KV, from int) (Stream, error) {
+	in := body{Request: r, Stream: true, Transfer: &transfer{Import: &kv, From: from}}
+	return c.stream(ctx, fault.StepTransfer, http.MethodPost, r.path(), in)
+}
+
+// Resume implements Engine.
+func (c *Client) Resume(ctx context.Context, id string, from int) (Stream, error) {
+	return c.stream(ctx, fault.StepDecode, http.MethodGet, "/v1/requests/"+id+"?from="+strconv.Itoa(from), nil)
+}
+
+// Cancel implements Engine.
+func (c *Client) Cancel(ctx context.Context, id string) error {
+	return c.call(ctx, fault.StepCancel, http.MethodDelete, "/v1/requests/"+id, nil, nil)
+}
+
+// Running implements Engine.
+func (c *Client) Running(ctx context.Context) ([]string, error) {
+	var out []string
+	err := c.call(ctx, fault.StepCancel, http.MethodGet, "/v1/requests", nil, &out)
+	return out, err
+}
+
+// Load implements Engine.
+func (c *Client) Load(ctx context.Context) (Load, error) {
+	var out Load
+	err := c.call(ctx, fault.StepLink, http.MethodGet, "/v1/load", nil, &out)
+	return out, err
+}
+
+// CacheEvents implements Engine.
+func (c *Client) CacheEvents(ctx context.Context, after uint64) ([]CacheEvent, error) {
+	var out []CacheEvent
+	path := "/v1/cache_events?after=" + strconv.FormatUint(after, 10)
+	err := c.call(ctx, fault.StepLink, http.MethodGet, path, nil, &out)
+	return out, err
+}
+
+// Order implements Engine.
+func (c *Client) Order(ctx context.Context, o Order) error {
+	return c.call(ctx, fault.StepOrder, http.MethodPost, "/v1/orders", o, nil)
+}
+
+func (c *Client) call(ctx context.Context, step fault.Step, method, path string, in, out any) error {
+	resp, err := c.send(ctx, step, method, path, in)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err != nil {
+		return fault.Wrap(err, fault.EngineLost, step, c.addr)
+	}
+	if out == nil {
+		return nil
+	}
+	return fault.Wrap(json.Unmarshal(data, out), fault.EngineLost, step, c.addr)
+}
+
+func (c *Client) stream(ctx context.Context, step fault.Step, method, path string, in any) (Stream, error) {
+	resp, err := c.send(ctx, step, method, path, in)
+	if err != nil {
+		return nil, err
+	}
+	scan := bufio.NewScanner(resp.Body)
+	scan.Buffer(make([]byte, 0, 4096), maxLine)
+	return &sse{addr: c.addr, body: resp.Body, scan: scan}, nil
+}
+
+func (c *Client) send(ctx context.Context, step fault.Step, method, path string, in any) (*http.Response, error) {
+	var data []byte
+	if in != nil {
+		var err error
+		if data, err = json.Marshal(in); err != nil {
+			return nil, fault.Wrap(err, fault.Internal, step, c.addr)
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.addr+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, step, c.addr)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.EngineLost, step, c.addr)
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
+		return nil, fault.New(fault.EngineLost, step, c.addr, fmt.Sprintf("status %d: %s", resp.StatusCode, text))
+	}
+	return resp, nil
+}
+
+// sse reads chunks from server-sent events.
+type sse struct {
+	addr string
+	body io.ReadCloser
+	scan *bufio.Scanner
+	end  bool
+}
+
+// Next implements Stream.
+func (s *sse) Next() (Chunk, error) {
+	if s.end {
+		return Chunk{}, io.EOF
+	}
+	for s.scan.Scan() {
+		data, ok := strings.CutPrefix(s.scan.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		return s.chunk(data)
+	}
+	err := s.scan.Err()
+	if err == nil {
+		err = errors.New("the stream ended before the answer")
+	}
+	return Chunk{}, fault.Wrap(err, fault.EngineLost, fault.StepDecode, s.addr)
+}
+
+func (s *sse) chunk(data string) (Chunk, error) {
+	c, err := ParseChunk([]byte(data))
+	if err != nil {
+		return Chunk{}, fault.Wrap(err, fault.EngineLost, fault.StepDecode, s.addr)
+	}
+	s.end = c.Finish != ""
+	return c, nil
+}
+
+// ParseChunk reads the JSON of one chunk.
+func ParseChunk(data []byte) (Chunk, error) {
+	var c Chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return Chunk{}, fmt.Errorf("engine: bad chunk: %w", err)
+	}
+	if c.Index < 0 {
+		return Chunk{}, errors.New("engine: bad chunk: negative index")
+	}
+	return c, nil
+}
+
+// Close implements Stream.
+func (s *sse) Close() error { return s.body.Close() }
--- /dev/null
+++ b/engine/engine.go
@@ -0,0 +1,131 @@
+package engine
+
+import (
+	"context"
+	"time"
+)
+
+// Sampling are the parameters that are passed through to the engine.
+type Sampling struct {
+	MaxTokens        int      `json:"max_tokens,omitempty" cbor:"1,keyasint,omitempty"`
+	Temperature      *float64 `json:"temperature,omitempty" cbor:"2,keyasint,omitempty"`
+	TopP             *float64 `json:"top_p,omitempty" cbor:"3,keyasint,omitempty"`
+	Seed             *int64   `json:"seed,omitempty" cbor:"4,keyasint,omitempty"`
+	Stop             []string `json:"stop,omitempty" cbor:"5,keyasint,omitempty"`
+	PresencePenalty  *float64 `json:"presence_penalty,omitempty" cbor:"6,keyasint,omitempty"`
+	FrequencyPenalty *float64 `json:"frequency_penalty,omitempty" cbor:"7,keyasint,omitempty"`
+}
+
+// Turn is one message of a chat.
+type Turn struct {
+	Role    string `json:"role" cbor:"1,keyasint"`
+	Content string `json:"content" cbor:"2,keyasint"`
+}
+
+// Request is what an engine is asked to complete: a prompt or a chat.
+type Request struct {
+	// ID names the attempt; the engine lists and cancels by it.
+	ID       string `json:"request_id" cbor:"1,keyasint"`
+	Model    string `json:"model" cbor:"2,keyasint"`
+	Prompt   string `json:"prompt,omitempty" cbor:"3,keyasint,omitempty"`
+	Messages []Turn `json:"messages,omitempty" cbor:"4,keyasint,omitempty"`
+	Priority int    `json:"priority" cbor:"5,keyasint"`
+	// Sofar is the text that the answer already has, when another engine
+	// goes on with it; SofarTokens counts its tokens.
+	Sofar       string   `json:"continue_text,omitempty" cbor:"6,keyasint,omitempty"`
+	SofarTokens int      `json:"continue_tokens,omitempty" cbor:"7,keyasint,omitempty"`
+	Sampling    Sampling `json:"sampling" cbor:"8,keyasint"`
+}
+
+// KV names the result of a prefill, kept at the engine that made it.
+type KV struct {
+	// Source is the address at which a decode engine fetches it.
+	Source string `json:"source" cbor:"1,keyasint"`
+	Handle string `json:"handle" cbor:"2,keyasint"`
+	Bytes  int64  `json:"bytes" cbor:"3,keyasint"`
+	Tokens int    `json:"tokens" cbor:"4,keyasint"`
+	// TTL is how long the engine keeps it, from the end of the prefill.
+	TTL time.Duration `json:"ttl_ns" cbor:"5,keyasint"`
+}
+
+// Prefilled is the outcome of a prefill.
+type Prefilled struct {
+	KV KV `json:"kv"`
+	// Cached counts the prompt tokens that the prefix cache had.
+	Cached int `json:"cached_tokens"`
+}
+
+// Chunk is one token of an answer, or its end.
+type Chunk struct {
+	Index int    `json:"index" cbor:"5,keyasint"`
+	Text  string `json:"text" cbor:"6,keyasint,omitempty"`
+	// Finish is why the answer ended; empty while it goes on. The chunk that
+	// carries it has no text and the index after the last token.
+	Finish string `json:"finish_reason,omitempty" cbor:"7,keyasint,omitempty"`
+}
+
+// Load is an engine's own report; it lags behind.
+type Load struct {
+	Running int      `json:"running"`
+	Waiting int      `json:"waiting"`
+	Slots   int      `json:"slots"`
+	Models  []string `json:"models"`
+	// At is when the engine took the report.
+	At time.Time `json:"at"`
+}
+
+// CacheEvent tells that a prefix entered or left the cache. Sequence numbers
+// have gaps where events were lost.
+type CacheEvent struct {
+	Seq     uint64 `json:"seq"`
+	Prefix  uint64 `json:"prefix"`
+	Removed bool   `json:"removed,omitempty"`
+}
+
+// Stream gives the chunks of one decode.
+type Stream interface {
+	// Next returns the next chunk; io.EOF after the one that ends the answer.
+	Next() (Chunk, error)
+	// Close leaves the stream; the engine goes on until it is cancelled.
+	Close() error
+}
+
+// Order is a change of what an engine does; the agent has checked its fence.
+type Order struct {
+	Action  string `json:"action"`
+	Model   string `json:"model,omitempty"`
+	Version string `json:"version,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
+	Role    string `json:"role,omitempty"`
+}
+
+// The actions of an Order.
+const (
+	ActionLoad    = "load_model"
+	ActionUnload  = "unload_model"
+	ActionAdapter = "load_adapter"
+	ActionRole    = "change_role"
+)
+
+// Engine is what ledgepin needs of a model engine. Errors are fault errors
+// with the step and the address of the engine.
+type Engine interface {
+	// Prefill computes and keeps the KV cache of a request.
+	Prefill(ctx context.Context, r Request) (Prefilled, error)
+	// Decode fetches the KV cache and streams tokens from index from on. It
+	// returns once the import is done.
+	Decode(ctx context.Context, r Request, kv KV, from int) (Stream, error)
+	// Resume opens the stream of a running decode again at an index.
+	Resume(ctx context.Context, id string, from int) (Stream, error)
+	// Cancel ends a request and frees its memory. It returns nil once the
+	// engine holds nothing of the request, also if it never did.
+	Cancel(ctx context.Context, id string) error
+	// Running lists the IDs of all requests that hold memory.
+	Running(ctx context.Context) ([]string, error)
+	// Load returns the newest load report.
+	Load(ctx context.Context) (Load, error)
+	// CacheEvents returns the events after a sequence number.
+	CacheEvents(ctx context.Context, after uint64) ([]CacheEvent, error)
+	// Order carries out a change.
+	Order(ctx context.Context, o Order) error
+}
--- /dev/null
+++ b/entry/agents.go
@@ -0,0 +1,289 @@
+package entry
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/placement"
+	"github.com/ledgepin/ledgepin/router"
+	"github.com/ledgepin/ledgepin/settings"
+	"github.com/ledgepin/ledgepin/stream"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// agentLink is the link to one agent, opened again whenever it breaks.
+type agentLink struct {
+	name   string
+	addr   string
+	placed settings.Placed
+	stop   context.CancelFunc
+	link   *wire.Link // nil while it is down
+	// leaving is the agent's own word that its server takes no new work.
+	leaving bool
+	// lost is when the link broke; zero if it never was up or is up.
+	lost time.Time
+	// gone tells that the grace is over and the work there was given up.
+	gone bool
+	// reported tells that a load came over the present link.
+	reported bool
+}
+
+// dialAgent starts the loop that keeps a link to an agent. Callers hold the
+// lock.
+func (e *Entry) dialAgent(p settings.Placed) {
+	ctx, cancel := context.WithCancel(e.ctx)
+	a := &agentLink{name: p.Name, addr: p.Agent, placed: p, stop: cancel, gone: true}
+	e.agents[p.Name] = a
+	e.wg.Go(func() { e.agentLoop(ctx, a) })
+}
+
+func (e *Entry) agentLoop(ctx context.Context, a *agentLink) {
+	wait := redial
+	for ctx.Err() == nil {
+		l, err := wire.Dial(ctx, a.addr, e.options())
+		if err == nil {
+			wait = redial
+			e.runAgent(ctx, a, l)
+		}
+		e.checkGrace(a)
+		pause(ctx, wait)
+		if time.Since(a.lost) > linkGrace {
+			wait = min(2*wait, maxRedial)
+		}
+	}
+}
+
+func (e *Entry) runAgent(ctx context.Context, a *agentLink, l *wire.Link) {
+	e.agentUp(a, l)
+	err := l.Run(ctx, func(m *wire.Message) { e.handleAgent(a, l, m) })
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a.link = nil
+	a.lost = time.Now()
+	if ctx.Err() != nil {
+		return
+	}
+	event.LinkDown.Log(e.log, "peer", a.name, "why", fault.From(err))
+	e.core.LinkLost(a.name)
+	e.failCalls(a.name)
+	time.AfterFunc(linkGrace, func() { e.checkGrace(a) })
+}
+
+// checkGrace gives up the work at an agent whose link has been down too long.
+func (e *Entry) checkGrace(a *agentLink) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a.link != nil || a.gone || e.ctx.Err() != nil || time.Since(a.lost) < linkGrace {
+		return
+	}
+	a.gone = true
+	e.perform(time.Now(), e.core.ServerDown(time.Now(), a.name))
+}
+
+func (e *Entry) agentUp(a *agentLink, l *wire.Link) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	event.LinkUp.Log(e.log, "peer", a.name)
+	now := time.Now()
+	a.link, a.gone, a.leaving, a.reported = l, false, false, false
+	if l.Peer.Revision < e.inForce() {
+		e.answerPull(l, &wire.Pull{Have: l.Peer.Revision})
+	}
+	_ = l.Send(&wire.Message{Heartbeat: &wire.Heartbeat{Revision: e.inForce()}})
+	again, effects := e.core.Rejoin(now, a.name)
+	for _, r := range again {
+		from := 0
+		if f := e.flows[r.ID.Req]; f != nil {
+			from = f.asm.Next()
+		}
+		_ = l.Send(&wire.Message{Resume: &wire.Resume{ID: r.ID, From: from, Decode: r.Decode, Keep: r.Keep}})
+	}
+	e.perform(now, effects)
+}
+
+// handleAgent takes one message of an agent.
+func (e *Entry) handleAgent(a *agentLink, l *wire.Link, m *wire.Message) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a.link != l {
+		return
+	}
+	now := time.Now()
+	switch {
+	case m.Chunk != nil:
+		e.chunk(now, m.Chunk)
+	case m.Heartbeat != nil:
+		e.agentBeat(now, a, l, m.Heartbeat)
+	case m.Reserved != nil:
+		r := m.Reserved
+		e.perform(now, e.core.Reserved(now, a.name, r.ID, r.OK, r.Reason, e.marked(a, r.Load)))
+	case m.Prefilled != nil:
+		p := m.Prefilled
+		e.core.View().Report(a.name, e.marked(a, p.Load))
+		e.perform(now, e.core.Prefilled(now, a.name, p.ID, p.KV, p.Cached, p.Took))
+	case m.Imported != nil:
+		e.perform(now, e.core.Imported(now, a.name, m.Imported.ID))
+	case m.Failed != nil:
+		f := m.Failed
+		e.perform(now, e.core.Failed(now, a.name, f.ID, fault.Step(f.Step), f.Detail, f.Server))
+	case m.Pull != nil:
+		e.answerPull(l, m.Pull)
+	case m.Granted != nil:
+		e.voted(m.Granted)
+	case m.Answer != nil:
+		e.answered(m.Answer)
+	case m.Ordered != nil && e.up != nil:
+		_ = e.up.Send(m)
+	}
+}
+
+func (e *Entry) agentBeat(now time.Time, a *agentLink, l *wire.Link, h *wire.Heartbeat) {
+	if h.Revision < e.inForce() {
+		e.answerPull(l, &wire.Pull{Have: h.Revision})
+	}
+	if h.Load == nil {
+		return
+	}
+	a.reported = true
+	e.perform(now, e.core.Report(now, a.name, e.marked(a, *h.Load)))
+}
+
+// marked adds to a load what the platform's list says of the server.
+func (e *Entry) marked(a *agentLink, l placement.Load) placement.Load {
+	a.leaving = l.Leaving
+	l.Leaving = l.Leaving || e.leaving[a.name]
+	return l
+}
+
+// chunk gives a part of an answer to its caller.
+func (e *Entry) chunk(now time.Time, c *wire.Chunk) {
+	f := e.flows[c.Req]
+	if f == nil {
+		return
+	}
+	parts, err := f.asm.Accept(c.Attempt, stream.Part{Index: c.Index, Text: c.Text, Finish: c.Finish})
+	if err != nil {
+		e.perform(now, e.core.Failed(now, f.decodeAt, c.ID, fault.StepStream, err.Error(), true))
+		return
+	}
+	for _, p := range parts {
+		f.tokens(now, p)
+		if !f.push(p) {
+			e.cutOff(now, f, fault.CallerSlow)
+			return
+		}
+		if p.Finish != "" {
+			e.finish(now, f, c)
+			return
+		}
+		e.perform(now, e.core.Token(now, c.ID, f.asm.Next()))
+	}
+}
+
+func (e *Entry) finish(now time.Time, f *Flow, c *wire.Chunk) {
+	e.perform(now, e.core.Done(now, c.ID, f.perToken()))
+	e.end(f, nil)
+}
+
+// perform carries out the effects of the router. A message that can't be sent
+// goes back to it as a failure. Callers hold the lock.
+func (e *Entry) perform(now time.Time, effects []router.Effect) {
+	for len(effects) > 0 {
+		next := effects[0]
+		effects = append(effects[1:], e.one(now, next)...)
+	}
+}
+
+func (e *Entry) one(now time.Time, eff router.Effect) []router.Effect {
+	switch x := eff.(type) {
+	case router.Attempt:
+		if f := e.flows[x.ID.Req]; f != nil {
+			f.asm.Attempt(x.ID.Attempt)
+		}
+	case router.Reserve:
+		m := &wire.Reserve{ID: x.ID, Model: x.Model, Priority: x.Priority, Tokens: x.Tokens, Hold: x.Hold, Keep: x.Keep}
+		if !e.toAgent(x.Server, &wire.Message{Reserve: m}) {
+			return e.core.Failed(now, x.Server, x.ID, fault.StepReserve, "no link", false)
+		}
+	case router.StartPrefill:
+		if f := e.flows[x.ID.Req]; f != nil && !e.toAgent(x.Server, &wire.Message{Prefill: &wire.Prefill{ID: x.ID, Request: f.request()}}) {
+			return e.core.Failed(now, x.Server, x.ID, fault.StepPrefill, "no link", false)
+		}
+	case router.StartDecode:
+		return e.startDecode(now, x)
+	case router.Free:
+		e.toAgent(x.Server, &wire.Message{Cancel: &wire.Cancel{ID: x.ID}})
+	case router.Refuse:
+		e.refused(x)
+	case router.Fail:
+		e.failed(x)
+	case router.EjectedServer:
+		event.ServerEjected.Log(e.log, "server", x.Server)
+	}
+	return nil
+}
+
+func (e *Entry) startDecode(now time.Time, x router.StartDecode) []router.Effect {
+	f := e.flows[x.ID.Req]
+	if f == nil {
+		return nil
+	}
+	f.decodeAt = x.Server
+	m := &wire.Decode{ID: x.ID, Request: f.request(), KV: x.KV, From: f.asm.Next()}
+	if !e.toAgent(x.Server, &wire.Message{Decode: m}) {
+		return e.core.Failed(now, x.Server, x.ID, fault.StepTransfer, "no link", false)
+	}
+	return nil
+}
+
+// toAgent sends a message; it reports false if there is no link.
+func (e *Entry) toAgent(name string, m *wire.Message) bool {
+	a := e.agents[name]
+	return a != nil && a.link != nil && a.link.Send(m) == nil
+}
+
+// passOrder sends an order of control on to its agent. Control sends each
+// order over one link only, so there is one way to an agent. Callers hold the
+// lock.
+func (e *Entry) passOrder(m *wire.Message) {
+	if !m.Order.Floor {
+		e.toAgent(m.Order.Server, m)
+		return
+	}
+	for name := range e.agents {
+		e.toAgent(name, m)
+	}
+}
+
+// summary tells control what this availability zone has. Callers hold the
+// lock.
+func (e *Entry) summary() *wire.Summary {
+	out := &wire.Summary{Zone: e.cfg.Zone}
+	for name, a := range e.agents {
+		s := e.core.View().Server(name)
+		if a.link == nil || s == nil || s.Zone != e.cfg.Zone || !a.reported {
+			continue
+		}
+		out.Servers = append(out.Servers, wire.ServerState{
+			Name: name, Leaving: s.Leaving(), Free: s.Free(), Models: s.Loaded(),
+		})
+	}
+	sort.Slice(out.Servers, func(i, j int) bool { return out.Servers[i].Name < out.Servers[j].Name })
+	return out
+}
+
+// Links counts the open links to agents.
+func (e *Entry) Links() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, a := range e.agents {
+		if a.link != nil {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/entry/calls.go
@@ -0,0 +1,346 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/ledgepin/ledgepin/claim"
+	"github.com/ledgepin/ledgepin/decision"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/lease"
+	"github.com/ledgepin/ledgepin/settings"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// ServiceCall is a call of a plain service as a caller brings it.
+type ServiceCall struct {
+	Grant   settings.Grant
+	Service string
+	Key     string
+	Method  string
+	Path    string
+	Type    string
+	Body    []byte
+}
+
+// callWait is a call that was sent and has no answer yet.
+type callWait struct {
+	server string
+	answer chan *wire.Answer
+}
+
+// claimWait is a claim whose votes are awaited.
+type claimWait struct {
+	proposer *claim.Proposer
+	verdict  chan claim.Verdict
+}
+
+const (
+	// claimTimeout is how long the votes of a claim group are awaited.
+	claimTimeout = time.Second
+	// callTries bounds the servers that a repeatable call is tried at.
+	callTries = 3
+)
+
+// Call runs a call of a plain service and returns the service's answer.
+func (e *Entry) Call(ctx context.Context, c ServiceCall) (*claim.Answer, string, error) {
+	id := NewID()
+	e.mu.Lock()
+	if !e.mayAct() {
+		e.mu.Unlock()
+		return nil, id, fault.New(fault.NotReady, fault.StepAdmit, e.cfg.Name, "no confirmed settings yet")
+	}
+	if e.draining {
+		e.mu.Unlock()
+		return nil, id, fault.New(fault.Draining, fault.StepAdmit, e.cfg.Name, "this entry is leaving")
+	}
+	tree := e.store.Tree()
+	svc, ok := tree.Fleet.Services[c.Service]
+	e.tell(id, c, decision.Step{Kind: decision.Arrived, Detail: c.Method + " " + c.Path})
+	e.mu.Unlock()
+	if !ok {
+		return nil, id, fault.New(fault.UnknownService, fault.StepAdmit, "", "no service "+c.Service)
+	}
+	if !once(svc, c.Path) {
+		ans, err := e.repeatable(ctx, id, c, svc)
+		return ans, id, err
+	}
+	ans, err := e.atMostOnce(ctx, id, c, svc, tree)
+	return ans, id, err
+}
+
+// once tells whether a call may not be repeated.
+func once(svc settings.Service, path string) bool {
+	for _, prefix := range svc.Once {
+		if strings.HasPrefix(path, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// tell adds a step to the record of a plain call. Callers hold the lock.
+func (e *Entry) tell(id string, c ServiceCall, s decision.Step) {
+	rec := e.story.Open(id)
+	rec.Customer, rec.Class = c.Grant.Customer, c.Grant.Class
+	s.At, s.Where = time.Now(), e.cfg.Name
+	rec.Add(s)
+}
+
+// repeatable tries one server after the other until one answers.
+func (e *Entry) repeatable(ctx context.Context, id string, c ServiceCall, svc settings.Service) (*claim.Answer, error) {
+	last := "no server of the service is in reach"
+	sent := false
+	for try, name := range e.servers(c.Service) {
+		if try >= callTries || ctx.Err() != nil {
+			break
+		}
+		if try > 0 && sent && !e.takeRetry() {
+			break
+		}
+		ans, ok := e.send(ctx, lease.ID{Req: id, Attempt: uint32(try + 1)}, name, c, svc, false)
+		if ok && ans.Detail == "" {
+			return &claim.Answer{Status: ans.Status, Type: ans.Type, Body: ans.Body}, nil
+		}
+		sent = sent || !ok || ans.Sent
+		if ok {
+			last = ans.Detail
+		}
+		e.step(id, c, decision.Step{Kind: decision.Failure, Server: name, Detail: last})
+	}
+	if !sent {
+		return nil, fault.New(fault.NoServer, fault.StepCall, c.Service, last)
+	}
+	return nil, fault.New(fault.ServiceFailed, fault.StepCall, c.Service, last)
+}
+
+func (e *Entry) step(id string, c ServiceCall, s decision.Step) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tell(id, c, s)
+}
+
+func (e *Entry) takeRetry() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.TakeRetry()
+}
+
+// servers lists the servers of a service that may get new work, those of this
+// zone first.
+func (e *Entry) servers(service string) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var near, far []string
+	for name, a := range e.agents {
+		if a.placed.Service != service || a.link == nil || a.leaving || e.leaving[name] {
+			continue
+		}
+		if a.placed.Zone == e.cfg.Zone {
+			near = append(near, name)
+		} else {
+			far = append(far, name)
+		}
+	}
+	sort.Strings(near)
+	sort.Strings(far)
+	rng := e.core.View().Rand()
+	rng.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rng.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	return append(near, far...)
+}
+
+// send gives a call to an agent and waits for the answer. It reports false if
+// there is none, so that the outcome is not known.
+func (e *Entry) send(ctx context.Context, id lease.ID, server string, c ServiceCall, svc settings.Service, once bool) (*wire.Answer, bool) {
+	limit := svc.TimeoutOrDefault()
+	w := &callWait{server: server, answer: make(chan *wire.Answer, 1)}
+	key := callKey(id)
+	m := &wire.Call{ID: id, Method: c.Method, Path: c.Path, Type: c.Type, Body: c.Body, Limit: limit, Once: once}
+	e.mu.Lock()
+	e.calls[key] = w
+	e.tell(id.Req, c, decision.Step{Kind: decision.Called, Server: server, Attempt: id.Attempt})
+	ok := e.toAgent(server, &wire.Message{Call: m})
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		delete(e.calls, key)
+		e.mu.Unlock()
+	}()
+	if !ok {
+		return &wire.Answer{Detail: "no link to its agent"}, true
+	}
+	t := time.NewTimer(limit + time.Second)
+	defer t.Stop()
+	select {
+	case ans := <-w.answer:
+		return ans, ans != nil
+	case <-t.C:
+		return nil, false
+	case <-e.ctx.Done():
+		return nil, false
+	}
+}
+
+func callKey(id lease.ID) string { return fmt.Sprintf("%s.%d", id.Req, id.Attempt) }
+
+func (e *Entry) answered(m *wire.Answer) {
+	if w := e.calls[callKey(m.ID)]; w != nil {
+		select {
+		case w.answer <- m:
+		default:
+		}
+	}
+}
+
+// failCalls ends the wait for answers of an agent whose link broke. Callers
+// hold the lock.
+func (e *Entry) failCalls(server string) {
+	for _, w := range e.calls {
+		if w.server == server {
+			select {
+			case w.answer <- nil:
+			default:
+			}
+		}
+	}
+}
+
+// group returns the claim group of a service for a customer: that of its home
+// site, or the first one.
+func group(svc settings.Service, home string) (string, []string) {
+	if members, ok := svc.ClaimGroup[home]; ok {
+		return home, members
+	}
+	first := ""
+	for site := range svc.ClaimGroup {
+		if first == "" || site < first {
+			first = site
+		}
+	}
+	return first, svc.ClaimGroup[first]
+}
+
+// atMostOnce claims the key of a call before it is sent.
+func (e *Entry) atMostOnce(ctx context.Context, id string, c ServiceCall, svc settings.Service, tree *settings.Tree) (*claim.Answer, error) {
+	if c.Key == "" {
+		return nil, fault.New(fault.KeyRequired, fault.StepClaim, "", "send an Idempotency-Key with this call")
+	}
+	site, members := group(svc, tree.Fleet.Customers[c.Grant.Customer].Home)
+	ask := claim.Ask{
+		Key: c.Grant.Customer + "/" + c.Service + "/" + c.Key, Attempt: id, Body: bodyHash(c),
+		Lifetime: svc.ClaimLifetimeOrDefault(), Group: c.Service + "@" + site,
+	}
+	verdict, p := e.claim(ctx, ask, members)
+	e.step(id, c, decision.Step{Kind: decision.Claimed, Detail: fmt.Sprintf("group %s, %s", ask.Group, verdict)})
+	if verdict != claim.Won {
+		return e.notWon(verdict, p, ask, members)
+	}
+	return e.runOnce(ctx, id, c, svc, ask, members)
+}
+
+// bodyHash tells calls with the same key apart.
+func bodyHash(c ServiceCall) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(c.Method + " " + c.Path + "\n"))
+	_, _ = h.Write(c.Body)
+	return h.Sum64()
+}
+
+// claim asks the members of a group for their votes.
+func (e *Entry) claim(ctx context.Context, ask claim.Ask, members []string) (claim.Verdict, *claim.Proposer) {
+	p := claim.NewProposer(ask.Attempt, len(members))
+	w := &claimWait{proposer: p, verdict: make(chan claim.Verdict, 1)}
+	e.mu.Lock()
+	e.claims[ask.Attempt] = w
+	for _, name := range members {
+		e.toAgent(name, &wire.Message{Grant: &ask})
+	}
+	e.mu.Unlock()
+	t := time.NewTimer(claimTimeout)
+	defer t.Stop()
+	select {
+	case <-w.verdict:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.claims, ask.Attempt)
+	return p.Close(), p
+}
+
+func (e *Entry) voted(v *claim.Vote) {
+	w := e.claims[v.Attempt]
+	if w == nil {
+		return
+	}
+	if verdict := w.proposer.Vote(*v); verdict != claim.Waiting {
+		select {
+		case w.verdict <- verdict:
+		default:
+		}
+	}
+}
+
+// notWon tells the caller why its attempt sent nothing.
+func (e *Entry) notWon(v claim.Verdict, p *claim.Proposer, ask claim.Ask, members []string) (*claim.Answer, error) {
+	if v != claim.Misused {
+		e.giveUp(ask, members)
+	}
+	switch v {
+	case claim.Answered:
+		return p.Answer(), nil
+	case claim.Misused:
+		return nil, fault.New(fault.KeyReused, fault.StepClaim, ask.Group, "the key was used for another call")
+	case claim.Taken:
+		return nil, fault.New(fault.OutcomeUnknown, fault.StepClaim, ask.Group, "another attempt with this key may have run")
+	case claim.Unreached:
+		return nil, fault.New(fault.ClaimUnreached, fault.StepClaim, ask.Group, "this attempt sent nothing; an earlier one with this key may have run")
+	}
+	return nil, fault.New(fault.ClaimSplit, fault.StepClaim, ask.Group, "no majority for the claim")
+}
+
+// giveUp frees the grants of an attempt that sent nothing.
+func (e *Entry) giveUp(ask claim.Ask, members []string) {
+	e.tellGroup(&claim.Record{Key: ask.Key, Attempt: ask.Attempt}, members)
+}
+
+func (e *Entry) tellGroup(r *claim.Record, members []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, name := range members {
+		e.toAgent(name, &wire.Message{Record: r})
+	}
+}
+
+// runOnce sends a call whose claim is won. Only a send that surely did not
+// reach the service goes on to another server.
+func (e *Entry) runOnce(ctx context.Context, id string, c ServiceCall, svc settings.Service, ask claim.Ask, members []string) (*claim.Answer, error) {
+	last := "no server of the service is in reach"
+	for try, name := range e.servers(c.Service) {
+		if try >= callTries {
+			break
+		}
+		ans, ok := e.send(ctx, lease.ID{Req: id, Attempt: uint32(try + 1)}, name, c, svc, true)
+		if !ok || ans.Sent && ans.Detail != "" {
+			event.ClaimUnknown.Log(e.log, "request", id, "server", name)
+			e.step(id, c, decision.Step{Kind: decision.Failure, Server: name, Detail: "sent, and no answer"})
+			return nil, fault.New(fault.OutcomeUnknown, fault.StepCall, name, "the call was sent and no answer came")
+		}
+		if ans.Sent {
+			out := &claim.Answer{Status: ans.Status, Type: ans.Type, Body: ans.Body}
+			e.tellGroup(&claim.Record{Key: ask.Key, Attempt: ask.Attempt, Answer: out}, members)
+			e.step(id, c, decision.Step{Kind: decision.Done, Server: name, Detail: fmt.Sprintf("status %d", ans.Status)})
+			return out, nil
+		}
+		last = ans.Detail
+	}
+	e.giveUp(ask, members)
+	return nil, fault.New(fault.NoServer, fault.StepCall, c.Service, last)
+}
--- /dev/null
+++ b/entry/dump.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"sort"
+	"time"
+
+	"github.com/ledgepin/ledgepin/metric"
+	"github.com/ledgepin/ledgepin/router"
+)
+
+// Dump is the state of an entry.
+type Dump struct {
+	Name     string         `json:"name"`
+	Zone     string         `json:"zone"`
+	Revision uint64         `json:"settings_revision"`
+	Since    time.Time      `json:"settings_since"`
+	Degraded bool           `json:"degraded"`
+	Draining bool           `json:"draining"`
+	Waiting  int            `json:"waiting"`
+	Open     []router.State `json:"open"`
+	Calls    int            `json:"calls"`
+	Stats    router.Stats   `json:"stats"`
+	Upstream string         `json:"upstream"`
+	Servers  []ServerDump   `json:"servers"`
+	Leaving  []string       `json:"leaving"`
+}
+
+// ServerDump is what the entry knows of one server.
+type ServerDump struct {
+	Name      string   `json:"name"`
+	Role      string   `json:"role"`
+	Up        bool     `json:"up"`
+	Leaving   bool     `json:"leaving"`
+	Free      int      `json:"free"`
+	Rate      float64  `json:"prefill_tokens_per_second,omitempty"`
+	TokenTime string   `json:"token_time,omitempty"`
+	Models    []string `json:"models,omitempty"`
+}
+
+// Dump returns the state of the entry.
+func (e *Entry) Dump() any {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	d := Dump{
+		Name: e.cfg.Name, Zone: e.cfg.Zone, Revision: e.inForce(), Since: e.store.Since(), Degraded: e.degraded,
+		Draining: e.draining, Waiting: e.core.Waiting(), Open: e.core.Dump(time.Now()), Calls: len(e.calls), Stats: e.core.Stats(),
+		Leaving: e.leavingMessage().Leaving.Servers,
+	}
+	if e.up != nil {
+		d.Upstream = e.up.Peer.Name
+	}
+	for name, a := range e.agents {
+		s := ServerDump{Name: name, Role: a.placed.Role, Up: a.link != nil, Leaving: a.leaving || e.leaving[name]}
+		if v := e.core.View().Server(name); v != nil {
+			s.Free, s.Rate, s.TokenTime, s.Models = v.Free(), v.Rate(), v.TokenTime().String(), v.Loaded()
+		}
+		d.Servers = append(d.Servers, s)
+	}
+	sort.Slice(d.Servers, func(i, j int) bool { return d.Servers[i].Name < d.Servers[j].Name })
+	return d
+}
+
+// Collect brings the gauges of the entry up to date.
+func (e *Entry) Collect() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	name := e.cfg.Name
+	st := e.core.Stats()
+	metric.Prefill.WithLabelValues(name).Set(float64(st.PrefillTokens))
+	for cause, n := range st.WastedTokens {
+		metric.Wasted.WithLabelValues(name, string(cause)).Set(float64(n))
+	}
+	metric.Waiting.WithLabelValues(name).Set(float64(e.core.Waiting()))
+	metric.Open.WithLabelValues(name).Set(float64(len(e.flows)))
+	spent, denied := e.core.Budget()
+	metric.Retries.WithLabelValues(name, "allowed").Set(float64(spent))
+	metric.Retries.WithLabelValues(name, "denied").Set(float64(denied))
+	metric.Revision.WithLabelValues(name).Set(float64(e.inForce()))
+	metric.Age.WithLabelValues(name).Set(time.Since(e.store.Since()).Seconds())
+	degraded := 0.0
+	if e.degraded {
+		degraded = 1
+	}
+	metric.Degraded.WithLabelValues(name).Set(degraded)
+	var sent, received int64
+	for _, a := range e.agents {
+		if a.link != nil {
+			s, r := a.link.Bytes()
+			sent, received = sent+s, received+r
+		}
+	}
+	metric.LinkBytes.WithLabelValues(name, "sent").Set(float64(sent))
+	metric.LinkBytes.WithLabelValues(name, "received").Set(float64(received))
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,251 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ledgepin/ledgepin/decision"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/placement"
+	"github.com/ledgepin/ledgepin/router"
+	"github.com/ledgepin/ledgepin/settings"
+	"github.com/ledgepin/ledgepin/spread"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// Config is what an entry needs to know of itself.
+type Config struct {
+	Name string
+	Zone string
+	// Upstream are the addresses of control replicas or relays, tried in turn.
+	Upstream []string
+	// Peers are addresses of processes of the site that hold settings, asked
+	// when control is out of reach at the start.
+	Peers []string
+	// Token is the bearer token that peers share.
+	Token string
+	// TLS is for the links that it opens; nil for plain TCP.
+	TLS *tls.Config
+	// Platform is the address of the platform's list of VMs; empty if this
+	// entry hears of leaving VMs from its relay.
+	Platform string
+	// Keep is where settings are kept; nil if the VM has no disk.
+	Keep *spread.File
+	Log  *slog.Logger
+}
+
+// Times of the entry.
+const (
+	beatEvery = time.Second
+	redial    = 100 * time.Millisecond
+	maxRedial = 2 * time.Second
+	// linkGrace is how long the work at an agent outlives the loss of its link.
+	linkGrace = time.Second
+	// bootWait is how long an entry that starts waits for control before it
+	// asks the peers of its site.
+	bootWait = 3 * time.Second
+	records  = 4096
+)
+
+// Entry is the process.
+type Entry struct {
+	cfg    Config
+	log    *slog.Logger
+	epoch  int64
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu       sync.Mutex
+	store    spread.Store
+	degraded bool
+	grants   map[string]settings.Grant
+	core     *router.Core
+	flows    map[string]*Flow
+	agents   map[string]*agentLink
+	down     map[*wire.Link]bool // relay links to processes below
+	up       *wire.Link
+	leaving  map[string]bool
+	keys     map[string]*Flow // open flows by customer and key
+	claims   map[string]*claimWait
+	calls    map[string]*callWait
+	draining bool
+	started  time.Time
+	dirty    chan struct{}  // settings to write to the disk
+	story    *decision.Ring // records of plain calls
+}
+
+// Start returns a running entry.
+func Start(cfg Config) *Entry {
+	ctx, cancel := context.WithCancel(context.Background())
+	now := time.Now()
+	rng := rand.New(rand.NewPCG(uint64(now.UnixNano()), 1))
+	e := &Entry{
+		cfg: cfg, log: cfg.Log.With("role", "entry", "name", cfg.Name), epoch: now.UnixNano(),
+		ctx: ctx, cancel: cancel, flows: map[string]*Flow{}, agents: map[string]*agentLink{},
+		down: map[*wire.Link]bool{}, leaving: map[string]bool{}, keys: map[string]*Flow{},
+		claims: map[string]*claimWait{}, calls: map[string]*callWait{}, started: now,
+		story: decision.NewRing(records), dirty: make(chan struct{}, 1),
+	}
+	e.core = router.New(placement.NewView(cfg.Zone, rng), router.Options{
+		Policy: router.DefaultPolicy(), Records: records, Name: cfg.Name,
+		QueueLimit: 1, StallAfter: time.Second,
+	})
+	if cfg.Keep != nil {
+		e.loadKept()
+		e.wg.Go(e.keepLoop)
+	}
+	e.wg.Go(e.upstreamLoop)
+	e.wg.Go(e.tickLoop)
+	e.wg.Go(e.beatLoop)
+	if len(cfg.Peers) > 0 {
+		e.wg.Go(e.bootLoop)
+	}
+	if cfg.Platform != "" {
+		e.wg.Go(e.platformLoop)
+	}
+	event.Started.Log(e.log)
+	return e
+}
+
+// Handler serves the links of entries below, if this one is a relay.
+func (e *Entry) Handler() http.Handler {
+	return wire.Handler(e.log, e.options(), e.serveDown)
+}
+
+func (e *Entry) options() wire.Options {
+	return wire.Options{Hello: e.hello, Token: e.cfg.Token, TLS: e.cfg.TLS}
+}
+
+func (e *Entry) hello() wire.Hello {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return wire.Hello{Name: e.cfg.Name, Role: wire.RoleEntry, Zone: e.cfg.Zone, Epoch: e.epoch, Revision: e.store.Revision()}
+}
+
+// Drain refuses new work and waits until the open requests have ended or ctx
+// is done.
+func (e *Entry) Drain(ctx context.Context) {
+	e.mu.Lock()
+	e.draining = true
+	e.core.SetDraining()
+	e.mu.Unlock()
+	event.Draining.Log(e.log)
+	poll := time.NewTicker(20 * time.Millisecond)
+	defer poll.Stop()
+	for ctx.Err() == nil && e.OpenRequests() > 0 {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			event.DrainTimeout.Log(e.log, "open", e.OpenRequests())
+		}
+	}
+}
+
+// OpenRequests counts the requests and calls in progress.
+func (e *Entry) OpenRequests() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.flows) + len(e.calls) + len(e.claims)
+}
+
+// Close ends the entry at once.
+func (e *Entry) Close() {
+	e.cancel()
+	e.mu.Lock()
+	for _, a := range e.agents {
+		a.stop()
+	}
+	if e.up != nil {
+		e.up.Close()
+	}
+	for l := range e.down {
+		l.Close()
+	}
+	e.mu.Unlock()
+	e.wg.Wait()
+	event.Stopped.Log(e.log)
+}
+
+func (e *Entry) tickLoop() {
+	t := time.NewTicker(router.TickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case now := <-t.C:
+			e.mu.Lock()
+			e.perform(now, e.core.Tick(now))
+			e.mu.Unlock()
+		}
+	}
+}
+
+func (e *Entry) beatLoop() {
+	t := time.NewTicker(beatEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-t.C:
+			e.beat()
+		}
+	}
+}
+
+// beat sends one heartbeat on every link; it renews all leases of this entry.
+func (e *Entry) beat() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	frame, err := wire.Marshal(&wire.Message{Heartbeat: &wire.Heartbeat{Revision: e.inForce()}})
+	if err != nil {
+		return
+	}
+	for _, a := range e.agents {
+		if a.link != nil {
+			_ = a.link.SendFrame(frame)
+		}
+	}
+	for l := range e.down {
+		_ = l.SendFrame(frame)
+	}
+	if e.up != nil {
+		_ = e.up.SendFrame(frame)
+		if e.up.Peer.Role == wire.RoleControl && e.mayAct() {
+			_ = e.up.Send(&wire.Message{Summary: e.summary()})
+		}
+	}
+}
+
+// Ready tells whether the entry can serve, and if not, why. A degraded entry
+// is ready and says so.
+func (e *Entry) Ready() (bool, string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.draining:
+		return false, "draining"
+	case !e.mayAct():
+		return false, "no confirmed settings yet"
+	case e.degraded:
+		return true, "degraded: settings from the site's peers, control is out of reach"
+	}
+	return true, ""
+}
+
+// Explain returns the record of a request at this entry.
+func (e *Entry) Explain(id string) (decision.Record, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if rec, ok := e.core.Explain(id); ok {
+		return rec, true
+	}
+	return e.story.Find(id)
+}
--- /dev/null
+++ b/entry/flow.go
@@ -0,0 +1,314 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/ledgepin/ledgepin/engine"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/placement"
+	"github.com/ledgepin/ledgepin/router"
+	"github.com/ledgepin/ledgepin/settings"
+	"github.com/ledgepin/ledgepin/stream"
+)
+
+// Job is a model request as a caller brings it.
+type Job struct {
+	Grant settings.Grant
+	// Key is the caller's Idempotency-Key; empty if none.
+	Key     string
+	Request engine.Request
+}
+
+// bufferedParts bounds the tokens that wait for a slow reader.
+const bufferedParts = 1024
+
+// Flow is one open request and the way of its answer to the caller.
+type Flow struct {
+	// ID names the request in logs, records and the X-Request-Id header.
+	ID string
+
+	entry    *Entry
+	key      string
+	req      engine.Request
+	asm      stream.Assembler
+	parts    chan stream.Part
+	once     sync.Once
+	err      error // set before parts is closed
+	decodeAt string
+	class    string
+	target   settings.Class
+	arrived  time.Time
+	first    time.Time
+	last     time.Time
+	count    int
+	prompt   int
+}
+
+// NewID returns a new request ID.
+func NewID() string {
+	var b [12]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// Next returns the next part of the answer; io.EOF after the last one, or the
+// error that ended the request.
+func (f *Flow) Next(ctx context.Context) (stream.Part, error) {
+	select {
+	case p, ok := <-f.parts:
+		if ok {
+			return p, nil
+		}
+		if f.err != nil {
+			return stream.Part{}, f.err
+		}
+		return stream.Part{}, io.EOF
+	case <-ctx.Done():
+		return stream.Part{}, ctx.Err()
+	}
+}
+
+// PromptTokens returns the estimated length of the prompt.
+func (f *Flow) PromptTokens() int { return f.prompt }
+
+// Cancel tells that the caller is gone. It may be called at any time.
+func (f *Flow) Cancel() { f.entry.gone(f) }
+
+// push queues a part; it reports false if the caller does not read.
+func (f *Flow) push(p stream.Part) bool {
+	select {
+	case f.parts <- p:
+		return true
+	default:
+		return false
+	}
+}
+
+// tokens keeps the times that the targets are measured by.
+func (f *Flow) tokens(now time.Time, p stream.Part) {
+	if p.Finish != "" {
+		return
+	}
+	if f.count == 0 {
+		f.first = now
+	}
+	f.count++
+	f.last = now
+}
+
+// perToken returns the mean time between tokens.
+func (f *Flow) perToken() time.Duration {
+	if f.count < 2 {
+		return 0
+	}
+	return f.last.Sub(f.first) / time.Duration(f.count-1)
+}
+
+// onTarget tells whether an answer that has ended met both targets.
+func (f *Flow) onTarget() bool {
+	return f.first.Sub(f.arrived) <= f.target.TTFT.D() && f.perToken() <= f.target.TBT.D()
+}
+
+// request returns what the engine is asked, with the answer so far.
+func (f *Flow) request() engine.Request {
+	r := f.req
+	r.Sofar, r.SofarTokens = f.asm.Text(), f.asm.Next()
+	return r
+}
+
+// Tokens estimates the length of a prompt.
+func Tokens(text string) int { return max(len(text)/placement.BytesPerToken, 1) }
+
+// Submit takes a request. A refusal comes as the error of the first Next, or
+// at once.
+func (e *Entry) Submit(ctx context.Context, job Job) (*Flow, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.mayAct() {
+		return nil, fault.New(fault.NotReady, fault.StepAdmit, e.cfg.Name, "no confirmed settings yet")
+	}
+	req, limit, err := e.plan(&job)
+	if err != nil {
+		return nil, err
+	}
+	f := e.newFlow(job, req)
+	e.supersede(f)
+	e.flows[f.ID] = f
+	e.perform(f.arrived, e.core.Arrive(f.arrived, req, limit))
+	return f, nil
+}
+
+func (e *Entry) newFlow(job Job, req router.Request) *Flow {
+	f := &Flow{
+		ID: req.ID, entry: e, req: job.Request, parts: make(chan stream.Part, bufferedParts),
+		class: req.Class, arrived: time.Now(), prompt: req.Tokens,
+		target: e.store.Tree().Fleet.Classes[req.Class],
+	}
+	if job.Key != "" {
+		f.key = job.Grant.Customer + "/" + job.Key
+	}
+	return f
+}
+
+// supersede ends an open request with the same key: its caller has asked
+// again, and one of the two must not be answered.
+func (e *Entry) supersede(f *Flow) {
+	if f.key == "" {
+		return
+	}
+	if old := e.keys[f.key]; old != nil {
+		e.cutOff(f.arrived, old, fault.Superseded)
+	}
+	e.keys[f.key] = f
+}
+
+// plan turns a job into a request for the router.
+func (e *Entry) plan(job *Job) (router.Request, int, error) {
+	tree := e.store.Tree()
+	class, ok := tree.Fleet.Classes[job.Grant.Class]
+	if !ok {
+		return router.Request{}, 0, fault.New(fault.Unauthorized, fault.StepAuth, "", "the token's class is not in the settings")
+	}
+	model, ok := tree.Fleet.Models[job.Request.Model]
+	if !ok {
+		return router.Request{}, 0, fault.New(fault.UnknownModel, fault.StepAdmit, "", "no model "+job.Request.Model)
+	}
+	cust := tree.Fleet.Customers[job.Grant.Customer]
+	lim := e.limits(job.Request.Model)
+	text := PromptText(job.Request)
+	tokens := Tokens(text)
+	if tokens > lim.MaxPromptTokens {
+		return router.Request{}, 0, fault.New(fault.PromptTooLong, fault.StepAdmit, "",
+			fmt.Sprintf("about %d prompt tokens, at most %d", tokens, lim.MaxPromptTokens))
+	}
+	want := job.Request.Sampling.MaxTokens
+	if want == 0 || want > lim.MaxOutputTokens {
+		job.Request.Sampling.MaxTokens = lim.MaxOutputTokens
+	}
+	job.Request.Priority = class.Priority
+	return router.Request{
+		ID: NewID(), Customer: job.Grant.Customer, Share: cust.ShareOrOne(), Class: job.Grant.Class,
+		Model: job.Request.Model, Priority: class.Priority, Tokens: tokens, Prefixes: placement.Prefixes(text),
+		KVBytes: int64(tokens) * int64(model.KVPerToken), TTFT: class.TTFT.D(), TBT: class.TBT.D(), Keep: class.KeepWhenGone,
+	}, lim.OpenLimit * cust.ShareOrOne(), nil
+}
+
+// limits returns the limits of a model in the first pool of this zone that
+// prefills it.
+func (e *Entry) limits(model string) settings.Effective {
+	tree := e.store.Tree()
+	for _, p := range tree.Servers() {
+		if p.Role != settings.RolePrefill || p.Zone != e.cfg.Zone {
+			continue
+		}
+		for _, m := range p.Models {
+			if m == model {
+				return tree.At(p.Site, p.Pool, model)
+			}
+		}
+	}
+	return tree.At("", "", "")
+}
+
+// PromptText returns the text that a request's prompt is estimated from.
+func PromptText(r engine.Request) string {
+	if r.Prompt != "" {
+		return r.Prompt
+	}
+	text := ""
+	for _, t := range r.Messages {
+		text += t.Role + "\n" + t.Content + "\n"
+	}
+	return text
+}
+
+// gone takes the loss of the caller.
+func (e *Entry) gone(f *Flow) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.flows[f.ID] == f {
+		event.CallerGone.Log(e.log, "request", f.ID)
+		e.cutOff(time.Now(), f, fault.CallerGone)
+	}
+}
+
+// cutOff ends a request from this side.
+func (e *Entry) cutOff(now time.Time, f *Flow, code *fault.Code) {
+	if code == fault.CallerSlow {
+		event.CallerSlow.Log(e.log, "request", f.ID)
+	}
+	e.perform(now, e.core.Cancel(now, f.ID))
+	e.end(f, fault.New(code, fault.StepStream, "caller", code.Text))
+}
+
+// end closes a flow.
+func (e *Entry) end(f *Flow, err error) {
+	f.once.Do(func() {
+		f.err = err
+		close(f.parts)
+	})
+	delete(e.flows, f.ID)
+	if e.keys[f.key] == f {
+		delete(e.keys, f.key)
+	}
+	e.measure(f, err)
+}
+
+func (e *Entry) refused(x router.Refuse) {
+	event.RequestRefused.Log(e.log, "request", x.Req, "code", x.Code.ID, "detail", x.Detail)
+	if f := e.flows[x.Req]; f != nil {
+		e.end(f, refusal(x))
+	}
+}
+
+func refusal(x router.Refuse) error {
+	err := fault.New(x.Code, fault.StepAdmit, "", x.Detail)
+	fault.From(err).RetryAfter = x.RetryAfter
+	return err
+}
+
+func (e *Entry) failed(x router.Fail) {
+	event.RequestFailed.Log(e.log, "request", x.Req, "code", x.Code.ID, "step", x.Step, "peer", x.Peer, "detail", x.Detail)
+	if f := e.flows[x.Req]; f != nil {
+		e.end(f, fault.New(x.Code, x.Step, x.Peer, x.Detail))
+	}
+}
+
+// Grant returns what a caller's token allows.
+func (e *Entry) Grant(token string) (settings.Grant, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.mayAct() {
+		return settings.Grant{}, fault.New(fault.NotReady, fault.StepAuth, e.cfg.Name, "no confirmed settings yet")
+	}
+	g, ok := e.grants[settings.HashToken(token)]
+	if !ok {
+		return g, fault.New(fault.Unauthorized, fault.StepAuth, "", "the token is not known")
+	}
+	return g, nil
+}
+
+// Models lists the models in the settings that a server of this entry serves.
+func (e *Entry) Models() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []string
+	if e.store.Tree() == nil {
+		return nil
+	}
+	for name := range e.store.Tree().Fleet.Models {
+		if e.core.View().Usable(name) {
+			out = append(out, name)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
--- /dev/null
+++ b/entry/leaving.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/platform"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// platformEvery is the time between two looks at the platform's list.
+const platformEvery = time.Second
+
+func (e *Entry) platformLoop() {
+	c := platform.NewClient(e.cfg.Platform)
+	defer c.Close()
+	lost := false
+	for e.ctx.Err() == nil {
+		vms, err := e.listVMs(c)
+		if err != nil && !lost && e.ctx.Err() == nil {
+			event.PlatformLost.Log(e.log, "error", fault.From(err))
+		}
+		lost = err != nil
+		if err == nil {
+			e.takeVMs(vms)
+		}
+		pause(e.ctx, platformEvery)
+	}
+}
+
+func (e *Entry) listVMs(c *platform.Client) ([]platform.VM, error) {
+	ctx, cancel := context.WithTimeout(e.ctx, platformEvery)
+	defer cancel()
+	return c.List(ctx)
+}
+
+// takeVMs keeps the names that are leaving. A VM that is missing from the list
+// is no sign: the list lags, and a server that is gone has no link.
+func (e *Entry) takeVMs(vms []platform.VM) {
+	var names []string
+	for _, vm := range vms {
+		if vm.State == platform.Leaving {
+			names = append(names, vm.Name)
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.setLeaving(names)
+}
+
+// setLeaving takes a new list of leaving servers and passes it on. Callers
+// hold the lock.
+func (e *Entry) setLeaving(names []string) {
+	next := map[string]bool{}
+	for _, n := range names {
+		next[n] = true
+		if !e.leaving[n] {
+			event.ServerLeaving.Log(e.log, "server", n, "why", "the platform's list")
+		}
+	}
+	for n := range e.leaving {
+		if !next[n] {
+			own := e.agents[n] != nil && e.agents[n].leaving
+			e.core.View().SetLeaving(n, own)
+		}
+	}
+	e.leaving = next
+	for n := range next {
+		e.core.View().SetLeaving(n, true)
+	}
+	for l := range e.down {
+		_ = l.Send(e.leavingMessage())
+	}
+}
+
+func (e *Entry) leavingMessage() *wire.Message {
+	out := &wire.Leaving{Servers: []string{}}
+	for n := range e.leaving {
+		out.Servers = append(out.Servers, n)
+	}
+	sort.Strings(out.Servers)
+	return &wire.Message{Leaving: out}
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,260 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/placement"
+	"github.com/ledgepin/ledgepin/settings"
+	"github.com/ledgepin/ledgepin/spread"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// mayAct tells whether the entry may act on the settings that it holds.
+// Callers hold the lock.
+func (e *Entry) mayAct() bool { return e.store.Confirmed() || e.degraded }
+
+// inForce returns the revision that the entry acts on; zero if none.
+func (e *Entry) inForce() uint64 {
+	if !e.mayAct() {
+		return 0
+	}
+	return e.store.Revision()
+}
+
+// loadKept reads the settings that the entry kept on its disk. It does not act
+// on them before they are confirmed.
+func (e *Entry) loadKept() {
+	rev, text, err := e.cfg.Keep.Read()
+	if err == nil && rev > 0 {
+		err = e.store.Load(rev, text)
+	}
+	if err != nil {
+		event.SettingsBad.Log(e.log, "error", err)
+	}
+}
+
+// takeSettings takes settings from upstream or from a peer. Callers hold the
+// lock.
+func (e *Entry) takeSettings(now time.Time, l *wire.Link, m *wire.Settings) {
+	acted := e.mayAct()
+	switch e.store.Apply(now, m) {
+	case spread.NeedWhole:
+		_ = l.Send(&wire.Message{Pull: &wire.Pull{}})
+	case spread.Bad:
+		event.SettingsBad.Log(e.log, "peer", l.Peer.Name, "revision", m.Revision)
+	case spread.Taken:
+		e.inForceNow(now)
+	case spread.Old:
+		if !acted && e.mayAct() {
+			e.inForceNow(now)
+		}
+	}
+	if m.Confirmed && e.store.Confirmed() {
+		e.degraded = false
+	}
+}
+
+// inForceNow puts the held revision in force and passes it on.
+func (e *Entry) inForceNow(now time.Time) {
+	if !e.mayAct() {
+		return
+	}
+	e.keep()
+	event.SettingsInForce.Log(e.log, "revision", e.store.Revision())
+	e.apply(now)
+	for _, a := range e.agents {
+		if a.link != nil {
+			e.push(a.link)
+		}
+	}
+	for l := range e.down {
+		e.push(l)
+	}
+}
+
+// keep wakes the loop that writes the settings to the disk.
+func (e *Entry) keep() {
+	select {
+	case e.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// keepLoop writes the newest settings to the disk, outside of the lock. The
+// file is a help for the next start, so nothing waits for it.
+func (e *Entry) keepLoop() {
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-e.dirty:
+		}
+		e.mu.Lock()
+		rev, text := e.store.Revision(), e.store.Text()
+		e.mu.Unlock()
+		if err := e.cfg.Keep.Write(rev, text); err != nil {
+			event.JournalFailed.Log(e.log, "error", fault.From(err))
+		}
+	}
+}
+
+// push sends the settings in force as a delta to the revision before; a peer
+// that lacks that one asks for the whole text.
+func (e *Entry) push(l *wire.Link) {
+	if m := e.store.Push(e.store.Revision() - 1); m != nil && e.mayAct() {
+		_ = l.Send(&wire.Message{Settings: m})
+	}
+}
+
+// answerPull sends a peer what it lacks.
+func (e *Entry) answerPull(l *wire.Link, p *wire.Pull) {
+	if m := e.store.Push(p.Have); m != nil && e.mayAct() {
+		_ = l.Send(&wire.Message{Settings: m})
+	}
+}
+
+// apply brings the entry in line with the settings in force.
+func (e *Entry) apply(now time.Time) {
+	tree := e.store.Tree()
+	e.grants = tree.Grants()
+	lim := tree.At("", "", "")
+	e.core.SetLimits(lim.QueueLimit, lim.RetryPercent, lim.StallAfter)
+	seen := map[string]bool{}
+	for _, p := range tree.Servers() {
+		if p.Zone != e.cfg.Zone && !e.spills(p) {
+			continue
+		}
+		seen[p.Name] = true
+		e.applyServer(p)
+	}
+	for name, a := range e.agents {
+		if !seen[name] {
+			a.stop()
+			delete(e.agents, name)
+			e.perform(now, e.core.ServerDown(now, name))
+			e.core.View().Remove(name)
+		}
+	}
+}
+
+// spills tells whether an entry keeps a link to a server of another zone: one
+// that serves a plain service or votes for claims, which may be few.
+func (e *Entry) spills(p settings.Placed) bool { return p.Role == settings.RoleService || e.small() }
+
+// smallFleet is the number of servers up to which an entry keeps a link to
+// each; a larger fleet is reached through the availability zones' summaries.
+const smallFleet = 64
+
+func (e *Entry) small() bool {
+	n := 0
+	for _, s := range e.store.Tree().Fleet.Sites {
+		for _, p := range s.Pools {
+			n += len(p.Servers)
+		}
+	}
+	return n <= smallFleet
+}
+
+func (e *Entry) applyServer(p settings.Placed) {
+	info := placement.Info{
+		Name: p.Name, Zone: p.Zone, Role: p.Role, Models: p.Models, Slots: p.Slots, LinkRate: float64(p.LinkRate),
+	}
+	if p.Role != settings.RoleService {
+		e.core.View().Set(info)
+	}
+	a := e.agents[p.Name]
+	if a != nil && a.addr == p.Agent {
+		a.placed = p
+		return
+	}
+	if a != nil {
+		a.stop()
+	}
+	e.dialAgent(p)
+}
+
+// upstreamLoop keeps a link to one control replica or relay.
+func (e *Entry) upstreamLoop() {
+	wait := redial
+	for i := 0; e.ctx.Err() == nil && len(e.cfg.Upstream) > 0; i++ {
+		addr := e.cfg.Upstream[i%len(e.cfg.Upstream)]
+		l, err := wire.Dial(e.ctx, addr, e.options())
+		if err != nil {
+			pause(e.ctx, wait)
+			wait = min(2*wait, maxRedial)
+			continue
+		}
+		wait = redial
+		e.runUpstream(l)
+	}
+}
+
+func (e *Entry) runUpstream(l *wire.Link) {
+	event.LinkUp.Log(e.log, "peer", l.Peer.Name)
+	e.mu.Lock()
+	e.up = l
+	_ = l.Send(&wire.Message{Pull: &wire.Pull{Have: e.store.Revision()}})
+	e.mu.Unlock()
+	err := l.Run(e.ctx, func(m *wire.Message) { e.handleUp(l, m) })
+	e.mu.Lock()
+	e.up = nil
+	e.mu.Unlock()
+	if e.ctx.Err() == nil {
+		event.LinkDown.Log(e.log, "peer", l.Peer.Name, "why", fault.From(err))
+		pause(e.ctx, redial)
+	}
+}
+
+func (e *Entry) handleUp(l *wire.Link, m *wire.Message) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case m.Settings != nil:
+		e.takeSettings(time.Now(), l, m.Settings)
+	case m.Heartbeat != nil:
+		if m.Heartbeat.Revision > e.store.Revision() {
+			_ = l.Send(&wire.Message{Pull: &wire.Pull{Have: e.store.Revision()}})
+		}
+	case m.Order != nil:
+		e.passOrder(m)
+	case m.Leaving != nil:
+		e.setLeaving(m.Leaving.Servers)
+	}
+}
+
+// serveDown runs the link of an entry that uses this one as its relay.
+func (e *Entry) serveDown(l *wire.Link) {
+	e.mu.Lock()
+	e.down[l] = true
+	_ = l.Send(e.leavingMessage())
+	e.mu.Unlock()
+	_ = l.Run(e.ctx, func(m *wire.Message) { e.handleDown(l, m) })
+	e.mu.Lock()
+	delete(e.down, l)
+	e.mu.Unlock()
+}
+
+func (e *Entry) handleDown(l *wire.Link, m *wire.Message) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case m.Pull != nil:
+		e.answerPull(l, m.Pull)
+	case m.Heartbeat != nil && m.Heartbeat.Revision < e.inForce():
+		e.answerPull(l, &wire.Pull{Have: m.Heartbeat.Revision})
+	case m.Ordered != nil && e.up != nil:
+		_ = e.up.Send(m)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/event/catalogue.go
@@ -0,0 +1,133 @@
+package event
+
+import "log/slog"
+
+var catalogue []*Event
+
+// Catalogue returns all events in the order of their definition.
+func Catalogue() []*Event { return catalogue }
+
+func define(id string, sev slog.Level, title, text, todo string) *Event {
+	e := &Event{ID: id, Title: title, Text: text, Todo: todo, Since: "0.1", Severity: sev}
+	catalogue = append(catalogue, e)
+	return e
+}
+
+const (
+	info  = slog.LevelInfo
+	warn  = slog.LevelWarn
+	fail  = slog.LevelError
+	debug = slog.LevelDebug
+)
+
+const nothing = "Nothing."
+
+// The process.
+var (
+	Started = define("LP1001", info, "process started",
+		"A role of the process has its listeners and links.", nothing)
+	Draining = define("LP1002", info, "draining",
+		"The process takes no new work and waits for the streams in progress.", nothing)
+	Stopped = define("LP1003", info, "process stopped",
+		"All streams have ended and the process leaves.", nothing)
+	DrainTimeout = define("LP1004", warn, "drain took too long",
+		"Streams were still open when the time for draining was over; they were cut.",
+		"Raise drain_time, or look in the dump for callers that keep streams open.")
+	ListenFailed = define("LP1005", fail, "listener failed",
+		"A listener could not be opened or broke.", "Check that the address is free and belongs to the VM.")
+)
+
+// Callers and operators.
+var (
+	RequestRefused = define("LP2001", info, "request refused",
+		"A request was refused before any work; the code tells why.",
+		"Many target_out_of_reach or queue_full refusals mean that the pools are too small.")
+	RequestFailed = define("LP2002", warn, "request failed",
+		"A request ran and has no whole answer.", "Run `ledgepin explain` with the request ID.")
+	RequestDone = define("LP2003", debug, "request done", "A request got its whole answer.", nothing)
+	CallerGone  = define("LP2004", info, "caller gone",
+		"The caller closed its connection; its work was cancelled at the engines.", nothing)
+	CallerSlow = define("LP2005", warn, "caller cut off",
+		"The caller read so slowly that its buffer filled up.", "Look at the caller's network.")
+	BadToken = define("LP2006", warn, "token not known",
+		"A caller, an operator or a peer came without a known token.",
+		"If it is one of yours, check its token and the settings.")
+	BadInput = define("LP2007", info, "bad input",
+		"A request could not be read: malformed, too large or with unknown values.", nothing)
+	SettingChanged = define("LP2008", info, "settings change accepted",
+		"An operator's change of the settings is accepted.", nothing)
+	SettingRefused = define("LP2009", info, "settings change refused",
+		"An operator's change did not pass the checks or was based on an old revision.",
+		"Get the newest revision and apply the change to it.")
+)
+
+// Links between processes.
+var (
+	LinkUp   = define("LP3001", info, "link up", "A link to a peer process is open.", nothing)
+	LinkDown = define("LP3002", warn, "link down",
+		"A link to a peer process closed; it is opened again by itself.",
+		"If it stays down, look at the peer's log and the network between the VMs.")
+	BadPeer = define("LP3003", warn, "bad peer",
+		"A peer sent a frame that breaks the protocol, or speaks another version.",
+		"Check that both run versions that go together, and that nothing else uses the address.")
+	PeerRefused = define("LP3004", warn, "peer refused",
+		"A process without the peer token tried to open a link.", "Check the token files.")
+)
+
+// Agents and engines.
+var (
+	EngineLost = define("LP4001", fail, "engine lost",
+		"The engine beside the agent does not answer.", "Look at the engine; the agent goes on by itself when it is back.")
+	EngineBack     = define("LP4002", info, "engine back", "The engine answers again.", nothing)
+	CancelRepeated = define("LP4003", warn, "cancel not confirmed",
+		"The engine has not confirmed a cancel; it is repeated until it does.",
+		"If it goes on, restart the engine: its slot stays in use.")
+	LeaseExpired = define("LP4004", warn, "lease expired",
+		"An entry was silent for longer than the lease; its work was cancelled.", "Look at the entry.")
+	OrphanCancelled = define("LP4005", info, "orphan cancelled",
+		"After a restart of the agent, the engine ran a request that no entry claimed.", nothing)
+	ServerEjected = define("LP4006", warn, "server ejected",
+		"A server failed several times in a row and gets only probes for a while.", "Look at the server.")
+	ServerLeaving = define("LP4007", info, "server leaving",
+		"A backend server is leaving and gets no new work.", nothing)
+	OrderDone  = define("LP4008", info, "order carried out", "The engine has carried out an order of control.", nothing)
+	OrderStale = define("LP4009", warn, "order refused",
+		"An order came with a fence that is too low, or before the fence was known.",
+		"A cut-off control leader may still be sending; it stops by itself.")
+	OrderFailed = define("LP4010", fail, "order failed", "The engine could not carry out an order.", "Look at the engine's log.")
+)
+
+// Claims.
+var (
+	VoterCold = define("LP5001", info, "claim voter recovers",
+		"A claim voter has started without memory and copies from its group before it votes.",
+		"If it stays so, at least one other member of the group is out of reach.")
+	VoterWarm    = define("LP5002", info, "claim voter votes", "A claim voter has recovered and votes.", nothing)
+	ClaimUnknown = define("LP5003", warn, "outcome unknown",
+		"A call that may not be repeated was sent and its answer is not known.",
+		"Ask the service what became of the key.")
+)
+
+// Control and settings.
+var (
+	LeaderElected = define("LP6001", info, "leader elected", "This control replica is the leader.", nothing)
+	LeaderLost    = define("LP6002", warn, "leadership ended",
+		"This control replica leads no more: it lost its majority or saw a newer term.", nothing)
+	JournalTorn = define("LP6003", warn, "torn tail cut",
+		"The end of the journal was half written, as after a power cut; it was cut off.", nothing)
+	JournalBroken = define("LP6004", fail, "journal broken",
+		"The journal is damaged before its end; the replica does not start.",
+		"Replace the replica: empty its data folder and give it a new name in the settings.")
+	JournalFailed = define("LP6005", fail, "journal failed",
+		"The disk refused a write or a sync; the replica gave up its vote.", "Replace the disk or make room, then restart.")
+	SettingsInForce = define("LP6006", info, "settings in force", "A new revision of the settings is in force here.", nothing)
+	SettingsBad     = define("LP6007", fail, "settings not usable",
+		"Settings came that do not parse or have another hash.", "Check that all processes run versions that go together.")
+	SettingsUnconfirmed = define("LP6008", warn, "settings unconfirmed",
+		"The process acts on the settings of its site's peers, because control is out of reach.",
+		"Restore the link to control; the site catches up by itself.")
+	MembersChanged = define("LP6009", info, "control members changed", "The membership of control has changed.", nothing)
+	SnapshotTaken  = define("LP6010", debug, "snapshot taken", "The replicated log was cut after a snapshot.", nothing)
+	PlatformLost   = define("LP6011", warn, "platform list out of reach",
+		"The platform's list of VMs can't be read; the last one is used.", "Look at the platform.")
+)
--- /dev/null
+++ b/fault/catalogue.go
@@ -0,0 +1,78 @@
+package fault
+
+import "net/http"
+
+// Code is one kind of error that a caller, an operator or a peer may see.
+type Code struct {
+	// ID is the stable name, sent on the wire.
+	ID string
+	// Text is the meaning.
+	Text string
+	// Since is the first version that uses it.
+	Since string
+	// Status is the HTTP status that goes with it.
+	Status int
+	// NotRun tells that no engine or service was asked to do the work.
+	NotRun bool
+}
+
+var catalogue []*Code
+
+func code(id string, status int, notRun bool, text string) *Code {
+	c := &Code{ID: id, Text: text, Since: "0.1", Status: status, NotRun: notRun}
+	catalogue = append(catalogue, c)
+	return c
+}
+
+// Catalogue returns all codes in the order of their definition.
+func Catalogue() []*Code { return catalogue }
+
+// ByID returns the code with this ID, or Internal if there is none.
+func ByID(id string) *Code {
+	for _, c := range catalogue {
+		if c.ID == id {
+			return c
+		}
+	}
+	return Internal
+}
+
+// The codes.
+var (
+	Internal        = code("internal", http.StatusInternalServerError, false, "A fault of ledgepin itself; whether the request ran is not known.")
+	Unauthorized    = code("unauthorized", http.StatusUnauthorized, true, "The bearer token is missing or not known.")
+	BadRequest      = code("bad_request", http.StatusBadRequest, true, "The request is not well-formed, or a value is out of range.")
+	Unsupported     = code("unsupported_parameter", http.StatusBadRequest, true, "The request uses a parameter that ledgepin does not carry.")
+	UnknownModel    = code("unknown_model", http.StatusNotFound, true, "No pool serves the model for this customer.")
+	UnknownService  = code("unknown_service", http.StatusNotFound, true, "The settings have no service of that name.")
+	PromptTooLong   = code("prompt_too_long", http.StatusRequestEntityTooLarge, true, "The prompt or body is over the limit in force.")
+	KeyRequired     = code("idempotency_key_required", http.StatusBadRequest, true, "The call may not be repeated, so it needs an Idempotency-Key.")
+	KeyReused       = code("idempotency_key_reused", http.StatusUnprocessableEntity, true, "The Idempotency-Key was used for a request with another body.")
+	QueueFull       = code("queue_full", http.StatusTooManyRequests, true, "The queue has no room for this request.")
+	OverLimit       = code("over_limit", http.StatusTooManyRequests, true, "The customer holds its whole share of open requests.")
+	TargetMissed    = code("target_out_of_reach", http.StatusServiceUnavailable, true, "The time-to-first-token target of the class cannot be met now.")
+	NoServer        = code("no_server", http.StatusServiceUnavailable, true, "No server for this model or service is in reach.")
+	Draining        = code("draining", http.StatusServiceUnavailable, true, "This process is leaving and takes no new work.")
+	NotReady        = code("not_ready", http.StatusServiceUnavailable, true, "This process has no settings that it may act on yet.")
+	ClaimSplit      = code("claim_not_won", http.StatusServiceUnavailable, true, "The claim for the key found no majority; nothing was sent.")
+	ClaimUnreached  = code("claim_unreached", http.StatusServiceUnavailable, false, "Too few voters answered; this attempt sent nothing, but an earlier one with the same key may have run. A retry with the same key is safe.")
+	OutcomeUnknown  = code("outcome_unknown", http.StatusBadGateway, false, "The call was sent and its outcome is not known; it is never sent again by ledgepin.")
+	InProgress      = code("in_progress", http.StatusConflict, false, "Another attempt with the same key holds the claim and has no answer yet.")
+	Superseded      = code("superseded", http.StatusConflict, false, "A newer attempt with the same key took over; this one gives no further answer.")
+	EngineLost      = code("engine_lost", http.StatusBadGateway, false, "The engines failed and the retry budget or the deadline is used up.")
+	CallerGone      = code("caller_gone", 499, false, "The caller went away; its work was cancelled.")
+	CallerSlow      = code("caller_slow", http.StatusRequestTimeout, false, "The caller read too slowly and was cut off.")
+	ServiceFailed   = code("service_failed", http.StatusBadGateway, false, "The service could not be reached for a call that may be repeated.")
+	Refused         = code("reservation_refused", http.StatusServiceUnavailable, true, "The agent has no free slot; the entry chooses again.")
+	StaleFence      = code("stale_fence", http.StatusConflict, true, "The order carries a lower fence than one already seen, or the agent does not know the fence yet.")
+	BadPeer         = code("bad_peer", http.StatusBadRequest, true, "A peer sent a message that breaks the protocol, or another protocol version.")
+	Conflict        = code("conflict", http.StatusConflict, true, "The change is based on a revision that is no longer the newest.")
+	BadSettings     = code("bad_settings", http.StatusUnprocessableEntity, true, "The settings do not pass the checks; nothing was changed.")
+	NotLeader       = code("not_leader", http.StatusServiceUnavailable, true, "This control replica cannot accept changes now; try another or wait.")
+	ChangeUnknown   = code("change_outcome_unknown", http.StatusGatewayTimeout, false, "The change was proposed but not confirmed in time; send it again with the same change ID.")
+	NotFound        = code("not_found", http.StatusNotFound, true, "There is no such thing here.")
+	JournalBroken   = code("journal_broken", http.StatusInternalServerError, true, "The journal is damaged before its end; the replica does not start.")
+	JournalFailed   = code("journal_failed", http.StatusInternalServerError, false, "The disk refused a write or a sync; the replica gave up its vote.")
+	LinkLost        = code("link_lost", http.StatusBadGateway, false, "The link to the peer closed.")
+	SettingsInvalid = code("invalid_config", http.StatusUnprocessableEntity, true, "The settings file of the process does not pass the checks.")
+)
