--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,174 @@
+package fleet
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/ledgepin/ledgepin/settings"
+)
+
+// Change is an operator's change of the settings tree.
+type Change struct {
+	// ID is the operator's name for the change; a resent one gets the first
+	// answer again.
+	ID string `cbor:"1,keyasint"`
+	// Base is the revision that the change is based on.
+	Base uint64 `cbor:"2,keyasint"`
+	// Delta leads from the text of Base to the new text, whose hash is Sum.
+	Delta settings.Delta `cbor:"3,keyasint"`
+	Sum   settings.Sum   `cbor:"4,keyasint"`
+	Who   string         `cbor:"5,keyasint"`
+	// When is the clock of the replica that took the change, in nanoseconds.
+	When int64  `cbor:"6,keyasint"`
+	Note string `cbor:"7,keyasint,omitempty"`
+	// Edits are the first values that differ, for the history.
+	Edits []string `cbor:"8,keyasint,omitempty"`
+}
+
+// Result is the answer to a change.
+type Result struct {
+	ID string `cbor:"1,keyasint" json:"id"`
+	// Revision is the new revision, or the newest one if OK is not set.
+	Revision uint64 `cbor:"2,keyasint" json:"revision"`
+	OK       bool   `cbor:"3,keyasint" json:"ok"`
+	// Detail tells why the change was not made.
+	Detail string `cbor:"4,keyasint,omitempty" json:"detail,omitempty"`
+}
+
+// Past is one change that was made.
+type Past struct {
+	Revision uint64    `json:"revision"`
+	ID       string    `json:"id"`
+	Who      string    `json:"who"`
+	When     time.Time `json:"when"`
+	Note     string    `json:"note,omitempty"`
+	Edits    []string  `json:"edits,omitempty"`
+}
+
+// Bounds of what is kept.
+const (
+	// MaxResults bounds the change IDs that are remembered: ten days at the
+	// size that the design is for.
+	MaxResults = 20000
+	maxHistory = 2000
+	// MaxEdits bounds the edits that the history shows of one change.
+	MaxEdits = 20
+)
+
+// State is the replicated state.
+type State struct {
+	revision uint64
+	text     []byte
+	results  map[string]Result
+	order    []string // change IDs, the oldest first
+	history  []Past
+}
+
+// New returns the state before any change: revision zero, no settings.
+func New() *State { return &State{results: map[string]Result{}} }
+
+// Revision returns the newest revision.
+func (s *State) Revision() uint64 { return s.revision }
+
+// Text returns the settings of the newest revision; callers must not change it.
+func (s *State) Text() []byte { return s.text }
+
+// Result returns the answer to an earlier change.
+func (s *State) Result(id string) (Result, bool) {
+	r, ok := s.results[id]
+	return r, ok
+}
+
+// History returns the changes after a revision, the oldest first.
+func (s *State) History(after uint64) []Past {
+	for i, p := range s.history {
+		if p.Revision > after {
+			return s.history[i:]
+		}
+	}
+	return nil
+}
+
+// Apply takes one committed command. The same commands in the same order give
+// the same state everywhere.
+func (s *State) Apply(data []byte) (Result, error) {
+	var c Change
+	if err := cbor.Unmarshal(data, &c); err != nil {
+		return Result{}, fmt.Errorf("fleet: bad command: %w", err)
+	}
+	if r, ok := s.results[c.ID]; ok {
+		return r, nil
+	}
+	r := s.apply(c)
+	s.remember(r)
+	return r, nil
+}
+
+func (s *State) apply(c Change) Result {
+	if c.Base != s.revision {
+		return Result{ID: c.ID, Revision: s.revision,
+			Detail: fmt.Sprintf("based on revision %d, and %d is the newest", c.Base, s.revision)}
+	}
+	text, err := c.Delta.Apply(s.text)
+	if err != nil || sha256.Sum256(text) != c.Sum {
+		return Result{ID: c.ID, Revision: s.revision, Detail: "the change does not fit the settings"}
+	}
+	s.revision++
+	s.text = text
+	s.history = append(s.history, Past{
+		Revision: s.revision, ID: c.ID, Who: c.Who, When: time.Unix(c.When/int64(time.Second), 0).UTC(), Note: c.Note, Edits: c.Edits,
+	})
+	if len(s.history) > maxHistory {
+		s.history = append([]Past(nil), s.history[len(s.history)-maxHistory:]...)
+	}
+	return Result{ID: c.ID, Revision: s.revision, OK: true}
+}
+
+func (s *State) remember(r Result) {
+	s.results[r.ID] = r
+	s.order = append(s.order, r.ID)
+	if len(s.order) > MaxResults {
+		delete(s.results, s.order[0])
+		s.order = s.order[1:]
+	}
+}
+
+// Encode returns the command of a change.
+func Encode(c Change) ([]byte, error) { return cbor.Marshal(c) }
+
+// snapshot is the state as it is kept.
+type snapshot struct {
+	Revision uint64   `cbor:"1,keyasint"`
+	Text     []byte   `cbor:"2,keyasint"`
+	Results  []Result `cbor:"3,keyasint"`
+	History  []Past   `cbor:"4,keyasint"`
+}
+
+// Snapshot returns the whole state as bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	out := snapshot{Revision: s.revision, Text: s.text, History: s.history, Results: make([]Result, 0, len(s.order))}
+	for _, id := range s.order {
+		out.Results = append(out.Results, s.results[id])
+	}
+	return cbor.Marshal(out)
+}
+
+// Restore returns the state of a snapshot; empty bytes give a new state.
+func Restore(data []byte) (*State, error) {
+	s := New()
+	if len(data) == 0 {
+		return s, nil
+	}
+	var in snapshot
+	if err := cbor.Unmarshal(data, &in); err != nil {
+		return nil, fmt.Errorf("fleet: bad snapshot: %w", err)
+	}
+	s.revision, s.text, s.history = in.Revision, in.Text, in.History
+	for _, r := range in.Results {
+		s.remember(r)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/journal/journal.go
@@ -0,0 +1,179 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/spread"
+)
+
+// File is what the journal needs of an open file. Tests put faults behind it.
+type File interface {
+	io.Writer
+	Sync() error
+	Truncate(size int64) error
+	Close() error
+}
+
+// OpenFile opens the log for appending.
+type OpenFile func(path string) (File, error)
+
+func openFile(path string) (File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+}
+
+// Journal is the disk of one replica.
+type Journal struct {
+	dir  string
+	open OpenFile
+	file File
+	size int64
+	// broken is set by the first failed write or sync: what the disk holds is
+	// not known any more, so nothing is written again.
+	broken error
+}
+
+// Opened tells what Open found.
+type Opened struct {
+	Restored consensus.Restored
+	// Cut is the number of bytes of a torn tail.
+	Cut int64
+	// New tells that there was no journal.
+	New bool
+}
+
+// Open reads the journal in a folder, which must exist.
+func Open(dir string) (*Journal, Opened, error) { return OpenWith(dir, openFile) }
+
+// OpenWith is Open with another way to open the log file.
+func OpenWith(dir string, open OpenFile) (*Journal, Opened, error) {
+	j := &Journal{dir: dir, open: open}
+	snap, err := j.readSnapshot()
+	if err != nil {
+		return nil, Opened{}, err
+	}
+	out := Opened{Restored: consensus.Restored{Snapshot: snap}}
+	data, err := os.ReadFile(j.logPath())
+	if errors.Is(err, fs.ErrNotExist) {
+		out.New = snap.Index == 0
+	} else if err != nil {
+		return nil, Opened{}, fault.Wrap(err, fault.JournalFailed, fault.StepJournal, j.logPath())
+	}
+	good, err := Replay(data, &out.Restored)
+	if err != nil {
+		return nil, Opened{}, fault.Wrap(err, fault.JournalBroken, fault.StepJournal, j.logPath())
+	}
+	out.Cut = int64(len(data) - good)
+	if err := j.start(int64(good), out.Cut > 0); err != nil {
+		return nil, Opened{}, err
+	}
+	return j, out, nil
+}
+
+func (j *Journal) logPath() string      { return filepath.Join(j.dir, "control.log") }
+func (j *Journal) snapshotPath() string { return filepath.Join(j.dir, "control.snapshot") }
+
+// start opens the log for appending and cuts a torn tail.
+func (j *Journal) start(size int64, cut bool) error {
+	file, err := j.open(j.logPath())
+	if err != nil {
+		return fault.Wrap(err, fault.JournalFailed, fault.StepJournal, j.logPath())
+	}
+	if cut {
+		err = file.Truncate(size)
+		if err == nil {
+			err = file.Sync()
+		}
+	}
+	if err != nil {
+		_ = file.Close()
+		return fault.Wrap(err, fault.JournalFailed, fault.StepJournal, j.logPath())
+	}
+	j.file, j.size = file, size
+	return nil
+}
+
+// readSnapshot returns the snapshot, or an empty one.
+func (j *Journal) readSnapshot() (consensus.Snapshot, error) {
+	data, err := os.ReadFile(j.snapshotPath())
+	if errors.Is(err, fs.ErrNotExist) {
+		return consensus.Snapshot{}, nil
+	}
+	if err != nil {
+		return consensus.Snapshot{}, fault.Wrap(err, fault.JournalFailed, fault.StepJournal, j.snapshotPath())
+	}
+	rec, n, ok := readRecord(data)
+	if !ok || n != len(data) || rec.Snapshot == nil {
+		err := errors.New("the snapshot is damaged")
+		return consensus.Snapshot{}, fault.Wrap(err, fault.JournalBroken, fault.StepJournal, j.snapshotPath())
+	}
+	return *rec.Snapshot, nil
+}
+
+// Append makes the hard state and entries durable. After a failure the journal
+// refuses everything.
+func (j *Journal) Append(hard *consensus.Hard, entries []consensus.Entry) error {
+	if j.broken != nil {
+		return j.broken
+	}
+	data, err := writeRecord(record{Hard: hard, Entries: entries})
+	if err == nil {
+		_, err = j.file.Write(data)
+	}
+	if err == nil {
+		err = j.file.Sync()
+	}
+	if err != nil {
+		j.broken = fault.Wrap(err, fault.JournalFailed, fault.StepJournal, j.logPath())
+		return j.broken
+	}
+	j.size += int64(len(data))
+	return nil
+}
+
+// Snapshot makes a snapshot durable and drops the log that it covers; hard and
+// entries are what is kept after it.
+func (j *Journal) Snapshot(s consensus.Snapshot, hard consensus.Hard, entries []consensus.Entry) error {
+	if j.broken != nil {
+		return j.broken
+	}
+	if err := j.replace(s, hard, entries); err != nil {
+		j.broken = fault.Wrap(err, fault.JournalFailed, fault.StepJournal, j.dir)
+	}
+	return j.broken
+}
+
+func (j *Journal) replace(s consensus.Snapshot, hard consensus.Hard, entries []consensus.Entry) error {
+	snap, err := writeRecord(record{Snapshot: &s})
+	if err != nil {
+		return err
+	}
+	rest, err := writeRecord(record{Hard: &hard, Entries: entries})
+	if err != nil {
+		return err
+	}
+	// The snapshot first: a log without its snapshot would be useless, a
+	// snapshot with an older log is whole.
+	if err := spread.WriteSynced(j.snapshotPath(), snap); err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	if err := j.file.Close(); err != nil {
+		return err
+	}
+	if err := spread.WriteSynced(j.logPath(), rest); err != nil {
+		return fmt.Errorf("log: %w", err)
+	}
+	return j.start(int64(len(rest)), false)
+}
+
+// Size returns the length of the log in bytes.
+func (j *Journal) Size() int64 { return j.size }
+
+// Close closes the log.
+func (j *Journal) Close() error { return j.file.Close() }
--- /dev/null
+++ b/lease/table.go
@@ -0,0 +1,344 @@
+package lease
+
+import (
+	"container/heap"
+	"time"
+)
+
+// ID names one attempt of one request at this server.
+type ID struct {
+	Req     string `cbor:"1,keyasint" json:"req"`
+	Attempt uint32 `cbor:"2,keyasint" json:"attempt"`
+}
+
+// State is how far a lease has come.
+type State uint8
+
+// The states of a lease.
+const (
+	// Held means that the slot waits for its work.
+	Held State = iota
+	// Running means that the engine has been asked to work.
+	Running
+	// Cancelling means that the engine has been told to stop and has not
+	// confirmed it.
+	Cancelling
+)
+
+// String returns the name of the state.
+func (s State) String() string {
+	return [...]string{"held", "running", "cancelling"}[s]
+}
+
+// Reason tells why a slot was not given.
+type Reason string
+
+// The reasons for a refusal.
+const (
+	None      Reason = ""
+	Full      Reason = "full"
+	Leaving   Reason = "leaving"
+	Duplicate Reason = "duplicate"
+	Recovery  Reason = "recovery"
+)
+
+// Effect asks the shell to cancel a request at the engine.
+type Effect struct {
+	ID ID
+	// Try counts the cancels of this request, from 1.
+	Try int
+}
+
+// Options are the fixed times of a table.
+type Options struct {
+	// Time is how long a lease outlives the silence of its owner.
+	Time time.Duration
+	// CancelEvery is the time between two cancels of one request.
+	CancelEvery time.Duration
+}
+
+type entry struct {
+	id    ID
+	owner string
+	state State
+	keep  bool
+	due   time.Time // Held: end of the hold. Running: its limit. Cancelling: next cancel.
+	try   int
+	pos   int // index in the heap, or -1
+}
+
+type owner struct {
+	seen   time.Time
+	leases map[ID]*entry
+}
+
+// Table holds the leases of one server.
+type Table struct {
+	opts       Options
+	slots      int
+	leaving    bool
+	recovering bool
+	leases     map[ID]*entry
+	owners     map[string]*owner
+	due        queue
+}
+
+// New returns a table with a number of slots.
+func New(slots int, opts Options) *Table {
+	return &Table{opts: opts, slots: slots, leases: map[ID]*entry{}, owners: map[string]*owner{}}
+}
+
+// SetSlots changes the number of slots; leases over it go on.
+func (t *Table) SetSlots(n int) { t.slots = n }
+
+// SetTime changes how long a lease outlives the silence of its owner.
+func (t *Table) SetTime(d time.Duration) { t.opts.Time = d }
+
+// SetLeaving tells that the server is leaving, or is back.
+func (t *Table) SetLeaving(leaving bool) { t.leaving = leaving }
+
+// Leaving tells whether the server takes no new work.
+func (t *Table) Leaving() bool { return t.leaving }
+
+// SetRecovering refuses all reservations until the requests that the engine
+// runs are known.
+func (t *Table) SetRecovering(on bool) { t.recovering = on }
+
+// Used counts the slots under lease.
+func (t *Table) Used() int { return len(t.leases) }
+
+// UsedBy counts the slots under lease of one owner.
+func (t *Table) UsedBy(by string) int {
+	o := t.owners[by]
+	if o == nil {
+		return 0
+	}
+	return len(o.leases)
+}
+
+// Slots returns the number of slots.
+func (t *Table) Slots() int { return t.slots }
+
+// State returns the state of a lease.
+func (t *Table) State(id ID) (State, bool) {
+	e, ok := t.leases[id]
+	if !ok {
+		return 0, false
+	}
+	return e.state, true
+}
+
+// Reserve gives a slot to id until now+hold, or says why not. If keep is set,
+// the work outlives its owner.
+func (t *Table) Reserve(now time.Time, id ID, by string, hold time.Duration, keep bool) Reason {
+	switch {
+	case t.recovering:
+		return Recovery
+	case t.leaving:
+		return Leaving
+	case t.leases[id] != nil:
+		return Duplicate
+	case len(t.leases) >= t.slots:
+		return Full
+	}
+	e := &entry{id: id, owner: by, keep: keep, due: now.Add(hold), pos: -1}
+	t.add(now, e)
+	heap.Push(&t.due, e)
+	return None
+}
+
+func (t *Table) add(now time.Time, e *entry) {
+	t.leases[e.id] = e
+	o := t.owners[e.owner]
+	if o == nil {
+		o = &owner{seen: now, leases: map[ID]*entry{}}
+		t.owners[e.owner] = o
+	}
+	o.leases[e.id] = e
+}
+
+// Start moves a held lease to Running; it reports false if id holds none.
+func (t *Table) Start(id ID) bool {
+	e := t.leases[id]
+	if e == nil || e.state != Held {
+		return false
+	}
+	e.state = Running
+	t.unschedule(e)
+	return true
+}
+
+// Limit sets the moment at which a running request is cancelled by itself.
+func (t *Table) Limit(id ID, at time.Time) {
+	e := t.leases[id]
+	if e == nil || e.state != Running {
+		return
+	}
+	t.unschedule(e)
+	e.due = at
+	heap.Push(&t.due, e)
+}
+
+// Finish frees the slot of id: the engine holds nothing of it any more.
+func (t *Table) Finish(id ID) {
+	e := t.leases[id]
+	if e == nil {
+		return
+	}
+	t.unschedule(e)
+	delete(t.leases, id)
+	o := t.owners[e.owner]
+	delete(o.leases, id)
+}
+
+// Cancel gives up a lease. A held slot is free at once; a running request is
+// cancelled at the engine.
+func (t *Table) Cancel(now time.Time, id ID) []Effect {
+	e := t.leases[id]
+	if e == nil || e.state == Cancelling {
+		return nil
+	}
+	if e.state == Held {
+		t.Finish(id)
+		return nil
+	}
+	return []Effect{t.cancel(now, e)}
+}
+
+func (t *Table) cancel(now time.Time, e *entry) Effect {
+	e.state = Cancelling
+	e.try++
+	e.due = now.Add(t.opts.CancelEvery)
+	if e.pos < 0 {
+		heap.Push(&t.due, e)
+	} else {
+		heap.Fix(&t.due, e.pos)
+	}
+	return Effect{ID: e.id, Try: e.try}
+}
+
+// Seen renews all leases of an owner.
+func (t *Table) Seen(now time.Time, by string) {
+	if o := t.owners[by]; o != nil {
+		o.seen = now
+	}
+}
+
+// Adopt enters a request that the engine runs and nobody holds a lease for.
+// It is cancelled at once.
+func (t *Table) Adopt(now time.Time, id ID) []Effect {
+	if t.leases[id] != nil {
+		return nil
+	}
+	e := &entry{id: id, state: Running, pos: -1}
+	t.add(now, e)
+	return []Effect{t.cancel(now, e)}
+}
+
+// Claim enters a request that the engine runs for an owner that knows it, after
+// a restart of the agent. It reports false if the table has it already.
+func (t *Table) Claim(now time.Time, id ID, by string, keep bool) bool {
+	if t.leases[id] != nil {
+		return false
+	}
+	t.add(now, &entry{id: id, owner: by, state: Running, keep: keep, pos: -1})
+	return true
+}
+
+// Move gives a running lease to another owner, after an entry's new link.
+func (t *Table) Move(now time.Time, id ID, to string) bool {
+	e := t.leases[id]
+	if e == nil || e.state == Cancelling {
+		return false
+	}
+	delete(t.owners[e.owner].leases, id)
+	e.owner = to
+	t.add(now, e)
+	return true
+}
+
+// Tick gives up the leases of silent owners and holds that ran out, and
+// repeats cancels that are due.
+func (t *Table) Tick(now time.Time) []Effect {
+	out := t.expireOwners(now)
+	for len(t.due) > 0 && !t.due[0].due.After(now) {
+		e := t.due[0]
+		if e.state == Held {
+			t.Finish(e.id)
+			continue
+		}
+		out = append(out, t.cancel(now, e))
+	}
+	return out
+}
+
+func (t *Table) expireOwners(now time.Time) []Effect {
+	var out []Effect
+	for name, o := range t.owners {
+		if len(o.leases) == 0 {
+			if now.Sub(o.seen) > t.opts.Time {
+				delete(t.owners, name)
+			}
+			continue
+		}
+		if now.Sub(o.seen) <= t.opts.Time {
+			continue
+		}
+		for id, e := range o.leases {
+			if !e.keep {
+				out = append(out, t.Cancel(now, id)...)
+			}
+		}
+	}
+	return out
+}
+
+// Lease is one row of the state dump.
+type Lease struct {
+	ID    ID     `json:"id"`
+	Owner string `json:"owner"`
+	State string `json:"state"`
+	Tries int    `json:"cancels,omitempty"`
+}
+
+// Dump lists all leases.
+func (t *Table) Dump() []Lease {
+	out := make([]Lease, 0, len(t.leases))
+	for id, e := range t.leases {
+		out = append(out, Lease{ID: id, Owner: e.owner, State: e.state.String(), Tries: e.try})
+	}
+	return out
+}
+
+func (t *Table) unschedule(e *entry) {
+	if e.pos >= 0 {
+		heap.Remove(&t.due, e.pos)
+	}
+}
+
+// queue orders leases by the time at which something is due.
+type queue []*entry
+
+func (q queue) Len() int           { return len(q) }
+func (q queue) Less(i, j int) bool { return q[i].due.Before(q[j].due) }
+func (q queue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].pos, q[j].pos = i, j
+}
+
+// Push implements heap.Interface.
+func (q *queue) Push(x any) {
+	e := x.(*entry)
+	e.pos = len(*q)
+	*q = append(*q, e)
+}
+
+// Pop implements heap.Interface.
+func (q *queue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	e.pos = -1
+	old[len(old)-1] = nil
+	*q = old[:len(old)-1]
+	return e
+}
--- /dev/null
+++ b/operator/doc.go
@@ -0,0 +1,3 @@
+// Package operator is the HTTP interface to operators: health, metrics, the
+// state dump, decision records and the settings tree.
+package operator
--- /dev/null
+++ b/order/order.go
@@ -0,0 +1,69 @@
+// Package order is about commands to engines: load a model, an adapter or a
+// version, or change role.
+//
+// Not all engines check who gives them an order, so the agent does. An order
+// carries a fence, the term and the index of the log entry that made it. A
+// Gate passes an order only if its fence is not lower than any it has seen,
+// and after a restart it passes none until control has told it the fence.
+package order
+
+import (
+	"github.com/ledgepin/ledgepin/engine"
+)
+
+// Fence orders the leaders of control and their orders.
+type Fence struct {
+	Term uint64 `cbor:"1,keyasint"`
+	Seq  uint64 `cbor:"2,keyasint"`
+}
+
+// Less tells whether f is older than g.
+func (f Fence) Less(g Fence) bool {
+	return f.Term < g.Term || f.Term == g.Term && f.Seq < g.Seq
+}
+
+// Order is one command for the engine beside one agent.
+type Order struct {
+	ID     string       `cbor:"1,keyasint"`
+	Server string       `cbor:"2,keyasint"`
+	Fence  Fence        `cbor:"3,keyasint"`
+	Do     engine.Order `cbor:"4,keyasint"`
+	// Floor tells the fence without a command; it opens a new gate.
+	Floor bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Result is an agent's answer to an order.
+type Result struct {
+	ID string `cbor:"1,keyasint"`
+	OK bool   `cbor:"2,keyasint"`
+	// Detail is why it was not carried out.
+	Detail string `cbor:"3,keyasint,omitempty"`
+	Fence  Fence  `cbor:"4,keyasint"`
+}
+
+// Gate decides which orders pass.
+type Gate struct {
+	high Fence
+	open bool
+}
+
+// Floor raises the fence to f and opens the gate. It must come from a leader
+// that holds a live majority lease; a lower fence changes nothing.
+func (g *Gate) Floor(f Fence) {
+	if !f.Less(g.high) {
+		g.high = f
+		g.open = true
+	}
+}
+
+// Pass tells whether an order with fence f may be carried out.
+func (g *Gate) Pass(f Fence) bool {
+	if !g.open || f.Less(g.high) || f == g.high {
+		return false
+	}
+	g.high = f
+	return true
+}
+
+// High returns the highest fence seen, and whether the gate is open.
+func (g *Gate) High() (Fence, bool) { return g.high, g.open }
--- /dev/null
+++ b/placement/choose.go
@@ -0,0 +1,264 @@
+package placement
+
+import (
+	"time"
+)
+
+// Query is what a choice has to serve.
+type Query struct {
+	Model    string
+	Priority int
+	// Tokens is the prompt's length.
+	Tokens   int
+	Prefixes []uint64
+	// KVBytes is the size of the KV cache to transfer.
+	KVBytes int64
+	// TBT is the target for the time between tokens.
+	TBT time.Duration
+	// Avoid names a server that just failed this request.
+	Avoid string
+}
+
+// Candidate is one server that was looked at, for the record of the decision.
+type Candidate struct {
+	Server string `json:"server"`
+	// Block is why it was ruled out; empty if it was not.
+	Block Block `json:"block,omitempty"`
+	// Ready is the estimated time from now to the end of its part.
+	Ready time.Duration `json:"ready,omitempty"`
+	// Cached is the expected number of cached prompt tokens.
+	Cached int `json:"cached,omitempty"`
+}
+
+// Choice is a pair of servers, or the reason why there is none.
+type Choice struct {
+	Prefill, Decode *Server
+	// FirstToken is the estimated time from now to the first token.
+	FirstToken time.Duration
+	// Work is the prefill work in tokens, without the expected cached part.
+	Work int
+	// Block is the reason if Prefill or Decode is nil.
+	Block Block
+	// Considered lists some of the servers looked at.
+	Considered []Candidate
+}
+
+const (
+	// scanLimit bounds the servers of one role that one choice looks at, so
+	// that its cost stays flat as the fleet grows.
+	scanLimit = 32
+	// depth is how many prefills of this entry may stand at one server: one
+	// that runs and one that is ready to follow, so that the engine is never
+	// idle and late choices stay open.
+	depth = 2
+	// maxConsidered bounds the candidates that a record keeps.
+	maxConsidered = 8
+	// crossZone is added to a transfer between availability zones.
+	crossZone = 3 * time.Millisecond
+	// blockTokens is the number of tokens that one prefix hash stands for.
+	blockTokens = BlockBytes / BytesPerToken
+)
+
+// BytesPerToken is the usual length of a token in prompt text.
+const BytesPerToken = 4
+
+// Choose picks the pair with the earliest first token among the servers that
+// can take the request now.
+func (v *View) Choose(now time.Time, q Query) Choice {
+	var c Choice
+	d, ruled := v.chooseDecode(now, &q, nil, &c)
+	if d == nil {
+		c.Block = ruled
+		return c
+	}
+	p, ready, ruled := v.choosePrefill(now, &q, &c)
+	if p == nil {
+		c.Block = ruled
+		return c
+	}
+	c.Prefill, c.Decode = p, d
+	c.Work = q.Tokens - v.cached(p, &q)
+	c.FirstToken = ready + v.Transfer(now.Add(ready), p, d, q.KVBytes) + d.tokenTime
+	return c
+}
+
+// Transfer estimates the time that a KV transfer takes if it may start at a
+// moment, with the wait for the links.
+func (v *View) Transfer(at time.Time, from, to *Server, bytes int64) time.Duration {
+	start := later(at, later(from.linkFree, to.linkFree))
+	rate := min(from.LinkRate, to.LinkRate)
+	took := time.Duration(float64(bytes) / max(rate, 1) * float64(time.Second))
+	if from.Zone != to.Zone {
+		took += crossZone
+	}
+	return start.Sub(at) + took
+}
+
+// scan calls f for the servers of a list, or for a random run of them if the
+// list is long.
+func (v *View) scan(list []*Server, f func(*Server)) {
+	n := len(list)
+	if n <= scanLimit {
+		for _, s := range list {
+			f(s)
+		}
+		return
+	}
+	start := v.rng.IntN(n)
+	for i := range scanLimit {
+		f(list[(start+i)%n])
+	}
+}
+
+func (c *Choice) consider(s *Server, b Block, ready time.Duration, cached int) {
+	if len(c.Considered) < maxConsidered {
+		c.Considered = append(c.Considered, Candidate{Server: s.Name, Block: b, Ready: ready, Cached: cached})
+	}
+}
+
+// choosePrefill picks the server that would end the prefill first.
+func (v *View) choosePrefill(now time.Time, q *Query, c *Choice) (*Server, time.Duration, Block) {
+	var best *Server
+	var bestReady time.Duration
+	why := Block(NoModel)
+	try := func(s *Server) {
+		b := s.block(now, q)
+		if b == Open && (s.ownAhead(q.Priority) >= depth || s.Free() <= 0) {
+			b = Busy
+		}
+		if b != Open {
+			why = worse(why, b)
+			c.consider(s, b, 0, 0)
+			return
+		}
+		cached := v.cached(s, q)
+		ready := s.prefillTime(q.Priority, q.Tokens-cached)
+		c.consider(s, Open, ready, cached)
+		if best == nil || ready < bestReady {
+			best, bestReady = s, ready
+		}
+	}
+	if h := v.holders.find(q.Prefixes); h != nil && len(v.prefill) > scanLimit && h.Role == "prefill" {
+		try(h)
+	}
+	v.scan(v.prefill, try)
+	return best, bestReady, why
+}
+
+// worse keeps the reason that tells most: a server that could serve soon says
+// more than one that can't.
+func worse(a, b Block) Block {
+	if a == Busy || a == NoSlot {
+		return a
+	}
+	return b
+}
+
+func (s *Server) prefillTime(priority, tokens int) time.Duration {
+	work := s.QueuedTokens(priority) + tokens
+	return time.Duration(float64(work) / max(s.rate, 1) * float64(time.Second))
+}
+
+// cached returns how many prompt tokens the server is thought to have cached.
+func (v *View) cached(s *Server, q *Query) int {
+	return min(s.cache.depth(q.Prefixes)*blockTokens, max(q.Tokens-1, 0))
+}
+
+// ChooseDecode picks a decode server alone, for a KV cache that is there.
+func (v *View) ChooseDecode(now time.Time, q Query, from *Server) (*Server, Block) {
+	var c Choice
+	return v.chooseDecode(now, &q, from, &c)
+}
+
+// chooseDecode picks the server with the largest free share, which keeps the
+// batches, and with them the time between tokens, even.
+func (v *View) chooseDecode(now time.Time, q *Query, from *Server, c *Choice) (*Server, Block) {
+	var best *Server
+	var bestScore float64
+	why := Block(NoModel)
+	v.scan(v.decode, func(s *Server) {
+		b := s.block(now, q)
+		if b == Open && s.Free() <= headroom(s, q.Priority) {
+			b = NoSlot
+		}
+		if b != Open {
+			why = worse(why, b)
+			c.consider(s, b, 0, 0)
+			return
+		}
+		score := v.decodeScore(now, s, q, from)
+		if best == nil || score > bestScore {
+			best, bestScore = s, score
+		}
+	})
+	return best, why
+}
+
+// headroom is the number of slots that requests below the first priority
+// leave free, so that an interactive one finds a slot within its target.
+func headroom(s *Server, priority int) int {
+	if priority == 0 {
+		return 0
+	}
+	return s.slots / headroomPart
+}
+
+const headroomPart = 16
+
+func (v *View) decodeScore(now time.Time, s *Server, q *Query, from *Server) float64 {
+	score := float64(s.Free()) / float64(max(s.slots, 1))
+	if q.TBT > 0 && s.tokenTime > q.TBT {
+		score -= 1
+	}
+	if s.Zone != v.zone {
+		score -= 0.5
+	}
+	if wait := s.linkFree.Sub(now); wait > 0 {
+		score -= wait.Seconds()
+	}
+	if from != nil && from.Zone != s.Zone {
+		score -= 0.1
+	}
+	return score
+}
+
+// speed is the best that the servers of one model do.
+type speed struct {
+	rate, link float64
+	at         time.Time
+}
+
+// speedAge is how long a speed is used before it is worked out again.
+const speedAge = 100 * time.Millisecond
+
+// fastest returns the best prefill and link rates among the servers of a model.
+func (v *View) fastest(now time.Time, model string) speed {
+	sp, ok := v.speeds[model]
+	if ok && now.Sub(sp.at) < speedAge {
+		return sp
+	}
+	sp = speed{at: now}
+	for _, s := range v.prefill {
+		if s.up && !s.leaving && s.models[model] {
+			sp.rate = max(sp.rate, s.rate)
+			sp.link = max(sp.link, s.LinkRate)
+		}
+	}
+	v.speeds[model] = sp
+	return sp
+}
+
+// Shortest estimates the least time to a first token on any idle server pair;
+// zero if no server is known.
+func (v *View) Shortest(now time.Time, q Query) time.Duration {
+	sp := v.fastest(now, q.Model)
+	if sp.rate == 0 {
+		return 0
+	}
+	deep := 0
+	if h := v.holders.find(q.Prefixes); h != nil {
+		deep = v.cached(h, &q)
+	}
+	seconds := float64(q.Tokens-deep)/sp.rate + float64(q.KVBytes)/max(sp.link, 1)
+	return time.Duration(seconds * float64(time.Second))
+}
--- /dev/null
+++ b/placement/server.go
@@ -0,0 +1,165 @@
+package placement
+
+import (
+	"sort"
+	"time"
+
+	"github.com/ledgepin/ledgepin/retry"
+)
+
+// Priorities is the number of priorities.
+const Priorities = 10
+
+// Load is what an agent tells an entry of its server. It leaves out what the
+// entry itself holds there.
+type Load struct {
+	// Others counts the slots that other entries hold.
+	Others int `cbor:"1,keyasint"`
+	// Slots counts all slots.
+	Slots int `cbor:"2,keyasint"`
+	// Backlog is the prefill work of other entries in tokens, by priority.
+	Backlog []int32 `cbor:"3,keyasint,omitempty"`
+	// Leaving tells that the server takes no new work.
+	Leaving bool `cbor:"4,keyasint,omitempty"`
+	// Cached lists prefix hashes that the engine has told of since the last
+	// load; the list may have gaps.
+	Cached []uint64 `cbor:"5,keyasint,omitempty"`
+	// Models are the models that the engine has loaded now.
+	Models []string `cbor:"6,keyasint,omitempty"`
+	// NoModels tells that the engine has none, so that it differs from a load
+	// that does not speak of models.
+	NoModels bool `cbor:"7,keyasint,omitempty"`
+}
+
+// Info is what the settings say of a server.
+type Info struct {
+	Name, Zone, Role string
+	Models           []string
+	Slots            int
+	// LinkRate is in bytes a second.
+	LinkRate float64
+}
+
+// The first guesses, until answers have taught better.
+const (
+	firstPrefillRate = 8000.0 // tokens a second
+	firstTokenTime   = 30 * time.Millisecond
+	learnWeight      = 0.2
+)
+
+// Server is one backend server as an entry sees it.
+type Server struct {
+	Info
+	models  map[string]bool
+	up      bool
+	leaving bool
+	health  retry.Health
+
+	slots    int
+	others   int // slots of other entries, as reported
+	mine     int // slots of this entry
+	backlog  [Priorities]int32
+	own      [Priorities]int32 // tokens of this entry
+	ownCount [Priorities]int   // prefills of this entry
+
+	rate      float64 // prefill tokens a second, learnt
+	tokenTime time.Duration
+	linkFree  time.Time
+	cache     *prefixSet
+}
+
+func newServer(i Info) *Server {
+	s := &Server{Info: i, rate: firstPrefillRate, tokenTime: firstTokenTime, cache: newPrefixSet(maxPrefixes)}
+	s.slots = i.Slots
+	s.setModels(i.Models)
+	return s
+}
+
+func (s *Server) setModels(names []string) {
+	s.models = make(map[string]bool, len(names))
+	for _, m := range names {
+		s.models[m] = true
+	}
+}
+
+// Free returns the slots that are thought to be free; it may be negative.
+func (s *Server) Free() int { return s.slots - s.others - s.mine }
+
+// Outstanding counts the requests that are thought to be at the server.
+func (s *Server) Outstanding() int { return s.others + s.mine }
+
+// Rate returns the learnt prefill rate in tokens a second.
+func (s *Server) Rate() float64 { return s.rate }
+
+// TokenTime returns the learnt time between tokens.
+func (s *Server) TokenTime() time.Duration { return s.tokenTime }
+
+// Up tells whether the entry has a link to the server's agent.
+func (s *Server) Up() bool { return s.up }
+
+// Loaded lists the models that the server is thought to have loaded.
+func (s *Server) Loaded() []string {
+	out := make([]string, 0, len(s.models))
+	for m := range s.models {
+		out = append(out, m)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Leaving tells whether the server takes no new work.
+func (s *Server) Leaving() bool { return s.leaving }
+
+// QueuedTokens returns the prefill work that goes before a new request of a
+// priority.
+func (s *Server) QueuedTokens(priority int) int {
+	sum := 0
+	for i := 0; i <= priority && i < Priorities; i++ {
+		sum += int(s.backlog[i] + s.own[i])
+	}
+	return sum
+}
+
+// ownAhead counts this entry's prefills up to a priority.
+func (s *Server) ownAhead(priority int) int {
+	n := 0
+	for i := 0; i <= priority; i++ {
+		n += s.ownCount[i]
+	}
+	return n
+}
+
+// Block tells why a server can't take a request now; empty if it can.
+type Block string
+
+// The reasons that rule a server out.
+const (
+	Open       Block = ""
+	Down       Block = "no link to its agent"
+	IsLeaving  Block = "leaving"
+	Ejected    Block = "ejected after failures"
+	NoModel    Block = "model not loaded"
+	NoSlot     Block = "no free slot"
+	Busy       Block = "prefills ahead"
+	WrongRole  Block = "another role"
+	TooSlow    Block = "time between tokens over the target"
+	OtherZone  Block = "another availability zone"
+	NotInScan  Block = "not among those looked at"
+	JustFailed Block = "failed this request before"
+)
+
+func (s *Server) block(now time.Time, q *Query) Block {
+	switch {
+	case !s.up:
+		return Down
+	case s.leaving:
+		return IsLeaving
+	case !s.models[q.Model]:
+		return NoModel
+	case q.Avoid != "" && q.Avoid == s.Name:
+		return JustFailed
+	case !s.health.Usable(now):
+		return Ejected
+	}
+	return Open
+}
--- /dev/null
+++ b/placement/view.go
@@ -0,0 +1,196 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// View is all that an entry knows of the backend servers in its reach.
+type View struct {
+	zone    string
+	rng     *rand.Rand
+	servers map[string]*Server
+	prefill []*Server
+	decode  []*Server
+	holders *holderIndex
+	speeds  map[string]speed
+}
+
+// NewView returns an empty view for an entry in a zone. The random source
+// breaks ties and picks samples.
+func NewView(zone string, rng *rand.Rand) *View {
+	return &View{zone: zone, rng: rng, servers: map[string]*Server{}, holders: newHolderIndex(), speeds: map[string]speed{}}
+}
+
+// Set enters a server or brings what the settings say of it up to date. What
+// was learnt of it stays.
+func (v *View) Set(i Info) *Server {
+	s := v.servers[i.Name]
+	if s == nil {
+		s = newServer(i)
+		v.servers[i.Name] = s
+		v.index()
+		return s
+	}
+	changed := s.Role != i.Role
+	s.Info = i
+	s.slots = i.Slots
+	s.setModels(i.Models)
+	if changed {
+		v.index()
+	}
+	return s
+}
+
+// Remove forgets a server.
+func (v *View) Remove(name string) {
+	delete(v.servers, name)
+	v.index()
+}
+
+func (v *View) index() {
+	v.prefill, v.decode = nil, nil
+	for _, name := range sortedNames(v.servers) {
+		s := v.servers[name]
+		switch s.Role {
+		case "prefill":
+			v.prefill = append(v.prefill, s)
+		case "decode":
+			v.decode = append(v.decode, s)
+		}
+	}
+}
+
+// Server returns a server by name, or nil.
+func (v *View) Server(name string) *Server { return v.servers[name] }
+
+// Prefill lists the prefill servers; the slice is the view's own.
+func (v *View) Prefill() []*Server { return v.prefill }
+
+// Decode lists the decode servers; the slice is the view's own.
+func (v *View) Decode() []*Server { return v.decode }
+
+// Rand returns the view's random source.
+func (v *View) Rand() *rand.Rand { return v.rng }
+
+// SetUp tells that the link to a server's agent is there or lost.
+func (v *View) SetUp(name string, up bool) {
+	if s := v.servers[name]; s != nil {
+		s.up = up
+	}
+}
+
+// SetLeaving tells that a server is leaving or back.
+func (v *View) SetLeaving(name string, leaving bool) {
+	if s := v.servers[name]; s != nil {
+		s.leaving = leaving
+	}
+}
+
+// Report takes a load report.
+func (v *View) Report(name string, l Load) {
+	s := v.servers[name]
+	if s == nil {
+		return
+	}
+	s.others = l.Others
+	s.slots = l.Slots
+	s.leaving = l.Leaving
+	s.backlog = [Priorities]int32{}
+	copy(s.backlog[:], l.Backlog)
+	if l.NoModels || len(l.Models) > 0 {
+		s.setModels(l.Models)
+	}
+	for _, h := range l.Cached {
+		s.cache.add(h)
+		v.holders.set(h, s)
+	}
+}
+
+// Usable tells whether any server pair serves the model, now or soon.
+func (v *View) Usable(model string) bool {
+	return anyServes(v.prefill, model) && anyServes(v.decode, model)
+}
+
+func anyServes(list []*Server, model string) bool {
+	for _, s := range list {
+		if s.up && !s.leaving && s.models[model] {
+			return true
+		}
+	}
+	return false
+}
+
+// PrefillSent notes that this entry has prefill work at a server.
+func (v *View) PrefillSent(s *Server, priority, tokens int) {
+	s.own[priority] += int32(tokens)
+	s.ownCount[priority]++
+	s.mine++
+	s.health.Probe()
+}
+
+// PrefillGone notes that the work has ended in whatever way.
+func (v *View) PrefillGone(s *Server, priority, tokens int) {
+	s.own[priority] -= int32(tokens)
+	s.ownCount[priority]--
+	s.mine--
+}
+
+// PrefillDone learns from a prefill that went well. Took covers the time at
+// the engine without the wait, and computed the tokens not found in its cache.
+func (v *View) PrefillDone(s *Server, hashes []uint64, computed, cached int, took time.Duration) {
+	s.health.OK()
+	if computed > 0 && took > 0 {
+		s.rate += learnWeight * (float64(computed)/took.Seconds() - s.rate)
+	}
+	v.learnPrefixes(s, hashes, computed, cached)
+}
+
+// learnPrefixes notes that the server has the whole prompt now. A hint that
+// the engine's answer proved wrong has been overwritten by this.
+func (v *View) learnPrefixes(s *Server, hashes []uint64, computed, cached int) {
+	if computed+cached == 0 {
+		return
+	}
+	for _, h := range hashes {
+		s.cache.add(h)
+		v.holders.set(h, s)
+	}
+}
+
+// Forget drops all prefix hints of a server, for an engine that restarted.
+func (v *View) Forget(s *Server) { s.cache = newPrefixSet(maxPrefixes) }
+
+// SlotTaken notes that this entry holds a decode slot at a server.
+func (v *View) SlotTaken(s *Server) {
+	s.mine++
+	s.health.Probe()
+}
+
+// SlotFreed notes that the slot is free again.
+func (v *View) SlotFreed(s *Server) { s.mine-- }
+
+// DecodeOK learns the time between tokens of a decode that went well.
+func (v *View) DecodeOK(s *Server, perToken time.Duration) {
+	s.health.OK()
+	if perToken > 0 {
+		s.tokenTime += time.Duration(learnWeight * float64(perToken-s.tokenTime))
+	}
+}
+
+// Failed takes a failure that the server is to blame for; it reports true if
+// the server is ejected by it.
+func (v *View) Failed(now time.Time, s *Server) bool { return s.health.Fail(now) }
+
+// LinkTaken notes a transfer between two servers that ends at end.
+func (v *View) LinkTaken(from, to *Server, end time.Time) {
+	from.linkFree = later(from.linkFree, end)
+	to.linkFree = later(to.linkFree, end)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/router/arrive.go
@@ -0,0 +1,90 @@
+package router
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ledgepin/ledgepin/admission"
+	"github.com/ledgepin/ledgepin/decision"
+	"github.com/ledgepin/ledgepin/fault"
+)
+
+// Arrive takes a new request. OpenLimit bounds the open requests of its
+// customer at this entry.
+func (c *Core) Arrive(now time.Time, req Request, openLimit int) []Effect {
+	r := &request{Request: req, arrived: now, deadline: now.Add(req.TTFT), pos: -1}
+	r.rec = c.records.Open(req.ID)
+	r.rec.Customer, r.rec.Class, r.rec.Model = req.Customer, req.Class, req.Model
+	c.note(now, r, decision.Step{Kind: decision.Arrived,
+		Detail: fmt.Sprintf("%d prompt tokens, priority %d, first token due in %s", req.Tokens, req.Priority, req.TTFT)})
+	if code, why := c.gate(req, openLimit); code != nil {
+		c.refuse(now, r, code, why, time.Second)
+		return c.take()
+	}
+	c.budget.Start()
+	c.reqs[req.ID] = r
+	c.open[req.Customer]++
+	c.enqueue(r)
+	c.schedule(now, req.Model)
+	if r.phase == queued && c.reqs[r.ID] != nil {
+		c.note(now, r, decision.Step{Kind: decision.Deferred, Detail: fmt.Sprintf("%d wait", c.waiting)})
+	}
+	return c.take()
+}
+
+// gate refuses what can't be taken whatever the load is.
+func (c *Core) gate(req Request, openLimit int) (*fault.Code, string) {
+	switch {
+	case c.draining:
+		return fault.Draining, "this entry is leaving"
+	case c.reqs[req.ID] != nil:
+		return fault.InProgress, "a request with this ID is open"
+	case openLimit > 0 && c.open[req.Customer] >= openLimit:
+		return fault.OverLimit, fmt.Sprintf("customer %s has %d open requests, its share here", req.Customer, openLimit)
+	case c.waiting >= c.opts.QueueLimit:
+		return fault.QueueFull, fmt.Sprintf("%d requests wait", c.waiting)
+	case !c.view.Usable(req.Model):
+		return fault.NoServer, "no server of model " + req.Model + " is in reach"
+	}
+	return nil, ""
+}
+
+func (c *Core) enqueue(r *request) {
+	r.phase = queued
+	c.queue(r.Model).Add(&admission.Item{
+		ID: r.ID, Customer: r.Customer, Share: r.Share, Priority: r.Priority,
+		Work: r.Tokens + r.sofar, Deadline: r.due0(),
+	})
+	c.waiting++
+}
+
+// due0 is the deadline that orders the queue. A request that ran before keeps
+// its place at the front.
+func (r *request) due0() time.Time {
+	if r.ran {
+		return r.arrived
+	}
+	return r.deadline
+}
+
+// refuse ends a request that did not run.
+func (c *Core) refuse(now time.Time, r *request, code *fault.Code, why string, after time.Duration) {
+	c.stats.Refused++
+	c.note(now, r, decision.Step{Kind: decision.Refused, Detail: code.ID + ": " + why})
+	c.emit(Refuse{Req: r.ID, Code: code, Detail: why, RetryAfter: after})
+	c.forget(r)
+}
+
+// forget drops a request that has ended.
+func (c *Core) forget(r *request) {
+	if c.reqs[r.ID] != r {
+		return
+	}
+	r.phase = ended
+	c.clearDue(r)
+	delete(c.reqs, r.ID)
+	delete(c.seekers, r.ID)
+	if c.open[r.Customer]--; c.open[r.Customer] <= 0 {
+		delete(c.open, r.Customer)
+	}
+}
--- /dev/null
+++ b/router/core.go
@@ -0,0 +1,221 @@
+package router
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/ledgepin/ledgepin/admission"
+	"github.com/ledgepin/ledgepin/decision"
+	"github.com/ledgepin/ledgepin/engine"
+	"github.com/ledgepin/ledgepin/lease"
+	"github.com/ledgepin/ledgepin/placement"
+	"github.com/ledgepin/ledgepin/retry"
+)
+
+// phase is how far a request has come.
+type phase uint8
+
+const (
+	queued phase = iota
+	reserving
+	prefilling
+	seeking   // has a KV cache and looks for a decode slot
+	importing // the decode engine fetches the KV cache
+	decoding
+	ended
+)
+
+// String returns the name of the phase.
+func (p phase) String() string {
+	return [...]string{"queued", "reserving", "prefilling", "seeking", "importing", "decoding", "ended"}[p]
+}
+
+// half is one server of an attempt.
+type half struct {
+	server *placement.Server
+	// held tells that the entry counts a slot at the server as its own.
+	held bool
+	// given tells that the agent has granted the reservation.
+	given bool
+	// refused tells that the agent has not.
+	refused bool
+}
+
+// request is one request in the router's hands.
+type request struct {
+	Request
+	arrived  time.Time
+	deadline time.Time
+	phase    phase
+	attempt  uint32
+	p, d     half
+	// work is the prefill work of this attempt in tokens.
+	work    int
+	kv      engine.KV
+	kvID    lease.ID
+	kvUntil time.Time
+	// ran tells that an engine was asked to work.
+	ran bool
+	// sofar counts the tokens that the caller has.
+	sofar      int
+	firstAt    time.Time
+	avoid      string
+	refusals   int
+	rec        *decision.Record
+	due        time.Time
+	pos        int
+	lastChunk  time.Time
+	transferAt time.Time
+}
+
+// id names the present attempt.
+func (r *request) id() lease.ID { return lease.ID{Req: r.ID, Attempt: r.attempt} }
+
+// query returns what the next choice has to serve.
+func (r *request) query() placement.Query {
+	return placement.Query{
+		Model: r.Model, Priority: r.Priority, Tokens: r.Tokens + r.sofar, Prefixes: r.Prefixes,
+		KVBytes: r.KVBytes, TBT: r.TBT, Avoid: r.avoid,
+	}
+}
+
+// Core is the state of the router. It is not safe for concurrent use.
+type Core struct {
+	opts     Options
+	view     *placement.View
+	queues   map[string]*admission.Queue
+	waiting  int
+	reqs     map[string]*request
+	timers   timers
+	seekers  map[string]*request
+	budget   *retry.Budget
+	open     map[string]int
+	rates    map[rateKey]*drain
+	records  *decision.Ring
+	stats    Stats
+	draining bool
+	out      []Effect
+	lastShed time.Time
+}
+
+// New returns a router over a view of the servers.
+func New(view *placement.View, o Options) *Core {
+	return &Core{
+		opts: o, view: view, queues: map[string]*admission.Queue{}, reqs: map[string]*request{},
+		seekers: map[string]*request{}, budget: retry.NewBudget(o.RetryPercent), open: map[string]int{},
+		rates: map[rateKey]*drain{}, records: decision.NewRing(max(o.Records, 1)),
+		stats: Stats{WastedTokens: map[Waste]int{}},
+	}
+}
+
+// SetLimits takes new limits from the settings.
+func (c *Core) SetLimits(queueLimit, retryPercent int, stallAfter time.Duration) {
+	c.opts.QueueLimit = queueLimit
+	c.opts.StallAfter = stallAfter
+	c.budget.SetPercent(retryPercent)
+}
+
+// SetDraining makes the router refuse all new requests.
+func (c *Core) SetDraining() { c.draining = true }
+
+// View returns the view of the servers; the caller must hold the same lock as
+// for the Core.
+func (c *Core) View() *placement.View { return c.view }
+
+// Stats returns the counts.
+func (c *Core) Stats() Stats { return c.stats }
+
+// Open counts the requests that have not ended.
+func (c *Core) Open() int { return len(c.reqs) }
+
+// Waiting counts the requests in the queues.
+func (c *Core) Waiting() int { return c.waiting }
+
+// OpenOf counts the open requests of a customer.
+func (c *Core) OpenOf(customer string) int { return c.open[customer] }
+
+// Explain returns the record of a request.
+func (c *Core) Explain(id string) (decision.Record, bool) { return c.records.Find(id) }
+
+// Budget returns the counts of retries allowed and denied.
+func (c *Core) Budget() (spent, denied int) { return c.budget.Counts() }
+
+// TakeRetry takes one retry out of the budget, for a plain call.
+func (c *Core) TakeRetry() bool { return c.budget.Take() }
+
+func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
+
+// take returns the effects gathered by a call.
+func (c *Core) take() []Effect {
+	out := c.out
+	c.out = nil
+	return out
+}
+
+func (c *Core) note(now time.Time, r *request, s decision.Step) {
+	s.At = now
+	s.Attempt = r.attempt
+	s.Where = c.opts.Name
+	r.rec.Add(s)
+}
+
+func (c *Core) queue(model string) *admission.Queue {
+	q := c.queues[model]
+	if q == nil {
+		q = admission.New()
+		c.queues[model] = q
+	}
+	return q
+}
+
+// current returns the request whose present attempt is id, or nil.
+func (c *Core) current(id lease.ID) *request {
+	r := c.reqs[id.Req]
+	if r == nil || r.attempt != id.Attempt {
+		return nil
+	}
+	return r
+}
+
+// setDue sets the moment at which Tick looks at the request again.
+func (c *Core) setDue(r *request, at time.Time) {
+	r.due = at
+	if r.pos < 0 {
+		heap.Push(&c.timers, r)
+		return
+	}
+	heap.Fix(&c.timers, r.pos)
+}
+
+func (c *Core) clearDue(r *request) {
+	if r.pos >= 0 {
+		heap.Remove(&c.timers, r.pos)
+	}
+}
+
+// timers orders requests by the moment at which they are looked at again.
+type timers []*request
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].due.Before(t[j].due) }
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].pos, t[j].pos = i, j
+}
+
+// Push implements heap.Interface.
+func (t *timers) Push(x any) {
+	r := x.(*request)
+	r.pos = len(*t)
+	*t = append(*t, r)
+}
+
+// Pop implements heap.Interface.
+func (t *timers) Pop() any {
+	old := *t
+	r := old[len(old)-1]
+	r.pos = -1
+	old[len(old)-1] = nil
+	*t = old[:len(old)-1]
+	return r
+}
--- /dev/null
+++ b/router/progress.go
@@ -0,0 +1,229 @@
+package router
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ledgepin/ledgepin/decision"
+	"github.com/ledgepin/ledgepin/engine"
+	"github.com/ledgepin/ledgepin/lease"
+	"github.com/ledgepin/ledgepin/placement"
+)
+
+// Reserved takes an agent's answer to a reservation.
+func (c *Core) Reserved(now time.Time, server string, id lease.ID, ok bool, reason string, load placement.Load) []Effect {
+	c.view.Report(server, load)
+	r := c.current(id)
+	if r == nil {
+		return c.take()
+	}
+	h := c.halfAt(r, server)
+	if h == nil || h.given || h.refused {
+		return c.take()
+	}
+	if !ok {
+		c.notGiven(now, r, h, reason)
+		return c.take()
+	}
+	h.given = true
+	c.note(now, r, decision.Step{Kind: decision.Reserved, Server: server})
+	switch r.phase {
+	case reserving:
+		if r.p.given && (r.d.given || r.d.server == nil) {
+			c.beginPrefill(now, r)
+		}
+	case seeking:
+		c.beginTransfer(now, r)
+	}
+	return c.take()
+}
+
+// halfAt returns the half of the present attempt at a server.
+func (c *Core) halfAt(r *request, server string) *half {
+	switch {
+	case r.p.held && !r.p.given && r.p.server.Name == server:
+		return &r.p
+	case r.d.held && r.d.server.Name == server:
+		return &r.d
+	}
+	return nil
+}
+
+// notGiven goes back to the queue, or to the search for a decode slot.
+func (c *Core) notGiven(now time.Time, r *request, h *half, reason string) {
+	h.refused = true
+	r.refusals++
+	c.note(now, r, decision.Step{Kind: decision.NotGiven, Server: h.server.Name, Detail: reason})
+	if r.phase == seeking {
+		c.freeDecode(r, false)
+		c.seek(now, r)
+		return
+	}
+	if r.phase != reserving {
+		return
+	}
+	c.freePrefill(r, !r.p.refused)
+	c.freeDecode(r, !r.d.refused)
+	c.clearDue(r)
+	c.enqueue(r)
+	c.schedule(now, r.Model)
+}
+
+func (c *Core) beginPrefill(now time.Time, r *request) {
+	r.phase = prefilling
+	r.ran = true
+	r.refusals = 0
+	c.stats.Admitted++
+	c.stats.PrefillTokens += r.work
+	c.note(now, r, decision.Step{Kind: decision.Prefilling, Server: r.p.server.Name})
+	c.emit(StartPrefill{ID: r.id(), Server: r.p.server.Name})
+	c.setDue(r, now.Add(c.prefillLimit(r)))
+}
+
+// prefillLimit is the time after which a prefill counts as stalled. Work of a
+// higher priority may hold it up for long, so it is generous.
+func (c *Core) prefillLimit(r *request) time.Duration {
+	need := time.Duration(float64(r.work) / max(r.p.server.Rate(), 1) * float64(time.Second))
+	return 8*need + lateFactor*r.TTFT + c.opts.StallAfter
+}
+
+// Prefilled takes the result of a prefill. Took is the time that the engine
+// worked on it.
+func (c *Core) Prefilled(now time.Time, server string, id lease.ID, kv engine.KV, cached int, took time.Duration) []Effect {
+	r := c.current(id)
+	if r == nil || r.phase != prefilling {
+		return c.take()
+	}
+	computed := max(kv.Tokens-cached, 0)
+	c.view.PrefillDone(r.p.server, r.Prefixes, computed, cached, took)
+	c.note(now, r, decision.Step{Kind: decision.Prefilled, Server: server,
+		Detail: fmt.Sprintf("%d tokens, %d of them cached, in %s", kv.Tokens, cached, took.Round(time.Millisecond))})
+	r.kv, r.kvID = kv, r.id()
+	r.kvUntil = now.Add(kv.TTL)
+	// The engine is done with the work, though it still holds the result.
+	c.view.PrefillGone(r.p.server, r.Priority, r.work)
+	r.p.held = false
+	if r.d.given {
+		c.beginTransfer(now, r)
+	} else {
+		c.seek(now, r)
+	}
+	c.schedule(now, r.Model)
+	return c.take()
+}
+
+// seek looks for a decode slot for a KV cache that is there.
+func (c *Core) seek(now time.Time, r *request) {
+	r.phase = seeking
+	if now.Add(transferTime(r)).After(r.kvUntil) {
+		c.expired(now, r)
+		return
+	}
+	if r.refusals <= maxRefusals {
+		if s, _ := c.view.ChooseDecode(now, r.query(), r.p.server); s != nil {
+			c.note(now, r, decision.Step{Kind: decision.Chosen, Server: s.Name, Detail: "decode slot for the prefill at hand"})
+			c.holdDecode(r, s, holdSpare)
+			c.setDue(r, now.Add(reserveTimeout))
+			return
+		}
+	}
+	r.refusals = 0
+	c.seekers[r.ID] = r
+	c.clearDue(r)
+}
+
+// transferTime estimates the transfer without a wait for the link.
+func transferTime(r *request) time.Duration {
+	return time.Duration(float64(r.KVBytes) / max(r.p.server.LinkRate, 1) * float64(time.Second))
+}
+
+// expired gives up a KV cache that no decode server could take in time.
+func (c *Core) expired(now time.Time, r *request) {
+	delete(c.seekers, r.ID)
+	c.waste(r, WasteExpired)
+	c.freeKV(r)
+	c.again(now, r, "the prefill expired before a decode slot was free")
+}
+
+// freeKV tells the prefill server that its result is not needed any more.
+func (c *Core) freeKV(r *request) {
+	c.emit(Free{ID: r.kvID, Server: r.p.server.Name})
+}
+
+func (c *Core) beginTransfer(now time.Time, r *request) {
+	delete(c.seekers, r.ID)
+	r.phase = importing
+	r.refusals = 0
+	r.transferAt = now
+	took := c.view.Transfer(now, r.p.server, r.d.server, r.kv.Bytes)
+	c.view.LinkTaken(r.p.server, r.d.server, now.Add(took))
+	c.note(now, r, decision.Step{Kind: decision.Transfer, Server: r.d.server.Name,
+		Detail: fmt.Sprintf("%d bytes from %s, expected in %s", r.kv.Bytes, r.p.server.Name, took.Round(time.Millisecond))})
+	c.emit(StartDecode{ID: r.id(), Server: r.d.server.Name, KV: r.kv})
+	c.setDue(r, now.Add(took+c.opts.StallAfter))
+}
+
+// Imported tells that the decode engine has the KV cache, so the prefill
+// engine may drop it.
+func (c *Core) Imported(now time.Time, server string, id lease.ID) []Effect {
+	r := c.current(id)
+	if r == nil || r.phase != importing {
+		return c.take()
+	}
+	r.phase = decoding
+	r.lastChunk = now
+	c.note(now, r, decision.Step{Kind: decision.Imported, Server: server, Detail: "in " + now.Sub(r.transferAt).Round(time.Millisecond).String()})
+	c.freeKV(r)
+	c.setDue(r, now.Add(decodeLimit(r)))
+	return c.take()
+}
+
+// decodeLimit is the silence after which a decode counts as stalled.
+func decodeLimit(r *request) time.Duration {
+	return max(20*r.TBT, 3*time.Second)
+}
+
+// Token tells that a token came; the caller has count tokens now.
+func (c *Core) Token(now time.Time, id lease.ID, count int) []Effect {
+	r := c.current(id)
+	if r == nil || r.phase != decoding {
+		return nil
+	}
+	if r.firstAt.IsZero() {
+		r.firstAt = now
+		c.note(now, r, decision.Step{Kind: decision.FirstToken, Server: r.d.server.Name,
+			Detail: now.Sub(r.arrived).Round(time.Millisecond).String() + " after arrival"})
+	}
+	r.sofar = count
+	r.lastChunk = now
+	return nil
+}
+
+// Done ends a request whose answer is whole. PerToken is the mean time between
+// its tokens.
+func (c *Core) Done(now time.Time, id lease.ID, perToken time.Duration) []Effect {
+	r := c.current(id)
+	if r == nil || r.phase != decoding {
+		return c.take()
+	}
+	c.stats.Done++
+	c.view.DecodeOK(r.d.server, perToken)
+	c.note(now, r, decision.Step{Kind: decision.Done, Detail: fmt.Sprintf("%d tokens in %s", r.sofar, now.Sub(r.arrived).Round(time.Millisecond))})
+	c.freeDecode(r, false)
+	c.forget(r)
+	c.schedule(now, r.Model)
+	c.wakeSeekers(now)
+	return c.take()
+}
+
+// wakeSeekers lets requests with a KV cache look for a decode slot again.
+func (c *Core) wakeSeekers(now time.Time) {
+	for _, id := range sortedKeys(c.seekers) {
+		r := c.seekers[id]
+		if r == nil {
+			continue
+		}
+		delete(c.seekers, id)
+		c.seek(now, r)
+	}
+}
--- /dev/null
+++ b/router/tick.go
@@ -0,0 +1,225 @@
+package router
+
+import (
+	"sort"
+	"time"
+
+	"github.com/ledgepin/ledgepin/admission"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/placement"
+)
+
+// TickEvery is how often the shell should call Tick.
+const TickEvery = 5 * time.Millisecond
+
+// shedEvery is how often the queues are looked through for requests that
+// can't meet their target.
+const shedEvery = 50 * time.Millisecond
+
+// Tick does what is due: stalled work, requests without hope, waiting ones.
+func (c *Core) Tick(now time.Time) []Effect {
+	for len(c.timers) > 0 && !c.timers[0].due.After(now) {
+		c.timeout(now, c.timers[0])
+	}
+	if now.Sub(c.lastShed) >= shedEvery {
+		c.lastShed = now
+		c.shed(now)
+	}
+	c.wakeSeekers(now)
+	c.scheduleAll(now)
+	return c.take()
+}
+
+// Report takes a load report of a server.
+func (c *Core) Report(now time.Time, server string, load placement.Load) []Effect {
+	c.view.Report(server, load)
+	c.scheduleAll(now)
+	return c.take()
+}
+
+func (c *Core) scheduleAll(now time.Time) {
+	if c.waiting == 0 {
+		return
+	}
+	for _, model := range sortedKeys(c.queues) {
+		c.forgive(model)
+		c.schedule(now, model)
+	}
+}
+
+// forgive lets requests that agents refused too often try again.
+func (c *Core) forgive(model string) {
+	for level := 0; level < placement.Priorities; level++ {
+		if it := c.queue(model).Next(level); it != nil {
+			c.reqs[it.ID].refusals = 0
+		}
+	}
+}
+
+// timeout handles a request whose present phase takes too long.
+func (c *Core) timeout(now time.Time, r *request) {
+	c.clearDue(r)
+	switch r.phase {
+	case reserving:
+		c.slowReservation(now, r)
+	case seeking:
+		c.failed(now, r, r.d.server.Name, fault.StepReserve, "no answer to the reservation", true)
+	case prefilling:
+		c.failed(now, r, r.p.server.Name, fault.StepPrefill, "the prefill stalled", true)
+	case importing:
+		c.failed(now, r, r.d.server.Name, fault.StepTransfer, "the transfer stalled", true)
+	case decoding:
+		c.quietDecode(now, r)
+	}
+}
+
+func (c *Core) slowReservation(now time.Time, r *request) {
+	slow := r.p.server
+	if r.p.given && r.d.server != nil {
+		slow = r.d.server
+	}
+	c.failed(now, r, slow.Name, fault.StepReserve, "no answer to the reservation", true)
+}
+
+// quietDecode fails a decode only if no token came since the timer was set.
+func (c *Core) quietDecode(now time.Time, r *request) {
+	end := r.lastChunk.Add(decodeLimit(r))
+	if now.Before(end) {
+		c.setDue(r, end)
+		return
+	}
+	c.failed(now, r, r.d.server.Name, fault.StepDecode, "no token for "+decodeLimit(r).String(), true)
+}
+
+// shed refuses waiting requests that can't meet their target: those for which
+// even an idle server is too slow now, and, where a queue is served too slowly
+// for all, the largest.
+func (c *Core) shed(now time.Time) {
+	if !c.opts.Policy.Admit {
+		return
+	}
+	for _, model := range sortedKeys(c.queues) {
+		q := c.queues[model]
+		for level := 0; level < placement.Priorities; level++ {
+			c.shedLevel(now, model, q, level)
+		}
+	}
+}
+
+func (c *Core) shedLevel(now time.Time, model string, q *admission.Queue, level int) {
+	next := q.Next(level)
+	waits := next != nil && next.Priority == level
+	d := c.drainRate(model, level)
+	d.watch(now, waits)
+	if !waits {
+		return
+	}
+	need := func(it *admission.Item) time.Duration { return c.view.Shortest(now, c.reqs[it.ID].query()) }
+	late := q.Due(level, now, need)
+	if d.mean > 0 {
+		late = append(late, q.Shed(level, now, d.mean)...)
+	}
+	for _, it := range late {
+		c.waiting--
+		c.shedOne(now, c.reqs[it.ID])
+	}
+}
+
+func (c *Core) shedOne(now time.Time, r *request) {
+	if r.ran {
+		c.fail(now, r, "no server was free for the retry in time")
+		return
+	}
+	c.refuse(now, r, fault.TargetMissed, "the queue can't serve all in time", c.comeBack(r))
+}
+
+// State is one row of the state dump.
+type State struct {
+	ID       string        `json:"id"`
+	Customer string        `json:"customer"`
+	Class    string        `json:"class"`
+	Phase    string        `json:"phase"`
+	Attempt  uint32        `json:"attempt"`
+	Prefill  string        `json:"prefill,omitempty"`
+	Decode   string        `json:"decode,omitempty"`
+	Age      time.Duration `json:"age_ns"`
+}
+
+// maxDump bounds the rows of a state dump.
+const maxDump = 1000
+
+// Dump lists open requests, the oldest first.
+func (c *Core) Dump(now time.Time) []State {
+	out := make([]State, 0, len(c.reqs))
+	for _, r := range c.reqs {
+		s := State{ID: r.ID, Customer: r.Customer, Class: r.Class, Phase: r.phase.String(), Attempt: r.attempt, Age: now.Sub(r.arrived)}
+		if r.p.server != nil {
+			s.Prefill = r.p.server.Name
+		}
+		if r.d.server != nil {
+			s.Decode = r.d.server.Name
+		}
+		out = append(out, s)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		return out[i].Age > out[j].Age || out[i].Age == out[j].Age && out[i].ID < out[j].ID
+	})
+	return out[:min(len(out), maxDump)]
+}
+
+// rateKey names a level of a model's queue.
+type rateKey struct {
+	model    string
+	priority int
+}
+
+// drain measures how much work a queue gives to the servers in a second. Only
+// time in which something waits counts: a queue that runs empty tells nothing
+// of how fast it could be served.
+type drain struct {
+	since time.Time
+	work  float64
+	mean  float64
+}
+
+// drainWindow is the time over which the rate is measured.
+const drainWindow = time.Second
+
+func (d *drain) take(tokens int) { d.work += float64(tokens) }
+
+// watch closes a window that is over, or drops all if nothing waits.
+func (d *drain) watch(now time.Time, waits bool) {
+	if !waits {
+		*d = drain{since: now}
+		return
+	}
+	span := now.Sub(d.since)
+	if span < drainWindow {
+		return
+	}
+	rate := d.work / span.Seconds()
+	if d.mean == 0 {
+		d.mean = rate
+	}
+	d.mean = (d.mean + rate) / 2
+	d.work, d.since = 0, now
+}
+
+func (c *Core) drainRate(model string, priority int) *drain {
+	k := rateKey{model, priority}
+	d := c.rates[k]
+	if d == nil {
+		d = &drain{}
+		c.rates[k] = d
+	}
+	return d
+}
+
+func sortedKeys[T any](m map[string]T) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
--- /dev/null
+++ b/service/service.go
@@ -0,0 +1,86 @@
+// Package service talks to a plain HTTP service from the agent beside it.
+package service
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/ledgepin/ledgepin/fault"
+)
+
+// MaxBody bounds the answer of a service in bytes.
+const MaxBody = 4 << 20
+
+// Call is one request to the service.
+type Call struct {
+	Method, Path, Type string
+	Body               []byte
+	// Once tells that the call may not be repeated.
+	Once bool
+}
+
+// Answer is the service's answer.
+type Answer struct {
+	Status int
+	Type   string
+	Body   []byte
+}
+
+// Client calls the service at one address.
+type Client struct {
+	addr string
+	http *http.Client
+	// single opens a connection for each call. The usual transport may send a
+	// call again if it finds that a kept connection has gone stale.
+	single *http.Client
+}
+
+// NewClient returns a client of the service at addr, an IP number and port.
+func NewClient(addr string) *Client {
+	t := &http.Transport{MaxIdleConnsPerHost: 64}
+	single := &http.Transport{DisableKeepAlives: true}
+	return &Client{addr: addr, http: &http.Client{Transport: t}, single: &http.Client{Transport: single}}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Do calls the service once. Sent tells whether the service may have seen the
+// call; it is false only if no connection could be opened.
+func (c *Client) Do(ctx context.Context, call Call) (a Answer, sent bool, err error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+c.addr+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return Answer{}, false, fault.Wrap(err, fault.BadRequest, fault.StepCall, c.addr)
+	}
+	if call.Type != "" {
+		req.Header.Set("Content-Type", call.Type)
+	}
+	client := c.http
+	if call.Once {
+		client = c.single
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return Answer{}, !refused(err), fault.Wrap(err, fault.ServiceFailed, fault.StepCall, c.addr)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
+	if err == nil && len(body) > MaxBody {
+		err = fmt.Errorf("the answer is over %d bytes", MaxBody)
+	}
+	if err != nil {
+		return Answer{}, true, fault.Wrap(err, fault.ServiceFailed, fault.StepCall, c.addr)
+	}
+	return Answer{Status: resp.StatusCode, Type: resp.Header.Get("Content-Type"), Body: body}, true, nil
+}
+
+// refused tells that no connection was opened.
+func refused(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/settings/lookup.go
@@ -0,0 +1,107 @@
+package settings
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+)
+
+// Placed is a server with its place in the tree.
+type Placed struct {
+	Name, Agent       string
+	Site, Pool        string
+	Zone, Region      string
+	Role, Service     string
+	Models            []string
+	Slots             int
+	LinkRate          int64
+	KVHold, LeaseTime time.Duration
+}
+
+// Servers lists all servers in the order of their names within each pool.
+func (t *Tree) Servers() []Placed {
+	var out []Placed
+	for _, site := range sorted(t.Fleet.Sites) {
+		s := t.Fleet.Sites[site]
+		for _, pool := range sorted(s.Pools) {
+			for _, name := range sorted(s.Pools[pool].Servers) {
+				out = append(out, t.placed(site, pool, name))
+			}
+		}
+	}
+	return out
+}
+
+func (t *Tree) placed(site, pool, name string) Placed {
+	s := t.Fleet.Sites[site]
+	p := s.Pools[pool]
+	e := t.At(site, pool, "")
+	return Placed{
+		Name: name, Agent: p.Servers[name].Agent, Site: site, Pool: pool,
+		Zone: s.Zone, Region: s.Region, Role: p.Role, Service: p.Service,
+		Models: sorted(p.Models), Slots: e.Slots, LinkRate: e.LinkRate,
+		KVHold: e.KVHold, LeaseTime: e.LeaseTime,
+	}
+}
+
+// Server finds a server by name.
+func (t *Tree) Server(name string) (Placed, bool) {
+	for site, s := range t.Fleet.Sites {
+		for pool, p := range s.Pools {
+			if _, ok := p.Servers[name]; ok {
+				return t.placed(site, pool, name), true
+			}
+		}
+	}
+	return Placed{}, false
+}
+
+// Grant is what a token lets its bearer do.
+type Grant struct {
+	// Customer is the name of the organisation.
+	Customer string
+	// Class is the name of the class of its requests.
+	Class string
+}
+
+// Grants maps the hash of each token to its grant, for a lookup per request.
+func (t *Tree) Grants() map[string]Grant {
+	out := map[string]Grant{}
+	for name, c := range t.Fleet.Customers {
+		for _, tok := range c.Tokens {
+			out[tok.SHA256] = Grant{Customer: name, Class: tok.Class}
+		}
+	}
+	return out
+}
+
+// HashToken returns the hash of a token as it stands in the settings.
+func HashToken(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// DefaultClaimLifetime is how long keys are kept if the service does not say.
+const DefaultClaimLifetime = 24 * time.Hour
+
+// DefaultTimeout bounds a call of a service that does not say.
+const DefaultTimeout = 10 * time.Second
+
+// ClaimLifetimeOrDefault returns how long a key of the service is kept.
+func (s Service) ClaimLifetimeOrDefault() time.Duration {
+	if s.ClaimLifetime > 0 {
+		return s.ClaimLifetime.D()
+	}
+	return DefaultClaimLifetime
+}
+
+// TimeoutOrDefault returns the bound of one call.
+func (s Service) TimeoutOrDefault() time.Duration {
+	if s.Timeout > 0 {
+		return s.Timeout.D()
+	}
+	return DefaultTimeout
+}
+
+// ShareOrOne returns the weight of the customer.
+func (c Customer) ShareOrOne() int { return max(c.Share, 1) }
--- /dev/null
+++ b/spread/file.go
@@ -0,0 +1,87 @@
+package spread
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/ledgepin/ledgepin/fault"
+)
+
+// File keeps the newest settings of a process under its data folder.
+type File struct {
+	path string
+}
+
+// NewFile returns a file in a folder.
+func NewFile(dir string) *File { return &File{path: filepath.Join(dir, "settings.kept")} }
+
+const fileHead = 12 // revision and checksum
+
+// Read returns what was written last; revision zero if nothing was.
+func (f *File) Read() (revision uint64, text []byte, err error) {
+	data, err := os.ReadFile(f.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return 0, nil, nil
+	}
+	if err != nil {
+		return 0, nil, fault.Wrap(err, fault.JournalFailed, fault.StepSettings, f.path)
+	}
+	if len(data) < fileHead || binary.LittleEndian.Uint32(data[8:]) != checksum(data) {
+		return 0, nil, fault.New(fault.JournalBroken, fault.StepSettings, f.path, "the kept settings are damaged")
+	}
+	return binary.LittleEndian.Uint64(data), data[fileHead:], nil
+}
+
+func checksum(data []byte) uint32 {
+	sum := crc32.ChecksumIEEE(data[:8])
+	return crc32.Update(sum, crc32.IEEETable, data[fileHead:])
+}
+
+// Write keeps a revision; it is durable when Write returns.
+func (f *File) Write(revision uint64, text []byte) error {
+	data := make([]byte, fileHead, fileHead+len(text))
+	binary.LittleEndian.PutUint64(data, revision)
+	data = append(data, text...)
+	binary.LittleEndian.PutUint32(data[8:], checksum(data))
+	return fault.Wrap(WriteSynced(f.path, data), fault.JournalFailed, fault.StepSettings, f.path)
+}
+
+// WriteSynced replaces a file: written aside, synced, renamed, and the folder
+// synced, so that either the old or the new content survives a crash.
+func WriteSynced(path string, data []byte) error {
+	aside := path + ".new"
+	file, err := os.OpenFile(aside, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
+	}
+	if cerr := file.Close(); err == nil {
+		err = cerr
+	}
+	if err != nil {
+		return err
+	}
+	if err := os.Rename(aside, path); err != nil {
+		return err
+	}
+	return syncDir(filepath.Dir(path))
+}
+
+func syncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	err = d.Sync()
+	if cerr := d.Close(); err == nil {
+		err = cerr
+	}
+	return err
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,223 @@
+package standin
+
+import (
+	"fmt"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ledgepin/ledgepin/engine"
+)
+
+// EngineOptions set the speed and size of a stand-in engine.
+type EngineOptions struct {
+	Name   string
+	Models []string
+	// PrefillRate is in tokens a second.
+	PrefillRate float64
+	// TokenTime is the time between tokens.
+	TokenTime time.Duration
+	// LinkRate is in bytes a second.
+	LinkRate float64
+	// KVPerToken is in bytes.
+	KVPerToken int64
+	// KVHold is how long the result of a prefill is kept.
+	KVHold time.Duration
+	Slots  int
+	// Tokens bounds an answer whose request does not.
+	Tokens int
+}
+
+// job is a request that holds memory.
+type job struct {
+	req    engine.Request
+	prompt uint64
+	tokens int // tokens made so far
+	total  int
+	gone   chan struct{}
+	more   chan struct{} // closed when a token is made
+	kv     bool
+}
+
+// Engine is a stand-in model engine with its HTTP server on loopback.
+type Engine struct {
+	opts EngineOptions
+	addr string
+	srv  *http.Server
+	wg   sync.WaitGroup
+
+	mu     sync.Mutex
+	jobs   map[string]*job
+	cached map[uint64]bool
+	events []engine.CacheEvent
+	models map[string]bool
+	role   string
+	load   engine.Load
+	stall  bool
+	orders []engine.Order
+	// cancels counts cancel calls; refuse makes the next ones fail.
+	refuse int
+}
+
+// StartEngine serves an engine at addr ("127.0.0.1:0" for any free port).
+func StartEngine(addr string, o EngineOptions) (*Engine, error) {
+	e := &Engine{opts: o}
+	e.reset()
+	if err := e.listen(addr); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+func (e *Engine) reset() {
+	e.jobs = map[string]*job{}
+	e.cached = map[uint64]bool{}
+	e.models = map[string]bool{}
+	for _, m := range e.opts.Models {
+		e.models[m] = true
+	}
+	e.takeLoad()
+}
+
+func (e *Engine) listen(addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("standin: engine: %w", err)
+	}
+	e.addr = ln.Addr().String()
+	e.srv = &http.Server{Handler: e.routes(), ReadHeaderTimeout: 5 * time.Second}
+	e.wg.Go(func() { _ = e.srv.Serve(ln) })
+	return nil
+}
+
+// Addr returns the IP number and port.
+func (e *Engine) Addr() string { return e.addr }
+
+// Kill ends the engine at once and drops all that it held.
+func (e *Engine) Kill() {
+	_ = e.srv.Close()
+	e.mu.Lock()
+	for _, j := range e.jobs {
+		close(j.gone)
+	}
+	e.reset()
+	e.mu.Unlock()
+	e.wg.Wait()
+}
+
+// Restart brings a killed engine back, empty, at its address.
+func (e *Engine) Restart() error { return e.listen(e.addr) }
+
+// SetStall makes transfers hang, or lets them go on.
+func (e *Engine) SetStall(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stall = on
+}
+
+// RefuseCancels makes the next n cancels fail.
+func (e *Engine) RefuseCancels(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refuse = n
+}
+
+// Held lists the requests that hold memory.
+func (e *Engine) Held() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]string, 0, len(e.jobs))
+	for id := range e.jobs {
+		out = append(out, id)
+	}
+	return out
+}
+
+// Orders lists the orders that were carried out.
+func (e *Engine) Orders() []engine.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]engine.Order(nil), e.orders...)
+}
+
+// takeLoad renews the load report. Callers hold the lock or own the engine.
+func (e *Engine) takeLoad() {
+	models := make([]string, 0, len(e.models))
+	for m := range e.models {
+		models = append(models, m)
+	}
+	e.load = engine.Load{Running: len(e.jobs), Slots: e.opts.Slots, Models: models, At: time.Now()}
+}
+
+// add enters a request; it reports false if the ID is in use.
+func (e *Engine) add(id string, j *job) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.jobs[id] != nil {
+		return false
+	}
+	e.jobs[id] = j
+	return true
+}
+
+func (e *Engine) drop(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if j := e.jobs[id]; j != nil {
+		delete(e.jobs, id)
+		close(j.gone)
+	}
+}
+
+func (e *Engine) find(id string) *job {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.jobs[id]
+}
+
+// text returns the prompt as one string.
+func text(r engine.Request) string {
+	if r.Prompt != "" {
+		return r.Prompt
+	}
+	var b strings.Builder
+	for _, t := range r.Messages {
+		b.WriteString(t.Role + "\n" + t.Content + "\n")
+	}
+	return b.String()
+}
+
+// CountTokens returns the length of a prompt as the stand-in counts it.
+func CountTokens(prompt string) int { return max(len(prompt)/4, 1) }
+
+var words = strings.Fields("the licence seat is free for this desk and the rate stands as posted today " +
+	"so the review finds no fault in the log while one feature was held past its term")
+
+// Word returns token i of the answer to a prompt.
+func Word(prompt uint64, i int) string {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d/%d", prompt, i)
+	return words[h.Sum64()%uint64(len(words))] + " "
+}
+
+// HashPrompt returns what the tokens of an answer follow from.
+func HashPrompt(prompt string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(prompt))
+	return h.Sum64()
+}
+
+// Answer returns the first n tokens of the answer to a prompt.
+func Answer(prompt string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(Word(HashPrompt(prompt), i))
+	}
+	return b.String()
+}
+
+// ChatPrompt returns the prompt that a chat becomes.
+func ChatPrompt(turns []engine.Turn) string { return text(engine.Request{Messages: turns}) }
--- /dev/null
+++ b/standin/service.go
@@ -0,0 +1,155 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ledgepin/ledgepin/platform"
+)
+
+// Service is a stand-in plain service: licence checkout, which may not be
+// repeated, and a rate sheet, which may.
+type Service struct {
+	addr string
+	srv  *http.Server
+	wg   sync.WaitGroup
+
+	mu    sync.Mutex
+	seats map[string]int // checkouts by body
+	delay time.Duration
+	calls int
+}
+
+// StartService serves a service at addr.
+func StartService(addr string) (*Service, error) {
+	s := &Service{seats: map[string]int{}}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("standin: service: %w", err)
+	}
+	s.addr = ln.Addr().String()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /checkout", s.checkout)
+	mux.HandleFunc("GET /rates", s.rates)
+	s.srv = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	s.wg.Go(func() { _ = s.srv.Serve(ln) })
+	return s, nil
+}
+
+// Addr returns the IP number and port.
+func (s *Service) Addr() string { return s.addr }
+
+// Kill ends the service at once.
+func (s *Service) Kill() {
+	_ = s.srv.Close()
+	s.wg.Wait()
+}
+
+// SetDelay makes each call take a time.
+func (s *Service) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+// Checkouts returns how often a body was checked out.
+func (s *Service) Checkouts(body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seats[body]
+}
+
+type checkout struct {
+	Seat  string `json:"seat"`
+	Order int    `json:"order"`
+}
+
+func (s *Service) checkout(w http.ResponseWriter, r *http.Request) {
+	var in checkout
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequest)).Decode(&in); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.seats[in.Seat]++
+	s.calls++
+	in.Order = s.calls
+	delay := s.delay
+	s.mu.Unlock()
+	time.Sleep(delay)
+	reply(w, in)
+}
+
+func (s *Service) rates(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	delay := s.delay
+	s.mu.Unlock()
+	time.Sleep(delay)
+	reply(w, map[string]string{"EUR/CZK": "24.41", "EUR/HUF": "389.70"})
+}
+
+// Platform is a stand-in for the platform's list of VMs. A change shows only
+// after the lag.
+type Platform struct {
+	addr string
+	srv  *http.Server
+	wg   sync.WaitGroup
+	lag  time.Duration
+
+	mu    sync.Mutex
+	since map[string]time.Time // leaving VMs
+	names []string
+}
+
+// StartPlatform serves a list of VMs at addr.
+func StartPlatform(addr string, names []string, lag time.Duration) (*Platform, error) {
+	p := &Platform{lag: lag, since: map[string]time.Time{}, names: names}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("standin: platform: %w", err)
+	}
+	p.addr = ln.Addr().String()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.Path, p.list)
+	p.srv = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	p.wg.Go(func() { _ = p.srv.Serve(ln) })
+	return p, nil
+}
+
+// Addr returns the IP number and port.
+func (p *Platform) Addr() string { return p.addr }
+
+// Kill ends the platform at once.
+func (p *Platform) Kill() {
+	_ = p.srv.Close()
+	p.wg.Wait()
+}
+
+// SetLeaving marks a VM as leaving, or as live again.
+func (p *Platform) SetLeaving(name string, leaving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if leaving {
+		p.since[name] = time.Now()
+	} else {
+		delete(p.since, name)
+	}
+}
+
+func (p *Platform) list(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]platform.VM, 0, len(p.names))
+	for _, n := range p.names {
+		vm := platform.VM{Name: n, Address: "127.0.0.1", State: platform.Live}
+		if at, ok := p.since[n]; ok && time.Since(at) >= p.lag {
+			vm.State = platform.Leaving
+		}
+		out = append(out, vm)
+	}
+	reply(w, out)
+}
--- /dev/null
+++ b/wire/link.go
@@ -0,0 +1,214 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"github.com/ledgepin/ledgepin/fault"
+)
+
+// Path is the HTTP path of links.
+const Path = "/ledgepin/link"
+
+const (
+	sendQueue    = 1024
+	helloTimeout = 5 * time.Second
+	writeTimeout = 5 * time.Second
+	// idleTimeout is the silence after which a link is given up; peers send a
+	// heartbeat several times within it.
+	idleTimeout = 3 * time.Second
+)
+
+// Options are what both sides of a link need.
+type Options struct {
+	// Hello is sent first.
+	Hello func() Hello
+	// Token is the bearer token that peers share; empty if none.
+	Token string
+	// TLS is the client's TLS settings; nil for plain TCP.
+	TLS *tls.Config
+}
+
+// Link is one connection to a peer process.
+type Link struct {
+	// Peer is the Hello of the other side.
+	Peer Hello
+
+	conn *websocket.Conn
+	out  chan []byte
+	done chan struct{}
+	once sync.Once
+	// sent and received count bytes, for the budget of control traffic.
+	sent, received atomic.Int64
+}
+
+// Dial opens a link to the process at addr, an IP number and port.
+func Dial(ctx context.Context, addr string, o Options) (*Link, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	scheme := "ws"
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: o.TLS}}
+	if o.TLS != nil {
+		scheme = "wss"
+	}
+	head := http.Header{}
+	if o.Token != "" {
+		head.Set("Authorization", "Bearer "+o.Token)
+	}
+	conn, _, err := websocket.Dial(ctx, scheme+"://"+addr+Path, &websocket.DialOptions{HTTPClient: client, HTTPHeader: head})
+	if err != nil {
+		return nil, fault.Wrap(err, fault.LinkLost, fault.StepLink, addr)
+	}
+	return open(ctx, conn, addr, o)
+}
+
+// Accept turns an HTTP request into a link. The caller has checked the token.
+func Accept(w http.ResponseWriter, r *http.Request, o Options) (*Link, error) {
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadPeer, fault.StepLink, r.RemoteAddr)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), helloTimeout)
+	defer cancel()
+	return open(ctx, conn, r.RemoteAddr, o)
+}
+
+// open exchanges the Hellos.
+func open(ctx context.Context, conn *websocket.Conn, addr string, o Options) (*Link, error) {
+	conn.SetReadLimit(MaxFrame)
+	l := &Link{conn: conn, out: make(chan []byte, sendQueue), done: make(chan struct{})}
+	peer, err := l.handshake(ctx, addr, o.Hello())
+	if err != nil {
+		_ = conn.Close(websocket.StatusPolicyViolation, "bad hello")
+		_ = conn.CloseNow()
+		return nil, err
+	}
+	l.Peer = *peer
+	return l, nil
+}
+
+func (l *Link) handshake(ctx context.Context, addr string, hello Hello) (*Hello, error) {
+	hello.Version = Version
+	frame, err := Marshal(&Message{Hello: &hello})
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, fault.StepLink, addr)
+	}
+	if err := l.conn.Write(ctx, websocket.MessageBinary, frame); err != nil {
+		return nil, fault.Wrap(err, fault.LinkLost, fault.StepLink, addr)
+	}
+	m, err := l.read(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	if m.Hello == nil {
+		return nil, fault.New(fault.BadPeer, fault.StepLink, addr, "the first frame is not a hello")
+	}
+	if m.Hello.Version != Version {
+		return nil, fault.New(fault.BadPeer, fault.StepLink, addr,
+			fmt.Sprintf("protocol version %d, want %d", m.Hello.Version, Version))
+	}
+	return m.Hello, nil
+}
+
+func (l *Link) read(ctx context.Context, peer string) (*Message, error) {
+	kind, frame, err := l.conn.Read(ctx)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.LinkLost, fault.StepLink, peer)
+	}
+	if kind != websocket.MessageBinary {
+		return nil, fault.New(fault.BadPeer, fault.StepLink, peer, "a text frame")
+	}
+	l.received.Add(int64(len(frame)))
+	return Unmarshal(frame, peer)
+}
+
+// Send queues m. It returns a LinkLost error if the link is closed, and
+// closes a link whose peer does not read.
+func (l *Link) Send(m *Message) error {
+	frame, err := Marshal(m)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, fault.StepLink, l.Peer.Name)
+	}
+	return l.SendFrame(frame)
+}
+
+// SendFrame queues a frame that Marshal returned, so that one frame can go to
+// many peers.
+func (l *Link) SendFrame(frame []byte) error {
+	select {
+	case <-l.done:
+		return fault.New(fault.LinkLost, fault.StepLink, l.Peer.Name, "the link is closed")
+	default:
+	}
+	select {
+	case l.out <- frame:
+		return nil
+	default:
+		l.Close()
+		return fault.New(fault.LinkLost, fault.StepLink, l.Peer.Name, "the peer does not read")
+	}
+}
+
+// Run moves messages until the link ends, and returns why it ended. Handle is
+// called for one message after the other.
+func (l *Link) Run(ctx context.Context, handle func(*Message)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { l.writeLoop(ctx) })
+	err := l.readLoop(ctx, handle)
+	cancel()
+	l.Close()
+	wg.Wait()
+	return err
+}
+
+func (l *Link) readLoop(ctx context.Context, handle func(*Message)) error {
+	for {
+		rctx, cancel := context.WithTimeout(ctx, idleTimeout)
+		m, err := l.read(rctx, l.Peer.Name)
+		cancel()
+		if err != nil {
+			return err
+		}
+		handle(m)
+	}
+}
+
+func (l *Link) writeLoop(ctx context.Context) {
+	defer l.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.done:
+			return
+		case frame := <-l.out:
+			wctx, cancel := context.WithTimeout(ctx, writeTimeout)
+			err := l.conn.Write(wctx, websocket.MessageBinary, frame)
+			cancel()
+			if err != nil {
+				return
+			}
+			l.sent.Add(int64(len(frame)))
+		}
+	}
+}
+
+// Close ends the link; it may be called more than once.
+func (l *Link) Close() {
+	l.once.Do(func() {
+		close(l.done)
+		_ = l.conn.CloseNow()
+	})
+}
+
+// Bytes returns the payload bytes that were sent and received.
+func (l *Link) Bytes() (sent, received int64) { return l.sent.Load(), l.received.Load() }
--- /dev/null
+++ b/wire/message.go
@@ -0,0 +1,218 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/ledgepin/ledgepin/claim"
+	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/engine"
+	"github.com/ledgepin/ledgepin/lease"
+	"github.com/ledgepin/ledgepin/order"
+	"github.com/ledgepin/ledgepin/placement"
+	"github.com/ledgepin/ledgepin/settings"
+)
+
+// Version is the protocol version; peers must have the same.
+const Version = 1
+
+// Message is one frame. Exactly one field is set.
+type Message struct {
+	Hello     *Hello     `cbor:"1,keyasint,omitempty"`
+	Heartbeat *Heartbeat `cbor:"2,keyasint,omitempty"`
+
+	Reserve   *Reserve   `cbor:"3,keyasint,omitempty"`
+	Reserved  *Reserved  `cbor:"4,keyasint,omitempty"`
+	Prefill   *Prefill   `cbor:"5,keyasint,omitempty"`
+	Prefilled *Prefilled `cbor:"6,keyasint,omitempty"`
+	Decode    *Decode    `cbor:"7,keyasint,omitempty"`
+	Imported  *Imported  `cbor:"8,keyasint,omitempty"`
+	Chunk     *Chunk     `cbor:"9,keyasint,omitempty"`
+	Failed    *Failed    `cbor:"10,keyasint,omitempty"`
+	Cancel    *Cancel    `cbor:"11,keyasint,omitempty"`
+
+	Settings *Settings `cbor:"12,keyasint,omitempty"`
+	Pull     *Pull     `cbor:"13,keyasint,omitempty"`
+
+	Grant   *claim.Ask    `cbor:"14,keyasint,omitempty"`
+	Granted *claim.Vote   `cbor:"15,keyasint,omitempty"`
+	Record  *claim.Record `cbor:"16,keyasint,omitempty"`
+	Copy    *claim.Copy   `cbor:"17,keyasint,omitempty"`
+	Copied  *claim.Copied `cbor:"18,keyasint,omitempty"`
+	Call    *Call         `cbor:"19,keyasint,omitempty"`
+	Answer  *Answer       `cbor:"20,keyasint,omitempty"`
+
+	Order   *order.Order      `cbor:"21,keyasint,omitempty"`
+	Ordered *order.Result     `cbor:"22,keyasint,omitempty"`
+	Raft    *consensus.Packet `cbor:"23,keyasint,omitempty"`
+	Summary *Summary          `cbor:"24,keyasint,omitempty"`
+	Resume  *Resume           `cbor:"25,keyasint,omitempty"`
+	Leaving *Leaving          `cbor:"26,keyasint,omitempty"`
+}
+
+// Roles that a Hello may name.
+const (
+	RoleEntry   = "entry"
+	RoleAgent   = "agent"
+	RoleControl = "control"
+	// RoleAsker is a process that starts and asks for settings only.
+	RoleAsker = "asker"
+)
+
+// Hello opens a link.
+type Hello struct {
+	Version int    `cbor:"1,keyasint"`
+	Name    string `cbor:"2,keyasint"`
+	Role    string `cbor:"3,keyasint"`
+	Zone    string `cbor:"4,keyasint"`
+	// Epoch is the start of the process, so that a restart is seen.
+	Epoch int64 `cbor:"5,keyasint"`
+	// Revision is the settings revision that the process holds.
+	Revision uint64 `cbor:"6,keyasint"`
+	// Commit is the commit index of a control replica; zero while it is empty.
+	Commit uint64 `cbor:"7,keyasint,omitempty"`
+}
+
+// Heartbeat shows life and renews the leases of the link's owner.
+type Heartbeat struct {
+	Revision uint64          `cbor:"1,keyasint"`
+	Load     *placement.Load `cbor:"2,keyasint,omitempty"`
+}
+
+// Reserve asks an agent for a slot, to be answered at once.
+type Reserve struct {
+	lease.ID
+	Model    string `cbor:"3,keyasint"`
+	Priority int    `cbor:"4,keyasint"`
+	// Tokens is the prefill work that the slot is for; zero for decode.
+	Tokens int `cbor:"5,keyasint,omitempty"`
+	// Hold is how long the slot waits for its work.
+	Hold time.Duration `cbor:"6,keyasint"`
+	// Keep lets the work outlive its caller.
+	Keep bool `cbor:"7,keyasint,omitempty"`
+}
+
+// Reserved answers a Reserve.
+type Reserved struct {
+	lease.ID
+	OK     bool           `cbor:"3,keyasint"`
+	Reason string         `cbor:"4,keyasint,omitempty"`
+	Load   placement.Load `cbor:"5,keyasint"`
+}
+
+// Prefill starts the prefill that was reserved.
+type Prefill struct {
+	lease.ID
+	Request engine.Request `cbor:"3,keyasint"`
+}
+
+// Prefilled tells that the KV cache can be fetched.
+type Prefilled struct {
+	lease.ID
+	KV     engine.KV      `cbor:"3,keyasint"`
+	Cached int            `cbor:"4,keyasint"`
+	Took   time.Duration  `cbor:"5,keyasint"`
+	Load   placement.Load `cbor:"6,keyasint"`
+}
+
+// Decode starts the decode that was reserved.
+type Decode struct {
+	lease.ID
+	Request engine.Request `cbor:"3,keyasint"`
+	KV      engine.KV      `cbor:"4,keyasint"`
+	// From is the index of the first token to send.
+	From int `cbor:"5,keyasint"`
+}
+
+// Imported tells that the decode engine has the KV cache.
+type Imported struct {
+	lease.ID
+	Took time.Duration `cbor:"3,keyasint"`
+}
+
+// Chunk is a part of an answer.
+type Chunk struct {
+	lease.ID
+	engine.Chunk
+}
+
+// Resume asks an agent, on a new link, for what became of an attempt: the
+// chunks from an index on, or the result of its prefill.
+type Resume struct {
+	lease.ID
+	From   int  `cbor:"3,keyasint"`
+	Decode bool `cbor:"4,keyasint,omitempty"`
+	Keep   bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Failed tells that an attempt ended without its result.
+type Failed struct {
+	lease.ID
+	Step   string `cbor:"3,keyasint"`
+	Code   string `cbor:"4,keyasint"`
+	Detail string `cbor:"5,keyasint"`
+	// Server tells that the server itself is at fault.
+	Server bool `cbor:"6,keyasint,omitempty"`
+}
+
+// Cancel frees whatever the attempt holds at this agent.
+type Cancel struct {
+	lease.ID
+}
+
+// Settings brings a tree, as a delta to the revision that the receiver has
+// or whole.
+type Settings struct {
+	Revision uint64          `cbor:"1,keyasint"`
+	Sum      settings.Sum    `cbor:"2,keyasint"`
+	Delta    *settings.Delta `cbor:"3,keyasint,omitempty"`
+	Whole    []byte          `cbor:"4,keyasint,omitempty"`
+	// Confirmed tells that control vouched for the revision under a live lease.
+	Confirmed bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Pull asks for the newest settings.
+type Pull struct {
+	Have uint64 `cbor:"1,keyasint"`
+}
+
+// Call asks an agent to call its service.
+type Call struct {
+	lease.ID
+	Method string        `cbor:"3,keyasint"`
+	Path   string        `cbor:"4,keyasint"`
+	Type   string        `cbor:"5,keyasint,omitempty"`
+	Body   []byte        `cbor:"6,keyasint,omitempty"`
+	Limit  time.Duration `cbor:"7,keyasint"`
+	// Once tells that the call may not be repeated.
+	Once bool `cbor:"8,keyasint,omitempty"`
+}
+
+// Answer ends a Call.
+type Answer struct {
+	lease.ID
+	// Sent tells whether the service may have seen the call.
+	Sent   bool   `cbor:"3,keyasint"`
+	Status int    `cbor:"4,keyasint,omitempty"`
+	Type   string `cbor:"5,keyasint,omitempty"`
+	Body   []byte `cbor:"6,keyasint,omitempty"`
+	Detail string `cbor:"7,keyasint,omitempty"`
+}
+
+// Summary tells control, and other availability zones, what one zone has.
+type Summary struct {
+	Zone    string        `cbor:"1,keyasint"`
+	Servers []ServerState `cbor:"2,keyasint"`
+}
+
+// ServerState is one server in a Summary.
+type ServerState struct {
+	Name    string   `cbor:"1,keyasint"`
+	Leaving bool     `cbor:"2,keyasint,omitempty"`
+	Free    int      `cbor:"3,keyasint,omitempty"`
+	Models  []string `cbor:"4,keyasint,omitempty"`
+}
+
+// Leaving lists the servers that the platform's list shows as leaving.
+type Leaving struct {
+	Servers []string `cbor:"1,keyasint"`
+}
--- /dev/null
+++ b/wire/serve.go
@@ -0,0 +1,40 @@
+package wire
+
+import (
+	"crypto/subtle"
+	"log/slog"
+	"net/http"
+	"strings"
+
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
+)
+
+// Handler serves links: it checks the peer's token and its Hello, and calls
+// serve, which must run the link to its end.
+func Handler(log *slog.Logger, o Options, serve func(*Link)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !TokenOK(r, o.Token) {
+			event.PeerRefused.Log(log, "peer", r.RemoteAddr)
+			http.Error(w, fault.Unauthorized.ID, http.StatusUnauthorized)
+			return
+		}
+		l, err := Accept(w, r, o)
+		if err != nil {
+			event.BadPeer.Log(log, "peer", r.RemoteAddr, "error", fault.From(err))
+			return
+		}
+		defer l.Close()
+		serve(l)
+	})
+}
+
+// TokenOK tells whether a request carries the token; an empty token lets
+// everybody in.
+func TokenOK(r *http.Request, token string) bool {
+	if token == "" {
+		return true
+	}
+	got := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return subtle.ConstantTimeCompare([]byte(got), []byte(token)) == 1
+}
