--- a/agent/agent.go
+++ b/agent/agent.go
@@ -55,7 +55,9 @@
 	cancel   context.CancelFunc
 	// next is the index of the next token to send, for a decode.
 	next int
-	done *wire.Prefilled
+	// moving tells that a KV transfer to this server is under way.
+	moving bool
+	done   *wire.Prefilled
 }
 
 // Agent is the process beside one backend server.
--- a/agent/links.go
+++ b/agent/links.go
@@ -86,10 +86,16 @@
 	var backlog [placement.Priorities]int32
 	top := 0
 	for _, j := range a.jobs {
-		if j.owner != owner && j.tokens > 0 {
+		if j.owner == owner {
+			continue
+		}
+		if j.tokens > 0 {
 			backlog[j.priority] += int32(j.tokens)
 			top = max(top, j.priority+1)
 		}
+		if j.moving || j.done != nil {
+			out.Transfers++ // a result that waits here is about to move
+		}
 	}
 	out.Backlog = backlog[:top:top]
 	return out
--- a/agent/work.go
+++ b/agent/work.go
@@ -14,6 +14,7 @@
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
 	"github.com/ledgepin/ledgepin/lease"
+	"github.com/ledgepin/ledgepin/placement"
 	"github.com/ledgepin/ledgepin/wire"
 )
 
@@ -37,7 +38,10 @@
 
 // reserve answers at once. Callers hold the lock.
 func (a *Agent) reserve(now time.Time, owner string, l *wire.Link, m *wire.Reserve) {
-	reason := a.work.Reserve(now, m.ID, owner, m.Hold, m.Keep)
+	reason := a.work.Reserve(now, lease.Ask{
+		ID: m.ID, Owner: owner, Hold: m.Hold, Keep: m.Keep,
+		Spare: placement.Headroom(m.Tokens > 0, a.work.Slots(), m.Priority),
+	})
 	if reason == lease.None {
 		a.jobs[m.ID] = &job{owner: owner, priority: m.Priority, tokens: m.Tokens}
 		a.note(m.ID, decision.Reserved, fmt.Sprintf("for %s, %d of %d slots in use", l.Peer.Name, a.work.Used(), a.work.Slots()))
@@ -125,7 +129,7 @@
 		return
 	}
 	a.note(m.ID, decision.Transfer, fmt.Sprintf("%d bytes from %s", m.KV.Bytes, m.KV.Source))
-	j.next = m.From
+	j.next, j.moving = m.From, true
 	r := m.Request
 	r.ID = engineID(m.ID)
 	a.wg.Go(func() { a.decode(ctx, owner, m, j, r) })
@@ -139,6 +143,7 @@
 		return
 	}
 	a.mu.Lock()
+	j.moving = false
 	a.note(m.ID, decision.Imported, "")
 	a.mu.Unlock()
 	a.send(owner, &wire.Message{Imported: &wire.Imported{ID: m.ID, Took: time.Since(start)}})
--- /dev/null
+++ b/cmd/policybench/main.go
@@ -0,0 +1,80 @@
+// Command policybench runs the policy benchmark and prints its tables.
+package main
+
+import (
+	"flag"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ledgepin/ledgepin/policybench"
+)
+
+func main() {
+	mix := flag.String("mix", "", "only this mix: azienda or dunaj")
+	policy := flag.String("policy", "", "only policies whose name has this in it")
+	fault := flag.String("fault", "", "one fault, or all")
+	load := flag.Float64("load", 0, "only this load, as a share of capacity")
+	length := flag.Duration("length", time.Minute, "virtual time of a run")
+	seed := flag.Uint64("seed", 1, "seed")
+	flag.Parse()
+
+	var cases []policybench.Case
+	for _, m := range []policybench.Mix{policybench.Azienda(), policybench.Dunaj()} {
+		if *mix != "" && m.Name != *mix {
+			continue
+		}
+		for _, p := range policybench.Policies() {
+			if !strings.Contains(p, *policy) {
+				continue
+			}
+			for _, l := range loads(*load) {
+				for _, f := range faults(*fault) {
+					cases = append(cases, policybench.Case{Mix: m, Policy: p, Load: l, Faults: f, Seed: *seed, Length: *length})
+				}
+			}
+		}
+	}
+	for _, r := range run(cases) {
+		r.Write(os.Stdout)
+	}
+}
+
+func loads(only float64) []float64 {
+	if only > 0 {
+		return []float64{only}
+	}
+	return []float64{0.5, 0.8, 1.0, 1.2, 1.5}
+}
+
+func faults(name string) [][]string {
+	if name == "" {
+		return [][]string{nil}
+	}
+	if name != "all" {
+		return [][]string{strings.Split(name, "+")}
+	}
+	out := [][]string{nil}
+	for _, f := range policybench.Faults() {
+		out = append(out, []string{f})
+	}
+	return append(out, []string{policybench.DecodeDies, policybench.EntryDies})
+}
+
+// run runs the cases on all cores and keeps their order.
+func run(cases []policybench.Case) []policybench.Result {
+	out := make([]policybench.Result, len(cases))
+	var wg sync.WaitGroup
+	gate := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for i, c := range cases {
+		gate <- struct{}{}
+		wg.Go(func() {
+			out[i] = policybench.Run(c)
+			<-gate
+		})
+	}
+	wg.Wait()
+	return out
+}
--- a/lease/table.go
+++ b/lease/table.go
@@ -128,20 +128,32 @@
 	return e.state, true
 }
 
-// Reserve gives a slot to id until now+hold, or says why not. If keep is set,
-// the work outlives its owner.
-func (t *Table) Reserve(now time.Time, id ID, by string, hold time.Duration, keep bool) Reason {
+// Ask is a wish for a slot.
+type Ask struct {
+	ID    ID
+	Owner string
+	// Hold is how long the slot waits for its work.
+	Hold time.Duration
+	// Keep lets the work outlive its owner.
+	Keep bool
+	// Spare is the number of slots that must stay free, for work of a higher
+	// priority.
+	Spare int
+}
+
+// Reserve gives a slot, or says why not.
+func (t *Table) Reserve(now time.Time, a Ask) Reason {
 	switch {
 	case t.recovering:
 		return Recovery
 	case t.leaving:
 		return Leaving
-	case t.leases[id] != nil:
+	case t.leases[a.ID] != nil:
 		return Duplicate
-	case len(t.leases) >= t.slots:
+	case len(t.leases)+a.Spare >= t.slots:
 		return Full
 	}
-	e := &entry{id: id, owner: by, keep: keep, due: now.Add(hold), pos: -1}
+	e := &entry{id: a.ID, owner: a.Owner, keep: a.Keep, due: now.Add(a.Hold), pos: -1}
 	t.add(now, e)
 	heap.Push(&t.due, e)
 	return None
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -78,22 +78,25 @@
 	}
 	c.Prefill, c.Decode = p, d
 	c.Work = q.Tokens - v.cached(p, &q)
-	c.FirstToken = ready + v.Transfer(now.Add(ready), p, d, q.KVBytes) + d.tokenTime
+	c.FirstToken = ready + v.Transfer(p, d, q.KVBytes) + d.tokenTime
 	return c
 }
 
-// Transfer estimates the time that a KV transfer takes if it may start at a
-// moment, with the wait for the links.
-func (v *View) Transfer(at time.Time, from, to *Server, bytes int64) time.Duration {
-	start := later(at, later(from.linkFree, to.linkFree))
+// Transfer estimates the time that a KV transfer takes: the transfers on a
+// link share its rate.
+func (v *View) Transfer(from, to *Server, bytes int64) time.Duration {
 	rate := min(from.LinkRate, to.LinkRate)
-	took := time.Duration(float64(bytes) / max(rate, 1) * float64(time.Second))
+	sharers := 1 + max(from.transfers(), to.transfers())
+	took := time.Duration(float64(bytes) * float64(sharers) / max(rate, 1) * float64(time.Second))
 	if from.Zone != to.Zone {
 		took += crossZone
 	}
-	return start.Sub(at) + took
+	return took
 }
 
+// transfers counts the transfers on the server's link.
+func (s *Server) transfers() int { return s.moving + s.movingOut }
+
 // scan calls f for the servers of a list, or for a random run of them if the
 // list is long.
 func (v *View) scan(list []*Server, f func(*Server)) {
@@ -123,7 +126,7 @@
 	why := Block(NoModel)
 	try := func(s *Server) {
 		b := s.block(now, q)
-		if b == Open && (s.ownAhead(q.Priority) >= depth || s.Free() <= 0) {
+		if b == Open && (s.ownAhead(q.Priority) >= depth || s.Free() <= Headroom(true, s.slots, q.Priority)) {
 			b = Busy
 		}
 		if b != Open {
@@ -178,7 +181,7 @@
 	why := Block(NoModel)
 	v.scan(v.decode, func(s *Server) {
 		b := s.block(now, q)
-		if b == Open && s.Free() <= headroom(s, q.Priority) {
+		if b == Open && s.Free() <= Headroom(false, s.slots, q.Priority) {
 			b = NoSlot
 		}
 		if b != Open {
@@ -186,7 +189,7 @@
 			c.consider(s, b, 0, 0)
 			return
 		}
-		score := v.decodeScore(now, s, q, from)
+		score := v.decodeScore(s, q, from)
 		if best == nil || score > bestScore {
 			best, bestScore = s, score
 		}
@@ -194,18 +197,27 @@
 	return best, why
 }
 
-// headroom is the number of slots that requests below the first priority
-// leave free, so that an interactive one finds a slot within its target.
-func headroom(s *Server, priority int) int {
-	if priority == 0 {
+// Headroom is the number of slots that requests below the first priority leave
+// free, so that an interactive one finds a slot within its target. Agents hold
+// to the same rule.
+func Headroom(prefill bool, slots, priority int) int {
+	switch {
+	case priority == 0:
 		return 0
+	case prefill:
+		return slots / 2
 	}
-	return s.slots / headroomPart
+	return slots / decodeHeadroom
 }
 
-const headroomPart = 16
+// decodeHeadroom is the part of the decode slots that is left free.
+const decodeHeadroom = 16
+
+// linkWeight is what one transfer on a link counts in the choice of a decode
+// server, as a share of its slots.
+const linkWeight = 0.1
 
-func (v *View) decodeScore(now time.Time, s *Server, q *Query, from *Server) float64 {
+func (v *View) decodeScore(s *Server, q *Query, from *Server) float64 {
 	score := float64(s.Free()) / float64(max(s.slots, 1))
 	if q.TBT > 0 && s.tokenTime > q.TBT {
 		score -= 1
@@ -213,9 +225,7 @@
 	if s.Zone != v.zone {
 		score -= 0.5
 	}
-	if wait := s.linkFree.Sub(now); wait > 0 {
-		score -= wait.Seconds()
-	}
+	score -= linkWeight * float64(s.transfers())
 	if from != nil && from.Zone != s.Zone {
 		score -= 0.1
 	}
--- a/placement/server.go
+++ b/placement/server.go
@@ -26,6 +26,8 @@
 	Cached []uint64 `cbor:"5,keyasint,omitempty"`
 	// Models are the models that the engine has loaded now.
 	Models []string `cbor:"6,keyasint,omitempty"`
+	// Transfers counts the KV transfers of other entries on the server's link.
+	Transfers int `cbor:"8,keyasint,omitempty"`
 	// NoModels tells that the engine has none, so that it differs from a load
 	// that does not speak of models.
 	NoModels bool `cbor:"7,keyasint,omitempty"`
@@ -64,7 +66,8 @@
 
 	rate      float64 // prefill tokens a second, learnt
 	tokenTime time.Duration
-	linkFree  time.Time
+	moving    int // transfers of this entry on the server's link
+	movingOut int // those of others, as reported
 	cache     *prefixSet
 }
 
--- a/placement/view.go
+++ b/placement/view.go
@@ -96,6 +96,7 @@
 	s.others = l.Others
 	s.slots = l.Slots
 	s.leaving = l.Leaving
+	s.movingOut = l.Transfers
 	s.backlog = [Priorities]int32{}
 	copy(s.backlog[:], l.Backlog)
 	if l.NoModels || len(l.Models) > 0 {
@@ -182,15 +183,14 @@
 // the server is ejected by it.
 func (v *View) Failed(now time.Time, s *Server) bool { return s.health.Fail(now) }
 
-// LinkTaken notes a transfer between two servers that ends at end.
-func (v *View) LinkTaken(from, to *Server, end time.Time) {
-	from.linkFree = later(from.linkFree, end)
-	to.linkFree = later(to.linkFree, end)
+// TransferStarted notes a transfer of this entry between two servers.
+func (v *View) TransferStarted(from, to *Server) {
+	from.moving++
+	to.moving++
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+// TransferEnded notes that it has ended in whatever way.
+func (v *View) TransferEnded(from, to *Server) {
+	from.moving--
+	to.moving--
 }
--- /dev/null
+++ b/policybench/policy.go
@@ -0,0 +1,109 @@
+package policybench
+
+import (
+	"time"
+
+	"github.com/ledgepin/ledgepin/placement"
+	"github.com/ledgepin/ledgepin/router"
+)
+
+// The policies that are compared.
+const (
+	Ours          = "ledgepin"
+	NoReservation = "ledgepin without reservation"
+	RoundRobin    = "round robin"
+	LeastOut      = "least outstanding"
+	SmallestTotal = "smallest total processing time"
+)
+
+// Policies lists all of them.
+func Policies() []string {
+	return []string{Ours, NoReservation, RoundRobin, LeastOut, SmallestTotal}
+}
+
+// policyNamed returns a maker of policies, one for each entry. Wide tells that
+// the policy has no admission, so that engines queue whatever comes.
+func policyNamed(name string) (make func() router.Policy, wide bool) {
+	switch name {
+	case NoReservation:
+		return func() router.Policy {
+			p := router.DefaultPolicy()
+			p.ReserveFirst = false
+			return p
+		}, false
+	case RoundRobin:
+		return func() router.Policy { return baseline(roundRobin()) }, true
+	case LeastOut:
+		return func() router.Policy { return baseline(leastOutstanding) }, true
+	case SmallestTotal:
+		return func() router.Policy { return baseline(smallestTotal) }, true
+	}
+	return router.DefaultPolicy, false
+}
+
+// pick chooses one server of a list.
+type pick func(list []*placement.Server, q placement.Query) *placement.Server
+
+// baseline starts each request at once, at the server that pick chooses, and
+// looks for a decode server only when the prefill is done.
+func baseline(p pick) router.Policy {
+	return router.Policy{
+		Choose: func(v *placement.View, _ time.Time, q placement.Query) placement.Choice {
+			s := p(usable(v.Prefill(), false), q)
+			if s == nil {
+				return placement.Choice{Block: placement.Down}
+			}
+			return placement.Choice{Prefill: s, Work: q.Tokens}
+		},
+		ChooseDecode: func(v *placement.View, _ time.Time, q placement.Query, _ *placement.Server) *placement.Server {
+			return p(usable(v.Decode(), true), q)
+		},
+	}
+}
+
+func usable(list []*placement.Server, slots bool) []*placement.Server {
+	var out []*placement.Server
+	for _, s := range list {
+		if s.Up() && !s.Leaving() && len(s.Loaded()) > 0 && (!slots || s.Free() > 0) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func roundRobin() pick {
+	n := 0
+	return func(list []*placement.Server, _ placement.Query) *placement.Server {
+		if len(list) == 0 {
+			return nil
+		}
+		n++
+		return list[n%len(list)]
+	}
+}
+
+func best(list []*placement.Server, cost func(*placement.Server) float64) *placement.Server {
+	var out *placement.Server
+	for _, s := range list {
+		if out == nil || cost(s) < cost(out) {
+			out = s
+		}
+	}
+	return out
+}
+
+func leastOutstanding(list []*placement.Server, _ placement.Query) *placement.Server {
+	return best(list, func(s *placement.Server) float64 { return float64(s.Outstanding()) })
+}
+
+// smallestTotal is the rule of SWARM parallelism (Ryabinin et al., 2023): give
+// the work to the peer that would be done first, by its queue and its measured
+// speed.
+func smallestTotal(list []*placement.Server, q placement.Query) *placement.Server {
+	return best(list, func(s *placement.Server) float64 {
+		if s.Role == "decode" {
+			return float64(s.Outstanding()+1) * s.TokenTime().Seconds()
+		}
+		return float64(s.QueuedTokens(placement.Priorities-1)+q.Tokens) / s.Rate()
+	})
+}
--- /dev/null
+++ b/policybench/result.go
@@ -0,0 +1,196 @@
+package policybench
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"time"
+
+	"github.com/ledgepin/ledgepin/router"
+)
+
+// ClassResult is what became of one class.
+type ClassResult struct {
+	Name                         string
+	Offered, Met, Refused, Other int
+	TTFT50, TTFT95               time.Duration
+	TBT50, TBT95                 time.Duration
+	// Held is the longest time that an engine held memory for a caller that
+	// was gone.
+	Held time.Duration
+}
+
+// Goodput is the share of requests that met both targets.
+func (c ClassResult) Goodput() float64 { return share(c.Met, c.Offered) }
+
+// Result is what a run measured.
+type Result struct {
+	Case
+	Classes []ClassResult
+	// Goodput is the share of all requests that met both targets, and Bound
+	// what the best possible schedule could have reached; see bound.
+	Goodput, Bound float64
+	// Wasted is the share of prefill work whose result was thrown away.
+	Wasted float64
+	// Causes are the routers' own counts of wasted prefill, in tokens.
+	Causes map[router.Waste]int
+	// Broken lists broken invariants.
+	Broken []string
+}
+
+func share(n, of int) float64 {
+	if of == 0 {
+		return 1
+	}
+	return float64(n) / float64(of)
+}
+
+func (b *bench) result(c Case) Result {
+	out := Result{Case: c, Broken: b.problems}
+	met := 0
+	for i := range c.Mix.Classes {
+		cr := b.classResult(&c.Mix.Classes[i])
+		met += cr.Met
+		out.Classes = append(out.Classes, cr)
+	}
+	out.Goodput = share(met, len(b.list))
+	out.Bound = share(b.bound(c.Length), len(b.list))
+	out.Wasted = b.wasted()
+	out.Causes = map[router.Waste]int{}
+	for _, e := range b.entries {
+		for w, n := range e.core.Stats().WastedTokens {
+			out.Causes[w] += n
+		}
+	}
+	return out
+}
+
+func (b *bench) classResult(class *Class) ClassResult {
+	out := ClassResult{Name: class.Name}
+	var ttft, tbt []time.Duration
+	for _, r := range b.list {
+		if r.class.Name != class.Name {
+			continue
+		}
+		out.Offered++
+		switch {
+		case r.met():
+			out.Met++
+		case r.outcome == "refused":
+			out.Refused++
+		default:
+			out.Other++
+		}
+		if !r.first.IsZero() {
+			ttft = append(ttft, r.first.Sub(start.Add(r.at)))
+			tbt = append(tbt, r.perToken())
+		}
+		if !r.goneAt.IsZero() && !r.freed.IsZero() {
+			out.Held = max(out.Held, r.freed.Sub(r.goneAt))
+		}
+	}
+	out.TTFT50, out.TTFT95 = quantile(ttft, 0.5), quantile(ttft, 0.95)
+	out.TBT50, out.TBT95 = quantile(tbt, 0.5), quantile(tbt, 0.95)
+	return out
+}
+
+func quantile(v []time.Duration, q float64) time.Duration {
+	if len(v) == 0 {
+		return 0
+	}
+	sort.Slice(v, func(i, j int) bool { return v[i] < v[j] })
+	return v[min(int(q*float64(len(v))), len(v)-1)]
+}
+
+// wasted returns the share of the computed prefill tokens whose result never
+// reached a caller as a token, or was computed again later.
+func (b *bench) wasted() float64 {
+	last := map[string]*prefillJob{}
+	for _, j := range b.jobs {
+		if j.useful {
+			last[j.id.Req] = j
+		}
+	}
+	var all, lost float64
+	for _, j := range b.jobs {
+		all += float64(j.done)
+		if last[j.id.Req] != j || j.req.first.IsZero() {
+			lost += float64(j.done)
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return lost / all
+}
+
+// bound returns a number of requests that no schedule could exceed: it lets
+// the cheapest requests share the whole of the prefill capacity, and of the
+// decode capacity, each as if the other did not exist, without any queueing,
+// with a perfect prefix cache. Time that faults took from a server is left out.
+func (b *bench) bound(length time.Duration) int {
+	var prefill, decode float64
+	for _, s := range b.order {
+		// Work that arrives last may be done within its target after the end.
+		seconds := (length + b.slack() - b.lost[s.name]).Seconds()
+		if s.role == "prefill" {
+			prefill += seconds * b.mix.Rate * s.speed
+		} else {
+			decode += seconds * float64(b.mix.Slots) / (tokenBase + tokenSlope).Seconds() * s.speed
+		}
+	}
+	byPrefill := b.fit(prefill, func(r *request) float64 { return float64(r.req.Tokens - r.shared) })
+	byDecode := b.fit(decode, func(r *request) float64 { return float64(r.output) })
+	ends := float64(min(b.mix.Prefill, b.mix.Decode))
+	byLink := b.fit(ends*linkRate*(length+b.slack()).Seconds(), func(r *request) float64 { return float64(r.req.KVBytes) })
+	return min(byPrefill, byDecode, byLink)
+}
+
+// slack is the longest time after the last arrival in which work still counts.
+func (b *bench) slack() time.Duration {
+	var out time.Duration
+	for _, c := range b.mix.Classes {
+		out = max(out, c.TTFT)
+	}
+	return out
+}
+
+// fit counts how many requests fit into a capacity, the cheapest first.
+func (b *bench) fit(capacity float64, cost func(*request) float64) int {
+	costs := make([]float64, len(b.list))
+	for i, r := range b.list {
+		costs[i] = cost(r)
+	}
+	sort.Float64s(costs)
+	for i, c := range costs {
+		if capacity -= c; capacity < 0 {
+			return i
+		}
+	}
+	return len(costs)
+}
+
+// Write prints the result as rows of a table.
+func (r Result) Write(w io.Writer) {
+	faults := "none"
+	if len(r.Faults) > 0 {
+		faults = ""
+		for i, f := range r.Faults {
+			if i > 0 {
+				faults += " + "
+			}
+			faults += f
+		}
+	}
+	fmt.Fprintf(w, "%-8s load %.1f  %-32s %-30s goodput %.3f of bound %.3f  wasted %.4f %v  broken %d\n",
+		r.Mix.Name, r.Load, r.Policy, faults, r.Goodput, r.Bound, r.Wasted, r.Causes, len(r.Broken))
+	for _, c := range r.Classes {
+		fmt.Fprintf(w, "    %-10s goodput %.3f  refused %d of %d  other %d  ttft %s/%s  tbt %s/%s  held after gone %s\n",
+			c.Name, c.Goodput(), c.Refused, c.Offered, c.Other, round(c.TTFT50), round(c.TTFT95), round(c.TBT50), round(c.TBT95), round(c.Held))
+	}
+	for _, p := range r.Broken {
+		fmt.Fprintln(w, "    broken:", p)
+	}
+}
+
+func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
--- /dev/null
+++ b/policybench/server.go
@@ -0,0 +1,281 @@
+package policybench
+
+import (
+	"time"
+
+	"github.com/ledgepin/ledgepin/lease"
+	"github.com/ledgepin/ledgepin/placement"
+	"github.com/ledgepin/ledgepin/router"
+)
+
+// Times of the fakes.
+const (
+	hop         = 500 * time.Microsecond // one way between an entry and an agent
+	reportEvery = time.Second
+	leaseTime   = 2 * time.Second
+	cancelEvery = 500 * time.Millisecond
+	cancelTook  = 5 * time.Millisecond
+	chunkTokens = 512 // prefill work between two looks at the priorities
+	overhead    = 2 * time.Millisecond
+)
+
+// server is a fake backend server with the agent beside it. The agent's
+// decisions are those of the real lease table.
+type server struct {
+	b     *bench
+	name  string
+	role  string
+	speed float64
+	table *lease.Table
+
+	alive   bool // the engine
+	agentUp bool
+	leaving bool
+	stalled bool
+	// transfers counts those on its link; incoming are those to it.
+	transfers int
+	incoming  map[lease.ID]*transfer
+	owners    map[lease.ID]*entry
+	tokens    map[lease.ID]int // prefill work under lease
+	prio      map[lease.ID]int
+
+	// prefill
+	queue   []*prefillJob
+	busy    bool
+	lastEnd time.Time
+	kv      map[lease.ID]*prefillJob
+	cache   map[uint64]int // prefix block to the time of its last use
+	uses    int
+
+	// decode
+	running  []*decodeJob
+	stepping bool
+}
+
+func newServer(b *bench, name, role string, speed float64, slots int) *server {
+	s := &server{b: b, name: name, role: role, speed: speed, alive: true, agentUp: true,
+		table:  lease.New(slots, lease.Options{Time: leaseTime, CancelEvery: cancelEvery}),
+		owners: map[lease.ID]*entry{}, tokens: map[lease.ID]int{}, prio: map[lease.ID]int{},
+		incoming: map[lease.ID]*transfer{}, kv: map[lease.ID]*prefillJob{}, cache: map[uint64]int{}}
+	b.every(100*time.Millisecond, func() { s.effects(s.table.Tick(b.now)) })
+	b.every(reportEvery, s.report)
+	return s
+}
+
+func (s *server) load(to *entry) placement.Load {
+	l := placement.Load{Others: s.table.Used() - s.table.UsedBy(to.name), Slots: s.table.Slots(), Leaving: s.leaving}
+	if s.alive {
+		l.Models = []string{"m"}
+	} else {
+		l.NoModels = true
+	}
+	var backlog [placement.Priorities]int32
+	for id, n := range s.tokens {
+		if s.owners[id] != to {
+			backlog[s.prio[id]] += int32(n)
+		}
+	}
+	l.Backlog = backlog[:]
+	for _, t := range s.b.links.active {
+		if (t.from == s || t.to == s) && t.owner != to {
+			l.Transfers++
+		}
+	}
+	return l
+}
+
+// report sends the load to each entry and renews their leases, as heartbeats
+// on the links do.
+func (s *server) report() {
+	if !s.agentUp {
+		return
+	}
+	for _, e := range s.b.entries {
+		if !e.alive {
+			continue
+		}
+		s.table.Seen(s.b.now, e.name)
+		if s.b.reportsStopped {
+			continue
+		}
+		l := s.load(e)
+		s.b.toEntry(e, func() { e.do(e.core.Report(s.b.now, s.name, l)) })
+	}
+}
+
+func (s *server) reserve(e *entry, r router.Reserve) {
+	if !s.agentUp {
+		return
+	}
+	reason := s.table.Reserve(s.b.now, lease.Ask{
+		ID: r.ID, Owner: e.name, Hold: r.Hold, Spare: placement.Headroom(s.role == "prefill", s.table.Slots(), r.Priority),
+	})
+	if !s.alive {
+		reason = "engine lost"
+	}
+	if reason == lease.None {
+		s.owners[r.ID] = e
+		if r.Tokens > 0 {
+			s.tokens[r.ID], s.prio[r.ID] = r.Tokens, r.Priority
+		}
+	}
+	l := s.load(e)
+	s.b.toEntry(e, func() { e.do(e.core.Reserved(s.b.now, s.name, r.ID, reason == lease.None, string(reason), l)) })
+}
+
+// free gives up whatever an attempt holds here.
+func (s *server) free(id lease.ID) {
+	if !s.agentUp {
+		return
+	}
+	delete(s.kv, id)
+	s.effects(s.table.Cancel(s.b.now, id))
+	s.forget(id)
+}
+
+// forget drops what is known of an attempt that has no lease any more.
+func (s *server) forget(id lease.ID) {
+	if _, ok := s.table.State(id); !ok {
+		delete(s.owners, id)
+		delete(s.tokens, id)
+	}
+}
+
+// effects cancels requests at the engine.
+func (s *server) effects(list []lease.Effect) {
+	for _, eff := range list {
+		s.b.after(cancelTook, func() {
+			if !s.alive || !s.agentUp {
+				return // the table repeats it
+			}
+			s.dropWork(eff.ID)
+			s.table.Finish(eff.ID)
+			s.forget(eff.ID)
+		})
+	}
+}
+
+// dropWork takes a request out of the engine.
+func (s *server) dropWork(id lease.ID) {
+	for i, j := range s.queue {
+		if j.id == id {
+			j.gone = true
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			break
+		}
+	}
+	for i, j := range s.running {
+		if j.id == id {
+			j.gone = true
+			s.running = append(s.running[:i], s.running[i+1:]...)
+			break
+		}
+	}
+	delete(s.kv, id)
+	if t := s.incoming[id]; t != nil {
+		delete(s.incoming, id)
+		s.b.links.stop(t)
+	}
+}
+
+// holds tells whether the engine has memory for a request.
+func (s *server) holds(req string) bool {
+	for _, j := range s.queue {
+		if j.id.Req == req {
+			return true
+		}
+	}
+	for _, j := range s.running {
+		if j.id.Req == req {
+			return true
+		}
+	}
+	for id := range s.kv {
+		if id.Req == req {
+			return true
+		}
+	}
+	for id := range s.incoming {
+		if id.Req == req {
+			return true
+		}
+	}
+	return false
+}
+
+// fail tells an owner that the engine lost its attempt.
+func (s *server) fail(id lease.ID, step, detail string) {
+	e := s.owners[id]
+	s.effects(s.table.Cancel(s.b.now, id))
+	s.forget(id)
+	if e == nil || !s.agentUp {
+		return
+	}
+	s.b.toEntry(e, func() { e.failed(s.name, id, step, detail) })
+}
+
+// kill ends the engine: all that it held is gone.
+func (s *server) kill() {
+	s.alive = false
+	lost := map[lease.ID]string{}
+	for _, j := range s.queue {
+		j.gone = true
+		lost[j.id] = "prefill"
+	}
+	for _, j := range s.running {
+		j.gone = true
+		lost[j.id] = "decode"
+	}
+	for id, t := range s.incoming {
+		lost[id] = "transfer"
+		s.b.links.stop(t)
+	}
+	s.queue, s.running = nil, nil
+	s.incoming = map[lease.ID]*transfer{}
+	s.kv = map[lease.ID]*prefillJob{}
+	s.cache = map[uint64]int{}
+	for _, id := range sortedIDs(lost) {
+		s.fail(id, lost[id], "the engine died")
+	}
+}
+
+func (s *server) restart() { s.alive = true }
+
+// killAgent ends the agent: its links break, and its table is lost.
+func (s *server) killAgent() {
+	s.agentUp = false
+	for _, e := range s.b.entries {
+		s.b.after(hop, func() {
+			if e.alive {
+				e.core.LinkLost(s.name)
+			}
+		})
+		s.b.after(time.Second, func() {
+			if e.alive && !s.agentUp {
+				e.do(e.core.ServerDown(s.b.now, s.name))
+			}
+		})
+	}
+}
+
+// restartAgent brings the agent back with an empty table. What the engine
+// still runs is found and cancelled.
+func (s *server) restartAgent() {
+	s.agentUp = true
+	s.table = lease.New(s.table.Slots(), lease.Options{Time: leaseTime, CancelEvery: cancelEvery})
+	s.owners, s.tokens = map[lease.ID]*entry{}, map[lease.ID]int{}
+	for _, j := range append([]*decodeJob(nil), s.running...) {
+		s.effects(s.table.Adopt(s.b.now, j.id))
+	}
+	for _, j := range append([]*prefillJob(nil), s.queue...) {
+		s.effects(s.table.Adopt(s.b.now, j.id))
+	}
+	for id := range s.incoming {
+		s.effects(s.table.Adopt(s.b.now, id))
+	}
+	s.kv = map[lease.ID]*prefillJob{}
+	for _, e := range s.b.entries {
+		s.b.toEntry(e, func() { e.do(e.core.ServerUp(s.b.now, s.name)) })
+	}
+	s.report()
+}
--- a/router/core.go
+++ b/router/core.go
@@ -66,6 +66,7 @@
 	pos        int
 	lastChunk  time.Time
 	transferAt time.Time
+	moving     bool // a transfer is counted on the links
 }
 
 // id names the present attempt.
--- a/router/progress.go
+++ b/router/progress.go
@@ -120,7 +120,7 @@
 		return
 	}
 	if r.refusals <= maxRefusals {
-		if s, _ := c.view.ChooseDecode(now, r.query(), r.p.server); s != nil {
+		if s := c.opts.Policy.ChooseDecode(c.view, now, r.query(), r.p.server); s != nil {
 			c.note(now, r, decision.Step{Kind: decision.Chosen, Server: s.Name, Detail: "decode slot for the prefill at hand"})
 			c.holdDecode(r, s, holdSpare)
 			c.setDue(r, now.Add(reserveTimeout))
@@ -155,12 +155,25 @@
 	r.phase = importing
 	r.refusals = 0
 	r.transferAt = now
-	took := c.view.Transfer(now, r.p.server, r.d.server, r.kv.Bytes)
-	c.view.LinkTaken(r.p.server, r.d.server, now.Add(took))
+	took := c.view.Transfer(r.p.server, r.d.server, r.kv.Bytes)
+	c.view.TransferStarted(r.p.server, r.d.server)
+	r.moving = true
 	c.note(now, r, decision.Step{Kind: decision.Transfer, Server: r.d.server.Name,
 		Detail: fmt.Sprintf("%d bytes from %s, expected in %s", r.kv.Bytes, r.p.server.Name, took.Round(time.Millisecond))})
 	c.emit(StartDecode{ID: r.id(), Server: r.d.server.Name, KV: r.kv})
-	c.setDue(r, now.Add(took+c.opts.StallAfter))
+	c.setDue(r, now.Add(stallFactor*took+c.opts.StallAfter))
+}
+
+// stallFactor is how many times the expected time a transfer may take: others
+// may join it on the link.
+const stallFactor = 4
+
+// endMove notes that a transfer has ended in whatever way.
+func (c *Core) endMove(r *request) {
+	if r.moving {
+		r.moving = false
+		c.view.TransferEnded(r.p.server, r.d.server)
+	}
 }
 
 // Imported tells that the decode engine has the KV cache, so the prefill
@@ -170,6 +183,7 @@
 	if r == nil || r.phase != importing {
 		return c.take()
 	}
+	c.endMove(r)
 	r.phase = decoding
 	r.lastChunk = now
 	c.note(now, r, decision.Step{Kind: decision.Imported, Server: server, Detail: "in " + now.Sub(r.transferAt).Round(time.Millisecond).String()})
--- a/router/schedule.go
+++ b/router/schedule.go
@@ -100,14 +100,14 @@
 	r.phase = reserving
 	r.work = choice.Work
 	r.p = half{server: choice.Prefill, held: true}
-	r.d = half{server: choice.Decode}
+	r.d = half{}
 	c.view.PrefillSent(r.p.server, r.Priority, r.work)
 	detail := fmt.Sprintf("prefill at %s, first token expected in %s", r.p.server.Name, choice.FirstToken.Round(time.Millisecond))
 	c.note(now, r, decision.Step{Kind: decision.Chosen, Detail: detail, Candidates: choice.Considered})
 	c.emit(Attempt{ID: r.id()})
 	c.emit(c.reservation(r, Prefill, r.p.server, r.work, choice.FirstToken+holdSpare))
-	if r.d.server != nil {
-		c.holdDecode(r, r.d.server, choice.FirstToken+holdSpare)
+	if c.opts.Policy.ReserveFirst {
+		c.holdDecode(r, choice.Decode, choice.FirstToken+holdSpare)
 	}
 	c.setDue(r, now.Add(reserveTimeout))
 }
@@ -145,6 +145,7 @@
 	if !r.d.held {
 		return
 	}
+	c.endMove(r)
 	r.d.held = false
 	c.view.SlotFreed(r.d.server)
 	if tell {
--- a/router/types.go
+++ b/router/types.go
@@ -113,10 +113,14 @@
 // placement.View.Choose; the policy benchmark has others to compare with.
 type Chooser func(v *placement.View, now time.Time, q placement.Query) placement.Choice
 
+// DecodeChooser picks a decode server for a KV cache that is there.
+type DecodeChooser func(v *placement.View, now time.Time, q placement.Query, from *placement.Server) *placement.Server
+
 // Policy turns parts of the decisions off, so that the policy benchmark can
 // measure what each is worth.
 type Policy struct {
-	Choose Chooser
+	Choose       Chooser
+	ChooseDecode DecodeChooser
 	// ReserveFirst holds a decode slot before the prefill starts.
 	ReserveFirst bool
 	// Admit defers and refuses by deadline; without it all start at once.
@@ -126,7 +130,11 @@
 // DefaultPolicy is the one of production.
 func DefaultPolicy() Policy {
 	choose := func(v *placement.View, now time.Time, q placement.Query) placement.Choice { return v.Choose(now, q) }
-	return Policy{Choose: choose, ReserveFirst: true, Admit: true}
+	decode := func(v *placement.View, now time.Time, q placement.Query, from *placement.Server) *placement.Server {
+		s, _ := v.ChooseDecode(now, q, from)
+		return s
+	}
+	return Policy{Choose: choose, ChooseDecode: decode, ReserveFirst: true, Admit: true}
 }
 
 // Options are the limits of one entry.
