--- a/placement/choose.go
+++ b/placement/choose.go
@@ -33,6 +33,8 @@
 // Choice is a pair of servers, or the reason why there is none.
 type Choice struct {
 	Prefill, Decode *Server
+	// PrefillReady is the estimated time from now to the end of the prefill.
+	PrefillReady time.Duration
 	// FirstToken is the estimated time from now to the first token.
 	FirstToken time.Duration
 	// Work is the prefill work in tokens, without the expected cached part.
@@ -78,6 +80,7 @@
 	}
 	c.Prefill, c.Decode = p, d
 	c.Work = q.Tokens - v.cached(p, &q)
+	c.PrefillReady = ready
 	c.FirstToken = ready + v.Transfer(p, d, q.KVBytes) + d.tokenTime
 	return c
 }
@@ -170,6 +173,7 @@
 // ChooseDecode picks a decode server alone, for a KV cache that is there.
 func (v *View) ChooseDecode(now time.Time, q Query, from *Server) (*Server, Block) {
 	var c Choice
+	q.Priority = 0 // it may take the last slot
 	return v.chooseDecode(now, &q, from, &c)
 }
 
--- a/placement/server.go
+++ b/placement/server.go
@@ -88,6 +88,9 @@
 // Free returns the slots that are thought to be free; it may be negative.
 func (s *Server) Free() int { return s.slots - s.others - s.mine }
 
+// Mine counts the slots that this entry holds at the server.
+func (s *Server) Mine() int { return s.mine }
+
 // Outstanding counts the requests that are thought to be at the server.
 func (s *Server) Outstanding() int { return s.others + s.mine }
 
--- a/policybench/bench.go
+++ b/policybench/bench.go
@@ -195,5 +195,10 @@
 		if e.alive && e.core.Open() > 0 {
 			b.broken("%s has %d open requests at the end", e.name, e.core.Open())
 		}
+		for _, s := range b.order {
+			if n := e.core.View().Server(s.name).Mine(); e.alive && n != 0 {
+				b.broken("%s counts %d slots of its own at %s at the end", e.name, n, s.name)
+			}
+		}
 	}
 }
--- a/policybench/server.go
+++ b/policybench/server.go
@@ -27,6 +27,7 @@
 	role  string
 	speed float64
 	table *lease.Table
+	kvs   *lease.Table // results of prefills, under leases of their own
 
 	alive   bool // the engine
 	agentUp bool
@@ -55,9 +56,13 @@
 func newServer(b *bench, name, role string, speed float64, slots int) *server {
 	s := &server{b: b, name: name, role: role, speed: speed, alive: true, agentUp: true,
 		table:  lease.New(slots, lease.Options{Time: leaseTime, CancelEvery: cancelEvery}),
+		kvs:    lease.New(100000, lease.Options{Time: leaseTime, CancelEvery: cancelEvery}),
 		owners: map[lease.ID]*entry{}, tokens: map[lease.ID]int{}, prio: map[lease.ID]int{},
 		incoming: map[lease.ID]*transfer{}, kv: map[lease.ID]*prefillJob{}, cache: map[uint64]int{}}
-	b.every(100*time.Millisecond, func() { s.effects(s.table.Tick(b.now)) })
+	b.every(100*time.Millisecond, func() {
+		s.effects(s.table, s.table.Tick(b.now))
+		s.effects(s.kvs, s.kvs.Tick(b.now))
+	})
 	b.every(reportEvery, s.report)
 	return s
 }
@@ -95,6 +100,7 @@
 			continue
 		}
 		s.table.Seen(s.b.now, e.name)
+		s.kvs.Seen(s.b.now, e.name)
 		if s.b.reportsStopped {
 			continue
 		}
@@ -128,8 +134,8 @@
 	if !s.agentUp {
 		return
 	}
-	delete(s.kv, id)
-	s.effects(s.table.Cancel(s.b.now, id))
+	s.effects(s.table, s.table.Cancel(s.b.now, id))
+	s.effects(s.kvs, s.kvs.Cancel(s.b.now, id))
 	s.forget(id)
 }
 
@@ -142,14 +148,14 @@
 }
 
 // effects cancels requests at the engine.
-func (s *server) effects(list []lease.Effect) {
+func (s *server) effects(t *lease.Table, list []lease.Effect) {
 	for _, eff := range list {
 		s.b.after(cancelTook, func() {
 			if !s.alive || !s.agentUp {
 				return // the table repeats it
 			}
 			s.dropWork(eff.ID)
-			s.table.Finish(eff.ID)
+			t.Finish(eff.ID)
 			s.forget(eff.ID)
 		})
 	}
@@ -206,7 +212,7 @@
 // fail tells an owner that the engine lost its attempt.
 func (s *server) fail(id lease.ID, step, detail string) {
 	e := s.owners[id]
-	s.effects(s.table.Cancel(s.b.now, id))
+	s.effects(s.table, s.table.Cancel(s.b.now, id))
 	s.forget(id)
 	if e == nil || !s.agentUp {
 		return
@@ -263,15 +269,16 @@
 func (s *server) restartAgent() {
 	s.agentUp = true
 	s.table = lease.New(s.table.Slots(), lease.Options{Time: leaseTime, CancelEvery: cancelEvery})
+	s.kvs = lease.New(100000, lease.Options{Time: leaseTime, CancelEvery: cancelEvery})
 	s.owners, s.tokens = map[lease.ID]*entry{}, map[lease.ID]int{}
 	for _, j := range append([]*decodeJob(nil), s.running...) {
-		s.effects(s.table.Adopt(s.b.now, j.id))
+		s.effects(s.table, s.table.Adopt(s.b.now, j.id))
 	}
 	for _, j := range append([]*prefillJob(nil), s.queue...) {
-		s.effects(s.table.Adopt(s.b.now, j.id))
+		s.effects(s.table, s.table.Adopt(s.b.now, j.id))
 	}
 	for id := range s.incoming {
-		s.effects(s.table.Adopt(s.b.now, id))
+		s.effects(s.table, s.table.Adopt(s.b.now, id))
 	}
 	s.kv = map[lease.ID]*prefillJob{}
 	for _, e := range s.b.entries {
--- a/router/core.go
+++ b/router/core.go
@@ -49,6 +49,9 @@
 	phase    phase
 	attempt  uint32
 	p, d     half
+	// lead is when the decode slot of a long prefill is to be reserved; zero if
+	// it is reserved from the start.
+	lead time.Time
 	// work is the prefill work of this attempt in tokens.
 	work    int
 	kv      engine.KV
@@ -63,6 +66,7 @@
 	refusals   int
 	rec        *decision.Record
 	due        time.Time
+	limit      time.Time // when a running prefill counts as stalled
 	pos        int
 	lastChunk  time.Time
 	transferAt time.Time
--- a/router/progress.go
+++ b/router/progress.go
@@ -54,12 +54,17 @@
 	h.refused = true
 	r.refusals++
 	c.note(now, r, decision.Step{Kind: decision.NotGiven, Server: h.server.Name, Detail: reason})
-	if r.phase == seeking {
+	switch r.phase {
+	case seeking:
 		c.freeDecode(r, false)
 		c.seek(now, r)
 		return
-	}
-	if r.phase != reserving {
+	case prefilling:
+		c.freeDecode(r, false)
+		r.d = half{}
+		return
+	case reserving:
+	default:
 		return
 	}
 	c.freePrefill(r, !r.p.refused)
@@ -77,7 +82,29 @@
 	c.stats.PrefillTokens += r.work
 	c.note(now, r, decision.Step{Kind: decision.Prefilling, Server: r.p.server.Name})
 	c.emit(StartPrefill{ID: r.id(), Server: r.p.server.Name})
-	c.setDue(r, now.Add(c.prefillLimit(r)))
+	r.limit = now.Add(c.prefillLimit(r))
+	c.watchPrefill(r)
+}
+
+// watchPrefill sets the moment at which a running prefill is looked at: to
+// reserve its decode slot, or to give it up as stalled.
+func (c *Core) watchPrefill(r *request) {
+	if !r.lead.IsZero() && r.lead.Before(r.limit) {
+		c.setDue(r, r.lead)
+		return
+	}
+	c.setDue(r, r.limit)
+}
+
+// reserveLate reserves the decode slot of a long prefill that is about to end.
+// If there is none now, it is sought when the prefill has ended.
+func (c *Core) reserveLate(now time.Time, r *request) {
+	r.lead = time.Time{}
+	if s := c.opts.Policy.ChooseDecode(c.view, now, r.query(), r.p.server); s != nil {
+		c.note(now, r, decision.Step{Kind: decision.Chosen, Server: s.Name, Detail: "decode slot for the prefill that is about to end"})
+		c.holdDecode(r, s, urgent, holdSpare+reserveLead)
+	}
+	c.watchPrefill(r)
 }
 
 // prefillLimit is the time after which a prefill counts as stalled. Work of a
@@ -103,15 +130,23 @@
 	// The engine is done with the work, though it still holds the result.
 	c.view.PrefillGone(r.p.server, r.Priority, r.work)
 	r.p.held = false
-	if r.d.given {
+	switch {
+	case r.d.given:
 		c.beginTransfer(now, r)
-	} else {
+	case r.d.held: // its reservation is on the way
+		r.phase = seeking
+		c.setDue(r, now.Add(reserveTimeout))
+	default:
 		c.seek(now, r)
 	}
 	c.schedule(now, r.Model)
 	return c.take()
 }
 
+// urgent is the priority at which a slot is reserved for a KV cache that is
+// there, or nearly so: it may take the last slot, because it would be lost.
+const urgent = 0
+
 // seek looks for a decode slot for a KV cache that is there.
 func (c *Core) seek(now time.Time, r *request) {
 	r.phase = seeking
@@ -122,7 +157,7 @@
 	if r.refusals <= maxRefusals {
 		if s := c.opts.Policy.ChooseDecode(c.view, now, r.query(), r.p.server); s != nil {
 			c.note(now, r, decision.Step{Kind: decision.Chosen, Server: s.Name, Detail: "decode slot for the prefill at hand"})
-			c.holdDecode(r, s, holdSpare)
+			c.holdDecode(r, s, urgent, holdSpare)
 			c.setDue(r, now.Add(reserveTimeout))
 			return
 		}
@@ -225,8 +260,8 @@
 	c.note(now, r, decision.Step{Kind: decision.Done, Detail: fmt.Sprintf("%d tokens in %s", r.sofar, now.Sub(r.arrived).Round(time.Millisecond))})
 	c.freeDecode(r, false)
 	c.forget(r)
-	c.schedule(now, r.Model)
 	c.wakeSeekers(now)
+	c.schedule(now, r.Model)
 	return c.take()
 }
 
--- a/router/schedule.go
+++ b/router/schedule.go
@@ -105,27 +105,37 @@
 	detail := fmt.Sprintf("prefill at %s, first token expected in %s", r.p.server.Name, choice.FirstToken.Round(time.Millisecond))
 	c.note(now, r, decision.Step{Kind: decision.Chosen, Detail: detail, Candidates: choice.Considered})
 	c.emit(Attempt{ID: r.id()})
-	c.emit(c.reservation(r, Prefill, r.p.server, r.work, choice.FirstToken+holdSpare))
-	if c.opts.Policy.ReserveFirst {
-		c.holdDecode(r, choice.Decode, choice.FirstToken+holdSpare)
+	c.emit(Reserve{
+		ID: r.id(), Server: r.p.server.Name, Role: Prefill, Model: r.Model, Priority: r.Priority,
+		Tokens: r.work, Hold: choice.FirstToken + holdSpare, Keep: r.Keep,
+	})
+	r.lead = time.Time{}
+	if c.opts.Policy.ReserveFirst && choice.FirstToken < longPrefill {
+		c.holdDecode(r, choice.Decode, r.Priority, choice.FirstToken+holdSpare)
+	} else if c.opts.Policy.ReserveFirst {
+		r.lead = now.Add(choice.PrefillReady - reserveLead)
 	}
 	c.setDue(r, now.Add(reserveTimeout))
 }
 
+const (
+	// longPrefill is the time to the first token from which on the decode slot
+	// is reserved only shortly before the prefill ends: a slot that is held
+	// through a long prefill is lost to others.
+	longPrefill = 600 * time.Millisecond
+	// reserveLead is how long before the expected end it is then reserved.
+	reserveLead = 300 * time.Millisecond
+)
+
 // reserveTimeout is how long an agent may take to answer a reservation.
 const reserveTimeout = 500 * time.Millisecond
 
-func (c *Core) holdDecode(r *request, s *placement.Server, hold time.Duration) {
+// holdDecode reserves a decode slot. The priority decides how many slots must
+// stay free for others.
+func (c *Core) holdDecode(r *request, s *placement.Server, priority int, hold time.Duration) {
 	r.d = half{server: s, held: true}
 	c.view.SlotTaken(s)
-	c.emit(c.reservation(r, Decode, s, 0, hold))
-}
-
-func (c *Core) reservation(r *request, role Role, s *placement.Server, tokens int, hold time.Duration) Reserve {
-	return Reserve{
-		ID: r.id(), Server: s.Name, Role: role, Model: r.Model, Priority: r.Priority,
-		Tokens: tokens, Hold: hold, Keep: r.Keep,
-	}
+	c.emit(Reserve{ID: r.id(), Server: s.Name, Role: Decode, Model: r.Model, Priority: priority, Hold: hold, Keep: r.Keep})
 }
 
 // freePrefill gives up the prefill half. If tell is set, the agent is told.
--- a/router/tick.go
+++ b/router/tick.go
@@ -65,6 +65,10 @@
 	case seeking:
 		c.failed(now, r, r.d.server.Name, fault.StepReserve, "no answer to the reservation", true)
 	case prefilling:
+		if !r.lead.IsZero() && now.Before(r.limit) {
+			c.reserveLate(now, r)
+			return
+		}
 		c.failed(now, r, r.p.server.Name, fault.StepPrefill, "the prefill stalled", true)
 	case importing:
 		c.failed(now, r, r.d.server.Name, fault.StepTransfer, "the transfer stalled", true)
