--- a/admission/queue.go
+++ b/admission/queue.go
@@ -151,7 +151,7 @@
 // any more: need is the shortest time from now to the first token.
 func (q *Queue) Due(priority int, now time.Time, need func(*Item) time.Duration) []*Item {
 	var out []*Item
-	for _, c := range q.levels[priority].customers {
+	for _, c := range q.levels[priority].order {
 		out = append(out, c.items.late(now, need)...)
 	}
 	for _, it := range out {
--- a/lease/table.go
+++ b/lease/table.go
@@ -1,7 +1,9 @@
 package lease
 
 import (
+	"cmp"
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -302,6 +304,9 @@
 			}
 		}
 	}
+	slices.SortFunc(out, func(a, b Effect) int {
+		return cmp.Or(cmp.Compare(a.ID.Req, b.ID.Req), cmp.Compare(a.ID.Attempt, b.ID.Attempt))
+	})
 	return out
 }
 
--- /dev/null
+++ b/policybench/bounds_test.go
@@ -0,0 +1,110 @@
+package policybench
+
+import (
+	"bytes"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/strict"
+)
+
+// bounds is the file of the bounds.
+type bounds struct {
+	Runs []bound `yaml:"runs"`
+}
+
+// bound is what one run must reach.
+type bound struct {
+	Mix    string   `yaml:"mix"`
+	Load   float64  `yaml:"load"`
+	Faults []string `yaml:"faults"`
+	// OfBound is the least goodput as a share of the best possible one.
+	OfBound float64 `yaml:"of_bound"`
+	// OverBaseline is the least goodput as a multiple of the best baseline; the
+	// baselines are only run if it is given.
+	OverBaseline float64 `yaml:"over_baseline"`
+	// Wasted is the most prefill work that may be thrown away, as a share.
+	Wasted float64 `yaml:"wasted"`
+	// Interactive is the least goodput of the interactive classes.
+	Interactive float64 `yaml:"interactive"`
+	// Held is the longest time that memory may be held for a caller that is
+	// gone.
+	Held strict.Duration `yaml:"held"`
+}
+
+const boundLength = time.Minute
+
+func mixNamed(name string) Mix {
+	if name == "azienda" {
+		return Azienda()
+	}
+	return Dunaj()
+}
+
+func TestBounds(t *testing.T) {
+	data, err := os.ReadFile("testdata/bounds.yaml")
+	assert.NilError(t, err)
+	var file bounds
+	assert.NilError(t, strict.Decode("bounds.yaml", data, &file))
+	assert.Assert(t, len(file.Runs) > 20)
+	for _, b := range file.Runs {
+		t.Run(b.Mix, func(t *testing.T) {
+			t.Parallel()
+			c := Case{Mix: mixNamed(b.Mix), Load: b.Load, Policy: Ours, Faults: b.Faults, Seed: 1, Length: boundLength}
+			r := Run(c)
+			var table bytes.Buffer
+			r.Write(&table)
+			t.Log("\n" + table.String())
+			assert.Equal(t, len(r.Broken), 0, "%v", r.Broken)
+			assert.Assert(t, r.Goodput >= b.OfBound*r.Bound, "goodput %.3f of %.3f, want %.2f", r.Goodput, r.Bound, b.OfBound)
+			assert.Assert(t, r.Wasted <= b.Wasted, "wasted %.4f, want at most %.4f", r.Wasted, b.Wasted)
+			for i, cl := range r.Classes {
+				assert.Assert(t, !c.Mix.Classes[i].Interactive || cl.Goodput() >= b.Interactive, "%s %.3f", cl.Name, cl.Goodput())
+				assert.Assert(t, cl.Held <= b.Held.D(), "%s held %s", cl.Name, cl.Held)
+			}
+			if b.OverBaseline > 0 {
+				best := bestBaseline(c)
+				assert.Assert(t, r.Goodput >= b.OverBaseline*best, "goodput %.3f, best baseline %.3f", r.Goodput, best)
+			}
+		})
+	}
+}
+
+func bestBaseline(c Case) float64 {
+	best := 0.0
+	for _, p := range []string{RoundRobin, LeastOut, SmallestTotal} {
+		c.Policy = p
+		best = max(best, Run(c).Goodput)
+	}
+	return best
+}
+
+// TestSameFigures runs a case twice: nothing but the seed may decide it.
+func TestSameFigures(t *testing.T) {
+	c := Case{Mix: Azienda(), Load: 1.2, Policy: Ours, Faults: []string{DecodeDies, EntryDies}, Seed: 7, Length: 20 * time.Second}
+	var a, b bytes.Buffer
+	Run(c).Write(&a)
+	Run(c).Write(&b)
+	assert.Equal(t, a.String(), b.String())
+}
+
+// TestFaultsHit checks that each fault changes the run, so that a bound under
+// a fault can't hold because nothing happened.
+func TestFaultsHit(t *testing.T) {
+	run := func(faults ...string) string {
+		var out bytes.Buffer
+		r := Run(Case{Mix: Azienda(), Load: 1.0, Policy: Ours, Faults: faults, Seed: 3, Length: 20 * time.Second})
+		r.Faults = nil
+		r.Write(&out)
+		return out.String()
+	}
+	clean := run()
+	for _, f := range Faults() {
+		assert.Assert(t, run(f) != clean, "%s had no effect", f)
+	}
+	assert.Assert(t, slices.Contains(Faults(), DecodeDies))
+}
--- a/policybench/entry.go
+++ b/policybench/entry.go
@@ -44,8 +44,10 @@
 	ran     bool
 	outcome string
 	count   int
-	goneAt  time.Time
-	freed   time.Time
+	// cut tells that a fault ended the caller's connection.
+	cut    bool
+	goneAt time.Time
+	freed  time.Time
 }
 
 // do carries out effects.
--- a/policybench/fault.go
+++ b/policybench/fault.go
@@ -93,6 +93,7 @@
 	for _, r := range b.list {
 		if r.entry == e && r.outcome == "" {
 			b.end(r, "cut")
+			r.cut = true
 			r.goneAt = b.now
 			b.watch(r)
 		}
@@ -105,6 +106,7 @@
 		if r.entry != nil && r.outcome == "" {
 			if n++; n%2 == 0 {
 				b.leave(r)
+				r.cut = true
 			}
 		}
 	}
--- a/policybench/server.go
+++ b/policybench/server.go
@@ -1,6 +1,7 @@
 package policybench
 
 import (
+	"container/list"
 	"time"
 
 	"github.com/ledgepin/ledgepin/lease"
@@ -45,8 +46,8 @@
 	busy    bool
 	lastEnd time.Time
 	kv      map[lease.ID]*prefillJob
-	cache   map[uint64]int // prefix block to the time of its last use
-	uses    int
+	cache   map[uint64]*list.Element // prefix blocks
+	lru     *list.List               // the same, the last used first
 
 	// decode
 	running  []*decodeJob
@@ -58,7 +59,7 @@
 		table:  lease.New(slots, lease.Options{Time: leaseTime, CancelEvery: cancelEvery}),
 		kvs:    lease.New(100000, lease.Options{Time: leaseTime, CancelEvery: cancelEvery}),
 		owners: map[lease.ID]*entry{}, tokens: map[lease.ID]int{}, prio: map[lease.ID]int{},
-		incoming: map[lease.ID]*transfer{}, kv: map[lease.ID]*prefillJob{}, cache: map[uint64]int{}}
+		incoming: map[lease.ID]*transfer{}, kv: map[lease.ID]*prefillJob{}, cache: map[uint64]*list.Element{}, lru: list.New()}
 	b.every(100*time.Millisecond, func() {
 		s.effects(s.table, s.table.Tick(b.now))
 		s.effects(s.kvs, s.kvs.Tick(b.now))
@@ -239,7 +240,7 @@
 	s.queue, s.running = nil, nil
 	s.incoming = map[lease.ID]*transfer{}
 	s.kv = map[lease.ID]*prefillJob{}
-	s.cache = map[uint64]int{}
+	s.cache, s.lru = map[uint64]*list.Element{}, list.New()
 	for _, id := range sortedIDs(lost) {
 		s.fail(id, lost[id], "the engine died")
 	}
@@ -277,7 +278,11 @@
 	for _, j := range append([]*prefillJob(nil), s.queue...) {
 		s.effects(s.table, s.table.Adopt(s.b.now, j.id))
 	}
+	moving := map[lease.ID]string{}
 	for id := range s.incoming {
+		moving[id] = ""
+	}
+	for _, id := range sortedIDs(moving) {
 		s.effects(s.table, s.table.Adopt(s.b.now, id))
 	}
 	s.kv = map[lease.ID]*prefillJob{}
--- a/router/progress.go
+++ b/router/progress.go
@@ -1,7 +1,10 @@
 package router
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/ledgepin/ledgepin/decision"
@@ -267,12 +270,16 @@
 
 // wakeSeekers lets requests with a KV cache look for a decode slot again.
 func (c *Core) wakeSeekers(now time.Time) {
-	for _, id := range sortedKeys(c.seekers) {
-		r := c.seekers[id]
-		if r == nil {
-			continue
+	if len(c.seekers) == 0 {
+		return
+	}
+	list := slices.SortedFunc(maps.Values(c.seekers), func(a, b *request) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.deadline.Compare(b.deadline), cmp.Compare(a.ID, b.ID))
+	})
+	for _, r := range list {
+		if c.seekers[r.ID] == r {
+			delete(c.seekers, r.ID)
+			c.seek(now, r)
 		}
-		delete(c.seekers, id)
-		c.seek(now, r)
 	}
 }
