--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,201 @@
+package claim_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/ledgepin/ledgepin/claim"
+)
+
+var (
+	start    = time.Unix(1000, 0)
+	lifetime = time.Hour
+	members  = []string{"a", "b", "c"}
+)
+
+// group is a claim group whose messages the test carries.
+type group struct {
+	voters map[string]*claim.Voter
+	starts uint64
+}
+
+func newGroup(names []string) *group {
+	g := &group{voters: map[string]*claim.Voter{}}
+	for _, m := range names {
+		g.restart(start, m, names)
+		g.voters[m].Found()
+	}
+	return g
+}
+
+// restart brings a voter back with empty memory.
+func (g *group) restart(now time.Time, name string, names []string) {
+	g.starts++
+	g.voters[name] = claim.NewVoter(now, name, g.starts, names, lifetime)
+}
+
+// copyAll lets a cold voter copy from the others that answer.
+func (g *group) copyAll(now time.Time, name string, from []string) {
+	for _, m := range from {
+		ask := g.voters[name].Copy()
+		if ask == nil || m == name {
+			continue
+		}
+		g.voters[name].Copied(now, g.voters[m].CopyFor(now, *ask))
+	}
+}
+
+func ask(attempt string) claim.Ask {
+	return claim.Ask{Key: "k", Attempt: attempt, Body: 1, Lifetime: lifetime}
+}
+
+// propose asks the named voters and returns the verdict once all have answered.
+func (g *group) propose(now time.Time, a claim.Ask, voters ...string) (*claim.Proposer, claim.Verdict) {
+	p := claim.NewProposer(a.Attempt, len(g.voters))
+	for _, v := range voters {
+		p.Vote(g.voters[v].Ask(now, a))
+	}
+	return p, p.Close()
+}
+
+func TestVerdicts(t *testing.T) {
+	other := ask("2")
+	other.Body = 2
+	answer := &claim.Answer{Status: 200, Body: []byte("seat 7")}
+	for _, c := range []struct {
+		name   string
+		before func(*group)
+		ask    claim.Ask
+		reach  []string
+		want   claim.Verdict
+	}{
+		{"first", func(*group) {}, ask("1"), members, claim.Won},
+		{"one voter away", func(*group) {}, ask("1"), []string{"a", "b"}, claim.Won},
+		{"two voters away", func(*group) {}, ask("1"), []string{"a"}, claim.Unreached},
+		{"second attempt", func(g *group) { g.propose(start, ask("1"), members...) }, ask("2"), members, claim.Taken},
+		{"second attempt, split reach", func(g *group) { g.propose(start, ask("1"), "a", "b") }, ask("2"), []string{"b", "c"}, claim.Taken},
+		{"other body", func(g *group) { g.propose(start, ask("1"), members...) }, other, members, claim.Misused},
+		{"answered", func(g *group) {
+			g.propose(start, ask("1"), members...)
+			g.voters["a"].Record(claim.Record{Key: "k", Attempt: "1", Answer: answer})
+		}, ask("2"), members, claim.Answered},
+		{"split vote", func(g *group) {
+			g.voters["a"].Ask(start, ask("1"))
+			g.voters["b"].Ask(start, ask("2"))
+		}, ask("3"), members, claim.Lost},
+		{"given up", func(g *group) {
+			g.propose(start, ask("1"), "a")
+			g.voters["a"].Record(claim.Record{Key: "k", Attempt: "1"})
+		}, ask("2"), []string{"a", "b"}, claim.Won},
+		{"one cold", func(g *group) { g.restart(start, "c", members) }, ask("1"), members, claim.Won},
+		{"two cold", func(g *group) { g.restart(start, "b", members); g.restart(start, "c", members) }, ask("1"), members, claim.Unreached},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGroup(members)
+			c.before(g)
+			p, v := g.propose(start, c.ask, c.reach...)
+			assert.Equal(t, v, c.want, "%s", v)
+			if c.want == claim.Answered {
+				assert.Equal(t, string(p.Answer().Body), "seat 7")
+			}
+		})
+	}
+}
+
+func TestGivenUpAttemptNeverWins(t *testing.T) {
+	g := newGroup(members)
+	g.voters["a"].Ask(start, ask("1"))
+	g.voters["a"].Record(claim.Record{Key: "k", Attempt: "1"})
+	assert.Assert(t, !g.voters["a"].Ask(start, ask("1")).OK)
+}
+
+func TestTwoEmptyVotersWaitOutTheLifetime(t *testing.T) {
+	g := newGroup(members)
+	g.propose(start, ask("1"), "a", "b")
+	g.restart(start, "a", members)
+	g.restart(start, "b", members)
+	g.copyAll(start, "a", members)
+	g.copyAll(start, "b", members)
+	_, v := g.propose(start.Add(lifetime-time.Second), ask("2"), members...)
+	assert.Assert(t, v != claim.Won)
+	_, v = g.propose(start.Add(lifetime), ask("3"), members...)
+	assert.Equal(t, v, claim.Won, "%s", v)
+}
+
+// inflight is a vote that is still on its way.
+type inflight struct {
+	vote claim.Vote
+	to   int
+}
+
+// TestAtMostOneWins runs attempts for one key against voters that restart, lose
+// their memory and recover, with asks and votes late, lost and out of order. No
+// two attempts may win.
+func TestAtMostOneWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := members
+		if rapid.Bool().Draw(t, "five") {
+			names = []string{"a", "b", "c", "d", "e"}
+		}
+		g := newGroup(names)
+		attempts := rapid.IntRange(2, 4).Draw(t, "attempts")
+		proposers := make([]*claim.Proposer, attempts)
+		given := make([]bool, attempts)
+		for i := range attempts {
+			proposers[i] = claim.NewProposer(fmt.Sprint(i), len(names))
+		}
+		var way []inflight
+		won := map[int]bool{}
+		judge := func(i int, v claim.Verdict) {
+			if v == claim.Won {
+				won[i] = true
+			}
+			if len(won) > 1 {
+				t.Fatalf("attempts %v all won", won)
+			}
+		}
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, attempts-1).Draw(t, "attempt")
+			name := rapid.SampledFrom(names).Draw(t, "voter")
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0, 1, 2:
+				way = append(way, inflight{g.voters[name].Ask(start, ask(fmt.Sprint(i))), i})
+			case 3, 4:
+				if len(way) == 0 {
+					continue
+				}
+				k := rapid.IntRange(0, len(way)-1).Draw(t, "vote")
+				if !given[way[k].to] {
+					judge(way[k].to, proposers[way[k].to].Vote(way[k].vote))
+				}
+			case 5:
+				// Only the loss of memory of a minority may go on at one time.
+				cold := 0
+				for _, v := range g.voters {
+					if !v.Warm() {
+						cold++
+					}
+				}
+				if cold == 0 {
+					g.restart(start, name, names)
+				}
+				for n := range g.voters {
+					g.copyAll(start, n, rapid.Permutation(names).Draw(t, "order")[:rapid.IntRange(0, len(names)).Draw(t, "answers")])
+				}
+			case 6:
+				if !won[i] && !given[i] {
+					v := proposers[i].Close()
+					judge(i, v)
+					if v != claim.Won {
+						given[i] = true
+						g.voters[name].Record(claim.Record{Key: "k", Attempt: fmt.Sprint(i)})
+					}
+				}
+			}
+		}
+	})
+}
--- a/claim/proposer.go
+++ b/claim/proposer.go
@@ -95,8 +95,8 @@
 	if granted >= majority(p.size) {
 		return Won
 	}
-	if granted+unknown >= majority(p.size) && !last {
-		return Waiting
+	if len(p.votes) < p.size && !last {
+		return Waiting // a later vote may show that nobody has won
 	}
 	return p.lost(holders, unknown)
 }
--- /dev/null
+++ b/lease/table_test.go
@@ -0,0 +1,164 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/ledgepin/ledgepin/lease"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	opts  = lease.Options{Time: 2 * time.Second, CancelEvery: 500 * time.Millisecond}
+)
+
+func ask(req, owner string) lease.Ask {
+	return lease.Ask{ID: lease.ID{Req: req, Attempt: 1}, Owner: owner, Hold: time.Second}
+}
+
+func id(req string) lease.ID { return lease.ID{Req: req, Attempt: 1} }
+
+func TestReserve(t *testing.T) {
+	leaving := func(tb *lease.Table) { tb.SetLeaving(true) }
+	recovering := func(tb *lease.Table) { tb.SetRecovering(true) }
+	taken := func(tb *lease.Table) { tb.Reserve(start, ask("a", "e")) }
+	full := func(tb *lease.Table) { taken(tb); tb.Reserve(start, ask("b", "e")) }
+	for _, c := range []struct {
+		name   string
+		before func(*lease.Table)
+		ask    lease.Ask
+		want   lease.Reason
+	}{
+		{"free", func(*lease.Table) {}, ask("a", "e"), lease.None},
+		{"full", full, ask("c", "e"), lease.Full},
+		{"twice", taken, ask("a", "e"), lease.Duplicate},
+		{"leaving", leaving, ask("a", "e"), lease.Leaving},
+		{"recovering", recovering, ask("a", "e"), lease.Recovery},
+		{"spare kept", taken, lease.Ask{ID: id("b"), Owner: "e", Hold: time.Second, Spare: 1}, lease.Full},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tb := lease.New(2, opts)
+			c.before(tb)
+			assert.Equal(t, tb.Reserve(start, c.ask), c.want)
+		})
+	}
+}
+
+func TestHoldRunsOut(t *testing.T) {
+	tb := lease.New(1, opts)
+	tb.Reserve(start, ask("a", "e"))
+	assert.Equal(t, len(tb.Tick(start.Add(time.Second))), 0)
+	assert.Equal(t, tb.Used(), 0)
+	assert.Assert(t, !tb.Start(id("a")))
+}
+
+func TestCancelIsRepeatedUntilConfirmed(t *testing.T) {
+	tb := lease.New(1, opts)
+	tb.Reserve(start, ask("a", "e"))
+	tb.Start(id("a"))
+	assert.DeepEqual(t, tb.Cancel(start, id("a")), []lease.Effect{{ID: id("a"), Try: 1}})
+	assert.Equal(t, len(tb.Tick(start.Add(400*time.Millisecond))), 0)
+	assert.DeepEqual(t, tb.Tick(start.Add(500*time.Millisecond)), []lease.Effect{{ID: id("a"), Try: 2}})
+	assert.Equal(t, tb.Reserve(start, ask("b", "e")), lease.Full, "the slot is in use until the engine confirms")
+	tb.Finish(id("a"))
+	assert.Equal(t, tb.Reserve(start, ask("b", "e")), lease.None)
+}
+
+func TestSilentOwner(t *testing.T) {
+	tb := lease.New(4, opts)
+	keep := ask("k", "dead")
+	keep.Keep = true
+	for _, a := range []lease.Ask{ask("a", "dead"), ask("b", "alive"), keep} {
+		tb.Reserve(start, a)
+		tb.Start(a.ID)
+	}
+	now := start.Add(3 * time.Second)
+	tb.Seen(now, "alive")
+	assert.DeepEqual(t, tb.Tick(now), []lease.Effect{{ID: id("a"), Try: 1}})
+}
+
+func TestAdoptAndClaim(t *testing.T) {
+	tb := lease.New(4, opts)
+	assert.Assert(t, tb.Claim(start, id("known"), "e", false))
+	assert.Equal(t, len(tb.Adopt(start, id("known"))), 0)
+	assert.DeepEqual(t, tb.Adopt(start, id("orphan")), []lease.Effect{{ID: id("orphan"), Try: 1}})
+}
+
+// TestNothingStaysHeld runs random work, losses and silences, and checks that
+// the slots are never over-used and that all are free some time after every
+// owner has gone, whatever the engine confirmed late.
+func TestNothingStaysHeld(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		tb := lease.New(slots, opts)
+		now := start
+		engine := map[lease.ID]bool{} // what the engine runs
+		carry := func(list []lease.Effect, works bool) {
+			for _, e := range list {
+				if works {
+					delete(engine, e.ID)
+					tb.Finish(e.ID)
+				}
+			}
+		}
+		n := rapid.IntRange(1, 60).Draw(t, "steps")
+		for i := range n {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+			req := lease.ID{Req: fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "req")), Attempt: uint32(rapid.IntRange(1, 2).Draw(t, "attempt"))}
+			owner := rapid.SampledFrom([]string{"e1", "e2"}).Draw(t, "owner")
+			works := rapid.Bool().Draw(t, "engine answers")
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				tb.Reserve(now, lease.Ask{ID: req, Owner: owner, Hold: time.Second})
+			case 1:
+				if tb.Start(req) {
+					engine[req] = true
+				}
+			case 2:
+				carry(tb.Cancel(now, req), works)
+			case 3:
+				tb.Seen(now, owner)
+			case 4:
+				carry(tb.Tick(now), works)
+			case 5:
+				if engine[req] { // the engine is done by itself
+					delete(engine, req)
+					tb.Finish(req)
+				}
+			}
+			if tb.Used() > slots {
+				t.Fatalf("step %d: %d leases on %d slots", i, tb.Used(), slots)
+			}
+			if len(engine) > tb.Used() {
+				t.Fatalf("step %d: the engine runs %d, the table knows %d", i, len(engine), tb.Used())
+			}
+		}
+		for range 10 {
+			now = now.Add(time.Second)
+			carry(tb.Tick(now), true)
+		}
+		if tb.Used() != 0 || len(engine) != 0 {
+			t.Fatalf("%d leases and %d requests are left", tb.Used(), len(engine))
+		}
+	})
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			tb := lease.New(n, opts)
+			for i := range n {
+				tb.Reserve(start, ask(fmt.Sprint(i), fmt.Sprint(i%40)))
+				tb.Start(id(fmt.Sprint(i)))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				tb.Tick(start)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/stream/stream_test.go
@@ -0,0 +1,85 @@
+package stream_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/ledgepin/ledgepin/stream"
+)
+
+func TestOldAttemptsAreDropped(t *testing.T) {
+	var a stream.Assembler
+	a.Attempt(1)
+	_, err := a.Accept(1, stream.Part{Index: 0, Text: "a"})
+	assert.NilError(t, err)
+	assert.Equal(t, a.Attempt(2), 1)
+	got, err := a.Accept(1, stream.Part{Index: 1, Text: "old"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(got), 0)
+	got, err = a.Accept(2, stream.Part{Index: 1, Text: "b"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, a.Text(), "ab")
+	assert.Equal(t, a.Dropped(), 1)
+}
+
+func TestGapIsBounded(t *testing.T) {
+	var a stream.Assembler
+	a.Attempt(1)
+	var err error
+	for i := 1; i <= stream.MaxEarly+1 && err == nil; i++ {
+		_, err = a.Accept(1, stream.Part{Index: i})
+	}
+	assert.ErrorIs(t, err, stream.ErrGap)
+}
+
+// TestWholeAnswerOnce sends the chunks of several attempts late, twice and out
+// of order. The caller must get each token once and in order.
+func TestWholeAnswerOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		words := rapid.SliceOfN(rapid.StringMatching("[a-z]{1,3}"), 1, 20).Draw(t, "words")
+		var a stream.Assembler
+		var got strings.Builder
+		ends := 0
+		take := func(attempt uint32, p stream.Part) {
+			parts, err := a.Accept(attempt, p)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, p := range parts {
+				got.WriteString(p.Text)
+				if p.Finish != "" {
+					ends++
+				}
+			}
+		}
+		part := func(i int) stream.Part {
+			if i == len(words) {
+				return stream.Part{Index: i, Finish: "stop"}
+			}
+			return stream.Part{Index: i, Text: words[i]}
+		}
+		last := uint32(rapid.IntRange(1, 3).Draw(t, "attempts"))
+		for n := uint32(1); n <= last; n++ {
+			from := a.Attempt(n)
+			for _, i := range rapid.SliceOf(rapid.IntRange(0, len(words))).Draw(t, "order") {
+				// Chunks of any earlier attempt may still come, with other words.
+				if old := uint32(rapid.IntRange(0, int(n)).Draw(t, "from attempt")); old != n {
+					take(old, stream.Part{Index: i, Text: "WRONG"})
+				} else if i >= from {
+					take(n, part(i))
+				}
+			}
+		}
+		for i := range len(words) + 1 {
+			take(last, part(i))
+			take(last, part(i))
+		}
+		if got.String() != strings.Join(words, "") || ends != 1 || a.Text() != got.String() {
+			t.Fatalf("got %q with %d ends, want %q", got.String(), ends, strings.Join(words, ""))
+		}
+	})
+}
