--- /dev/null
+++ b/consensus/cluster_test.go
@@ -0,0 +1,315 @@
+package consensus_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/ledgepin/ledgepin/consensus"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	cfg   = consensus.Config{HeartbeatEvery: 50 * time.Millisecond, ElectionMin: 300 * time.Millisecond, ElectionMax: 600 * time.Millisecond, Drift: 0.05}
+)
+
+// disk is what a replica has synced.
+type disk struct {
+	hard    consensus.Hard
+	snap    consensus.Snapshot
+	entries []consensus.Entry
+}
+
+func (d *disk) restored() consensus.Restored {
+	return consensus.Restored{Hard: d.hard, Snapshot: d.snap, Entries: slices.Clone(d.entries)}
+}
+
+// sync writes what a Ready asks for.
+func (d *disk) sync(r consensus.Ready) {
+	if r.Snapshot != nil {
+		d.install(*r.Snapshot)
+	}
+	if r.Hard != nil {
+		d.hard = *r.Hard
+	}
+	for _, e := range r.Entries {
+		if e.Index > d.snap.Index {
+			d.entries = append(d.entries[:e.Index-d.snap.Index-1], e)
+		}
+	}
+}
+
+func (d *disk) install(s consensus.Snapshot) {
+	var rest []consensus.Entry
+	if last := d.snap.Index + uint64(len(d.entries)); s.Index < last && s.Index >= d.snap.Index {
+		rest = slices.Clone(d.entries[s.Index-d.snap.Index:])
+	}
+	d.snap, d.entries = s, rest
+}
+
+// replica is a node with its disk and the commands that it has applied.
+type replica struct {
+	id      string
+	node    *consensus.Node // nil while it is down
+	disk    disk
+	applied []string
+	drift   float64
+	// crashAt is the sync point at which it goes down next; empty if none.
+	crashAt string
+}
+
+// cluster carries packets between replicas, with delays, losses and cuts.
+type cluster struct {
+	t        fataler
+	rng      *rand.Rand
+	now      time.Duration
+	replicas map[string]*replica
+	order    []string
+	way      []flight
+	cut      map[[2]string]bool
+	loss     float64
+	// accepted are the commands that a leader has reported as committed.
+	accepted map[string]bool
+	history  []string // the applied commands by index, as first seen
+	leadTerm map[uint64]string
+	proposed int
+}
+
+type fataler interface {
+	Fatalf(format string, args ...any)
+}
+
+type flight struct {
+	at time.Duration
+	p  consensus.Packet
+}
+
+func newCluster(t fataler, seed uint64, voters ...string) *cluster {
+	c := &cluster{
+		t: t, rng: rand.New(rand.NewPCG(seed, 5)), replicas: map[string]*replica{}, cut: map[[2]string]bool{},
+		accepted: map[string]bool{}, leadTerm: map[uint64]string{},
+	}
+	boot := consensus.Bootstrap(consensus.Members{Voters: voters})
+	for _, id := range voters {
+		c.add(id, disk{hard: boot.Hard, snap: boot.Snapshot})
+	}
+	return c
+}
+
+func (c *cluster) add(id string, d disk) {
+	// Clocks differ by at most the stated bound.
+	r := &replica{id: id, disk: d, drift: 1 + cfg.Drift/2*(2*c.rng.Float64()-1)}
+	c.replicas[id] = r
+	c.order = append(c.order, id)
+	c.boot(r)
+}
+
+// boot starts a replica from its disk.
+func (c *cluster) boot(r *replica) {
+	conf := cfg
+	conf.ID = r.id
+	r.applied = decodeState(r.disk.snap.Data)
+	r.node = consensus.New(conf, r.disk.restored(), r.disk.snap.Members, c.clock(r), rand.New(rand.NewPCG(c.rng.Uint64(), 2)))
+	c.flush(r)
+}
+
+// clock is the time as a replica sees it.
+func (c *cluster) clock(r *replica) time.Time {
+	return start.Add(time.Duration(float64(c.now) * r.drift))
+}
+
+func (c *cluster) crash(id string) {
+	if r := c.replicas[id]; r != nil {
+		r.node = nil
+	}
+}
+
+// flush does what the node asks for; a crash point ends it in between.
+func (c *cluster) flush(r *replica) {
+	for r.node != nil {
+		ready := r.node.Take()
+		if ready.Empty() {
+			return
+		}
+		if r.crashAt == "before sync" {
+			r.crashAt, r.node = "", nil
+			return
+		}
+		r.disk.sync(ready)
+		if ready.Snapshot != nil {
+			r.applied = decodeState(ready.Snapshot.Data)
+		}
+		if r.crashAt == "after sync" {
+			r.crashAt, r.node = "", nil
+			return
+		}
+		for _, p := range ready.Packets {
+			c.post(p)
+		}
+		if r.crashAt == "before apply" {
+			r.crashAt, r.node = "", nil
+			return
+		}
+		c.apply(r, ready.Committed)
+	}
+}
+
+func (c *cluster) post(p consensus.Packet) {
+	copies := 1
+	switch f := c.rng.Float64(); {
+	case f < c.loss:
+		copies = 0
+	case f > 0.97:
+		copies = 2
+	}
+	for range copies {
+		c.way = append(c.way, flight{c.now + time.Duration(c.rng.IntN(30))*time.Millisecond, p})
+	}
+}
+
+// apply checks that all replicas apply the same commands in the same order.
+func (c *cluster) apply(r *replica, entries []consensus.Entry) {
+	for _, e := range entries {
+		if len(e.Data) == 0 {
+			continue
+		}
+		at := len(r.applied)
+		r.applied = append(r.applied, string(e.Data))
+		if at < len(c.history) && c.history[at] != string(e.Data) {
+			c.t.Fatalf("%s applied %q as number %d, and another replica %q", r.id, e.Data, at, c.history[at])
+		}
+		if at == len(c.history) {
+			c.history = append(c.history, string(e.Data))
+		}
+		c.accepted[string(e.Data)] = true
+	}
+	if len(r.applied) > 0 && c.rng.IntN(20) == 0 && len(entries) > 0 {
+		if s, ok := r.node.Compact(entries[len(entries)-1].Index, encodeState(r.applied)); ok {
+			r.disk.install(s)
+		}
+	}
+}
+
+func encodeState(applied []string) []byte {
+	var out []byte
+	for _, s := range applied {
+		out = append(out, s...)
+		out = append(out, 0)
+	}
+	return out
+}
+
+func decodeState(data []byte) []string {
+	var out []string
+	for len(data) > 0 {
+		i := slices.Index(data, 0)
+		out = append(out, string(data[:i]))
+		data = data[i+1:]
+	}
+	return out
+}
+
+// run lets time pass.
+func (c *cluster) run(d time.Duration) {
+	const step = 5 * time.Millisecond
+	for end := c.now + d; c.now < end; c.now += step {
+		c.deliver()
+		for _, id := range c.order {
+			if r := c.replicas[id]; r.node != nil {
+				r.node.Tick(c.clock(r))
+				c.flush(r)
+			}
+		}
+		c.checkLeaders()
+	}
+}
+
+func (c *cluster) deliver() {
+	var rest []flight
+	due := []flight{}
+	for _, f := range c.way {
+		if f.at <= c.now {
+			due = append(due, f)
+		} else {
+			rest = append(rest, f)
+		}
+	}
+	c.way = rest
+	c.rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	for _, f := range due {
+		r := c.replicas[f.p.To]
+		if r == nil || r.node == nil || c.cut[[2]string{f.p.From, f.p.To}] {
+			continue
+		}
+		r.node.Step(c.clock(r), f.p)
+		c.flush(r)
+	}
+}
+
+// checkLeaders wants at most one replica that thinks it leads under a lease.
+func (c *cluster) checkLeaders() {
+	var leaders []string
+	for _, id := range c.order {
+		r := c.replicas[id]
+		if r.node == nil || !r.node.Lead(c.clock(r)) {
+			continue
+		}
+		leaders = append(leaders, id)
+		term := r.node.Term()
+		if c.leadTerm[term] == "" {
+			c.leadTerm[term] = id
+		}
+		if c.leadTerm[term] != id {
+			c.t.Fatalf("%s and %s both led term %d", id, c.leadTerm[term], term)
+		}
+		if len(r.applied) < len(c.history) {
+			c.t.Fatalf("%s leads and knows %d of %d accepted commands", id, len(r.applied), len(c.history))
+		}
+	}
+	if len(leaders) > 1 {
+		c.t.Fatalf("at %s %v all lead under a lease", c.now, leaders)
+	}
+}
+
+// leader returns the replica that leads, or nil.
+func (c *cluster) leader() *replica {
+	for _, id := range c.order {
+		if r := c.replicas[id]; r.node != nil && r.node.Lead(c.clock(r)) {
+			return r
+		}
+	}
+	return nil
+}
+
+// propose gives a command to a replica; it reports whether it was taken.
+func (c *cluster) propose(r *replica) bool {
+	c.proposed++
+	_, err := r.node.Propose(c.clock(r), fmt.Appendf(nil, "c%d", c.proposed))
+	c.flush(r)
+	return err == nil
+}
+
+// change proposes a step of membership.
+func (c *cluster) change(ch consensus.Change) bool {
+	r := c.leader()
+	if r == nil {
+		return false
+	}
+	_, err := r.node.ChangeMembers(c.clock(r), ch)
+	c.flush(r)
+	return err == nil
+}
+
+// heal ends all faults and brings back every replica that has a disk.
+func (c *cluster) heal() {
+	c.cut = map[[2]string]bool{}
+	c.loss = 0
+	for _, id := range c.order {
+		r := c.replicas[id]
+		r.crashAt = ""
+		if r.node == nil {
+			c.boot(r)
+		}
+	}
+}
--- /dev/null
+++ b/consensus/consensus_test.go
@@ -0,0 +1,178 @@
+package consensus_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/ledgepin/ledgepin/consensus"
+)
+
+var crashPoints = []string{"before sync", "after sync", "before apply"}
+
+// TestAnyFaults runs random cuts (also one-way), losses, crashes at each sync
+// point, restarts and proposals. Accepted commands must never be lost or
+// reordered, and two replicas must never lead at one time; the checks stand in
+// cluster. Once all is healed, the group must accept commands again.
+func TestAnyFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c"}
+		if rapid.Bool().Draw(t, "five") {
+			names = []string{"a", "b", "c", "d", "e"}
+		}
+		c := newCluster(t, rapid.Uint64().Draw(t, "seed"), names...)
+		c.run(2 * time.Second)
+		for range rapid.IntRange(5, 25).Draw(t, "steps") {
+			one := rapid.SampledFrom(names).Draw(t, "one")
+			two := rapid.SampledFrom(names).Draw(t, "two")
+			r := c.replicas[one]
+			switch rapid.IntRange(0, 8).Draw(t, "what") {
+			case 0:
+				c.cut[[2]string{one, two}] = true
+			case 1:
+				for _, o := range names { // cut off in silence, both ways
+					c.cut[[2]string{one, o}], c.cut[[2]string{o, one}] = true, true
+				}
+			case 2:
+				c.cut = map[[2]string]bool{}
+			case 3:
+				r.crashAt = rapid.SampledFrom(crashPoints).Draw(t, "point")
+			case 4:
+				if r.node == nil {
+					c.boot(r)
+				}
+			case 5:
+				c.loss = rapid.Float64Range(0, 0.4).Draw(t, "loss")
+			default:
+				if l := c.leader(); l != nil {
+					c.propose(l)
+				} else if r.node != nil {
+					c.propose(r) // must be refused, or be safe
+				}
+			}
+			c.run(time.Duration(rapid.IntRange(10, 900).Draw(t, "ms")) * time.Millisecond)
+		}
+		c.heal()
+		c.run(4 * time.Second)
+		l := c.leader()
+		if l == nil || !c.propose(l) {
+			t.Fatalf("no leader after all is healed")
+		}
+		c.run(time.Second)
+		for _, id := range names {
+			if !slices.Equal(c.replicas[id].applied, c.history) {
+				t.Fatalf("%s has %d commands at the end, want %d", id, len(c.replicas[id].applied), len(c.history))
+			}
+		}
+		if len(c.accepted) != len(c.history) {
+			t.Fatalf("%d commands accepted, %d in the history", len(c.accepted), len(c.history))
+		}
+	})
+}
+
+func TestCutOffLeaderStops(t *testing.T) {
+	c := newCluster(t, 1, "a", "b", "c")
+	c.run(2 * time.Second)
+	old := c.leader()
+	for _, o := range []string{"a", "b", "c"} {
+		c.cut[[2]string{old.id, o}], c.cut[[2]string{o, old.id}] = true, true
+	}
+	c.run(cfg.ElectionMin)
+	assert.Assert(t, !old.node.Lead(c.clock(old)), "no lease without a majority")
+	assert.Assert(t, !c.propose(old), "it accepts nothing")
+	c.run(time.Hour / 60)
+	next := c.leader()
+	assert.Assert(t, next != nil && next != old)
+	assert.Assert(t, c.propose(next))
+	term := next.node.Term()
+	c.heal()
+	c.run(2 * time.Second)
+	assert.Equal(t, c.leader(), next, "its return disturbs nobody")
+	assert.Equal(t, next.node.Term(), term)
+	assert.DeepEqual(t, old.applied, c.history)
+}
+
+func TestReplaceVoterThenLoseAnother(t *testing.T) {
+	c := newCluster(t, 2, "a", "b", "c")
+	c.run(2 * time.Second)
+	for range 50 {
+		c.propose(c.leader())
+		c.run(20 * time.Millisecond)
+	}
+	lost := "a"
+	if c.leader().id == "a" {
+		lost = "b"
+	}
+	c.crash(lost)
+	c.run(time.Second)
+	c.add("n", disk{})
+	assert.Assert(t, c.change(consensus.Change{Add: "n"}))
+	assert.Assert(t, !c.change(consensus.Change{Promote: "n"}), "a learner that has not caught up is no voter")
+	c.run(3 * time.Second)
+	assert.Assert(t, c.change(consensus.Change{Remove: lost}))
+	c.run(500 * time.Millisecond)
+	assert.Assert(t, c.change(consensus.Change{Promote: "n"}))
+	c.run(500 * time.Millisecond)
+
+	// The second loss, right after the first is repaired.
+	second := c.leader().id
+	before := len(c.history)
+	c.crash(second)
+	c.run(3 * time.Second)
+	l := c.leader()
+	assert.Assert(t, l != nil, "two of three voters go on")
+	assert.Equal(t, len(l.applied), before)
+	assert.Assert(t, c.propose(l))
+	c.run(time.Second)
+	assert.Equal(t, len(c.history), before+1)
+}
+
+func TestOneMembershipChangeAtATime(t *testing.T) {
+	c := newCluster(t, 3, "a", "b", "c")
+	c.run(2 * time.Second)
+	l := c.leader()
+	for _, id := range []string{"a", "b", "c"} {
+		if id != l.id {
+			c.cut[[2]string{l.id, id}] = true // nothing gets committed
+		}
+	}
+	_, err := l.node.ChangeMembers(c.clock(l), consensus.Change{Add: "x"})
+	assert.NilError(t, err)
+	_, err = l.node.ChangeMembers(c.clock(l), consensus.Change{Add: "y"})
+	assert.ErrorIs(t, err, consensus.ErrPending)
+}
+
+func TestFailedDiskGivesUpItsVote(t *testing.T) {
+	c := newCluster(t, 4, "a", "b", "c")
+	c.run(2 * time.Second)
+	l := c.leader()
+	l.node.Fail()
+	c.run(3 * time.Second)
+	assert.Assert(t, !l.node.Lead(c.clock(l)))
+	assert.Equal(t, l.node.Status(c.clock(l)).Failed, true)
+	next := c.leader()
+	assert.Assert(t, next != nil && next != l, "the others go on")
+}
+
+func TestFollowerWithOldSnapshot(t *testing.T) {
+	c := newCluster(t, 5, "a", "b", "c")
+	c.run(2 * time.Second)
+	away := "a"
+	if c.leader().id == "a" {
+		away = "b"
+	}
+	c.crash(away)
+	for range 600 {
+		if l := c.leader(); l != nil {
+			c.propose(l)
+		}
+		c.run(10 * time.Millisecond)
+	}
+	r := c.replicas[away]
+	c.boot(r)
+	c.run(3 * time.Second)
+	assert.DeepEqual(t, r.applied, c.history)
+}
--- /dev/null
+++ b/internal/seeded/seeded.go
@@ -0,0 +1,16 @@
+// Package seeded fixes the seed of property tests, so that a run on one commit
+// always has the same verdict. A search with other seeds is a matter of flags:
+// go test ./claim -rapid.seed=0 -rapid.checks=100000.
+package seeded
+
+import (
+	"flag"
+	"testing"
+)
+
+// Main runs the tests of a package with a fixed seed and returns the exit code.
+func Main(m *testing.M) int {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	return m.Run()
+}
