--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -48,6 +48,9 @@
 	d := newDisk(1, nil)
 	n := lone(d, start)
 	now := start.Add(time.Second)
+	// The term is learnt and synced first, so that the vote is all that changes.
+	n.Step(now, consensus.Packet{Kind: consensus.Vote, From: "c", To: "a", Term: 5})
+	assert.Assert(t, !answers(n, d, consensus.Voted)[0].OK, "c has a shorter log")
 	n.Step(now, consensus.Packet{Kind: consensus.Vote, From: "b", To: "a", Term: 5, Index: 1, LogTerm: 1})
 	assert.Assert(t, answers(n, d, consensus.Voted)[0].OK)
 	n = lone(d, now)
