--- /dev/null
+++ b/journal/journal_test.go
@@ -0,0 +1,216 @@
+package journal_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/journal"
+)
+
+func entry(i uint64, data string) consensus.Entry {
+	return consensus.Entry{Index: i, Term: 1, Data: []byte(data)}
+}
+
+// fill writes a journal of three appends and returns its folder.
+func fill(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	j, o, err := journal.Open(dir)
+	assert.NilError(t, err)
+	assert.Assert(t, o.New)
+	for i := range uint64(3) {
+		assert.NilError(t, j.Append(&consensus.Hard{Term: i + 1, Vote: "a"}, []consensus.Entry{entry(i+1, fmt.Sprint("data", i+1))}))
+	}
+	assert.NilError(t, j.Close())
+	return dir
+}
+
+func logPath(dir string) string { return filepath.Join(dir, "control.log") }
+
+func edit(t *testing.T, path string, change func([]byte) []byte) {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(path, change(data), 0o600))
+}
+
+func TestOpenDamaged(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		change  func([]byte) []byte
+		entries int
+		cut     bool
+		broken  bool
+	}{
+		{"whole", func(b []byte) []byte { return b }, 3, false, false},
+		{"half of the last record", func(b []byte) []byte { return b[:len(b)-10] }, 2, true, false},
+		{"only its head", func(b []byte) []byte { return append(b, b[:6]...) }, 3, true, false},
+		{"zeros after the end", func(b []byte) []byte { return append(b, make([]byte, 4096)...) }, 3, true, false},
+		{"a flipped bit at the end", func(b []byte) []byte { b[len(b)-1] ^= 1; return b }, 2, true, false},
+		{"a flipped bit in the middle", func(b []byte) []byte { b[len(b)/2] ^= 1; return b }, 0, false, true},
+		{"a flipped bit at the start", func(b []byte) []byte { b[20] ^= 1; return b }, 0, false, true},
+		{"a wrong length in the middle", func(b []byte) []byte { b[4] = 0xff; b[5] = 0xff; return b }, 0, false, true},
+		{"empty", func([]byte) []byte { return nil }, 0, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dir := fill(t)
+			edit(t, logPath(dir), c.change)
+			j, o, err := journal.Open(dir)
+			if c.broken {
+				assert.Assert(t, fault.Is(err, fault.JournalBroken), "%v", err)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, len(o.Restored.Entries), c.entries)
+			assert.Equal(t, o.Cut > 0, c.cut)
+			// What is appended after a cut must be read back.
+			next := uint64(c.entries + 1)
+			assert.NilError(t, j.Append(nil, []consensus.Entry{entry(next, "more")}))
+			assert.NilError(t, j.Close())
+			_, o, err = journal.Open(dir)
+			assert.NilError(t, err)
+			assert.Equal(t, o.Cut, int64(0))
+			assert.Equal(t, string(o.Restored.Entries[next-1].Data), "more")
+		})
+	}
+}
+
+func TestLaterEntriesReplaceEarlierOnes(t *testing.T) {
+	dir := fill(t)
+	j, _, err := journal.Open(dir)
+	assert.NilError(t, err)
+	assert.NilError(t, j.Append(nil, []consensus.Entry{{Index: 2, Term: 9, Data: []byte("other")}}))
+	assert.NilError(t, j.Close())
+	_, o, err := journal.Open(dir)
+	assert.NilError(t, err)
+	assert.Equal(t, len(o.Restored.Entries), 2)
+	assert.Equal(t, o.Restored.Entries[1].Term, uint64(9))
+	assert.Equal(t, o.Restored.Hard.Term, uint64(3))
+}
+
+func TestSnapshotDropsTheLog(t *testing.T) {
+	dir := fill(t)
+	j, _, err := journal.Open(dir)
+	assert.NilError(t, err)
+	snap := consensus.Snapshot{Index: 2, Term: 1, Data: []byte("state"), Members: consensus.Members{Voters: []string{"a"}}}
+	assert.NilError(t, j.Snapshot(snap, consensus.Hard{Term: 4}, []consensus.Entry{entry(3, "data3")}))
+	assert.NilError(t, j.Append(nil, []consensus.Entry{entry(4, "data4")}))
+	assert.NilError(t, j.Close())
+	_, o, err := journal.Open(dir)
+	assert.NilError(t, err)
+	assert.Equal(t, string(o.Restored.Snapshot.Data), "state")
+	assert.Equal(t, len(o.Restored.Entries), 2)
+	assert.Equal(t, o.Restored.Hard.Term, uint64(4))
+}
+
+// TestCrashBetweenSnapshotAndLog starts with a new snapshot and an old log.
+func TestCrashBetweenSnapshotAndLog(t *testing.T) {
+	dir := fill(t)
+	old, err := os.ReadFile(logPath(dir))
+	assert.NilError(t, err)
+	j, _, err := journal.Open(dir)
+	assert.NilError(t, err)
+	assert.NilError(t, j.Snapshot(consensus.Snapshot{Index: 2, Term: 1}, consensus.Hard{Term: 3}, []consensus.Entry{entry(3, "data3")}))
+	assert.NilError(t, j.Close())
+	assert.NilError(t, os.WriteFile(logPath(dir), old, 0o600))
+	_, o, err := journal.Open(dir)
+	assert.NilError(t, err)
+	assert.Equal(t, len(o.Restored.Entries), 1)
+	assert.Equal(t, o.Restored.Entries[0].Index, uint64(3))
+}
+
+func TestDamagedSnapshotIsRefused(t *testing.T) {
+	dir := fill(t)
+	j, _, err := journal.Open(dir)
+	assert.NilError(t, err)
+	assert.NilError(t, j.Snapshot(consensus.Snapshot{Index: 2, Term: 1, Data: []byte("state")}, consensus.Hard{}, nil))
+	assert.NilError(t, j.Close())
+	edit(t, filepath.Join(dir, "control.snapshot"), func(b []byte) []byte { return b[:len(b)-1] })
+	_, _, err = journal.Open(dir)
+	assert.Assert(t, fault.Is(err, fault.JournalBroken), "%v", err)
+}
+
+// flaky is a log file whose disk fails.
+type flaky struct {
+	journal.File
+	write, sync error
+}
+
+func (f *flaky) Write(b []byte) (int, error) {
+	if f.write != nil {
+		n, _ := f.File.Write(b[:len(b)/2])
+		return n, f.write
+	}
+	return f.File.Write(b)
+}
+
+func (f *flaky) Sync() error {
+	if f.sync != nil {
+		return f.sync
+	}
+	return f.File.Sync()
+}
+
+func TestFailingDisk(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		write, sync error
+	}{
+		{"full", errors.New("no space left on device"), nil},
+		{"sync fails", nil, errors.New("input/output error")},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dir := t.TempDir()
+			disk := &flaky{}
+			j, _, err := journal.OpenWith(dir, func(path string) (journal.File, error) {
+				f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+				disk.File = f
+				return disk, err
+			})
+			assert.NilError(t, err)
+			assert.NilError(t, j.Append(nil, []consensus.Entry{entry(1, "good")}))
+			disk.write, disk.sync = c.write, c.sync
+			assert.Assert(t, fault.Is(j.Append(nil, []consensus.Entry{entry(2, "lost")}), fault.JournalFailed))
+			disk.write, disk.sync = nil, nil
+			err = j.Append(nil, []consensus.Entry{entry(2, "again")})
+			assert.Assert(t, fault.Is(err, fault.JournalFailed), "after a failure nothing is written any more")
+			assert.NilError(t, j.Close())
+			_, o, err := journal.Open(dir)
+			assert.NilError(t, err)
+			assert.Equal(t, string(o.Restored.Entries[0].Data), "good")
+		})
+	}
+}
+
+// FuzzReplay feeds the reader any bytes: it must not fail otherwise than by an
+// error, and what it calls whole must read the same again.
+func FuzzReplay(f *testing.F) {
+	dir := f.TempDir()
+	j, _, err := journal.Open(dir)
+	assert.NilError(f, err)
+	assert.NilError(f, j.Append(&consensus.Hard{Term: 2}, []consensus.Entry{entry(1, "x")}))
+	data, err := os.ReadFile(logPath(dir))
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Add(data[:len(data)-3])
+	f.Add(append(data, data...))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var r consensus.Restored
+		n, err := journal.Replay(data, &r)
+		if err != nil {
+			return
+		}
+		var again consensus.Restored
+		m, err := journal.Replay(data[:n], &again)
+		assert.NilError(t, err)
+		assert.Equal(t, m, n)
+		assert.Equal(t, len(again.Entries), len(r.Entries))
+	})
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -23,7 +23,7 @@
 	if err := strict.Decode(file, data, t); err != nil {
 		return nil, err
 	}
-	c := checker{file: file, tree: t}
+	c := checker{file: file, tree: t, votes: map[string]string{}}
 	c.run()
 	return t, c.found.Err()
 }
@@ -34,6 +34,8 @@
 	file  string
 	tree  *Tree
 	found strict.Problems
+	// votes maps each server of a claim group to its service.
+	votes map[string]string
 }
 
 func (c *checker) report(path, format string, args ...any) {
@@ -103,6 +105,10 @@
 			if _, ok := c.tree.Server(server); !ok {
 				c.report(at, "want names of servers in the tree, not %q", server)
 			}
+			if other, ok := c.votes[server]; ok {
+				c.report(at, "want servers that vote in one group only, and %s votes in %s", server, other)
+			}
+			c.votes[server] = name
 		}
 	}
 }
