--- a/agent/claims.go
+++ b/agent/claims.go
@@ -105,9 +105,9 @@
 	_ = l.Send(&wire.Message{Granted: &vote})
 }
 
-func (a *Agent) record(m *claim.Record) {
+func (a *Agent) record(now time.Time, m *claim.Record) {
 	if a.voter != nil {
-		a.voter.Record(*m)
+		a.voter.Record(now, *m)
 	}
 }
 
--- a/agent/links.go
+++ b/agent/links.go
@@ -132,7 +132,7 @@
 	case m.Grant != nil:
 		a.grant(now, l, m.Grant)
 	case m.Record != nil:
-		a.record(m.Record)
+		a.record(now, m.Record)
 	case m.Copy != nil:
 		a.copyFor(now, l, m.Copy)
 	case m.Call != nil:
--- a/app/dev.go
+++ b/app/dev.go
@@ -7,11 +7,9 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"text/template"
+	"sync"
 	"time"
 
-	"github.com/labstack/echo/v4"
-
 	"github.com/ledgepin/ledgepin/agent"
 	"github.com/ledgepin/ledgepin/caller"
 	"github.com/ledgepin/ledgepin/control"
@@ -29,28 +27,79 @@
 	TokenTime time.Duration
 	// PrefillRate is their prefill rate in tokens a second.
 	PrefillRate float64
-	Log         *slog.Logger
+	// Entries is the number of entries; 1 if zero. Only the first listens at
+	// Listen, the others at free ports.
+	Entries int
+	Log     *slog.Logger
 }
 
 // Dev is every role in one process with stand-ins for what is outside. The
 // roles talk over the same links as in a fleet.
 type Dev struct {
 	opts     DevOptions
+	ctx      context.Context
+	cancel   context.CancelFunc
 	ln       listeners
 	engines  map[string]*standin.Engine
 	services map[string]*standin.Service
 	platform *standin.Platform
-	agents   map[string]*agent.Agent
+	agents   map[string]*devAgent
+	entries  []*devEntry
 	control  *control.Control
-	entry    *entry.Entry
-	// Callers and Operators are the addresses in use.
-	Callers, Operators string
+	// Callers are the callers' addresses of the entries, and Operators the
+	// operators' address.
+	Callers   []string
+	Operators string
+}
+
+// devAgent is an agent with its own listener, so that it can be killed.
+type devAgent struct {
+	conf agent.Config
+	addr string
+	ln   listeners
+
+	mu   sync.Mutex
+	proc *agent.Agent
+}
+
+func (a *devAgent) start(d *Dev) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ln = listeners{log: d.opts.Log}
+	a.proc = agent.Start(a.conf)
+	addr, err := a.ln.links(a.addr, a.proc.Handler())
+	a.addr = addr
+	return err
+}
+
+// now returns the agent that runs now.
+func (a *devAgent) now() *agent.Agent {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.proc
+}
+
+func (a *devAgent) kill() {
+	a.ln.close()
+	a.now().Close()
+}
+
+// devEntry is an entry with its own listener.
+type devEntry struct {
+	ln   listeners
+	proc *entry.Entry
+}
+
+func (e *devEntry) kill() {
+	e.proc.Close()
+	e.ln.close()
 }
 
 // The tokens that dev lets callers in with.
 const (
 	DevDeskToken   = "dev-desk"
 	DevReviewToken = "dev-review"
+	DevScreenToken = "dev-screening"
 	DevModel       = "assist"
 )
 
@@ -61,11 +110,12 @@
 	{"broker-1", settings.RoleService}, {"broker-2", settings.RoleService}, {"broker-3", settings.RoleService},
 }
 
-// StartDev starts it all and waits until the entry is ready.
+// StartDev starts it all and waits until the entries are ready.
 func StartDev(ctx context.Context, o DevOptions) (*Dev, error) {
 	d := &Dev{
-		opts: o, engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{}, agents: map[string]*agent.Agent{},
+		opts: o, engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{}, agents: map[string]*devAgent{},
 	}
+	d.ctx, d.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	d.ln.log = o.Log
 	if err := d.start(ctx); err != nil {
 		d.Close()
@@ -75,16 +125,13 @@
 }
 
 func (d *Dev) start(ctx context.Context) error {
-	agents := map[string]string{}
 	for _, s := range devServers {
-		addr, err := d.startServer(s.name, s.role)
-		if err != nil {
+		if err := d.startServer(s.name, s.role); err != nil {
 			return err
 		}
-		agents[s.name] = addr
 	}
 	var err error
-	if d.platform, err = standin.StartPlatform("127.0.0.1:0", nil, time.Second); err != nil {
+	if d.platform, err = standin.StartPlatform("127.0.0.1:0", d.names(), time.Second); err != nil {
 		return err
 	}
 	d.control, err = control.Start(control.Config{
@@ -97,102 +144,81 @@
 	if err != nil {
 		return err
 	}
-	d.entry = entry.Start(entry.Config{
-		Name: "entry-1", Zone: "dev", Upstream: []string{links}, Platform: d.platform.Addr(), Log: d.opts.Log,
-	})
-	if d.Callers, err = d.ln.serve(d.opts.Listen, caller.NewServer(caller.Handler(d.entry, d.opts.Log))); err != nil {
-		return err
+	for i := range max(d.opts.Entries, 1) {
+		if err := d.startEntry(i, links); err != nil {
+			return err
+		}
 	}
 	if d.Operators, err = d.ln.serve(d.opts.OperatorListen, operator.NewServer(d.operators())); err != nil {
 		return err
 	}
-	if err := d.firstSettings(ctx, agents); err != nil {
+	if err := d.firstSettings(ctx); err != nil {
 		return err
 	}
 	return d.waitReady(ctx)
 }
 
+func (d *Dev) names() []string {
+	out := make([]string, len(devServers))
+	for i, s := range devServers {
+		out[i] = s.name
+	}
+	return out
+}
+
 // startServer starts a stand-in server and the agent beside it.
-func (d *Dev) startServer(name, role string) (string, error) {
+func (d *Dev) startServer(name, role string) error {
 	c := agent.Config{Name: name, Zone: "dev", Log: d.opts.Log, FoundClaims: true}
 	if role == settings.RoleService {
 		s, err := standin.StartService("127.0.0.1:0")
 		if err != nil {
-			return "", err
+			return err
 		}
 		d.services[name] = s
 		c.Service = s.Addr()
 	} else {
 		e, err := standin.StartEngine("127.0.0.1:0", standin.EngineOptions{
 			Name: name, Models: []string{DevModel}, PrefillRate: d.opts.PrefillRate, TokenTime: d.opts.TokenTime,
-			LinkRate: 1e9, KVPerToken: 1000, KVHold: 5 * time.Second, Slots: 16, Tokens: 64,
+			LinkRate: 1e9, KVPerToken: 1000, KVHold: 5 * time.Second, Slots: 16, Tokens: 256,
 		})
 		if err != nil {
-			return "", err
+			return err
 		}
 		d.engines[name] = e
 		c.Engine = e.Addr()
 	}
-	a := agent.Start(c)
+	a := &devAgent{conf: c, addr: "127.0.0.1:0"}
 	d.agents[name] = a
-	return d.ln.links("127.0.0.1:0", a.Handler())
+	if err := a.start(d); err != nil {
+		return err
+	}
+	a.conf.FoundClaims = false // a voter that restarts has to recover
+	return nil
 }
 
-var devTree = template.Must(template.New("tree").Parse(`fleet:
-  models:
-    assist: {version: "1", weights: 16GB, kv_per_token: 1KB}
-  classes:
-    desk: {priority: 0, ttft: 1s, tbt: 200ms}
-    review: {priority: 2, ttft: 30s, tbt: 500ms, keep_when_gone: true}
-  customers:
-    studio:
-      home: dev
-      tokens:
-        - {sha256: {{.Desk}}, class: desk}
-        - {sha256: {{.Review}}, class: review}
-  services:
-    licence:
-      once: [/checkout]
-      timeout: 5s
-      claim_lifetime: 1h
-      claim_group:
-        dev: [broker-1, broker-2, broker-3]
-  sites:
-    dev:
-      zone: dev
-      pools:
-        prefill:
-          role: prefill
-          slots: 8
-          models: {assist: {}}
-          servers:
-            prefill-1: {agent: "{{index .Agents "prefill-1"}}"}
-            prefill-2: {agent: "{{index .Agents "prefill-2"}}"}
-        decode:
-          role: decode
-          slots: 16
-          models: {assist: {}}
-          servers:
-            decode-1: {agent: "{{index .Agents "decode-1"}}"}
-            decode-2: {agent: "{{index .Agents "decode-2"}}"}
-        brokers:
-          role: service
-          service: licence
-          servers:
-            broker-1: {agent: "{{index .Agents "broker-1"}}"}
-            broker-2: {agent: "{{index .Agents "broker-2"}}"}
-            broker-3: {agent: "{{index .Agents "broker-3"}}"}
-`))
-
-type devValues struct {
-	Desk, Review string
-	Agents       map[string]string
+func (d *Dev) startEntry(i int, upstream string) error {
+	e := &devEntry{ln: listeners{log: d.opts.Log}}
+	e.proc = entry.Start(entry.Config{
+		Name: fmt.Sprintf("entry-%d", i+1), Zone: "dev", Upstream: []string{upstream}, Platform: d.platform.Addr(), Log: d.opts.Log,
+	})
+	d.entries = append(d.entries, e)
+	listen := d.opts.Listen
+	if i > 0 {
+		listen = "127.0.0.1:0"
+	}
+	addr, err := e.ln.serve(listen, caller.NewServer(caller.Handler(e.proc, d.opts.Log)))
+	d.Callers = append(d.Callers, addr)
+	return err
 }
 
 // firstSettings makes the first change of the settings, as an operator would.
-func (d *Dev) firstSettings(ctx context.Context, agents map[string]string) error {
+func (d *Dev) firstSettings(ctx context.Context) error {
+	v := devValues{Agents: map[string]string{}, Desk: settings.HashToken(DevDeskToken),
+		Review: settings.HashToken(DevReviewToken), Screen: settings.HashToken(DevScreenToken)}
+	for name, a := range d.agents {
+		v.Agents[name] = a.addr
+	}
 	var text bytes.Buffer
-	v := devValues{Desk: settings.HashToken(DevDeskToken), Review: settings.HashToken(DevReviewToken), Agents: agents}
 	if err := devTree.Execute(&text, v); err != nil {
 		return fault.Wrap(err, fault.Internal, fault.StepSettings, "dev")
 	}
@@ -207,16 +233,19 @@
 	}
 }
 
-// waitReady waits until the entry serves and has a link to each agent.
+// waitReady waits until each entry serves and has a link to each agent.
 func (d *Dev) waitReady(ctx context.Context) error {
-	for {
-		if ok, _ := d.entry.Ready(); ok && d.entry.Links() == len(devServers) && len(d.entry.Models()) == 1 {
-			return nil
-		}
-		if err := pause(ctx); err != nil {
-			return err
+	for _, e := range d.entries {
+		for {
+			if ok, _ := e.proc.Ready(); ok && e.proc.Links() == len(devServers) && len(e.proc.Models()) == 1 {
+				break
+			}
+			if err := pause(ctx); err != nil {
+				return err
+			}
 		}
 	}
+	return nil
 }
 
 func pause(ctx context.Context) error {
@@ -229,46 +258,16 @@
 }
 
 func (d *Dev) operators() http.Handler {
-	roles := map[string]operator.Process{"entry-1": d.entry, "control-1": d.control}
+	roles := map[string]operator.Process{"control-1": d.control}
+	for i, e := range d.entries {
+		roles[fmt.Sprintf("entry-%d", i+1)] = e.proc
+	}
 	for name, a := range d.agents {
 		roles[name] = a
 	}
 	return operator.Handler(operator.Options{Processes: roles, Control: d.control, Log: d.opts.Log, Extra: d.faults})
 }
 
-// faults adds the operator call that breaks stand-ins on purpose.
-func (d *Dev) faults(r *echo.Echo) {
-	r.POST("/v1/standins/:name/:action", func(c echo.Context) error {
-		if err := d.Break(c.Param("name"), c.Param("action")); err != nil {
-			return err
-		}
-		return c.String(http.StatusOK, c.Param("name")+": "+c.Param("action")+"\n")
-	})
-}
-
-// Break does something to a stand-in: kill, restart, stall, unstall, leave or
-// return.
-func (d *Dev) Break(name, action string) error {
-	e, s := d.engines[name], d.services[name]
-	switch {
-	case action == "kill" && e != nil:
-		e.Kill()
-	case action == "restart" && e != nil:
-		return e.Restart()
-	case action == "stall" && e != nil:
-		e.SetStall(true)
-	case action == "unstall" && e != nil:
-		e.SetStall(false)
-	case action == "kill" && s != nil:
-		s.Kill()
-	case action == "leave" || action == "return":
-		d.platform.SetLeaving(name, action == "leave")
-	default:
-		return fault.New(fault.NotFound, fault.StepParse, name, "no such stand-in or action")
-	}
-	return nil
-}
-
 // Hints writes what to try next.
 func (d *Dev) Hints(w io.Writer) error {
 	_, err := fmt.Fprintf(w, `ledgepin dev: every role in this process, with stand-in engines
@@ -282,20 +281,27 @@
   ledgepin dump %[2]s
   ledgepin settings get
   curl -X POST http://%[2]s/v1/standins/decode-1/kill
-`, d.Callers, d.Operators, DevDeskToken, DevModel)
+`, d.Callers[0], d.Operators, DevDeskToken, DevModel)
 	return err
 }
 
 // Drain waits for the work in progress.
-func (d *Dev) Drain(ctx context.Context) { d.entry.Drain(ctx) }
+func (d *Dev) Drain(ctx context.Context) {
+	for _, e := range d.entries {
+		e.proc.Drain(ctx)
+	}
+}
 
 // Close ends everything.
 func (d *Dev) Close() {
-	if d.entry != nil {
-		d.entry.Close()
+	d.cancel()
+	for _, e := range d.entries {
+		e.kill()
 	}
 	for _, a := range d.agents {
-		a.Close()
+		if a.now() != nil {
+			a.kill()
+		}
 	}
 	if d.control != nil {
 		d.control.Close()
@@ -311,12 +317,3 @@
 		d.platform.Kill()
 	}
 }
-
-// Held lists the requests that hold memory at any stand-in engine.
-func (d *Dev) Held() []string {
-	var out []string
-	for _, e := range d.engines {
-		out = append(out, e.Held()...)
-	}
-	return out
-}
--- a/claim/message.go
+++ b/claim/message.go
@@ -49,6 +49,9 @@
 	Attempt string `cbor:"2,keyasint"`
 	// Answer is nil if the attempt was given up.
 	Answer *Answer `cbor:"3,keyasint,omitempty"`
+	// Keep is how long the key and its answer are kept from now on; zero leaves
+	// the lifetime of the Ask.
+	Keep time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Copy asks a voter for its grants, for a voter that restarted. It also tells
--- a/claim/voter.go
+++ b/claim/voter.go
@@ -14,6 +14,7 @@
 	body    uint64
 	expires time.Time
 	answer  *Answer
+	pos     int // index in the heap
 	// given marks the attempts that gave the key up: they may not get it back.
 	given map[string]bool
 }
@@ -66,10 +67,7 @@
 		v.warm = true
 	}
 	for len(v.expiry) > 0 && !v.expiry[0].expires.After(now) {
-		g := heap.Pop(&v.expiry).(*grant)
-		if v.grants[g.key] == g {
-			delete(v.grants, g.key)
-		}
+		delete(v.grants, heap.Pop(&v.expiry).(*grant).key)
 	}
 }
 
@@ -101,13 +99,17 @@
 
 // Record keeps the outcome of an attempt. An attempt that was given up frees
 // the key for others, but never for itself.
-func (v *Voter) Record(r Record) {
+func (v *Voter) Record(now time.Time, r Record) {
 	g := v.grants[r.Key]
 	if g == nil || g.attempt != r.Attempt {
 		return
 	}
 	if r.Answer != nil {
 		g.answer = r.Answer
+		if r.Keep > 0 {
+			g.expires = now.Add(r.Keep)
+			heap.Fix(&v.expiry, g.pos)
+		}
 		return
 	}
 	g.giveUp()
@@ -199,10 +201,17 @@
 
 func (e expiry) Len() int           { return len(e) }
 func (e expiry) Less(i, j int) bool { return e[i].expires.Before(e[j].expires) }
-func (e expiry) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e expiry) Swap(i, j int) {
+	e[i], e[j] = e[j], e[i]
+	e[i].pos, e[j].pos = i, j
+}
 
 // Push implements heap.Interface.
-func (e *expiry) Push(x any) { *e = append(*e, x.(*grant)) }
+func (e *expiry) Push(x any) {
+	g := x.(*grant)
+	g.pos = len(*e)
+	*e = append(*e, g)
+}
 
 // Pop implements heap.Interface.
 func (e *expiry) Pop() any {
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -176,18 +176,15 @@
 			return
 		}
 		if p.Finish != "" {
-			e.finish(now, f, c)
+			f.finish = p.Finish
+			e.perform(now, e.core.Done(now, c.ID, f.perToken()))
+			e.end(f, nil)
 			return
 		}
 		e.perform(now, e.core.Token(now, c.ID, f.asm.Next()))
 	}
 }
 
-func (e *Entry) finish(now time.Time, f *Flow, c *wire.Chunk) {
-	e.perform(now, e.core.Done(now, c.ID, f.perToken()))
-	e.end(f, nil)
-}
-
 // perform carries out the effects of the router. A message that can't be sent
 // goes back to it as a failure. Callers hold the lock.
 func (e *Entry) perform(now time.Time, effects []router.Effect) {
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -34,18 +34,8 @@
 	answer chan *wire.Answer
 }
 
-// claimWait is a claim whose votes are awaited.
-type claimWait struct {
-	proposer *claim.Proposer
-	verdict  chan claim.Verdict
-}
-
-const (
-	// claimTimeout is how long the votes of a claim group are awaited.
-	claimTimeout = time.Second
-	// callTries bounds the servers that a repeatable call is tried at.
-	callTries = 3
-)
+// callTries bounds the servers that a call is tried at.
+const callTries = 3
 
 // Call runs a call of a plain service and returns the service's answer.
 func (e *Entry) Call(ctx context.Context, c ServiceCall) (*claim.Answer, string, error) {
@@ -211,21 +201,6 @@
 	}
 }
 
-// group returns the claim group of a service for a customer: that of its home
-// site, or the first one.
-func group(svc settings.Service, home string) (string, []string) {
-	if members, ok := svc.ClaimGroup[home]; ok {
-		return home, members
-	}
-	first := ""
-	for site := range svc.ClaimGroup {
-		if first == "" || site < first {
-			first = site
-		}
-	}
-	return first, svc.ClaimGroup[first]
-}
-
 // atMostOnce claims the key of a call before it is sent.
 func (e *Entry) atMostOnce(ctx context.Context, id string, c ServiceCall, svc settings.Service, tree *settings.Tree) (*claim.Answer, error) {
 	if c.Key == "" {
@@ -252,42 +227,6 @@
 	return h.Sum64()
 }
 
-// claim asks the members of a group for their votes.
-func (e *Entry) claim(ctx context.Context, ask claim.Ask, members []string) (claim.Verdict, *claim.Proposer) {
-	p := claim.NewProposer(ask.Attempt, len(members))
-	w := &claimWait{proposer: p, verdict: make(chan claim.Verdict, 1)}
-	e.mu.Lock()
-	e.claims[ask.Attempt] = w
-	for _, name := range members {
-		e.toAgent(name, &wire.Message{Grant: &ask})
-	}
-	e.mu.Unlock()
-	t := time.NewTimer(claimTimeout)
-	defer t.Stop()
-	select {
-	case <-w.verdict:
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delete(e.claims, ask.Attempt)
-	return p.Close(), p
-}
-
-func (e *Entry) voted(v *claim.Vote) {
-	w := e.claims[v.Attempt]
-	if w == nil {
-		return
-	}
-	if verdict := w.proposer.Vote(*v); verdict != claim.Waiting {
-		select {
-		case w.verdict <- verdict:
-		default:
-		}
-	}
-}
-
 // notWon tells the caller why its attempt sent nothing.
 func (e *Entry) notWon(v claim.Verdict, p *claim.Proposer, ask claim.Ask, members []string) (*claim.Answer, error) {
 	if v != claim.Misused {
@@ -306,19 +245,6 @@
 	return nil, fault.New(fault.ClaimSplit, fault.StepClaim, ask.Group, "no majority for the claim")
 }
 
-// giveUp frees the grants of an attempt that sent nothing.
-func (e *Entry) giveUp(ask claim.Ask, members []string) {
-	e.tellGroup(&claim.Record{Key: ask.Key, Attempt: ask.Attempt}, members)
-}
-
-func (e *Entry) tellGroup(r *claim.Record, members []string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, name := range members {
-		e.toAgent(name, &wire.Message{Record: r})
-	}
-}
-
 // runOnce sends a call whose claim is won. Only a send that surely did not
 // reach the service goes on to another server.
 func (e *Entry) runOnce(ctx context.Context, id string, c ServiceCall, svc settings.Service, ask claim.Ask, members []string) (*claim.Answer, error) {
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/ledgepin/ledgepin/claim"
 	"github.com/ledgepin/ledgepin/engine"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
@@ -43,6 +44,8 @@
 	once     sync.Once
 	err      error // set before parts is closed
 	decodeAt string
+	finish   string // why the answer ended
+	claim    *onceClaim
 	class    string
 	target   settings.Class
 	arrived  time.Time
@@ -80,7 +83,11 @@
 func (f *Flow) PromptTokens() int { return f.prompt }
 
 // Cancel tells that the caller is gone. It may be called at any time.
-func (f *Flow) Cancel() { f.entry.gone(f) }
+func (f *Flow) Cancel() {
+	if f.entry != nil { // nil for an answer that was recorded before
+		f.entry.gone(f)
+	}
+}
 
 // push queues a part; it reports false if the caller does not read.
 func (f *Flow) push(p stream.Part) bool {
@@ -130,18 +137,39 @@
 // Submit takes a request. A refusal comes as the error of the first Next, or
 // at once.
 func (e *Entry) Submit(ctx context.Context, job Job) (*Flow, error) {
+	id := NewID()
+	c, done, err := e.claimRequest(ctx, job, id)
+	if err != nil || done != nil {
+		return done, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	f, err := e.submit(job, id, c)
+	if err != nil && c != nil {
+		e.tellGroupLocked(&claim.Record{Key: c.ask.Key, Attempt: c.ask.Attempt}, c.members)
+	}
+	return f, err
+}
+
+func (e *Entry) submit(job Job, id string, c *onceClaim) (*Flow, error) {
 	if !e.mayAct() {
 		return nil, fault.New(fault.NotReady, fault.StepAdmit, e.cfg.Name, "no confirmed settings yet")
 	}
+	if e.draining {
+		return nil, fault.New(fault.Draining, fault.StepAdmit, e.cfg.Name, "this entry is leaving")
+	}
 	req, limit, err := e.plan(&job)
 	if err != nil {
 		return nil, err
 	}
+	req.ID = id
 	f := e.newFlow(job, req)
+	f.claim = c
 	e.supersede(f)
 	e.flows[f.ID] = f
+	if c != nil {
+		e.limitOnce(f)
+	}
 	e.perform(f.arrived, e.core.Arrive(f.arrived, req, limit))
 	return f, nil
 }
@@ -195,7 +223,7 @@
 	}
 	job.Request.Priority = class.Priority
 	return router.Request{
-		ID: NewID(), Customer: job.Grant.Customer, Share: cust.ShareOrOne(), Class: job.Grant.Class,
+		Customer: job.Grant.Customer, Share: cust.ShareOrOne(), Class: job.Grant.Class,
 		Model: job.Request.Model, Priority: class.Priority, Tokens: tokens, Prefixes: placement.Prefixes(text),
 		KVBytes: int64(tokens) * int64(model.KVPerToken), TTFT: class.TTFT.D(), TBT: class.TBT.D(), Keep: class.KeepWhenGone,
 	}, lim.OpenLimit * cust.ShareOrOne(), nil
@@ -256,6 +284,7 @@
 		close(f.parts)
 	})
 	delete(e.flows, f.ID)
+	e.settle(f, err)
 	if e.keys[f.key] == f {
 		delete(e.keys, f.key)
 	}
--- /dev/null
+++ b/entry/once.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"time"
+
+	"github.com/ledgepin/ledgepin/claim"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/stream"
+)
+
+// onceClaim is the claim that a model request of a once class holds.
+type onceClaim struct {
+	ask     claim.Ask
+	members []string
+	keep    time.Duration
+	// settled tells that the outcome has been recorded.
+	settled bool
+}
+
+const (
+	// runLifetime is how long a claim holds for a request that runs. If its
+	// entry dies, the key is free again after that; a request that still runs
+	// then is cut off before.
+	runLifetime = 60 * time.Second
+	runMargin   = 5 * time.Second
+	// maxRecorded bounds a recorded answer in bytes.
+	maxRecorded = 64 << 10
+)
+
+// recorded is an answer as the voters keep it.
+type recorded struct {
+	Text   string `json:"text"`
+	Finish string `json:"finish"`
+	Tokens int    `json:"tokens"`
+}
+
+// claimRequest claims the key of a request of a once class. It returns the
+// claim, or a flow with the recorded answer of an earlier attempt.
+func (e *Entry) claimRequest(ctx context.Context, job Job, id string) (*onceClaim, *Flow, error) {
+	e.mu.Lock()
+	tree := e.store.Tree()
+	if !e.mayAct() {
+		e.mu.Unlock()
+		return nil, nil, fault.New(fault.NotReady, fault.StepAdmit, e.cfg.Name, "no confirmed settings yet")
+	}
+	e.mu.Unlock()
+	class := tree.Fleet.Classes[job.Grant.Class]
+	if !class.Once {
+		return nil, nil, nil
+	}
+	if job.Key == "" {
+		return nil, nil, fault.New(fault.KeyRequired, fault.StepClaim, "", "send an Idempotency-Key with this class of request")
+	}
+	svc := tree.Fleet.Services[class.ClaimGroup]
+	site, members := group(svc, tree.Fleet.Customers[job.Grant.Customer].Home)
+	c := &onceClaim{members: members, keep: svc.ClaimLifetimeOrDefault(), ask: claim.Ask{
+		Key: job.Grant.Customer + "/model/" + job.Key, Attempt: id, Body: requestHash(job),
+		Lifetime: runLifetime, Group: class.ClaimGroup + "@" + site,
+	}}
+	verdict, p := e.claim(ctx, c.ask, members)
+	switch verdict {
+	case claim.Won:
+		return c, nil, nil
+	case claim.Answered:
+		f, err := replay(id, p.Answer(), job)
+		return nil, f, err
+	case claim.Taken:
+		e.giveUp(c.ask, members)
+		return nil, nil, fault.New(fault.InProgress, fault.StepClaim, c.ask.Group, "another attempt with this key runs, or its entry has just died")
+	}
+	_, err := e.notWon(verdict, p, c.ask, members)
+	return nil, nil, err
+}
+
+// requestHash tells requests with the same key apart.
+func requestHash(job Job) uint64 {
+	h := fnv.New64a()
+	_ = json.NewEncoder(h).Encode(job.Request)
+	return h.Sum64()
+}
+
+// replay returns a flow that gives a recorded answer.
+func replay(id string, a *claim.Answer, job Job) (*Flow, error) {
+	var r recorded
+	if err := json.Unmarshal(a.Body, &r); err != nil {
+		return nil, fault.New(fault.OutcomeUnknown, fault.StepClaim, "", "the answer was too long to be kept; it was given once")
+	}
+	f := &Flow{ID: id, parts: make(chan stream.Part, 2), prompt: Tokens(PromptText(job.Request))}
+	f.parts <- stream.Part{Text: r.Text}
+	f.parts <- stream.Part{Index: r.Tokens, Finish: r.Finish}
+	close(f.parts)
+	return f, nil
+}
+
+// settle records the outcome of a request that holds a claim: its answer, or
+// that it has none, which frees the key for a retry. Callers hold the lock.
+func (e *Entry) settle(f *Flow, err error) {
+	c := f.claim
+	if c == nil || c.settled {
+		return
+	}
+	c.settled = true
+	r := &claim.Record{Key: c.ask.Key, Attempt: c.ask.Attempt}
+	if err == nil {
+		body, _ := json.Marshal(recorded{Text: f.asm.Text(), Finish: f.finish, Tokens: f.asm.Next()})
+		if len(body) > maxRecorded {
+			body = nil
+		}
+		r.Answer, r.Keep = &claim.Answer{Status: 200, Type: "application/json", Body: body}, c.keep
+	}
+	e.tellGroupLocked(r, c.members)
+}
+
+// limitOnce cuts a request off before its claim runs out.
+func (e *Entry) limitOnce(f *Flow) {
+	time.AfterFunc(runLifetime-runMargin, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.flows[f.ID] == f {
+			event.RequestFailed.Log(e.log, "request", f.ID, "detail", "the claim of its key is about to run out")
+			e.cutOff(time.Now(), f, fault.EngineLost)
+		}
+	})
+}
