--- a/agent/links.go
+++ b/agent/links.go
@@ -167,4 +167,6 @@
 	a.work.SetTime(p.LeaseTime)
 	a.kv.SetTime(p.LeaseTime)
 	a.joinGroup(now)
+	// Entries have to know of the slots at once, not with the next heartbeat.
+	a.beatLocked()
 }
--- a/app/dev.go
+++ b/app/dev.go
@@ -237,7 +237,7 @@
 func (d *Dev) waitReady(ctx context.Context) error {
 	for _, e := range d.entries {
 		for {
-			if ok, _ := e.proc.Ready(); ok && e.proc.Links() == len(devServers) && len(e.proc.Models()) == 1 {
+			if ok, _ := e.proc.Ready(); ok && e.proc.Reachable() == len(devServers) {
 				break
 			}
 			if err := pause(ctx); err != nil {
--- a/app/dev_break.go
+++ b/app/dev_break.go
@@ -5,6 +5,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/ledgepin/ledgepin/agent"
 	"github.com/ledgepin/ledgepin/decision"
 	"github.com/ledgepin/ledgepin/fault"
 	"github.com/ledgepin/ledgepin/standin"
@@ -86,6 +87,12 @@
 	return out
 }
 
+// Votes tells whether the agent beside a server votes on claims.
+func (d *Dev) Votes(name string) bool {
+	dump, ok := d.agents[name].now().Dump().(agent.Dump)
+	return ok && dump.Voting
+}
+
 // KillEntry ends an entry at once, by its number.
 func (d *Dev) KillEntry(n int) { d.entries[n].kill() }
 
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -122,6 +122,9 @@
 	// It may have granted a lease to a leader just before it went down.
 	n.lastHeard = now
 	n.resetElection(now)
+	if len(n.members.Voters) == 1 && n.voter(cfg.ID) {
+		n.electionDue = now // there is nobody to wait for
+	}
 	return n
 }
 
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -272,13 +272,15 @@
 	return out
 }
 
-// Links counts the open links to agents.
-func (e *Entry) Links() int {
+// Reachable counts the servers that could take work now: those with a link
+// and, for model servers, a free slot.
+func (e *Entry) Reachable() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	n := 0
-	for _, a := range e.agents {
-		if a.link != nil {
+	for name, a := range e.agents {
+		s := e.core.View().Server(name)
+		if a.link != nil && (s == nil || a.reported && s.Free() > 0 && len(s.Loaded()) > 0) {
 			n++
 		}
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -59,7 +59,8 @@
 	stall  bool
 	orders []engine.Order
 	// cancels counts cancel calls; refuse makes the next ones fail.
-	refuse int
+	refuse  int
+	decodes int // decodes that were started
 }
 
 // StartEngine serves an engine at addr ("127.0.0.1:0" for any free port).
@@ -136,6 +137,13 @@
 	return out
 }
 
+// Decodes counts the decodes that were started.
+func (e *Engine) Decodes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.decodes
+}
+
 // Orders lists the orders that were carried out.
 func (e *Engine) Orders() []engine.Order {
 	e.mu.Lock()
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -141,6 +141,9 @@
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
 	}
+	e.mu.Lock()
+	e.decodes++
+	e.mu.Unlock()
 	e.wg.Go(func() { e.generate(in.ID, j, in.Transfer.From) })
 	e.stream(w, r, j, in.Transfer.From)
 }
