--- a/agent/agent.go
+++ b/agent/agent.go
@@ -90,6 +90,7 @@
 	calls    map[lease.ID]time.Time
 	records  *decision.Ring
 	leaving  bool
+	pulledAt time.Time // when settings were last asked for
 }
 
 // Start returns a running agent.
--- a/agent/links.go
+++ b/agent/links.go
@@ -110,9 +110,7 @@
 	case m.Heartbeat != nil:
 		a.work.Seen(now, owner)
 		a.kv.Seen(now, owner)
-		if m.Heartbeat.Revision > a.store.Revision() {
-			_ = l.Send(&wire.Message{Pull: &wire.Pull{Have: a.store.Revision()}})
-		}
+		a.pull(now, l, m.Heartbeat.Revision)
 	case m.Settings != nil:
 		a.takeSettings(now, l, m.Settings)
 	case m.Pull != nil:
@@ -142,6 +140,18 @@
 	}
 }
 
+// pullAgain is how long one pull is waited for before another link is asked.
+const pullAgain = 500 * time.Millisecond
+
+// pull asks one of the entries that tell of a newer revision.
+func (a *Agent) pull(now time.Time, l *wire.Link, revision uint64) {
+	if revision <= a.store.Revision() || now.Sub(a.pulledAt) < pullAgain {
+		return
+	}
+	a.pulledAt = now
+	_ = l.Send(&wire.Message{Pull: &wire.Pull{Have: a.store.Revision()}})
+}
+
 func (a *Agent) takeSettings(now time.Time, l *wire.Link, m *wire.Settings) {
 	switch a.store.Apply(now, m) {
 	case spread.NeedWhole:
@@ -149,6 +159,7 @@
 	case spread.Bad:
 		event.SettingsBad.Log(a.log, "peer", l.Peer.Name, "revision", m.Revision)
 	case spread.Taken:
+		a.pulledAt = time.Time{}
 		event.SettingsInForce.Log(a.log, "revision", m.Revision)
 		a.applySettings(now)
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -16,6 +16,7 @@
 	"github.com/ledgepin/ledgepin/fleet"
 	"github.com/ledgepin/ledgepin/journal"
 	"github.com/ledgepin/ledgepin/order"
+	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/settings"
 	"github.com/ledgepin/ledgepin/spread"
 	"github.com/ledgepin/ledgepin/wire"
@@ -49,6 +50,7 @@
 	electionMax    = 2 * time.Second
 	clockDrift     = 0.05
 	reconcileEvery = 500 * time.Millisecond
+	zonesEvery     = 5 * time.Second
 
 	// DefaultSnapshotEvery is the number of entries between snapshots.
 	DefaultSnapshotEvery = 1000
@@ -77,7 +79,9 @@
 	led     bool
 	zones   map[string]*wire.Summary
 	planner order.Planner
+	broker  *quota.Broker
 	beatAt  time.Time
+	zonesAt time.Time
 	planAt  time.Time
 	floorAt time.Time
 }
@@ -92,6 +96,7 @@
 		cfg: cfg, log: cfg.Log.With("role", "control", "name", cfg.Name), epoch: time.Now().UnixNano(),
 		ctx: ctx, cancel: cancel, state: fleet.New(), waiters: map[string][]chan fleet.Result{},
 		out: map[string]*peerLink{}, down: map[*wire.Link]bool{}, seen: map[string]bool{}, zones: map[string]*wire.Summary{},
+		broker: quota.NewBroker(),
 	}
 	restored, fresh, err := c.openDisk()
 	if err != nil {
@@ -251,6 +256,10 @@
 		c.reconcile(now)
 		c.orders(now)
 	}
+	if now.Sub(c.zonesAt) >= zonesEvery {
+		c.zonesAt = now
+		c.tellZones()
+	}
 }
 
 // flush does what the node asks for, in its order: snapshot, disk, network,
--- a/control/links.go
+++ b/control/links.go
@@ -108,6 +108,8 @@
 		c.zones[m.Summary.Zone] = m.Summary
 	case m.Ordered != nil:
 		c.ordered(m.Ordered)
+	case m.Shares != nil:
+		c.lend(now, l, m.Shares)
 	}
 }
 
--- /dev/null
+++ b/control/zones.go
@@ -0,0 +1,66 @@
+package control
+
+import (
+	"sort"
+	"time"
+
+	"github.com/ledgepin/ledgepin/settings"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// tellZones tells the links below which zones have room for which models.
+// Callers hold the lock.
+func (c *Control) tellZones() {
+	tree := c.store.Tree()
+	if tree == nil || len(c.zones) < 2 {
+		return
+	}
+	roles := map[string]string{}
+	for _, p := range tree.Servers() {
+		roles[p.Name] = p.Role
+	}
+	out := &wire.Zones{}
+	for _, z := range c.zones {
+		out.Free = append(out.Free, room(z, roles))
+	}
+	sort.Slice(out.Free, func(i, j int) bool { return out.Free[i].Zone < out.Free[j].Zone })
+	c.toAll(&wire.Message{Zones: out})
+}
+
+// room adds up the free slots of a zone.
+func room(z *wire.Summary, roles map[string]string) wire.ZoneFree {
+	out := wire.ZoneFree{Zone: z.Zone, Prefill: map[string]int{}, Decode: map[string]int{}}
+	for _, s := range z.Servers {
+		if s.Leaving || s.Free <= 0 {
+			continue
+		}
+		by := out.Decode
+		if roles[s.Name] == settings.RolePrefill {
+			by = out.Prefill
+		}
+		for _, m := range s.Models {
+			by[m] += s.Free
+		}
+	}
+	return out
+}
+
+// lend answers a relay or an entry that asks for units of customers' limits.
+// Every replica lends: a relay that moves to another replica asks anew, and a
+// loan that is counted twice ends with its lifetime. Callers hold the lock.
+func (c *Control) lend(now time.Time, l *wire.Link, m *wire.Shares) {
+	tree := c.store.Tree()
+	if tree == nil {
+		return
+	}
+	limit := tree.At("", "", "").OpenLimit
+	out := &wire.Lent{}
+	for _, a := range m.Asks {
+		cust, ok := tree.Fleet.Customers[a.Customer]
+		if !ok {
+			continue
+		}
+		out.Grants = append(out.Grants, c.broker.Ask(now, l.Peer.Name, a, limit*cust.ShareOrOne()))
+	}
+	_ = l.Send(&wire.Message{Lent: out})
+}
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -89,9 +89,6 @@
 	event.LinkUp.Log(e.log, "peer", a.name)
 	now := time.Now()
 	a.link, a.gone, a.leaving, a.reported = l, false, false, false
-	if l.Peer.Revision < e.inForce() {
-		e.answerPull(l, &wire.Pull{Have: l.Peer.Revision})
-	}
 	_ = l.Send(&wire.Message{Heartbeat: &wire.Heartbeat{Revision: e.inForce()}})
 	again, effects := e.core.Rejoin(now, a.name)
 	for _, r := range again {
@@ -116,7 +113,7 @@
 	case m.Chunk != nil:
 		e.chunk(now, m.Chunk)
 	case m.Heartbeat != nil:
-		e.agentBeat(now, a, l, m.Heartbeat)
+		e.agentBeat(now, a, m.Heartbeat)
 	case m.Reserved != nil:
 		r := m.Reserved
 		e.perform(now, e.core.Reserved(now, a.name, r.ID, r.OK, r.Reason, e.marked(a, r.Load)))
@@ -140,10 +137,7 @@
 	}
 }
 
-func (e *Entry) agentBeat(now time.Time, a *agentLink, l *wire.Link, h *wire.Heartbeat) {
-	if h.Revision < e.inForce() {
-		e.answerPull(l, &wire.Pull{Have: h.Revision})
-	}
+func (e *Entry) agentBeat(now time.Time, a *agentLink, h *wire.Heartbeat) {
 	if h.Load == nil {
 		return
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/ledgepin/ledgepin/decision"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/placement"
+	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/router"
 	"github.com/ledgepin/ledgepin/settings"
 	"github.com/ledgepin/ledgepin/spread"
@@ -78,6 +79,12 @@
 	started  time.Time
 	dirty    chan struct{}  // settings to write to the disk
 	story    *decision.Ring // records of plain calls
+	zones    []wire.ZoneFree
+	borrowed map[string]time.Time // servers of other zones, until when
+	short    map[string]time.Time // when this zone last had no room for a model
+	holder   *quota.Holder
+	broker   *quota.Broker
+	beats    int
 }
 
 // Start returns a running entry.
@@ -90,7 +97,8 @@
 		ctx: ctx, cancel: cancel, flows: map[string]*Flow{}, agents: map[string]*agentLink{},
 		down: map[*wire.Link]bool{}, leaving: map[string]bool{}, keys: map[string]*Flow{},
 		claims: map[string]*claimWait{}, calls: map[string]*callWait{}, started: now,
-		story: decision.NewRing(records), dirty: make(chan struct{}, 1),
+		borrowed: map[string]time.Time{}, short: map[string]time.Time{},
+		holder: quota.NewHolder(), broker: quota.NewBroker(), story: decision.NewRing(records), dirty: make(chan struct{}, 1),
 	}
 	e.core = router.New(placement.NewView(cfg.Zone, rng), router.Options{
 		Policy: router.DefaultPolicy(), Records: records, Name: cfg.Name,
@@ -218,12 +226,30 @@
 	}
 	if e.up != nil {
 		_ = e.up.SendFrame(frame)
-		if e.up.Peer.Role == wire.RoleControl && e.mayAct() {
-			_ = e.up.Send(&wire.Message{Summary: e.summary()})
-		}
+	}
+	e.beats++
+	if e.mayAct() {
+		e.slowBeat(time.Now())
 	}
 }
 
+// slowBeat does what is due every few heartbeats. Callers hold the lock.
+func (e *Entry) slowBeat(now time.Time) {
+	if e.beats%summaryBeats == 0 && e.up != nil && e.up.Peer.Role == wire.RoleControl {
+		_ = e.up.Send(&wire.Message{Summary: e.summary()})
+	}
+	if e.beats%shareBeats == 0 {
+		e.askShares(now)
+	}
+	e.spill(now)
+}
+
+// Heartbeats between two summaries and two wishes for shares.
+const (
+	summaryBeats = 3
+	shareBeats   = 2
+)
+
 // Ready tells whether the entry can serve, and if not, why. A degraded entry
 // is ready and says so.
 func (e *Entry) Ready() (bool, string) {
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -226,7 +226,7 @@
 		Customer: job.Grant.Customer, Share: cust.ShareOrOne(), Class: job.Grant.Class,
 		Model: job.Request.Model, Priority: class.Priority, Tokens: tokens, Prefixes: placement.Prefixes(text),
 		KVBytes: int64(tokens) * int64(model.KVPerToken), TTFT: class.TTFT.D(), TBT: class.TBT.D(), Keep: class.KeepWhenGone,
-	}, lim.OpenLimit * cust.ShareOrOne(), nil
+	}, e.holder.Limit(job.Grant.Customer, lim.OpenLimit*cust.ShareOrOne()), nil
 }
 
 // limits returns the limits of a model in the first pool of this zone that
@@ -294,6 +294,9 @@
 func (e *Entry) refused(x router.Refuse) {
 	event.RequestRefused.Log(e.log, "request", x.Req, "code", x.Code.ID, "detail", x.Detail)
 	if f := e.flows[x.Req]; f != nil {
+		if x.Code == fault.TargetMissed || x.Code == fault.NoServer {
+			e.short[f.req.Model] = time.Now()
+		}
 		e.end(f, refusal(x))
 	}
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -65,9 +65,12 @@
 	e.keep()
 	event.SettingsInForce.Log(e.log, "revision", e.store.Revision())
 	e.apply(now)
+	// An agent has links from every entry of its zone. All tell it that there is
+	// a new revision, and it asks one of them.
+	beat := &wire.Message{Heartbeat: &wire.Heartbeat{Revision: e.inForce()}}
 	for _, a := range e.agents {
 		if a.link != nil {
-			e.push(a.link)
+			_ = a.link.Send(beat)
 		}
 	}
 	for l := range e.down {
@@ -124,7 +127,7 @@
 	e.core.SetLimits(lim.QueueLimit, lim.RetryPercent, lim.StallAfter)
 	seen := map[string]bool{}
 	for _, p := range tree.Servers() {
-		if p.Zone != e.cfg.Zone && !e.spills(p) {
+		if p.Zone != e.cfg.Zone && !e.linked(p) {
 			continue
 		}
 		seen[p.Name] = true
@@ -140,24 +143,6 @@
 	}
 }
 
-// spills tells whether an entry keeps a link to a server of another zone: one
-// that serves a plain service or votes for claims, which may be few.
-func (e *Entry) spills(p settings.Placed) bool { return p.Role == settings.RoleService || e.small() }
-
-// smallFleet is the number of servers up to which an entry keeps a link to
-// each; a larger fleet is reached through the availability zones' summaries.
-const smallFleet = 64
-
-func (e *Entry) small() bool {
-	n := 0
-	for _, s := range e.store.Tree().Fleet.Sites {
-		for _, p := range s.Pools {
-			n += len(p.Servers)
-		}
-	}
-	return n <= smallFleet
-}
-
 func (e *Entry) applyServer(p settings.Placed) {
 	info := placement.Info{
 		Name: p.Name, Zone: p.Zone, Role: p.Role, Models: p.Models, Slots: p.Slots, LinkRate: float64(p.LinkRate),
@@ -222,6 +207,10 @@
 		e.passOrder(m)
 	case m.Leaving != nil:
 		e.setLeaving(m.Leaving.Servers)
+	case m.Zones != nil:
+		e.takeZones(m)
+	case m.Lent != nil:
+		e.takeLoans(m.Lent)
 	}
 }
 
@@ -247,6 +236,8 @@
 		e.answerPull(l, &wire.Pull{Have: m.Heartbeat.Revision})
 	case m.Ordered != nil && e.up != nil:
 		_ = e.up.Send(m)
+	case m.Shares != nil:
+		e.lend(time.Now(), l, m.Shares)
 	}
 }
 
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -90,6 +90,9 @@
 		"A server failed several times in a row and gets only probes for a while.", "Look at the server.")
 	ServerLeaving = define("LP4007", info, "server leaving",
 		"A backend server is leaving and gets no new work.", nothing)
+	Borrowed = define("LP4011", info, "server borrowed",
+		"The entry's own availability zone is short of a model, so it uses a server of another one for a while.",
+		"If it happens often, the zone's pool is too small.")
 	OrderDone  = define("LP4008", info, "order carried out", "The engine has carried out an order of control.", nothing)
 	OrderStale = define("LP4009", warn, "order refused",
 		"An order came with a fence that is too low, or before the fence was known.",
--- /dev/null
+++ b/quota/quota.go
@@ -0,0 +1,140 @@
+// Package quota shares the limits of customers out over many entries.
+//
+// A customer may have so many open requests in the fleet. Asking for each
+// request would put control on its path, so units are leased downwards: from
+// control to the relay of an availability zone, and from there to entries. A
+// Holder asks ahead when it runs short and gives back what it does not need; a
+// Broker never has more on loan than it has itself, counting loans until they
+// end.
+package quota
+
+import (
+	"sort"
+	"time"
+)
+
+// Ask is what a holder wants to have of one customer in all.
+type Ask struct {
+	Customer string `cbor:"1,keyasint"`
+	Want     int    `cbor:"2,keyasint"`
+}
+
+// Grant is what a holder has of one customer from now on.
+type Grant struct {
+	Customer string `cbor:"1,keyasint"`
+	Units    int    `cbor:"2,keyasint"`
+}
+
+// Lifetime is how long a loan counts after the holder was last heard of.
+const Lifetime = 15 * time.Second
+
+type loan struct {
+	units int
+	until time.Time
+}
+
+// Broker lends units to holders below.
+type Broker struct {
+	loans map[string]map[string]loan // by customer and holder
+}
+
+// NewBroker returns a broker without loans.
+func NewBroker() *Broker { return &Broker{loans: map[string]map[string]loan{}} }
+
+// Ask answers a holder: at most total units of a customer are on loan.
+func (b *Broker) Ask(now time.Time, holder string, a Ask, total int) Grant {
+	of := b.loans[a.Customer]
+	if of == nil {
+		of = map[string]loan{}
+		b.loans[a.Customer] = of
+	}
+	free := total
+	for name, l := range of {
+		switch {
+		case name == holder:
+		case now.After(l.until):
+			delete(of, name)
+		default:
+			free -= l.units
+		}
+	}
+	units := min(max(a.Want, 0), max(free, 0))
+	of[holder] = loan{units, now.Add(Lifetime)}
+	if a.Want == 0 {
+		delete(of, holder)
+	}
+	if len(of) == 0 {
+		delete(b.loans, a.Customer)
+	}
+	return Grant{a.Customer, units}
+}
+
+// Lent returns the units of a customer that are on loan.
+func (b *Broker) Lent(now time.Time, customer string) int {
+	sum := 0
+	for _, l := range b.loans[customer] {
+		if !now.After(l.until) {
+			sum += l.units
+		}
+	}
+	return sum
+}
+
+// Customers lists the customers that have loans.
+func (b *Broker) Customers() []string {
+	out := make([]string, 0, len(b.loans))
+	for c := range b.loans {
+		out = append(out, c)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Floor is the number of open requests of a customer that an entry allows
+// without a loan, so that the first ones wait for nobody.
+const Floor = 4
+
+// Holder keeps what one entry may use of each customer.
+type Holder struct {
+	units map[string]int
+}
+
+// NewHolder returns a holder without loans.
+func NewHolder() *Holder { return &Holder{units: map[string]int{}} }
+
+// Limit returns how many open requests of a customer are allowed here. A
+// fleet-wide limit below the floor is kept.
+func (h *Holder) Limit(customer string, fleet int) int {
+	return max(h.units[customer], min(Floor, fleet))
+}
+
+// Wish returns what to ask for: twice what is in use, so that the next growth
+// needs no wait, and nothing for what the floor covers. It lists only the
+// customers that need more, hold too much, or have to renew.
+func (h *Holder) Wish(used map[string]int) []Ask {
+	var out []Ask
+	for c, n := range used {
+		if n > Floor/2 {
+			out = append(out, Ask{c, 2 * n})
+		}
+	}
+	for c := range h.units {
+		if used[c] <= Floor/2 {
+			out = append(out, Ask{c, 0})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Customer < out[j].Customer })
+	return out
+}
+
+// Granted takes a loan.
+func (h *Holder) Granted(g Grant) {
+	if g.Units == 0 {
+		delete(h.units, g.Customer)
+		return
+	}
+	h.units[g.Customer] = g.Units
+}
+
+// Units returns what is on loan of a customer.
+func (h *Holder) Units(customer string) int { return h.units[customer] }
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,51 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/ledgepin/ledgepin/quota"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestHolderAsksAhead(t *testing.T) {
+	h := quota.NewHolder()
+	assert.Equal(t, h.Limit("c", 100), quota.Floor)
+	assert.Equal(t, h.Limit("c", 2), 2)
+	assert.Equal(t, len(h.Wish(map[string]int{"c": 1})), 0)
+	assert.DeepEqual(t, h.Wish(map[string]int{"c": 10}), []quota.Ask{{Customer: "c", Want: 20}})
+	h.Granted(quota.Grant{Customer: "c", Units: 20})
+	assert.Equal(t, h.Limit("c", 100), 20)
+	assert.DeepEqual(t, h.Wish(map[string]int{}), []quota.Ask{{Customer: "c", Want: 0}})
+}
+
+func TestSilentHolderLosesItsLoan(t *testing.T) {
+	b := quota.NewBroker()
+	assert.Equal(t, b.Ask(start, "e1", quota.Ask{Customer: "c", Want: 8}, 10).Units, 8)
+	assert.Equal(t, b.Ask(start, "e2", quota.Ask{Customer: "c", Want: 8}, 10).Units, 2)
+	later := start.Add(quota.Lifetime + time.Second)
+	assert.Equal(t, b.Ask(later, "e2", quota.Ask{Customer: "c", Want: 8}, 10).Units, 8)
+}
+
+// TestNeverMoreOnLoanThanThereIs lets holders ask for anything at any time.
+func TestNeverMoreOnLoanThanThereIs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := quota.NewBroker()
+		now := start
+		total := rapid.IntRange(0, 20).Draw(t, "total")
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond)
+			holder := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "holder"))
+			want := rapid.IntRange(0, 30).Draw(t, "want")
+			g := b.Ask(now, holder, quota.Ask{Customer: "c", Want: want}, total)
+			if g.Units > want || b.Lent(now, "c") > total {
+				t.Fatalf("%d units for a wish of %d, %d of %d on loan", g.Units, want, b.Lent(now, "c"), total)
+			}
+		}
+	})
+}
--- a/router/core.go
+++ b/router/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"time"
 
 	"github.com/ledgepin/ledgepin/admission"
@@ -136,8 +137,8 @@
 // Waiting counts the requests in the queues.
 func (c *Core) Waiting() int { return c.waiting }
 
-// OpenOf counts the open requests of a customer.
-func (c *Core) OpenOf(customer string) int { return c.open[customer] }
+// OpenByCustomer counts the open requests of each customer.
+func (c *Core) OpenByCustomer() map[string]int { return maps.Clone(c.open) }
 
 // Explain returns the record of a request.
 func (c *Core) Explain(id string) (decision.Record, bool) { return c.records.Find(id) }
--- a/wire/message.go
+++ b/wire/message.go
@@ -9,6 +9,7 @@
 	"github.com/ledgepin/ledgepin/lease"
 	"github.com/ledgepin/ledgepin/order"
 	"github.com/ledgepin/ledgepin/placement"
+	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/settings"
 )
 
@@ -47,6 +48,9 @@
 	Summary *Summary          `cbor:"24,keyasint,omitempty"`
 	Resume  *Resume           `cbor:"25,keyasint,omitempty"`
 	Leaving *Leaving          `cbor:"26,keyasint,omitempty"`
+	Zones   *Zones            `cbor:"27,keyasint,omitempty"`
+	Shares  *Shares           `cbor:"28,keyasint,omitempty"`
+	Lent    *Lent             `cbor:"29,keyasint,omitempty"`
 }
 
 // Roles that a Hello may name.
@@ -216,3 +220,26 @@
 type Leaving struct {
 	Servers []string `cbor:"1,keyasint"`
 }
+
+// Zones tells entries which availability zones have room, so that one whose
+// own zone is short can spill to another.
+type Zones struct {
+	Free []ZoneFree `cbor:"1,keyasint"`
+}
+
+// ZoneFree is the room of one zone: free slots by model and role.
+type ZoneFree struct {
+	Zone    string         `cbor:"1,keyasint"`
+	Prefill map[string]int `cbor:"2,keyasint,omitempty"`
+	Decode  map[string]int `cbor:"3,keyasint,omitempty"`
+}
+
+// Shares asks upstream for units of customers' limits.
+type Shares struct {
+	Asks []quota.Ask `cbor:"1,keyasint"`
+}
+
+// Lent answers Shares.
+type Lent struct {
+	Grants []quota.Grant `cbor:"1,keyasint"`
+}
