--- a/agent/agent.go
+++ b/agent/agent.go
@@ -43,7 +43,7 @@
 	// orphanGrace is how long entries may claim what the engine was running
 	// when the agent restarted.
 	orphanGrace = time.Second
-	firstLease  = 3 * time.Second
+	firstLease  = 5 * time.Second
 	records     = 2048
 )
 
@@ -91,6 +91,9 @@
 	records  *decision.Ring
 	leaving  bool
 	pulledAt time.Time // when settings were last asked for
+	parted   map[string]time.Time
+	beatAt   time.Time // of the last report, with the slots in use then
+	beatUsed int
 }
 
 // Start returns a running agent.
@@ -101,7 +104,7 @@
 		cfg: cfg, log: cfg.Log.With("role", "agent", "name", cfg.Name), epoch: time.Now().UnixNano(),
 		ctx: ctx, cancel: cancel, work: lease.New(0, opts), kv: lease.New(kvSlots, opts),
 		jobs: map[lease.ID]*job{}, links: map[string]*wire.Link{}, orphans: map[lease.ID]time.Time{},
-		calls: map[lease.ID]time.Time{}, records: decision.NewRing(records),
+		calls: map[lease.ID]time.Time{}, parted: map[string]time.Time{}, records: decision.NewRing(records),
 	}
 	if cfg.Engine != "" {
 		a.engine = engine.NewClient(cfg.Engine)
@@ -198,8 +201,16 @@
 			a.effects(a.work, a.work.Adopt(now, id))
 		}
 	}
+	for owner, at := range a.parted {
+		if now.Sub(at) > rejoinGrace {
+			delete(a.parted, owner)
+			a.effects(a.work, a.work.Gone(now, owner))
+			a.effects(a.kv, a.kv.Gone(now, owner))
+		}
+	}
 	a.effects(a.work, a.work.Tick(now))
 	a.effects(a.kv, a.kv.Tick(now))
+	a.beatEarly(now)
 	if a.voter != nil {
 		a.voter.Tick(now)
 	}
--- a/agent/links.go
+++ b/agent/links.go
@@ -11,7 +11,11 @@
 )
 
 // beatEvery is the time between two heartbeats on a link.
-const beatEvery = time.Second
+const beatEvery = 2 * time.Second
+
+// rejoinGrace is how long an entry's leases outlive its closed link. A link
+// that falls silent without closing is covered by the lease time.
+const rejoinGrace = time.Second
 
 // ownerOf names the holder of leases: an entry that restarts is another one.
 func ownerOf(h wire.Hello) string { return fmt.Sprintf("%s/%d", h.Name, h.Epoch) }
@@ -36,6 +40,7 @@
 		old.Close()
 	}
 	a.links[owner] = l
+	delete(a.parted, owner)
 	a.work.Seen(time.Now(), owner)
 	a.sendBeat(owner, l)
 }
@@ -45,6 +50,7 @@
 	defer a.mu.Unlock()
 	if a.links[owner] == l {
 		delete(a.links, owner)
+		a.parted[owner] = time.Now()
 	}
 }
 
@@ -65,10 +71,32 @@
 func (a *Agent) beat() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.beatLocked()
+}
+
+// beatLocked is beat for callers that hold the lock.
+func (a *Agent) beatLocked() {
 	for owner, l := range a.links {
 		a.sendBeat(owner, l)
 	}
 	a.hashes = nil
+	a.beatAt, a.beatUsed = time.Now(), a.work.Used()
+}
+
+const (
+	// earlyBeat is the least time between two reports.
+	earlyBeat = 500 * time.Millisecond
+	// earlyPart is the part of the slots that must have become free since the
+	// last report for one to go out early, as after the loss of an entry.
+	earlyPart = 4
+)
+
+// beatEarly reports a large fall of the load at once. Callers hold the lock.
+func (a *Agent) beatEarly(now time.Time) {
+	fell := a.beatUsed - a.work.Used()
+	if fell > 0 && fell >= a.work.Slots()/earlyPart && now.Sub(a.beatAt) >= earlyBeat {
+		a.beatLocked()
+	}
 }
 
 func (a *Agent) sendBeat(owner string, l *wire.Link) {
--- a/agent/recover.go
+++ b/agent/recover.go
@@ -160,13 +160,6 @@
 	}
 }
 
-// beatLocked tells all entries at once of a change. Callers hold the lock.
-func (a *Agent) beatLocked() {
-	for owner, l := range a.links {
-		a.sendBeat(owner, l)
-	}
-}
-
 // Dump is the state of an agent.
 type Dump struct {
 	Name     string        `json:"name"`
@@ -215,3 +208,10 @@
 	}
 	return true, ""
 }
+
+// Revision returns the settings revision that the agent holds.
+func (a *Agent) Revision() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.store.Revision()
+}
--- /dev/null
+++ b/cmd/spreadbench/main.go
@@ -0,0 +1,268 @@
+// Command spreadbench measures, with real links over loopback, how settings
+// spread and what the links of a fleet cost at rest: control with three
+// replicas, and availability zones of a relay, entries and agents, all within
+// one process. Its figures feed docs/CAPACITY.md.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/ledgepin/ledgepin/agent"
+	"github.com/ledgepin/ledgepin/control"
+	"github.com/ledgepin/ledgepin/entry"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/settings"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// fleet is what is started.
+type fleet struct {
+	controls []*control.Control
+	entries  []*entry.Entry
+	agents   []*agent.Agent
+	names    map[string]string // agents' addresses by server
+}
+
+func main() {
+	zones := flag.Int("zones", 1, "availability zones")
+	entries := flag.Int("entries", 37, "entries in each zone, the first of them the relay")
+	agents := flag.Int("agents", 55, "agents in each zone")
+	changes := flag.Int("changes", 20, "changes to make")
+	rest := flag.Duration("rest", 10*time.Second, "time at rest")
+	flag.Parse()
+	f := &fleet{names: map[string]string{}}
+	base := heap()
+	f.startControls()
+	afterControl := heap()
+	for z := range *zones {
+		for a := range *agents {
+			f.startAgent(z, a)
+		}
+	}
+	afterAgents := heap()
+	for z := range *zones {
+		f.startZone(z, *entries)
+	}
+	text := f.tree(*zones, *agents, 0)
+	f.change(0, text)
+	f.waitFor(1)
+	f.waitLinks(*agents)
+	links := *zones * *entries * *agents
+	fmt.Printf("%d controls, %d entries, %d agents, %d links between entries and agents, tree of %d bytes\n",
+		len(f.controls), len(f.entries), len(f.agents), links, len(text))
+	fmt.Printf("heap: control %.0f KB each, agent without links %.0f KB each, all else %.1f KB a link (both ends)\n",
+		kb(afterControl-base)/3, kb(afterAgents-afterControl)/float64(max(len(f.agents), 1)), kb(heap()-afterAgents)/float64(max(links, 1)))
+	f.atRest(*rest)
+	f.spread(*changes, *zones, *agents)
+	f.close()
+}
+
+func kb(n float64) float64 { return n / 1000 }
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+func listen(h http.Handler) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		log.Fatal(err)
+	}
+	go func() { _ = (&http.Server{Handler: h}).Serve(ln) }()
+	return ln.Addr().String()
+}
+
+// late is a handler that is set after its address is known.
+type late struct{ h http.Handler }
+
+// ServeHTTP implements http.Handler.
+func (l *late) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if l.h == nil {
+		http.Error(w, "not yet", http.StatusServiceUnavailable)
+		return
+	}
+	l.h.ServeHTTP(w, r)
+}
+
+var controlAddrs []string
+
+func (f *fleet) startControls() {
+	members := map[string]string{}
+	handlers := []*late{}
+	for i := range 3 {
+		h := &late{}
+		handlers = append(handlers, h)
+		addr := listen(h)
+		members[fmt.Sprint("c", i)] = addr
+		controlAddrs = append(controlAddrs, addr)
+	}
+	for i := range 3 {
+		dir, err := os.MkdirTemp("", "spreadbench")
+		if err != nil {
+			log.Fatal(err)
+		}
+		c, err := control.Start(control.Config{Name: fmt.Sprint("c", i), Zone: "z0", Members: members, Dir: dir, Log: quiet})
+		if err != nil {
+			log.Fatal(err)
+		}
+		handlers[i].h = c.Handler()
+		f.controls = append(f.controls, c)
+	}
+}
+
+func (f *fleet) startAgent(zone, n int) {
+	name := fmt.Sprintf("s-%d-%d", zone, n)
+	a := agent.Start(agent.Config{Name: name, Zone: fmt.Sprint("z", zone), Log: quiet})
+	f.agents = append(f.agents, a)
+	f.names[name] = listen(a.Handler())
+}
+
+func (f *fleet) startZone(zone, n int) {
+	relay := entry.Start(entry.Config{Name: fmt.Sprintf("e-%d-0", zone), Zone: fmt.Sprint("z", zone), Upstream: controlAddrs, Log: quiet})
+	f.entries = append(f.entries, relay)
+	up := []string{listen(relay.Handler())}
+	for i := 1; i < n; i++ {
+		c := entry.Config{Name: fmt.Sprintf("e-%d-%d", zone, i), Zone: fmt.Sprint("z", zone), Upstream: up, Log: quiet}
+		f.entries = append(f.entries, entry.Start(c))
+	}
+}
+
+// tree returns a tree of the size to design for: the servers that are started,
+// 310 customers and 7 models.
+func (f *fleet) tree(zones, agents, queue int) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "fleet:\n  queue_limit: %d\n  classes:\n    desk: {priority: 0, ttft: 330ms, tbt: 75ms}\n  models:\n", 100+queue)
+	for i := range 7 {
+		fmt.Fprintf(&b, "    m%d: {version: \"1\", weights: 16GB, kv_per_token: 100KB}\n", i)
+	}
+	b.WriteString("  customers:\n")
+	for i := range 310 {
+		fmt.Fprintf(&b, "    org%d: {share: 2, tokens: [{sha256: %s, class: desk}]}\n", i, settings.HashToken(fmt.Sprint(i)))
+	}
+	b.WriteString("  sites:\n")
+	for z := range zones {
+		fmt.Fprintf(&b, "    site%d:\n      zone: z%d\n      pools:\n        pool:\n          role: decode\n          models: {m0: {}, m1: {}}\n          servers:\n", z, z)
+		for a := range agents {
+			name := fmt.Sprintf("s-%d-%d", z, a)
+			fmt.Fprintf(&b, "            %s: {agent: %q}\n", name, f.names[name])
+		}
+	}
+	return []byte(b.String())
+}
+
+// change makes a change at the leader and returns when it was accepted.
+func (f *fleet) change(base uint64, text []byte) time.Time {
+	for {
+		for _, c := range f.controls {
+			_, err := c.Change(context.Background(), control.Proposal{ID: fmt.Sprint("ch", base), Base: base, Text: text, Who: "bench"})
+			if err == nil {
+				return time.Now()
+			}
+			if !fault.Is(err, fault.NotLeader) {
+				log.Fatal(err)
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (f *fleet) waitFor(rev uint64) {
+	for _, e := range f.entries {
+		for e.Revision() < rev {
+			time.Sleep(200 * time.Microsecond)
+		}
+	}
+	for _, a := range f.agents {
+		for a.Revision() < rev {
+			time.Sleep(200 * time.Microsecond)
+		}
+	}
+}
+
+func (f *fleet) waitLinks(agents int) {
+	for _, e := range f.entries {
+		for e.OpenLinks() < agents {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+func (f *fleet) bytes() (entries, relays float64) {
+	for i, e := range f.entries {
+		s, r := e.LinkBytes()
+		entries += float64(s + r)
+		if i == 0 {
+			relays = float64(s + r)
+		}
+	}
+	return entries, relays
+}
+
+func cpu() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// atRest measures what heartbeats and reports cost.
+func (f *fleet) atRest(d time.Duration) {
+	time.Sleep(2 * time.Second)
+	bytes, relay := f.bytes()
+	used := cpu()
+	time.Sleep(d)
+	bytes2, relay2 := f.bytes()
+	nodes := float64(len(f.entries) + len(f.agents) + len(f.controls))
+	per := (cpu() - used).Seconds() / d.Seconds() / nodes
+	fmt.Printf("at rest: %.0f B/s of payload at an entry (relay %.0f B/s), both directions; %.3f%% of a core a node\n",
+		(bytes2-bytes)/d.Seconds()/float64(len(f.entries)), (relay2-relay)/d.Seconds(), 100*per)
+}
+
+// spread makes changes and measures when each is in force everywhere.
+func (f *fleet) spread(changes, zones, agents int) {
+	var times []time.Duration
+	before, relayBefore := f.bytes()
+	used := cpu()
+	begin := time.Now()
+	for i := range changes {
+		accepted := f.change(uint64(i+1), f.tree(zones, agents, i+1))
+		f.waitFor(uint64(i + 2))
+		times = append(times, time.Since(accepted))
+	}
+	slices.Sort(times)
+	bytes, relay := f.bytes()
+	nodes := float64(len(f.entries) + len(f.agents) + len(f.controls))
+	fmt.Printf("spread of %d changes in %s: accepted to in force everywhere p50 %s, max %s\n",
+		changes, time.Since(begin).Round(time.Millisecond), times[len(times)/2].Round(100*time.Microsecond), times[len(times)-1].Round(100*time.Microsecond))
+	fmt.Printf("for each change: %.0f B at an entry, %.0f B at the relay, %.2f ms of processor time a node\n",
+		(bytes-before)/float64(changes)/float64(len(f.entries)), (relay-relayBefore)/float64(changes), (cpu()-used).Seconds()*1000/float64(changes)/nodes)
+}
+
+func (f *fleet) close() {
+	for _, e := range f.entries {
+		e.Close()
+	}
+	for _, a := range f.agents {
+		a.Close()
+	}
+	for _, c := range f.controls {
+		c.Close()
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -44,7 +44,7 @@
 // Times of the replicated log.
 const (
 	tickEvery      = 20 * time.Millisecond
-	beatEvery      = time.Second
+	beatEvery      = 2 * time.Second
 	raftBeat       = 150 * time.Millisecond
 	electionMin    = time.Second
 	electionMax    = 2 * time.Second
@@ -75,7 +75,7 @@
 	waiters map[string][]chan fleet.Result
 	out     map[string]*peerLink // links to other replicas, by name
 	down    map[*wire.Link]bool  // links of relays and entries
-	seen    map[string]bool      // identities that have dialled in
+	seen    map[string]int       // links of identities that have dialled in
 	led     bool
 	zones   map[string]*wire.Summary
 	planner order.Planner
@@ -95,7 +95,7 @@
 	c := &Control{
 		cfg: cfg, log: cfg.Log.With("role", "control", "name", cfg.Name), epoch: time.Now().UnixNano(),
 		ctx: ctx, cancel: cancel, state: fleet.New(), waiters: map[string][]chan fleet.Result{},
-		out: map[string]*peerLink{}, down: map[*wire.Link]bool{}, seen: map[string]bool{}, zones: map[string]*wire.Summary{},
+		out: map[string]*peerLink{}, down: map[*wire.Link]bool{}, seen: map[string]int{}, zones: map[string]*wire.Summary{},
 		broker: quota.NewBroker(),
 	}
 	restored, fresh, err := c.openDisk()
--- a/control/links.go
+++ b/control/links.go
@@ -71,7 +71,7 @@
 	if below {
 		c.down[l] = true
 	} else {
-		c.seen[l.Peer.Name] = true
+		c.seen[l.Peer.Name]++
 	}
 	c.mu.Unlock()
 	err := l.Run(c.ctx, func(m *wire.Message) { c.handle(l, m) })
@@ -80,7 +80,10 @@
 	if below {
 		delete(c.down, l)
 	} else {
-		delete(c.seen, l.Peer.Name)
+		// A new link of the same replica may be open already.
+		if c.seen[l.Peer.Name]--; c.seen[l.Peer.Name] <= 0 {
+			delete(c.seen, l.Peer.Name)
+		}
 	}
 	if c.ctx.Err() == nil {
 		event.LinkDown.Log(c.log, "peer", l.Peer.Name, "why", err)
--- a/entry/boot.go
+++ b/entry/boot.go
@@ -20,7 +20,7 @@
 		if done || e.askPeers() {
 			return
 		}
-		pause(e.ctx, beatEvery)
+		pause(e.ctx, time.Second)
 	}
 }
 
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -6,6 +6,7 @@
 
 	"github.com/ledgepin/ledgepin/metric"
 	"github.com/ledgepin/ledgepin/router"
+	"github.com/ledgepin/ledgepin/wire"
 )
 
 // Dump is the state of an entry.
@@ -82,13 +83,52 @@
 		degraded = 1
 	}
 	metric.Degraded.WithLabelValues(name).Set(degraded)
-	var sent, received int64
+	sent, received := e.linkBytes()
+	metric.LinkBytes.WithLabelValues(name, "sent").Set(float64(sent))
+	metric.LinkBytes.WithLabelValues(name, "received").Set(float64(received))
+}
+
+// linkBytes adds up the payload of the open links. Callers hold the lock.
+func (e *Entry) linkBytes() (sent, received int64) {
+	add := func(l *wire.Link) {
+		if l != nil {
+			s, r := l.Bytes()
+			sent, received = sent+s, received+r
+		}
+	}
+	for _, a := range e.agents {
+		add(a.link)
+	}
+	for l := range e.down {
+		add(l)
+	}
+	add(e.up)
+	return sent, received
+}
+
+// LinkBytes returns the payload bytes sent and received on the open links.
+func (e *Entry) LinkBytes() (sent, received int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.linkBytes()
+}
+
+// Revision returns the settings revision in force; zero if none.
+func (e *Entry) Revision() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.inForce()
+}
+
+// OpenLinks counts the open links to agents.
+func (e *Entry) OpenLinks() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
 	for _, a := range e.agents {
 		if a.link != nil {
-			s, r := a.link.Bytes()
-			sent, received = sent+s, received+r
+			n++
 		}
 	}
-	metric.LinkBytes.WithLabelValues(name, "sent").Set(float64(sent))
-	metric.LinkBytes.WithLabelValues(name, "received").Set(float64(received))
+	return n
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -42,7 +42,7 @@
 
 // Times of the entry.
 const (
-	beatEvery = time.Second
+	beatEvery = 2 * time.Second
 	redial    = 100 * time.Millisecond
 	maxRedial = 2 * time.Second
 	// linkGrace is how long the work at an agent outlives the loss of its link.
@@ -246,8 +246,8 @@
 
 // Heartbeats between two summaries and two wishes for shares.
 const (
-	summaryBeats = 3
-	shareBeats   = 2
+	summaryBeats = 2
+	shareBeats   = 1
 )
 
 // Ready tells whether the entry can serve, and if not, why. A degraded entry
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -126,8 +126,9 @@
 	lim := tree.At("", "", "")
 	e.core.SetLimits(lim.QueueLimit, lim.RetryPercent, lim.StallAfter)
 	seen := map[string]bool{}
-	for _, p := range tree.Servers() {
-		if p.Zone != e.cfg.Zone && !e.linked(p) {
+	servers := tree.Servers()
+	for _, p := range servers {
+		if p.Zone != e.cfg.Zone && len(servers) > smallFleet && !e.linked(p) {
 			continue
 		}
 		seen[p.Name] = true
--- a/entry/shares.go
+++ b/entry/shares.go
@@ -12,7 +12,7 @@
 func (e *Entry) askShares(now time.Time) {
 	used := e.core.OpenByCustomer()
 	for _, c := range e.broker.Customers() {
-		used[c] += e.broker.Lent(now, c) / 2
+		used[c] += (e.broker.Wanted(now, c) + 1) / 2 // a wish is twice the use
 	}
 	asks := e.holder.Wish(used)
 	if len(asks) == 0 || e.up == nil {
@@ -37,21 +37,17 @@
 		out.Grants = append(out.Grants, e.broker.Ask(now, l.Peer.Name, a, mine))
 	}
 	_ = l.Send(&wire.Message{Lent: out})
-	e.wants(m.Asks)
+	if e.shortOf(m.Asks) {
+		e.askShares(now)
+	}
 }
 
-// wants asks upstream for what those below lack.
-func (e *Entry) wants(asks []quota.Ask) {
-	if e.up == nil {
-		return
-	}
-	var more []quota.Ask
+// shortOf tells whether those below want more than this relay holds.
+func (e *Entry) shortOf(asks []quota.Ask) bool {
 	for _, a := range asks {
-		if have := e.holder.Units(a.Customer); a.Want > have {
-			more = append(more, quota.Ask{Customer: a.Customer, Want: have + a.Want})
+		if a.Want > e.holder.Units(a.Customer) {
+			return true
 		}
 	}
-	if len(more) > 0 {
-		_ = e.up.Send(&wire.Message{Shares: &wire.Shares{Asks: more}})
-	}
+	return false
 }
--- a/entry/spill.go
+++ b/entry/spill.go
@@ -22,15 +22,12 @@
 	shortTime = 5 * time.Second
 )
 
-// linked tells whether the entry keeps a link to a server of another zone: all
-// in a small fleet, else those of plain services, which vote on claims, and
-// those that are borrowed.
+// linked tells whether the entry of a large fleet keeps a link to a server of
+// another zone: those of plain services, which vote on claims, and those that
+// are borrowed.
 func (e *Entry) linked(p settings.Placed) bool {
-	if p.Role == settings.RoleService || len(e.store.Tree().Servers()) <= smallFleet {
-		return true
-	}
 	_, ok := e.borrowed[p.Name]
-	return ok
+	return ok || p.Role == settings.RoleService
 }
 
 // takeZones keeps what other zones have free and passes it on. Callers hold
--- a/lease/table.go
+++ b/lease/table.go
@@ -249,6 +249,15 @@
 	return []Effect{t.cancel(now, e)}
 }
 
+// Gone gives up all leases of an owner whose link has closed and not come back.
+func (t *Table) Gone(now time.Time, by string) []Effect {
+	o := t.owners[by]
+	if o == nil {
+		return nil
+	}
+	return t.giveUp(now, o)
+}
+
 // Claim enters a request that the engine runs for an owner that knows it, after
 // a restart of the agent. It reports false if the table has it already.
 func (t *Table) Claim(now time.Time, id ID, by string, keep bool) bool {
@@ -298,16 +307,28 @@
 		if now.Sub(o.seen) <= t.opts.Time {
 			continue
 		}
-		for id, e := range o.leases {
-			if !e.keep {
-				out = append(out, t.Cancel(now, id)...)
-			}
+		out = append(out, t.giveUp(now, o)...)
+	}
+	sortEffects(out)
+	return out
+}
+
+// giveUp cancels the leases of an owner, in the order of their IDs.
+func (t *Table) giveUp(now time.Time, o *owner) []Effect {
+	var out []Effect
+	for id, e := range o.leases {
+		if !e.keep {
+			out = append(out, t.Cancel(now, id)...)
 		}
 	}
-	slices.SortFunc(out, func(a, b Effect) int {
+	sortEffects(out)
+	return out
+}
+
+func sortEffects(list []Effect) {
+	slices.SortFunc(list, func(a, b Effect) int {
 		return cmp.Or(cmp.Compare(a.ID.Req, b.ID.Req), cmp.Compare(a.ID.Attempt, b.ID.Attempt))
 	})
-	return out
 }
 
 // Lease is one row of the state dump.
--- a/policybench/fault.go
+++ b/policybench/fault.go
@@ -90,6 +90,12 @@
 // killEntry ends an entry; its callers lose their connections.
 func (b *bench) killEntry(e *entry) {
 	e.alive = false
+	b.after(rejoinGrace, func() {
+		for _, s := range b.order {
+			s.effects(s.table, s.table.Gone(b.now, e.name))
+			s.effects(s.kvs, s.kvs.Gone(b.now, e.name))
+		}
+	})
 	for _, r := range b.list {
 		if r.entry == e && r.outcome == "" {
 			b.end(r, "cut")
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -29,8 +29,8 @@
 const Lifetime = 15 * time.Second
 
 type loan struct {
-	units int
-	until time.Time
+	units, want int
+	until       time.Time
 }
 
 // Broker lends units to holders below.
@@ -59,7 +59,7 @@
 		}
 	}
 	units := min(max(a.Want, 0), max(free, 0))
-	of[holder] = loan{units, now.Add(Lifetime)}
+	of[holder] = loan{units, a.Want, now.Add(Lifetime)}
 	if a.Want == 0 {
 		delete(of, holder)
 	}
@@ -80,6 +80,18 @@
 	return sum
 }
 
+// Wanted returns the units of a customer that the holders want to have, which
+// may be more than they got.
+func (b *Broker) Wanted(now time.Time, customer string) int {
+	sum := 0
+	for _, l := range b.loans[customer] {
+		if !now.After(l.until) {
+			sum += l.want
+		}
+	}
+	return sum
+}
+
 // Customers lists the customers that have loans.
 func (b *Broker) Customers() []string {
 	out := make([]string, 0, len(b.loans))
--- a/settings/effective.go
+++ b/settings/effective.go
@@ -42,7 +42,7 @@
 		QueueLimit:      ptr(1000),
 		OpenLimit:       ptr(200),
 		RetryPercent:    ptr(10),
-		LeaseTime:       ptr(strict.Duration(2 * time.Second)),
+		LeaseTime:       ptr(strict.Duration(5 * time.Second)),
 		KVHold:          ptr(strict.Duration(5 * time.Second)),
 		StallAfter:      ptr(strict.Duration(time.Second)),
 		LinkRate:        ptr(strict.Bytes(3e9)),
--- a/wire/link.go
+++ b/wire/link.go
@@ -18,12 +18,12 @@
 const Path = "/ledgepin/link"
 
 const (
-	sendQueue    = 1024
+	sendQueue    = 256
 	helloTimeout = 5 * time.Second
 	writeTimeout = 5 * time.Second
 	// idleTimeout is the silence after which a link is given up; peers send a
 	// heartbeat several times within it.
-	idleTimeout = 3 * time.Second
+	idleTimeout = 5 * time.Second
 )
 
 // Options are what both sides of a link need.
