--- a/router/failure.go
+++ b/router/failure.go
@@ -77,6 +77,7 @@
 	}
 	delete(c.seekers, r.ID)
 	c.waste(r, WasteTransfer)
+	c.freeKV(r)
 	c.freeDecode(r, true)
 	c.again(now, r, "the prefill server was lost before the transfer")
 }
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,346 @@
+package router_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/ledgepin/ledgepin/engine"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/lease"
+	"github.com/ledgepin/ledgepin/placement"
+	"github.com/ledgepin/ledgepin/router"
+)
+
+var start = time.Unix(1000, 0)
+
+func newCore(prefill, decode int) *router.Core {
+	v := placement.NewView("z", rand.New(rand.NewPCG(1, 1)))
+	for i := range prefill + decode {
+		name, role := fmt.Sprint("p", i), "prefill"
+		if i >= prefill {
+			name, role = fmt.Sprint("d", i-prefill), "decode"
+		}
+		v.Set(placement.Info{Name: name, Zone: "z", Role: role, Models: []string{"m"}, Slots: 4, LinkRate: 1e9})
+		v.SetUp(name, true)
+	}
+	return router.New(v, router.Options{
+		Policy: router.DefaultPolicy(), QueueLimit: 100, RetryPercent: 50, StallAfter: time.Second, Records: 64, Name: "e",
+	})
+}
+
+func request(id string) router.Request {
+	return router.Request{
+		ID: id, Customer: "c", Class: "desk", Model: "m", Tokens: 80, KVBytes: 1000,
+		TTFT: 330 * time.Millisecond, TBT: 75 * time.Millisecond,
+	}
+}
+
+var slots = placement.Load{Slots: 4, Models: []string{"m"}}
+
+// of returns the effects of one type.
+func of[T router.Effect](effects []router.Effect) []T {
+	var out []T
+	for _, e := range effects {
+		if x, ok := e.(T); ok {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// admit brings a request as far as its running prefill.
+func admit(t *testing.T, c *router.Core, id string) (p, d router.Reserve) {
+	t.Helper()
+	rs := of[router.Reserve](c.Arrive(start, request(id), 0))
+	assert.Equal(t, len(rs), 2, "both slots are asked for before any work")
+	p, d = rs[0], rs[1]
+	assert.Equal(t, len(of[router.StartPrefill](c.Reserved(start, d.Server, d.ID, true, "", slots))), 0)
+	assert.Equal(t, len(of[router.StartPrefill](c.Reserved(start, p.Server, p.ID, true, "", slots))), 1)
+	return p, d
+}
+
+func kv() engine.KV { return engine.KV{Tokens: 80, Bytes: 1000, TTL: 5 * time.Second} }
+
+func TestGates(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before func(*router.Core)
+		ask    func(*router.Request)
+		limit  int
+		want   *fault.Code
+	}{
+		{name: "draining", before: func(c *router.Core) { c.SetDraining() }, want: fault.Draining},
+		{name: "unknown model", ask: func(r *router.Request) { r.Model = "x" }, want: fault.NoServer},
+		{name: "over the customer's limit", before: func(c *router.Core) { c.Arrive(start, request("other"), 0) }, limit: 1, want: fault.OverLimit},
+		{name: "open already", before: func(c *router.Core) { c.Arrive(start, request("r"), 0) }, want: fault.InProgress},
+		{name: "target out of reach", ask: func(r *router.Request) { r.Tokens = 1e6 }, want: fault.TargetMissed},
+		{name: "queue full", before: func(c *router.Core) {
+			c.SetLimits(1, 10, time.Second)
+			for i := range 5 {
+				c.Arrive(start, request(fmt.Sprint("w", i)), 0)
+			}
+		}, want: fault.QueueFull},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			core := newCore(1, 1)
+			if c.before != nil {
+				c.before(core)
+			}
+			r := request("r")
+			if c.ask != nil {
+				c.ask(&r)
+			}
+			got := of[router.Refuse](core.Arrive(start, r, c.limit))
+			assert.Equal(t, len(got), 1)
+			assert.Equal(t, got[0].Code, c.want)
+			assert.Assert(t, c.want.NotRun || c.want == fault.InProgress)
+			assert.Assert(t, got[0].RetryAfter > 0)
+		})
+	}
+}
+
+func TestWholePath(t *testing.T) {
+	c := newCore(1, 1)
+	p, d := admit(t, c, "r")
+	eff := c.Prefilled(start, p.Server, p.ID, kv(), 0, time.Millisecond)
+	assert.Equal(t, len(of[router.StartDecode](eff)), 1)
+	eff = c.Imported(start, d.Server, d.ID)
+	assert.DeepEqual(t, of[router.Free](eff), []router.Free{{ID: p.ID, Server: p.Server}})
+	c.Token(start, d.ID, 1)
+	c.Done(start, d.ID, 0)
+	assert.Equal(t, c.Open(), 0)
+	assert.Equal(t, c.View().Server(d.Server).Mine(), 0)
+	rec, ok := c.Explain("r")
+	assert.Assert(t, ok && len(rec.Steps) > 6)
+}
+
+func TestRefusedReservationFreesTheOther(t *testing.T) {
+	c := newCore(1, 2)
+	rs := of[router.Reserve](c.Arrive(start, request("r"), 0))
+	p, d := rs[0], rs[1]
+	c.Reserved(start, p.Server, p.ID, true, "", slots)
+	full := placement.Load{Slots: 4, Others: 4, Models: []string{"m"}}
+	eff := c.Reserved(start, d.Server, d.ID, false, "full", full)
+	assert.DeepEqual(t, of[router.Free](eff), []router.Free{{ID: p.ID, Server: p.Server}})
+	again := of[router.Reserve](eff)
+	assert.Equal(t, len(again), 2, "it chooses again at once")
+	assert.Assert(t, again[1].Server != d.Server)
+	assert.Equal(t, again[0].ID.Attempt, uint32(2))
+}
+
+// TestFailures loses one half in each phase and looks at what is done next.
+func TestFailures(t *testing.T) {
+	t.Run("prefill lost", func(t *testing.T) {
+		c := newCore(2, 1)
+		p, d := admit(t, c, "r")
+		eff := c.Failed(start, p.Server, p.ID, fault.StepPrefill, "died", true)
+		assert.Equal(t, len(of[router.Free](eff)), 2, "both slots are given up")
+		again := of[router.Reserve](eff)
+		assert.Assert(t, again[0].Server != p.Server)
+		assert.Equal(t, again[1].Server, d.Server)
+	})
+	t.Run("decode lost during prefill", func(t *testing.T) {
+		c := newCore(1, 2)
+		p, d := admit(t, c, "r")
+		eff := c.Failed(start, d.Server, d.ID, fault.StepLink, "gone", false)
+		assert.Equal(t, len(of[router.StartPrefill](eff)), 0, "the prefill goes on")
+		eff = c.Prefilled(start, p.Server, p.ID, kv(), 0, time.Millisecond)
+		assert.Assert(t, of[router.Reserve](eff)[0].Server != d.Server)
+	})
+	t.Run("transfer stalls", func(t *testing.T) {
+		c := newCore(1, 2)
+		p, d := admit(t, c, "r")
+		c.Prefilled(start, p.Server, p.ID, kv(), 0, time.Millisecond)
+		eff := c.Tick(start.Add(1500 * time.Millisecond))
+		assert.DeepEqual(t, of[router.Free](eff), []router.Free{{ID: d.ID, Server: d.Server}})
+		next := of[router.Reserve](eff)[0]
+		assert.Assert(t, next.Server != d.Server)
+		assert.Equal(t, next.Role, router.Decode, "the prefill is not done again")
+		eff = c.Reserved(start, next.Server, next.ID, true, "", slots)
+		assert.Equal(t, len(of[router.StartDecode](eff)), 1)
+		assert.Equal(t, c.Stats().WastedTokens[router.WasteTransfer], 0)
+	})
+	t.Run("budget used up", func(t *testing.T) {
+		c := newCore(1, 1)
+		c.SetLimits(100, 0, time.Second)
+		p, _ := admit(t, c, "r")
+		eff := c.Failed(start, p.Server, p.ID, fault.StepPrefill, "died", true)
+		fails := of[router.Fail](eff)
+		assert.Equal(t, len(fails), 1)
+		assert.Assert(t, !fails[0].Code.NotRun)
+	})
+	t.Run("kv expires", func(t *testing.T) {
+		c := newCore(1, 1)
+		p, d := admit(t, c, "r")
+		c.Failed(start, d.Server, d.ID, fault.StepLink, "gone", false)
+		c.View().SetUp(d.Server, false)
+		c.Prefilled(start, p.Server, p.ID, kv(), 0, time.Millisecond)
+		c.Tick(start.Add(6 * time.Second))
+		assert.Equal(t, c.Stats().WastedTokens[router.WasteExpired], 80)
+	})
+}
+
+func TestRejoin(t *testing.T) {
+	c := newCore(1, 1)
+	p, d := admit(t, c, "r")
+	c.LinkLost(p.Server)
+	got, _ := c.Rejoin(start, p.Server)
+	assert.DeepEqual(t, got, []router.Rejoined{{ID: p.ID}})
+	c.Prefilled(start, p.Server, p.ID, kv(), 0, time.Millisecond)
+	c.LinkLost(d.Server)
+	got, _ = c.Rejoin(start, d.Server)
+	assert.DeepEqual(t, got, []router.Rejoined{{ID: d.ID, Decode: true}})
+}
+
+func TestCancelFreesEverything(t *testing.T) {
+	c := newCore(1, 1)
+	p, d := admit(t, c, "r")
+	eff := c.Cancel(start, "r")
+	assert.DeepEqual(t, of[router.Free](eff), []router.Free{{ID: p.ID, Server: p.Server}, {ID: d.ID, Server: d.Server}})
+	assert.Equal(t, c.Open(), 0)
+	assert.Equal(t, len(c.Prefilled(start, p.Server, p.ID, kv(), 0, 0)), 0, "a late answer does nothing")
+}
+
+// TestAnyOrder gives a core random events, also late and wrong ones. Each
+// request must end at most once, "not run" must be true, every started piece of
+// work must be freed or done, and nothing may be counted in the end.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCore(2, 2)
+		now := start
+		type work struct {
+			id     lease.ID
+			server string
+		}
+		held := map[work]bool{}
+		ran := map[string]bool{}
+		ended := map[string]string{}
+		var reserves []router.Reserve
+		var decodes []router.StartDecode
+		var prefills []router.StartPrefill
+		end := func(req, how string) {
+			if ended[req] != "" {
+				t.Fatalf("%s is %s after it was %s", req, how, ended[req])
+			}
+			ended[req] = how
+		}
+		do := func(effects []router.Effect) {
+			for _, e := range effects {
+				switch x := e.(type) {
+				case router.Reserve:
+					held[work{x.ID, x.Server}] = true
+					reserves = append(reserves, x)
+				case router.StartPrefill:
+					ran[x.ID.Req] = true
+					prefills = append(prefills, x)
+				case router.StartDecode:
+					decodes = append(decodes, x)
+				case router.Free:
+					delete(held, work{x.ID, x.Server})
+				case router.Refuse:
+					if x.Code.NotRun && ran[x.Req] {
+						t.Fatalf("%s ran and is refused as %s", x.Req, x.Code.ID)
+					}
+					end(x.Req, "refused")
+				case router.Fail:
+					end(x.Req, "failed")
+				}
+			}
+		}
+		for n := range rapid.IntRange(5, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "which") }
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0, 1:
+				do(c.Arrive(now, request(fmt.Sprint("r", n)), 0))
+			case 2, 3:
+				if len(reserves) > 0 {
+					r := reserves[pick(len(reserves))]
+					ok := rapid.IntRange(0, 3).Draw(t, "given") > 0
+					if !ok {
+						delete(held, work{r.ID, r.Server})
+					}
+					do(c.Reserved(now, r.Server, r.ID, ok, "full", slots))
+				}
+			case 4:
+				if len(prefills) > 0 {
+					p := prefills[pick(len(prefills))]
+					do(c.Prefilled(now, p.Server, p.ID, kv(), 0, time.Millisecond))
+				}
+			case 5:
+				if len(decodes) > 0 {
+					d := decodes[pick(len(decodes))]
+					do(c.Imported(now, d.Server, d.ID))
+				}
+			case 6:
+				if len(decodes) > 0 {
+					d := decodes[pick(len(decodes))]
+					before := c.Stats().Done
+					do(c.Done(now, d.ID, time.Millisecond))
+					if c.Stats().Done > before {
+						delete(held, work{d.ID, d.Server})
+						end(d.ID.Req, "done")
+					}
+				}
+			case 7:
+				if len(reserves) > 0 {
+					r := reserves[pick(len(reserves))]
+					do(c.Failed(now, r.Server, r.ID, fault.StepPrefill, "any", rapid.Bool().Draw(t, "blame")))
+				}
+			case 8:
+				do(c.Tick(now))
+			case 9:
+				req := fmt.Sprint("r", pick(n+1))
+				before := c.Stats().Cancelled
+				do(c.Cancel(now, req))
+				if c.Stats().Cancelled > before {
+					end(req, "cancelled")
+				}
+			}
+		}
+		for _, name := range []string{"p0", "p1", "d0", "d1"} {
+			do(c.ServerDown(now, name))
+		}
+		do(c.Tick(now.Add(time.Hour)))
+		do(c.Tick(now.Add(2 * time.Hour)))
+		if c.Open() != 0 || c.Waiting() != 0 {
+			t.Fatalf("%d open and %d waiting at the end", c.Open(), c.Waiting())
+		}
+		for _, name := range []string{"p0", "p1", "d0", "d1"} {
+			if n := c.View().Server(name).Mine(); n != 0 {
+				t.Fatalf("%d slots of %s are still counted", n, name)
+			}
+		}
+		for w := range held {
+			t.Fatalf("%v was never freed; its request is %s", w, ended[w.id.Req])
+		}
+	})
+}
+
+func BenchmarkArriveWhileWaiting(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := newCore(20, 35)
+			c.SetLimits(1<<30, 10, time.Second)
+			for i := range n + 1000 {
+				r := request(fmt.Sprint("w", i))
+				r.TTFT = time.Hour
+				c.Arrive(start, r, 0)
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i++
+				r := request(fmt.Sprint("n", i))
+				r.TTFT = time.Hour
+				c.Arrive(start, r, 0)
+				c.Cancel(start, r.ID)
+			}
+		})
+	}
+}
