--- /dev/null
+++ b/engine/engine_test.go
@@ -0,0 +1,21 @@
+package engine_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/engine"
+)
+
+// FuzzParseChunk feeds the reader of an engine's chunks any data.
+func FuzzParseChunk(f *testing.F) {
+	f.Add([]byte(`{"index":3,"text":"a"}`))
+	f.Add([]byte(`{"index":-1}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c, err := engine.ParseChunk(data)
+		if err == nil {
+			assert.Assert(t, c.Index >= 0)
+		}
+	})
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,129 @@
+package fleet_test
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/fleet"
+	"github.com/ledgepin/ledgepin/settings"
+)
+
+func text(n int) []byte { return fmt.Appendf(nil, "fleet:\n  queue_limit: %d\n", n) }
+
+// command returns a change from one text to another.
+func command(t testing.TB, id string, base uint64, from, to []byte) []byte {
+	t.Helper()
+	data, err := fleet.Encode(fleet.Change{
+		ID: id, Base: base, Delta: settings.MakeDelta(from, to), Sum: sha256.Sum256(to), Who: "op", When: 1e9, Edits: []string{"x"},
+	})
+	assert.NilError(t, err)
+	return data
+}
+
+func apply(t testing.TB, s *fleet.State, data []byte) fleet.Result {
+	t.Helper()
+	r, err := s.Apply(data)
+	assert.NilError(t, err)
+	return r
+}
+
+func TestChanges(t *testing.T) {
+	s := fleet.New()
+	first := command(t, "a", 0, nil, text(1))
+	assert.DeepEqual(t, apply(t, s, first), fleet.Result{ID: "a", Revision: 1, OK: true})
+	lost := apply(t, s, command(t, "b", 0, nil, text(2)))
+	assert.Assert(t, !lost.OK, "based on an old revision")
+	assert.DeepEqual(t, apply(t, s, first), fleet.Result{ID: "a", Revision: 1, OK: true})
+	again := apply(t, s, command(t, "b", 1, text(1), text(2)))
+	assert.DeepEqual(t, again, lost)
+	assert.Equal(t, s.Revision(), uint64(1), "a used change ID makes no other change")
+	_, err := s.Apply([]byte("\xff"))
+	assert.ErrorContains(t, err, "bad command")
+}
+
+func TestSnapshotIsTheWholeState(t *testing.T) {
+	s := fleet.New()
+	for i := range 10 {
+		apply(t, s, command(t, fmt.Sprint(i), uint64(i), s.Text(), text(i)))
+	}
+	data, err := s.Snapshot()
+	assert.NilError(t, err)
+	r, err := fleet.Restore(data)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Revision(), uint64(10))
+	assert.DeepEqual(t, r.History(7), s.History(7))
+	got, ok := r.Result("3")
+	assert.Assert(t, ok && got.Revision == 4)
+	again, err := r.Snapshot()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, data)
+}
+
+// wish is a change that an operator tries: of a revision, to a new one.
+type wish struct{ base uint64 }
+
+// TestRacesAreLinearizable lets operators race on one state and checks the
+// history of their answers: each revision has one winner.
+func TestRacesAreLinearizable(t *testing.T) {
+	model := porcupine.Model{
+		Init: func() any { return uint64(0) },
+		Step: func(state, input, output any) (bool, any) {
+			at, in, out := state.(uint64), input.(wish), output.(fleet.Result)
+			if !out.OK {
+				return in.base != at && out.Revision == at, at
+			}
+			return in.base == at && out.Revision == at+1, at + 1
+		},
+		Equal: func(a, b any) bool { return a == b },
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	s := fleet.New()
+	var ops []porcupine.Operation
+	for i := range 200 {
+		base := s.Revision() - min(s.Revision(), uint64(rng.IntN(2)))
+		from := s.Text()
+		r := apply(t, s, command(t, fmt.Sprint(i), base, from, text(i)))
+		at := int64(10 * i)
+		ops = append(ops, porcupine.Operation{
+			ClientId: i % 4, Input: wish{base}, Output: r, Call: at - int64(rng.IntN(30)), Return: at + 1 + int64(rng.IntN(30)),
+		})
+	}
+	assert.Assert(t, porcupine.CheckOperations(model, ops))
+	ops = append(ops, ops[len(ops)-1])
+	ops[len(ops)-1].Output = fleet.Result{OK: true, Revision: 1}
+	assert.Assert(t, !porcupine.CheckOperations(model, ops), "a second winner of revision 1 is noticed")
+}
+
+func BenchmarkRestore100000(b *testing.B) {
+	s := fleet.New()
+	for i := range 100000 {
+		apply(b, s, command(b, fmt.Sprint("change-", i), uint64(i), s.Text(), text(i)))
+	}
+	data, err := s.Snapshot()
+	assert.NilError(b, err)
+	b.ReportMetric(float64(len(data)), "snapshot-bytes")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := fleet.Restore(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkSnapshot100000(b *testing.B) {
+	s := fleet.New()
+	for i := range 100000 {
+		apply(b, s, command(b, fmt.Sprint("change-", i), uint64(i), s.Text(), text(i)))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := s.Snapshot(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,178 @@
+package wire_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/lease"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+func hello() wire.Hello { return wire.Hello{Name: "server", Role: wire.RoleAgent} }
+
+// serve runs a link server that echoes heartbeats.
+func serve(t *testing.T, token string, serve func(*wire.Link)) string {
+	t.Helper()
+	leak := goleak.IgnoreCurrent()
+	srv := httptest.NewServer(wire.Handler(quiet, wire.Options{Hello: hello, Token: token}, serve))
+	t.Cleanup(func() {
+		srv.Close()
+		goleak.VerifyNone(t, leak)
+	})
+	return srv.Listener.Addr().String()
+}
+
+func echo(l *wire.Link) {
+	_ = l.Run(context.Background(), func(m *wire.Message) { _ = l.Send(m) })
+}
+
+func TestEcho(t *testing.T) {
+	addr := serve(t, "a secret of the fleet", echo)
+	l, err := wire.Dial(t.Context(), addr, wire.Options{Hello: hello, Token: "a secret of the fleet"})
+	assert.NilError(t, err)
+	assert.Equal(t, l.Peer.Name, "server")
+	want := wire.Message{Cancel: &wire.Cancel{ID: lease.ID{Req: "r", Attempt: 3}}}
+	assert.NilError(t, l.Send(&want))
+	var got *wire.Message
+	err = l.Run(t.Context(), func(m *wire.Message) {
+		got = m
+		l.Close()
+	})
+	assert.Assert(t, fault.Is(err, fault.LinkLost), "%v", err)
+	assert.DeepEqual(t, got, &want)
+	assert.Assert(t, fault.Is(l.Send(&want), fault.LinkLost))
+}
+
+func TestWrongToken(t *testing.T) {
+	addr := serve(t, "a secret of the fleet", echo)
+	_, err := wire.Dial(t.Context(), addr, wire.Options{Hello: hello, Token: "another"})
+	assert.Assert(t, fault.Is(err, fault.LinkLost), "%v", err)
+	assert.ErrorContains(t, err, "401")
+}
+
+// raw opens a WebSocket without the package's own client.
+func raw(t *testing.T, addr string) *websocket.Conn {
+	t.Helper()
+	c, _, err := websocket.Dial(t.Context(), "ws://"+addr+wire.Path, nil)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.CloseNow() })
+	_, _, err = c.Read(t.Context()) // the server's hello
+	assert.NilError(t, err)
+	return c
+}
+
+func TestBadPeers(t *testing.T) {
+	old, err := wire.Marshal(&wire.Message{Hello: &wire.Hello{Version: wire.Version + 1, Name: "x"}})
+	assert.NilError(t, err)
+	beat, err := wire.Marshal(&wire.Message{Heartbeat: &wire.Heartbeat{}})
+	assert.NilError(t, err)
+	for _, c := range []struct {
+		name  string
+		kind  websocket.MessageType
+		frame []byte
+	}{
+		{"other version", websocket.MessageBinary, old},
+		{"no hello", websocket.MessageBinary, beat},
+		{"not CBOR", websocket.MessageBinary, []byte("\xff\xff hello")},
+		{"text", websocket.MessageText, []byte("hello")},
+		{"deep nesting", websocket.MessageBinary, []byte(strings.Repeat("\x81", 100))},
+		{"huge array", websocket.MessageBinary, []byte("\xa1\x01\x9b\x7f\xff\xff\xff\xff\xff\xff\xff")},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			served := false
+			addr := serve(t, "", func(*wire.Link) { served = true })
+			conn := raw(t, addr)
+			assert.NilError(t, conn.Write(t.Context(), c.kind, c.frame))
+			_, _, err := conn.Read(t.Context())
+			assert.Assert(t, err != nil, "the server closes the link")
+			assert.Assert(t, !served)
+		})
+	}
+}
+
+// TestSilentPeer wants a link to a peer that says nothing to end by itself.
+func TestSilentPeer(t *testing.T) {
+	addr := serve(t, "", func(l *wire.Link) { _ = l.Run(context.Background(), func(*wire.Message) {}) })
+	l, err := wire.Dial(t.Context(), addr, wire.Options{Hello: hello})
+	assert.NilError(t, err)
+	begin := time.Now()
+	err = l.Run(t.Context(), func(*wire.Message) {})
+	assert.Assert(t, fault.Is(err, fault.LinkLost), "%v", err)
+	assert.Assert(t, time.Since(begin) > time.Second)
+}
+
+// TestFullQueue wants a link whose peer does not read to be closed, not to
+// block its sender.
+func TestFullQueue(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := &http.Server{Handler: wire.Handler(quiet, wire.Options{Hello: hello}, func(l *wire.Link) {
+		time.Sleep(300 * time.Millisecond) // it does not read
+	})}
+	go func() { _ = srv.Serve(ln) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	l, err := wire.Dial(t.Context(), ln.Addr().String(), wire.Options{Hello: hello})
+	assert.NilError(t, err)
+	defer l.Close()
+	for range 100000 {
+		if err = l.Send(&wire.Message{Heartbeat: &wire.Heartbeat{}}); err != nil {
+			break
+		}
+	}
+	assert.Assert(t, fault.Is(err, fault.LinkLost), "%v", err)
+}
+
+// FuzzUnmarshal feeds the decoder any frame; what it takes must survive a
+// round trip.
+func FuzzUnmarshal(f *testing.F) {
+	for _, m := range []*wire.Message{
+		{Hello: &wire.Hello{Version: 1, Name: "a"}},
+		{Reserve: &wire.Reserve{ID: lease.ID{Req: "r", Attempt: 1}, Model: "m"}},
+		{Chunk: &wire.Chunk{ID: lease.ID{Req: "r"}}},
+		{Settings: &wire.Settings{Revision: 4, Whole: []byte("fleet: {}")}},
+	} {
+		frame, err := wire.Marshal(m)
+		assert.NilError(f, err)
+		f.Add(frame)
+	}
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		m, err := wire.Unmarshal(frame, "fuzz")
+		if err != nil {
+			assert.Assert(t, fault.Is(err, fault.BadPeer))
+			return
+		}
+		again, err := wire.Marshal(m)
+		assert.NilError(t, err)
+		_, err = wire.Unmarshal(again, "fuzz")
+		assert.NilError(t, err)
+	})
+}
+
+func BenchmarkChunkFrame(b *testing.B) {
+	m := &wire.Message{Chunk: &wire.Chunk{ID: lease.ID{Req: "0123456789abcdef01234567", Attempt: 1}}}
+	m.Chunk.Index, m.Chunk.Text = 100, " token"
+	b.ReportAllocs()
+	for b.Loop() {
+		frame, err := wire.Marshal(m)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := wire.Unmarshal(frame, "x"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
