--- a/entry/entry.go
+++ b/entry/entry.go
@@ -84,6 +84,7 @@
 	short    map[string]time.Time // when this zone last had no room for a model
 	holder   *quota.Holder
 	broker   *quota.Broker
+	askedAt  time.Time // of the last wish out of turn
 	beats    int
 }
 
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -29,7 +29,7 @@
 }
 
 // bufferedParts bounds the tokens that wait for a slow reader.
-const bufferedParts = 1024
+const bufferedParts = 256
 
 // Flow is one open request and the way of its answer to the caller.
 type Flow struct {
@@ -171,6 +171,7 @@
 		e.limitOnce(f)
 	}
 	e.perform(f.arrived, e.core.Arrive(f.arrived, req, limit))
+	e.askEarly(f.arrived, req.Customer)
 	return f, nil
 }
 
--- a/entry/shares.go
+++ b/entry/shares.go
@@ -7,6 +7,18 @@
 	"github.com/ledgepin/ledgepin/wire"
 )
 
+// askAgain is the least time between two wishes out of turn.
+const askAgain = 200 * time.Millisecond
+
+// askEarly asks as soon as a customer's requests outgrow the last wish. Callers
+// hold the lock.
+func (e *Entry) askEarly(now time.Time, customer string) {
+	if e.holder.Short(customer, e.core.OpenOf(customer)) && now.Sub(e.askedAt) >= askAgain {
+		e.askedAt = now
+		e.askShares(now)
+	}
+}
+
 // askShares asks upstream for the units of customers' limits that this entry
 // and the entries below it need. Callers hold the lock.
 func (e *Entry) askShares(now time.Time) {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -33,6 +33,10 @@
 	until       time.Time
 }
 
+// sparePart is the part of the free units that a holder gets even if it wants
+// less, so that a burst needs no wait while there is plenty.
+const sparePart = 8
+
 // Broker lends units to holders below.
 type Broker struct {
 	loans map[string]map[string]loan // by customer and holder
@@ -58,7 +62,10 @@
 			free -= l.units
 		}
 	}
-	units := min(max(a.Want, 0), max(free, 0))
+	units := min(max(a.Want, free/sparePart), max(free, 0))
+	if a.Want <= 0 {
+		units = 0
+	}
 	of[holder] = loan{units, a.Want, now.Add(Lifetime)}
 	if a.Want == 0 {
 		delete(of, holder)
@@ -102,27 +109,40 @@
 	return out
 }
 
-// Floor is the number of open requests of a customer that an entry allows
-// without a loan, so that the first ones wait for nobody.
+// Floor is the number of open requests of a customer that an entry always
+// allows, so that the first ones wait for nobody.
 const Floor = 4
 
+// firstPart is the part of a customer's fleet-wide limit that an entry allows
+// before its first wish has been answered.
+const firstPart = 4
+
 // Holder keeps what one entry may use of each customer.
 type Holder struct {
-	units map[string]int
+	units map[string]int // as granted last; absent before the first answer
+	asked map[string]int
 }
 
 // NewHolder returns a holder without loans.
-func NewHolder() *Holder { return &Holder{units: map[string]int{}} }
+func NewHolder() *Holder { return &Holder{units: map[string]int{}, asked: map[string]int{}} }
 
-// Limit returns how many open requests of a customer are allowed here. A
-// fleet-wide limit below the floor is kept.
+// Limit returns how many open requests of a customer are allowed here; fleet is
+// its limit in the fleet.
 func (h *Holder) Limit(customer string, fleet int) int {
-	return max(h.units[customer], min(Floor, fleet))
+	units, known := h.units[customer]
+	if !known {
+		units = fleet / firstPart
+	}
+	return max(units, min(Floor, fleet))
+}
+
+// Short tells whether so many open requests of a customer call for a new wish.
+func (h *Holder) Short(customer string, used int) bool {
+	return used > Floor/2 && 2*used > h.asked[customer]
 }
 
 // Wish returns what to ask for: twice what is in use, so that the next growth
-// needs no wait, and nothing for what the floor covers. It lists only the
-// customers that need more, hold too much, or have to renew.
+// needs no wait, and nothing of what is not needed any more.
 func (h *Holder) Wish(used map[string]int) []Ask {
 	var out []Ask
 	for c, n := range used {
@@ -130,19 +150,23 @@
 			out = append(out, Ask{c, 2 * n})
 		}
 	}
-	for c := range h.units {
+	for c := range h.asked {
 		if used[c] <= Floor/2 {
 			out = append(out, Ask{c, 0})
 		}
 	}
+	for _, a := range out {
+		h.asked[a.Customer] = a.Want
+	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Customer < out[j].Customer })
 	return out
 }
 
-// Granted takes a loan.
+// Granted takes the answer to a wish.
 func (h *Holder) Granted(g Grant) {
-	if g.Units == 0 {
+	if h.asked[g.Customer] == 0 {
 		delete(h.units, g.Customer)
+		delete(h.asked, g.Customer)
 		return
 	}
 	h.units[g.Customer] = g.Units
--- a/router/core.go
+++ b/router/core.go
@@ -137,6 +137,9 @@
 // Waiting counts the requests in the queues.
 func (c *Core) Waiting() int { return c.waiting }
 
+// OpenOf counts the open requests of a customer.
+func (c *Core) OpenOf(customer string) int { return c.open[customer] }
+
 // OpenByCustomer counts the open requests of each customer.
 func (c *Core) OpenByCustomer() map[string]int { return maps.Clone(c.open) }
 
