--- a/agent/agent.go
+++ b/agent/agent.go
@@ -31,8 +31,8 @@
 	// TLS is for the links that it opens; nil for plain TCP.
 	TLS *tls.Config
 	Log *slog.Logger
-	// FoundClaims makes its claim voter vote at once. It is for a group that
-	// starts for the first time, and for dev.
+	// FoundClaims makes its claim voter vote at once, though it can't know that
+	// its group has no past. It is for dev and for tests only.
 	FoundClaims bool
 }
 
--- a/agent/claims.go
+++ b/agent/claims.go
@@ -14,9 +14,11 @@
 // groupKey names a claim group: a service at a site.
 type groupKey struct{ service, site string }
 
-// joinGroup makes the agent a claim voter if the settings list it. Callers
-// hold the lock.
-func (a *Agent) joinGroup(now time.Time) {
+// joinGroup makes the agent a claim voter if the settings list it. A voter that
+// was running before its group came into being knows that the group has no
+// past, and votes at once; any other one has to copy first. Callers hold the
+// lock.
+func (a *Agent) joinGroup(now time.Time, before *settings.Tree) {
 	tree := a.store.Tree()
 	key, members, life := findGroup(tree, a.cfg.Name)
 	if len(members) == 0 || a.voter != nil && a.group == key {
@@ -24,7 +26,7 @@
 	}
 	a.group = key
 	a.voter = claim.NewVoter(now, a.cfg.Name, uint64(a.epoch), members, life)
-	if a.cfg.FoundClaims {
+	if a.cfg.FoundClaims || before != nil && len(before.Fleet.Services[key.service].ClaimGroup[key.site]) == 0 {
 		a.voter.Found()
 		return
 	}
--- a/agent/links.go
+++ b/agent/links.go
@@ -6,6 +6,7 @@
 
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/placement"
+	"github.com/ledgepin/ledgepin/settings"
 	"github.com/ledgepin/ledgepin/spread"
 	"github.com/ledgepin/ledgepin/wire"
 )
@@ -181,6 +182,7 @@
 }
 
 func (a *Agent) takeSettings(now time.Time, l *wire.Link, m *wire.Settings) {
+	before := a.store.Tree()
 	switch a.store.Apply(now, m) {
 	case spread.NeedWhole:
 		_ = l.Send(&wire.Message{Pull: &wire.Pull{}})
@@ -189,12 +191,13 @@
 	case spread.Taken:
 		a.pulledAt = time.Time{}
 		event.SettingsInForce.Log(a.log, "revision", m.Revision)
-		a.applySettings(now)
+		a.applySettings(now, before)
 	}
 }
 
-// applySettings brings the agent in line with new settings.
-func (a *Agent) applySettings(now time.Time) {
+// applySettings brings the agent in line with new settings; before are those
+// that it had, or nil.
+func (a *Agent) applySettings(now time.Time, before *settings.Tree) {
 	p, ok := a.store.Tree().Server(a.cfg.Name)
 	a.leaving = a.leaving || !ok
 	a.work.SetLeaving(a.leaving)
@@ -205,7 +208,7 @@
 	a.work.SetSlots(p.Slots)
 	a.work.SetTime(p.LeaseTime)
 	a.kv.SetTime(p.LeaseTime)
-	a.joinGroup(now)
+	a.joinGroup(now, before)
 	// Entries have to know of the slots at once, not with the next heartbeat.
 	a.beatLocked()
 }
--- a/app/run.go
+++ b/app/run.go
@@ -93,7 +93,7 @@
 		return nil
 	}
 	c.Name, c.Zone, c.Log = part.Server, p.file.Zone, p.log
-	c.Engine, c.Service, c.FoundClaims = part.Engine, part.Service, part.FoundClaims
+	c.Engine, c.Service = part.Engine, part.Service
 	p.agent = agent.Start(c)
 	var err error
 	p.Links[config.RoleAgent], err = p.ln.links(part.Links, p.agent.Handler())
--- a/config/config.go
+++ b/config/config.go
@@ -87,8 +87,6 @@
 	// Engine and Service are addresses on the VM; one of them is given.
 	Engine  string `yaml:"engine,omitempty"`
 	Service string `yaml:"service,omitempty"`
-	// FoundClaims is given once, when a claim group starts for the first time.
-	FoundClaims bool `yaml:"found_claims,omitempty"`
 }
 
 // Control is the part of the control role.
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,60 @@
+package config_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+
+	"github.com/ledgepin/ledgepin/config"
+)
+
+// TestExamples checks every settings file of a process that ships.
+func TestExamples(t *testing.T) {
+	files, err := filepath.Glob("../examples/*/process/*.yaml")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) >= 6)
+	for _, file := range files {
+		_, err := config.Load(file)
+		assert.NilError(t, err)
+	}
+}
+
+// TestRefused reads each file of testdata; its first line tells what the
+// refusal must say.
+func TestRefused(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.yaml")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) >= 8)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			data, err := os.ReadFile(file)
+			assert.NilError(t, err)
+			first, _, _ := strings.Cut(string(data), "\n")
+			_, err = config.Parse("ledgepin.yaml", data)
+			assert.Assert(t, is.ErrorContains(err, strings.TrimPrefix(first, "# want: ")))
+		})
+	}
+}
+
+func TestToken(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	got, err := config.ReadToken(write("good", "a token that is long enough\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, got, "a token that is long enough")
+	_, err = config.ReadToken(write("short", "abc"))
+	assert.ErrorContains(t, err, "at least 16 characters")
+	_, err = config.ReadToken(filepath.Join(dir, "none"))
+	assert.ErrorContains(t, err, "no such file")
+	got, err = config.ReadToken("")
+	assert.NilError(t, err)
+	assert.Equal(t, got, "")
+}
--- /dev/null
+++ b/order/order_test.go
@@ -0,0 +1,155 @@
+package order_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/ledgepin/ledgepin/engine"
+	"github.com/ledgepin/ledgepin/order"
+)
+
+func fence(term, seq uint64) order.Fence { return order.Fence{Term: term, Seq: seq} }
+
+func TestGate(t *testing.T) {
+	var g order.Gate
+	assert.Assert(t, !g.Pass(fence(9, 9)), "a gate that knows no fence passes nothing")
+	g.Floor(fence(5, 0))
+	assert.Assert(t, g.Pass(fence(5, 1)))
+	assert.Assert(t, !g.Pass(fence(5, 1)), "the same order again")
+	assert.Assert(t, !g.Pass(fence(4, 99)), "a stale leader")
+	g.Floor(fence(4, 0))
+	assert.Assert(t, !g.Pass(fence(4, 100)), "a stale floor changes nothing")
+	assert.Assert(t, g.Pass(fence(6, 1)))
+	assert.Assert(t, !g.Pass(fence(5, 2)))
+}
+
+// TestNoStaleOrderIsObeyed lets leaders of several terms send floors and orders
+// in any order, with restarts of the agent between. Once an agent that has not
+// restarted knows a term, nothing older passes.
+func TestNoStaleOrderIsObeyed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var g order.Gate
+		var high order.Fence
+		known := false
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			f := fence(rapid.Uint64Range(1, 4).Draw(t, "term"), rapid.Uint64Range(0, 5).Draw(t, "seq"))
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				g, high, known = order.Gate{}, order.Fence{}, false
+			case 1:
+				g.Floor(f)
+				known = true
+				if high.Less(f) {
+					high = f
+				}
+			default:
+				if !g.Pass(f) {
+					continue
+				}
+				if !known || f.Less(high) {
+					t.Fatalf("%v passed; known %t, the highest was %v", f, known, high)
+				}
+				high = f
+			}
+		}
+	})
+}
+
+var start = time.Unix(1000, 0)
+
+func server(name string, want, has []string) order.Server {
+	return order.Server{Name: name, Site: "s", Pool: "p", Want: want, Has: has, Up: true}
+}
+
+func actions(list []order.Order) []string {
+	out := []string{}
+	for _, o := range list {
+		out = append(out, o.Server+" "+o.Do.Action+" "+o.Do.Model)
+	}
+	return out
+}
+
+var (
+	models = map[string]order.Model{"m": {Version: "2", Weights: 10e9}, "n": {Version: "1", Weights: 10e9}}
+	limits = order.Limits{"s": 1e9}
+	m, n   = []string{"m"}, []string{"n"}
+)
+
+func TestPlan(t *testing.T) {
+	leaving := server("a", m, nil)
+	leaving.Leaving = true
+	down := server("a", m, nil)
+	down.Up = false
+	for _, c := range []struct {
+		name    string
+		servers []order.Server
+		want    []string
+	}{
+		{"nothing to do", []order.Server{server("a", m, m)}, []string{}},
+		{"load what lacks", []order.Server{server("a", m, nil)}, []string{"a load_model m"}},
+		{"one load at a time shares the store", []order.Server{server("a", m, nil), server("b", m, nil)}, []string{"a load_model m"}},
+		{"leaving servers get none", []order.Server{leaving}, []string{}},
+		{"servers out of reach get none", []order.Server{down}, []string{}},
+		{"load before unload", []order.Server{server("a", n, m)}, []string{"a load_model n"}},
+		{"unload what nobody wants", []order.Server{server("a", n, []string{"m", "n"})}, []string{"a unload_model m"}},
+		{"keep the last one", []order.Server{server("a", n, []string{"m", "n"}), server("b", m, nil)}, []string{"b load_model m"}},
+		{"unload when another has it", []order.Server{server("a", n, []string{"m", "n"}), server("b", m, m)}, []string{"a unload_model m"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var p order.Planner
+			got := p.Plan(start, 3, c.servers, models, limits)
+			assert.DeepEqual(t, actions(got), c.want)
+		})
+	}
+}
+
+// TestPoolIsNeverWithoutTheModel moves a pool of three from one model to
+// another and looks at every step.
+func TestPoolIsNeverWithoutTheModel(t *testing.T) {
+	var p order.Planner
+	now := start
+	has := map[string]map[string]bool{}
+	for i := range 3 {
+		has[fmt.Sprint("s", i)] = map[string]bool{"m": true}
+	}
+	last := order.Fence{}
+	for step := range 40 {
+		var servers []order.Server
+		for name, got := range has {
+			want := []string{"n"}
+			if name == "s0" && step < 20 {
+				want = []string{"m"} // one stays for a while
+			}
+			s := server(name, want, nil)
+			for model := range got {
+				s.Has = append(s.Has, model)
+			}
+			servers = append(servers, s)
+		}
+		for _, o := range p.Plan(now, 2, servers, models, limits) {
+			assert.Assert(t, last.Less(o.Fence))
+			last = o.Fence
+			if o.Do.Action == engine.ActionLoad {
+				has[o.Server][o.Do.Model] = true
+			} else {
+				delete(has[o.Server], o.Do.Model)
+			}
+			p.Done(order.Result{ID: o.ID, OK: true})
+		}
+		count := 0
+		for _, got := range has {
+			if got["m"] {
+				count++
+			}
+		}
+		assert.Assert(t, count > 0 || step >= 20, "step %d: no server has m", step)
+		now = now.Add(time.Second)
+	}
+	for name, got := range has {
+		assert.Assert(t, got["n"] && !got["m"], "%s has %v", name, got)
+	}
+}
--- /dev/null
+++ b/spread/spread_test.go
@@ -0,0 +1,133 @@
+package spread_test
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/ledgepin/ledgepin/settings"
+	"github.com/ledgepin/ledgepin/spread"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+var start = time.Unix(1000, 0)
+
+func text(rev uint64) []byte { return fmt.Appendf(nil, "fleet:\n  queue_limit: %d\n", rev) }
+
+func whole(rev uint64) *wire.Settings {
+	return &wire.Settings{Revision: rev, Sum: sha256.Sum256(text(rev)), Whole: text(rev)}
+}
+
+func delta(rev uint64) *wire.Settings {
+	d := settings.MakeDelta(text(rev-1), text(rev))
+	return &wire.Settings{Revision: rev, Sum: sha256.Sum256(text(rev)), Delta: &d}
+}
+
+func TestApply(t *testing.T) {
+	torn := whole(3)
+	torn.Whole = torn.Whole[:10]
+	bad := &wire.Settings{Revision: 3, Whole: []byte("fleet: {x: 1}"), Sum: sha256.Sum256([]byte("fleet: {x: 1}"))}
+	for _, c := range []struct {
+		name string
+		m    *wire.Settings
+		want spread.Outcome
+		rev  uint64
+	}{
+		{"next as a delta", delta(3), spread.Taken, 3},
+		{"whole", whole(9), spread.Taken, 9},
+		{"the same again", whole(2), spread.Old, 2},
+		{"an older one", whole(1), spread.Old, 2},
+		{"a delta that skips one", delta(4), spread.NeedWhole, 2},
+		{"torn", torn, spread.Bad, 2},
+		{"not a tree", bad, spread.Bad, 2},
+		{"nothing in it", &wire.Settings{Revision: 5}, spread.Bad, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var s spread.Store
+			assert.Equal(t, s.Apply(start, whole(2)), spread.Taken)
+			assert.Equal(t, s.Apply(start, c.m), c.want)
+			assert.Equal(t, s.Revision(), c.rev)
+			assert.Equal(t, string(s.Text()), string(text(c.rev)))
+		})
+	}
+}
+
+func TestConfirmation(t *testing.T) {
+	var s spread.Store
+	assert.NilError(t, s.Load(4, text(4)))
+	assert.Assert(t, !s.Confirmed(), "kept settings are not confirmed")
+	word := &wire.Settings{Revision: 4, Sum: sha256.Sum256([]byte("other")), Confirmed: true}
+	s.Apply(start, word)
+	assert.Assert(t, !s.Confirmed(), "a word for another text does not count")
+	word.Sum = sha256.Sum256(text(4))
+	assert.Equal(t, s.Apply(start, word), spread.Old)
+	assert.Assert(t, s.Confirmed())
+}
+
+// TestNeverBack sends pushes between stores in any order, lost, repeated and
+// stale; no store may ever go back, and all must reach the newest by pulling.
+func TestNeverBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stores := make([]spread.Store, 4) // the first is control's
+		newest := uint64(1)
+		stores[0].Apply(start, whole(1))
+		var way []*wire.Settings
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			from := rapid.IntRange(0, 3).Draw(t, "from")
+			to := rapid.IntRange(1, 3).Draw(t, "to")
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				newest++
+				stores[0].Apply(start, whole(newest))
+			case 1, 2:
+				if m := stores[from].Push(rapid.Uint64Range(0, newest).Draw(t, "have")); m != nil {
+					way = append(way, m)
+				}
+			case 3:
+				if len(way) == 0 {
+					continue
+				}
+				before := stores[to].Revision()
+				stores[to].Apply(start, way[rapid.IntRange(0, len(way)-1).Draw(t, "message")])
+				if stores[to].Revision() < before {
+					t.Fatalf("store %d went from %d back to %d", to, before, stores[to].Revision())
+				}
+			}
+		}
+		for i := 1; i < 4; i++ {
+			m := stores[0].Push(stores[i].Revision())
+			if stores[i].Apply(start, m) == spread.NeedWhole {
+				stores[i].Apply(start, stores[0].Push(0))
+			}
+			if stores[i].Revision() != newest {
+				t.Fatalf("store %d is at %d, not %d", i, stores[i].Revision(), newest)
+			}
+		}
+	})
+}
+
+func TestFile(t *testing.T) {
+	dir := t.TempDir()
+	f := spread.NewFile(dir)
+	rev, _, err := f.Read()
+	assert.NilError(t, err)
+	assert.Equal(t, rev, uint64(0))
+	assert.NilError(t, f.Write(7, text(7)))
+	rev, got, err := f.Read()
+	assert.NilError(t, err)
+	assert.Equal(t, rev, uint64(7))
+	assert.Equal(t, string(got), string(text(7)))
+	path := filepath.Join(dir, "settings.kept")
+	data, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	data[len(data)-1] ^= 1
+	assert.NilError(t, os.WriteFile(path, data, 0o600))
+	_, _, err = f.Read()
+	assert.ErrorContains(t, err, "damaged")
+}
