--- a/agent/recover.go
+++ b/agent/recover.go
@@ -9,7 +9,6 @@
 	"github.com/ledgepin/ledgepin/engine"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
-	"github.com/ledgepin/ledgepin/lease"
 	"github.com/ledgepin/ledgepin/wire"
 )
 
@@ -159,59 +158,3 @@
 		a.beatLocked()
 	}
 }
-
-// Dump is the state of an agent.
-type Dump struct {
-	Name     string        `json:"name"`
-	Revision uint64        `json:"settings_revision"`
-	Leaving  bool          `json:"leaving"`
-	EngineOK bool          `json:"engine_ok"`
-	Models   []string      `json:"models"`
-	Slots    int           `json:"slots"`
-	Work     []lease.Lease `json:"work"`
-	KV       []lease.Lease `json:"kv"`
-	Links    []string      `json:"links"`
-	Keys     int           `json:"claim_keys"`
-	Voting   bool          `json:"claim_votes"`
-	Fence    any           `json:"fence"`
-}
-
-// Dump returns the state of the agent.
-func (a *Agent) Dump() any {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	fence, _ := a.gate.High()
-	d := Dump{
-		Name: a.cfg.Name, Revision: a.store.Revision(), Leaving: a.leaving, EngineOK: a.engineOK,
-		Models: a.models, Slots: a.work.Slots(), Work: a.work.Dump(), KV: a.kv.Dump(), Fence: fence,
-	}
-	for _, l := range a.links {
-		d.Links = append(d.Links, l.Peer.Name)
-	}
-	if a.voter != nil {
-		d.Keys, d.Voting = a.voter.Keys(), a.voter.Warm()
-	}
-	return d
-}
-
-// Ready tells whether the agent can serve, and if not, why.
-func (a *Agent) Ready() (bool, string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	switch {
-	case a.leaving:
-		return false, "leaving"
-	case a.store.Tree() == nil:
-		return false, "no settings yet"
-	case a.engine != nil && !a.engineOK:
-		return false, "the engine does not answer"
-	}
-	return true, ""
-}
-
-// Revision returns the settings revision that the agent holds.
-func (a *Agent) Revision() uint64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.store.Revision()
-}
--- a/agent/work.go
+++ b/agent/work.go
@@ -14,6 +14,7 @@
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
 	"github.com/ledgepin/ledgepin/lease"
+	"github.com/ledgepin/ledgepin/metric"
 	"github.com/ledgepin/ledgepin/placement"
 	"github.com/ledgepin/ledgepin/wire"
 )
@@ -237,9 +238,14 @@
 // effects carries out the cancels that a table asks for. Callers hold the lock.
 func (a *Agent) effects(t *lease.Table, list []lease.Effect) {
 	for _, e := range list {
-		if e.Try == 1 {
+		metric.Cancels.WithLabelValues(a.cfg.Name, "sent").Inc()
+		switch {
+		case e.Expired:
+			event.LeaseExpired.Log(a.log, "request", e.ID.Req)
+			a.note(e.ID, decision.Expired, "")
+		case e.Try == 1:
 			a.note(e.ID, decision.Cancelled, "")
-		} else {
+		default:
 			event.CancelRepeated.Log(a.log, "request", e.ID.Req, "try", e.Try)
 		}
 		if j := a.jobs[e.ID]; j != nil && j.cancel != nil {
@@ -260,6 +266,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t.Finish(id)
+	metric.Cancels.WithLabelValues(a.cfg.Name, "confirmed").Inc()
 	a.note(id, decision.Confirmed, "")
 	a.endJob(id)
 }
--- a/app/dev_break.go
+++ b/app/dev_break.go
@@ -102,5 +102,8 @@
 // Dump returns the state of the agent.
 func (a *devAgent) Dump() any { return a.now().Dump() }
 
+// Collect brings the gauges of the agent up to date.
+func (a *devAgent) Collect() { a.now().Collect() }
+
 // Explain returns the agent's record of a request.
 func (a *devAgent) Explain(id string) (decision.Record, bool) { return a.now().Explain(id) }
--- a/control/control.go
+++ b/control/control.go
@@ -17,7 +17,6 @@
 	"github.com/ledgepin/ledgepin/journal"
 	"github.com/ledgepin/ledgepin/order"
 	"github.com/ledgepin/ledgepin/quota"
-	"github.com/ledgepin/ledgepin/settings"
 	"github.com/ledgepin/ledgepin/spread"
 	"github.com/ledgepin/ledgepin/wire"
 )
@@ -370,63 +369,3 @@
 	}
 	event.LeaderLost.Log(c.log, "term", c.node.Term())
 }
-
-// Tree returns the newest settings of this replica, or nil.
-func (c *Control) Tree() *settings.Tree {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.store.Tree()
-}
-
-// Status returns the state of the replica's log.
-func (c *Control) Status() consensus.Status {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.node == nil {
-		return consensus.Status{}
-	}
-	return c.node.Status(time.Now())
-}
-
-// Ready tells whether the replica knows the newest settings.
-func (c *Control) Ready() (bool, string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.node == nil || !c.node.Fresh(time.Now()) {
-		return false, "no leader with a live lease is in reach"
-	}
-	return true, ""
-}
-
-// Dump is the state of a control replica.
-type Dump struct {
-	Name     string           `json:"name"`
-	ID       string           `json:"id"`
-	Log      consensus.Status `json:"log"`
-	Revision uint64           `json:"settings_revision"`
-	Journal  int64            `json:"journal_bytes"`
-	Peers    []string         `json:"peers"`
-	Relays   []string         `json:"relays"`
-}
-
-// Dump returns the state of the replica.
-func (c *Control) Dump() any {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	d := Dump{Name: c.cfg.Name, ID: c.id, Revision: c.state.Revision()}
-	if c.node != nil {
-		d.Log = c.node.Status(time.Now())
-	}
-	if c.disk != nil {
-		d.Journal = c.disk.Size()
-	}
-	for name, p := range c.out {
-		if p.link != nil {
-			d.Peers = append(d.Peers, name)
-		}
-	}
-	for l := range c.down {
-		d.Relays = append(d.Relays, l.Peer.Name)
-	}
-	return d
-}
--- a/fault/catalogue.go
+++ b/fault/catalogue.go
@@ -63,7 +63,6 @@
 	CallerGone      = code("caller_gone", 499, false, "The caller went away; its work was cancelled.")
 	CallerSlow      = code("caller_slow", http.StatusRequestTimeout, false, "The caller read too slowly and was cut off.")
 	ServiceFailed   = code("service_failed", http.StatusBadGateway, false, "The service could not be reached for a call that may be repeated.")
-	Refused         = code("reservation_refused", http.StatusServiceUnavailable, true, "The agent has no free slot; the entry chooses again.")
 	StaleFence      = code("stale_fence", http.StatusConflict, true, "The order carries a lower fence than one already seen, or the agent does not know the fence yet.")
 	BadPeer         = code("bad_peer", http.StatusBadRequest, true, "A peer sent a message that breaks the protocol, or another protocol version.")
 	Conflict        = code("conflict", http.StatusConflict, true, "The change is based on a revision that is no longer the newest.")
--- a/lease/table.go
+++ b/lease/table.go
@@ -49,6 +49,8 @@
 	ID ID
 	// Try counts the cancels of this request, from 1.
 	Try int
+	// Expired tells that the owner was silent for too long, or is gone.
+	Expired bool
 }
 
 // Options are the fixed times of a table.
@@ -118,6 +120,17 @@
 	return len(o.leases)
 }
 
+// Count counts the leases in a state.
+func (t *Table) Count(s State) int {
+	n := 0
+	for _, e := range t.leases {
+		if e.state == s {
+			n++
+		}
+	}
+	return n
+}
+
 // Slots returns the number of slots.
 func (t *Table) Slots() int { return t.slots }
 
@@ -321,6 +334,9 @@
 			out = append(out, t.Cancel(now, id)...)
 		}
 	}
+	for i := range out {
+		out[i].Expired = true
+	}
 	sortEffects(out)
 	return out
 }
