--- /dev/null
+++ b/cmd/ledgepin/main_test.go
@@ -0,0 +1,379 @@
+package main_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/cli"
+	"github.com/ledgepin/ledgepin/settings"
+	"github.com/ledgepin/ledgepin/standin"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "ledgepin-test")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "ledgepin")
+	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	if err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one `ledgepin run`.
+type process struct {
+	t         *testing.T
+	file      string
+	operators string
+	cmd       *exec.Cmd
+	log       bytes.Buffer
+}
+
+func (p *process) start() {
+	p.t.Helper()
+	p.cmd = exec.Command(binary, "run", "--config", p.file)
+	p.cmd.Stderr = &p.log
+	assert.NilError(p.t, p.cmd.Start())
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// stop ends the process at once, also a frozen one.
+func (p *process) stop() {
+	if p.cmd != nil && p.cmd.ProcessState == nil {
+		p.signal(syscall.SIGKILL)
+		_ = p.cmd.Wait()
+	}
+}
+
+// fleet is a small deployment of real processes around stand-in servers.
+type fleet struct {
+	t         *testing.T
+	dir       string
+	processes map[string]*process
+	engines   map[string]*standin.Engine
+	callers   string
+	tree      string
+}
+
+// free returns an address that nobody listens on.
+func free(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func newFleet(t *testing.T, tokenTime time.Duration) *fleet {
+	f := &fleet{t: t, dir: t.TempDir(), processes: map[string]*process{}, engines: map[string]*standin.Engine{}, callers: free(t)}
+	t.Cleanup(func() {
+		for name, p := range f.processes {
+			p.stop()
+			if t.Failed() {
+				t.Logf("log of %s:\n%s", name, p.log.String())
+			}
+		}
+	})
+	var members, upstream []string
+	links := map[string]string{}
+	for i := range 3 {
+		name := fmt.Sprint("control-", i)
+		links[name] = free(t)
+		members = append(members, fmt.Sprintf("%s: %q", name, links[name]))
+		upstream = append(upstream, fmt.Sprintf("%q", links[name]))
+	}
+	for i := range 3 {
+		name := fmt.Sprint("control-", i)
+		f.add(name, fmt.Sprintf("roles: [control]\ndata: %s\ncontrol: {links: %q, members: {%s}}\n",
+			filepath.Join(f.dir, name), links[name], strings.Join(members, ", ")))
+	}
+	f.add("entry", fmt.Sprintf("roles: [entry]\nentry: {callers: %q, upstream: [%s]}\n", f.callers, strings.Join(upstream, ", ")))
+	pools := map[string]string{}
+	for _, name := range []string{"prefill-1", "decode-1", "decode-2"} {
+		e, err := standin.StartEngine("127.0.0.1:0", standin.EngineOptions{
+			Models: []string{"m"}, PrefillRate: 1e5, TokenTime: tokenTime, LinkRate: 1e9, KVPerToken: 1000,
+			KVHold: 5 * time.Second, Slots: 8, Tokens: 1000,
+		})
+		assert.NilError(t, err)
+		t.Cleanup(e.Kill)
+		f.engines[name] = e
+		addr := free(t)
+		pools[name] = addr
+		f.add("agent-"+name, fmt.Sprintf("roles: [agent]\nagent: {server: %s, links: %q, engine: %q}\n", name, addr, e.Addr()))
+	}
+	f.tree = fmt.Sprintf(`fleet:
+  queue_limit: 100
+  models: {m: {version: "1", weights: 1GB, kv_per_token: 1KB}}
+  classes: {desk: {priority: 0, ttft: 2s, tbt: 1s}}
+  customers: {c: {tokens: [{sha256: %s, class: desk}]}}
+  sites:
+    s:
+      zone: z
+      pools:
+        prefill: {role: prefill, slots: 8, models: {m: {}}, servers: {prefill-1: {agent: %q}}}
+        decode: {role: decode, slots: 8, models: {m: {}}, servers: {decode-1: {agent: %q}, decode-2: {agent: %q}}}
+`, settings.HashToken("desk"), pools["prefill-1"], pools["decode-1"], pools["decode-2"])
+	for _, p := range f.processes {
+		p.start()
+	}
+	f.apply(f.tree)
+	f.wait("the entry to serve", func() bool { _, err := f.ask(1); return err == nil })
+	return f
+}
+
+func (f *fleet) add(name, part string) {
+	p := &process{t: f.t, file: filepath.Join(f.dir, name+".yaml"), operators: free(f.t)}
+	text := fmt.Sprintf("name: %s\nzone: z\noperators: %q\ndrain: 20s\n%s", name, p.operators, part)
+	assert.NilError(f.t, os.WriteFile(p.file, []byte(text), 0o600))
+	f.processes[name] = p
+}
+
+func (f *fleet) wait(what string, cond func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	f.t.Fatalf("waited in vain for %s", what)
+}
+
+// operators lists the addresses of the control replicas as flags.
+func (f *fleet) operators() []string {
+	var out []string
+	for i := range 3 {
+		out = append(out, "--operator", f.processes[fmt.Sprint("control-", i)].operators)
+	}
+	return out
+}
+
+// ledgepin runs a command line against the fleet.
+func (f *fleet) ledgepin(args ...string) (string, int) {
+	var out bytes.Buffer
+	code := cli.Main(f.t.Context(), append(args, f.operators()...), &out, &out)
+	return out.String(), code
+}
+
+func (f *fleet) apply(text string) {
+	f.t.Helper()
+	file := filepath.Join(f.dir, "tree.yaml")
+	assert.NilError(f.t, os.WriteFile(file, []byte(text), 0o600))
+	id := fmt.Sprint("change-", time.Now().UnixNano())
+	f.wait("the change", func() bool {
+		_, code := f.ledgepin("settings", "apply", file, "--id", id)
+		return code == cli.ExitOK
+	})
+}
+
+// current is the answer of one control replica to a reader.
+type current struct {
+	Revision uint64 `json:"revision"`
+	Code     string `json:"code"`
+}
+
+func (f *fleet) settingsAt(name string) current {
+	var out current
+	c := http.Client{Timeout: time.Second}
+	resp, err := c.Get("http://" + f.processes[name].operators + "/v1/settings")
+	if err != nil {
+		return out
+	}
+	defer resp.Body.Close()
+	_ = json.NewDecoder(resp.Body).Decode(&out)
+	return out
+}
+
+// leader returns the control replica that leads under a lease.
+func (f *fleet) leader() string {
+	f.t.Helper()
+	out := ""
+	f.wait("a leader", func() bool {
+		for i := range 3 {
+			name := fmt.Sprint("control-", i)
+			c := http.Client{Timeout: time.Second}
+			resp, err := c.Get("http://" + f.processes[name].operators + "/v1/dump")
+			if err != nil {
+				continue
+			}
+			data, _ := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if bytes.Contains(data, []byte(`"lease": true`)) {
+				out = name
+				return true
+			}
+		}
+		return false
+	})
+	return out
+}
+
+// stream opens a streamed completion.
+func (f *fleet) stream(tokens int) (*http.Response, error) {
+	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"prompt":"go on"}`, tokens)
+	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://"+f.callers+"/v1/completions", strings.NewReader(body))
+	assert.NilError(f.t, err)
+	req.Header.Set("Authorization", "Bearer desk")
+	resp, err := http.DefaultClient.Do(req)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		data, _ := io.ReadAll(resp.Body)
+		return nil, fmt.Errorf("status %d: %s", resp.StatusCode, data)
+	}
+	return resp, err
+}
+
+// chunk is what the tests read of a streamed completion.
+type chunk struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+}
+
+// read reads a stream to its end; each is called with the number of tokens.
+func read(resp *http.Response, each func(int)) (string, error) {
+	defer resp.Body.Close()
+	var text strings.Builder
+	scan := bufio.NewScanner(resp.Body)
+	for n := 0; scan.Scan(); {
+		data, ok := strings.CutPrefix(scan.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text.String(), nil
+		}
+		var c chunk
+		if err := json.Unmarshal([]byte(data), &c); err != nil || len(c.Choices) == 0 {
+			return text.String(), fmt.Errorf("bad event %s", data)
+		}
+		text.WriteString(c.Choices[0].Text)
+		n++
+		each(n)
+	}
+	return text.String(), fmt.Errorf("the stream ended early: %v", scan.Err())
+}
+
+func (f *fleet) ask(tokens int) (string, error) {
+	resp, err := f.stream(tokens)
+	if err != nil {
+		return "", err
+	}
+	return read(resp, func(int) {})
+}
+
+// streaming returns the decode server that holds a request.
+func (f *fleet) streaming() string {
+	for _, n := range []string{"decode-1", "decode-2"} {
+		if len(f.engines[n].Held()) > 0 {
+			return n
+		}
+	}
+	return ""
+}
+
+func (f *fleet) allFree() bool {
+	for _, e := range f.engines {
+		if len(e.Held()) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// TestAgentProcessKilled kills the agent process in the middle of a stream and
+// starts it again.
+func TestAgentProcessKilled(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 10*time.Millisecond)
+	resp, err := f.stream(200)
+	assert.NilError(t, err)
+	text, err := read(resp, func(n int) {
+		if n == 20 {
+			p := f.processes["agent-"+f.streaming()]
+			p.stop()
+			p.start()
+		}
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, text, standin.Answer("go on", 200))
+	f.wait("all memory to be free", f.allFree)
+}
+
+// TestFrozenEntry freezes the entry process while it streams. Its leases run
+// out; thawed, it serves again.
+func TestFrozenEntry(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 50*time.Millisecond)
+	resp, err := f.stream(1000)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	f.wait("the stream", func() bool { return f.streaming() != "" })
+	f.processes["entry"].signal(syscall.SIGSTOP)
+	f.wait("all memory to be free though the entry is frozen", f.allFree)
+	f.processes["entry"].signal(syscall.SIGCONT)
+	f.wait("the entry to serve again", func() bool { _, err := f.ask(3); return err == nil })
+}
+
+// TestDrainedEntry ends the entry with SIGTERM while it streams.
+func TestDrainedEntry(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 10*time.Millisecond)
+	resp, err := f.stream(150)
+	assert.NilError(t, err)
+	text, err := read(resp, func(n int) {
+		if n == 10 {
+			f.processes["entry"].signal(syscall.SIGTERM)
+		}
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, text, standin.Answer("go on", 150))
+	assert.NilError(t, f.processes["entry"].cmd.Wait(), "exit code 0")
+}
+
+// TestControlProcesses kills the leader, then freezes the next one in silence
+// while it still believes that it leads.
+func TestControlProcesses(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 10*time.Millisecond)
+	first := f.leader()
+	f.processes[first].stop()
+	f.apply(strings.Replace(f.tree, "queue_limit: 100", "queue_limit: 101", 1))
+	f.processes[first].start()
+	f.wait("the killed replica to catch up", func() bool { return f.settingsAt(first).Revision == 2 })
+
+	frozen := f.leader()
+	f.processes[frozen].signal(syscall.SIGSTOP)
+	f.apply(strings.Replace(f.tree, "queue_limit: 100", "queue_limit: 102", 1))
+	f.processes[frozen].signal(syscall.SIGCONT)
+	for range 50 { // whatever it answers now must be true
+		got := f.settingsAt(frozen)
+		assert.Assert(t, got.Code == "not_leader" || got.Revision == 3, "%+v", got)
+	}
+	f.wait("the frozen replica to catch up", func() bool { return f.settingsAt(frozen).Revision == 3 })
+	out, code := f.ledgepin("settings", "history")
+	assert.Equal(t, code, cli.ExitOK)
+	assert.Equal(t, strings.Count(out, "change-"), 3, out)
+	_, err := f.ask(3)
+	assert.NilError(t, err)
+}
