--- a/agent/claims.go
+++ b/agent/claims.go
@@ -51,6 +51,9 @@
 	return groupKey{}, nil, 0
 }
 
+// copyTimeout bounds the copying of one member's grants.
+const copyTimeout = 30 * time.Second
+
 // copyEvery is the time between two tries to copy grants.
 const copyEvery = 300 * time.Millisecond
 
@@ -73,20 +76,13 @@
 
 // copyFrom asks one member for its grants over a link of its own.
 func (a *Agent) copyFrom(v *claim.Voter, p settings.Placed) {
-	ctx, cancel := context.WithTimeout(a.ctx, time.Second)
+	ctx, cancel := context.WithTimeout(a.ctx, copyTimeout)
 	defer cancel()
 	l, err := wire.Dial(ctx, p.Agent, wire.Options{Hello: a.hello, Token: a.cfg.Token, TLS: a.cfg.TLS})
 	if err != nil {
 		return
 	}
-	a.mu.Lock()
-	ask := v.Copy()
-	a.mu.Unlock()
-	if ask == nil {
-		l.Close()
-		return
-	}
-	_ = l.Send(&wire.Message{Copy: ask})
+	a.askCopy(v, p.Name, l)
 	_ = l.Run(ctx, func(m *wire.Message) {
 		if m.Copied == nil {
 			return
@@ -94,10 +90,26 @@
 		a.mu.Lock()
 		v.Copied(time.Now(), *m.Copied)
 		a.mu.Unlock()
-		l.Close()
+		if m.Copied.Cold {
+			l.Close()
+			return
+		}
+		a.askCopy(v, p.Name, l)
 	})
 }
 
+// askCopy asks a member for its next part; it closes the link if there is none.
+func (a *Agent) askCopy(v *claim.Voter, name string, l *wire.Link) {
+	a.mu.Lock()
+	ask := v.Copy(name)
+	a.mu.Unlock()
+	if ask == nil {
+		l.Close()
+		return
+	}
+	_ = l.Send(&wire.Message{Copy: ask})
+}
+
 // grant votes on a claim. Callers hold the lock.
 func (a *Agent) grant(now time.Time, l *wire.Link, m *claim.Ask) {
 	vote := claim.Vote{Key: m.Key, Attempt: m.Attempt, Voter: a.cfg.Name, Cold: true}
--- a/claim/message.go
+++ b/claim/message.go
@@ -54,12 +54,14 @@
 	Keep time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
-// Copy asks a voter for its grants, for a voter that restarted. It also tells
-// the incarnation of the asker, which is noted before the grants are read.
+// Copy asks a voter for a part of its grants, for a voter that restarted. It
+// also tells the incarnation of the asker, which is noted before the first
+// part is read.
 type Copy struct {
 	Voter       string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
-	Group       string `cbor:"3,keyasint"`
+	// From is the number of grants that the asker has got.
+	From int `cbor:"3,keyasint,omitempty"`
 }
 
 // Copied answers a Copy.
@@ -71,6 +73,10 @@
 	For  uint64 `cbor:"4,keyasint"`
 	Cold bool   `cbor:"5,keyasint,omitempty"`
 	Held []Held `cbor:"6,keyasint,omitempty"`
+	// From is the number of grants before this part; More tells that there are
+	// others after it.
+	From int  `cbor:"7,keyasint,omitempty"`
+	More bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Held is one granted key.
--- a/claim/voter.go
+++ b/claim/voter.go
@@ -28,8 +28,12 @@
 	warmAt      time.Time
 	known       map[string]uint64
 	copied      map[string]bool
-	grants      map[string]*grant
-	expiry      expiry
+	// got counts the grants that came from each member so far; lists are the
+	// grants that are being sent to members, as they were at the first part.
+	got    map[string]int
+	lists  map[string][]Held
+	grants map[string]*grant
+	expiry expiry
 }
 
 // NewVoter returns a voter without grants. It is cold: it votes only after it
@@ -39,7 +43,7 @@
 func NewVoter(now time.Time, name string, incarnation uint64, members []string, wait time.Duration) *Voter {
 	return &Voter{
 		name: name, incarnation: incarnation, members: members, warmAt: now.Add(wait),
-		known: map[string]uint64{}, copied: map[string]bool{}, grants: map[string]*grant{},
+		known: map[string]uint64{}, copied: map[string]bool{}, got: map[string]int{}, lists: map[string][]Held{}, grants: map[string]*grant{},
 	}
 }
 
@@ -53,12 +57,13 @@
 // the operator, or a test, can know that.
 func (v *Voter) Found() { v.warm = true }
 
-// Copy returns what a cold voter asks the other members; nil once it is warm.
-func (v *Voter) Copy() *Copy {
-	if v.warm {
+// Copy returns what a cold voter asks another member next; nil once it is warm
+// or has all of that member's grants.
+func (v *Voter) Copy(from string) *Copy {
+	if v.warm || v.copied[from] {
 		return nil
 	}
-	return &Copy{Voter: v.name, Incarnation: v.incarnation}
+	return &Copy{Voter: v.name, Incarnation: v.incarnation, From: v.got[from]}
 }
 
 // Tick forgets keys whose lifetime is over and ends a long wait.
@@ -123,27 +128,68 @@
 	g.attempt = ""
 }
 
-// CopyFor answers a restarted member. Its incarnation is noted first, so that
-// every later vote tells it.
+// Bounds of one Copied, so that it fits into a frame.
+const (
+	maxPart      = 5000
+	maxPartBytes = 4 << 20
+)
+
+// partEnd returns where the part of a list that begins at from ends.
+func partEnd(list []Held, from int) int {
+	size := 0
+	end := from
+	for end < len(list) && end < from+maxPart && size < maxPartBytes {
+		if a := list[end].Answer; a != nil {
+			size += len(a.Body)
+		}
+		end++
+	}
+	return end
+}
+
+// CopyFor answers a restarted member. Its incarnation is noted before the first
+// part is read, so that every later vote tells it.
 func (v *Voter) CopyFor(now time.Time, c Copy) Copied {
 	if c.Incarnation > v.known[c.Voter] {
 		v.known[c.Voter] = c.Incarnation
 	}
-	out := Copied{Voter: v.name, Incarnation: v.incarnation, Known: v.knownCopy(), For: c.Incarnation, Cold: !v.warm}
+	out := Copied{Voter: v.name, Incarnation: v.incarnation, Known: v.knownCopy(), For: c.Incarnation, Cold: !v.warm, From: c.From}
 	if !v.warm {
 		return out
 	}
+	if c.From == 0 {
+		v.lists[c.Voter] = v.held(now)
+	}
+	list := v.lists[c.Voter]
+	if c.From > len(list) {
+		return Copied{Voter: v.name, For: c.Incarnation, Cold: true} // it has to begin anew
+	}
+	end := partEnd(list, c.From)
+	out.Held = list[c.From:end]
+	out.More = end < len(list)
+	if !out.More {
+		delete(v.lists, c.Voter)
+	}
+	return out
+}
+
+// held lists all grants.
+func (v *Voter) held(now time.Time) []Held {
+	out := make([]Held, 0, len(v.grants))
 	for _, g := range v.grants {
-		h := Held{Key: g.key, Attempt: g.attempt, Body: g.body, Left: g.expires.Sub(now), Answer: g.answer}
-		out.Held = append(out.Held, h)
+		out = append(out, Held{Key: g.key, Attempt: g.attempt, Body: g.body, Left: g.expires.Sub(now), Answer: g.answer})
 	}
 	return out
 }
 
-// Copied takes the grants of another member and makes the voter warm once a
-// majority of the group has answered.
+// Copied takes a part of the grants of another member and makes the voter warm
+// once a majority of the group has sent all of theirs.
 func (v *Voter) Copied(now time.Time, c Copied) {
-	if v.warm || c.Cold || c.For != v.incarnation || !v.member(c.Voter) {
+	if v.warm || c.For != v.incarnation || !v.member(c.Voter) || v.copied[c.Voter] {
+		return
+	}
+	if c.Cold || c.From != v.got[c.Voter] {
+		v.got[c.Voter] = 0
 		return
 	}
 	for _, h := range c.Held {
@@ -153,6 +199,10 @@
 		v.known[name] = max(v.known[name], inc)
 	}
 	v.known[c.Voter] = max(v.known[c.Voter], c.Incarnation)
+	v.got[c.Voter] += len(c.Held)
+	if c.More {
+		return
+	}
 	v.copied[c.Voter] = true
 	v.warm = len(v.copied) >= majority(len(v.members))
 }
