--- a/admission/queue.go
+++ b/admission/queue.go
@@ -1,9 +1,11 @@
 package admission
 
 import (
-	"container/heap"
+	"slices"
 	"sort"
 	"time"
+
+	"github.com/ledgepin/ledgepin/internal/pq"
 )
 
 // Item is a waiting request.
@@ -21,6 +23,14 @@
 	in  *customer
 }
 
+// before orders items by deadline.
+func (it *Item) before(o *Item) bool {
+	if !it.Deadline.Equal(o.Deadline) {
+		return it.Deadline.Before(o.Deadline)
+	}
+	return it.ID < o.ID
+}
+
 // Queue holds the waiting requests of one entry.
 type Queue struct {
 	levels [levels]*level
@@ -33,7 +43,7 @@
 // work that each has had for its share.
 type level struct {
 	customers map[string]*customer
-	order     byVirtual
+	order     pq.Queue[*customer] // by the work that each has had for its share
 	virtual   float64
 	work      int
 }
@@ -42,16 +52,27 @@
 	name    string
 	share   float64
 	virtual float64
-	items   byDeadline
+	items   pq.Queue[*Item] // by deadline
 	work    int
 	pos     int
 }
 
+// before orders customers by the work that each has had for its share.
+func (c *customer) before(o *customer) bool {
+	if c.virtual != o.virtual {
+		return c.virtual < o.virtual
+	}
+	return c.name < o.name
+}
+
 // New returns an empty queue.
 func New() *Queue {
 	q := &Queue{byID: map[string]*Item{}}
 	for i := range q.levels {
-		q.levels[i] = &level{customers: map[string]*customer{}}
+		l := &level{customers: map[string]*customer{}}
+		l.order.Less = (*customer).before
+		l.order.Moved = func(c *customer, place int) { c.pos = place }
+		q.levels[i] = l
 	}
 	return q
 }
@@ -77,14 +98,14 @@
 	l := q.levels[it.Priority]
 	c := l.customer(it)
 	it.in = c
-	heap.Push(&c.items, it)
+	c.items.Push(it)
 	c.work += it.Work
 	l.work += it.Work
 	if c.pos < 0 {
 		// A customer that comes back starts at the level's present, so that it
 		// can't claim the share of the time in which it asked for nothing.
 		c.virtual = max(c.virtual, l.virtual)
-		heap.Push(&l.order, c)
+		l.order.Push(c)
 	}
 }
 
@@ -92,6 +113,8 @@
 	c := l.customers[it.Customer]
 	if c == nil {
 		c = &customer{name: it.Customer, virtual: l.virtual, pos: -1}
+		c.items.Less = (*Item).before
+		c.items.Moved = func(it *Item, place int) { it.pos = place }
 		l.customers[it.Customer] = c
 	}
 	c.share = float64(max(it.Share, 1))
@@ -106,11 +129,11 @@
 	}
 	delete(q.byID, id)
 	l, c := q.levels[it.Priority], it.in
-	heap.Remove(&c.items, it.pos)
+	c.items.Remove(it.pos)
 	c.work -= it.Work
 	l.work -= it.Work
-	if len(c.items) == 0 {
-		heap.Remove(&l.order, c.pos)
+	if c.items.Len() == 0 {
+		l.order.Remove(c.pos)
 		l.forget(c)
 	}
 	return it
@@ -118,7 +141,7 @@
 
 // forget drops a customer that has had no more than its share.
 func (l *level) forget(c *customer) {
-	if c.virtual <= l.virtual || len(l.order) == 0 {
+	if c.virtual <= l.virtual || l.order.Len() == 0 {
 		delete(l.customers, c.name)
 	}
 }
@@ -127,8 +150,8 @@
 // one on, without taking it out; nil if none waits.
 func (q *Queue) Next(from int) *Item {
 	for i := from; i < levels; i++ {
-		if l := q.levels[i]; len(l.order) > 0 {
-			return l.order[0].items[0]
+		if l := q.levels[i]; l.order.Len() > 0 {
+			return l.order.First().items.First()
 		}
 	}
 	return nil
@@ -143,7 +166,7 @@
 	l, c := q.levels[it.Priority], it.in
 	l.virtual = max(l.virtual, c.virtual)
 	c.virtual += float64(max(it.Work, 1)) / c.share
-	heap.Fix(&l.order, c.pos)
+	l.order.Fix(c.pos)
 	return q.Remove(id)
 }
 
@@ -151,8 +174,8 @@
 // any more: need is the shortest time from now to the first token.
 func (q *Queue) Due(priority int, now time.Time, need func(*Item) time.Duration) []*Item {
 	var out []*Item
-	for _, c := range q.levels[priority].order {
-		out = append(out, c.items.late(now, need)...)
+	for _, c := range q.levels[priority].order.Items() {
+		out = append(out, late(c.items.Items(), now, need)...)
 	}
 	for _, it := range out {
 		q.Remove(it.ID)
@@ -160,9 +183,9 @@
 	return out
 }
 
-// late walks the heap from its earliest deadline and stops below items that
-// have time left.
-func (h byDeadline) late(now time.Time, need func(*Item) time.Duration) []*Item {
+// late walks a heap from its earliest deadline and stops below items that have
+// time left.
+func late(h []*Item, now time.Time, need func(*Item) time.Duration) []*Item {
 	var out []*Item
 	stack := []int{0}
 	for len(stack) > 0 {
@@ -191,11 +214,11 @@
 func (q *Queue) Shed(priority int, now time.Time, rate float64) []*Item {
 	l := q.levels[priority]
 	var shares float64
-	for _, c := range l.order {
+	for _, c := range l.order.Items() {
 		shares += c.share
 	}
 	var out []*Item
-	for _, c := range l.order {
+	for _, c := range l.order.Items() {
 		out = append(out, c.shed(now, rate*c.share/shares)...)
 	}
 	for _, it := range out {
@@ -205,20 +228,20 @@
 }
 
 func (c *customer) shed(now time.Time, rate float64) []*Item {
-	if len(c.items) < 2 || rate <= 0 {
+	if c.items.Len() < 2 || rate <= 0 {
 		return nil
 	}
-	order := append(byDeadline(nil), c.items...)
-	sort.Slice(order, func(i, j int) bool { return order.before(i, j) })
-	var kept bySize
+	order := slices.Clone(c.items.Items())
+	sort.Slice(order, func(i, j int) bool { return order[i].before(order[j]) })
+	kept := pq.Queue[*Item]{Less: func(a, b *Item) bool { return a.Work > b.Work }}
 	var out []*Item
 	var work float64
 	for _, it := range order {
-		heap.Push(&kept, it)
+		kept.Push(it)
 		work += float64(it.Work)
 		end := now.Add(time.Duration(work / rate * float64(time.Second)))
 		if end.After(it.Deadline) {
-			big := heap.Pop(&kept).(*Item)
+			big := kept.Pop()
 			work -= float64(big.Work)
 			out = append(out, big)
 		}
--- a/agent/claims.go
+++ b/agent/claims.go
@@ -7,6 +7,7 @@
 
 	"github.com/ledgepin/ledgepin/claim"
 	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/settings"
 	"github.com/ledgepin/ledgepin/wire"
 )
@@ -70,7 +71,7 @@
 			event.VoterWarm.Log(a.log)
 			return
 		}
-		sleep(a.ctx, copyEvery)
+		wait.For(a.ctx, copyEvery)
 	}
 }
 
--- a/agent/recover.go
+++ b/agent/recover.go
@@ -9,6 +9,7 @@
 	"github.com/ledgepin/ledgepin/engine"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/wire"
 )
 
@@ -21,16 +22,7 @@
 			a.recovered(ids)
 			return
 		}
-		sleep(a.ctx, cancelEvery)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		wait.For(a.ctx, cancelEvery)
 	}
 }
 
--- a/claim/voter.go
+++ b/claim/voter.go
@@ -1,8 +1,9 @@
 package claim
 
 import (
-	"container/heap"
 	"time"
+
+	"github.com/ledgepin/ledgepin/internal/pq"
 )
 
 // blocked holds a key in place of an attempt; no attempt has this name.
@@ -33,7 +34,7 @@
 	got    map[string]int
 	lists  map[string][]Held
 	grants map[string]*grant
-	expiry expiry
+	expiry pq.Queue[*grant]
 }
 
 // NewVoter returns a voter without grants. It is cold: it votes only after it
@@ -41,10 +42,13 @@
 // every key that it may have forgotten has ended. The incarnation must be
 // higher at each start.
 func NewVoter(now time.Time, name string, incarnation uint64, members []string, wait time.Duration) *Voter {
-	return &Voter{
+	v := &Voter{
 		name: name, incarnation: incarnation, members: members, warmAt: now.Add(wait),
 		known: map[string]uint64{}, copied: map[string]bool{}, got: map[string]int{}, lists: map[string][]Held{}, grants: map[string]*grant{},
 	}
+	v.expiry.Less = func(a, b *grant) bool { return a.expires.Before(b.expires) }
+	v.expiry.Moved = func(g *grant, place int) { g.pos = place }
+	return v
 }
 
 // Warm tells whether the voter votes.
@@ -71,8 +75,8 @@
 	if !v.warm && !now.Before(v.warmAt) {
 		v.warm = true
 	}
-	for len(v.expiry) > 0 && !v.expiry[0].expires.After(now) {
-		delete(v.grants, heap.Pop(&v.expiry).(*grant).key)
+	for v.expiry.Len() > 0 && !v.expiry.First().expires.After(now) {
+		delete(v.grants, v.expiry.Pop().key)
 	}
 }
 
@@ -88,7 +92,7 @@
 	if g == nil {
 		g = &grant{key: a.Key, attempt: a.Attempt, body: a.Body, expires: now.Add(a.Lifetime)}
 		v.grants[a.Key] = g
-		heap.Push(&v.expiry, g)
+		v.expiry.Push(g)
 	}
 	if g.attempt == "" && !g.given[a.Attempt] {
 		g.attempt = a.Attempt
@@ -113,7 +117,7 @@
 		g.answer = r.Answer
 		if r.Keep > 0 {
 			g.expires = now.Add(r.Keep)
-			heap.Fix(&v.expiry, g.pos)
+			v.expiry.Fix(g.pos)
 		}
 		return
 	}
@@ -215,7 +219,7 @@
 	if g == nil {
 		g = &grant{key: h.Key, attempt: h.Attempt, body: h.Body, expires: now.Add(h.Left), answer: h.Answer}
 		v.grants[h.Key] = g
-		heap.Push(&v.expiry, g)
+		v.expiry.Push(g)
 		return
 	}
 	switch {
@@ -245,28 +249,3 @@
 }
 
 func majority(n int) int { return n/2 + 1 }
-
-// expiry orders grants by the end of their lifetime.
-type expiry []*grant
-
-func (e expiry) Len() int           { return len(e) }
-func (e expiry) Less(i, j int) bool { return e[i].expires.Before(e[j].expires) }
-func (e expiry) Swap(i, j int) {
-	e[i], e[j] = e[j], e[i]
-	e[i].pos, e[j].pos = i, j
-}
-
-// Push implements heap.Interface.
-func (e *expiry) Push(x any) {
-	g := x.(*grant)
-	g.pos = len(*e)
-	*e = append(*e, g)
-}
-
-// Pop implements heap.Interface.
-func (e *expiry) Pop() any {
-	old := *e
-	g := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return g
-}
--- /dev/null
+++ b/control/group_test.go
@@ -0,0 +1,226 @@
+package control_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/control"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/internal/gate"
+	"github.com/ledgepin/ledgepin/journal"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// member is one replica with its listener, behind a gate.
+type member struct {
+	name  string
+	dir   string
+	gate  *gate.Gate
+	proc  *control.Control
+	srv   *http.Server
+	flaky *flakyFile
+}
+
+// group is a control group over loopback.
+type group struct {
+	t       *testing.T
+	members map[string]*member
+	addrs   map[string]string
+	// ways are the gates between two replicas, by the one that dials and the
+	// one that is dialled.
+	ways  map[[2]string]*gate.Gate
+	every int
+}
+
+func newGroup(t *testing.T, names ...string) *group {
+	t.Helper()
+	g := &group{t: t, members: map[string]*member{}, addrs: map[string]string{}, ways: map[[2]string]*gate.Gate{}, every: 20}
+	for _, n := range names {
+		g.prepare(n)
+	}
+	for _, from := range names {
+		for _, to := range names {
+			g.ways[[2]string{from, to}] = gate.New(t, g.addrs[to])
+		}
+	}
+	for _, n := range names {
+		g.start(n)
+	}
+	t.Cleanup(func() {
+		for _, m := range g.members {
+			m.stop()
+		}
+	})
+	return g
+}
+
+// prepare gives a replica its folder and the address that others reach it at.
+func (g *group) prepare(name string) {
+	m := &member{name: name, dir: g.t.TempDir(), gate: gate.New(g.t, "127.0.0.1:1")}
+	g.members[name] = m
+	g.addrs[name] = m.gate.Addr()
+}
+
+func (g *group) start(name string) {
+	g.t.Helper()
+	m := g.members[name]
+	members := map[string]string{}
+	for to := range g.addrs {
+		members[to] = g.ways[[2]string{name, to}].Addr()
+	}
+	c, err := control.Start(control.Config{
+		Name: name, Zone: "z-" + name, Members: members, Dir: m.dir, Log: quiet, SnapshotEvery: g.every, OpenFile: m.open,
+	})
+	assert.NilError(g.t, err)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(g.t, err)
+	m.proc = c
+	m.srv = &http.Server{Handler: c.Handler()}
+	go func() { _ = m.srv.Serve(ln) }()
+	m.gate.SetTarget(ln.Addr().String())
+}
+
+// open opens the journal on a disk that can be made to fail.
+func (m *member) open(path string) (journal.File, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	m.flaky = &flakyFile{File: f}
+	return m.flaky, err
+}
+
+type flakyFile struct {
+	journal.File
+	mu   sync.Mutex
+	full bool
+}
+
+func (f *flakyFile) Write(b []byte) (int, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.full {
+		return 0, errors.New("no space left on device")
+	}
+	return f.File.Write(b)
+}
+
+func (f *flakyFile) fill() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.full = true
+}
+
+// stop ends a replica at once, as a kill does: nothing is said to others.
+func (m *member) stop() {
+	if m.proc == nil {
+		return
+	}
+	_ = m.srv.Close()
+	m.proc.Close()
+	m.proc = nil
+}
+
+// leader waits until a replica leads under a lease, and returns it.
+func (g *group) leader() *member {
+	g.t.Helper()
+	var out *member
+	g.wait("a leader", func() bool {
+		for _, m := range g.members {
+			if m.proc != nil && m.proc.Status().Lease {
+				out = m
+				return true
+			}
+		}
+		return false
+	})
+	return out
+}
+
+func (g *group) wait(what string, cond func() bool) {
+	g.t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	g.t.Fatalf("waited in vain for %s", what)
+}
+
+// others returns the running replicas except one.
+func (g *group) others(not *member) []*member {
+	var out []*member
+	for _, m := range g.members {
+		if m != not && m.proc != nil {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// isolate cuts a replica off in silence: nothing from others reaches it, and
+// it reaches nobody.
+func (g *group) isolate(m *member) { g.eachWay(m, (*gate.Gate).Freeze) }
+
+func (g *group) rejoin(m *member) { g.eachWay(m, (*gate.Gate).Thaw) }
+
+func (g *group) eachWay(m *member, do func(*gate.Gate)) {
+	for way, gt := range g.ways {
+		if way[0] == m.name || way[1] == m.name {
+			do(gt)
+		}
+	}
+}
+
+// text is a tree with one value to tell revisions apart.
+func (g *group) text(queue int) []byte { return fmt.Appendf(nil, "fleet:\n  queue_limit: %d\n", queue) }
+
+// textWithControl is a tree that lists the replicas, so that the leader brings
+// the membership in line with it.
+func (g *group) textWithControl(queue int) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s  control:\n", g.text(queue))
+	for name, addr := range g.addrs {
+		fmt.Fprintf(&b, "    %s: {address: %q, zone: z}\n", name, addr)
+	}
+	return []byte(b.String())
+}
+
+func change(m *member, id string, base uint64, text []byte) (control.Outcome, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return m.proc.Change(ctx, control.Proposal{ID: id, Base: base, Text: text, Who: "op"})
+}
+
+// settle makes a change at whoever leads, resending it as an operator does.
+func (g *group) settle(id string, base uint64, text []byte) control.Outcome {
+	g.t.Helper()
+	var out control.Outcome
+	g.wait("change "+id, func() bool {
+		var err error
+		out, err = change(g.leader(), id, base, text)
+		again := fault.Is(err, fault.NotLeader) || fault.Is(err, fault.ChangeUnknown)
+		assert.Assert(g.t, err == nil || again, "%v", err)
+		return err == nil
+	})
+	return out
+}
+
+// inForce waits until a replica has a revision.
+func (g *group) inForce(m *member, revision uint64) {
+	g.t.Helper()
+	g.wait(fmt.Sprintf("revision %d at %s", revision, m.name), func() bool {
+		cur, err := m.proc.Settings()
+		return err == nil && cur.Revision == revision
+	})
+}
--- a/control/identity.go
+++ b/control/identity.go
@@ -13,6 +13,7 @@
 
 	"github.com/ledgepin/ledgepin/consensus"
 	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/spread"
 	"github.com/ledgepin/ledgepin/wire"
 )
@@ -72,7 +73,7 @@
 			}
 			answered[name] = true
 		}
-		wait(c.ctx, foundEvery)
+		wait.For(c.ctx, foundEvery)
 	}
 	return true
 }
@@ -98,15 +99,6 @@
 	return l.Peer.Commit, nil
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func sortMembers(m consensus.Members) consensus.Members {
 	slices.Sort(m.Voters)
 	return m
--- a/control/links.go
+++ b/control/links.go
@@ -7,6 +7,7 @@
 
 	"github.com/ledgepin/ledgepin/consensus"
 	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/order"
 	"github.com/ledgepin/ledgepin/settings"
 	"github.com/ledgepin/ledgepin/spread"
@@ -53,7 +54,7 @@
 			p.link = nil
 			c.mu.Unlock()
 		}
-		wait(ctx, redial)
+		wait.For(ctx, redial)
 	}
 }
 
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -7,6 +7,7 @@
 
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/placement"
 	"github.com/ledgepin/ledgepin/router"
 	"github.com/ledgepin/ledgepin/settings"
@@ -41,17 +42,17 @@
 }
 
 func (e *Entry) agentLoop(ctx context.Context, a *agentLink) {
-	wait := redial
+	again := redial
 	for ctx.Err() == nil {
 		l, err := wire.Dial(ctx, a.addr, e.options())
 		if err == nil {
-			wait = redial
+			again = redial
 			e.runAgent(ctx, a, l)
 		}
 		e.checkGrace(a)
-		pause(ctx, wait)
+		wait.For(ctx, again)
 		if time.Since(a.lost) > linkGrace {
-			wait = min(2*wait, maxRedial)
+			again = min(2*again, maxRedial)
 		}
 	}
 }
--- a/entry/boot.go
+++ b/entry/boot.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/wire"
 )
 
@@ -12,7 +13,7 @@
 // of reach, it takes the highest revision that a majority of the site's peers
 // can tell of, and serves on it as degraded.
 func (e *Entry) bootLoop() {
-	pause(e.ctx, bootWait)
+	wait.For(e.ctx, bootWait)
 	for e.ctx.Err() == nil {
 		e.mu.Lock()
 		done := e.mayAct()
@@ -20,7 +21,7 @@
 		if done || e.askPeers() {
 			return
 		}
-		pause(e.ctx, time.Second)
+		wait.For(e.ctx, time.Second)
 	}
 }
 
--- a/entry/leaving.go
+++ b/entry/leaving.go
@@ -7,6 +7,7 @@
 
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/platform"
 	"github.com/ledgepin/ledgepin/wire"
 )
@@ -27,7 +28,7 @@
 		if err == nil {
 			e.takeVMs(vms)
 		}
-		pause(e.ctx, platformEvery)
+		wait.For(e.ctx, platformEvery)
 	}
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -1,11 +1,11 @@
 package entry
 
 import (
-	"context"
 	"time"
 
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/placement"
 	"github.com/ledgepin/ledgepin/settings"
 	"github.com/ledgepin/ledgepin/spread"
@@ -164,16 +164,16 @@
 
 // upstreamLoop keeps a link to one control replica or relay.
 func (e *Entry) upstreamLoop() {
-	wait := redial
+	again := redial
 	for i := 0; e.ctx.Err() == nil && len(e.cfg.Upstream) > 0; i++ {
 		addr := e.cfg.Upstream[i%len(e.cfg.Upstream)]
 		l, err := wire.Dial(e.ctx, addr, e.options())
 		if err != nil {
-			pause(e.ctx, wait)
-			wait = min(2*wait, maxRedial)
+			wait.For(e.ctx, again)
+			again = min(2*again, maxRedial)
 			continue
 		}
-		wait = redial
+		again = redial
 		e.runUpstream(l)
 	}
 }
@@ -190,7 +190,7 @@
 	e.mu.Unlock()
 	if e.ctx.Err() == nil {
 		event.LinkDown.Log(e.log, "peer", l.Peer.Name, "why", fault.From(err))
-		pause(e.ctx, redial)
+		wait.For(e.ctx, redial)
 	}
 }
 
@@ -241,12 +241,3 @@
 		e.lend(time.Now(), l, m.Shares)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- /dev/null
+++ b/internal/pq/pq.go
@@ -0,0 +1,80 @@
+// Package pq is a priority queue whose elements know their place, so that one
+// can be moved or taken out from the middle.
+package pq
+
+import "container/heap"
+
+// Queue orders elements by Less. Moved, if set, is told the place of an element
+// whenever it changes; -1 means that it has left.
+type Queue[T any] struct {
+	Less  func(a, b T) bool
+	Moved func(t T, place int)
+	s     slice[T]
+}
+
+// Len counts the elements.
+func (q *Queue[T]) Len() int { return len(q.s.items) }
+
+// First returns the first element; the queue must not be empty.
+func (q *Queue[T]) First() T { return q.s.items[0] }
+
+// Items returns the elements in heap order; the slice is the queue's own.
+func (q *Queue[T]) Items() []T { return q.s.items }
+
+// Push puts an element in.
+func (q *Queue[T]) Push(t T) { heap.Push(q.wired(), t) }
+
+// Pop takes the first element out.
+func (q *Queue[T]) Pop() T { return heap.Pop(q.wired()).(T) }
+
+// Fix moves the element at a place after its order has changed.
+func (q *Queue[T]) Fix(place int) { heap.Fix(q.wired(), place) }
+
+// Remove takes the element at a place out.
+func (q *Queue[T]) Remove(place int) { heap.Remove(q.wired(), place) }
+
+// wired gives the heap the queue's functions.
+func (q *Queue[T]) wired() *slice[T] {
+	q.s.less, q.s.moved = q.Less, q.Moved
+	return &q.s
+}
+
+// slice is a Queue as container/heap wants it.
+type slice[T any] struct {
+	items []T
+	less  func(a, b T) bool
+	moved func(t T, place int)
+}
+
+func (s *slice[T]) Len() int           { return len(s.items) }
+func (s *slice[T]) Less(i, j int) bool { return s.less(s.items[i], s.items[j]) }
+func (s *slice[T]) Swap(i, j int) {
+	s.items[i], s.items[j] = s.items[j], s.items[i]
+	s.tell(i)
+	s.tell(j)
+}
+
+func (s *slice[T]) tell(place int) {
+	if s.moved != nil {
+		s.moved(s.items[place], place)
+	}
+}
+
+// Push implements heap.Interface.
+func (s *slice[T]) Push(x any) {
+	s.items = append(s.items, x.(T))
+	s.tell(len(s.items) - 1)
+}
+
+// Pop implements heap.Interface.
+func (s *slice[T]) Pop() any {
+	last := len(s.items) - 1
+	t := s.items[last]
+	if s.moved != nil {
+		s.moved(t, -1)
+	}
+	var zero T
+	s.items[last] = zero
+	s.items = s.items[:last]
+	return t
+}
--- a/lease/table.go
+++ b/lease/table.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 	"time"
+
+	"github.com/ledgepin/ledgepin/internal/pq"
 )
 
 // ID names one attempt of one request at this server.
@@ -84,12 +85,15 @@
 	recovering bool
 	leases     map[ID]*entry
 	owners     map[string]*owner
-	due        queue
+	due        pq.Queue[*entry]
 }
 
 // New returns a table with a number of slots.
 func New(slots int, opts Options) *Table {
-	return &Table{opts: opts, slots: slots, leases: map[ID]*entry{}, owners: map[string]*owner{}}
+	t := &Table{opts: opts, slots: slots, leases: map[ID]*entry{}, owners: map[string]*owner{}}
+	t.due.Less = func(a, b *entry) bool { return a.due.Before(b.due) }
+	t.due.Moved = func(e *entry, place int) { e.pos = place }
+	return t
 }
 
 // SetSlots changes the number of slots; leases over it go on.
@@ -170,7 +174,7 @@
 	}
 	e := &entry{id: a.ID, owner: a.Owner, keep: a.Keep, due: now.Add(a.Hold), pos: -1}
 	t.add(now, e)
-	heap.Push(&t.due, e)
+	t.due.Push(e)
 	return None
 }
 
@@ -203,7 +207,7 @@
 	}
 	t.unschedule(e)
 	e.due = at
-	heap.Push(&t.due, e)
+	t.due.Push(e)
 }
 
 // Finish frees the slot of id: the engine holds nothing of it any more.
@@ -237,9 +241,9 @@
 	e.try++
 	e.due = now.Add(t.opts.CancelEvery)
 	if e.pos < 0 {
-		heap.Push(&t.due, e)
+		t.due.Push(e)
 	} else {
-		heap.Fix(&t.due, e.pos)
+		t.due.Fix(e.pos)
 	}
 	return Effect{ID: e.id, Try: e.try}
 }
@@ -297,8 +301,8 @@
 // repeats cancels that are due.
 func (t *Table) Tick(now time.Time) []Effect {
 	out := t.expireOwners(now)
-	for len(t.due) > 0 && !t.due[0].due.After(now) {
-		e := t.due[0]
+	for t.due.Len() > 0 && !t.due.First().due.After(now) {
+		e := t.due.First()
 		if e.state == Held {
 			t.Finish(e.id)
 			continue
@@ -366,33 +370,6 @@
 
 func (t *Table) unschedule(e *entry) {
 	if e.pos >= 0 {
-		heap.Remove(&t.due, e.pos)
+		t.due.Remove(e.pos)
 	}
 }
-
-// queue orders leases by the time at which something is due.
-type queue []*entry
-
-func (q queue) Len() int           { return len(q) }
-func (q queue) Less(i, j int) bool { return q[i].due.Before(q[j].due) }
-func (q queue) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].pos, q[j].pos = i, j
-}
-
-// Push implements heap.Interface.
-func (q *queue) Push(x any) {
-	e := x.(*entry)
-	e.pos = len(*q)
-	*q = append(*q, e)
-}
-
-// Pop implements heap.Interface.
-func (q *queue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	e.pos = -1
-	old[len(old)-1] = nil
-	*q = old[:len(old)-1]
-	return e
-}
--- a/placement/holders.go
+++ b/placement/holders.go
@@ -1,7 +1,5 @@
 package placement
 
-import "sort"
-
 // holderIndex remembers which server was last seen to hold a prefix, so that
 // a holder is found without looking at each server.
 type holderIndex struct {
@@ -37,12 +35,3 @@
 	}
 	return nil
 }
-
-func sortedNames(m map[string]*Server) []string {
-	out := make([]string, 0, len(m))
-	for name := range m {
-		out = append(out, name)
-	}
-	sort.Strings(out)
-	return out
-}
--- a/placement/view.go
+++ b/placement/view.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -50,7 +52,7 @@
 
 func (v *View) index() {
 	v.prefill, v.decode = nil, nil
-	for _, name := range sortedNames(v.servers) {
+	for _, name := range slices.Sorted(maps.Keys(v.servers)) {
 		s := v.servers[name]
 		switch s.Role {
 		case "prefill":
--- a/router/core.go
+++ b/router/core.go
@@ -1,13 +1,13 @@
 package router
 
 import (
-	"container/heap"
 	"maps"
 	"time"
 
 	"github.com/ledgepin/ledgepin/admission"
 	"github.com/ledgepin/ledgepin/decision"
 	"github.com/ledgepin/ledgepin/engine"
+	"github.com/ledgepin/ledgepin/internal/pq"
 	"github.com/ledgepin/ledgepin/lease"
 	"github.com/ledgepin/ledgepin/placement"
 	"github.com/ledgepin/ledgepin/retry"
@@ -92,7 +92,7 @@
 	queues   map[string]*admission.Queue
 	waiting  int
 	reqs     map[string]*request
-	timers   timers
+	timers   pq.Queue[*request]
 	seekers  map[string]*request
 	budget   *retry.Budget
 	open     map[string]int
@@ -106,12 +106,15 @@
 
 // New returns a router over a view of the servers.
 func New(view *placement.View, o Options) *Core {
-	return &Core{
+	c := &Core{
 		opts: o, view: view, queues: map[string]*admission.Queue{}, reqs: map[string]*request{},
 		seekers: map[string]*request{}, budget: retry.NewBudget(o.RetryPercent), open: map[string]int{},
 		rates: map[rateKey]*drain{}, records: decision.NewRing(max(o.Records, 1)),
 		stats: Stats{WastedTokens: map[Waste]int{}},
 	}
+	c.timers.Less = func(a, b *request) bool { return a.due.Before(b.due) }
+	c.timers.Moved = func(r *request, place int) { r.pos = place }
+	return c
 }
 
 // SetLimits takes new limits from the settings.
@@ -190,41 +193,14 @@
 func (c *Core) setDue(r *request, at time.Time) {
 	r.due = at
 	if r.pos < 0 {
-		heap.Push(&c.timers, r)
+		c.timers.Push(r)
 		return
 	}
-	heap.Fix(&c.timers, r.pos)
+	c.timers.Fix(r.pos)
 }
 
 func (c *Core) clearDue(r *request) {
 	if r.pos >= 0 {
-		heap.Remove(&c.timers, r.pos)
+		c.timers.Remove(r.pos)
 	}
 }
-
-// timers orders requests by the moment at which they are looked at again.
-type timers []*request
-
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].due.Before(t[j].due) }
-func (t timers) Swap(i, j int) {
-	t[i], t[j] = t[j], t[i]
-	t[i].pos, t[j].pos = i, j
-}
-
-// Push implements heap.Interface.
-func (t *timers) Push(x any) {
-	r := x.(*request)
-	r.pos = len(*t)
-	*t = append(*t, r)
-}
-
-// Pop implements heap.Interface.
-func (t *timers) Pop() any {
-	old := *t
-	r := old[len(old)-1]
-	r.pos = -1
-	old[len(old)-1] = nil
-	*t = old[:len(old)-1]
-	return r
-}
--- a/router/tick.go
+++ b/router/tick.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -18,8 +20,8 @@
 
 // Tick does what is due: stalled work, requests without hope, waiting ones.
 func (c *Core) Tick(now time.Time) []Effect {
-	for len(c.timers) > 0 && !c.timers[0].due.After(now) {
-		c.timeout(now, c.timers[0])
+	for c.timers.Len() > 0 && !c.timers.First().due.After(now) {
+		c.timeout(now, c.timers.First())
 	}
 	if now.Sub(c.lastShed) >= shedEvery {
 		c.lastShed = now
@@ -219,11 +221,4 @@
 	return d
 }
 
-func sortedKeys[T any](m map[string]T) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Strings(out)
-	return out
-}
+func sortedKeys[T any](m map[string]T) []string { return slices.Sorted(maps.Keys(m)) }
--- a/settings/check.go
+++ b/settings/check.go
@@ -4,8 +4,9 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"maps"
 	"net/netip"
-	"sort"
+	"slices"
 
 	"github.com/ledgepin/ledgepin/strict"
 )
@@ -140,11 +141,4 @@
 	}
 }
 
-func sorted[T any](m map[string]T) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Strings(out)
-	return out
-}
+func sorted[T any](m map[string]T) []string { return slices.Sorted(maps.Keys(m)) }
