--- a/agent/agent.go
+++ b/agent/agent.go
@@ -81,6 +81,8 @@
 	voter    *claim.Voter
 	group    groupKey
 	models   []string
+	assets   []string
+	role     string
 	engineOK bool
 	misses   int
 	lastEnd  time.Time // end of the last prefill at the engine
--- a/agent/links.go
+++ b/agent/links.go
@@ -44,6 +44,7 @@
 	delete(a.parted, owner)
 	a.work.Seen(time.Now(), owner)
 	a.sendBeat(owner, l)
+	a.tellAssets(l)
 }
 
 func (a *Agent) part(owner string, l *wire.Link) {
@@ -106,6 +107,13 @@
 	_ = l.Send(&wire.Message{Heartbeat: &wire.Heartbeat{Revision: a.store.Revision(), Load: &load}})
 }
 
+// tellAssets tells an entry what the engine has loaded. Callers hold the lock.
+func (a *Agent) tellAssets(l *wire.Link) {
+	_ = l.Send(&wire.Message{Heartbeat: &wire.Heartbeat{
+		Revision: a.store.Revision(), Assets: a.assets, Role: a.role, Told: true,
+	}})
+}
+
 // load returns what one entry is told. Callers hold the lock.
 func (a *Agent) load(owner string) placement.Load {
 	out := placement.Load{
--- a/agent/recover.go
+++ b/agent/recover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/ledgepin/ledgepin/decision"
@@ -135,11 +136,12 @@
 func (a *Agent) engineSeen(load engine.Load, events []engine.CacheEvent) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	changed := !a.engineOK || len(load.Models) != len(a.models)
+	changed := !a.engineOK || !slices.Equal(load.Assets, a.assets) || load.Role != a.role
 	if !a.engineOK {
 		event.EngineBack.Log(a.log)
 	}
-	a.engineOK, a.misses, a.models = true, 0, load.Models
+	a.engineOK, a.misses = true, 0
+	a.models, a.assets, a.role = load.Models, load.Assets, load.Role
 	for _, e := range events {
 		a.cacheSeq = max(a.cacheSeq, e.Seq)
 		if !e.Removed && len(a.hashes) < maxHashes {
@@ -148,5 +150,8 @@
 	}
 	if changed {
 		a.beatLocked()
+		for _, l := range a.links {
+			a.tellAssets(l)
+		}
 	}
 }
--- a/agent/work.go
+++ b/agent/work.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -39,10 +40,13 @@
 
 // reserve answers at once. Callers hold the lock.
 func (a *Agent) reserve(now time.Time, owner string, l *wire.Link, m *wire.Reserve) {
-	reason := a.work.Reserve(now, lease.Ask{
-		ID: m.ID, Owner: owner, Hold: m.Hold, Keep: m.Keep,
-		Spare: placement.Headroom(m.Tokens > 0, a.work.Slots(), m.Priority),
-	})
+	reason := lease.NoModel
+	if slices.Contains(a.models, m.Model) {
+		reason = a.work.Reserve(now, lease.Ask{
+			ID: m.ID, Owner: owner, Hold: m.Hold, Keep: m.Keep,
+			Spare: placement.Headroom(m.Tokens > 0, a.work.Slots(), m.Priority),
+		})
+	}
 	if reason == lease.None {
 		a.jobs[m.ID] = &job{owner: owner, priority: m.Priority, tokens: m.Tokens}
 		a.note(m.ID, decision.Reserved, fmt.Sprintf("for %s, %d of %d slots in use", l.Peer.Name, a.work.Used(), a.work.Slots()))
--- a/app/dev.go
+++ b/app/dev.go
@@ -178,7 +178,7 @@
 		c.Service = s.Addr()
 	} else {
 		e, err := standin.StartEngine("127.0.0.1:0", standin.EngineOptions{
-			Name: name, Models: []string{DevModel}, PrefillRate: d.opts.PrefillRate, TokenTime: d.opts.TokenTime,
+			Name: name, Role: role, Models: []string{DevModel}, PrefillRate: d.opts.PrefillRate, TokenTime: d.opts.TokenTime,
 			LinkRate: 1e9, KVPerToken: 1000, KVHold: 5 * time.Second, Slots: 16, Tokens: 256,
 		})
 		if err != nil {
--- a/control/orders.go
+++ b/control/orders.go
@@ -21,7 +21,7 @@
 	}
 	models := map[string]order.Model{}
 	for name, m := range tree.Fleet.Models {
-		models[name] = order.Model{Version: m.Version, Weights: int64(m.Weights)}
+		models[name] = order.Model{Version: m.Version, Adapters: m.Adapters, Weights: int64(m.Weights)}
 	}
 	limits := order.Limits{}
 	for site := range tree.Fleet.Sites {
@@ -54,7 +54,8 @@
 		}
 		s, up := has[p.Name]
 		out = append(out, order.Server{
-			Name: p.Name, Site: p.Site, Pool: p.Pool, Want: p.Models, Has: s.Models, Up: up, Leaving: s.Leaving,
+			Name: p.Name, Site: p.Site, Pool: p.Pool, Role: p.Role, HasRole: s.Role, Want: p.Models, Has: s.Assets,
+			Up: up, Leaving: s.Leaving,
 		})
 	}
 	return out
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -70,6 +70,10 @@
 	Waiting int      `json:"waiting"`
 	Slots   int      `json:"slots"`
 	Models  []string `json:"models"`
+	// Assets names what is loaded: "model@version", "model@version/adapter".
+	Assets []string `json:"assets"`
+	// Role is what the engine serves as: prefill or decode.
+	Role string `json:"role"`
 	// At is when the engine took the report.
 	At time.Time `json:"at"`
 }
@@ -99,6 +103,15 @@
 	Role    string `json:"role,omitempty"`
 }
 
+// Asset names a loaded model, or one of its adapters.
+func Asset(model, version, adapter string) string {
+	name := model + "@" + version
+	if adapter != "" {
+		name += "/" + adapter
+	}
+	return name
+}
+
 // The actions of an Order.
 const (
 	ActionLoad    = "load_model"
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -28,8 +28,11 @@
 	lost time.Time
 	// gone tells that the grace is over and the work there was given up.
 	gone bool
-	// reported tells that a load came over the present link.
-	reported bool
+	// reported tells that a load came over the present link, and told that what
+	// its engine has loaded did.
+	reported, told bool
+	assets         []string
+	role           string
 }
 
 // dialAgent starts the loop that keeps a link to an agent. Callers hold the
@@ -89,7 +92,7 @@
 	defer e.mu.Unlock()
 	event.LinkUp.Log(e.log, "peer", a.name)
 	now := time.Now()
-	a.link, a.gone, a.leaving, a.reported = l, false, false, false
+	a.link, a.gone, a.leaving, a.reported, a.told = l, false, false, false, false
 	_ = l.Send(&wire.Message{Heartbeat: &wire.Heartbeat{Revision: e.inForce()}})
 	again, effects := e.core.Rejoin(now, a.name)
 	for _, r := range again {
@@ -139,6 +142,10 @@
 }
 
 func (e *Entry) agentBeat(now time.Time, a *agentLink, h *wire.Heartbeat) {
+	if h.Told {
+		a.told, a.assets, a.role = true, h.Assets, h.Role
+		e.tellSummary()
+	}
 	if h.Load == nil {
 		return
 	}
@@ -256,11 +263,11 @@
 	out := &wire.Summary{Zone: e.cfg.Zone}
 	for name, a := range e.agents {
 		s := e.core.View().Server(name)
-		if a.link == nil || s == nil || s.Zone != e.cfg.Zone || !a.reported {
+		if a.link == nil || s == nil || s.Zone != e.cfg.Zone || !a.reported || !a.told {
 			continue
 		}
 		out.Servers = append(out.Servers, wire.ServerState{
-			Name: name, Leaving: s.Leaving(), Free: s.Free(), Models: s.Loaded(),
+			Name: name, Leaving: s.Leaving(), Free: s.Free(), Models: s.Loaded(), Assets: a.assets, Role: a.role,
 		})
 	}
 	sort.Slice(out.Servers, func(i, j int) bool { return out.Servers[i].Name < out.Servers[j].Name })
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -236,8 +236,8 @@
 
 // slowBeat does what is due every few heartbeats. Callers hold the lock.
 func (e *Entry) slowBeat(now time.Time) {
-	if e.beats%summaryBeats == 0 && e.up != nil && e.up.Peer.Role == wire.RoleControl {
-		_ = e.up.Send(&wire.Message{Summary: e.summary()})
+	if e.beats%summaryBeats == 0 {
+		e.tellSummary()
 	}
 	if e.beats%shareBeats == 0 {
 		e.askShares(now)
@@ -245,6 +245,14 @@
 	e.spill(now)
 }
 
+// tellSummary tells control what this zone has, if this entry has a link to it.
+// Callers hold the lock.
+func (e *Entry) tellSummary() {
+	if e.up != nil && e.up.Peer.Role == wire.RoleControl && e.mayAct() {
+		_ = e.up.Send(&wire.Message{Summary: e.summary()})
+	}
+}
+
 // Heartbeats between two summaries and two wishes for shares.
 const (
 	summaryBeats = 2
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -146,7 +146,7 @@
 
 func (e *Entry) applyServer(p settings.Placed) {
 	info := placement.Info{
-		Name: p.Name, Zone: p.Zone, Role: p.Role, Models: p.Models, Slots: p.Slots, LinkRate: float64(p.LinkRate),
+		Name: p.Name, Zone: p.Zone, Role: p.Role, Slots: p.Slots, LinkRate: float64(p.LinkRate),
 	}
 	if p.Role != settings.RoleService {
 		e.core.View().Set(info)
--- a/lease/table.go
+++ b/lease/table.go
@@ -43,6 +43,7 @@
 	Leaving   Reason = "leaving"
 	Duplicate Reason = "duplicate"
 	Recovery  Reason = "recovery"
+	NoModel   Reason = "model not loaded"
 )
 
 // Effect asks the shell to cancel a request at the engine.
--- a/order/plan.go
+++ b/order/plan.go
@@ -1,8 +1,10 @@
 package order
 
 import (
+	"fmt"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/ledgepin/ledgepin/engine"
@@ -11,7 +13,11 @@
 // Server is what the planner knows of one server.
 type Server struct {
 	Name, Site, Pool string
-	// Want are the models that the settings give to it, Has those it has.
+	// Role is that of its pool, HasRole what its engine serves as; empty if the
+	// engine knows no roles.
+	Role, HasRole string
+	// Want are the models that the settings give to it; Has are the assets that
+	// it has loaded, as engine.Asset names them.
 	Want, Has []string
 	// Up tells that its agent is in reach, Leaving that it takes no new work.
 	Up, Leaving bool
@@ -19,11 +25,23 @@
 
 // Model is what the planner needs to know of a model.
 type Model struct {
-	Version string
+	Version  string
+	Adapters []string
 	// Weights is its size in bytes.
 	Weights int64
 }
 
+// version returns the version of a model that the server has; empty if none.
+func (s *Server) version(model string) string {
+	for _, a := range s.Has {
+		name, rest, _ := strings.Cut(a, "@")
+		if name == model && !strings.Contains(rest, "/") {
+			return rest
+		}
+	}
+	return ""
+}
+
 // Limits are the rates of the weight store by site, in bytes a second.
 type Limits map[string]int64
 
@@ -38,10 +56,18 @@
 
 type pending struct {
 	id    string
-	site  string
+	site  string // whose rate of the weight store it takes; empty if none
 	until time.Time
+	// before is what the server had: the order is over once that changes.
+	before string
 }
 
+// reportTime is how long the report of a server may lag behind what it did.
+const reportTime = 15 * time.Second
+
+// state describes what a server has.
+func (s *Server) state() string { return s.HasRole + " " + strings.Join(s.Has, " ") }
+
 // minLoad is the least time that a load is thought to take.
 const minLoad = time.Second
 
@@ -58,8 +84,11 @@
 		if !s.Up || s.Leaving {
 			continue
 		}
-		if _, busy := p.pending[s.Name]; busy {
-			continue
+		if w, busy := p.pending[s.Name]; busy {
+			if w.before == s.state() {
+				continue
+			}
+			delete(p.pending, s.Name)
 		}
 		do, ok := p.next(s, servers, models)
 		if !ok || do.Action == engine.ActionLoad && p.loading(s.Site) {
@@ -88,38 +117,78 @@
 	return false
 }
 
-// next chooses what one server should do: first load what it lacks, then
-// unload what it should not have.
+// next chooses what one server should do: take its role, load what it lacks or
+// has in another version, load adapters, and then unload what it should not
+// have.
 func (p *Planner) next(s Server, all []Server, models map[string]Model) (engine.Order, bool) {
+	if s.HasRole != "" && s.HasRole != s.Role && roleSpared(s, all) {
+		return engine.Order{Action: engine.ActionRole, Role: s.Role}, true
+	}
 	for _, m := range s.Want {
-		if !slices.Contains(s.Has, m) {
-			return engine.Order{Action: engine.ActionLoad, Model: m, Version: models[m].Version}, true
+		if o, ok := nextOfModel(s, all, m, models[m]); ok {
+			return o, true
+		}
+	}
+	for _, a := range s.Has {
+		m, rest, _ := strings.Cut(a, "@")
+		if !strings.Contains(rest, "/") && !slices.Contains(s.Want, m) && spared(m, s, all) {
+			return engine.Order{Action: engine.ActionUnload, Model: m, Version: rest}, true
 		}
 	}
-	for _, m := range s.Has {
-		if !slices.Contains(s.Want, m) && spared(m, s, all) {
-			return engine.Order{Action: engine.ActionUnload, Model: m}, true
+	return engine.Order{}, false
+}
+
+// nextOfModel brings one wanted model up to date. Loading another version may
+// take the present one away, so another server has to have the model, unless
+// there is no other one.
+func nextOfModel(s Server, all []Server, name string, m Model) (engine.Order, bool) {
+	has := s.version(name)
+	if has == "" || has != m.Version && (spared(name, s, all) || alone(s, all)) {
+		return engine.Order{Action: engine.ActionLoad, Model: name, Version: m.Version}, true
+	}
+	for _, a := range m.Adapters {
+		if has == m.Version && !slices.Contains(s.Has, engine.Asset(name, has, a)) {
+			return engine.Order{Action: engine.ActionAdapter, Model: name, Version: has, Adapter: a}, true
 		}
 	}
 	return engine.Order{}, false
 }
 
-// spared tells whether a server may lose a model: no server of the pool wants
-// it, or another one that is up has it.
+// mates calls f for the other servers of the pool until it returns true.
+func mates(s Server, all []Server, f func(Server) bool) bool {
+	for _, o := range all {
+		if o.Pool == s.Pool && o.Site == s.Site && o.Name != s.Name && f(o) {
+			return true
+		}
+	}
+	return false
+}
+
+// alone tells whether the pool has no other server.
+func alone(s Server, all []Server) bool {
+	return !mates(s, all, func(Server) bool { return true })
+}
+
+// spared tells whether a server may lose a model: another one of the pool that
+// is up has it, or no other one wants it.
 func spared(model string, s Server, all []Server) bool {
-	wanted := false
+	held := mates(s, all, func(o Server) bool { return o.Up && !o.Leaving && o.version(model) != "" })
+	wanted := slices.Contains(s.Want, model) || mates(s, all, func(o Server) bool { return slices.Contains(o.Want, model) })
+	return held || !wanted
+}
+
+// roleSpared tells whether a server may leave its present role: no server of
+// the site should have it, or another one that is up has.
+func roleSpared(s Server, all []Server) bool {
+	wanted, held := false, false
 	for _, o := range all {
-		if o.Pool != s.Pool || o.Site != s.Site || o.Name == s.Name {
+		if o.Site != s.Site || o.Name == s.Name {
 			continue
 		}
-		if slices.Contains(o.Want, model) {
-			wanted = true
-			if o.Up && !o.Leaving && slices.Contains(o.Has, model) {
-				return true
-			}
-		}
+		wanted = wanted || o.Role == s.HasRole
+		held = held || o.Up && !o.Leaving && o.HasRole == s.HasRole
 	}
-	return !wanted
+	return held || !wanted
 }
 
 func (p *Planner) order(now time.Time, term uint64, s Server, do engine.Order, models map[string]Model, lim Limits) Order {
@@ -132,15 +201,21 @@
 	if do.Action != engine.ActionLoad {
 		site = "" // takes nothing of the store's rate
 	}
-	o := Order{ID: do.Action + "/" + s.Name + "/" + do.Model, Server: s.Name, Fence: Fence{Term: term, Seq: p.seq}, Do: do}
-	p.pending[s.Name] = pending{id: o.ID, site: site, until: now.Add(2 * took)}
+	o := Order{ID: fmt.Sprintf("%s/%s/%s%s%s", do.Action, s.Name, do.Model, do.Adapter, do.Role), Server: s.Name, Fence: Fence{Term: term, Seq: p.seq}, Do: do}
+	p.pending[s.Name] = pending{id: o.ID, site: site, until: now.Add(2*took + reportTime), before: s.state()}
 	return o
 }
 
-// Done takes the result of an order.
+// Done takes the result of an order. One that failed may be given again; one
+// that went well is over when the server's report shows it.
 func (p *Planner) Done(r Result) {
 	for name, w := range p.pending {
-		if w.id == r.ID {
+		switch {
+		case w.id != r.ID:
+		case r.OK:
+			w.site = ""
+			p.pending[name] = w
+		default:
 			delete(p.pending, name)
 		}
 	}
--- a/placement/server.go
+++ b/placement/server.go
@@ -36,8 +36,10 @@
 // Info is what the settings say of a server.
 type Info struct {
 	Name, Zone, Role string
-	Models           []string
-	Slots            int
+	// Models are those that it has when it is entered; an entry leaves them to
+	// the first report.
+	Models []string
+	Slots  int
 	// LinkRate is in bytes a second.
 	LinkRate float64
 }
--- a/placement/view.go
+++ b/placement/view.go
@@ -25,7 +25,8 @@
 }
 
 // Set enters a server or brings what the settings say of it up to date. What
-// was learnt of it stays.
+// was learnt of it stays, also which models it has: those of the settings are
+// only loaded when its agent says so.
 func (v *View) Set(i Info) *Server {
 	s := v.servers[i.Name]
 	if s == nil {
@@ -37,7 +38,6 @@
 	changed := s.Role != i.Role
 	s.Info = i
 	s.slots = i.Slots
-	s.setModels(i.Models)
 	if changed {
 		v.index()
 	}
--- a/wire/message.go
+++ b/wire/message.go
@@ -80,6 +80,12 @@
 type Heartbeat struct {
 	Revision uint64          `cbor:"1,keyasint"`
 	Load     *placement.Load `cbor:"2,keyasint,omitempty"`
+	// Assets and Role tell what the engine has loaded and serves as; they are
+	// only sent when a link opens and when they change.
+	Assets []string `cbor:"3,keyasint,omitempty"`
+	Role   string   `cbor:"4,keyasint,omitempty"`
+	// Told tells that Assets and Role are there, though they may be empty.
+	Told bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Reserve asks an agent for a slot, to be answered at once.
@@ -214,6 +220,8 @@
 	Leaving bool     `cbor:"2,keyasint,omitempty"`
 	Free    int      `cbor:"3,keyasint,omitempty"`
 	Models  []string `cbor:"4,keyasint,omitempty"`
+	Assets  []string `cbor:"5,keyasint,omitempty"`
+	Role    string   `cbor:"6,keyasint,omitempty"`
 }
 
 // Leaving lists the servers that the platform's list shows as leaving.
