--- a/agent/agent.go
+++ b/agent/agent.go
@@ -91,6 +91,7 @@
 	orphans  map[lease.ID]time.Time
 	calls    map[lease.ID]time.Time
 	records  *decision.Ring
+	registry *registry
 	leaving  bool
 	pulledAt time.Time // when settings were last asked for
 	parted   map[string]time.Time
@@ -106,7 +107,7 @@
 		cfg: cfg, log: cfg.Log.With("role", "agent", "name", cfg.Name), epoch: time.Now().UnixNano(),
 		ctx: ctx, cancel: cancel, work: lease.New(0, opts), kv: lease.New(kvSlots, opts),
 		jobs: map[lease.ID]*job{}, links: map[string]*wire.Link{}, orphans: map[lease.ID]time.Time{},
-		calls: map[lease.ID]time.Time{}, parted: map[string]time.Time{}, records: decision.NewRing(records),
+		calls: map[lease.ID]time.Time{}, parted: map[string]time.Time{}, records: decision.NewRing(records), registry: newRegistry(),
 	}
 	if cfg.Engine != "" {
 		a.engine = engine.NewClient(cfg.Engine)
--- a/agent/links.go
+++ b/agent/links.go
@@ -174,6 +174,17 @@
 		a.call(now, l, m.Call)
 	case m.Order != nil:
 		a.order(l, m.Order)
+	case m.Register != nil:
+		a.register(now, owner, m.Register)
+	}
+}
+
+// register notes who has a key, and tells the entry of the request that had it
+// before.
+func (a *Agent) register(now time.Time, owner string, m *wire.Register) {
+	before, replaced := a.registry.put(now, m.Key, m.Req, owner)
+	if l := a.links[before.owner]; replaced && l != nil {
+		_ = l.Send(&wire.Message{Superseded: &wire.Superseded{Req: before.req}})
 	}
 }
 
--- a/app/calls_test.go
+++ b/app/calls_test.go
@@ -183,6 +183,27 @@
 	assert.Equal(t, standin.Answer("x", 0), "")
 }
 
+// TestRetryThroughAnotherEntry asks again with the same key at another entry
+// while the first answer is on its way: only the retry is answered whole.
+func TestRetryThroughAnotherEntry(t *testing.T) {
+	d := startDev(t, app.DevOptions{Entries: 2, TokenTime: 10 * time.Millisecond})
+	ask := func(entry, tokens int) (int, string) {
+		body := fmt.Sprintf(`{"model":%q,"max_tokens":%d,"messages":[{"role":"user","content":"receipt, please"}]}`, app.DevModel, tokens)
+		return post(t, "http://"+d.Callers[entry]+"/v1/chat/completions", app.DevDeskToken, "same", body)
+	}
+	first := make(chan string, 1)
+	go func() {
+		_, got := ask(0, 250)
+		first <- got
+	}()
+	holder(t, d, "decode-1", "decode-2")
+	status, got := ask(1, 20)
+	assert.Equal(t, status, http.StatusOK, got)
+	assert.Assert(t, strings.Contains(got, answerTo("receipt, please", 20)), got)
+	assert.Equal(t, code(t, <-first).Code, "superseded")
+	waitFree(t, d)
+}
+
 // TestRateSheetsFailOver wants every call answered while servers die.
 func TestRateSheetsFailOver(t *testing.T) {
 	d := startDev(t, app.DevOptions{})
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -132,6 +132,8 @@
 		e.perform(now, e.core.Failed(now, a.name, f.ID, fault.Step(f.Step), f.Detail, f.Server))
 	case m.Pull != nil:
 		e.answerPull(l, m.Pull)
+	case m.Superseded != nil:
+		e.superseded(now, m.Superseded)
 	case m.Granted != nil:
 		e.voted(m.Granted)
 	case m.Answer != nil:
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"sort"
 	"sync"
@@ -18,6 +19,7 @@
 	"github.com/ledgepin/ledgepin/router"
 	"github.com/ledgepin/ledgepin/settings"
 	"github.com/ledgepin/ledgepin/stream"
+	"github.com/ledgepin/ledgepin/wire"
 )
 
 // Job is a model request as a caller brings it.
@@ -188,7 +190,8 @@
 }
 
 // supersede ends an open request with the same key: its caller has asked
-// again, and one of the two must not be answered.
+// again, and one of the two must not be answered. One at another entry is ended
+// through the key's home agent.
 func (e *Entry) supersede(f *Flow) {
 	if f.key == "" {
 		return
@@ -197,6 +200,33 @@
 		e.cutOff(f.arrived, old, fault.Superseded)
 	}
 	e.keys[f.key] = f
+	if home := e.homeOf(f.key); home != "" {
+		e.toAgent(home, &wire.Message{Register: &wire.Register{Key: f.key, Req: f.ID}})
+	}
+}
+
+// homeOf returns the agent of this zone that keeps a key, by the highest hash,
+// so that all entries of the zone that see the same agents agree.
+func (e *Entry) homeOf(key string) string {
+	best, most := "", uint64(0)
+	for name, a := range e.agents {
+		if a.link == nil || a.placed.Zone != e.cfg.Zone {
+			continue
+		}
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(name + "/" + key))
+		if sum := h.Sum64(); best == "" || sum > most {
+			best, most = name, sum
+		}
+	}
+	return best
+}
+
+// superseded ends a request whose caller has asked again at another entry.
+func (e *Entry) superseded(now time.Time, m *wire.Superseded) {
+	if f := e.flows[m.Req]; f != nil {
+		e.cutOff(now, f, fault.Superseded)
+	}
 }
 
 // plan turns a job into a request for the router.
--- a/wire/message.go
+++ b/wire/message.go
@@ -51,6 +51,9 @@
 	Zones   *Zones            `cbor:"27,keyasint,omitempty"`
 	Shares  *Shares           `cbor:"28,keyasint,omitempty"`
 	Lent    *Lent             `cbor:"29,keyasint,omitempty"`
+
+	Register   *Register   `cbor:"30,keyasint,omitempty"`
+	Superseded *Superseded `cbor:"31,keyasint,omitempty"`
 }
 
 // Roles that a Hello may name.
@@ -251,3 +254,14 @@
 type Lent struct {
 	Grants []quota.Grant `cbor:"1,keyasint"`
 }
+
+// Register tells the home agent of a caller's key which request has it now.
+type Register struct {
+	Key string `cbor:"1,keyasint"`
+	Req string `cbor:"2,keyasint"`
+}
+
+// Superseded tells an entry that a newer request has the key of one of its own.
+type Superseded struct {
+	Req string `cbor:"1,keyasint"`
+}
