--- a/app/dev.go
+++ b/app/dev.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -30,7 +31,13 @@
 	// Entries is the number of entries; 1 if zero. Only the first listens at
 	// Listen, the others at free ports.
 	Entries int
-	Log     *slog.Logger
+	// BodyTimeout is how long a caller's body may take; the usual if zero.
+	BodyTimeout time.Duration
+	Log         *slog.Logger
+}
+
+func (o DevOptions) bodyTimeout() time.Duration {
+	return cmp.Or(o.BodyTimeout, caller.BodyTimeout)
 }
 
 // Dev is every role in one process with stand-ins for what is outside. The
@@ -206,7 +213,7 @@
 	if i > 0 {
 		listen = "127.0.0.1:0"
 	}
-	addr, err := e.ln.serve(listen, caller.NewServer(caller.Handler(e.proc, d.opts.Log)))
+	addr, err := e.ln.serve(listen, caller.NewServer(caller.Handler(e.proc, d.opts.Log, d.opts.bodyTimeout())))
 	d.Callers = append(d.Callers, addr)
 	return err
 }
--- a/app/run.go
+++ b/app/run.go
@@ -117,7 +117,7 @@
 			return err
 		}
 	}
-	p.Callers, err = p.ln.serve(part.Callers, caller.NewServer(caller.Handler(p.entry, p.log)))
+	p.Callers, err = p.ln.serve(part.Callers, caller.NewServer(caller.Handler(p.entry, p.log, caller.BodyTimeout)))
 	return err
 }
 
--- a/caller/server.go
+++ b/caller/server.go
@@ -25,8 +25,8 @@
 	MaxHeader   = 32 << 10
 	maxKey      = 200
 	headTimeout = 10 * time.Second
-	// bodyTimeout is how long a body may take to come in.
-	bodyTimeout = 30 * time.Second
+	// BodyTimeout is how long a body may take to come in.
+	BodyTimeout = 30 * time.Second
 	// writeTimeout is how long one write to a caller may block.
 	writeTimeout = 10 * time.Second
 )
@@ -35,14 +35,15 @@
 const MaxOpen = 20000
 
 type server struct {
-	entry *entry.Entry
-	log   *slog.Logger
-	open  chan struct{}
+	entry       *entry.Entry
+	log         *slog.Logger
+	open        chan struct{}
+	bodyTimeout time.Duration
 }
 
-// Handler serves callers.
-func Handler(e *entry.Entry, log *slog.Logger) http.Handler {
-	s := &server{entry: e, log: log, open: make(chan struct{}, MaxOpen)}
+// Handler serves callers; bodyTimeout is how long a body may take to come in.
+func Handler(e *entry.Entry, log *slog.Logger, bodyTimeout time.Duration) http.Handler {
+	s := &server{entry: e, log: log, open: make(chan struct{}, MaxOpen), bodyTimeout: bodyTimeout}
 	r := echo.New()
 	r.HideBanner = true
 	r.HTTPErrorHandler = s.fail
@@ -71,7 +72,7 @@
 		}
 		defer func() { <-s.open }()
 		rc := http.NewResponseController(c.Response().Writer)
-		_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+		_ = rc.SetReadDeadline(time.Now().Add(s.bodyTimeout))
 		return next(c)
 	}
 }
