--- a/app/listen.go
+++ b/app/listen.go
@@ -3,9 +3,11 @@
 import (
 	"crypto/tls"
 	"errors"
+	"log"
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,6 +35,7 @@
 	if l.tls != nil {
 		ln = tls.NewListener(ln, l.tls)
 	}
+	srv.ErrorLog = log.New(connectionLog{l.log}, "", 0)
 	l.servers = append(l.servers, srv)
 	l.wg.Go(func() {
 		if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -42,6 +45,15 @@
 	return out, nil
 }
 
+// connectionLog turns the HTTP server's own messages into events.
+type connectionLog struct{ log *slog.Logger }
+
+// Write implements io.Writer.
+func (c connectionLog) Write(p []byte) (int, error) {
+	event.BadConnection.Log(c.log, "detail", strings.TrimSpace(string(p)))
+	return len(p), nil
+}
+
 // links serves the links of other processes.
 func (l *listeners) links(addr string, h http.Handler) (string, error) {
 	mux := http.NewServeMux()
--- a/cli/client.go
+++ b/cli/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -33,7 +34,20 @@
 type target struct {
 	Operator  []string `default:"127.0.0.1:8081" help:"Operators' addresses, tried in turn."`
 	TokenFile string   `type:"path" help:"File with the operators' token."`
-	TLS       bool     `help:"Use TLS."`
+	CA        string   `type:"path" help:"Use TLS, and check the certificate against this file."`
+}
+
+// client returns the HTTP client and the scheme to use.
+func (t *target) client() (*http.Client, string, error) {
+	if t.CA == "" {
+		return http.DefaultClient, "http://", nil
+	}
+	pool, err := config.ReadCA(t.CA)
+	if err != nil {
+		return nil, "", err
+	}
+	c := &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: c}}, "https://", nil
 }
 
 // call sends a request to one address and reads the JSON answer into out.
@@ -52,9 +66,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	scheme := "http://"
-	if t.TLS {
-		scheme = "https://"
+	client, scheme, err := t.client()
+	if err != nil {
+		return err
 	}
 	req, err := http.NewRequestWithContext(ctx, method, scheme+addr+path, body)
 	if err != nil {
@@ -64,7 +78,7 @@
 	if token != "" {
 		req.Header.Set("Authorization", "Bearer "+token)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return fault.Wrap(err, fault.LinkLost, fault.StepLink, addr)
 	}
@@ -262,12 +276,12 @@
 type dumpCmd struct {
 	Address   string `arg:"" help:"Operators' address of the process."`
 	TokenFile string `type:"path" help:"File with the operators' token."`
-	TLS       bool   `help:"Use TLS."`
+	CA        string `type:"path" help:"Use TLS, and check the certificate against this file."`
 }
 
 // Run implements the dump command.
 func (c *dumpCmd) Run(s *streams) error {
-	t := target{Operator: []string{c.Address}, TokenFile: c.TokenFile, TLS: c.TLS}
+	t := target{Operator: []string{c.Address}, TokenFile: c.TokenFile, CA: c.CA}
 	var out json.RawMessage
 	if err := t.first(s.ctx, http.MethodGet, "/v1/dump", nil, &out); err != nil {
 		return err
--- a/config/config.go
+++ b/config/config.go
@@ -6,7 +6,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -264,20 +263,28 @@
 	if err != nil {
 		return nil, nil, fault.Wrap(err, fault.SettingsInvalid, fault.StepConfig, t.Cert)
 	}
-	pem, err := os.ReadFile(t.CA)
+	pool, err := ReadCA(t.CA)
 	if err != nil {
-		return nil, nil, fault.Wrap(err, fault.SettingsInvalid, fault.StepConfig, t.CA)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		err := errors.New("no certificate in PEM")
-		return nil, nil, fault.Wrap(err, fault.SettingsInvalid, fault.StepConfig, t.CA)
+		return nil, nil, err
 	}
 	server = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
 	client = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
 	return server, client, nil
 }
 
+// ReadCA reads the certificates that peers' certificates are checked against.
+func ReadCA(path string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.SettingsInvalid, fault.StepConfig, path)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fault.New(fault.SettingsInvalid, fault.StepConfig, path, "no certificate in PEM")
+	}
+	return pool, nil
+}
+
 // Logger returns the logger that the file asks for.
 func (l Log) Logger() *slog.Logger {
 	var level slog.Level
--- a/control/control.go
+++ b/control/control.go
@@ -49,7 +49,7 @@
 	electionMax    = 2 * time.Second
 	clockDrift     = 0.05
 	reconcileEvery = 500 * time.Millisecond
-	zonesEvery     = 5 * time.Second
+	zonesEvery     = 10 * time.Second
 
 	// DefaultSnapshotEvery is the number of entries between snapshots.
 	DefaultSnapshotEvery = 1000
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -37,6 +37,11 @@
 		"A listener could not be opened or broke.", "Check that the address is free and belongs to the VM.")
 )
 
+// BadConnection comes from the HTTP server itself.
+var BadConnection = define("LP1006", info, "bad connection",
+	"A connection broke before a request came over it, as by a TLS handshake with another CA or plain HTTP to a TLS listener.",
+	"If it is one of yours, check its CA file and address.")
+
 // Callers and operators.
 var (
 	RequestRefused = define("LP2001", info, "request refused",
