--- a/caller/parse_test.go
+++ b/caller/parse_test.go
@@ -1,6 +1,7 @@
 package caller_test
 
 import (
+	"net/url"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -46,6 +47,32 @@
 	}
 }
 
+func TestServicePath(t *testing.T) {
+	for _, c := range []struct{ in, want string }{
+		{"/services/lic/checkout", "/checkout"},
+		{"/services/lic/checkout/?a=b", "/checkout/?a=b"},
+		{"/services/lic/", "/"},
+		{"/services/lic/a%20b", "/a%20b"},
+		{"/services/lic/%63heckout", "/checkout"},
+		{"/services/lic//checkout", ""},
+		{"/services/lic/x/../checkout", ""},
+		{"/services/lic/./checkout", ""},
+		{"/services/lic/x%2f..%2fcheckout", ""},
+		{"/services/lic/checkout;x", ""},
+		{"/services/lic/x%5ccheckout", ""},
+	} {
+		u, err := url.Parse(c.in)
+		assert.NilError(t, err)
+		got, err := caller.ServicePath(u, "lic")
+		if c.want == "" {
+			assert.Assert(t, fault.Is(err, fault.BadRequest), "%s gave %s", c.in, got)
+			continue
+		}
+		assert.NilError(t, err, c.in)
+		assert.Equal(t, got, c.want)
+	}
+}
+
 // FuzzParse feeds the parser any body.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"hi"}],"stop":"x"}`), true)
--- a/caller/server.go
+++ b/caller/server.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"math"
 	"net/http"
+	"net/url"
+	"path"
 	"strconv"
 	"strings"
 	"time"
@@ -192,12 +194,12 @@
 	if err != nil {
 		return err
 	}
-	path := "/" + c.Param("*")
-	if q := c.Request().URL.RawQuery; q != "" {
-		path += "?" + q
+	target, err := ServicePath(c.Request().URL, c.Param("name"))
+	if err != nil {
+		return err
 	}
 	ans, id, err := s.entry.Call(c.Request().Context(), entry.ServiceCall{
-		Grant: g, Service: c.Param("name"), Key: k, Method: c.Request().Method, Path: path,
+		Grant: g, Service: c.Param("name"), Key: k, Method: c.Request().Method, Path: target,
 		Type: c.Request().Header.Get(echo.HeaderContentType), Body: data,
 	})
 	c.Response().Header().Set(echo.HeaderXRequestID, id)
@@ -207,6 +209,21 @@
 	return c.Blob(ans.Status, ans.Type, ans.Body)
 }
 
+// ServicePath returns the path and query that a service is called with. Which
+// calls may not be repeated goes by the path, so one that could be read in two
+// ways is refused.
+func ServicePath(u *url.URL, service string) (string, error) {
+	p := strings.TrimPrefix(u.Path, "/services/"+service)
+	clean := path.Clean(p)
+	if strings.HasSuffix(p, "/") && clean != "/" {
+		clean += "/"
+	}
+	if p != clean || strings.ContainsAny(p, "\\;\x00") {
+		return "", fault.New(fault.BadRequest, fault.StepParse, "", "the path has empty parts, dots, or characters that are not carried")
+	}
+	return (&url.URL{Path: p, RawQuery: u.RawQuery}).RequestURI(), nil
+}
+
 // modelList is the answer of GET /v1/models.
 type modelList struct {
 	Object string  `json:"object"`
--- a/service/service.go
+++ b/service/service.go
@@ -44,7 +44,11 @@
 func NewClient(addr string) *Client {
 	t := &http.Transport{MaxIdleConnsPerHost: 64}
 	single := &http.Transport{DisableKeepAlives: true}
-	return &Client{addr: addr, http: &http.Client{Transport: t}, single: &http.Client{Transport: single}}
+	// A redirect is the caller's to follow: followed here, one call would be two.
+	stay := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{
+		addr: addr, http: &http.Client{Transport: t, CheckRedirect: stay}, single: &http.Client{Transport: single, CheckRedirect: stay},
+	}
 }
 
 // Close drops idle connections.
