--- a/app/dev.go
+++ b/app/dev.go
@@ -75,10 +75,21 @@
 	a.ln = listeners{log: d.opts.Log}
 	a.proc = agent.Start(a.conf)
 	addr, err := a.ln.links(a.addr, a.proc.Handler())
+	for try := 0; err != nil && try < rebinds; try++ {
+		// An outgoing connection may have taken the port of a killed agent.
+		time.Sleep(rebindEvery)
+		addr, err = a.ln.links(a.addr, a.proc.Handler())
+	}
 	a.addr = addr
 	return err
 }
 
+// Tries to open a listener at an address that was in use before.
+const (
+	rebinds     = 20
+	rebindEvery = 100 * time.Millisecond
+)
+
 // now returns the agent that runs now.
 func (a *devAgent) now() *agent.Agent {
 	a.mu.Lock()
