--- a/admission/queue.go
+++ b/admission/queue.go
@@ -16,13 +16,24 @@
 	Priority int
 	// Work is its prefill work in tokens.
 	Work int
-	// Deadline is when its first token is due.
+	// Deadline is when its first token is due; the earliest goes first.
 	Deadline time.Time
+	// Until is when it is of no use any more; Deadline if zero. It is later for
+	// a request that ran before, which goes first and is worth waiting for.
+	Until time.Time
 
 	pos int
 	in  *customer
 }
 
+// until returns when the item is of no use any more.
+func (it *Item) until() time.Time {
+	if it.Until.IsZero() {
+		return it.Deadline
+	}
+	return it.Until
+}
+
 // before orders items by deadline.
 func (it *Item) before(o *Item) bool {
 	if !it.Deadline.Equal(o.Deadline) {
@@ -194,7 +205,7 @@
 		if i >= len(h) || now.Add(slack).Before(h[i].Deadline.Add(-maxNeed)) {
 			continue
 		}
-		if now.Add(need(h[i])).After(h[i].Deadline) {
+		if now.Add(need(h[i])).After(h[i].until()) {
 			out = append(out, h[i])
 		}
 		stack = append(stack, 2*i+1, 2*i+2)
@@ -240,7 +251,7 @@
 		kept.Push(it)
 		work += float64(it.Work)
 		end := now.Add(time.Duration(work / rate * float64(time.Second)))
-		if end.After(it.Deadline) {
+		if end.After(it.until()) {
 			big := kept.Pop()
 			work -= float64(big.Work)
 			out = append(out, big)
--- a/router/arrive.go
+++ b/router/arrive.go
@@ -24,7 +24,7 @@
 	c.budget.Start()
 	c.reqs[req.ID] = r
 	c.open[req.Customer]++
-	c.enqueue(r)
+	c.enqueue(now, r)
 	c.schedule(now, req.Model)
 	if r.phase == queued && c.reqs[r.ID] != nil {
 		c.note(now, r, decision.Step{Kind: decision.Deferred, Detail: fmt.Sprintf("%d wait", c.waiting)})
@@ -49,11 +49,11 @@
 	return nil, ""
 }
 
-func (c *Core) enqueue(r *request) {
+func (c *Core) enqueue(now time.Time, r *request) {
 	r.phase = queued
 	c.queue(r.Model).Add(&admission.Item{
 		ID: r.ID, Customer: r.Customer, Share: r.Share, Priority: r.Priority,
-		Work: r.Tokens + r.sofar, Deadline: r.due0(),
+		Work: r.Tokens + r.sofar, Deadline: r.due0(), Until: r.until(now),
 	})
 	c.waiting++
 }
@@ -67,6 +67,18 @@
 	return r.deadline
 }
 
+// until is when a waiting request is given up. One that ran has cost a prefill
+// already, and one whose caller has tokens would be cut, so they wait on.
+func (r *request) until(now time.Time) time.Time {
+	switch {
+	case !r.ran:
+		return r.deadline
+	case r.sofar > 0:
+		return now.Add(minLate)
+	}
+	return r.arrived.Add(max(lateFactor*r.TTFT, minLate))
+}
+
 // refuse ends a request that did not run.
 func (c *Core) refuse(now time.Time, r *request, code *fault.Code, why string, after time.Duration) {
 	c.stats.Refused++
--- a/router/failure.go
+++ b/router/failure.go
@@ -48,7 +48,7 @@
 	c.freePrefill(r, true)
 	c.freeDecode(r, true)
 	c.clearDue(r)
-	c.enqueue(r)
+	c.enqueue(now, r)
 	c.schedule(now, r.Model)
 }
 
@@ -122,14 +122,12 @@
 // or its time is used up.
 func (c *Core) again(now time.Time, r *request, why string) {
 	c.clearDue(r)
-	limit := r.arrived.Add(max(lateFactor*r.TTFT, minLate))
-	tooLate := r.sofar == 0 && now.After(limit)
-	if tooLate || !c.budget.Take() {
+	if now.After(r.until(now)) || !c.budget.Take() {
 		c.fail(now, r, why)
 		return
 	}
 	c.note(now, r, decision.Step{Kind: decision.Retried, Detail: why})
-	c.enqueue(r)
+	c.enqueue(now, r)
 	c.schedule(now, r.Model)
 }
 
--- a/router/progress.go
+++ b/router/progress.go
@@ -73,7 +73,7 @@
 	c.freePrefill(r, !r.p.refused)
 	c.freeDecode(r, !r.d.refused)
 	c.clearDue(r)
-	c.enqueue(r)
+	c.enqueue(now, r)
 	c.schedule(now, r.Model)
 }
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -175,6 +175,22 @@
 		assert.Equal(t, len(fails), 1)
 		assert.Assert(t, !fails[0].Code.NotRun)
 	})
+	t.Run("decode lost and none free", func(t *testing.T) {
+		c := newCore(1, 2)
+		p, d := admit(t, c, "r")
+		c.Prefilled(start, p.Server, p.ID, kv(), 0, time.Millisecond)
+		c.Imported(start, d.Server, d.ID)
+		c.Token(start, d.ID, 1)
+		other := map[string]string{"d0": "d1", "d1": "d0"}[d.Server]
+		c.Report(start, other, placement.Load{Slots: 4, Others: 4, Models: []string{"m"}})
+		c.Report(start, d.Server, placement.Load{Slots: 4, NoModels: true})
+		eff := c.Failed(start, d.Server, d.ID, fault.StepDecode, "died", true)
+		later := start.Add(time.Second)
+		eff = append(eff, c.Tick(later)...)
+		assert.Equal(t, len(of[router.Fail](eff)), 0, "a caller in the middle of its answer waits for a slot")
+		eff = c.Report(later, other, slots)
+		assert.Equal(t, of[router.Reserve](eff)[1].Server, other)
+	})
 	t.Run("kv expires", func(t *testing.T) {
 		c := newCore(1, 1)
 		p, d := admit(t, c, "r")
