--- a/cmd/spreadbench/main.go
+++ b/cmd/spreadbench/main.go
@@ -207,10 +207,10 @@
 
 func (f *fleet) bytes() (entries, relays float64) {
 	for i, e := range f.entries {
-		s, r := e.LinkBytes()
-		entries += float64(s + r)
+		t := e.Traffic()
+		entries += float64(t.Sent + t.Received)
 		if i == 0 {
-			relays = float64(s + r)
+			relays = float64(t.Sent + t.Received)
 		}
 	}
 	return entries, relays
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -198,3 +198,20 @@
 		g.inForce(m, 31)
 	}
 }
+
+// TestJournalBytes bounds what one change of one value costs on the disk.
+func TestJournalBytes(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, "a")
+	g.settle("first", 0, g.text(1))
+	m := g.members["a"]
+	size := func() int64 { return m.proc.Dump().(control.Dump).Journal }
+	before := size()
+	const changes = 15 // fewer than a snapshot takes
+	for i := range changes {
+		g.settle(fmt.Sprint("c", i), uint64(i+1), g.text(2+i))
+	}
+	perChange := float64(size()-before) / changes
+	t.Logf("a change: %.0f B in the journal", perChange)
+	assert.Assert(t, perChange > 0 && perChange < 400, "%.0f B a change", perChange)
+}
--- /dev/null
+++ b/control/step_test.go
@@ -0,0 +1,47 @@
+package control
+
+import (
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/consensus"
+)
+
+func TestNextStep(t *testing.T) {
+	three := []string{"a", "b", "c"}
+	for _, c := range []struct {
+		name   string
+		m      consensus.Members
+		want   []string
+		seen   []string
+		caught []string
+		step   consensus.Change
+	}{
+		{"all is well", consensus.Members{Voters: three}, three, three, nil, consensus.Change{}},
+		{"a standby joins", consensus.Members{Voters: three}, []string{"a", "b", "c", "d"}, []string{"d~1"}, nil, consensus.Change{Add: "d~1"}},
+		{"and stays a learner", consensus.Members{Voters: three, Learners: []string{"d~1"}}, []string{"a", "b", "c", "d"},
+			[]string{"d~1"}, []string{"d~1"}, consensus.Change{}},
+		{"a stranger does not join", consensus.Members{Voters: three}, three, []string{"x"}, nil, consensus.Change{}},
+		{"a disk is lost", consensus.Members{Voters: three}, three, []string{"c~1"}, nil, consensus.Change{Add: "c~1"}},
+		{"wait for the learner", consensus.Members{Voters: three, Learners: []string{"c~1"}}, three, []string{"c~1"}, nil, consensus.Change{}},
+		{"the old identity goes", consensus.Members{Voters: three, Learners: []string{"c~1"}}, three, []string{"c~1"}, []string{"c~1"},
+			consensus.Change{Remove: "c"}},
+		{"the new one votes", consensus.Members{Voters: []string{"a", "b"}, Learners: []string{"c~1"}}, three, []string{"c~1"}, []string{"c~1"},
+			consensus.Change{Promote: "c~1"}},
+		{"a voter leaves the settings, and a standby is ready", consensus.Members{Voters: three, Learners: []string{"d~1"}}, []string{"a", "b", "d"},
+			[]string{"d~1"}, []string{"d~1"}, consensus.Change{Remove: "c"}},
+		{"a voter leaves the settings, and none is ready", consensus.Members{Voters: three}, []string{"a", "b"}, nil, nil, consensus.Change{}},
+		{"a learner leaves the settings", consensus.Members{Voters: three, Learners: []string{"d~1"}}, three, nil, nil, consensus.Change{Remove: "d~1"}},
+		{"a learner lost its disk too", consensus.Members{Voters: three, Learners: []string{"d~1"}}, []string{"a", "b", "c", "d"}, []string{"d~2"}, nil,
+			consensus.Change{Add: "d~2"}},
+		{"its first identity goes", consensus.Members{Voters: three, Learners: []string{"d~1", "d~2"}}, []string{"a", "b", "c", "d"}, []string{"d~2"},
+			[]string{"d~2"}, consensus.Change{Remove: "d~1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := nextStep(c.m, c.want, c.seen, func(id string) bool { return slices.Contains(c.caught, id) })
+			assert.Equal(t, got, c.step)
+		})
+	}
+}
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -83,17 +83,17 @@
 		degraded = 1
 	}
 	metric.Degraded.WithLabelValues(name).Set(degraded)
-	sent, received := e.linkBytes()
-	metric.LinkBytes.WithLabelValues(name, "sent").Set(float64(sent))
-	metric.LinkBytes.WithLabelValues(name, "received").Set(float64(received))
+	t := e.traffic()
+	metric.LinkBytes.WithLabelValues(name, "sent").Set(float64(t.Sent))
+	metric.LinkBytes.WithLabelValues(name, "received").Set(float64(t.Received))
 }
 
-// linkBytes adds up the payload of the open links. Callers hold the lock.
-func (e *Entry) linkBytes() (sent, received int64) {
+// traffic adds up what crossed the open links. Callers hold the lock.
+func (e *Entry) traffic() wire.Traffic {
+	var sum wire.Traffic
 	add := func(l *wire.Link) {
 		if l != nil {
-			s, r := l.Bytes()
-			sent, received = sent+s, received+r
+			sum.Add(l.Traffic())
 		}
 	}
 	for _, a := range e.agents {
@@ -103,14 +103,14 @@
 		add(l)
 	}
 	add(e.up)
-	return sent, received
+	return sum
 }
 
-// LinkBytes returns the payload bytes sent and received on the open links.
-func (e *Entry) LinkBytes() (sent, received int64) {
+// Traffic returns what has crossed the open links.
+func (e *Entry) Traffic() wire.Traffic {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.linkBytes()
+	return e.traffic()
 }
 
 // Revision returns the settings revision in force; zero if none.
--- a/wire/link.go
+++ b/wire/link.go
@@ -45,8 +45,8 @@
 	out  chan []byte
 	done chan struct{}
 	once sync.Once
-	// sent and received count bytes, for the budget of control traffic.
-	sent, received atomic.Int64
+	// The counts are for the budget of control traffic.
+	sent, received, messages atomic.Int64
 }
 
 // Dial opens a link to the process at addr, an IP number and port.
@@ -126,6 +126,7 @@
 		return nil, fault.New(fault.BadPeer, fault.StepLink, peer, "a text frame")
 	}
 	l.received.Add(int64(len(frame)))
+	l.messages.Add(1)
 	return Unmarshal(frame, peer)
 }
 
@@ -198,6 +199,7 @@
 				return
 			}
 			l.sent.Add(int64(len(frame)))
+			l.messages.Add(1)
 		}
 	}
 }
@@ -210,5 +212,20 @@
 	})
 }
 
-// Bytes returns the payload bytes that were sent and received.
-func (l *Link) Bytes() (sent, received int64) { return l.sent.Load(), l.received.Load() }
+// Traffic is what has crossed a link, or several.
+type Traffic struct {
+	// Sent and Received count payload bytes, Messages frames both ways.
+	Sent, Received, Messages int64
+}
+
+// Add adds the traffic of another link.
+func (t *Traffic) Add(o Traffic) {
+	t.Sent += o.Sent
+	t.Received += o.Received
+	t.Messages += o.Messages
+}
+
+// Traffic returns what has crossed the link so far.
+func (l *Link) Traffic() Traffic {
+	return Traffic{Sent: l.sent.Load(), Received: l.received.Load(), Messages: l.messages.Load()}
+}
