--- a/caller/server.go
+++ b/caller/server.go
@@ -152,13 +152,19 @@
 		return
 	}
 	f := toFault(err)
-	if f.Code == fault.BadRequest || f.Code == fault.Unsupported {
-		event.BadInput.Log(s.log, "detail", f.Detail)
+	if badInput(f.Code) {
+		event.BadInput.Log(s.log, "code", f.Code.ID, "detail", f.Detail)
 	}
 	setRetryAfter(c, f)
 	_ = c.JSON(f.Code.Status, errorBody(f))
 }
 
+// badInput tells whether a code blames what the caller sent.
+func badInput(c *fault.Code) bool {
+	clientError := c.Status >= http.StatusBadRequest && c.Status < http.StatusInternalServerError
+	return clientError && c.NotRun && c != fault.Unauthorized && c.Status != http.StatusTooManyRequests
+}
+
 func toFault(err error) *fault.Error {
 	var he *echo.HTTPError
 	if errors.As(err, &he) {
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,66 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/retry"
+)
+
+// TestBudgetIsAShare wants retries to stay at their share of live traffic, also
+// if every request fails.
+func TestBudgetIsAShare(t *testing.T) {
+	b := retry.NewBudget(10)
+	taken := 0
+	for range 10000 {
+		b.Start()
+		if b.Take() {
+			taken++
+		}
+	}
+	assert.Assert(t, taken >= 1000 && taken <= 1011, "%d retries of 10000", taken)
+	spent, denied := b.Counts()
+	assert.Equal(t, spent, taken)
+	assert.Equal(t, denied, 10000-taken)
+}
+
+func TestBudgetSavesLittle(t *testing.T) {
+	b := retry.NewBudget(50)
+	for range 100000 {
+		b.Start() // a quiet time
+	}
+	taken := 0
+	for b.Take() {
+		taken++
+	}
+	assert.Equal(t, taken, 100)
+	b.SetPercent(0)
+	b.Start()
+	assert.Assert(t, !b.Take())
+}
+
+func TestHealth(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var h retry.Health
+	assert.Assert(t, !h.Fail(now) && !h.Fail(now))
+	h.OK()
+	assert.Assert(t, !h.Fail(now) && !h.Fail(now), "a success begins the count anew")
+	assert.Assert(t, h.Fail(now), "three in a row eject it")
+	assert.Assert(t, !h.Usable(now))
+
+	now = now.Add(time.Second)
+	assert.Assert(t, h.Usable(now))
+	h.Probe()
+	assert.Assert(t, !h.Usable(now), "one probe at a time")
+	h.Fail(now)
+	assert.Assert(t, !h.Usable(now.Add(1900*time.Millisecond)), "the wait doubles")
+	assert.Assert(t, h.Usable(now.Add(2*time.Second)))
+	for range 20 {
+		h.Fail(now)
+	}
+	assert.Assert(t, h.Usable(now.Add(30*time.Second)), "and has an end")
+	h.OK()
+	assert.Assert(t, h.Usable(now) && !h.Ejected())
+}
