--- a/agent/agent.go
+++ b/agent/agent.go
@@ -92,11 +92,13 @@
 	calls    map[lease.ID]time.Time
 	records  *decision.Ring
 	registry *registry
-	leaving  bool
-	pulledAt time.Time // when settings were last asked for
-	parted   map[string]time.Time
-	beatAt   time.Time // of the last report, with the slots in use then
-	beatUsed int
+	// draining is for good; unlisted lasts while the settings do not have the
+	// server. Either makes it leaving.
+	draining, unlisted bool
+	pulledAt           time.Time // when settings were last asked for
+	parted             map[string]time.Time
+	beatAt             time.Time // of the last report, with the slots in use then
+	beatUsed           int
 }
 
 // Start returns a running agent.
@@ -142,7 +144,7 @@
 // until its work has ended or ctx is done.
 func (a *Agent) Drain(ctx context.Context) {
 	a.mu.Lock()
-	a.leaving = true
+	a.draining = true
 	a.work.SetLeaving(true)
 	a.mu.Unlock()
 	a.beat()
@@ -157,6 +159,9 @@
 	}
 }
 
+// leaving tells whether the server takes no new work. Callers hold the lock.
+func (a *Agent) leaving() bool { return a.draining || a.unlisted }
+
 func (a *Agent) busy() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/agent/call.go
+++ b/agent/call.go
@@ -23,7 +23,7 @@
 	case a.svc == nil:
 		a.answer(l, &wire.Answer{ID: m.ID, Detail: "no service beside this agent"})
 		return
-	case a.leaving:
+	case a.leaving():
 		a.answer(l, &wire.Answer{ID: m.ID, Detail: "leaving"})
 		return
 	case !a.calls[m.ID].IsZero():
--- a/agent/dump.go
+++ b/agent/dump.go
@@ -29,7 +29,7 @@
 	defer a.mu.Unlock()
 	fence, _ := a.gate.High()
 	d := Dump{
-		Name: a.cfg.Name, Revision: a.store.Revision(), Leaving: a.leaving, EngineOK: a.engineOK,
+		Name: a.cfg.Name, Revision: a.store.Revision(), Leaving: a.leaving(), EngineOK: a.engineOK,
 		Models: a.models, Slots: a.work.Slots(), Work: a.work.Dump(), KV: a.kv.Dump(), Fence: fence,
 	}
 	for _, l := range a.links {
@@ -46,7 +46,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
-	case a.leaving:
+	case a.leaving():
 		return false, "leaving"
 	case a.store.Tree() == nil:
 		return false, "no settings yet"
--- a/agent/links.go
+++ b/agent/links.go
@@ -117,7 +117,7 @@
 // load returns what one entry is told. Callers hold the lock.
 func (a *Agent) load(owner string) placement.Load {
 	out := placement.Load{
-		Others: a.work.Used() - a.work.UsedBy(owner), Slots: a.work.Slots(), Leaving: a.leaving,
+		Others: a.work.Used() - a.work.UsedBy(owner), Slots: a.work.Slots(), Leaving: a.leaving(),
 		Models: a.models, NoModels: a.engine != nil && len(a.models) == 0,
 	}
 	var backlog [placement.Priorities]int32
@@ -218,10 +218,11 @@
 // that it had, or nil.
 func (a *Agent) applySettings(now time.Time, before *settings.Tree) {
 	p, ok := a.store.Tree().Server(a.cfg.Name)
-	a.leaving = a.leaving || !ok
-	a.work.SetLeaving(a.leaving)
+	a.unlisted = !ok
+	a.work.SetLeaving(a.leaving())
 	if !ok {
 		event.ServerLeaving.Log(a.log, "why", "not in the settings")
+		a.beatLocked()
 		return
 	}
 	a.work.SetSlots(p.Slots)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -85,6 +85,7 @@
 	holder   *quota.Holder
 	broker   *quota.Broker
 	askedAt  time.Time // of the last wish out of turn
+	removing bool      // a server that is out of the settings still has work
 	beats    int
 }
 
@@ -243,6 +244,9 @@
 		e.askShares(now)
 	}
 	e.spill(now)
+	if e.removing {
+		e.apply(now)
+	}
 }
 
 // tellSummary tells control what this zone has, if this entry has a link to it.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -311,6 +311,64 @@
 	assert.Assert(t, n < 1000, "%d parts were kept", n)
 }
 
+// TestServerTakenOutOfTheSettings removes a decode server while it streams, and
+// brings it back. The stream ends in peace, nothing new goes there until then.
+func TestServerTakenOutOfTheSettings(t *testing.T) {
+	t.Parallel()
+	c, addr := startControl(t)
+	p := startServer(t, "p1", "z1")
+	d1, one := startEngine(t, "d1", "z1", 10*time.Millisecond, 100)
+	d2, two := startEngine(t, "d2", "z1", time.Millisecond, 100)
+	tree := func(decode map[string]string) string {
+		return fmt.Sprintf(head, 10) + site("s1", "z1", map[string]string{"p1": p}, decode)
+	}
+	both := tree(map[string]string{"d1": d1, "d2": d2})
+	apply(t, c, 0, tree(map[string]string{"d1": d1}))
+	e := startEntry(t, entry.Config{Name: "e", Zone: "z1", Upstream: []string{addr}})
+	waitRevision(t, e, 1)
+	answer := standin.Answer("hello", 100)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if e.Reachable() < 2 {
+			return poll.Continue("no links")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	done := make(chan error, 1)
+	var got string
+	go func() {
+		var err error
+		got, err = ask(t, e)
+		done <- err
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(one.Held()) == 0 {
+			return poll.Continue("not yet")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	apply(t, c, 1, tree(map[string]string{"d2": d2}))
+	waitRevision(t, e, 2)
+	assert.NilError(t, <-done)
+	assert.Equal(t, got, answer)
+	assert.Equal(t, two.Decodes(), 0, "it was not moved")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := ask(t, e); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	assert.Equal(t, one.Decodes(), 1)
+	assert.Assert(t, two.Decodes() >= 1)
+	apply(t, c, 2, both)
+	waitRevision(t, e, 3)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := ask(t, e); err != nil || one.Decodes() == 1 {
+			return poll.Continue("d1 has no work again: %v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+}
+
 // TestSpill loses all servers of the entry's own zone in a large fleet.
 func TestSpill(t *testing.T) {
 	t.Parallel()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -134,16 +134,28 @@
 		seen[p.Name] = true
 		e.applyServer(p)
 	}
+	e.removing = false
 	for name, a := range e.agents {
 		if !seen[name] {
-			a.stop()
-			delete(e.agents, name)
-			e.perform(now, e.core.ServerDown(now, name))
-			e.core.View().Remove(name)
+			e.remove(now, name, a)
 		}
 	}
 }
 
+// remove takes a server out that the settings do not have any more. Work in
+// progress there ends first; until then the server counts as leaving.
+func (e *Entry) remove(now time.Time, name string, a *agentLink) {
+	if s := e.core.View().Server(name); s != nil && s.Mine() > 0 {
+		e.core.View().SetLeaving(name, true)
+		e.removing = true
+		return
+	}
+	a.stop()
+	delete(e.agents, name)
+	e.perform(now, e.core.ServerDown(now, name))
+	e.core.View().Remove(name)
+}
+
 func (e *Entry) applyServer(p settings.Placed) {
 	info := placement.Info{
 		Name: p.Name, Zone: p.Zone, Role: p.Role, Slots: p.Slots, LinkRate: float64(p.LinkRate),
