--- a/engine/engine.go
+++ b/engine/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 )
 
@@ -37,6 +38,18 @@
 	Sampling    Sampling `json:"sampling" cbor:"8,keyasint"`
 }
 
+// Text returns the prompt, or the turns of the chat, as one text.
+func (r *Request) Text() string {
+	if r.Prompt != "" {
+		return r.Prompt
+	}
+	var b strings.Builder
+	for _, t := range r.Messages {
+		b.WriteString(t.Role + "\n" + t.Content + "\n")
+	}
+	return b.String()
+}
+
 // KV names the result of a prefill, kept at the engine that made it.
 type KV struct {
 	// Source is the address at which a decode engine fetches it.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,6 +67,10 @@
 	degraded bool
 	grants   map[string]settings.Grant
 	core     *router.Core
+	// fleet are the limits of the fleet, and limits those of each model in the
+	// first pool of this zone that prefills it; worked out once a revision.
+	fleet    settings.Effective
+	limits   map[string]settings.Effective
 	flows    map[string]*Flow
 	agents   map[string]*agentLink
 	down     map[*wire.Link]bool // relay links to processes below
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -241,8 +241,11 @@
 		return router.Request{}, 0, fault.New(fault.UnknownModel, fault.StepAdmit, "", "no model "+job.Request.Model)
 	}
 	cust := tree.Fleet.Customers[job.Grant.Customer]
-	lim := e.limits(job.Request.Model)
-	text := PromptText(job.Request)
+	lim, ok := e.limits[job.Request.Model]
+	if !ok {
+		lim = e.fleet
+	}
+	text := job.Request.Text()
 	tokens := Tokens(text)
 	if tokens > lim.MaxPromptTokens {
 		return router.Request{}, 0, fault.New(fault.PromptTooLong, fault.StepAdmit, "",
@@ -260,35 +263,6 @@
 	}, e.holder.Limit(job.Grant.Customer, lim.OpenLimit*cust.ShareOrOne()), nil
 }
 
-// limits returns the limits of a model in the first pool of this zone that
-// prefills it.
-func (e *Entry) limits(model string) settings.Effective {
-	tree := e.store.Tree()
-	for _, p := range tree.Servers() {
-		if p.Role != settings.RolePrefill || p.Zone != e.cfg.Zone {
-			continue
-		}
-		for _, m := range p.Models {
-			if m == model {
-				return tree.At(p.Site, p.Pool, model)
-			}
-		}
-	}
-	return tree.At("", "", "")
-}
-
-// PromptText returns the text that a request's prompt is estimated from.
-func PromptText(r engine.Request) string {
-	if r.Prompt != "" {
-		return r.Prompt
-	}
-	text := ""
-	for _, t := range r.Messages {
-		text += t.Role + "\n" + t.Content + "\n"
-	}
-	return text
-}
-
 // gone takes the loss of the caller.
 func (e *Entry) gone(f *Flow) {
 	e.mu.Lock()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -123,10 +123,11 @@
 func (e *Entry) apply(now time.Time) {
 	tree := e.store.Tree()
 	e.grants = tree.Grants()
-	lim := tree.At("", "", "")
-	e.core.SetLimits(lim.QueueLimit, lim.RetryPercent, lim.StallAfter)
+	e.fleet = tree.At("", "", "")
+	e.core.SetLimits(e.fleet.QueueLimit, e.fleet.RetryPercent, e.fleet.StallAfter)
 	seen := map[string]bool{}
 	servers := tree.Servers()
+	e.limits = e.modelLimits(tree, servers)
 	for _, p := range servers {
 		if p.Zone != e.cfg.Zone && len(servers) > smallFleet && !e.linked(p) {
 			continue
@@ -156,6 +157,21 @@
 	e.core.View().Remove(name)
 }
 
+func (e *Entry) modelLimits(tree *settings.Tree, servers []settings.Placed) map[string]settings.Effective {
+	out := map[string]settings.Effective{}
+	for _, p := range servers {
+		if p.Role != settings.RolePrefill || p.Zone != e.cfg.Zone {
+			continue
+		}
+		for _, m := range p.Models {
+			if _, ok := out[m]; !ok {
+				out[m] = tree.At(p.Site, p.Pool, m)
+			}
+		}
+	}
+	return out
+}
+
 func (e *Entry) applyServer(p settings.Placed) {
 	info := placement.Info{
 		Name: p.Name, Zone: p.Zone, Role: p.Role, Slots: p.Slots, LinkRate: float64(p.LinkRate),
--- a/lease/table.go
+++ b/lease/table.go
@@ -286,18 +286,6 @@
 	return true
 }
 
-// Move gives a running lease to another owner, after an entry's new link.
-func (t *Table) Move(now time.Time, id ID, to string) bool {
-	e := t.leases[id]
-	if e == nil || e.state == Cancelling {
-		return false
-	}
-	delete(t.owners[e.owner].leases, id)
-	e.owner = to
-	t.add(now, e)
-	return true
-}
-
 // Tick gives up the leases of silent owners and holds that ran out, and
 // repeats cancels that are due.
 func (t *Table) Tick(now time.Time) []Effect {
--- a/placement/server.go
+++ b/placement/server.go
@@ -149,10 +149,6 @@
 	NoModel    Block = "model not loaded"
 	NoSlot     Block = "no free slot"
 	Busy       Block = "prefills ahead"
-	WrongRole  Block = "another role"
-	TooSlow    Block = "time between tokens over the target"
-	OtherZone  Block = "another availability zone"
-	NotInScan  Block = "not among those looked at"
 	JustFailed Block = "failed this request before"
 )
 
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -98,10 +98,6 @@
 	}
 }
 
-// Adopt makes the process act on what it holds without control's word: it is
-// the highest of a majority of the site's peers, and the site is cut off.
-func (s *Store) Adopt() bool { return s.tree != nil }
-
 // Tree returns the settings in force, or nil.
 func (s *Store) Tree() *settings.Tree { return s.tree }
 
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -66,7 +66,7 @@
 }
 
 func (e *Engine) prefill(w http.ResponseWriter, r *http.Request, in request) {
-	prompt := text(in.Request)
+	prompt := in.Text()
 	tokens := CountTokens(prompt) + in.SofarTokens
 	j := &job{req: in.Request, gone: make(chan struct{}), kv: true}
 	if !e.add(in.ID, j) {
@@ -128,7 +128,7 @@
 }
 
 func (e *Engine) decode(w http.ResponseWriter, r *http.Request, in request) {
-	j := &job{req: in.Request, prompt: HashPrompt(text(in.Request)), gone: make(chan struct{}), more: make(chan struct{})}
+	j := &job{req: in.Request, prompt: HashPrompt(in.Text()), gone: make(chan struct{}), more: make(chan struct{})}
 	j.total = e.opts.Tokens
 	if n := in.Sampling.MaxTokens; n > 0 {
 		j.total = min(n, j.total)
