--- a/control/control.go
+++ b/control/control.go
@@ -14,10 +14,10 @@
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
 	"github.com/ledgepin/ledgepin/fleet"
-	"github.com/ledgepin/ledgepin/journal"
 	"github.com/ledgepin/ledgepin/order"
 	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/spread"
+	"github.com/ledgepin/ledgepin/wal"
 	"github.com/ledgepin/ledgepin/wire"
 )
 
@@ -35,7 +35,7 @@
 	TLS *tls.Config
 	Log *slog.Logger
 	// OpenFile opens the journal's log; nil for a plain file.
-	OpenFile journal.OpenFile
+	OpenFile wal.OpenFile
 	// SnapshotEvery is the number of entries after which the log is cut.
 	SnapshotEvery int
 }
@@ -68,7 +68,7 @@
 	// go out only after what they promise is synced.
 	mu      sync.Mutex
 	node    *consensus.Node // nil until the replica knows who it is
-	disk    *journal.Journal
+	disk    *wal.Journal
 	state   *fleet.State
 	store   spread.Store
 	waiters map[string][]chan fleet.Result
@@ -131,13 +131,13 @@
 		return consensus.Restored{}, true, nil
 	}
 	open := c.cfg.OpenFile
-	var j *journal.Journal
-	var o journal.Opened
+	var j *wal.Journal
+	var o wal.Opened
 	var err error
 	if open == nil {
-		j, o, err = journal.Open(c.cfg.Dir)
+		j, o, err = wal.Open(c.cfg.Dir)
 	} else {
-		j, o, err = journal.OpenWith(c.cfg.Dir, open)
+		j, o, err = wal.OpenWith(c.cfg.Dir, open)
 	}
 	if err != nil {
 		event.JournalBroken.Log(c.log, "error", fault.From(err))
--- a/entry/leaving.go
+++ b/entry/leaving.go
@@ -8,7 +8,7 @@
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
 	"github.com/ledgepin/ledgepin/internal/wait"
-	"github.com/ledgepin/ledgepin/platform"
+	"github.com/ledgepin/ledgepin/vmlist"
 	"github.com/ledgepin/ledgepin/wire"
 )
 
@@ -16,7 +16,7 @@
 const platformEvery = time.Second
 
 func (e *Entry) platformLoop() {
-	c := platform.NewClient(e.cfg.Platform)
+	c := vmlist.NewClient(e.cfg.Platform)
 	defer c.Close()
 	lost := false
 	for e.ctx.Err() == nil {
@@ -32,7 +32,7 @@
 	}
 }
 
-func (e *Entry) listVMs(c *platform.Client) ([]platform.VM, error) {
+func (e *Entry) listVMs(c *vmlist.Client) ([]vmlist.VM, error) {
 	ctx, cancel := context.WithTimeout(e.ctx, platformEvery)
 	defer cancel()
 	return c.List(ctx)
@@ -40,10 +40,10 @@
 
 // takeVMs keeps the names that are leaving. A VM that is missing from the list
 // is no sign: the list lags, and a server that is gone has no link.
-func (e *Entry) takeVMs(vms []platform.VM) {
+func (e *Entry) takeVMs(vms []vmlist.VM) {
 	var names []string
 	for _, vm := range vms {
-		if vm.State == platform.Leaving {
+		if vm.State == vmlist.Leaving {
 			names = append(names, vm.Name)
 		}
 	}
--- a/standin/service.go
+++ b/standin/service.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/ledgepin/ledgepin/platform"
+	"github.com/ledgepin/ledgepin/vmlist"
 )
 
 // Service is a stand-in plain service: licence checkout, which may not be
@@ -114,7 +114,7 @@
 	}
 	p.addr = ln.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.Path, p.list)
+	mux.HandleFunc("GET "+vmlist.Path, p.list)
 	p.srv = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	p.wg.Go(func() { _ = p.srv.Serve(ln) })
 	return p, nil
@@ -143,11 +143,11 @@
 func (p *Platform) list(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make([]platform.VM, 0, len(p.names))
+	out := make([]vmlist.VM, 0, len(p.names))
 	for _, n := range p.names {
-		vm := platform.VM{Name: n, Address: "127.0.0.1", State: platform.Live}
+		vm := vmlist.VM{Name: n, Address: "127.0.0.1", State: vmlist.Live}
 		if at, ok := p.since[n]; ok && time.Since(at) >= p.lag {
-			vm.State = platform.Leaving
+			vm.State = vmlist.Leaving
 		}
 		out = append(out, vm)
 	}
--- a/platform/platform.go
+++ b/vmlist/platform.go
@@ -1,8 +1,8 @@
-// Package platform reads the platform's list of live and leaving VMs.
+// Package vmlist reads the platform's list of live and leaving VMs.
 //
 // The list lags behind, so it is one sign among others: a server that says
 // itself that it is leaving is believed at once.
-package platform
+package vmlist
 
 import (
 	"context"
--- a/journal/doc.go
+++ b/wal/doc.go
@@ -1,4 +1,4 @@
-// Package journal keeps the hard state, the log and the snapshot of a control
+// Package wal keeps the hard state, the log and the snapshot of a control
 // replica on its disk.
 //
 // Each append is one record with a checksum, synced before it returns. Since
@@ -6,4 +6,4 @@
 // such a tail is cut. A damaged record with a whole one after it means that
 // the disk lost what was synced, and the journal refuses to open. Snapshots
 // are written aside, synced and renamed.
-package journal
+package wal
--- a/journal/record.go
+++ b/wal/record.go
@@ -1,4 +1,4 @@
-package journal
+package wal
 
 import (
 	"encoding/binary"
