--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// Budget bounds the sends beyond the first of each request. The bound holds for
-// all gateways together in each sliding window, so each of them uses its own
-// requests' share and its part of the constant.
+// Budget bounds the sends beyond the first of each request to one service. The
+// bound holds for all gateways together in each sliding window, so each of them
+// uses its own requests' share and its part of the constant.
 type Budget struct {
 	// Ratio is the share of requests that may be sent once more.
 	Ratio float64
@@ -46,8 +46,11 @@
 // Request counts a request.
 func (b *Budget) Request(now time.Time) { b.bucket(now).requests++ }
 
-// Take counts one more send and tells whether it is allowed.
-func (b *Budget) Take(now time.Time, gateways int) bool {
+// Spend counts sends that could not be foreseen.
+func (b *Budget) Spend(now time.Time, sends int) { b.bucket(now).extra += sends }
+
+// Take counts further sends if all of them are allowed.
+func (b *Budget) Take(now time.Time, gateways, sends int) bool {
 	newest := b.bucket(now).slot
 	requests, extra := 0, 0
 	for i := range b.buckets {
@@ -57,9 +60,9 @@
 		}
 	}
 	allowed := budgetUse * (b.Ratio*float64(requests) + b.Slack/float64(max(gateways, 1)))
-	if float64(extra+1) > allowed {
+	if float64(extra+sends) > allowed {
 		return false
 	}
-	b.bucket(now).extra++
+	b.bucket(now).extra += sends
 	return true
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -33,9 +33,11 @@
 	Open int
 	// Own is what this gateway has reserved, Others what all others have.
 	Own, Others Load
-	health      health
-	heardAt     time.Time
-	gone        bool
+	// lapsed counts the results in a row that no decode engine could take.
+	lapsed  int
+	health  health
+	heardAt time.Time
+	gone    bool
 }
 
 // Fleet is all servers that a gateway knows.
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -22,7 +22,7 @@
 	// memoryUse is the part of an engine's memory that reservations may fill.
 	// A reservation counts the tokens at the end of a run, which most runs have
 	// not reached yet.
-	memoryUse = 1.0
+	memoryUse = 1.25
 	// blindShare is the part that all gateways together reserve when they don't
 	// know of each other's reservations.
 	blindShare = 1.75
@@ -37,7 +37,8 @@
 	fullCost = 250.0
 )
 
-// Pair is where a request is read and where its answer is made.
+// Pair is where a request is read and where its answer is made. Without a
+// prefill engine the decode engine reads the prompt itself, at half the pace.
 type Pair struct {
 	Prefill, Decode *Server
 	// Wait is the expected time until the prompt has been read.
@@ -45,7 +46,7 @@
 }
 
 // Pair chooses a prefill and a decode engine together. It returns false if no
-// decode engine has room or no prefill engine is there.
+// decode engine has room.
 func (f *Fleet) Pair(now time.Time, w Work, e *route.Engine, avoid Avoid) (Pair, bool) {
 	prefill := map[string]candidate{}
 	decode := map[string]candidate{}
@@ -62,6 +63,9 @@
 			}
 		}
 	}
+	if len(prefill) == 0 {
+		return alone(decode, w)
+	}
 	var out Pair
 	best := 0.0
 	for pz, p := range prefill {
@@ -80,6 +84,22 @@
 	return out, out.Decode != nil
 }
 
+// selfReadRate is the number of prompt tokens that a decode engine reads in a
+// millisecond.
+const selfReadRate = readRate / 2
+
+// alone chooses a decode engine that reads the prompt itself.
+func alone(decode map[string]candidate, w Work) (Pair, bool) {
+	var best candidate
+	for _, d := range decode {
+		if best.server == nil || d.cost < best.cost {
+			best = d
+		}
+	}
+	wait := time.Duration(float64(w.Prompt) / selfReadRate * float64(time.Millisecond))
+	return Pair{Decode: best.server, Wait: wait}, best.server != nil
+}
+
 // Decode chooses a decode engine for a prompt that has been read in a zone.
 func (f *Fleet) Decode(now time.Time, w Work, e *route.Engine, zone string, avoid Avoid) *Server {
 	var best candidate
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -47,6 +47,8 @@
 	// share of failures that is usual and not weighed.
 	failPenalty = 12
 	freeShare   = 0.08
+	// lapsedAt is the number of results in a row that could not be taken.
+	lapsedAt = 2
 	// blockedPenalty puts servers that are left alone behind all others; they
 	// are still chosen if there is no other.
 	blockedPenalty = 1e6
@@ -63,6 +65,24 @@
 	s.health.note(now, o, took)
 }
 
+// NoteKV takes whether a decode engine could take the KV cache that a prefill
+// engine has read. An engine whose results lapse is left alone for a while,
+// since each prompt that it reads is read for nothing.
+func (f *Fleet) NoteKV(now time.Time, id string, taken bool) {
+	s := f.servers[id]
+	if s == nil {
+		return
+	}
+	if taken {
+		s.lapsed = 0
+		return
+	}
+	if s.lapsed++; s.lapsed >= lapsedAt {
+		s.lapsed = 0
+		s.health.eject(now)
+	}
+}
+
 func (h *health) note(now time.Time, o Outcome, took time.Duration) {
 	h.samples++
 	failed := 0.0
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -15,11 +15,13 @@
 // fleet is the lock around the decisions about servers, and the queue of the
 // requests that wait for room at an engine.
 type fleet struct {
-	mu     sync.Mutex
-	view   *dispatch.Fleet
-	budget dispatch.Budget
-	queue  []*waiter
-	dirty  bool
+	mu   sync.Mutex
+	view *dispatch.Fleet
+	// bounds are the retry bounds that hold for each service by itself.
+	bounds  dispatch.Budget
+	budgets map[string]*dispatch.Budget
+	queue   []*waiter
+	dirty   bool
 }
 
 // waiter is a request that waits for an engine with room.
@@ -31,8 +33,19 @@
 	placed   chan dispatch.Pair
 }
 
-func newFleet(zone string, budget dispatch.Budget) *fleet {
-	return &fleet{view: dispatch.NewFleet(zone), budget: budget}
+func newFleet(zone string, bounds dispatch.Budget) *fleet {
+	return &fleet{view: dispatch.NewFleet(zone), bounds: bounds, budgets: map[string]*dispatch.Budget{}}
+}
+
+// budget returns the retry budget of a service. Callers hold the lock.
+func (f *fleet) budget(service string) *dispatch.Budget {
+	b := f.budgets[service]
+	if b == nil {
+		copied := f.bounds
+		b = &copied
+		f.budgets[service] = b
+	}
+	return b
 }
 
 func (f *fleet) update(list []registry.Server) {
@@ -119,23 +132,38 @@
 	f.view.Note(time.Now(), id, o, took)
 }
 
+// noteKV tells whether a KV cache that an engine has read could be taken.
+func (f *fleet) noteKV(id string, taken bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.NoteKV(time.Now(), id, taken)
+}
+
 func (f *fleet) gone(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.view.Gone(id)
 }
 
-func (f *fleet) request() {
+// request counts a request to a service.
+func (f *fleet) request(service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget(service).Request(time.Now())
+}
+
+// retry takes further sends from the budget of a service.
+func (f *fleet) retry(service string, sends int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.budget.Request(time.Now())
+	return f.budget(service).Take(time.Now(), f.view.Gateways, sends)
 }
 
-// retry takes one send from the budget.
-func (f *fleet) retry() bool {
+// spend counts a send that was turned away and had not to be paid before.
+func (f *fleet) spend(service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.budget.Take(time.Now(), f.view.Gateways)
+	f.budget(service).Spend(time.Now(), 1)
 }
 
 // place finds a prefill and a decode engine and books both. It waits for room
@@ -184,10 +212,15 @@
 		}
 		f.queue = f.queue[1:]
 		f.view.Reserve(p.Decode.ID, w.work)
-		f.view.StartPrefill(p.Prefill.ID, w.work)
+		decode := *p.Decode
+		placed := dispatch.Pair{Decode: &decode, Wait: p.Wait}
+		if p.Prefill != nil {
+			f.view.StartPrefill(p.Prefill.ID, w.work)
+			prefill := *p.Prefill
+			placed.Prefill = &prefill
+		}
 		f.dirty = true
-		prefill, decode := *p.Prefill, *p.Decode
-		w.placed <- dispatch.Pair{Prefill: &prefill, Decode: &decode, Wait: p.Wait}
+		w.placed <- placed
 	}
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -72,15 +72,16 @@
 			}
 			continue
 		}
-		if !g.again(q, last) {
+		if !g.again(q, last, 1) {
 			break
 		}
 	}
 	g.conclude(w, q, last)
 }
 
-// again decides whether a request goes to another server.
-func (g *Gateway) again(q *request, last result) bool {
+// again decides whether a request goes to another server, which takes a number
+// of sends.
+func (g *Gateway) again(q *request, last result, sends int) bool {
 	const leastLeft = 20 * time.Millisecond
 	if q.left() < leastLeft {
 		return false
@@ -92,7 +93,7 @@
 			return false
 		}
 	}
-	return g.fleet.retry()
+	return g.fleet.retry(q.service.Name, sends)
 }
 
 // send sends a request to one server and reads the whole answer.
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -38,6 +38,8 @@
 	kvFrom dispatch.Server
 	kvAt   time.Time
 	stream *streamWriter
+	// decodes counts the sends to decode engines.
+	decodes int
 }
 
 // generate serves a request of a model engine: a decode engine's memory is
@@ -71,7 +73,9 @@
 	if last.kind == notSent {
 		return true
 	}
-	return n.g.again(n.q, last)
+	// The prompt is read once more, and the decode engine is asked once more if
+	// one has been asked.
+	return n.g.again(n.q, last, 1+min(n.decodes, 1))
 }
 
 // place books a prefill and a decode engine.
@@ -92,11 +96,17 @@
 
 // round reads the prompt and makes the answer at the engines that are booked.
 func (n *generation) round(ctx context.Context) result {
+	if n.pair.Prefill == nil {
+		return n.decode(ctx, n.pair.Decode, false)
+	}
 	r := n.prefill(ctx)
 	n.g.fleet.endPrefill(n.pair.Prefill.ID, n.q.work)
 	if r.kind != answered {
 		n.q.tried[n.pair.Prefill.ID] = true
 		n.g.logSend(n.q, n.pair.Prefill, r, time.Since(n.q.arrived))
+		if r.kind == notRun || r.kind == misdirected {
+			n.g.fleet.spend(n.q.service.Name)
+		}
 		if r.kind == broken || r.kind == late {
 			r.kind = notRun // a prompt that was read is no run
 		}
@@ -104,7 +114,13 @@
 	}
 	defer n.dropKV(ctx)
 	r = n.decode(ctx, n.pair.Decode, true)
-	if r.kind == notRun || r.kind == notSent || r.kind == misdirected {
+	switch r.kind {
+	case answered:
+		n.g.fleet.noteKV(n.kvFrom.ID, true)
+	case notRun:
+		n.g.fleet.noteKV(n.kvFrom.ID, false)
+		r = n.elsewhere(ctx, r)
+	case notSent, misdirected:
 		r = n.elsewhere(ctx, r)
 	}
 	return r
@@ -159,26 +175,29 @@
 	return result{kind: answered, status: a.Status}, body
 }
 
-// elsewhere continues after a decode engine has turned the request away: at
-// another one while the KV cache lives, else where the prompt is read anew.
+// elsewhere continues after a decode engine has turned the request away. It may
+// have been full, or the KV cache may be gone: another engine that reads the
+// prompt itself works in both cases, and no second prefill is lost.
 func (n *generation) elsewhere(ctx context.Context, r result) result {
 	n.q.tried[n.pair.Decode.ID] = true
 	n.unbook()
-	if time.Since(n.kvAt) > n.q.service.Engine.KVHold-kvMargin || !n.g.again(n.q, r) {
-		return r
-	}
 	s, ok := n.g.fleet.move(n.q.work, n.q.service.Engine, n.kvFrom.Zone, n.q.tried)
 	if !ok {
 		return r
 	}
 	n.booked = s.ID
-	return n.decode(ctx, &s, true)
+	if !n.g.again(n.q, r, 1) {
+		return r
+	}
+	alive := time.Since(n.kvAt) < n.q.service.Engine.KVHold-kvMargin
+	return n.decode(ctx, &s, alive && r.kind != notRun)
 }
 
 // decode has the answer made and passes it on.
 func (n *generation) decode(ctx context.Context, s *dispatch.Server, withKV bool) result {
 	g, q, h := n.g, n.q, &n.g.cfg.Protocol.Headers
 	started := time.Now()
+	n.decodes++
 	r := q.to(h, s, q.left(), g.fleet.gateways())
 	if withKV {
 		r.Header.Set(h.KVSource, n.kvFrom.Address+"/"+n.kv.Handle)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -56,7 +56,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	g.fleet.request()
+	g.fleet.request(q.service.Name)
 	if q.service.Engine != nil && q.route.Kind == route.Stream {
 		g.generate(ctx, w, q)
 		return
