--- a/app/gateway.go
+++ b/app/gateway.go
@@ -11,7 +11,9 @@
 	"github.com/ledgepin/ledgepin/config"
 	"github.com/ledgepin/ledgepin/control"
 	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/gateway"
+	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/platform"
 )
 
@@ -24,8 +26,9 @@
 	apiIdle    = 30 * time.Second
 	// maxHeader bounds the head of a request in bytes.
 	maxHeader = 16 << 10
-	// settle is how long a draining gateway still gets new connections.
-	settle = 3200 * time.Millisecond
+	// settle is how long a draining gateway still takes requests: until callers
+	// are sent elsewhere. What it takes later might not end in the grace time.
+	settle = 2900 * time.Millisecond
 	// graceMargin is what is left of the grace time to end in order.
 	graceMargin = 400 * time.Millisecond
 	// memoryShare is the part of the memory that the heap may fill.
@@ -95,11 +98,16 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: apiIdle}
 }
 
-// drainGateway serves until callers are sent elsewhere and nothing is under
-// way, and leaves a part of the grace time to end in order.
+// drainGateway serves until callers are sent elsewhere, takes nothing more then
+// and waits for what is under way. It leaves a part of the grace time to end in
+// order.
 func (p *Process) drainGateway(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, p.file.Drain.D()-graceMargin)
 	defer cancel()
-	p.gateway.Drain(ctx, settle)
+	p.gateway.Drain()
+	wait.For(ctx, settle)
 	p.ln.shutdown(ctx)
+	if n := p.gateway.Active(); n > 0 {
+		event.DrainTimeout.Log(p.log, "requests", n)
+	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,30 +124,16 @@
 	})
 }
 
-// Drain calls the gateway not ready, goes on serving for as long as callers
-// may still be sent here, and returns once nothing is under way.
-func (g *Gateway) Drain(ctx context.Context, settle time.Duration) {
+// Drain calls the gateway not ready. It goes on serving until the listener is
+// shut down.
+func (g *Gateway) Drain() {
 	g.draining.Store(true)
-	event.Draining.Log(g.log)
-	settled := time.NewTimer(settle)
-	defer settled.Stop()
-	select {
-	case <-ctx.Done():
-		return
-	case <-settled.C:
-	}
-	poll := time.NewTicker(20 * time.Millisecond)
-	defer poll.Stop()
-	for g.active.Load() > 0 {
-		select {
-		case <-ctx.Done():
-			event.DrainTimeout.Log(g.log, "requests", g.active.Load())
-			return
-		case <-poll.C:
-		}
-	}
+	event.Draining.Log(g.log, "requests", g.active.Load())
 }
 
+// Active returns the number of requests under way.
+func (g *Gateway) Active() int64 { return g.active.Load() }
+
 // Close ends the gateway at once.
 func (g *Gateway) Close() {
 	g.cancel()
