--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -226,7 +226,7 @@
 	if r.kind == answered && r.status < http.StatusInternalServerError {
 		return
 	}
-	event.SendFailed.Log(g.log, "id", q.id, "server", s.ID, "kind", r.kind.String(), "status", r.status, "ms", took.Milliseconds(), "error", r.err)
+	event.SendFailed.Log(g.log, "id", q.id, "server", s.ID, "role", s.Role, "kind", r.kind.String(), "status", r.status, "ms", took.Milliseconds(), "error", r.err)
 }
 
 // String names a kind for the log.
