--- a/control/hub.go
+++ b/control/hub.go
@@ -38,8 +38,10 @@
 type gatewayState struct {
 	told      uint64
 	confirmed bool
-	loads     []wire.EngineLoad
-	changed   bool
+	// sharing tells that the gateway tells this replica what it reserves.
+	sharing bool
+	loads   []wire.EngineLoad
+	changed bool
 }
 
 func newHub() *hub {
@@ -172,11 +174,11 @@
 }
 
 // setLoads takes what a gateway has reserved.
-func (h *hub) setLoads(l *wire.Link, loads []wire.EngineLoad) {
+func (h *hub) setLoads(l *wire.Link, m *wire.Loads) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if g := h.gateways[l]; g != nil {
-		g.loads, g.changed = loads, true
+		g.loads, g.sharing, g.changed = m.List, !m.Ended, true
 	}
 }
 
@@ -201,11 +203,14 @@
 // tellLoads tells each gateway what the others have reserved, if anything has
 // changed. Callers hold the lock.
 func (h *hub) tellLoads() {
-	changed := false
+	changed, sharing := false, 0
 	sum := map[string]wire.EngineLoad{}
 	for _, g := range h.gateways {
 		changed = changed || g.changed
 		g.changed = false
+		if g.sharing {
+			sharing++
+		}
 		for _, e := range g.loads {
 			sum[e.Server] = addLoad(sum[e.Server], e, 1)
 		}
@@ -221,7 +226,10 @@
 		for _, e := range g.loads {
 			rest[e.Server] = addLoad(rest[e.Server], e, -1)
 		}
-		out := &wire.Loads{}
+		out := &wire.Loads{Gateways: sharing}
+		if g.sharing {
+			out.Gateways--
+		}
 		for id, e := range rest {
 			if e.Server = id; e.Tokens != 0 || e.Prefill != 0 || e.Runs != 0 {
 				out.List = append(out.List, e)
--- a/control/links.go
+++ b/control/links.go
@@ -110,7 +110,7 @@
 	c.hub.addGateway(l, fresh)
 	err := l.Run(c.ctx, func(m *wire.Message) {
 		if m.Loads != nil {
-			c.hub.setLoads(l, m.Loads.List)
+			c.hub.setLoads(l, m.Loads)
 		}
 	})
 	c.hub.removeGateway(l)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -47,13 +47,13 @@
 	Zone string
 	// Gateways is the number of gateways that share the servers.
 	Gateways int
-	// Shared tells that the loads of the other gateways are known.
-	Shared bool
+	// Known is the number of gateways whose loads are known, this one included.
+	Known int
 }
 
 // NewFleet returns a fleet without servers.
 func NewFleet(zone string) *Fleet {
-	return &Fleet{servers: map[string]*Server{}, Zone: zone, Gateways: 1}
+	return &Fleet{servers: map[string]*Server{}, Zone: zone, Gateways: 1, Known: 1}
 }
 
 // Update takes reports of servers.
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -23,9 +23,9 @@
 	// A reservation counts the tokens at the end of a run, which most runs have
 	// not reached yet.
 	memoryUse = 1.25
-	// blindShare is the part that all gateways together reserve when they don't
-	// know of each other's reservations.
-	blindShare = 1.75
+	// blindShare is the part of the average that a gateway that is not heard is
+	// taken to have reserved.
+	blindShare = 0.7
 	// readRate is the number of prompt tokens that an engine reads in a
 	// millisecond; only the order of the servers depends on it.
 	readRate = 50.0
@@ -139,12 +139,13 @@
 	return fullCost*used + 200*s.health.failing
 }
 
-// used returns the reserved tokens of an engine as far as they are known.
+// used returns the reserved tokens of an engine. Gateways that are not heard
+// are taken to have reserved as much as the others on average, less a part,
+// since their requests may well come to this one.
 func (f *Fleet) used(s *Server) int {
-	if f.Shared {
-		return s.Own.Tokens + s.Others.Tokens
-	}
-	return int(float64(s.Own.Tokens) * float64(f.Gateways) / blindShare)
+	heard := s.Own.Tokens + s.Others.Tokens
+	missing := max(f.Gateways-f.Known, 0)
+	return int(float64(heard) * (1 + blindShare*float64(missing)/float64(max(f.Known, 1))))
 }
 
 func (f *Fleet) fits(s *Server, w Work, e *route.Engine) bool {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -62,10 +62,12 @@
 	f.serve()
 }
 
-func (f *fleet) share(gateways int, others map[string]dispatch.Load, shared bool) {
+// share takes how many gateways there are, of how many the loads are known,
+// this one included, and what the others have reserved.
+func (f *fleet) share(gateways, known int, others map[string]dispatch.Load) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view.Gateways, f.view.Shared = gateways, shared
+	f.view.Gateways, f.view.Known = gateways, known
 	f.view.SetOthers(others)
 	f.serve()
 }
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -190,7 +190,10 @@
 		return r
 	}
 	alive := time.Since(n.kvAt) < n.q.service.Engine.KVHold-kvMargin
-	return n.decode(ctx, &s, alive && r.kind != notRun)
+	if !alive {
+		return r
+	}
+	return n.decode(ctx, &s, true)
 }
 
 // decode has the answer made and passes it on.
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -32,9 +32,17 @@
 	peers map[string]*peer
 	// seeds and members are the addresses that are wanted.
 	seeds, members []string
-	gateways       map[string]int
-	loads          map[string]map[string]dispatch.Load
-	hub            string
+	// gateways is the number of gateways that each replica sees, and peak the
+	// highest of late: a gateway that is cut off must not take the parts of
+	// those that it does not see any more.
+	gateways map[string]int
+	peak     int
+	peakAt   time.Time
+	// loads is what each replica tells of other gateways, and sharing of how
+	// many.
+	loads   map[string]map[string]dispatch.Load
+	sharing map[string]int
+	hub     string
 	// waiting is a table that no replica has vouched for yet.
 	waiting *route.Table
 }
@@ -45,7 +53,7 @@
 }
 
 func newLinks(g *Gateway) *links {
-	l := &links{g: g, peers: map[string]*peer{}, gateways: map[string]int{}, loads: map[string]map[string]dispatch.Load{}}
+	l := &links{g: g, peers: map[string]*peer{}, gateways: map[string]int{}, loads: map[string]map[string]dispatch.Load{}, sharing: map[string]int{}}
 	g.wg.Go(l.loop)
 	return l
 }
@@ -106,6 +114,7 @@
 	if link == nil {
 		delete(l.gateways, address)
 		delete(l.loads, address)
+		delete(l.sharing, address)
 	}
 	l.share()
 	l.mu.Unlock()
@@ -129,6 +138,7 @@
 	case m.Loads != nil:
 		l.mu.Lock()
 		l.loads[address] = toLoads(m.Loads.List)
+		l.sharing[address] = m.Loads.Gateways
 		l.share()
 		l.mu.Unlock()
 	}
@@ -162,9 +172,10 @@
 // share tells the fleet how many gateways there are and what the others have
 // reserved. Callers hold the lock.
 func (l *links) share() {
-	gateways := 1
-	for _, n := range l.gateways {
-		gateways = max(gateways, n)
+	gateways := l.count(time.Now())
+	known := 1
+	for _, n := range l.sharing {
+		known += n
 	}
 	sum := map[string]dispatch.Load{}
 	for _, loads := range l.loads {
@@ -173,7 +184,27 @@
 			sum[id] = dispatch.Load{Tokens: s.Tokens + e.Tokens, Prefill: s.Prefill + e.Prefill, Runs: s.Runs + e.Runs}
 		}
 	}
-	l.g.fleet.share(gateways, sum, l.hubLink() != nil)
+	l.g.fleet.share(gateways, min(known, gateways), sum)
+}
+
+// Bounds of the number of gateways.
+const (
+	// leastGateways is assumed of a system whose gateways are not all known yet.
+	leastGateways = 3
+	peakFor       = 20 * time.Second
+)
+
+// count returns the number of gateways, as the highest that any replica has
+// seen of late. Callers hold the lock.
+func (l *links) count(now time.Time) int {
+	seen := leastGateways
+	for _, n := range l.gateways {
+		seen = max(seen, n)
+	}
+	if seen >= l.peak || now.Sub(l.peakAt) > peakFor {
+		l.peak, l.peakAt = seen, now
+	}
+	return l.peak
 }
 
 // hubLink returns the link over which reservations are shared: the replica with
@@ -193,7 +224,7 @@
 	link := l.peers[best].link
 	if l.hub != best {
 		if old := l.peers[l.hub]; old != nil && old.link != nil {
-			_ = old.link.Send(&wire.Message{Loads: &wire.Loads{}})
+			_ = old.link.Send(&wire.Message{Loads: &wire.Loads{Ended: true}})
 		}
 		l.hub = best
 		l.g.fleet.touch()
--- a/wire/message.go
+++ b/wire/message.go
@@ -300,6 +300,10 @@
 // knows what the others use.
 type Loads struct {
 	List []EngineLoad `cbor:"1,keyasint"`
+	// Gateways is the number of other gateways whose loads are in the list.
+	Gateways int `cbor:"2,keyasint,omitempty"`
+	// Ended tells that the sender tells another replica from now on.
+	Ended bool `cbor:"3,keyasint,omitempty"`
 }
 
 // EngineLoad is what one gateway, or all gateways but the receiver, have
