--- /dev/null
+++ b/consensus/boot.go
@@ -0,0 +1,51 @@
+package consensus
+
+import "time"
+
+// After its start a replica grants no votes for the election time, since it may
+// have acknowledged a leader just before it went down, and that leader's lease
+// may be live. When all voters start together, as after a loss of power, that
+// wait is for nothing: a leader is one of the voters, and a voter that has
+// heard no leader since its start is none. So a candidate to which every voter
+// says that it is idle in this sense may ask for votes at once, and voters that
+// are still idle grant them.
+//
+// A voter that has heard a leader meanwhile is not idle any more and keeps to
+// the election time, so a new leader's lease is as safe as ever. The answers
+// count for one round of pre-votes only.
+
+// bootElection bounds the time between two rounds of pre-votes of an idle
+// replica, as a share of the least election time.
+const bootElection = 4
+
+// idleDue returns when an idle replica asks for pre-votes next.
+func (n *Node) idleDue(now time.Time) time.Time {
+	least := n.cfg.ElectionMin / bootElection
+	return now.Add(least/2 + time.Duration(n.rng.Int64N(int64(max(least, 1)))))
+}
+
+// noteIdle takes what a voter says about itself in a round of pre-votes.
+func (n *Node) noteIdle(p Packet) {
+	if p.Kind == PreVoted && n.role == PreCandidate && p.Seq == n.preRound && p.Idle {
+		n.idles[p.From] = p.Fits
+	}
+}
+
+// allIdle tells whether every voter is idle and a majority would grant its
+// vote.
+func (n *Node) allIdle() bool {
+	if !n.idle {
+		return false
+	}
+	fits := 0
+	for _, v := range n.members.Voters {
+		fit, idle := n.idles[v]
+		if !idle {
+			return false
+		}
+		if fit {
+			fits++
+		}
+	}
+	return fits >= majority(len(n.members.Voters))
+}
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -8,6 +8,10 @@
 func (n *Node) voter(id string) bool { return slices.Contains(n.members.Voters, id) }
 
 func (n *Node) resetElection(now time.Time) {
+	if n.idle {
+		n.electionDue = n.idleDue(now)
+		return
+	}
 	spread := int64(n.cfg.ElectionMax - n.cfg.ElectionMin)
 	n.electionDue = now.Add(n.cfg.ElectionMin + time.Duration(n.rng.Int64N(max(spread, 1))))
 }
@@ -35,17 +39,21 @@
 	n.role = PreCandidate
 	n.leader = ""
 	n.votes = map[string]bool{n.cfg.ID: true}
+	n.idles = map[string]bool{n.cfg.ID: true}
+	n.preRound++
 	n.resetElection(now)
 	n.ask(PreVote, n.hard.Term+1)
 	n.countVotes(now)
 }
 
 func (n *Node) startElection(now time.Time) {
+	forced := n.allIdle()
 	n.role = Candidate
 	n.hard = Hard{Term: n.hard.Term + 1, Vote: n.cfg.ID}
 	n.hardDirty = true
 	n.votes = map[string]bool{n.cfg.ID: true}
 	n.resetElection(now)
+	n.forced = forced
 	n.ask(Vote, n.hard.Term)
 	n.countVotes(now)
 }
@@ -53,7 +61,7 @@
 func (n *Node) ask(kind Kind, term uint64) {
 	for _, v := range n.members.Voters {
 		if v != n.cfg.ID {
-			n.send(Packet{Kind: kind, To: v, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm()})
+			n.send(Packet{Kind: kind, To: v, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm(), Seq: n.preRound, Idle: kind == Vote && n.forced})
 		}
 	}
 }
@@ -65,6 +73,10 @@
 			yes++
 		}
 	}
+	if n.role == PreCandidate && n.allIdle() {
+		n.startElection(now)
+		return
+	}
 	if yes < majority(len(n.members.Voters)) {
 		return
 	}
@@ -78,6 +90,7 @@
 // lead makes the replica the leader. The entry without a command that it
 // appends lets it know which older entries are committed.
 func (n *Node) lead(now time.Time) {
+	n.idle = false
 	n.role = Leader
 	n.leader = n.cfg.ID
 	n.votes = nil
@@ -103,18 +116,19 @@
 }
 
 func (n *Node) onPreVote(now time.Time, p Packet) {
-	ok := p.Term > n.hard.Term && n.upToDate(p) && !n.sticky(now)
+	fits := p.Term > n.hard.Term && n.upToDate(p)
+	ok := fits && !n.sticky(now)
 	term := p.Term
 	if !ok {
 		// A candidate with a lower term but a longer log has to learn the term,
 		// or neither of the two could ever be elected.
 		term = n.hard.Term
 	}
-	n.send(Packet{Kind: PreVoted, To: p.From, Term: term, OK: ok})
+	n.send(Packet{Kind: PreVoted, To: p.From, Term: term, OK: ok, Seq: p.Seq, Idle: n.idle, Fits: fits})
 }
 
 func (n *Node) onVote(now time.Time, p Packet) {
-	if n.sticky(now) || p.Term < n.hard.Term {
+	if n.sticky(now) && !(p.Idle && n.idle) || p.Term < n.hard.Term {
 		n.send(Packet{Kind: Voted, To: p.From, Term: max(p.Term, n.hard.Term), OK: false})
 		return
 	}
@@ -136,6 +150,11 @@
 	if p.Kind == PreVoted {
 		want, term = PreCandidate, n.hard.Term+1
 	}
+	n.noteIdle(p)
+	if n.role == PreCandidate && n.allIdle() {
+		n.countVotes(now)
+		return
+	}
 	if n.role != want || p.Term != term || !p.OK {
 		return
 	}
--- a/consensus/message.go
+++ b/consensus/message.go
@@ -23,6 +23,12 @@
 	// Stamp is a follower's mark in an Appended, which the leader's next Append
 	// gives back: only an answer shows how old the leader's word is.
 	Stamp uint64 `cbor:"13,keyasint,omitempty"`
+	// Idle tells in a PreVoted that the replica has heard no leader since its
+	// start, and in a Vote that all voters have said so; see boot.go.
+	Idle bool `cbor:"14,keyasint,omitempty"`
+	// Fits tells in a PreVoted that the vote would be granted if no leader's
+	// lease could be live.
+	Fits bool `cbor:"15,keyasint,omitempty"`
 }
 
 // Kind is what a Packet is.
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -92,11 +92,19 @@
 	commit       uint64
 	applied      uint64
 
-	role        Role
-	leader      string
-	votes       map[string]bool
-	peers       map[string]*progress
-	lastHeard   time.Time
+	role      Role
+	leader    string
+	votes     map[string]bool
+	peers     map[string]*progress
+	lastHeard time.Time
+	// idle tells that no leader was heard since the start; idles are the voters
+	// that say the same in the round of pre-votes preRound, and whether they
+	// would grant their vote.
+	idle     bool
+	idles    map[string]bool
+	preRound uint64
+	// forced tells that this candidacy rests on all voters being idle.
+	forced      bool
 	electionDue time.Time
 	beatDue     time.Time
 	seq         uint64
@@ -127,6 +135,7 @@
 	n.findMembers(n.members)
 	// It may have granted a lease to a leader just before it went down.
 	n.lastHeard = now
+	n.idle = true
 	n.resetElection(now)
 	if len(n.members.Voters) == 1 && n.voter(cfg.ID) {
 		n.electionDue = now // there is nobody to wait for
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -44,6 +44,7 @@
 		n.send(Packet{Kind: Appended, To: p.From, Term: n.hard.Term})
 		return
 	}
+	n.idle = false
 	n.follow(now, p.Term, p.From)
 	n.lastHeard = now
 	if p.Kind == Install && p.Snapshot != nil {
--- a/wire/link.go
+++ b/wire/link.go
@@ -54,8 +54,10 @@
 	sent, received, messages atomic.Int64
 }
 
-// dialer opens links; one that is not open after a second is tried anew.
-var dialer = sock.Dialer(time.Second, 2*time.Second)
+// dialer opens links. One that is not open soon is tried anew: the VM may have
+// had no power when the first packet came, and the kernel sends the next one
+// only after a second.
+var dialer = sock.Dialer(400*time.Millisecond, 2*time.Second)
 
 // Dial opens a link to the process at addr, an IP number and port.
 func Dial(ctx context.Context, addr string, o Options) (*Link, error) {
