--- a/consensus/boot.go
+++ b/consensus/boot.go
@@ -16,7 +16,7 @@
 
 // bootElection bounds the time between two rounds of pre-votes of an idle
 // replica, as a share of the least election time.
-const bootElection = 4
+const bootElection = 10
 
 // idleDue returns when an idle replica asks for pre-votes next.
 func (n *Node) idleDue(now time.Time) time.Time {
--- a/control/links.go
+++ b/control/links.go
@@ -40,7 +40,8 @@
 	c.wg.Go(func() { c.peerLoop(ctx, p) })
 }
 
-const redial = 200 * time.Millisecond
+// redial is the time between two tries to open a link to another replica.
+const redial = 60 * time.Millisecond
 
 func (c *Control) peerLoop(ctx context.Context, p *peerLink) {
 	for ctx.Err() == nil {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -56,7 +56,7 @@
 		"Many target_out_of_reach or queue_full refusals mean that the pools are too small.")
 	RequestFailed = define("LP2002", warn, "request failed",
 		"A request ran and has no whole answer.", "Run `ledgepin explain` with the request ID.")
-	RequestDone = define("LP2003", debug, "request done", "A request got its whole answer.", nothing)
+	RequestDone = define("LP2003", info, "request done", "A request got its whole answer.", nothing)
 	CallerGone  = define("LP2004", info, "caller gone",
 		"The caller closed its connection; its work was cancelled at the engines.", nothing)
 	CallerSlow = define("LP2005", warn, "caller cut off",
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,7 +43,9 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	table    atomic.Pointer[route.Table]
+	table atomic.Pointer[route.Table]
+	// tabled is closed when the first table is in force.
+	tabled   chan struct{}
 	draining atomic.Bool
 	active   atomic.Int64
 	pool     *backend.Pool
@@ -57,7 +59,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
 		cfg: cfg, log: cfg.Log.With("role", "gateway", "name", cfg.Name), ctx: ctx, cancel: cancel,
-		pool: backend.NewPool(), fleet: newFleet(cfg.Zone, cfg.Retry),
+		tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Zone, cfg.Retry),
 	}
 	g.links = newLinks(g)
 	g.links.meet(cfg.Seeds)
@@ -79,12 +81,34 @@
 			return
 		}
 		if g.table.CompareAndSwap(old, t) {
+			if old == nil {
+				close(g.tabled)
+			}
 			event.SettingsInForce.Log(g.log, "version", t.Version, "routes", len(t.Routes))
 			return
 		}
 	}
 }
 
+// firstTable is how long a request waits for the first table: a gateway that
+// has just started gets it within some tenths of a second.
+const firstTable = 500 * time.Millisecond
+
+// awaitTable returns the table in force; nil if there is none in time.
+func (g *Gateway) awaitTable(ctx context.Context) *route.Table {
+	if t := g.table.Load(); t != nil {
+		return t
+	}
+	timer := time.NewTimer(firstTable)
+	defer timer.Stop()
+	select {
+	case <-g.tabled:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return g.table.Load()
+}
+
 const sweepEvery = 250 * time.Millisecond
 
 // sweep drops old connections and forgets old servers.
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -228,7 +228,9 @@
 	err = n.stream.copy(ctx, a)
 	if err == nil {
 		g.fleet.note(s.ID, dispatch.Good, time.Since(started))
-		event.RequestDone.Log(g.log, "id", q.id, "status", a.Status, "ms", time.Since(q.arrived).Milliseconds())
+		event.RequestDone.Log(g.log, "id", q.id, "status", a.Status, "ms", time.Since(q.arrived).Milliseconds(),
+			"first_ms", n.stream.firstAt.Sub(q.arrived).Milliseconds(), "gap_ms", n.stream.gap.Milliseconds(),
+			"prefill", n.kvFrom.ID, "decode", s.ID, "prefill_ms", n.kvAt.Sub(q.arrived).Milliseconds())
 		return result{kind: answered, status: a.Status}
 	}
 	res := result{kind: broken, err: err}
@@ -321,6 +323,10 @@
 	// resumed.
 	lastID  string
 	partial []byte
+	// firstAt is when the first part came, lastAt the newest, and gap the
+	// longest pause between two.
+	firstAt, lastAt time.Time
+	gap             time.Duration
 }
 
 func newStreamWriter(g *Gateway, w http.ResponseWriter, q *request) *streamWriter {
@@ -347,6 +353,7 @@
 	for {
 		n, err := a.Read(buf)
 		if n > 0 {
+			s.pace(time.Now())
 			_ = control.SetWriteDeadline(time.Now().Add(callerTimeout))
 			if werr := s.write(control, buf[:n]); werr != nil {
 				return werr
@@ -365,6 +372,16 @@
 	}
 }
 
+// pace notes when a part of the stream came.
+func (s *streamWriter) pace(now time.Time) {
+	if s.firstAt.IsZero() {
+		s.firstAt = now
+	} else {
+		s.gap = max(s.gap, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
+}
+
 var eventEnd = []byte("\n\n")
 
 // write passes bytes on; of a stream that may be resumed only whole events, so
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -15,7 +15,7 @@
 
 // Times of links to control.
 const (
-	redialEvery = 150 * time.Millisecond
+	redialEvery = 60 * time.Millisecond
 	linkIdle    = 1500 * time.Millisecond
 	beatEvery   = 400 * time.Millisecond
 	// loadsEvery is the least time between two tellings of this gateway's
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -44,7 +44,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	w.Header()["Date"] = nil
-	table := g.table.Load()
+	table := g.awaitTable(r.Context())
 	if table == nil {
 		g.refuse(w, r.Header.Get(g.cfg.Protocol.Headers.RequestID), notReady)
 		return
