--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -130,6 +130,12 @@
 	return now.Sub(s.heardAt) < silentAfter || now.Sub(s.health.lastGood) < provenFor
 }
 
+// Listed tells whether a server may get new work now.
+func (f *Fleet) Listed(now time.Time, id string) bool {
+	s := f.servers[id]
+	return s != nil && s.listed(now)
+}
+
 // Sweep forgets servers that have been silent for long.
 func (f *Fleet) Sweep(now time.Time) {
 	for id, s := range f.servers {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -117,6 +117,13 @@
 	return *s, true
 }
 
+// listed tells whether a server may get new work now.
+func (f *fleet) listed(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Listed(time.Now(), id)
+}
+
 // done ends a request that plain has counted.
 func (f *fleet) done(id string, o dispatch.Outcome, took time.Duration) {
 	f.mu.Lock()
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -27,6 +27,9 @@
 	freeTime = 300 * time.Millisecond
 )
 
+// errLeft tells that a decode engine began to leave while the prompt was read.
+var errLeft = errors.New("gateway: the engine is leaving")
+
 // generation is a request to a model engine on its way.
 type generation struct {
 	g    *Gateway
@@ -113,7 +116,10 @@
 		return r
 	}
 	defer n.dropKV(ctx)
-	r = n.decode(ctx, n.pair.Decode, true)
+	r = result{kind: notSent, err: errLeft}
+	if n.g.fleet.listed(n.pair.Decode.ID) {
+		r = n.decode(ctx, n.pair.Decode, true)
+	}
 	switch r.kind {
 	case answered:
 		n.g.fleet.noteKV(n.kvFrom.ID, true)
@@ -186,7 +192,7 @@
 		return r
 	}
 	n.booked = s.ID
-	if !n.g.again(n.q, r, 1) {
+	if n.decodes > 0 && !n.g.again(n.q, r, 1) {
 		return r
 	}
 	alive := time.Since(n.kvAt) < n.q.service.Engine.KVHold-kvMargin
--- /dev/null
+++ b/standin/backend.go
@@ -0,0 +1,296 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ledgepin/ledgepin/backend"
+)
+
+// Fault is what a stand-in backend server does wrong with one request.
+type Fault int
+
+// The faults.
+const (
+	NoFault Fault = iota
+	// Refuse answers that the request did not run.
+	Refuse
+	// LoseAnswer runs the request and resets the connection.
+	LoseAnswer
+	// NoSignature answers without the mark of the server.
+	NoSignature
+	// ForeignFirst sends the answer to another request first.
+	ForeignFirst
+	// CutStream ends a stream in the middle of its third event.
+	CutStream
+	// Hang runs the request and answers nothing.
+	Hang
+)
+
+// Arrival is one request that came to a server.
+type Arrival struct {
+	ID     string
+	Method string
+	Target string
+	Header http.Header
+	Body   string
+	// Ran tells that the server worked on it.
+	Ran bool
+}
+
+// Backend is a stand-in backend server that a gateway calls directly: a plain
+// service, or an engine with one phase of disaggregated serving.
+type Backend struct {
+	// ID is the incarnation, Role is empty for a plain service.
+	ID, Role string
+	addr     string
+	headers  backend.Headers
+	srv      *http.Server
+	wg       sync.WaitGroup
+	group    *BackendGroup
+
+	mu       sync.Mutex
+	arrivals []Arrival
+	fault    func(r *http.Request) Fault
+	prefill  time.Duration
+	event    time.Duration
+	events   int
+	running  int
+}
+
+// BackendGroup is a set of engines that pass KV caches to each other.
+type BackendGroup struct {
+	mu      sync.Mutex
+	handles map[string]string // request ID by "address/handle"
+	next    int
+}
+
+// NewBackendGroup returns an empty group.
+func NewBackendGroup() *BackendGroup { return &BackendGroup{handles: map[string]string{}} }
+
+// Held returns the number of KV caches that nobody has taken.
+func (g *BackendGroup) Held() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.handles)
+}
+
+// StartBackend serves at a free port of the loopback address, or at addr.
+func (g *BackendGroup) StartBackend(addr, id, role string, headers backend.Headers) (*Backend, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("standin: backend: %w", err)
+	}
+	b := &Backend{ID: id, Role: role, addr: ln.Addr().String(), headers: headers, group: g, events: 5, event: 2 * time.Millisecond}
+	b.srv = &http.Server{Handler: http.HandlerFunc(b.serve), ReadHeaderTimeout: 5 * time.Second}
+	b.wg.Go(func() { _ = b.srv.Serve(ln) })
+	return b, nil
+}
+
+// Addr returns the IP number and port.
+func (b *Backend) Addr() string { return b.addr }
+
+// Kill ends the server at once.
+func (b *Backend) Kill() {
+	_ = b.srv.Close()
+	b.wg.Wait()
+}
+
+// SetFault sets what goes wrong; nil for nothing.
+func (b *Backend) SetFault(f func(r *http.Request) Fault) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fault = f
+}
+
+// SetPace sets the time that a prefill takes, the time between two events, and
+// the number of events.
+func (b *Backend) SetPace(prefill, event time.Duration, events int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.prefill, b.event, b.events = prefill, event, events
+}
+
+// Arrivals returns what came so far.
+func (b *Backend) Arrivals() []Arrival {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Arrival(nil), b.arrivals...)
+}
+
+// Running returns the number of requests in work.
+func (b *Backend) Running() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.running
+}
+
+func (b *Backend) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get(b.headers.RequestID)
+	w.Header().Set(b.headers.RequestID, id)
+	if handle, ok := strings.CutPrefix(r.URL.Path, "/kv/"); ok && r.Method == http.MethodDelete {
+		b.group.take(b.addr + "/" + handle)
+		return
+	}
+	if want := r.Header.Get(b.headers.ExpectInstance); want != "" && want != b.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	at := b.arrive(r, id, string(body))
+	fault := b.faultOf(r)
+	if fault == Refuse || b.Role != "" && !b.fits(r) {
+		w.Header().Set(b.headers.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if r.Header.Get(b.headers.Role) == "prefill" {
+		b.servePrefill(w, r, id)
+		return
+	}
+	b.run(at, 1)
+	defer b.run(at, -1)
+	b.answer(w, r, id, fault)
+}
+
+func (b *Backend) arrive(r *http.Request, id, body string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.arrivals = append(b.arrivals, Arrival{ID: id, Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: body})
+	return len(b.arrivals) - 1
+}
+
+func (b *Backend) run(at, change int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.arrivals[at].Ran = true
+	b.running += change
+}
+
+func (b *Backend) faultOf(r *http.Request) Fault {
+	b.mu.Lock()
+	f := b.fault
+	b.mu.Unlock()
+	if f == nil {
+		return NoFault
+	}
+	return f(r)
+}
+
+// fits tells whether an engine takes a request in its role, and has its KV
+// cache if one is named.
+func (b *Backend) fits(r *http.Request) bool {
+	if (r.Header.Get(b.headers.Role) == "prefill") != (b.Role == "prefill") {
+		return false
+	}
+	source := r.Header.Get(b.headers.KVSource)
+	return source == "" || b.group.take(source)
+}
+
+func (g *BackendGroup) take(source string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, ok := g.handles[source]
+	delete(g.handles, source)
+	return ok
+}
+
+func (b *Backend) servePrefill(w http.ResponseWriter, r *http.Request, id string) {
+	b.mu.Lock()
+	took := b.prefill
+	b.mu.Unlock()
+	select {
+	case <-time.After(took):
+	case <-r.Context().Done():
+		return
+	}
+	b.group.mu.Lock()
+	b.group.next++
+	handle := strconv.Itoa(b.group.next)
+	b.group.handles[b.addr+"/"+handle] = id
+	b.group.mu.Unlock()
+	fmt.Fprintf(w, `{"handle":%q,"tokens":1}`, handle)
+}
+
+// answer runs a request and answers it, or not.
+func (b *Backend) answer(w http.ResponseWriter, r *http.Request, id string, fault Fault) {
+	switch fault {
+	case LoseAnswer:
+		reset(w)
+		return
+	case Hang:
+		<-r.Context().Done()
+		return
+	case ForeignFirst:
+		b.foreign(w, id)
+		return
+	}
+	if fault != NoSignature {
+		w.Header().Set(b.headers.Signature, "signed-"+b.ID)
+	}
+	if b.Role == "" {
+		fmt.Fprintf(w, "answer to %s by %s", id, b.ID)
+		return
+	}
+	b.stream(w, r, fault)
+}
+
+// reset closes the connection so that the other side sees a reset.
+func reset(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// foreign writes the answer to another request, and then the right one.
+func (b *Backend) foreign(w http.ResponseWriter, id string) {
+	c, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	for _, one := range []string{"other-" + id, id} {
+		body := "answer to " + one
+		fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: signed\r\nContent-Length: %d\r\n\r\n%s",
+			b.headers.RequestID, one, b.headers.Signature, len(body), body)
+	}
+	_ = buf.Flush()
+}
+
+// stream writes events with rising IDs after the last one that the caller has.
+func (b *Backend) stream(w http.ResponseWriter, r *http.Request, fault Fault) {
+	b.mu.Lock()
+	pace, events := b.event, b.events
+	b.mu.Unlock()
+	w.Header().Set("Content-Type", "text/event-stream")
+	from, _ := strconv.Atoi(r.Header.Get(b.headers.LastEventID))
+	control := http.NewResponseController(w)
+	for n := from + 1; n <= events; n++ {
+		if fault == CutStream && n == from+3 {
+			fmt.Fprintf(w, "id: %d\nda", n)
+			_ = control.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", n, n)
+		_ = control.Flush()
+		select {
+		case <-time.After(pace):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
