--- a/app/gateway.go
+++ b/app/gateway.go
@@ -53,6 +53,7 @@
 		Seeds: withPort(part.Discovery.Seeds, port), Found: part.Discovery.Found, Voters: 2*part.Discovery.Tolerate + 1,
 	}
 	c.ElectionMin, c.HeartbeatEvery = nearElection, nearHeartbeat
+	c.Roles = control.RoleConfig{Protocol: &platform.Protocol, Share: part.Engines.PrefillShare, Lease: part.Engines.OrderLease.D()}
 }
 
 // portOf returns the port of an address that was checked before.
--- a/backend/names.go
+++ b/backend/names.go
@@ -57,4 +57,33 @@
 	ParseKV func(body []byte) (KV, error)
 	// FreeKV returns the method and path of the call that frees a KV cache.
 	FreeKV func(handle string) (method, path string)
+	// RoleOrder returns the call that changes an engine's role, and Report the
+	// call that asks for its state; ParseReport reads the answer.
+	RoleOrder   func(o RoleOrder) Call
+	Report      func() Call
+	ParseReport func(body []byte) (Report, error)
+}
+
+// Call is a call to a server that is not a caller's request.
+type Call struct {
+	Method, Path, ContentType string
+	Body                      []byte
+}
+
+// RoleOrder changes the role of an engine. Engines refuse an order whose fence
+// is below one that they have seen, or whose sequence is not theirs.
+type RoleOrder struct {
+	Role   string
+	Holder string
+	Fence  uint64
+	// Sequence is the number of orders that the engine has taken before.
+	Sequence uint64
+}
+
+// Report is the state of an engine.
+type Report struct {
+	Role string
+	// Busy tells that an order is under way.
+	Busy     bool
+	Sequence uint64
 }
--- a/config/config.go
+++ b/config/config.go
@@ -105,8 +105,22 @@
 	// API is the address at which servers register and operators put routing
 	// tables.
 	API string `yaml:"api,omitempty"`
+	// Engines is how the leader gives the engines that gateways drive their
+	// roles.
+	Engines Engines `yaml:"engines,omitempty"`
 }
 
+// Engines is how engines get their roles.
+type Engines struct {
+	// PrefillShare is the share of prefill engines before there is any load.
+	PrefillShare float64 `yaml:"prefill_share,omitempty" check:"min=0,max=1"`
+	// OrderLease is the time that must pass between orders of two leaders.
+	OrderLease strict.Duration `yaml:"order_lease,omitempty" check:"min=0,max=3600000000000"`
+}
+
+// DefaultEngines is used where the file says nothing.
+var DefaultEngines = Engines{PrefillShare: 0.33, OrderLease: strict.Duration(3 * time.Second)}
+
 // Discovery is how control replicas find each other.
 type Discovery struct {
 	// Seeds are addresses of some replicas. Only the IP numbers count: links
@@ -174,6 +188,9 @@
 	if f.Gateway != nil && f.Gateway.Retry.Window == 0 {
 		f.Gateway.Retry = DefaultRetry
 	}
+	if f.Control != nil && f.Control.Engines == (Engines{}) {
+		f.Control.Engines = DefaultEngines
+	}
 	c := checker{path: path, file: f}
 	c.roles()
 	c.addresses()
--- a/control/control.go
+++ b/control/control.go
@@ -42,6 +42,8 @@
 	// Discovery is set where replicas find each other by seeds; Members is
 	// empty then, and Name is the link address.
 	Discovery *Discovery
+	// Roles is how engines that gateways drive get their roles.
+	Roles RoleConfig
 	// ElectionMin is the least silence of a leader before an election, and
 	// HeartbeatEvery the time between a leader's heartbeats; the usual if zero.
 	ElectionMin, HeartbeatEvery time.Duration
@@ -418,6 +420,7 @@
 }
 
 func (c *Control) noteLeadership(now time.Time) {
+	c.hub.setLeader(baseName(c.node.Leader()))
 	leads := c.node.Lead(now)
 	if leads == c.led {
 		return
--- a/control/disk.go
+++ b/control/disk.go
@@ -39,6 +39,9 @@
 	c.hub.setTable(c.state.Table(), false)
 	c.mu.Unlock()
 	c.wg.Go(c.hubLoop)
+	if c.cfg.Roles.Protocol != nil {
+		c.wg.Go(c.roleLoop)
+	}
 	c.tickLoop()
 }
 
--- a/control/hub.go
+++ b/control/hub.go
@@ -4,7 +4,9 @@
 	"sync"
 	"time"
 
+	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/roles"
 	"github.com/ledgepin/ledgepin/route"
 	"github.com/ledgepin/ledgepin/wire"
 )
@@ -30,10 +32,20 @@
 	peers    map[*wire.Link]bool // links that other replicas have opened
 	table    *route.Table
 	replicas []string
+	leader   string
+	away     map[string]awayEngine
 	aliveAt  time.Time
 	loadsAt  time.Time
 }
 
+// awayEngine is an engine that is changing its role.
+type awayEngine struct {
+	role string
+	// back is the soonest that it can be back, and given the latest that it is
+	// waited for.
+	back, given time.Time
+}
+
 // gatewayState is what the hub knows of one gateway.
 type gatewayState struct {
 	told      uint64
@@ -45,7 +57,7 @@
 }
 
 func newHub() *hub {
-	return &hub{servers: registry.New(serverKeep), gateways: map[*wire.Link]*gatewayState{}, peers: map[*wire.Link]bool{}}
+	return &hub{servers: registry.New(serverKeep), gateways: map[*wire.Link]*gatewayState{}, peers: map[*wire.Link]bool{}, away: map[string]awayEngine{}}
 }
 
 // addGateway starts telling a gateway.
@@ -54,6 +66,7 @@
 	defer h.mu.Unlock()
 	h.gateways[l] = &gatewayState{}
 	_ = l.Send(&wire.Message{Servers: &wire.Servers{List: h.servers.List(time.Now())}})
+	_ = l.Send(&wire.Message{Servers: &wire.Servers{Away: h.awayList(time.Now())}})
 	h.tellTable(l, h.gateways[l], fresh)
 	h.sendReplicas()
 }
@@ -70,7 +83,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.peers[l] = true
-	_ = l.Send(&wire.Message{Replicas: &wire.Replicas{Addresses: h.replicas, Gateways: len(h.gateways)}})
+	_ = l.Send(&wire.Message{Replicas: &wire.Replicas{Addresses: h.replicas, Gateways: len(h.gateways), Leader: h.leader}})
 	_ = l.Send(&wire.Message{Servers: &wire.Servers{List: h.servers.List(time.Now())}})
 }
 
@@ -165,8 +178,19 @@
 	h.sendReplicas()
 }
 
+// setLeader takes which replica leads, and tells it on if it is news.
+func (h *hub) setLeader(address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if address == "" || address == h.leader {
+		return
+	}
+	h.leader = address
+	h.sendReplicas()
+}
+
 func (h *hub) sendReplicas() {
-	m := &wire.Message{Replicas: &wire.Replicas{Addresses: h.replicas, Gateways: len(h.gateways)}}
+	m := &wire.Message{Replicas: &wire.Replicas{Addresses: h.replicas, Gateways: len(h.gateways), Leader: h.leader}}
 	h.toGateways(m)
 	for l := range h.peers {
 		_ = l.Send(m)
@@ -263,3 +287,98 @@
 	defer h.mu.Unlock()
 	return h.servers.List(time.Now())
 }
+
+// setAway tells all gateways that an engine changes its role.
+func (h *hub) setAway(id, role string, least time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	h.away[id] = awayEngine{role: role, back: now.Add(least), given: now.Add(least + awayLimit)}
+	h.toGateways(&wire.Message{Servers: &wire.Servers{Away: h.awayList(now)}})
+}
+
+// awayLimit is how long an engine is waited for beyond the least time: its runs
+// come to their end first.
+const awayLimit = 10 * time.Second
+
+// awayList returns the engines that are away, and forgets those that are back
+// or are not waited for any more. Callers hold the lock.
+func (h *hub) awayList(now time.Time) []wire.Away {
+	var out []wire.Away
+	for id, a := range h.away {
+		s, known := h.servers.Get(id)
+		done := known && s.Role == a.role && now.After(a.back)
+		if !known || done || now.After(a.given) {
+			delete(h.away, id)
+			continue
+		}
+		out = append(out, wire.Away{Server: id, Role: a.role, For: max(a.back.Sub(now), 0)})
+	}
+	return out
+}
+
+// engines returns the engines of each service for the planner, with what all
+// gateways have reserved there.
+func (h *hub) engines(now time.Time) map[string][]roles.Engine {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.awayList(now)
+	sum := map[string]wire.EngineLoad{}
+	for _, g := range h.gateways {
+		for _, e := range g.loads {
+			sum[e.Server] = addLoad(sum[e.Server], e, 1)
+		}
+	}
+	out := map[string][]roles.Engine{}
+	for _, s := range h.servers.List(now) {
+		if s.Role == "" || s.State != registry.Ready {
+			continue
+		}
+		e := roles.Engine{ID: s.ID, Zone: s.Zone, Role: s.Role, Busy: sum[s.ID].Prefill > 0, Used: h.used(s.Service, sum[s.ID])}
+		if a, ok := h.away[s.ID]; ok {
+			e.Role, e.Away = a.role, true
+		}
+		out[s.Service] = append(out[s.Service], e)
+	}
+	return out
+}
+
+// used returns the share of an engine that its runs fill, by memory or by
+// slots.
+func (h *hub) used(service string, l wire.EngineLoad) float64 {
+	if h.table == nil {
+		return 0
+	}
+	for i := range h.table.Services {
+		s := &h.table.Services[i]
+		if s.Name != service || s.Engine == nil {
+			continue
+		}
+		memory := float64(l.Tokens) / (dispatch.MemoryUse * float64(max(s.Engine.KVTokens, 1)))
+		slots := float64(l.Runs) / float64(max(s.Engine.Slots, 1))
+		return max(memory, slots)
+	}
+	return 0
+}
+
+// engineOf returns what the table says of the engines of a service.
+func (h *hub) engineOf(service string) (route.Engine, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.table == nil {
+		return route.Engine{}, false
+	}
+	for i := range h.table.Services {
+		if s := &h.table.Services[i]; s.Name == service && s.Engine != nil {
+			return *s.Engine, true
+		}
+	}
+	return route.Engine{}, false
+}
+
+// get returns a server by the name of its incarnation.
+func (h *hub) get(id string) (registry.Server, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.servers.Get(id)
+}
--- /dev/null
+++ b/control/roles.go
@@ -0,0 +1,153 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/ledgepin/ledgepin/backend"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/roles"
+)
+
+// RoleConfig is how the leader gives engines their roles.
+type RoleConfig struct {
+	// Protocol is what engines speak; no orders are given without it.
+	Protocol *backend.Protocol
+	// Share is the share of prefill engines while there is no load.
+	Share float64
+	// Lease is the time that must pass between the orders of two leaders.
+	Lease time.Duration
+}
+
+// Times of role orders.
+const (
+	planEvery    = 250 * time.Millisecond
+	orderTimeout = time.Second
+	// leaseMargin is added to the lease: the order of the leader before may
+	// have been on its way.
+	leaseMargin = 700 * time.Millisecond
+	maxReport   = 64 << 10
+	// firstTerm is the term of the first leader of a group.
+	firstTerm = 2
+)
+
+// roleLoop plans while this replica leads.
+func (c *Control) roleLoop() {
+	pool := backend.NewPool()
+	defer pool.Close()
+	planners := map[string]*roles.Planner{}
+	var ledSince time.Time
+	t := time.NewTicker(planEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-t.C:
+		}
+		now := time.Now()
+		fence, ok := c.fence(now)
+		if !ok {
+			ledSince = time.Time{}
+			clear(planners)
+			continue
+		}
+		if ledSince.IsZero() {
+			ledSince = now
+		}
+		wait := c.cfg.Roles.Lease + leaseMargin
+		if fence <= firstTerm {
+			wait = 0 // nobody has led before
+		}
+		for service, engines := range c.hub.engines(now) {
+			p := planners[service]
+			if p == nil {
+				p = &roles.Planner{Share: c.cfg.Roles.Share}
+				planners[service] = p
+			}
+			if now.Sub(ledSince) < wait {
+				continue
+			}
+			if o, ok := p.Plan(now, engines); ok {
+				c.orderRole(pool, service, o)
+			}
+		}
+	}
+}
+
+// fence returns the term as a fence while this replica leads under its lease.
+func (c *Control) fence(now time.Time) (uint64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.node == nil || !c.node.Lead(now) {
+		return 0, false
+	}
+	return c.node.Term(), true
+}
+
+// orderRole gives one order. The engine is asked first how many orders it has
+// taken, so that this one has no effect if it is carried out after another.
+func (c *Control) orderRole(pool *backend.Pool, service string, o roles.Order) {
+	s, known := c.hub.get(o.Engine)
+	engine, ok := c.hub.engineOf(service)
+	if !known || !ok {
+		return
+	}
+	status, err := c.giveOrder(pool, s, o)
+	event.RoleOrdered.Log(c.log, "server", s.ID, "role", o.Role, "status", status, "error", err, "prefill", o.Prefill,
+		"decode", o.Decode, "prefill_use", o.PrefillUse, "decode_use", o.DecodeUse, "want", o.Want)
+	if status == http.StatusAccepted || errors.Is(err, errNoAnswer) {
+		c.hub.setAway(s.ID, o.Role, engine.RoleSwitch)
+	}
+}
+
+// errNoAnswer tells that an order was sent and may be carried out.
+var errNoAnswer = errors.New("control: no answer to an order")
+
+func (c *Control) giveOrder(pool *backend.Pool, s registry.Server, o roles.Order) (int, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
+	defer cancel()
+	protocol := c.cfg.Roles.Protocol
+	status, body, err := c.call(ctx, pool, s, protocol.Report())
+	if err != nil || status != http.StatusOK {
+		return status, fmt.Errorf("report: %w", err)
+	}
+	report, err := protocol.ParseReport(body)
+	if err != nil || report.Busy || report.Role == o.Role {
+		return 0, err
+	}
+	fence, ok := c.fence(time.Now())
+	if !ok {
+		return 0, nil
+	}
+	status, _, err = c.call(ctx, pool, s, protocol.RoleOrder(backend.RoleOrder{
+		Role: o.Role, Holder: c.cfg.Name, Fence: fence, Sequence: report.Sequence,
+	}))
+	var be *backend.Error
+	if errors.As(err, &be) && be.Sent {
+		return 0, errNoAnswer
+	}
+	return status, err
+}
+
+func (c *Control) call(ctx context.Context, pool *backend.Pool, s registry.Server, call backend.Call) (int, []byte, error) {
+	h := &c.cfg.Roles.Protocol.Headers
+	r := backend.Request{Address: s.Address, Method: call.Method, Target: call.Path, Host: s.Address, Header: http.Header{}, Body: call.Body}
+	r.Header.Set(h.ExpectInstance, s.ID)
+	if call.ContentType != "" {
+		r.Header.Set("Content-Type", call.ContentType)
+	}
+	a, err := pool.Do(ctx, h, r)
+	if err != nil {
+		return 0, nil, err
+	}
+	body, err := a.ReadAll(maxReport)
+	if err != nil {
+		return 0, nil, &backend.Error{Sent: true, Cause: err}
+	}
+	return a.Status, body, nil
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -38,6 +38,10 @@
 	health  health
 	heardAt time.Time
 	gone    bool
+	// away is the role that an engine is changing to, if it is; it is back no
+	// sooner than backAt, and is used as it is after awayUntil.
+	away              string
+	backAt, awayUntil time.Time
 }
 
 // Fleet is all servers that a gateway knows.
@@ -124,7 +128,7 @@
 
 // listed tells whether a server may get new work.
 func (s *Server) listed(now time.Time) bool {
-	if s.gone || s.State != registry.Ready {
+	if s.gone || s.State != registry.Ready || s.isAway(now) {
 		return false
 	}
 	return now.Sub(s.heardAt) < silentAfter || now.Sub(s.health.lastGood) < provenFor
@@ -136,6 +140,28 @@
 	return s != nil && s.listed(now)
 }
 
+// awayLimit is how long an engine is left alone beyond the least time that a
+// change of its role takes.
+const awayLimit = 10 * time.Second
+
+// Away takes that an engine changes its role, which takes at least a time.
+func (f *Fleet) Away(now time.Time, id, role string, least time.Duration) {
+	if s := f.servers[id]; s != nil {
+		s.away, s.backAt, s.awayUntil = role, now.Add(least), now.Add(least+awayLimit)
+	}
+}
+
+func (s *Server) isAway(now time.Time) bool {
+	if s.away == "" {
+		return false
+	}
+	if s.Role == s.away && !now.Before(s.backAt) || now.After(s.awayUntil) {
+		s.away = ""
+		return false
+	}
+	return true
+}
+
 // Sweep forgets servers that have been silent for long.
 func (f *Fleet) Sweep(now time.Time) {
 	for id, s := range f.servers {
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -19,10 +19,10 @@
 
 // Constants of placement.
 const (
-	// memoryUse is the part of an engine's memory that reservations may fill.
+	// MemoryUse is the part of an engine's memory that reservations may fill.
 	// A reservation counts the tokens at the end of a run, which most runs have
 	// not reached yet.
-	memoryUse = 1.25
+	MemoryUse = 1.25
 	// blindShare is the part of the average that a gateway that is not heard is
 	// taken to have reserved.
 	blindShare = 0.7
@@ -155,7 +155,7 @@
 	if e.Slots > 0 && s.Own.Runs+s.Others.Runs >= e.Slots {
 		return false
 	}
-	limit := memoryUse * float64(e.KVTokens)
+	limit := MemoryUse * float64(e.KVTokens)
 	used := float64(f.used(s))
 	if used == 0 {
 		return float64(w.tokens()) <= float64(e.KVTokens)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -117,6 +117,11 @@
 	OrderFailed = define("LP4010", fail, "order failed", "The engine could not carry out an order.", "Look at the engine's log.")
 )
 
+// RoleOrdered is an order to an engine that gateways drive.
+var RoleOrdered = define("LP4012", info, "engine ordered to another role",
+	"The leader has ordered an engine to read prompts or to make answers; the line has the balance that led to it.",
+	"Many of them: the load changes faster than engines can, or engines come and go.")
+
 // Claims.
 var (
 	VoterCold = define("LP5001", info, "claim voter recovers",
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -55,6 +55,18 @@
 	f.serve()
 }
 
+// away takes which engines are changing their role.
+func (f *fleet) away(list []wire.Away) {
+	if len(list) == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range list {
+		f.view.Away(time.Now(), a.Server, a.Role, a.For)
+	}
+}
+
 func (f *fleet) sweep(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -43,6 +43,7 @@
 	loads   map[string]map[string]dispatch.Load
 	sharing map[string]int
 	hub     string
+	leader  string
 	// waiting is a table that no replica has vouched for yet.
 	waiting *route.Table
 }
@@ -124,6 +125,7 @@
 	switch {
 	case m.Servers != nil:
 		l.g.fleet.update(m.Servers.List)
+		l.g.fleet.away(m.Servers.Away)
 	case m.Routes != nil:
 		l.routes(m.Routes)
 	case m.Replicas != nil:
@@ -132,6 +134,9 @@
 		if len(m.Replicas.Addresses) > 0 {
 			l.members = m.Replicas.Addresses
 		}
+		if m.Replicas.Leader != "" {
+			l.leader = m.Replicas.Leader
+		}
 		l.sync()
 		l.share()
 		l.mu.Unlock()
@@ -207,9 +212,9 @@
 	return l.peak
 }
 
-// hubLink returns the link over which reservations are shared: the replica with
-// the lowest address, so that most gateways use the same. Callers hold the
-// lock.
+// hubLink returns the link over which reservations are shared: the leader's, or
+// else that of the replica with the lowest address, so that most gateways use
+// the same. Callers hold the lock.
 func (l *links) hubLink() *wire.Link {
 	best := ""
 	for a, p := range l.peers {
@@ -217,6 +222,9 @@
 			best = a
 		}
 	}
+	if p := l.peers[l.leader]; p != nil && p.link != nil {
+		best = l.leader
+	}
 	if best == "" {
 		l.hub = ""
 		return nil
--- /dev/null
+++ b/roles/roles.go
@@ -0,0 +1,193 @@
+// Package roles decides which engines of a service read prompts and which make
+// answers.
+//
+// An engine that changes its role is away for seconds, so changes are rare: one
+// at a time, and only if the balance is off by more than half an engine. It is
+// plain state: the time and what is known are arguments.
+package roles
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/ledgepin/ledgepin/registry"
+)
+
+// Engine is one engine that takes requests, or is about to.
+type Engine struct {
+	ID, Zone string
+	// Role is the role that it has, or will have once a change is done.
+	Role string
+	// Away tells that a change of its role is under way.
+	Away bool
+	// Busy tells that a prefill engine has prompts to read; Used is the share
+	// of a decode engine that its runs fill.
+	Busy bool
+	Used float64
+}
+
+// Order is a change of one engine's role.
+type Order struct {
+	Engine string
+	Role   string
+	// Why tells the balance that led to it: the engines of each role, how busy
+	// they are, and how many prefill engines are wanted.
+	Prefill, Decode int
+	PrefillUse      float64
+	DecodeUse       float64
+	Want            float64
+}
+
+// Constants of the planner.
+const (
+	// memoryTime is the time over which use is averaged.
+	memoryTime = 5 * time.Second
+	// leastUse is the use of the decode engines below which the balance says
+	// nothing.
+	leastUse = 0.4
+	// balance is the use of prefill engines over that of decode engines that
+	// is aimed at: a prompt that waits is late, a run that waits is refused.
+	balance = 0.75
+	// offBy is the number of engines that the balance must be off by.
+	offBy = 0.8
+	// between is the least time between two orders for a service.
+	between = 8 * time.Second
+	// settled is how long the set of engines must stay the same before the
+	// first order.
+	settled = 1500 * time.Millisecond
+)
+
+// Planner plans for one service.
+type Planner struct {
+	// Share is the share of prefill engines while there is no load to tell.
+	Share float64
+
+	prefillUse, decodeUse float64
+	seenAt                time.Time
+	orderedAt             time.Time
+	changedAt             time.Time
+	count                 int
+	// loaded tells that there has been load since the start. Before, engines
+	// are not missed, and several may change their roles at once.
+	loaded bool
+}
+
+// Plan takes what is known now and returns the next order, if there is one.
+func (p *Planner) Plan(now time.Time, engines []Engine) (Order, bool) {
+	prefill, decode, away := split(engines)
+	p.observe(now, prefill, decode)
+	if len(engines) != p.count {
+		p.count, p.changedAt = len(engines), now
+	}
+	p.loaded = p.loaded || p.decodeUse >= leastUse
+	if now.Sub(p.changedAt) < settled || p.loaded && (away || now.Sub(p.orderedAt) < between) {
+		return Order{}, false
+	}
+	want := p.want(len(prefill), len(engines))
+	o := Order{Prefill: len(prefill), Decode: len(decode), PrefillUse: p.prefillUse, DecodeUse: p.decodeUse, Want: want}
+	switch off := want - float64(len(prefill)); {
+	case off < -offBy && len(prefill) > 1:
+		o.Engine, o.Role = surplus(prefill), registry.Decode
+	case off > offBy && len(decode) > 1:
+		o.Engine, o.Role = lightest(decode, prefill), registry.Prefill
+	default:
+		return Order{}, false
+	}
+	p.orderedAt = now
+	return o, true
+}
+
+func split(engines []Engine) (prefill, decode []Engine, away bool) {
+	for _, e := range engines {
+		away = away || e.Away
+		switch e.Role {
+		case registry.Prefill:
+			prefill = append(prefill, e)
+		case registry.Decode:
+			decode = append(decode, e)
+		}
+	}
+	return prefill, decode, away
+}
+
+// observe averages how busy the engines of each role are.
+func (p *Planner) observe(now time.Time, prefill, decode []Engine) {
+	passed := now.Sub(p.seenAt)
+	p.seenAt = now
+	if passed > memoryTime || passed <= 0 {
+		passed = 0
+	}
+	part := float64(passed) / float64(memoryTime)
+	p.prefillUse += part * (busy(prefill) - p.prefillUse)
+	p.decodeUse += part * (used(decode) - p.decodeUse)
+}
+
+func busy(list []Engine) float64 {
+	n := 0.0
+	for _, e := range list {
+		if e.Busy {
+			n++
+		}
+	}
+	return n / float64(max(len(list), 1))
+}
+
+func used(list []Engine) float64 {
+	sum := 0.0
+	for _, e := range list {
+		sum += e.Used
+	}
+	return sum / float64(max(len(list), 1))
+}
+
+// want returns the number of prefill engines at which both roles would be full
+// at the same load.
+func (p *Planner) want(prefill, all int) float64 {
+	if prefill == 0 {
+		return 1
+	}
+	if p.decodeUse < leastUse {
+		if p.loaded {
+			return float64(prefill) // what the load asked for stays
+		}
+		return math.Max(math.Round(p.Share*float64(all)), 1)
+	}
+	return float64(prefill) * p.prefillUse / p.decodeUse / balance
+}
+
+// surplus returns a prefill engine of the zone that has most of them.
+func surplus(prefill []Engine) string {
+	zones := map[string]int{}
+	for _, e := range prefill {
+		zones[e.Zone]++
+	}
+	sort.Slice(prefill, func(i, j int) bool {
+		a, b := prefill[i], prefill[j]
+		if zones[a.Zone] != zones[b.Zone] {
+			return zones[a.Zone] > zones[b.Zone]
+		}
+		return a.ID < b.ID
+	})
+	return prefill[0].ID
+}
+
+// lightest returns the least used decode engine, of a zone with few prefill
+// engines if there is one.
+func lightest(decode, prefill []Engine) string {
+	zones := map[string]int{}
+	for _, e := range prefill {
+		zones[e.Zone]++
+	}
+	sort.Slice(decode, func(i, j int) bool {
+		a, b := decode[i], decode[j]
+		if zones[a.Zone] != zones[b.Zone] {
+			return zones[a.Zone] < zones[b.Zone]
+		}
+		if a.Used != b.Used {
+			return a.Used < b.Used
+		}
+		return a.ID < b.ID
+	})
+	return decode[0].ID
+}
--- /dev/null
+++ b/roles/roles_test.go
@@ -0,0 +1,89 @@
+package roles_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/roles"
+)
+
+// engines returns p prefill engines, some of them busy, and d decode engines
+// over three zones.
+func engines(p, d, busy int, used float64) []roles.Engine {
+	var out []roles.Engine
+	for i := range p {
+		out = append(out, roles.Engine{ID: fmt.Sprintf("p%d", i), Zone: fmt.Sprint("z", i%3), Role: registry.Prefill, Busy: i < busy})
+	}
+	for i := range d {
+		out = append(out, roles.Engine{ID: fmt.Sprintf("d%d", i), Zone: fmt.Sprint("z", i%3), Role: registry.Decode, Used: used})
+	}
+	return out
+}
+
+// run plans for a while and returns the first order.
+func run(p *roles.Planner, now *time.Time, list []roles.Engine, d time.Duration) (roles.Order, bool) {
+	for end := now.Add(d); now.Before(end); *now = now.Add(100 * time.Millisecond) {
+		if o, ok := p.Plan(*now, list); ok {
+			return o, true
+		}
+	}
+	return roles.Order{}, false
+}
+
+func TestPlan(t *testing.T) {
+	tests := []struct {
+		name    string
+		engines []roles.Engine
+		share   float64
+		role    string
+	}{
+		{"no load: the share of the settings", engines(4, 5, 0, 0), 0.33, registry.Decode},
+		{"no load, and the share is met", engines(3, 6, 0, 0), 0.33, ""},
+		{"balanced", engines(3, 6, 2, 0.9), 0.33, ""},
+		{"decode engines full, prefill engines idle", engines(3, 6, 0, 1), 0.33, registry.Decode},
+		{"prefill engines full, decode engines half empty", engines(1, 8, 1, 0.5), 0.11, registry.Prefill},
+		{"the last prefill engine stays", engines(1, 8, 0, 1), 0.11, ""},
+		{"no prefill engine at all", engines(0, 9, 0, 0.5), 0.33, registry.Prefill},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := &roles.Planner{Share: tt.share}
+			now := time.Unix(1000, 0)
+			o, _ := run(p, &now, tt.engines, 20*time.Second)
+			assert.Equal(t, o.Role, tt.role)
+		})
+	}
+}
+
+// TestOneAtATime wants no second order while an engine is away, nor soon after.
+func TestOneAtATime(t *testing.T) {
+	p := &roles.Planner{Share: 0.44}
+	now := time.Unix(1000, 0)
+	list := engines(4, 5, 0, 1)
+	o, ok := run(p, &now, list, 10*time.Second)
+	assert.Assert(t, ok)
+	for i := range list {
+		if list[i].ID == o.Engine {
+			list[i].Role, list[i].Away = o.Role, true
+		}
+	}
+	_, ok = run(p, &now, list, 30*time.Second)
+	assert.Assert(t, !ok, "an order while an engine is away")
+}
+
+// TestBlipIsNoReason wants an engine that is lost for a second to change
+// nothing.
+func TestBlipIsNoReason(t *testing.T) {
+	p := &roles.Planner{Share: 0.33}
+	now := time.Unix(1000, 0)
+	_, ok := run(p, &now, engines(3, 6, 2, 0.9), 10*time.Second)
+	assert.Assert(t, !ok)
+	_, ok = run(p, &now, engines(2, 6, 2, 0.9), time.Second)
+	assert.Assert(t, !ok)
+	_, ok = run(p, &now, engines(3, 6, 2, 0.9), 10*time.Second)
+	assert.Assert(t, !ok)
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -287,6 +287,16 @@
 // Servers brings reports of backend servers.
 type Servers struct {
 	List []registry.Server `cbor:"1,keyasint"`
+	// Away are engines that are changing their role.
+	Away []Away `cbor:"2,keyasint,omitempty"`
+}
+
+// Away is an engine that takes no requests until it has another role.
+type Away struct {
+	Server string `cbor:"1,keyasint"`
+	Role   string `cbor:"2,keyasint"`
+	// For is the least time that it takes.
+	For time.Duration `cbor:"3,keyasint"`
 }
 
 // Replicas tells the link addresses of all control replicas.
@@ -294,6 +304,8 @@
 	Addresses []string `cbor:"1,keyasint"`
 	// Gateways is the number of gateways that have a link to the sender.
 	Gateways int `cbor:"2,keyasint"`
+	// Leader is the link address of the leader as the sender knows it.
+	Leader string `cbor:"3,keyasint,omitempty"`
 }
 
 // Loads tells what gateways have reserved at engines, so that each of them
