--- a/control/discovery.go
+++ b/control/discovery.go
@@ -115,9 +115,12 @@
 	}
 }
 
-// meet opens links to replicas that this one has heard of. Callers hold the
-// lock.
+// meet opens links to replicas that this one has heard of, once it knows its own
+// identity: a link tells it to the other side. Callers hold the lock.
 func (c *Control) meet(addresses []string) {
+	if c.id == "" {
+		return
+	}
 	for _, a := range addresses {
 		if _, ok := c.out[a]; !ok && a != c.cfg.Name {
 			c.dialPeer(a, a)
--- /dev/null
+++ b/control/discovery_test.go
@@ -0,0 +1,286 @@
+package control_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/control"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/internal/freeport"
+	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/route"
+)
+
+const electionMin = 300 * time.Millisecond
+
+// node is one replica that finds the others by seeds.
+type node struct {
+	addr  string
+	dir   string
+	found bool
+	proc  *control.Control
+	srv   *http.Server
+	flaky *member
+}
+
+// cell is a group of such replicas; the first three are the seeds.
+type cell struct {
+	t     *testing.T
+	nodes []*node
+	seeds []string
+}
+
+func newCell(t *testing.T, n int) *cell {
+	t.Helper()
+	c := &cell{t: t}
+	for range n {
+		c.prepare(true)
+	}
+	for _, n := range c.nodes[:3] {
+		c.seeds = append(c.seeds, n.addr)
+	}
+	for _, n := range c.nodes {
+		c.start(n)
+	}
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			n.stop()
+		}
+	})
+	return c
+}
+
+func (c *cell) prepare(found bool) *node {
+	n := &node{addr: freeport.Addr(c.t), dir: c.t.TempDir(), found: found, flaky: &member{}}
+	c.nodes = append(c.nodes, n)
+	return n
+}
+
+func (c *cell) start(n *node) {
+	c.t.Helper()
+	p, err := control.Start(control.Config{
+		Name: n.addr, Zone: "z", Dir: n.dir, Log: quiet, SnapshotEvery: 20, OpenFile: n.flaky.open,
+		Discovery:   &control.Discovery{Seeds: c.seeds, Found: n.found, Voters: 5},
+		ElectionMin: electionMin, HeartbeatEvery: 50 * time.Millisecond,
+	})
+	assert.NilError(c.t, err)
+	ln, err := net.Listen("tcp", n.addr)
+	assert.NilError(c.t, err)
+	n.proc, n.srv = p, &http.Server{Handler: p.Handler()}
+	srv := n.srv
+	go func() { _ = srv.Serve(ln) }()
+}
+
+func (n *node) stop() {
+	if n.proc == nil {
+		return
+	}
+	_ = n.srv.Close()
+	n.proc.Close()
+	n.proc = nil
+}
+
+// put gives a table to any replica until one has taken it.
+func (c *cell) put(version uint64) {
+	c.t.Helper()
+	t := &route.Table{Version: version, Source: []byte{byte(version)}}
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		for _, n := range c.nodes {
+			if n.proc != nil && n.proc.PutTable(context.Background(), t) == nil {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("no replica takes the table")
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+// holds wants every running replica to answer with a version or not at all,
+// and at least one to answer. A follower may be behind by the election time.
+func (c *cell) holds(version uint64) {
+	c.t.Helper()
+	current := time.Now().Add(electionMin)
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		answered := 0
+		for _, n := range c.nodes {
+			if n.proc == nil {
+				continue
+			}
+			t, err := n.proc.Table()
+			if err != nil {
+				continue
+			}
+			if t == nil || t.Version != version || t.Source[0] != byte(version) {
+				if time.Now().Before(current) {
+					return poll.Continue("behind")
+				}
+				return poll.Error(errOld)
+			}
+			answered++
+		}
+		if answered == 0 {
+			return poll.Continue("nobody answers")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+var errOld = fault.New(fault.Internal, fault.StepSettings, "", "an older table")
+
+// voters waits until the group has a number of voters, each of them the present
+// identity of a running replica.
+func (c *cell) voters(want int) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(l poll.LogT) poll.Result {
+		var running []string
+		var leader consensus.Status
+		for _, n := range c.nodes {
+			if n.proc == nil {
+				continue
+			}
+			s := n.proc.Status()
+			running = append(running, s.ID)
+			if s.Lease {
+				leader = s
+			}
+		}
+		for _, n := range c.nodes {
+			if n.proc != nil {
+				l.Logf("%+v", n.proc.Dump())
+			}
+		}
+		gone := func(id string) bool { return !slices.Contains(running, id) }
+		if len(leader.Members.Voters) != want || slices.ContainsFunc(leader.Members.Voters, gone) {
+			return poll.Continue("voters %v, running %v, leader %+v", leader.Members.Voters, running, leader)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+// TestDiscoveredGroup takes a group from its first start through the losses
+// that it must bear: all processes at once, two disks while all lose power, and
+// a machine replaced at another address.
+func TestDiscoveredGroup(t *testing.T) {
+	c := newCell(t, 5)
+	c.voters(5)
+	c.put(1)
+	c.put(7)
+	c.put(3) // overtaken: acknowledged, without effect
+	c.holds(7)
+
+	for _, n := range c.nodes {
+		n.stop()
+		n.found = false
+	}
+	for _, n := range c.nodes {
+		c.start(n)
+	}
+	c.holds(7)
+
+	for i, n := range c.nodes {
+		n.stop()
+		if i == 0 || i == 3 {
+			n.dir = t.TempDir()
+		}
+	}
+	for _, n := range c.nodes {
+		c.start(n)
+	}
+	c.holds(7)
+	c.voters(5)
+
+	c.nodes[1].stop()
+	c.start(c.prepare(false))
+	c.voters(5)
+	c.put(8)
+	// The first two of the five that are left may go now.
+	c.nodes[2].stop()
+	c.nodes[4].stop()
+	c.put(9)
+	c.holds(9)
+}
+
+// TestTables wants a table refused that is not valid, and one that nobody may
+// have seen left without a clear answer.
+func TestTables(t *testing.T) {
+	c := newCell(t, 3)
+	c.put(1)
+	bad := &route.Table{Version: 2, Routes: []route.Route{{Name: "r"}}}
+	for _, n := range c.nodes {
+		assert.Assert(t, fault.Is(n.proc.PutTable(context.Background(), bad), fault.BadSettings))
+	}
+	c.holds(1)
+	c.nodes[0].stop()
+	c.nodes[1].stop()
+	err := c.nodes[2].proc.PutTable(context.Background(), &route.Table{Version: 5})
+	assert.Assert(t, fault.Is(err, fault.NotLeader) || fault.Is(err, fault.ChangeUnknown), "%v", err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := c.nodes[2].proc.Table(); err == nil {
+			return poll.Continue("a replica that is alone answers a read")
+		}
+		return poll.Success()
+	})
+	assert.NilError(t, c.nodes[2].proc.PutTable(context.Background(), &route.Table{Version: 1}), "what is committed is acknowledged again")
+}
+
+// TestFullDisk wants a replica whose disk was full to take part again.
+func TestFullDisk(t *testing.T) {
+	c := newCell(t, 3)
+	c.voters(3)
+	c.put(1)
+	full := c.nodes[0]
+	full.flaky.flaky.fill()
+	c.put(2)
+	c.put(3)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		s := full.proc.Status()
+		if s.Failed || s.Commit == 0 || s.Leader == "" {
+			return poll.Continue("it does not take part")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+	c.nodes[1].stop()
+	c.put(4)
+	c.holds(4)
+}
+
+// TestReportsReachAllReplicas wants the word of a leaving server known at every
+// replica, and a replica that nobody hears to say so.
+func TestReportsReachAllReplicas(t *testing.T) {
+	c := newCell(t, 3)
+	c.voters(3)
+	s := registry.Server{ID: "i", Service: "s", Address: "127.0.0.1:9", State: registry.Ready, Sequence: 1}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !c.nodes[0].proc.Report(s) {
+			return poll.Continue("nobody hears it")
+		}
+		return poll.Success()
+	})
+	s.State, s.Sequence = registry.Draining, 2
+	c.nodes[0].proc.Report(s)
+	for _, n := range c.nodes {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			for _, got := range n.proc.Servers() {
+				if got.ID == "i" && got.State == registry.Draining {
+					return poll.Success()
+				}
+			}
+			return poll.Continue("%s has not heard it", n.addr)
+		})
+	}
+	c.nodes[1].stop()
+	c.nodes[2].stop()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c.nodes[0].proc.Report(s) {
+			return poll.Continue("it takes the word of a server though it is alone")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+}
--- a/control/disk.go
+++ b/control/disk.go
@@ -35,6 +35,9 @@
 	event.Started.Log(c.log, "id", c.id)
 	c.mu.Lock()
 	c.meet(c.cfg.Discovery.Seeds)
+	for id := range c.seen {
+		c.meet([]string{baseName(id)})
+	}
 	c.membersChanged()
 	c.hub.setTable(c.state.Table(), false)
 	c.mu.Unlock()
--- a/control/dump.go
+++ b/control/dump.go
@@ -43,6 +43,7 @@
 	Revision uint64           `json:"settings_revision"`
 	Journal  int64            `json:"journal_bytes"`
 	Peers    []string         `json:"peers"`
+	Seen     []string         `json:"seen"`
 	Relays   []string         `json:"relays"`
 }
 
@@ -62,6 +63,9 @@
 			d.Peers = append(d.Peers, name)
 		}
 	}
+	for id := range c.seen {
+		d.Seen = append(d.Seen, id)
+	}
 	for l := range c.down {
 		d.Relays = append(d.Relays, l.Peer.Name)
 	}
--- a/control/links.go
+++ b/control/links.go
@@ -73,6 +73,10 @@
 		return
 	}
 	below := l.Peer.Role != wire.RoleControl
+	if !below && l.Peer.Name == "" {
+		event.BadPeer.Log(c.log, "error", "a replica without identity")
+		return
+	}
 	c.mu.Lock()
 	if below {
 		c.down[l] = true
--- a/control/table.go
+++ b/control/table.go
@@ -99,3 +99,6 @@
 	}
 	return c.hub.report(s)
 }
+
+// Servers returns the backend servers that this replica knows.
+func (c *Control) Servers() []registry.Server { return c.hub.list() }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 package dispatch
 
 import (
+	"sort"
 	"time"
 
 	"github.com/ledgepin/ledgepin/registry"
@@ -47,6 +48,10 @@
 // Fleet is all servers that a gateway knows.
 type Fleet struct {
 	servers map[string]*Server
+	// groups are the servers by service and role, made anew when one comes,
+	// goes or changes its role; cursor is where the next choice starts to look.
+	groups map[group][]*Server
+	cursor int
 	// Zone is the gateway's own availability zone.
 	Zone string
 	// Gateways is the number of gateways that share the servers.
@@ -55,6 +60,45 @@
 	Known int
 }
 
+// group is the servers of a service that do the same work.
+type group struct{ service, role string }
+
+// choices bounds the servers that one choice looks at, so that its cost does
+// not grow with the fleet.
+const choices = 24
+
+// members calls visit for some servers of a group, others each time if there
+// are many.
+func (f *Fleet) members(service, role string, visit func(s *Server)) {
+	if f.groups == nil {
+		f.regroup()
+	}
+	list := f.groups[group{service, role}]
+	if len(list) <= choices {
+		for _, s := range list {
+			visit(s)
+		}
+		return
+	}
+	f.cursor += choices
+	for i := range choices {
+		visit(list[(f.cursor+i)%len(list)])
+	}
+}
+
+func (f *Fleet) regroup() {
+	f.groups = map[group][]*Server{}
+	for _, s := range f.servers {
+		if !s.gone && s.State == registry.Ready {
+			k := group{s.Service, s.Role}
+			f.groups[k] = append(f.groups[k], s)
+		}
+	}
+	for _, list := range f.groups {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
+}
+
 // NewFleet returns a fleet without servers.
 func NewFleet(zone string) *Fleet {
 	return &Fleet{servers: map[string]*Server{}, Zone: zone, Gateways: 1, Known: 1}
@@ -70,6 +114,7 @@
 			s.gone = r.State == registry.Gone
 			f.servers[r.ID] = s
 			f.retire(r)
+			f.groups = nil
 			continue
 		}
 		if heard.After(s.heardAt) {
@@ -77,11 +122,15 @@
 		}
 		if r.State == registry.Gone {
 			s.State, s.gone = registry.Gone, true
+			f.groups = nil
 			continue
 		}
 		if s.gone || s.State == registry.Draining && r.State == registry.Ready || r.Sequence < s.Sequence && r.State == s.State {
 			continue
 		}
+		if s.State != r.State || s.Role != r.Role || s.Service != r.Service {
+			f.groups = nil
+		}
 		s.Server = r
 	}
 }
@@ -102,6 +151,7 @@
 func (f *Fleet) Gone(id string) {
 	if s := f.servers[id]; s != nil {
 		s.gone = true
+		f.groups = nil
 	}
 }
 
@@ -167,6 +217,7 @@
 	for id, s := range f.servers {
 		if s.Open == 0 && s.Own == (Load{}) && now.Sub(s.heardAt) > forgetAfter {
 			delete(f.servers, id)
+			f.groups = nil
 		}
 	}
 }
@@ -180,15 +231,15 @@
 func (f *Fleet) Plain(now time.Time, service string, avoid Avoid) *Server {
 	var best *Server
 	bestScore := 0.0
-	for _, s := range f.servers {
-		if s.Service != service || avoid[s.ID] || !s.listed(now) {
-			continue
+	f.members(service, "", func(s *Server) {
+		if avoid[s.ID] || !s.listed(now) {
+			return
 		}
 		score := s.health.score(now, s.Open)
-		if best == nil || score < bestScore || score == bestScore && s.ID < best.ID {
+		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
-	}
+	})
 	return best
 }
 
--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,191 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/route"
+)
+
+var (
+	now    = time.Unix(1000, 0)
+	engine = &route.Engine{Slots: 4, KVTokens: 10000, KVHold: time.Second}
+	small  = dispatch.Work{Service: "llm", Prompt: 1000, Expected: 1000}
+)
+
+// fleet returns p prefill and d decode engines in each of two zones, and two
+// plain servers.
+func fleet(p, d int) *dispatch.Fleet {
+	f := dispatch.NewFleet("z0")
+	var list []registry.Server
+	add := func(id, service, zone, role string) {
+		list = append(list, registry.Server{ID: id, Service: service, Zone: zone, Role: role, State: registry.Ready, Address: id + ":1", Sequence: 1})
+	}
+	for z := range 2 {
+		zone := fmt.Sprint("z", z)
+		for i := range p {
+			add(fmt.Sprintf("p%d-%d", z, i), "llm", zone, registry.Prefill)
+		}
+		for i := range d {
+			add(fmt.Sprintf("d%d-%d", z, i), "llm", zone, registry.Decode)
+		}
+	}
+	add("a", "plain", "z0", "")
+	add("b", "plain", "z1", "")
+	f.Update(now, list)
+	return f
+}
+
+func TestPairStaysInOneZone(t *testing.T) {
+	f := fleet(1, 1)
+	p, ok := f.Pair(now, small, engine, nil)
+	assert.Assert(t, ok)
+	assert.Equal(t, p.Prefill.Zone, p.Decode.Zone)
+}
+
+// TestMemoryIsNotOverbooked books until nothing fits: no engine may have more
+// than its part of memory or its slots.
+func TestMemoryIsNotOverbooked(t *testing.T) {
+	f := fleet(1, 2)
+	for {
+		p, ok := f.Pair(now, small, engine, nil)
+		if !ok {
+			break
+		}
+		f.Reserve(p.Decode.ID, small)
+	}
+	for _, s := range f.List() {
+		assert.Assert(t, float64(s.Own.Tokens) <= dispatch.MemoryUse*float64(engine.KVTokens), "%s has %d", s.ID, s.Own.Tokens)
+		assert.Assert(t, s.Own.Runs <= engine.Slots)
+	}
+	assert.Equal(t, f.Get("d0-0").Own.Runs, 4)
+	f.Release("d0-0", small)
+	_, ok := f.Pair(now, small, engine, nil)
+	assert.Assert(t, ok, "room again")
+}
+
+// TestOthersCount wants what other gateways have reserved to count, and those
+// that are not heard to be taken to have reserved some.
+func TestOthersCount(t *testing.T) {
+	f := fleet(1, 1)
+	f.SetOthers(map[string]dispatch.Load{"d0-0": {Tokens: 12000}, "d1-0": {Tokens: 4000}})
+	p, ok := f.Pair(now, small, engine, nil)
+	assert.Assert(t, ok)
+	assert.Equal(t, p.Decode.ID, "d1-0")
+	f.Gateways, f.Known = 5, 1
+	_, ok = f.Pair(now, small, engine, nil)
+	assert.Assert(t, !ok, "four gateways are not heard")
+}
+
+func TestUnfitEngines(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(f *dispatch.Fleet)
+	}{
+		{"leaving", func(f *dispatch.Fleet) {
+			f.Update(now, []registry.Server{{ID: "d0-0", Service: "llm", Zone: "z0", Role: registry.Decode, State: registry.Draining, Sequence: 2}})
+		}},
+		{"gone", func(f *dispatch.Fleet) { f.Gone("d0-0") }},
+		{"changing its role", func(f *dispatch.Fleet) { f.Away(now, "d0-0", registry.Prefill, time.Second) }},
+		{"unreached", func(f *dispatch.Fleet) { f.Note(now, "d0-0", dispatch.Unreached, 0) }},
+		{"another incarnation at its address", func(f *dispatch.Fleet) {
+			f.Update(now, []registry.Server{{ID: "d9", Service: "other", Address: "d0-0:1", Zone: "z0", State: registry.Ready, Sequence: 1}})
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := fleet(1, 1)
+			tt.change(f)
+			p, ok := f.Pair(now, small, engine, nil)
+			assert.Assert(t, ok)
+			assert.Equal(t, p.Decode.ID, "d1-0")
+		})
+	}
+}
+
+// TestSilentServer wants a server that control has lost to be used while its
+// requests go well: it may only be cut off from control.
+func TestSilentServer(t *testing.T) {
+	f := fleet(0, 0)
+	later := now.Add(time.Minute / 2)
+	assert.Assert(t, f.Plain(later, "plain", nil) == nil)
+	f.Note(later.Add(-time.Second), "a", dispatch.Good, 10*time.Millisecond)
+	assert.Equal(t, f.Plain(later, "plain", nil).ID, "a")
+}
+
+// TestFailingServerIsLeftAlone wants a server that fails half of its requests,
+// whatever its health check says, to get few.
+func TestFailingServerIsLeftAlone(t *testing.T) {
+	f := fleet(0, 0)
+	toA := 0
+	at := now
+	for i := range 400 {
+		at = at.Add(10 * time.Millisecond)
+		f.Update(at, []registry.Server{
+			{ID: "a", Service: "plain", Address: "a:1", State: registry.Ready, Sequence: uint64(i + 2)},
+			{ID: "b", Service: "plain", Address: "b:1", State: registry.Ready, Sequence: uint64(i + 2)},
+		})
+		s := f.Plain(at, "plain", nil)
+		o := dispatch.Good
+		if s.ID == "a" {
+			toA++
+			if toA%2 == 0 {
+				o = dispatch.Bad
+			}
+		}
+		f.Note(at, s.ID, o, 20*time.Millisecond)
+	}
+	assert.Assert(t, toA < 120, "%d of 400 went to the failing server", toA)
+}
+
+func TestLapsedResults(t *testing.T) {
+	f := fleet(1, 1)
+	p, _ := f.Pair(now, small, engine, nil)
+	f.NoteKV(now, p.Prefill.ID, false)
+	f.NoteKV(now, p.Prefill.ID, false)
+	next, _ := f.Pair(now, small, engine, nil)
+	assert.Assert(t, next.Prefill.ID != p.Prefill.ID, "an engine whose results lapse is left alone")
+}
+
+func TestBudgetInASlidingWindow(t *testing.T) {
+	b := &dispatch.Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+	const gateways = 5
+	at := now
+	var taken []time.Time
+	for range 3000 {
+		at = at.Add(10 * time.Millisecond)
+		b.Request(at)
+		if b.Take(at, gateways, 1) {
+			taken = append(taken, at)
+		}
+	}
+	for i, from := range taken {
+		n := 0
+		for _, t := range taken[i:] {
+			if t.Sub(from) < b.Window {
+				n++
+			}
+		}
+		assert.Assert(t, float64(n) <= 0.2*1000+50.0/gateways, "%d sends in one window", n)
+	}
+	assert.Assert(t, len(taken) > 100)
+}
+
+func BenchmarkPair(b *testing.B) {
+	for _, n := range []int{5, 27, 300} {
+		b.Run(fmt.Sprint(2*n), func(b *testing.B) {
+			f := fleet(n/3, n-n/3)
+			b.ReportAllocs()
+			for range b.N {
+				if _, ok := f.Pair(now, small, engine, nil); !ok {
+					b.Fatal("no room")
+				}
+			}
+		})
+	}
+}
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -50,19 +50,16 @@
 func (f *Fleet) Pair(now time.Time, w Work, e *route.Engine, avoid Avoid) (Pair, bool) {
 	prefill := map[string]candidate{}
 	decode := map[string]candidate{}
-	for _, s := range f.servers {
-		if s.Service != w.Service || avoid[s.ID] || !s.listed(now) || now.Before(s.health.blockedUntil) {
-			continue
-		}
-		switch s.Role {
-		case registry.Prefill:
+	f.members(w.Service, registry.Prefill, func(s *Server) {
+		if s.open(now, avoid) {
 			keepBest(prefill, s, f.prefillCost(s))
-		case registry.Decode:
-			if f.fits(s, w, e) {
-				keepBest(decode, s, f.decodeCost(s, e))
-			}
 		}
-	}
+	})
+	f.members(w.Service, registry.Decode, func(s *Server) {
+		if s.open(now, avoid) && f.fits(s, w, e) {
+			keepBest(decode, s, f.decodeCost(s, e))
+		}
+	})
 	if len(prefill) == 0 {
 		return alone(decode, w)
 	}
@@ -103,10 +100,9 @@
 // Decode chooses a decode engine for a prompt that has been read in a zone.
 func (f *Fleet) Decode(now time.Time, w Work, e *route.Engine, zone string, avoid Avoid) *Server {
 	var best candidate
-	for _, s := range f.servers {
-		if s.Service != w.Service || s.Role != registry.Decode || avoid[s.ID] || !s.listed(now) ||
-			now.Before(s.health.blockedUntil) || !f.fits(s, w, e) {
-			continue
+	f.members(w.Service, registry.Decode, func(s *Server) {
+		if !s.open(now, avoid) || !f.fits(s, w, e) {
+			return
 		}
 		cost := f.decodeCost(s, e)
 		if s.Zone != zone {
@@ -115,17 +111,22 @@
 		if best.server == nil || cost < best.cost {
 			best = candidate{s, cost}
 		}
-	}
+	})
 	return best.server
 }
 
+// open tells whether an engine may be chosen.
+func (s *Server) open(now time.Time, avoid Avoid) bool {
+	return !avoid[s.ID] && s.listed(now) && !now.Before(s.health.blockedUntil)
+}
+
 type candidate struct {
 	server *Server
 	cost   float64
 }
 
 func keepBest(m map[string]candidate, s *Server, cost float64) {
-	if old, ok := m[s.Zone]; !ok || cost < old.cost || cost == old.cost && s.ID < old.server.ID {
+	if old, ok := m[s.Zone]; !ok || cost < old.cost {
 		m[s.Zone] = candidate{s, cost}
 	}
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -122,12 +122,20 @@
 	return e.server, true
 }
 
+// leftKeep is how long a server that leaves or has left is remembered: a report
+// from before may come late, and must not bring it back.
+const leftKeep = time.Minute
+
 // Expire forgets servers that have been silent for too long, and returns their
 // names.
 func (r *Registry) Expire(now time.Time) []string {
 	var out []string
 	for id, e := range r.servers {
-		if now.Sub(e.heardAt) > r.keep {
+		keep := r.keep
+		if e.server.State != Ready {
+			keep = max(keep, leftKeep)
+		}
+		if now.Sub(e.heardAt) > keep {
 			out = append(out, id)
 			delete(r.servers, id)
 		}
--- /dev/null
+++ b/registry/registry_test.go
@@ -0,0 +1,66 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/registry"
+)
+
+var now = time.Unix(1000, 0)
+
+func server(state registry.State, sequence uint64) registry.Server {
+	return registry.Server{ID: "i", Service: "s", Address: "10.0.0.1:80", State: state, Sequence: sequence}
+}
+
+func TestReport(t *testing.T) {
+	tests := []struct {
+		name    string
+		before  []registry.Server
+		report  registry.Server
+		changed bool
+		state   registry.State
+	}{
+		{"new", nil, server(registry.Ready, 1), true, registry.Ready},
+		{"nothing new", []registry.Server{server(registry.Ready, 1)}, server(registry.Ready, 2), false, registry.Ready},
+		{"begins to leave", []registry.Server{server(registry.Ready, 1)}, server(registry.Draining, 2), true, registry.Draining},
+		{"a late report does not bring it back", []registry.Server{server(registry.Draining, 3)}, server(registry.Ready, 2), false, registry.Draining},
+		{"nor does a newer one", []registry.Server{server(registry.Draining, 3)}, server(registry.Ready, 4), false, registry.Draining},
+		{"gone stays gone", []registry.Server{server(registry.Gone, 0)}, server(registry.Ready, 9), false, registry.Gone},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := registry.New(time.Second)
+			for _, s := range tt.before {
+				r.Report(now, s)
+			}
+			assert.Equal(t, r.Report(now, tt.report), tt.changed)
+			got, ok := r.Get("i")
+			assert.Assert(t, ok)
+			assert.Equal(t, got.State, tt.state)
+		})
+	}
+}
+
+func TestSilentServersAreForgotten(t *testing.T) {
+	r := registry.New(time.Second)
+	r.Report(now, server(registry.Ready, 1))
+	assert.Equal(t, len(r.Expire(now.Add(900*time.Millisecond))), 0)
+	late := server(registry.Ready, 2)
+	late.Age = 500 * time.Millisecond
+	r.Report(now.Add(time.Second), late) // heard half a second ago by another process
+	assert.Equal(t, len(r.Expire(now.Add(1400*time.Millisecond))), 0)
+	assert.DeepEqual(t, r.Expire(now.Add(1600*time.Millisecond)), []string{"i"})
+}
+
+// TestLateReportOfOneThatLeft wants a server that has left remembered for
+// longer than reports can be late.
+func TestLateReportOfOneThatLeft(t *testing.T) {
+	r := registry.New(time.Second)
+	r.Report(now, server(registry.Ready, 1))
+	r.Leave(now, "i")
+	r.Expire(now.Add(10 * time.Second))
+	assert.Assert(t, !r.Report(now.Add(10*time.Second), server(registry.Ready, 1)), "a late report brings it back")
+}
