--- a/roles/roles.go
+++ b/roles/roles.go
@@ -84,7 +84,7 @@
 	if now.Sub(p.changedAt) < settled || p.loaded && (away || now.Sub(p.orderedAt) < between) {
 		return Order{}, false
 	}
-	want := p.want(len(prefill), len(engines))
+	want := math.Max(p.want(len(prefill), len(engines)), p.floor(len(engines)))
 	o := Order{Prefill: len(prefill), Decode: len(decode), PrefillUse: p.prefillUse, DecodeUse: p.decodeUse, Want: want}
 	switch off := want - float64(len(prefill)); {
 	case off < -offBy && len(prefill) > 1:
@@ -156,6 +156,17 @@
 	return float64(prefill) * p.prefillUse / p.decodeUse / balance
 }
 
+// floorShare is the part of the share of the settings that prefill engines never
+// fall below: they are few, so that the loss of one, or the return of all
+// callers after a fault, would leave prompts waiting for the seconds that
+// another change takes.
+const floorShare = 0.75
+
+// floor is the least number of prefill engines.
+func (p *Planner) floor(all int) float64 {
+	return math.Ceil(floorShare * p.Share * float64(all))
+}
+
 // surplus returns a prefill engine of the zone that has most of them.
 func surplus(prefill []Engine) string {
 	zones := map[string]int{}
