--- /dev/null
+++ b/backend/backend_test.go
@@ -0,0 +1,236 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/backend"
+)
+
+// raw serves each connection with a function, and counts connections and
+// requests.
+type raw struct {
+	ln          net.Listener
+	connections atomic.Int64
+	requests    atomic.Int64
+}
+
+func newRaw(t *testing.T, serve func(r *raw, n int64, c net.Conn)) *raw {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	r := &raw{ln: ln}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(r, r.connections.Add(1), c)
+		}
+	}()
+	return r
+}
+
+// next reads one request and returns its ID.
+func (r *raw) next(br *bufio.Reader) (string, bool) {
+	req, err := http.ReadRequest(br)
+	if err != nil {
+		return "", false
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return "", false
+	}
+	r.requests.Add(1)
+	return req.Header.Get(backend.DefaultHeaders.RequestID), true
+}
+
+func whole(id, extra, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n%s\r\n%s", backend.DefaultHeaders.RequestID, id, len(body), extra, body)
+}
+
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+func (r *raw) send(p *backend.Pool, id string, change func(*backend.Request)) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	req := backend.Request{Address: r.ln.Addr().String(), Method: "POST", Target: "/x", Host: "h", ID: id, Body: []byte("body"), Header: http.Header{}}
+	req.Header.Set(backend.DefaultHeaders.RequestID, id)
+	if change != nil {
+		change(&req)
+	}
+	a, err := p.Do(ctx, &backend.DefaultHeaders, req)
+	if err != nil {
+		return "", err
+	}
+	body, err := a.ReadAll(1 << 20)
+	return string(body), err
+}
+
+// TestKeptConnections sends two requests one after the other and wants to know
+// whether the second one used the first one's connection.
+func TestKeptConnections(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer func(id string) string
+		want   int64
+	}{
+		{"kept", func(id string) string { return whole(id, "Keep-Alive: timeout=5\r\n", "b") }, 1},
+		{"closing", func(id string) string { return whole(id, "Connection: close\r\n", "b") }, 2},
+		{"no time left", func(id string) string { return whole(id, "Keep-Alive: timeout=0\r\n", "b") }, 2},
+		{"a byte too many", func(id string) string { return whole(id, "Keep-Alive: timeout=5\r\n", "b") + "x" }, 2},
+		{"a second answer", func(id string) string {
+			return whole(id, "Keep-Alive: timeout=5\r\n", "b") + whole("other", "", "c")
+		}, 2},
+		{"an answer to another request first", func(id string) string {
+			return whole("other", "", "c") + whole(id, "Keep-Alive: timeout=5\r\n", "b")
+		}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRaw(t, func(r *raw, _ int64, c net.Conn) {
+				br := bufio.NewReader(c)
+				for {
+					id, ok := r.next(br)
+					if !ok {
+						return
+					}
+					_, _ = io.WriteString(c, tt.answer(id))
+				}
+			})
+			p := backend.NewPool()
+			defer p.Close()
+			for _, id := range []string{"one", "two"} {
+				got, err := r.send(p, id, nil)
+				assert.NilError(t, err)
+				assert.Equal(t, got, "b")
+				time.Sleep(20 * time.Millisecond)
+			}
+			assert.Equal(t, r.connections.Load(), tt.want)
+		})
+	}
+}
+
+// TestNeverSentTwice wants a request that a server read and did not answer to
+// be an error that says so, without a second send.
+func TestNeverSentTwice(t *testing.T) {
+	r := newRaw(t, func(r *raw, n int64, c net.Conn) {
+		br := bufio.NewReader(c)
+		if id, ok := r.next(br); ok && n == 1 {
+			_, _ = io.WriteString(c, whole(id, "Keep-Alive: timeout=5\r\n", "b"))
+			_, _ = r.next(br)
+		}
+		reset(c)
+	})
+	p := backend.NewPool()
+	defer p.Close()
+	_, err := r.send(p, "one", nil)
+	assert.NilError(t, err)
+	_, err = r.send(p, "two", func(q *backend.Request) { q.Method, q.Body = "GET", nil })
+	var be *backend.Error
+	assert.Assert(t, errors.As(err, &be) && be.Sent, "%v", err)
+	assert.Equal(t, r.requests.Load(), int64(2))
+}
+
+// TestNewConnectionNotTaken wants nothing sent on a new connection that the
+// server resets at once, if the caller asks for a fresh one.
+func TestNewConnectionNotTaken(t *testing.T) {
+	r := newRaw(t, func(r *raw, _ int64, c net.Conn) { reset(c) })
+	p := backend.NewPool()
+	defer p.Close()
+	_, err := r.send(p, "one", func(q *backend.Request) { q.Fresh = true })
+	var be *backend.Error
+	assert.Assert(t, errors.As(err, &be) && !be.Sent, "%v", err)
+}
+
+func TestBoundOfConnections(t *testing.T) {
+	held := make(chan struct{})
+	defer close(held)
+	r := newRaw(t, func(r *raw, _ int64, c net.Conn) { <-held })
+	p := backend.NewPool()
+	defer p.Close()
+	for range 2 {
+		go func() { _, _ = r.send(p, "one", func(q *backend.Request) { q.MaxConnections = 2 }) }()
+	}
+	for r.connections.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := r.send(p, "three", func(q *backend.Request) { q.MaxConnections = 2 })
+	assert.Assert(t, errors.Is(err, backend.ErrFull), "%v", err)
+}
+
+// TestWholeBodies wants a body that breaks off never to look whole.
+func TestWholeBodies(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\n" + backend.DefaultHeaders.RequestID + ": one\r\n"
+	tests := []struct {
+		name  string
+		write string
+		reset bool
+		whole bool
+	}{
+		{"length", head + "Content-Length: 2\r\n\r\nab", false, true},
+		{"length, cut", head + "Content-Length: 3\r\n\r\nab", false, false},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", false, true},
+		{"chunks, cut", head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", false, false},
+		{"to the end", head + "Connection: close\r\n\r\nab", false, true},
+		{"to the end, reset", head + "Connection: close\r\n\r\nab", true, false},
+		{"no answer", "nonsense\r\n\r\n", false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRaw(t, func(r *raw, _ int64, c net.Conn) {
+				r.next(bufio.NewReader(c))
+				_, _ = io.WriteString(c, tt.write)
+				time.Sleep(20 * time.Millisecond)
+				if tt.reset {
+					reset(c)
+					return
+				}
+				_ = c.Close()
+			})
+			p := backend.NewPool()
+			defer p.Close()
+			got, err := r.send(p, "one", nil)
+			assert.Equal(t, err == nil, tt.whole, "%q %v", got, err)
+		})
+	}
+}
+
+// TestEarlyAnswer wants an answer that comes before a long body was read to be
+// taken, and the connection not to be used again.
+func TestEarlyAnswer(t *testing.T) {
+	r := newRaw(t, func(r *raw, _ int64, c net.Conn) {
+		br := bufio.NewReaderSize(c, 512)
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, whole(req.Header.Get(backend.DefaultHeaders.RequestID), "Keep-Alive: timeout=5\r\n", "b"))
+		time.Sleep(200 * time.Millisecond)
+		_, _ = io.Copy(io.Discard, br)
+	})
+	p := backend.NewPool()
+	defer p.Close()
+	long := func(q *backend.Request) { q.Body = []byte(strings.Repeat("x", 16<<20)) }
+	for _, id := range []string{"one", "two"} {
+		got, err := r.send(p, id, long)
+		assert.NilError(t, err)
+		assert.Equal(t, got, "b")
+	}
+	assert.Equal(t, r.connections.Load(), int64(2))
+}
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -76,6 +76,18 @@
 	return err == nil && quiet
 }
 
+// takeTime is how long a server that has too many connections needs to reset a
+// new one.
+const takeTime = 1500 * time.Microsecond
+
+// taken tells whether a server keeps a new connection. A request that is sent
+// on one that is reset may have run, as far as one can know; one that was not
+// sent has not.
+func (c *conn) taken() bool {
+	time.Sleep(takeTime)
+	return c.quiet()
+}
+
 // keepFor returns how long a connection may rest after an answer; zero if it
 // must be closed.
 func keepFor(resp *http.Response) time.Duration {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -44,9 +44,17 @@
 		p.forget(address)
 		return nil, err
 	}
+	if fresh && !c.taken() {
+		p.drop(address, c)
+		return nil, errNotTaken
+	}
 	return c, nil
 }
 
+// errNotTaken tells that a server closed a new connection before anything was
+// sent, as it does when it has too many.
+var errNotTaken = errors.New("backend: the server closed the new connection")
+
 // takeIdle returns the connection that was used last and is still good.
 func (p *Pool) takeIdle(address string) *conn {
 	now := time.Now()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -207,7 +207,9 @@
 	if most <= 0 {
 		return 0
 	}
-	const use = 0.9
+	// Servers still count connections of gateways that have lost power, and take
+	// fewer while their queue is long.
+	const use = 0.5
 	return max(int(use*float64(most)/float64(max(gateways, 1))), 1)
 }
 
