--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -347,3 +347,18 @@
 	assert.Equal(t, l.count(now.Add(peakFor/2)), 5, "those that were there a moment ago")
 	assert.Equal(t, l.count(now.Add(2*peakFor)), leastGateways)
 }
+
+// TestEveryArrivalIsPaid wants no prompt read a second time without a budget for
+// it, though no decode engine could be reached.
+func TestEveryArrivalIsPaid(t *testing.T) {
+	r := newRig(t)
+	r.gateway.fleet.bounds = dispatch.Budget{Window: 10 * time.Second}
+	p := r.add("llm", "p1", "prefill")
+	r.add("llm", "p2", "prefill").Kill()
+	for n := range 8 {
+		r.add("llm", fmt.Sprint("d", n), "decode").Kill() // it takes no connection
+	}
+	got := r.send("POST", "/review/1", "q1", "x", work)
+	assert.Equal(t, got.status, 503, got.body)
+	assert.Equal(t, len(p.Arrivals()), 1)
+}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -41,8 +41,8 @@
 	kvFrom dispatch.Server
 	kvAt   time.Time
 	stream *streamWriter
-	// decodes counts the sends to decode engines.
-	decodes int
+	// prefills and decodes count what has reached engines of each role.
+	prefills, decodes int
 }
 
 // generate serves a request of a model engine: a decode engine's memory is
@@ -73,12 +73,13 @@
 // mayGoOn tells whether a request that a round has not finished may have
 // another one.
 func (n *generation) mayGoOn(last result) bool {
+	// The prompt is read once more, and a decode engine is asked once more, if
+	// either has been asked before.
+	sends := min(n.prefills, 1) + min(n.decodes, 1)
 	if last.kind == notSent {
-		return true
+		return sends == 0 || n.g.fleet.retry(n.q.service.Name, sends)
 	}
-	// The prompt is read once more, and the decode engine is asked once more if
-	// one has been asked.
-	return n.g.again(n.q, last, 1+min(n.decodes, 1))
+	return n.g.again(n.q, last, max(sends, 1))
 }
 
 // place books a prefill and a decode engine.
@@ -143,6 +144,9 @@
 	pctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	res, body := n.exchange(pctx, s, r)
+	if res.kind != notSent {
+		n.prefills++
+	}
 	if res.kind != answered || res.status != http.StatusOK {
 		if res.kind == answered {
 			res.kind = broken
@@ -206,7 +210,6 @@
 func (n *generation) decode(ctx context.Context, s *dispatch.Server, withKV bool) result {
 	g, q, h := n.g, n.q, &n.g.cfg.Protocol.Headers
 	started := time.Now()
-	n.decodes++
 	r := q.to(h, s, q.left(), g.fleet.gateways())
 	if withKV {
 		r.Header.Set(h.KVSource, n.kvFrom.Address+"/"+n.kv.Handle)
@@ -215,11 +218,15 @@
 	a, err := g.pool.Do(ctx, h, r)
 	if err != nil {
 		res := g.failed(ctx, q, err)
+		if res.kind != notSent {
+			n.decodes++
+		}
 		g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
 		g.logSend(q, s, res, time.Since(started))
 		return res
 	}
 	defer a.Close()
+	n.decodes++
 	if res, ok := g.turnedAway(q, s, a); ok {
 		g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
 		g.logSend(q, s, res, time.Since(started))
