--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,10 +71,9 @@
 // SetSeeds takes a new list of seeds.
 func (g *Gateway) SetSeeds(seeds []string) { g.links.meet(seeds) }
 
-// takeTable puts a routing table in force, unless it is older than the one that
-// is: a gateway never goes back.
+// takeTable puts an indexed routing table in force, unless it is older than the
+// one that is: a gateway never goes back. Several links may bring the same one.
 func (g *Gateway) takeTable(t *route.Table) {
-	t.Index()
 	for {
 		old := g.table.Load()
 		if old != nil && old.Version >= t.Version {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -152,6 +152,9 @@
 // routes takes a table. The first one must be vouched for as the newest; after
 // that any that is committed and higher is taken.
 func (l *links) routes(m *wire.Routes) {
+	if m.Table != nil {
+		m.Table.Index() // before any other link can take it
+	}
 	l.mu.Lock()
 	if m.Table != nil && (l.waiting == nil || l.waiting.Version < m.Table.Version) {
 		l.waiting = m.Table
