--- a/control/control.go
+++ b/control/control.go
@@ -117,11 +117,12 @@
 		c.wg.Go(c.bootDiscovered)
 		return c, nil
 	}
-	restored, fresh, err := c.openDisk()
+	disk, restored, fresh, err := c.openDisk()
 	if err != nil {
 		cancel()
 		return nil, err
 	}
+	c.disk = disk
 	c.wg.Go(func() { c.boot(restored, fresh) })
 	return c, nil
 }
@@ -145,29 +146,26 @@
 	c.tickLoop()
 }
 
-// openDisk reads the journal. Fresh tells that the replica has no past.
-func (c *Control) openDisk() (consensus.Restored, bool, error) {
+// openDisk reads the journal; it returns none if all is kept in memory. Fresh
+// tells that the replica has no past.
+func (c *Control) openDisk() (j *wal.Journal, r consensus.Restored, fresh bool, err error) {
 	if c.cfg.Dir == "" {
-		return consensus.Restored{}, true, nil
+		return nil, consensus.Restored{}, true, nil
 	}
-	open := c.cfg.OpenFile
-	var j *wal.Journal
 	var o wal.Opened
-	var err error
-	if open == nil {
+	if c.cfg.OpenFile == nil {
 		j, o, err = wal.Open(c.cfg.Dir)
 	} else {
-		j, o, err = wal.OpenWith(c.cfg.Dir, open)
+		j, o, err = wal.OpenWith(c.cfg.Dir, c.cfg.OpenFile)
 	}
 	if err != nil {
 		event.JournalBroken.Log(c.log, "error", fault.From(err))
-		return consensus.Restored{}, false, err
+		return nil, consensus.Restored{}, false, err
 	}
 	if o.Cut > 0 {
 		event.JournalTorn.Log(c.log, "bytes", o.Cut)
 	}
-	c.disk = j
-	return o.Restored, o.New, nil
+	return j, o.Restored, o.New, nil
 }
 
 // restore builds the replica from its disk. A fresh one has the first
--- a/control/disk.go
+++ b/control/disk.go
@@ -7,6 +7,7 @@
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
 	"github.com/ledgepin/ledgepin/internal/wait"
+	"github.com/ledgepin/ledgepin/wal"
 )
 
 // reviveEvery is the time between two tries of a disk that has failed.
@@ -16,16 +17,17 @@
 // writes at the start is tried again: the replica is of use once it is back.
 func (c *Control) bootDiscovered() {
 	for c.ctx.Err() == nil {
-		restored, fresh, err := c.openDisk()
+		disk, restored, fresh, err := c.openDisk()
 		if err == nil {
+			c.setDisk(disk)
 			err = c.restore(restored, fresh)
 		}
 		if err == nil {
 			break
 		}
 		event.JournalFailed.Log(c.log, "error", fault.From(err))
-		if c.disk != nil {
-			_ = c.disk.Close()
+		if disk != nil {
+			_ = disk.Close()
 		}
 		wait.For(c.ctx, reviveEvery)
 	}
@@ -48,6 +50,12 @@
 	c.tickLoop()
 }
 
+func (c *Control) setDisk(j *wal.Journal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.disk = j
+}
+
 // hubLoop keeps the gateways told; a disk that stalls does not hold it up.
 func (c *Control) hubLoop() {
 	t := time.NewTicker(loadsEvery)
@@ -80,8 +88,9 @@
 func (c *Control) revive(now time.Time) {
 	c.reviveAt = now.Add(reviveEvery)
 	_ = c.disk.Close()
-	restored, _, err := c.openDisk()
+	disk, restored, _, err := c.openDisk()
 	if err == nil {
+		c.disk = disk
 		err = c.rewrite(restored)
 	}
 	if err == nil {
