--- /dev/null
+++ b/control/apply.go
@@ -0,0 +1,106 @@
+package control
+
+import (
+	"time"
+
+	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fleet"
+)
+
+// flush does what the node asks for, in its order: snapshot, disk, network,
+// state. Callers hold the lock.
+func (c *Control) flush(now time.Time) {
+	for {
+		r := c.node.Take()
+		if r.Empty() {
+			return
+		}
+		if err := c.sync(r); err != nil {
+			c.diskFailed(now, err)
+			return
+		}
+		for _, p := range r.Packets {
+			c.sendPacket(p)
+		}
+		c.applyAll(now, r.Committed)
+	}
+}
+
+// sync makes durable what the packets of r promise.
+func (c *Control) sync(r consensus.Ready) error {
+	if r.Snapshot != nil {
+		state, err := fleet.Restore(r.Snapshot.Data)
+		if err != nil {
+			return err
+		}
+		c.state = state
+		c.publish(time.Now())
+		c.hub.setTable(state.Table(), false)
+		c.membersChanged()
+	}
+	if c.disk == nil {
+		return nil
+	}
+	if r.Snapshot != nil {
+		return c.disk.Snapshot(*r.Snapshot, c.node.Hard(), c.node.Entries())
+	}
+	if r.Hard == nil && len(r.Entries) == 0 {
+		return nil
+	}
+	return c.disk.Append(r.Hard, r.Entries)
+}
+
+func (c *Control) applyAll(now time.Time, entries []consensus.Entry) {
+	before := c.state.Revision()
+	for _, e := range entries {
+		if e.Members != nil {
+			event.MembersChanged.Log(c.log, "voters", e.Members.Voters, "learners", e.Members.Learners)
+			c.membersChanged()
+		}
+		if len(e.Data) > 0 {
+			c.apply(e)
+		}
+	}
+	if c.state.Revision() > before {
+		c.publish(now)
+	}
+	c.hub.setTable(c.state.Table(), c.node.Fresh(now))
+	if len(entries) > 0 {
+		c.compact(entries[len(entries)-1].Index)
+	}
+}
+
+func (c *Control) apply(e consensus.Entry) {
+	res, err := c.state.Apply(e.Data)
+	if err != nil {
+		event.SettingsBad.Log(c.log, "error", err)
+		return
+	}
+	for _, w := range c.waiters[res.ID] {
+		w <- res
+	}
+	delete(c.waiters, res.ID)
+}
+
+// compact takes a snapshot once the log has grown enough.
+func (c *Control) compact(index uint64) {
+	if len(c.node.Entries()) < c.cfg.SnapshotEvery {
+		return
+	}
+	data, err := c.state.Snapshot()
+	if err != nil {
+		return
+	}
+	s, ok := c.node.Compact(index, data)
+	if !ok {
+		return
+	}
+	event.SnapshotTaken.Log(c.log, "index", s.Index, "bytes", len(data))
+	if c.disk == nil {
+		return
+	}
+	if err := c.disk.Snapshot(s, c.node.Hard(), c.node.Entries()); err != nil {
+		c.diskFailed(time.Now(), err)
+	}
+}
