--- a/control/roles.go
+++ b/control/roles.go
@@ -66,10 +66,11 @@
 		for service, engines := range c.hub.engines(now) {
 			p := planners[service]
 			if p == nil {
-				p = &roles.Planner{Share: c.cfg.Roles.Share}
+				p = c.newPlanner(fence)
 				planners[service] = p
 			}
 			if now.Sub(ledSince) < wait {
+				p.Observe(now, engines)
 				continue
 			}
 			if o, ok := p.Plan(now, engines); ok {
@@ -79,6 +80,14 @@
 	}
 }
 
+// newPlanner returns the planner of a leader of a term.
+func (c *Control) newPlanner(term uint64) *roles.Planner {
+	if term > firstTerm {
+		return roles.Resume(c.cfg.Roles.Share)
+	}
+	return &roles.Planner{Share: c.cfg.Roles.Share}
+}
+
 // fence returns the term as a fence while this replica leads under its lease.
 func (c *Control) fence(now time.Time) (uint64, bool) {
 	c.mu.Lock()
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -73,10 +73,14 @@
 	loaded bool
 }
 
+// Resume returns the planner of a leader that follows another one: the roles
+// that it finds are those that a load has asked for.
+func Resume(share float64) *Planner { return &Planner{Share: share, loaded: true} }
+
 // Plan takes what is known now and returns the next order, if there is one.
 func (p *Planner) Plan(now time.Time, engines []Engine) (Order, bool) {
+	p.Observe(now, engines)
 	prefill, decode, away := split(engines)
-	p.observe(now, prefill, decode)
 	if len(engines) != p.count {
 		p.count, p.changedAt = len(engines), now
 	}
@@ -111,14 +115,12 @@
 	return prefill, decode, away
 }
 
-// observe averages how busy the engines of each role are.
-func (p *Planner) observe(now time.Time, prefill, decode []Engine) {
+// Observe averages how busy the engines of each role are.
+func (p *Planner) Observe(now time.Time, engines []Engine) {
+	prefill, decode, _ := split(engines)
 	passed := now.Sub(p.seenAt)
 	p.seenAt = now
-	if passed > memoryTime || passed <= 0 {
-		passed = 0
-	}
-	part := float64(passed) / float64(memoryTime)
+	part := min(float64(passed)/float64(memoryTime), 1) // the first time counts whole
 	p.prefillUse += part * (busy(prefill) - p.prefillUse)
 	p.decodeUse += part * (used(decode) - p.decodeUse)
 }
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -89,3 +89,15 @@
 	_, ok = run(p, &now, engines(3, 6, 2, 0.9), 10*time.Second)
 	assert.Assert(t, !ok)
 }
+
+// TestNewLeaderChangesNothingWithoutLoad wants a leader that follows another one
+// not to bring the roles back to the share of the settings while it has not seen
+// any load, and to keep the floor all the same.
+func TestNewLeaderChangesNothingWithoutLoad(t *testing.T) {
+	p := roles.Resume(0.33)
+	now := time.Unix(1000, 0)
+	_, ok := run(p, &now, engines(2, 6, 0, 0.1), 20*time.Second)
+	assert.Assert(t, !ok)
+	o, ok := run(roles.Resume(0.33), &now, engines(1, 7, 0, 0.1), 20*time.Second)
+	assert.Assert(t, ok && o.Role == registry.Prefill, "below the floor")
+}
