--- a/app/input_test.go
+++ b/app/input_test.go
@@ -65,7 +65,9 @@
 		resp, err := http.DefaultClient.Do(req)
 		if err == nil {
 			assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
+			text, _ := io.ReadAll(resp.Body)
 			_ = resp.Body.Close()
+			assert.Assert(t, !strings.Contains(string(text), "127.0.0.1"), "the answer names sockets: %s", text)
 		}
 		assert.Assert(t, time.Since(begin) < 1500*time.Millisecond, "it is cut off before its end")
 	})
--- a/caller/server.go
+++ b/caller/server.go
@@ -8,6 +8,7 @@
 	"math"
 	"net/http"
 	"net/url"
+	"os"
 	"path"
 	"strconv"
 	"strings"
@@ -111,8 +112,10 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, fault.New(fault.PromptTooLong, fault.StepParse, "", fmt.Sprintf("the body is over %d bytes", MaxBody))
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, fault.New(fault.BadRequest, fault.StepParse, "", "the body did not come in time")
 	case err != nil:
-		return nil, fault.Wrap(err, fault.BadRequest, fault.StepParse, "")
+		return nil, fault.New(fault.BadRequest, fault.StepParse, "", "the body broke off") // the cause names sockets
 	}
 	// The body is here; from now on a long wait is for the answer.
 	_ = http.NewResponseController(c.Response().Writer).SetReadDeadline(time.Time{})
