--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -97,6 +97,33 @@
 	return Pair{Decode: best.server, Wait: wait}, best.server != nil
 }
 
+// Ruled counts why decode engines are not chosen for a request, for the log.
+type Ruled struct {
+	// Engines are those that were looked at. Leaving ones take no new work or
+	// change their role, blocked ones failed lately, full ones have no room.
+	Engines, Leaving, Blocked, Full int
+	// Known is the number of gateways whose reservations are known, Gateways
+	// that of all.
+	Known, Gateways int
+}
+
+// Ruled tells what rules decode engines out for a request.
+func (f *Fleet) Ruled(now time.Time, w Work, e *route.Engine) Ruled {
+	out := Ruled{Known: f.Known, Gateways: f.Gateways}
+	f.members(w.Service, registry.Decode, func(s *Server) {
+		out.Engines++
+		switch {
+		case !s.listed(now):
+			out.Leaving++
+		case now.Before(s.health.blockedUntil):
+			out.Blocked++
+		case !f.fits(s, w, e):
+			out.Full++
+		}
+	})
+	return out
+}
+
 // Decode chooses a decode engine for a prompt that has been read in a zone.
 func (f *Fleet) Decode(now time.Time, w Work, e *route.Engine, zone string, avoid Avoid) *Server {
 	var best candidate
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -78,6 +78,11 @@
 		"Get the newest revision and apply the change to it.")
 )
 
+// NoRoom tells why a request of an engine's service found no place.
+var NoRoom = define("LP2011", info, "no place for a request",
+	"No engine took a request: of the decode engines some leave, some failed lately, some are full; prefills and decodes are the sends that were turned away.",
+	"Many with full engines: the service needs more of them, or fewer that read prompts.")
+
 // SendFailed is one send of a gateway to a backend server.
 var SendFailed = define("LP2010", info, "send failed",
 	"A gateway's request to a backend server was turned away, broke off or was too late; the kind tells which.",
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -220,6 +220,13 @@
 	}
 }
 
+// ruled tells what rules engines out for a request now.
+func (f *fleet) ruled(w dispatch.Work, e *route.Engine) dispatch.Ruled {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Ruled(time.Now(), w, e)
+}
+
 // serve places waiting requests, the first of the queue first: one that does
 // not fit holds up those behind it, so that a large prompt is not passed over
 // for ever. Callers hold the lock.
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -327,6 +327,10 @@
 		return
 	}
 	if !q.mayHaveRun {
+		r := g.fleet.ruled(q.work, q.service.Engine)
+		event.NoRoom.Log(g.log, "id", q.id, "prompt", q.work.Prompt, "expected", q.work.Expected, "engines", r.Engines,
+			"leaving", r.Leaving, "blocked", r.Blocked, "full", r.Full, "gateways_known", r.Known, "gateways", r.Gateways,
+			"prefills", n.prefills, "decodes", n.decodes)
 		g.refuse(w, q.id, refusal{route: q.route.Name, status: http.StatusServiceUnavailable, reason: "no engine has room", retryAfter: engineRetry()})
 		return
 	}
