--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -83,6 +83,10 @@
 	"No engine took a request: of the decode engines some leave, some failed lately, some are full; prefills and decodes are the sends that were turned away.",
 	"Many with full engines: the service needs more of them, or fewer that read prompts.")
 
+// NoServer tells that a service has no server.
+var NoServer = define("LP2012", info, "no server of a service is known",
+	"No server of the service has reported itself, or all of them leave.", "Look at the servers, and at the links to control.")
+
 // SendFailed is one send of a gateway to a backend server.
 var SendFailed = define("LP2010", info, "send failed",
 	"A gateway's request to a backend server was turned away, broke off or was too late; the kind tells which.",
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -54,6 +54,10 @@
 	for {
 		s, ok := g.fleet.plain(q.service.Name, q.tried)
 		if !ok {
+			if len(q.tried) == 0 {
+				g.noServer(w, q)
+				return
+			}
 			break
 		}
 		started := time.Now()
@@ -195,6 +199,19 @@
 // its queue is some requests of some tens of milliseconds.
 const busyRetry = 150 * time.Millisecond
 
+// reportRetry is when a caller should come back to a service of which no server
+// is known: servers report themselves about once a second.
+const reportRetry = 900 * time.Millisecond
+
+// noServer answers a request of a service that has no server, as in the second
+// after a restart.
+func (g *Gateway) noServer(w http.ResponseWriter, q *request) {
+	event.NoServer.Log(g.log, "id", q.id, "service", q.service.Name, "known", len(g.fleet.list()))
+	g.refuse(w, q.id, refusal{
+		route: q.route.Name, status: http.StatusServiceUnavailable, reason: "no server of the service is known", retryAfter: reportRetry,
+	})
+}
+
 // conclude gives the caller its final answer.
 func (g *Gateway) conclude(w http.ResponseWriter, q *request, last result) {
 	switch {
