--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -389,3 +389,17 @@
 	wg.Wait()
 	assert.Equal(t, r.gateway.table.Load().Version, uint64(5))
 }
+
+// TestManyEnginesGone wants a prompt that has been read to be used though most
+// decode engines can't be reached.
+func TestManyEnginesGone(t *testing.T) {
+	r := newRig(t)
+	p := r.add("llm", "p1", "prefill")
+	for n := range 3 {
+		r.add("llm", fmt.Sprint("d", n), "decode").Kill()
+	}
+	r.add("llm", "d9", "decode")
+	got := r.send("POST", "/review/1", "q1", "x", work)
+	assert.Equal(t, got.status, 200, got.body)
+	assert.Equal(t, len(p.Arrivals()), 1, "read once")
+}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -185,25 +185,29 @@
 	return result{kind: answered, status: a.Status}, body
 }
 
-// elsewhere continues after a decode engine has turned the request away. It may
-// have been full, or the KV cache may be gone: another engine that reads the
-// prompt itself works in both cases, and no second prefill is lost.
+// elsewhere continues after a decode engine has not taken the request: another
+// one takes the KV cache while it lives. Engines that can't be reached cost
+// nothing but the try, so several are tried: many may have gone at once.
 func (n *generation) elsewhere(ctx context.Context, r result) result {
-	n.q.tried[n.pair.Decode.ID] = true
-	n.unbook()
-	s, ok := n.g.fleet.move(n.q.work, n.q.service.Engine, n.kvFrom.Zone, n.q.tried)
-	if !ok {
-		return r
-	}
-	n.booked = s.ID
-	if n.decodes > 0 && !n.g.again(n.q, r, 1) {
-		return r
-	}
-	alive := time.Since(n.kvAt) < n.q.service.Engine.KVHold-kvMargin
-	if !alive {
-		return r
+	for range maxUnsent {
+		n.q.tried[n.pair.Decode.ID] = true
+		n.unbook()
+		s, ok := n.g.fleet.move(n.q.work, n.q.service.Engine, n.kvFrom.Zone, n.q.tried)
+		if !ok {
+			return r
+		}
+		n.booked, n.pair.Decode = s.ID, &s
+		if n.decodes > 0 && !n.g.again(n.q, r, 1) {
+			return r
+		}
+		if time.Since(n.kvAt) > n.q.service.Engine.KVHold-kvMargin {
+			return r
+		}
+		if r = n.decode(ctx, &s, true); r.kind != notSent {
+			return r
+		}
 	}
-	return n.decode(ctx, &s, true)
+	return r
 }
 
 // decode has the answer made and passes it on.
