--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -235,7 +235,7 @@
 		if avoid[s.ID] || !s.listed(now) {
 			return
 		}
-		score := s.health.score(now, s.Open)
+		score := s.score(now)
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -143,6 +143,32 @@
 	assert.Assert(t, toA < 120, "%d of 400 went to the failing server", toA)
 }
 
+// TestUnreachedUntilHeard wants a server that could not be reached to be left
+// alone until it reports itself again, and not for ever if it does not.
+func TestUnreachedUntilHeard(t *testing.T) {
+	f := fleet(1, 1)
+	f.Note(now, "d0-0", dispatch.Unreached, 0)
+	chosen := func(at time.Time) string {
+		p, ok := f.Pair(at, small, engine, nil)
+		assert.Assert(t, ok)
+		return p.Decode.ID
+	}
+	report := func(age time.Duration) {
+		f.Update(now.Add(2*time.Second), []registry.Server{
+			{ID: "d0-0", Service: "llm", Zone: "z0", Role: registry.Decode, Address: "d0-0:1", State: registry.Ready, Sequence: 1, Age: age},
+			{ID: "d1-0", Service: "llm", Zone: "z1", Role: registry.Decode, Address: "d1-0:1", State: registry.Ready, Sequence: 1},
+		})
+	}
+	f.Reserve("d1-0", small) // so that the other one is the least used
+	report(2500 * time.Millisecond)
+	assert.Equal(t, chosen(now.Add(2*time.Second)), "d1-0", "not heard since")
+	report(time.Second)
+	assert.Equal(t, chosen(now.Add(2*time.Second)), "d0-0", "heard again")
+	f.Note(now.Add(2*time.Second), "d0-0", dispatch.Unreached, 0)
+	assert.Equal(t, chosen(now.Add(4*time.Second)), "d1-0")
+	assert.Equal(t, chosen(now.Add(5100*time.Millisecond)), "d0-0", "tried again, as its reports may be cut off")
+}
+
 func TestLapsedResults(t *testing.T) {
 	f := fleet(1, 1)
 	p, _ := f.Pair(now, small, engine, nil)
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -115,7 +115,7 @@
 		switch {
 		case !s.listed(now):
 			out.Leaving++
-		case now.Before(s.health.blockedUntil):
+		case s.blocked(now):
 			out.Blocked++
 		case !f.fits(s, w, e):
 			out.Full++
@@ -144,7 +144,7 @@
 
 // open tells whether an engine may be chosen.
 func (s *Server) open(now time.Time, avoid Avoid) bool {
-	return !avoid[s.ID] && s.listed(now) && !now.Before(s.health.blockedUntil)
+	return !avoid[s.ID] && s.listed(now) && !s.blocked(now)
 }
 
 type candidate struct {
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -30,6 +30,9 @@
 	lastGood     time.Time
 	blockedUntil time.Time
 	block        time.Duration
+	// unreachedAt is when a connection could not be opened, if that was the
+	// newest that is known of the server.
+	unreachedAt time.Time
 }
 
 // Constants of the moving averages and of ejection.
@@ -52,6 +55,9 @@
 	// blockedPenalty puts servers that are left alone behind all others; they
 	// are still chosen if there is no other.
 	blockedPenalty = 1e6
+	// unheardFor bounds how long a server that could not be reached is left
+	// alone for want of a report of its own: its reports may be what is cut off.
+	unheardFor = 3 * time.Second
 	// leastLatency keeps fast and very fast servers alike.
 	leastLatency = 0.02
 )
@@ -90,6 +96,7 @@
 	case Good:
 		h.lastGood = now
 		h.block = 0
+		h.unreachedAt = time.Time{}
 		h.latency += weight * (took.Seconds() - h.latency)
 	case Busy:
 		failed = 0.5
@@ -97,6 +104,7 @@
 		failed = 1
 	case Unreached:
 		h.eject(now)
+		h.unreachedAt = now
 		return
 	}
 	h.failing += weight * (failed - h.failing)
@@ -111,10 +119,22 @@
 	h.blockedUntil = now.Add(h.block)
 }
 
-// score is the expected cost of one more request.
-func (h *health) score(now time.Time, open int) float64 {
-	score := float64(open+1) * max(h.latency, leastLatency) * (1 + failPenalty*max(h.failing-freeShare, 0))
+// blocked tells whether a server is left alone. One that could not be reached is
+// until it has been heard since: a server that has died is the least used of
+// all, so each gateway would come back to it first.
+func (s *Server) blocked(now time.Time) bool {
+	h := &s.health
 	if now.Before(h.blockedUntil) {
+		return true
+	}
+	return !h.unreachedAt.IsZero() && !s.heardAt.After(h.unreachedAt) && now.Sub(h.unreachedAt) < unheardFor
+}
+
+// score is the expected cost of one more request.
+func (s *Server) score(now time.Time) float64 {
+	h := &s.health
+	score := float64(s.Open+1) * max(h.latency, leastLatency) * (1 + failPenalty*max(h.failing-freeShare, 0))
+	if s.blocked(now) {
 		score += blockedPenalty
 	}
 	return score
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -187,9 +187,10 @@
 
 // elsewhere continues after a decode engine has not taken the request: another
 // one takes the KV cache while it lives. Engines that can't be reached cost
-// nothing but the try, so several are tried: many may have gone at once.
+// nothing but the try, so as many are tried as there is time for: a good part of
+// them may have gone at once.
 func (n *generation) elsewhere(ctx context.Context, r result) result {
-	for range maxUnsent {
+	for time.Since(n.kvAt) < n.q.service.Engine.KVHold-kvMargin {
 		n.q.tried[n.pair.Decode.ID] = true
 		n.unbook()
 		s, ok := n.g.fleet.move(n.q.work, n.q.service.Engine, n.kvFrom.Zone, n.q.tried)
@@ -200,9 +201,6 @@
 		if n.decodes > 0 && !n.g.again(n.q, r, 1) {
 			return r
 		}
-		if time.Since(n.kvAt) > n.q.service.Engine.KVHold-kvMargin {
-			return r
-		}
 		if r = n.decode(ctx, &s, true); r.kind != notSent {
 			return r
 		}
