--- a/control/roles.go
+++ b/control/roles.go
@@ -73,7 +73,7 @@
 				p.Observe(now, engines)
 				continue
 			}
-			if o, ok := p.Plan(now, engines); ok {
+			for _, o := range p.Plan(now, engines) {
 				c.orderRole(pool, service, o)
 			}
 		}
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -1,8 +1,9 @@
 // Package roles decides which engines of a service read prompts and which make
 // answers.
 //
-// An engine that changes its role is away for seconds, so changes are rare: one
-// at a time, and only if the balance is off by more than half an engine. It is
+// An engine that changes its role is away for seconds, so changes are rare: a
+// small part of the engines at a time, and only if the balance is off by most of
+// an engine. It is
 // plain state: the time and what is known are arguments.
 package roles
 
@@ -51,8 +52,10 @@
 	balance = 0.75
 	// offBy is the number of engines that the balance must be off by.
 	offBy = 0.8
-	// between is the least time between two orders for a service.
+	// between is the least time between the orders for a service, and batchOf
+	// the number of engines for each of which one may change its role at once.
 	between = 8 * time.Second
+	batchOf = 12
 	// settled is how long the set of engines must stay the same before the
 	// first order.
 	settled = 1500 * time.Millisecond
@@ -77,8 +80,10 @@
 // that it finds are those that a load has asked for.
 func Resume(share float64) *Planner { return &Planner{Share: share, loaded: true} }
 
-// Plan takes what is known now and returns the next order, if there is one.
-func (p *Planner) Plan(now time.Time, engines []Engine) (Order, bool) {
+// Plan takes what is known now and returns the next orders, if there are any:
+// one in a small fleet, and a part of the engines in a large one, whose balance
+// would otherwise follow the load by minutes.
+func (p *Planner) Plan(now time.Time, engines []Engine) []Order {
 	p.Observe(now, engines)
 	prefill, decode, away := split(engines)
 	if len(engines) != p.count {
@@ -86,20 +91,48 @@
 	}
 	p.loaded = p.loaded || p.decodeUse >= leastUse
 	if now.Sub(p.changedAt) < settled || p.loaded && (away || now.Sub(p.orderedAt) < between) {
-		return Order{}, false
+		return nil
 	}
 	want := math.Max(p.want(len(prefill), len(engines)), p.floor(len(engines)))
-	o := Order{Prefill: len(prefill), Decode: len(decode), PrefillUse: p.prefillUse, DecodeUse: p.decodeUse, Want: want}
-	switch off := want - float64(len(prefill)); {
-	case off < -offBy && len(prefill) > 1:
-		o.Engine, o.Role = surplus(prefill), registry.Decode
-	case off > offBy && len(decode) > 1:
-		o.Engine, o.Role = lightest(decode, prefill), registry.Prefill
-	default:
-		return Order{}, false
+	orders := p.orders(prefill, decode, want)
+	if len(orders) > 0 {
+		p.orderedAt = now
 	}
-	p.orderedAt = now
-	return o, true
+	return orders
+}
+
+// orders returns the changes that bring the number of prefill engines towards
+// the one that is wanted.
+func (p *Planner) orders(prefill, decode []Engine, want float64) []Order {
+	var out []Order
+	most := max((len(prefill)+len(decode))/batchOf, 1)
+	for len(out) < most {
+		o := Order{Prefill: len(prefill), Decode: len(decode), PrefillUse: p.prefillUse, DecodeUse: p.decodeUse, Want: want}
+		switch off := want - float64(len(prefill)); {
+		case off < -offBy && len(prefill) > 1:
+			o.Engine, o.Role = surplus(prefill), registry.Decode
+			prefill, decode = change(prefill, decode, o.Engine)
+		case off > offBy && len(decode) > 1:
+			o.Engine, o.Role = lightest(decode, prefill), registry.Prefill
+			decode, prefill = change(decode, prefill, o.Engine)
+		default:
+			return out
+		}
+		out = append(out, o)
+	}
+	return out
+}
+
+// change moves an engine from one list to the other.
+func change(from, to []Engine, id string) (rest, grown []Engine) {
+	for _, e := range from {
+		if e.ID == id {
+			to = append(to, e)
+		} else {
+			rest = append(rest, e)
+		}
+	}
+	return rest, to
 }
 
 func split(engines []Engine) (prefill, decode []Engine, away bool) {
@@ -158,15 +191,20 @@
 	return float64(prefill) * p.prefillUse / p.decodeUse / balance
 }
 
-// floorShare is the part of the share of the settings that prefill engines never
-// fall below: they are few, so that the loss of one, or the return of all
-// callers after a fault, would leave prompts waiting for the seconds that
-// another change takes.
-const floorShare = 0.75
+// Prefill engines never fall below a part of the share of the settings: the loss
+// of one, or the return of all callers after a fault, would leave prompts waiting
+// for the seconds that another change takes. Among few engines the loss of one
+// counts more, so there the part is larger, up to fewEngines.
+const (
+	floorShare    = 0.5
+	fewFloorShare = 0.75
+	fewEngines    = 3
+)
 
 // floor is the least number of prefill engines.
 func (p *Planner) floor(all int) float64 {
-	return math.Ceil(floorShare * p.Share * float64(all))
+	share := p.Share * float64(all)
+	return math.Ceil(math.Max(floorShare*share, math.Min(fewFloorShare*share, fewEngines)))
 }
 
 // surplus returns a prefill engine of the zone that has most of them.
