--- a/control/control.go
+++ b/control/control.go
@@ -85,6 +85,7 @@
 	out     map[string]*peerLink // links to other replicas, by name
 	down    map[*wire.Link]bool  // links of relays and entries
 	seen    map[string]int       // links of identities that have dialled in
+	asked   map[string]bool      // first members that have asked whether to found
 	hub     *hub
 	// proposals numbers the tables that were proposed here.
 	proposals int
@@ -110,7 +111,7 @@
 	c := &Control{
 		cfg: cfg, log: cfg.Log.With("role", "control", "name", cfg.Name), epoch: time.Now().UnixNano(),
 		ctx: ctx, cancel: cancel, state: fleet.New(), waiters: map[string][]chan fleet.Result{},
-		out: map[string]*peerLink{}, down: map[*wire.Link]bool{}, seen: map[string]int{}, zones: map[string]*wire.Summary{},
+		out: map[string]*peerLink{}, down: map[*wire.Link]bool{}, seen: map[string]int{}, asked: map[string]bool{}, zones: map[string]*wire.Summary{},
 		broker: quota.NewBroker(), hub: newHub(),
 	}
 	if cfg.Discovery != nil {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/ledgepin/ledgepin/control"
 	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/internal/gate"
 )
 
 func TestRacingOperators(t *testing.T) {
@@ -167,6 +168,30 @@
 	assert.Equal(t, out.Revision, uint64(2), "the others go on, and the change is made once")
 }
 
+// TestSlowFounder wants a replica whose questions at the first start come through
+// late to found the group with the others all the same, so that the group bears a
+// loss from its first change on.
+func TestSlowFounder(t *testing.T) {
+	t.Parallel()
+	g := prepareGroup(t, "a", "b", "c")
+	slow := []*gate.Gate{g.ways[[2]string{"c", "a"}], g.ways[[2]string{"c", "b"}]}
+	for _, way := range slow {
+		way.Freeze()
+	}
+	for _, n := range []string{"a", "b", "c"} {
+		g.start(n)
+	}
+	g.settle("first", 0, g.text(1))
+	for _, way := range slow {
+		way.Thaw()
+	}
+	g.inForce(g.members["c"], 1)
+	first := g.leader()
+	first.stop()
+	out := g.settle("second", 1, g.text(2))
+	assert.Equal(t, out.Revision, uint64(2))
+}
+
 // TestSecondLossAfterRepair replaces a replica that lost its disk, and loses
 // another one right after.
 func TestSecondLossAfterRepair(t *testing.T) {
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -46,6 +47,16 @@
 }
 
 func newGroup(t *testing.T, names ...string) *group {
+	t.Helper()
+	g := prepareGroup(t, names...)
+	for _, n := range names {
+		g.start(n)
+	}
+	return g
+}
+
+// prepareGroup returns a group whose replicas have not been started.
+func prepareGroup(t *testing.T, names ...string) *group {
 	t.Helper()
 	g := &group{t: t, members: map[string]*member{}, addrs: map[string]string{}, ways: map[[2]string]*gate.Gate{}, every: 20}
 	for _, n := range names {
@@ -56,9 +67,6 @@
 			g.ways[[2]string{from, to}] = gate.New(t, g.addrs[to])
 		}
 	}
-	for _, n := range names {
-		g.start(n)
-	}
 	t.Cleanup(func() {
 		for _, m := range g.members {
 			m.stop()
@@ -154,6 +162,14 @@
 			return
 		}
 	}
+	for name, m := range g.members {
+		if m.proc == nil {
+			g.t.Logf("%s is stopped", name)
+			continue
+		}
+		state, _ := json.Marshal(m.proc.Dump())
+		g.t.Logf("%s: %s", name, state)
+	}
 	g.t.Fatalf("waited in vain for %s", what)
 }
 
--- a/control/identity.go
+++ b/control/identity.go
@@ -62,14 +62,19 @@
 	return hex.EncodeToString(b[:])
 }
 
-// founds asks the other first members until each of them has answered, or one
-// says that the group exists.
+// founds asks the other first members until it knows that each of them is empty,
+// or one says that the group exists.
+//
+// A member that asks this one is empty as well: it may found the group as soon as
+// it has its answers, and commit to it before this replica has asked in its turn.
+// Without counting that, the slowest of three founders would come as a stranger
+// to a group that takes it for a voter, and which the next loss would end.
 func (c *Control) founds() bool {
 	if _, ok := c.cfg.Members[c.cfg.Name]; !ok {
 		return false
 	}
 	answered := map[string]bool{c.cfg.Name: true}
-	for c.ctx.Err() == nil && len(answered) < len(c.cfg.Members) {
+	for c.ctx.Err() == nil && !c.allEmpty(answered) {
 		for name, addr := range c.cfg.Members {
 			if answered[name] {
 				continue
@@ -79,7 +84,7 @@
 				continue
 			}
 			if rev > emptyRevision {
-				return false
+				return c.allEmpty(answered)
 			}
 			answered[name] = true
 		}
@@ -88,6 +93,19 @@
 	return true
 }
 
+// allEmpty tells whether each first member has answered that it is empty, or has
+// asked this one.
+func (c *Control) allEmpty(answered map[string]bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name := range c.cfg.Members {
+		if !answered[name] && !c.asked[name] {
+			return false
+		}
+	}
+	return true
+}
+
 const (
 	foundEvery = 100 * time.Millisecond
 	// emptyRevision is the log index up to which a replica counts as empty: it
@@ -100,7 +118,7 @@
 	ctx, cancel := context.WithTimeout(c.ctx, time.Second)
 	defer cancel()
 	l, err := wire.Dial(ctx, addr, wire.Options{Token: c.cfg.Token, TLS: c.cfg.TLS, Hello: func() wire.Hello {
-		return wire.Hello{Name: c.cfg.Name, Role: wire.RoleAsker}
+		return wire.Hello{Name: c.cfg.Name, Role: wire.RoleFounder}
 	}})
 	if err != nil {
 		return 0, err
--- a/control/links.go
+++ b/control/links.go
@@ -72,6 +72,11 @@
 		c.serveGateway(l)
 		return
 	}
+	if l.Peer.Role == wire.RoleFounder {
+		c.mu.Lock()
+		c.asked[l.Peer.Name] = true
+		c.mu.Unlock()
+	}
 	below := l.Peer.Role != wire.RoleControl
 	if !below && l.Peer.Name == "" {
 		event.BadPeer.Log(c.log, "error", "a replica without identity")
--- a/wire/message.go
+++ b/wire/message.go
@@ -72,6 +72,9 @@
 	RoleGateway = "gateway"
 	// RoleAsker is a process that starts and asks for settings only.
 	RoleAsker = "asker"
+	// RoleFounder is a control replica with an empty disk that asks whether the
+	// group has been founded.
+	RoleFounder = "founder"
 )
 
 // Hello opens a link.
