--- a/backend/names.go
+++ b/backend/names.go
@@ -6,6 +6,8 @@
 // that the caller can decide what a retry would mean.
 package backend
 
+import "time"
+
 // Headers are the names of the header fields between callers, gateways and
 // backend servers. A deployment whose servers use other names brings its own.
 type Headers struct {
@@ -29,6 +31,8 @@
 	Role string
 	// KVSource tells a decode engine where the KV cache of the prompt is.
 	KVSource string
+	// Hold names room that was set aside at an engine for the request.
+	Hold string
 	// LastEventID is the last event of a stream that the caller has.
 	LastEventID string
 	// Private are further fields that only gateways set.
@@ -39,7 +43,7 @@
 var DefaultHeaders = Headers{
 	RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", Signature: "X-Answer-Signature", NotRun: "X-Not-Run",
 	ExpectInstance: "X-Expect-Instance", Tokens: "X-Tokens", Prefix: "X-Prompt-Parts", LengthHint: "X-Length-Hint",
-	Role: "X-Engine-Role", KVSource: "X-KV-Source", LastEventID: "Last-Event-Id",
+	Role: "X-Engine-Role", KVSource: "X-KV-Source", Hold: "X-Hold", LastEventID: "Last-Event-Id",
 }
 
 // KV is the result of a prefill.
@@ -57,6 +61,13 @@
 	ParseKV func(body []byte) (KV, error)
 	// FreeKV returns the method and path of the call that frees a KV cache.
 	FreeKV func(handle string) (method, path string)
+	// TakeHold returns the call that sets a slot and memory aside at an engine
+	// for a time, ParseHold reads the name of the hold from the answer, and
+	// DropHold returns the call that gives it back. Engines without holds have
+	// none of them.
+	TakeHold  func(tokens int, d time.Duration) Call
+	ParseHold func(body []byte) (string, error)
+	DropHold  func(hold string) Call
 	// RoleOrder returns the call that changes an engine's role, and Report the
 	// call that asks for its state; ParseReport reads the answer.
 	RoleOrder   func(o RoleOrder) Call
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -37,6 +37,8 @@
 	pair dispatch.Pair
 	// booked is the decode engine whose memory is reserved; empty if none.
 	booked string
+	// hold is the room that the engine booked has set aside; empty if none.
+	hold   string
 	kv     backend.KV
 	kvFrom dispatch.Server
 	kvAt   time.Time
@@ -89,13 +91,23 @@
 	if n.stream.started {
 		limit = q.route.GapTarget
 	}
-	wait := &waiter{priority: q.route.Priority, work: q.work, engine: q.service.Engine, avoid: q.tried}
-	pair, ok := n.g.fleet.place(ctx, wait, max(limit, 0))
-	if !ok {
-		return false
+	until := time.Now().Add(limit)
+	for {
+		wait := &waiter{priority: q.route.Priority, work: q.work, engine: q.service.Engine, avoid: q.tried}
+		pair, ok := n.g.fleet.place(ctx, wait, max(time.Until(until), 0))
+		if !ok {
+			return false
+		}
+		n.pair, n.booked = pair, pair.Decode.ID
+		if n.takeHold(ctx) {
+			return true
+		}
+		q.tried[pair.Decode.ID] = true
+		if pair.Prefill != nil {
+			n.g.fleet.endPrefill(pair.Prefill.ID, q.work)
+		}
+		n.unbook()
 	}
-	n.pair, n.booked = pair, pair.Decode.ID
-	return true
 }
 
 // round reads the prompt and makes the answer at the engines that are booked.
@@ -198,6 +210,9 @@
 			return r
 		}
 		n.booked, n.pair.Decode = s.ID, &s
+		if !n.takeHold(ctx) {
+			continue
+		}
 		if n.decodes > 0 && !n.g.again(n.q, r, 1) {
 			return r
 		}
@@ -216,6 +231,9 @@
 	if withKV {
 		r.Header.Set(h.KVSource, n.kvFrom.Address+"/"+n.kv.Handle)
 	}
+	if n.hold != "" {
+		r.Header.Set(h.Hold, n.hold)
+	}
 	n.resumeAt(r.Header)
 	a, err := g.pool.Do(ctx, h, r)
 	if err != nil {
@@ -234,7 +252,7 @@
 		g.logSend(q, s, res, time.Since(started))
 		return res
 	}
-	n.kv.Handle = "" // taken
+	n.kv.Handle, n.hold = "", "" // taken
 	q.sends++
 	q.mayHaveRun = true
 	if a.Status >= http.StatusMultipleChoices || a.Header.Get(h.Signature) == "" {
@@ -286,6 +304,7 @@
 }
 
 func (n *generation) unbook() {
+	n.dropHold()
 	if n.booked != "" {
 		n.g.fleet.release(n.booked, n.q.work)
 		n.booked = ""
--- /dev/null
+++ b/gateway/hold.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/ledgepin/ledgepin/backend"
+	"github.com/ledgepin/ledgepin/dispatch"
+)
+
+// Times of holds.
+const (
+	// holdTimeout is how long an engine may take to set room aside.
+	holdTimeout = 120 * time.Millisecond
+	// holdMargin is added to the expected time until the prompt has been read.
+	holdMargin = 600 * time.Millisecond
+)
+
+// takeHold has the decode engine that is booked set room aside, before any
+// prompt is read for it: what gateways tell each other is some tens of
+// milliseconds old, and only the engine knows whether it still has a slot. It
+// returns false if it has none or can't be reached.
+func (n *generation) takeHold(ctx context.Context) bool {
+	p, engine := &n.g.cfg.Protocol, n.q.service.Engine
+	if p.TakeHold == nil || engine.HoldMost <= 0 || n.pair.Prefill == nil {
+		return true
+	}
+	s := n.pair.Decode
+	hctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	started := time.Now()
+	r := n.q.call(&p.Headers, s, p.TakeHold(n.q.work.Prompt, min(n.pair.Wait+holdMargin, engine.HoldMost)), n.g.fleet.gateways())
+	res, body := n.exchange(hctx, s, r)
+	if res.kind == answered && res.status == http.StatusOK {
+		hold, err := p.ParseHold(body)
+		if err == nil {
+			n.hold = hold
+			return true
+		}
+	}
+	n.g.logSend(n.q, s, res, time.Since(started))
+	if res.kind == notSent {
+		n.g.fleet.note(s.ID, dispatch.Unreached, 0)
+	}
+	return false
+}
+
+// call returns a call of the gateway's own to an engine.
+func (q *request) call(h *backend.Headers, s *dispatch.Server, c backend.Call, gateways int) backend.Request {
+	r := backend.Request{Address: s.Address, Method: c.Method, Target: c.Path, Host: s.Address, Header: http.Header{}, Body: c.Body}
+	r.Header.Set(h.ExpectInstance, s.ID)
+	if c.ContentType != "" {
+		r.Header.Set("Content-Type", c.ContentType)
+	}
+	r.MaxConnections = connectionShare(q.service.MaxConnections, gateways)
+	return r
+}
+
+// dropHold gives room back that has not been used.
+func (n *generation) dropHold() {
+	if n.hold == "" {
+		return
+	}
+	s, hold := n.pair.Decode, n.hold
+	n.hold = ""
+	r := n.q.call(&n.g.cfg.Protocol.Headers, s, n.g.cfg.Protocol.DropHold(hold), n.g.fleet.gateways())
+	n.g.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(n.g.ctx, freeTime)
+		defer cancel()
+		if a, err := n.g.pool.Do(ctx, &n.g.cfg.Protocol.Headers, r); err == nil {
+			_, _ = a.ReadAll(maxAnswer)
+		}
+	})
+}
--- /dev/null
+++ b/gateway/hold_test.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/standin"
+)
+
+// nothingHeld waits until no engine has room set aside.
+func (r *rig) nothingHeld() {
+	r.t.Helper()
+	poll.WaitOn(r.t, func(poll.LogT) poll.Result {
+		for id, b := range r.servers {
+			if n, _ := b.Holds(); n > 0 {
+				return poll.Continue("%d holds at %s", n, id)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(2*time.Second))
+}
+
+// TestFullEngineIsFoundBeforeTheRead wants no prompt read for an engine that is
+// full, though this gateway has not heard of it: each of them has another
+// gateway's runs.
+func TestFullEngineIsFoundBeforeTheRead(t *testing.T) {
+	r := newRig(t)
+	p := r.add("llm", "p1", "prefill")
+	for _, id := range []string{"d1", "d2", "d3"} {
+		r.add("llm", id, "decode").SetSlots(1)
+	}
+	for _, id := range []string{"d1", "d2"} {
+		r.servers[id].SetPace(0, 400*time.Millisecond, events)
+		go standinRun(r.servers[id])
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if r.servers["d1"].Running()+r.servers["d2"].Running() < 2 {
+			return poll.Continue("not running")
+		}
+		return poll.Success()
+	})
+	got := r.send("POST", "/review/1", "q1", "x", work)
+	assert.Equal(t, got.status, 200, got.body)
+	assert.Equal(t, got.body, wholeStream())
+	assert.Equal(t, len(p.Arrivals()), 1, "read once")
+	assert.Equal(t, len(r.servers["d1"].Arrivals())+len(r.servers["d2"].Arrivals()), 2, "the runs of others only")
+	assert.Equal(t, ran(r.servers["d3"]), 1)
+	r.nothingHeld()
+}
+
+// TestNoRoomAnywhere wants a request refused without a prompt read, if no engine
+// has room.
+func TestNoRoomAnywhere(t *testing.T) {
+	r := newRig(t)
+	p, d := r.add("llm", "p1", "prefill"), r.add("llm", "d1", "decode")
+	d.SetSlots(1)
+	d.SetPace(0, 400*time.Millisecond, events)
+	go standinRun(d)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if d.Running() < 1 {
+			return poll.Continue("not running")
+		}
+		return poll.Success()
+	})
+	got := r.send("POST", "/review/1", "q1", "x", work)
+	assert.Equal(t, got.status, 503, got.body)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, len(p.Arrivals()), 0)
+}
+
+// TestHoldIsGivenBack wants room given back that is not used: the prompt could
+// not be read, or the caller has left.
+func TestHoldIsGivenBack(t *testing.T) {
+	t.Run("no prefill", func(t *testing.T) {
+		r := newRig(t)
+		r.add("llm", "p1", "prefill").SetFault(first(standin.Refuse, nil))
+		d := r.add("llm", "d1", "decode")
+		got := r.send("POST", "/review/1", "q1", "x", work)
+		assert.Equal(t, got.status, 200, "the decode engine reads the prompt itself")
+		_, ever := d.Holds()
+		assert.Assert(t, ever > 0, "no hold was taken")
+		r.nothingHeld()
+	})
+	t.Run("caller gone", func(t *testing.T) {
+		r := newRig(t)
+		r.add("llm", "p1", "prefill").SetPace(10*time.Second, 0, 0)
+		d := r.add("llm", "d1", "decode")
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		assert.Assert(t, r.sendWith(ctx, "POST", "/review/1", "q1", "x", work).cut)
+		_, ever := d.Holds()
+		assert.Equal(t, ever, 1)
+		r.nothingHeld()
+	})
+}
--- a/route/route.go
+++ b/route/route.go
@@ -79,6 +79,9 @@
 	RoleSwitch time.Duration `cbor:"6,keyasint,omitempty" json:"role_switch"`
 	// EventTokens is the number of tokens in one event of a stream.
 	EventTokens int `cbor:"7,keyasint,omitempty" json:"event_tokens"`
+	// HoldMost is how long an engine sets room aside at most; zero if it does
+	// not.
+	HoldMost time.Duration `cbor:"8,keyasint,omitempty" json:"hold_most"`
 }
 
 // Limits bound what a caller may send.
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"path"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,6 +34,9 @@
 	Hang
 )
 
+// HoldPath is where an engine sets room aside.
+const HoldPath = "/hold"
+
 // Arrival is one request that came to a server.
 type Arrival struct {
 	ID     string
@@ -62,6 +66,11 @@
 	event    time.Duration
 	events   int
 	running  int
+	// slots bounds what runs and what is held; zero for no bound.
+	slots int
+	holds map[string]bool
+	// held counts the holds that were ever taken.
+	held int
 }
 
 // BackendGroup is a set of engines that pass KV caches to each other.
@@ -131,6 +140,56 @@
 	return b.running
 }
 
+// SetSlots bounds the requests that an engine runs and holds room for.
+func (b *Backend) SetSlots(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slots = n
+}
+
+// Holds returns the number of holds that are set aside, and of all that were.
+func (b *Backend) Holds() (now, ever int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.holds), b.held
+}
+
+// serveHold sets a slot aside, or gives one back.
+func (b *Backend) serveHold(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.Method == http.MethodDelete {
+		delete(b.holds, path.Base(r.URL.Path))
+		return
+	}
+	if b.full() {
+		w.Header().Set(b.headers.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if b.holds == nil {
+		b.holds = map[string]bool{}
+	}
+	b.held++
+	hold := strconv.Itoa(b.held)
+	b.holds[hold] = true
+	fmt.Fprintf(w, `{"hold":%q}`, hold)
+}
+
+// full tells whether no slot is free. Callers hold the lock.
+func (b *Backend) full() bool { return b.slots > 0 && b.running+len(b.holds) >= b.slots }
+
+// admit takes a request's hold, or asks for a free slot.
+func (b *Backend) admit(hold string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.holds[hold] {
+		delete(b.holds, hold)
+		return true
+	}
+	return hold == "" && !b.full()
+}
+
 func (b *Backend) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -138,6 +197,10 @@
 	}
 	id := r.Header.Get(b.headers.RequestID)
 	w.Header().Set(b.headers.RequestID, id)
+	if strings.HasPrefix(r.URL.Path, HoldPath) {
+		b.serveHold(w, r)
+		return
+	}
 	if b.Role != "" && r.Method == http.MethodDelete {
 		b.group.take(b.addr + "/" + path.Base(r.URL.Path))
 		return
@@ -157,6 +220,11 @@
 		b.servePrefill(w, r, id)
 		return
 	}
+	if b.Role != "" && !b.admit(r.Header.Get(b.headers.Hold)) {
+		w.Header().Set(b.headers.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	b.run(at, 1)
 	defer b.run(at, -1)
 	b.answer(w, r, id, fault)
