--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 package dispatch
 
 import (
+	"hash/fnv"
 	"sort"
 	"time"
 
@@ -47,6 +48,7 @@
 
 // Fleet is all servers that a gateway knows.
 type Fleet struct {
+	name    string
 	servers map[string]*Server
 	// groups are the servers by service and role, made anew when one comes,
 	// goes or changes its role; cursor is where the next choice starts to look.
@@ -63,25 +65,31 @@
 // group is the servers of a service that do the same work.
 type group struct{ service, role string }
 
-// choices bounds the servers that one choice looks at, so that its cost does
-// not grow with the fleet.
-const choices = 24
+// The servers that one choice looks at: a part of a group, so that gateways that
+// choose at the same time, on what they heard some tens of milliseconds ago, do
+// not all take the same one; and never more than a bound, so that the cost of a
+// choice does not grow with the fleet.
+const (
+	choicePart   = 4
+	leastChoices = 4
+	mostChoices  = 24
+)
 
-// members calls visit for some servers of a group, others each time if there
-// are many.
+// members calls visit for some servers of a group, others each time.
 func (f *Fleet) members(service, role string, visit func(s *Server)) {
 	if f.groups == nil {
 		f.regroup()
 	}
 	list := f.groups[group{service, role}]
-	if len(list) <= choices {
+	looked := min(max(len(list)/choicePart, leastChoices), mostChoices)
+	if len(list) <= looked {
 		for _, s := range list {
 			visit(s)
 		}
 		return
 	}
-	f.cursor += choices
-	for i := range choices {
+	f.cursor += looked
+	for i := range looked {
 		visit(list[(f.cursor+i)%len(list)])
 	}
 }
@@ -95,13 +103,25 @@
 		}
 	}
 	for _, list := range f.groups {
-		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+		sort.Slice(list, func(i, j int) bool { return f.rank(list[i]) < f.rank(list[j]) })
 	}
 }
 
+// rank orders servers differently at each gateway.
+func (f *Fleet) rank(s *Server) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(f.name))
+	_, _ = h.Write([]byte(s.ID))
+	x := h.Sum64()
+	// The last letters of a name hardly reach the high bits of the sum.
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // NewFleet returns a fleet without servers.
-func NewFleet(zone string) *Fleet {
-	return &Fleet{servers: map[string]*Server{}, Zone: zone, Gateways: 1, Known: 1}
+func NewFleet(name, zone string) *Fleet {
+	return &Fleet{name: name, servers: map[string]*Server{}, Zone: zone, Gateways: 1, Known: 1}
 }
 
 // Update takes reports of servers.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -33,8 +33,8 @@
 	placed   chan dispatch.Pair
 }
 
-func newFleet(zone string, bounds dispatch.Budget) *fleet {
-	return &fleet{view: dispatch.NewFleet(zone), bounds: bounds, budgets: map[string]*dispatch.Budget{}}
+func newFleet(name, zone string, bounds dispatch.Budget) *fleet {
+	return &fleet{view: dispatch.NewFleet(name, zone), bounds: bounds, budgets: map[string]*dispatch.Budget{}}
 }
 
 // budget returns the retry budget of a service. Callers hold the lock.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,7 +59,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
 		cfg: cfg, log: cfg.Log.With("role", "gateway", "name", cfg.Name), ctx: ctx, cancel: cancel,
-		tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Zone, cfg.Retry),
+		tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Name, cfg.Zone, cfg.Retry),
 	}
 	g.links = newLinks(g)
 	g.links.meet(cfg.Seeds)
