--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -199,7 +199,14 @@
 	}
 }
 
-// Release takes back what Reserve has booked.
+// Extend books more tokens for a run that Reserve has booked.
+func (f *Fleet) Extend(id string, tokens int) {
+	if s := f.servers[id]; s != nil {
+		s.Own.Tokens += tokens
+	}
+}
+
+// Release takes back what Reserve and Extend have booked.
 func (f *Fleet) Release(id string, w Work) {
 	if s := f.servers[id]; s != nil {
 		s.Own.Tokens -= w.tokens()
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -270,6 +270,14 @@
 	f.serve()
 }
 
+// extend books more tokens for a run at a decode engine.
+func (f *fleet) extend(id string, tokens int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.Extend(id, tokens)
+	f.dirty = true
+}
+
 // move books another decode engine for a prompt that has been read.
 func (f *fleet) move(w dispatch.Work, e *route.Engine, zone string, avoid dispatch.Avoid) (dispatch.Server, bool) {
 	f.mu.Lock()
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -25,6 +25,9 @@
 	// kvMargin is taken off the time that an engine keeps a prefill result.
 	kvMargin = 100 * time.Millisecond
 	freeTime = 300 * time.Millisecond
+	// growPart is the part of its expected length by which a run that reaches
+	// it is taken to be longer.
+	growPart = 4
 )
 
 // errLeft tells that a decode engine began to leave while the prompt was read.
@@ -51,6 +54,7 @@
 // reserved first, then the prompt is read, then the answer is made.
 func (g *Gateway) generate(ctx context.Context, w http.ResponseWriter, q *request) {
 	n := &generation{g: g, q: q, stream: newStreamWriter(g, w, q)}
+	n.stream.made = n.grow
 	defer n.unbook()
 	var last result
 	for round := range maxRounds {
@@ -303,6 +307,16 @@
 	}
 }
 
+// grow books more memory for a run that makes more than was expected of it.
+func (n *generation) grow(made int) {
+	if n.booked == "" || made < n.q.work.Expected {
+		return
+	}
+	more := max(n.q.work.Expected/growPart, 1)
+	n.g.fleet.extend(n.booked, more)
+	n.q.work.Expected += more
+}
+
 func (n *generation) unbook() {
 	n.dropHold()
 	if n.booked != "" {
--- a/gateway/hold_test.go
+++ b/gateway/hold_test.go
@@ -97,3 +97,35 @@
 		r.nothingHeld()
 	})
 }
+
+// TestRunLongerThanExpected wants the memory that is booked for a run to follow
+// what it makes, and all of it given back.
+func TestRunLongerThanExpected(t *testing.T) {
+	r := newRig(t)
+	r.add("llm", "p1", "prefill")
+	d := r.add("llm", "d1", "decode")
+	d.SetPace(0, 5*time.Millisecond, 60) // 5 tokens are expected
+	booked := func() int {
+		for _, s := range r.gateway.fleet.list() {
+			if s.ID == "d1" {
+				return s.Own.Tokens
+			}
+		}
+		return 0
+	}
+	done := make(chan reply)
+	go func() { done <- r.send("POST", "/review/1", "q1", "x", work) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := booked(); n < 1040 {
+			return poll.Continue("%d tokens are booked", n)
+		}
+		return poll.Success()
+	}, poll.WithDelay(2*time.Millisecond))
+	assert.Equal(t, (<-done).status, 200)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := booked(); n != 0 {
+			return poll.Continue("%d tokens are booked", n)
+		}
+		return poll.Success()
+	})
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -25,6 +25,9 @@
 	// longest pause between two.
 	firstAt, lastAt time.Time
 	gap             time.Duration
+	// made is told how many tokens the answer has so far.
+	made   func(tokens int)
+	events int
 }
 
 func newStreamWriter(g *Gateway, w http.ResponseWriter, q *request) *streamWriter {
@@ -52,6 +55,8 @@
 		n, err := a.Read(buf)
 		if n > 0 {
 			s.pace(time.Now())
+			s.events += bytes.Count(buf[:n], eventEnd)
+			s.made(s.events * s.q.service.Engine.EventTokens)
 			_ = control.SetWriteDeadline(time.Now().Add(callerTimeout))
 			if werr := s.write(control, buf[:n]); werr != nil {
 				return werr
