--- /dev/null
+++ b/soak/check.go
@@ -0,0 +1,437 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// Bounds of the rules. They leave room for a machine that is shared.
+const (
+	// drainBound is how long after its word a leaving server may get new work.
+	drainBound = 2500 * time.Millisecond
+	// goneBound is how long work may go on for a caller that has left.
+	goneBound = 1500 * time.Millisecond
+	// forceBound is how long after its acknowledgement a table may not be in
+	// force at a gateway that is in touch.
+	forceBound = 2500 * time.Millisecond
+	// touchTime is how long a process must have been undisturbed to be held to
+	// a bound of time.
+	touchTime = 4 * time.Second
+	// budgetWindow, budgetRatio and budgetSlack are the retry budget of the
+	// settings that a run uses.
+	budgetWindow = 10 * time.Second
+	budgetRatio  = 0.2
+	budgetSlack  = 50
+)
+
+// Violation is a rule that was broken.
+type Violation struct {
+	Rule   string
+	Detail string
+}
+
+// String describes a violation for people.
+func (v Violation) String() string { return v.Rule + ": " + v.Detail }
+
+// Check returns the rules that a history breaks.
+func Check(h *History) []Violation {
+	var out []Violation
+	for _, c := range checks {
+		for _, detail := range c.check(h) {
+			out = append(out, Violation{c.rule, detail})
+		}
+	}
+	return out
+}
+
+// checks are the rules, each with the function that looks for breaks.
+var checks = []struct {
+	rule  string
+	check func(h *History) []string
+}{
+	{"whole and own answer", checkWhole},
+	{"at most once", checkOnce},
+	{"not run is true", checkNotRun},
+	{"nothing held for a caller gone", checkGone},
+	{"no new work for a leaving server", checkDrain},
+	{"a planned stop cuts no request", checkPlannedStop},
+	{"tables are in force in time and never back", checkInForce},
+	{"an acknowledged table is never lost", checkTables},
+	{"no invalid table is taken", checkInvalid},
+	{"the retry budget is kept", checkBudget},
+	{"one holder of orders", checkOrders},
+	{"no process ends by itself", checkExits},
+}
+
+// streamEvents is the number of events of a stream of the run's engines.
+const streamEvents = 24
+
+// wholeStream is the body of a stream that nothing is missing of.
+func wholeStream() string {
+	var b strings.Builder
+	for n := 1; n <= streamEvents; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", n, n)
+	}
+	return b.String()
+}
+
+func checkWhole(h *History) []string {
+	var out []string
+	whole := wholeStream()
+	for _, q := range h.Requests {
+		if q.Status != http.StatusOK || q.LeftAt > 0 {
+			continue
+		}
+		stream := q.Kind == Review || q.Kind == Desk
+		switch {
+		case stream && !strings.HasPrefix(whole, q.Body):
+			out = append(out, fmt.Sprintf("%s got other events: %.80q", q.ID, q.Body))
+		case stream && !q.Cut && q.Body != whole:
+			out = append(out, fmt.Sprintf("%s got %d bytes of %d that look whole", q.ID, len(q.Body), len(whole)))
+		case !stream && !q.Cut && !strings.HasPrefix(q.Body, "answer to "+q.ID+" by "):
+			out = append(out, fmt.Sprintf("%s got %.80q", q.ID, q.Body))
+		}
+	}
+	return out
+}
+
+// runs returns the number of times that each request was worked on.
+func runs(h *History) map[string]int {
+	out := map[string]int{}
+	for _, a := range h.Arrivals {
+		if a.Ran {
+			out[a.ID]++
+		}
+	}
+	return out
+}
+
+func checkOnce(h *History) []string {
+	var out []string
+	n := runs(h)
+	for _, q := range h.Requests {
+		if (q.Kind == Checkout || q.Kind == Review) && n[q.ID] > 1 {
+			out = append(out, fmt.Sprintf("%s (%s) ran %d times", q.ID, q.Kind, n[q.ID]))
+		}
+	}
+	return out
+}
+
+// promises are the answers that say that a request did not run.
+var promises = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
+
+func checkNotRun(h *History) []string {
+	var out []string
+	n := runs(h)
+	for _, q := range h.Requests {
+		if slices.Contains(promises, q.Status) && n[q.ID] > 0 {
+			out = append(out, fmt.Sprintf("%s (%s) got %d and ran", q.ID, q.Kind, q.Status))
+		}
+	}
+	return out
+}
+
+func checkGone(h *History) []string {
+	var out []string
+	left := map[string]Request{}
+	for _, q := range h.Requests {
+		if q.LeftAt > 0 {
+			left[q.ID] = q
+		}
+	}
+	for _, a := range h.Arrivals {
+		q, ok := left[a.ID]
+		if !ok || !a.Ran || h.disturbed(gatewayName(q.Gateway), q.LeftAt, touchTime) || h.disturbed(a.Server, q.LeftAt, touchTime) {
+			continue
+		}
+		if a.Ended == 0 || a.Ended > q.LeftAt+goneBound {
+			out = append(out, fmt.Sprintf("%s left at %v, %s worked until %v", q.ID, q.LeftAt, a.Server, a.Ended))
+		}
+	}
+	if h.HeldKV > 0 || h.HeldRoom > 0 {
+		out = append(out, fmt.Sprintf("%d KV caches and %d holds after the end", h.HeldKV, h.HeldRoom))
+	}
+	return out
+}
+
+// disturbed tells whether a process, server or its link was disturbed in the
+// time before a moment, or is about to be.
+func (h *History) disturbed(process string, at, before time.Duration) bool {
+	for _, o := range h.Outages {
+		if o.Process == process && o.From <= at+goneBound && at-before <= o.To {
+			return true
+		}
+	}
+	return false
+}
+
+func checkDrain(h *History) []string {
+	var out []string
+	for _, d := range h.Drains {
+		for _, a := range h.Arrivals {
+			if a.Server != d.Server || a.ID == "" || a.At <= d.At+drainBound {
+				continue
+			}
+			if g := h.gatewayOf(a.ID); g != "" && h.disturbed(g, a.At, touchTime) {
+				continue
+			}
+			out = append(out, fmt.Sprintf("%s reached %s %v after its word", a.ID, d.Server, a.At-d.At))
+		}
+	}
+	return out
+}
+
+func (h *History) gatewayOf(id string) string {
+	for _, q := range h.Requests {
+		if q.ID == id {
+			return gatewayName(q.Gateway)
+		}
+	}
+	return ""
+}
+
+// checkPlannedStop looks at requests under way at a gateway that was told to
+// stop: none may be cut unless a fault came beside.
+func checkPlannedStop(h *History) []string {
+	var out []string
+	reached := map[string]bool{}
+	for _, a := range h.Arrivals {
+		reached[a.ID] = true
+	}
+	for _, o := range h.Outages {
+		if o.Kind != StopGateway {
+			continue
+		}
+		for _, q := range h.Requests {
+			if gatewayName(q.Gateway) != o.Process || q.Ended < o.From || q.Sent > o.To || !q.Cut || q.Unconnected || q.LeftAt > 0 {
+				continue
+			}
+			if !reached[q.ID] || h.unplanned(q.Sent-touchTime, q.Ended+time.Second) {
+				continue // one that crosses the close of its connection is sent elsewhere
+			}
+			out = append(out, fmt.Sprintf("%s (%s) sent at %v was cut at %v, %s was told to stop at %v", q.ID, q.Kind, q.Sent, q.Ended, o.Process, o.From))
+		}
+	}
+	return out
+}
+
+// unplanned tells whether a fault came in a span of time.
+func (h *History) unplanned(from, to time.Duration) bool {
+	for _, o := range h.Outages {
+		if !o.Kind.Planned() && o.From <= to && o.To >= from {
+			return true
+		}
+	}
+	return false
+}
+
+// checkInForce wants the newest acknowledged table in force at each gateway in
+// time, and a table that a gateway has shown never followed by an older one.
+func checkInForce(h *History) []string {
+	var out []string
+	probes := slices.Clone(h.Probes)
+	sort.Slice(probes, func(i, j int) bool { return probes[i].Sent < probes[j].Sent })
+	type process struct{ gateway, incarnation int }
+	shown := map[process]Probe{}
+	for _, p := range probes {
+		key := process{p.Gateway, p.Incarnation}
+		if p.Status == http.StatusOK {
+			if newest := shown[key]; newest.Version > p.Version && newest.Ended < p.Sent {
+				out = append(out, fmt.Sprintf("gateway %d showed table %d at %v after table %d", p.Gateway, p.Version, p.Sent, newest.Version))
+			}
+			if p.Version >= shown[key].Version {
+				shown[key] = p
+			}
+		}
+		if p.Status == http.StatusNotFound && h.mustShow(p) && !h.disturbed(gatewayName(p.Gateway), p.Sent, touchTime) && !h.controlDisturbed(p.Sent) {
+			out = append(out, fmt.Sprintf("gateway %d did not show table %d at %v", p.Gateway, p.Version, p.Sent))
+		}
+	}
+	return out
+}
+
+// mustShow tells whether a probe asks for the newest table of all that were
+// sent, long enough after its acknowledgement.
+func (h *History) mustShow(p Probe) bool {
+	acknowledged := false
+	for _, put := range h.Puts {
+		if put.Version > p.Version && put.Valid && put.Sent < p.Ended {
+			return false
+		}
+		if put.Version == p.Version && put.Status == http.StatusOK && put.Ended+forceBound < p.Sent {
+			acknowledged = true
+		}
+	}
+	return acknowledged
+}
+
+// controlDisturbed tells whether control was disturbed shortly before a moment.
+func (h *History) controlDisturbed(at time.Duration) bool {
+	for n := range h.Shape.Controls {
+		if h.disturbed(controlName(n), at, touchTime) {
+			return true
+		}
+	}
+	return false
+}
+
+// tableInput is an operation on the table for the check of its history.
+type tableInput struct {
+	put     bool
+	version int
+}
+
+// tableModel is a register that keeps the highest version.
+var tableModel = porcupine.Model{
+	Init: func() any { return 0 },
+	Step: func(state, input, output any) (bool, any) {
+		version, in := state.(int), input.(tableInput)
+		if in.put {
+			return true, max(version, in.version)
+		}
+		return output.(int) == version, version
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// checkTables wants reads and acknowledged changes of the table to be those of
+// one register. A change without a clear answer may take effect at any later
+// time, or never, so only those that a read has shown count. A read may be as old
+// as the time that a table has to come into force, so it counts as begun earlier.
+func checkTables(h *History) []string {
+	seen := map[int]bool{}
+	for _, r := range h.Reads {
+		if r.Status == http.StatusOK {
+			seen[r.Version] = true
+		}
+	}
+	var ops []porcupine.Operation
+	for i, p := range h.Puts {
+		if !p.Valid || p.Status != http.StatusOK && !seen[p.Version] {
+			continue
+		}
+		end := p.Ended
+		if p.Status != http.StatusOK {
+			end = h.Length + time.Hour
+		}
+		ops = append(ops, porcupine.Operation{ClientId: i, Input: tableInput{true, p.Version}, Call: int64(p.Sent), Return: int64(end)})
+	}
+	for i, r := range h.Reads {
+		if r.Status == http.StatusOK {
+			ops = append(ops, porcupine.Operation{ClientId: len(h.Puts) + i, Input: tableInput{}, Output: r.Version, Call: int64(r.Sent - forceBound), Return: int64(r.Ended)})
+		}
+	}
+	if !porcupine.CheckOperations(tableModel, ops) {
+		return []string{fmt.Sprintf("%d changes and reads are not those of one table", len(ops))}
+	}
+	return checkReadBack(h)
+}
+
+// checkReadBack wants the newest acknowledged table read after the end of all
+// faults.
+func checkReadBack(h *History) []string {
+	newest, last := 0, -1
+	for _, p := range h.Puts {
+		if p.Valid && p.Status == http.StatusOK {
+			newest = max(newest, p.Version)
+		}
+	}
+	for _, r := range h.Reads {
+		if r.Status == http.StatusOK {
+			last = r.Version
+		}
+	}
+	if last < newest {
+		return []string{fmt.Sprintf("table %d was acknowledged, the last read has %d", newest, last)}
+	}
+	return nil
+}
+
+func checkInvalid(h *History) []string {
+	var out []string
+	for _, p := range h.Puts {
+		if !p.Valid && p.Status == http.StatusOK {
+			out = append(out, fmt.Sprintf("table %d is invalid and was acknowledged", p.Version))
+		}
+	}
+	return out
+}
+
+// checkBudget counts what arrived at each service beyond the first of each
+// request, in each window.
+func checkBudget(h *History) []string {
+	first := map[string]map[string]bool{}
+	extra := map[string][]time.Duration{}
+	requests := map[string][]time.Duration{}
+	arrivals := slices.Clone(h.Arrivals)
+	sort.Slice(arrivals, func(i, j int) bool { return arrivals[i].At < arrivals[j].At })
+	for _, a := range arrivals {
+		if a.ID == "" {
+			continue
+		}
+		// The first read of a prompt is no run; each further one counts.
+		key := a.ID + "/" + a.Header.Get(headers.Role)
+		if first[a.Service] == nil {
+			first[a.Service] = map[string]bool{}
+		}
+		if first[a.Service][key] {
+			extra[a.Service] = append(extra[a.Service], a.At)
+		}
+		first[a.Service][key] = true
+	}
+	for _, q := range h.Requests {
+		s := serviceOf(q.Kind)
+		requests[s] = append(requests[s], q.Sent)
+	}
+	var out []string
+	for service, list := range extra {
+		for i, from := range list {
+			n := within(list[i:], from, from+budgetWindow)
+			asked := max(within(requests[service], from, from+budgetWindow), within(requests[service], from-budgetWindow, from))
+			if allowed := budgetRatio*float64(asked) + budgetSlack; float64(n) > allowed {
+				out = append(out, fmt.Sprintf("%s got %d further arrivals from %v on, %.0f are allowed", service, n, from, allowed))
+				break
+			}
+		}
+	}
+	return out
+}
+
+func within(list []time.Duration, from, to time.Duration) int {
+	n := 0
+	for _, t := range list {
+		if t >= from && t < to {
+			n++
+		}
+	}
+	return n
+}
+
+// checkOrders wants one holder for each fence, and no lower fence after a
+// higher one at any engine.
+func checkOrders(h *History) []string {
+	var out []string
+	holders := map[uint64]string{}
+	highest := map[string]uint64{}
+	orders := slices.Clone(h.Orders)
+	sort.Slice(orders, func(i, j int) bool { return orders[i].At < orders[j].At })
+	for _, o := range orders {
+		if other, ok := holders[o.Fence]; ok && other != o.Holder {
+			out = append(out, fmt.Sprintf("fence %d is used by %s and %s", o.Fence, other, o.Holder))
+		}
+		holders[o.Fence] = o.Holder
+		if o.Fence < highest[o.Server] {
+			out = append(out, fmt.Sprintf("%s got fence %d after %d", o.Server, o.Fence, highest[o.Server]))
+		}
+		highest[o.Server] = max(highest[o.Server], o.Fence)
+	}
+	return out
+}
+
+func checkExits(h *History) []string { return h.Exits }
--- /dev/null
+++ b/soak/check_test.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/standin"
+)
+
+const second = time.Second
+
+// calm returns a history that breaks no rule.
+func calm() *History {
+	h := &History{Length: 20 * second, Shape: DefaultShape}
+	h.Requests = []Request{
+		{ID: "q1", Kind: Checkout, Sent: second, Ended: 2 * second, Status: 200, Body: "answer to q1 by app-1"},
+		{ID: "q2", Kind: Review, Sent: second, Ended: 2 * second, Status: 200, Body: wholeStream()},
+		{ID: "q3", Kind: Rates, Sent: second, Ended: 2 * second, Status: 503},
+		{ID: "q4", Kind: Review, Sent: second, Ended: 2 * second, Status: 200, Cut: true, LeftAt: 2 * second},
+	}
+	arrived := func(id, server, service, role string, ended time.Duration) Arrival {
+		head := http.Header{}
+		if role != "" {
+			head.Set(headers.Role, role)
+		}
+		a := standin.Arrival{ID: id, Header: head, Ran: role != "prefill"}
+		return Arrival{Arrival: a, Server: server, Service: service, At: second, Ended: ended}
+	}
+	h.Arrivals = []Arrival{
+		arrived("q1", "app-1", appService, "", 2*second),
+		arrived("q2", "llm-1", engineService, "prefill", 0), arrived("q2", "llm-2", engineService, "", 2*second),
+		arrived("q4", "llm-2", engineService, "", 2*second+100*time.Millisecond),
+	}
+	h.Puts = []Put{{Version: 1, Status: 200, Valid: true}, {Version: 3, Sent: 5 * second, Ended: 6 * second, Status: 200, Valid: true}}
+	h.Reads = []Read{{Sent: 2 * second, Ended: 2 * second, Status: 200, Version: 1}, {Sent: 12 * second, Ended: 12 * second, Status: 200, Version: 3}}
+	h.Probes = []Probe{
+		{Gateway: 1, Version: 1, Sent: 2 * second, Ended: 2 * second, Status: 200},
+		{Gateway: 1, Version: 3, Sent: 10 * second, Ended: 10 * second, Status: 200},
+	}
+	h.Drains = []Drain{{Server: "app-1", At: 3 * second}}
+	h.Orders = []RoleOrder{{"llm-1", "control-0", 2, second}, {"llm-1", "control-1", 3, 9 * second}}
+	return h
+}
+
+// TestChecksFindBreaks wants each check to find its rule broken in a history in
+// which one thing was changed, and no check to find anything in the calm one.
+func TestChecksFindBreaks(t *testing.T) {
+	assert.Equal(t, fmt.Sprint(Check(calm())), "[]")
+	tests := []struct {
+		rule  string
+		name  string
+		spoil func(h *History)
+	}{
+		{"whole and own answer", "another request's", func(h *History) { h.Requests[0].Body = "answer to q9 by app-1" }},
+		{"whole and own answer", "a short stream that looks whole", func(h *History) { h.Requests[1].Body = wholeStream()[:100] }},
+		{"whole and own answer", "an event twice", func(h *History) { h.Requests[1].Body = "id: 1\ndata: event 1\n\n" + wholeStream() }},
+		{"at most once", "a checkout on two servers", func(h *History) {
+			h.Arrivals = append(h.Arrivals, h.Arrivals[0])
+		}},
+		{"not run is true", "a refusal that ran", func(h *History) {
+			a := h.Arrivals[0]
+			a.ID = "q3"
+			h.Arrivals = append(h.Arrivals, a)
+		}},
+		{"nothing held for a caller gone", "work goes on", func(h *History) { h.Arrivals[3].Ended = 5 * second }},
+		{"nothing held for a caller gone", "memory is held", func(h *History) { h.HeldKV = 1 }},
+		{"no new work for a leaving server", "late work", func(h *History) {
+			a := h.Arrivals[0]
+			a.ID, a.At = "q1", 7*second
+			h.Arrivals[0] = a
+		}},
+		{"a planned stop cuts no request", "a cut request", func(h *History) {
+			h.Outages = []Outage{{Step: Step{Kind: StopGateway}, Process: gatewayName(0), From: second, To: 4 * second}}
+			h.Requests[0].Cut, h.Requests[0].Status = true, 0
+		}},
+		{"tables are in force in time and never back", "an older table", func(h *History) {
+			h.Probes = append(h.Probes, Probe{Gateway: 1, Version: 1, Sent: 11 * second, Ended: 11 * second, Status: 200})
+		}},
+		{"tables are in force in time and never back", "late", func(h *History) { h.Probes[1].Status = 404 }},
+		{"an acknowledged table is never lost", "an old read", func(h *History) { h.Reads[1].Version = 1 }},
+		{"an acknowledged table is never lost", "no read back", func(h *History) { h.Reads = h.Reads[:1] }},
+		{"no invalid table is taken", "taken", func(h *History) {
+			h.Puts = append(h.Puts, Put{Version: 9, Sent: 14 * second, Ended: 14 * second, Status: 200})
+		}},
+		{"the retry budget is kept", "many sends", func(h *History) {
+			for range 60 {
+				h.Arrivals = append(h.Arrivals, h.Arrivals[1])
+			}
+		}},
+		{"one holder of orders", "two holders of a fence", func(h *History) { h.Orders[1].Fence = 2 }},
+		{"one holder of orders", "an older fence", func(h *History) { h.Orders[1].Fence = 1 }},
+		{"no process ends by itself", "one did", func(h *History) { h.Exits = []string{"gateway-0: exit status 2"} }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.rule+"/"+tt.name, func(t *testing.T) {
+			h := calm()
+			tt.spoil(h)
+			found := Check(h)
+			assert.Assert(t, len(found) > 0, "nothing was found")
+			for _, v := range found {
+				assert.Equal(t, v.Rule, tt.rule, v.Detail)
+			}
+		})
+	}
+}
+
+// TestPlan wants the same plan from the same seed, each kind at some time, and
+// control never disturbed at two replicas at once.
+func TestPlan(t *testing.T) {
+	seen := map[Kind]bool{}
+	for seed := range uint64(60) {
+		plan := NewPlan(seed, 30*second, DefaultShape)
+		assert.DeepEqual(t, plan, NewPlan(seed, 30*second, DefaultShape))
+		free := time.Duration(0)
+		for _, s := range plan {
+			seen[s.Kind] = true
+			assert.Assert(t, s.At < 30*second-calmEnd)
+			switch s.Kind {
+			case KillControl, PauseControl, WipeControl, KillAllControl:
+				assert.Assert(t, s.At >= free, "seed %d: %s", seed, s)
+				free = s.At + s.For + controlRecovery
+			}
+		}
+	}
+	for _, k := range faultKinds {
+		assert.Assert(t, seen[k], k)
+	}
+}
--- /dev/null
+++ b/soak/history.go
@@ -0,0 +1,135 @@
+package soak
+
+import (
+	"sync"
+	"time"
+
+	"github.com/ledgepin/ledgepin/standin"
+)
+
+// RequestKind is what a request may be.
+type RequestKind string
+
+// The kinds of requests. Their routes have the same names.
+const (
+	Checkout RequestKind = "checkout" // may not be repeated
+	Rates    RequestKind = "rates"    // may be repeated
+	Review   RequestKind = "review"   // a stream that may not be resumed
+	Desk     RequestKind = "desk"     // a stream that may be resumed
+)
+
+// Request is one request as its caller saw it.
+type Request struct {
+	ID      string
+	Kind    RequestKind
+	Gateway int
+	// Sent and Ended are times since the start of the run.
+	Sent, Ended time.Duration
+	// Status is zero if no answer came.
+	Status int
+	Body   string
+	// Cut tells that the answer broke off, or that none came.
+	Cut bool
+	// Unconnected tells that no connection could be opened.
+	Unconnected bool
+	// LeftAt is when the caller left, zero if it waited for the end.
+	LeftAt time.Duration
+}
+
+// Arrival is one request as a server saw it.
+type Arrival struct {
+	standin.Arrival
+	Server  string
+	Service string
+	At      time.Duration
+	// Ended is when the server stopped working on it; zero if it never did, or
+	// did not work on it.
+	Ended time.Duration
+}
+
+// Outage is a time during which a process, a server or the way to it was
+// disturbed.
+type Outage struct {
+	Step
+	// Process is the name of the process or server.
+	Process string
+	From    time.Duration
+	To      time.Duration
+}
+
+// Put is one change of the routing table.
+type Put struct {
+	Version     int
+	Sent, Ended time.Duration
+	// Status is zero if no clear answer came.
+	Status int
+	// Valid tells whether the table was one.
+	Valid bool
+}
+
+// Read is one reading of the table at a replica of control.
+type Read struct {
+	Control     int
+	Sent, Ended time.Duration
+	Status      int
+	Version     int
+}
+
+// Probe asks a gateway for the route that only one version has.
+type Probe struct {
+	Gateway     int
+	Incarnation int
+	Version     int
+	Sent, Ended time.Duration
+	Status      int
+}
+
+// Drain is a server's word that it leaves, taken by control.
+type Drain struct {
+	Server string
+	At     time.Duration
+}
+
+// RoleOrder is an order that an engine got.
+type RoleOrder struct {
+	Server string
+	Holder string
+	Fence  uint64
+	At     time.Duration
+}
+
+// History is all that was seen in a run.
+type History struct {
+	Seed     uint64
+	Length   time.Duration
+	Shape    Shape
+	Plan     []Step
+	Requests []Request
+	Arrivals []Arrival
+	Outages  []Outage
+	Puts     []Put
+	Reads    []Read
+	Probes   []Probe
+	Drains   []Drain
+	Orders   []RoleOrder
+	// HeldKV and HeldRoom are what engines still held for nobody after the end.
+	HeldKV, HeldRoom int
+	// Exits are the processes that ended by themselves.
+	Exits []string
+}
+
+// recorder collects a history from many goroutines.
+type recorder struct {
+	mu    sync.Mutex
+	start time.Time
+	h     History
+}
+
+func (r *recorder) now() time.Duration { return time.Since(r.start) }
+
+// add changes the history under its lock.
+func (r *recorder) add(change func(h *History)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(&r.h)
+}
--- /dev/null
+++ b/soak/load.go
@@ -0,0 +1,129 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// The load of a run.
+const (
+	requestsPerSecond = 60
+	// leaveShare is the share of callers that leave before their answer is
+	// whole.
+	leaveShare = 0.06
+	// connections is the number of kept connections of all callers to a gateway.
+	connections = 8
+)
+
+// deadlines are how long callers wait.
+var deadlines = map[RequestKind]time.Duration{Checkout: 3 * time.Second, Rates: 3 * time.Second, Review: 8 * time.Second, Desk: 8 * time.Second}
+
+// load sends requests of all kinds to all gateways that take callers.
+type load struct {
+	site *site
+	rec  *recorder
+	rng  *rand.Rand
+	// faster multiplies the rate.
+	faster  atomic.Int64
+	out     []atomic.Bool // gateways that callers are not sent to
+	clients []*http.Client
+	wg      sync.WaitGroup
+	next    int
+}
+
+func newLoad(s *site, rec *recorder, seed uint64) *load {
+	l := &load{site: s, rec: rec, rng: rand.New(rand.NewPCG(seed, 2)), out: make([]atomic.Bool, s.shape.Gateways)}
+	l.faster.Store(1)
+	for range s.shape.Gateways {
+		l.clients = append(l.clients, &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: connections, IdleConnTimeout: 8 * time.Second,
+			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+		}})
+	}
+	return l
+}
+
+// run sends requests until the context ends, and waits for those under way.
+func (l *load) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := time.Duration(l.rng.ExpFloat64() * float64(time.Second) / float64(requestsPerSecond*l.faster.Load()))
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+			l.one()
+		}
+	}
+	l.wg.Wait()
+}
+
+// one sends one request.
+func (l *load) one() {
+	l.next++
+	kinds := []RequestKind{Checkout, Checkout, Rates, Review, Desk}
+	q := Request{ID: fmt.Sprintf("q%d", l.next), Kind: kinds[l.rng.IntN(len(kinds))], Gateway: l.rng.IntN(l.site.shape.Gateways)}
+	if l.out[q.Gateway].Load() {
+		return // the platform sends callers elsewhere
+	}
+	leaves := l.rng.Float64() < leaveShare
+	after := time.Duration(l.rng.Float64() * float64(300*time.Millisecond))
+	l.wg.Go(func() {
+		l.send(&q, leaves, after)
+		l.rec.add(func(h *History) { h.Requests = append(h.Requests, q) })
+	})
+}
+
+func (l *load) send(q *Request, leaves bool, after time.Duration) {
+	deadline := deadlines[q.Kind]
+	ctx, cancel := context.WithTimeout(context.Background(), deadline+time.Second)
+	defer cancel()
+	if leaves {
+		t := time.AfterFunc(after, func() {
+			l.rec.add(func(*History) { q.LeftAt = l.rec.now() })
+			cancel()
+		})
+		defer t.Stop()
+	}
+	q.Sent = l.rec.now()
+	status, body, err := l.ask(ctx, q, deadline)
+	l.rec.add(func(*History) {
+		q.Ended, q.Status, q.Body, q.Cut = l.rec.now(), status, body, err != nil
+		var op *net.OpError
+		q.Unconnected = errors.As(err, &op) && op.Op == "dial"
+	})
+}
+
+func (l *load) ask(ctx context.Context, q *Request, deadline time.Duration) (int, string, error) {
+	url := "http://" + l.site.front[q.Gateway] + "/" + string(q.Kind) + "/x"
+	// A reader of its own keeps the standard client from sending again.
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(strings.NewReader("x")))
+	if err != nil {
+		return 0, "", err
+	}
+	req.ContentLength = 1
+	req.Host = "h"
+	req.Header.Set(headers.RequestID, q.ID)
+	req.Header.Set(headers.Deadline, fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set(headers.Tokens, "1000,100")
+	req.Header.Set(headers.LengthHint, fmt.Sprint(streamEvents))
+	resp, err := l.clients[q.Gateway].Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	body, err := readAll(resp.Body)
+	return resp.StatusCode, body, err
+}
+
+func readAll(r io.Reader) (string, error) {
+	data, err := io.ReadAll(r)
+	return string(data), err
+}
--- /dev/null
+++ b/soak/operator.go
@@ -0,0 +1,142 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// document is the routing table of a run; each version has a route that no other
+// one has, so that a gateway shows which is in force.
+const document = `{"version":VERSION,"routes":[
+ {"name":"checkout","host":"h","pathPrefix":"/checkout/","kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":300,"service":"app","maxAttempts":1},
+ {"name":"rates","host":"h","pathPrefix":"/rates/","kind":"idempotent","timeoutMs":3000,"targetLatencyMs":300,"service":"app","maxAttempts":2},
+ {"name":"review","host":"h","pathPrefix":"/review/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":900,"gapTargetMs":500,"service":"llm","maxAttempts":1},
+ {"name":"desk","host":"h","pathPrefix":"/desk/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":900,"gapTargetMs":500,"service":"llm","maxAttempts":3,"resumable":true},
+ {"name":"version","host":"h","pathPrefix":"/version-VERSION/","kind":"idempotent","timeoutMs":1000,"targetLatencyMs":300,"service":"SERVICE","maxAttempts":1}],
+ "services":[{"name":"app","healthCheck":"/health","maxConnections":200},
+ {"name":"llm","healthCheck":"/health","maxConnections":200,"engine":{"slots":16,"kvTokens":100000,"kvHoldS":2,"roleSwitchS":0.5,"stride":1,"holdMs":2000}}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+
+func tableText(version int, service string) string {
+	return strings.NewReplacer("VERSION", fmt.Sprint(version), "SERVICE", service).Replace(document)
+}
+
+// operators change the table, read it, and look which one gateways show.
+type operators struct {
+	site *site
+	rec  *recorder
+	// version is the newest that was given out, acked the newest that was
+	// acknowledged.
+	version atomic.Int64
+	acked   atomic.Int64
+	probes  atomic.Int64
+}
+
+// change makes a new table and sends it until it is acknowledged or the time is
+// over, as an operator does who loses answers.
+func (o *operators) change(ctx context.Context, service string) {
+	version := int(o.version.Add(1))
+	text := tableText(version, service)
+	p := Put{Version: version, Sent: o.rec.now(), Valid: service != "none"}
+	for try := 0; ctx.Err() == nil && try < 40; try++ {
+		status, _, err := o.site.call(ctx, http.MethodPost, "http://"+o.site.api[try%len(o.site.api)]+"/-/config/put", text)
+		if err == nil && (status == http.StatusOK || status == http.StatusBadRequest) {
+			p.Status = status
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	p.Ended = o.rec.now()
+	if p.Status == http.StatusOK {
+		o.acked.Store(max(o.acked.Load(), int64(version)))
+	}
+	o.rec.add(func(h *History) { h.Puts = append(h.Puts, p) })
+}
+
+// read reads the table at one replica of control.
+func (o *operators) read(ctx context.Context, control int) Read {
+	r := Read{Control: control, Sent: o.rec.now()}
+	status, body, err := o.site.call(ctx, http.MethodGet, "http://"+o.site.api[control]+"/-/config/get", "")
+	r.Ended = o.rec.now()
+	var doc struct {
+		Version int `json:"version"`
+	}
+	if err == nil && status == http.StatusOK && json.Unmarshal([]byte(body), &doc) == nil {
+		r.Status, r.Version = status, doc.Version
+		o.rec.add(func(h *History) { h.Reads = append(h.Reads, r) })
+	}
+	return r
+}
+
+// reads reads the table at all replicas until the context ends.
+func (o *operators) reads(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		o.read(ctx, n%len(o.site.api))
+		sleep(ctx, 150*time.Millisecond)
+	}
+}
+
+// probe asks each gateway for the route of the newest acknowledged table, and
+// for that of the one before, until the context ends.
+func (o *operators) probe(ctx context.Context) {
+	for ctx.Err() == nil {
+		newest := int(o.acked.Load())
+		var wg sync.WaitGroup
+		for n := range o.site.shape.Gateways {
+			for _, version := range []int{newest, newest - 1} {
+				if version > 0 {
+					wg.Go(func() { o.probeOne(ctx, n, version) })
+				}
+			}
+		}
+		wg.Wait()
+		sleep(ctx, 200*time.Millisecond)
+	}
+}
+
+func (o *operators) probeOne(ctx context.Context, gateway, version int) {
+	p := Probe{Gateway: gateway, Incarnation: o.site.processes[gatewayName(gateway)].number(), Version: version, Sent: o.rec.now()}
+	p.Status = o.show(ctx, gateway, version)
+	p.Ended = o.rec.now()
+	if p.Status != 0 {
+		o.rec.add(func(h *History) { h.Probes = append(h.Probes, p) })
+	}
+}
+
+// show asks a gateway for the route that only one table has, and returns the
+// status of the answer; zero if none came.
+func (o *operators) show(ctx context.Context, gateway, version int) int {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	url := fmt.Sprintf("http://%s/version-%d/x", o.site.front[gateway], version)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0
+	}
+	req.Host = "h"
+	req.Header.Set(headers.RequestID, fmt.Sprint("probe-", o.probes.Add(1)))
+	resp, err := o.site.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if _, err := readAll(resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/soak/plan.go
@@ -0,0 +1,111 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of fault or of planned work.
+type Kind string
+
+// The kinds. Planned work is what an operator does on purpose: it must cut no
+// request.
+const (
+	KillGateway    Kind = "kill gateway"
+	PauseGateway   Kind = "pause gateway"
+	StopGateway    Kind = "stop gateway" // planned
+	Reload         Kind = "reload"       // planned
+	KillControl    Kind = "kill control"
+	KillAllControl Kind = "kill all control"
+	PauseControl   Kind = "pause control"
+	WipeControl    Kind = "wipe control"
+	KillServer     Kind = "kill server"
+	DrainServer    Kind = "drain server" // planned
+	RefuseRequests Kind = "refuse requests"
+	LoseAnswers    Kind = "lose answers"
+	CutStreams     Kind = "cut streams"
+	Silence        Kind = "silence link"
+	SilenceBack    Kind = "silence answers"
+	Reset          Kind = "reset link"
+	Delay          Kind = "delay link"
+	ChangeTable    Kind = "change table"  // planned
+	RaceTables     Kind = "race tables"   // planned
+	BadTable       Kind = "invalid table" // planned
+	Burst          Kind = "burst"
+)
+
+// Planned tells whether a kind is planned work.
+func (k Kind) Planned() bool {
+	return slices.Contains([]Kind{StopGateway, Reload, DrainServer, ChangeTable, RaceTables, BadTable}, k)
+}
+
+// Step is one fault, or one piece of planned work, of a plan.
+type Step struct {
+	At   time.Duration `json:"at"`
+	For  time.Duration `json:"for"`
+	Kind Kind          `json:"kind"`
+	// Target is the number of the process or server that is meant.
+	Target int `json:"target"`
+}
+
+// String describes a step for people.
+func (s Step) String() string {
+	return fmt.Sprintf("%6.2f s  %s %d for %.2f s", s.At.Seconds(), s.Kind, s.Target, s.For.Seconds())
+}
+
+// Shape is the size of a deployment.
+type Shape struct {
+	Controls, Gateways, Prefills, Decodes, Apps int
+}
+
+// DefaultShape is a deployment that fits a small machine.
+var DefaultShape = Shape{Controls: 3, Gateways: 3, Prefills: 2, Decodes: 4, Apps: 3}
+
+// Processes is the number of processes of the system.
+func (s Shape) Processes() int { return s.Controls + s.Gateways }
+
+// Times of a plan.
+const (
+	// calmStart is the time before the first fault, calmEnd that after the
+	// last one is over.
+	calmStart = 1500 * time.Millisecond
+	calmEnd   = 6 * time.Second
+)
+
+// faultKinds are drawn from; a kind that stands twice comes twice as often.
+var faultKinds = []Kind{
+	KillGateway, PauseGateway, StopGateway, StopGateway, Reload, KillControl, KillAllControl, PauseControl, WipeControl,
+	KillServer, DrainServer, DrainServer, RefuseRequests, LoseAnswers, CutStreams, Silence, SilenceBack, Reset, Delay,
+	ChangeTable, ChangeTable, RaceTables, BadTable, Burst,
+}
+
+// NewPlan draws a plan: about one step each 0.8 s, in series and overlapping.
+// At most one replica of control at a time is lost or held up, and none while
+// another recovers, but for the death of all of them with their disks kept.
+func NewPlan(seed uint64, length time.Duration, shape Shape) []Step {
+	r := rand.New(rand.NewPCG(seed, 1))
+	var out []Step
+	controlFree := calmStart
+	for at := calmStart; at < length-calmEnd; at += time.Duration(float64(1600*time.Millisecond) * r.Float64()) {
+		s := Step{At: at, Kind: faultKinds[r.IntN(len(faultKinds))], For: time.Duration((0.3 + 2.2*r.Float64()) * float64(time.Second))}
+		switch s.Kind {
+		case KillGateway, PauseGateway, StopGateway, Reload:
+			s.Target = r.IntN(shape.Gateways)
+		case KillControl, PauseControl, WipeControl, KillAllControl:
+			s.Target = r.IntN(shape.Controls)
+			if at < controlFree {
+				continue
+			}
+			controlFree = at + s.For + controlRecovery
+		default:
+			s.Target = r.IntN(shape.Prefills + shape.Decodes + shape.Apps)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// controlRecovery is how long a replica of control may take to be a voter again.
+const controlRecovery = 5 * time.Second
--- /dev/null
+++ b/soak/report.go
@@ -0,0 +1,179 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/base64"
+	"fmt"
+	"html/template"
+	"image/color"
+	"net/http"
+	"os"
+	"sort"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+)
+
+// bin is the span of time that one point of a plot stands for.
+const bin = 500 * time.Millisecond
+
+// reportPage is a run as a page: its counts, plots with the faults drawn in, and
+// the plan.
+var reportPage = template.Must(template.New("report").Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>Soak, seed {{.Seed}}</title>
+<style>body{font-family:sans-serif;max-width:1100px;margin:2em auto}img{width:100%}td,th{text-align:left;padding:0 1em 0 0}.broken{color:#a00}</style></head>
+<body><h1>Soak, seed {{.Seed}}</h1><p>{{.Summary}}</p>
+{{if .Violations}}<h2 class="broken">Broken</h2><ul class="broken">{{range .Violations}}<li>{{.}}</li>{{end}}</ul>{{else}}<p>No rule broken.</p>{{end}}
+{{range .Plots}}<h2>{{.Title}}</h2><img alt="{{.Title}}" src="data:image/png;base64,{{.PNG}}">{{end}}
+<h2>Plan</h2><table><tr><th>at</th><th>for</th><th>kind</th><th>target</th></tr>
+{{range .Plan}}<tr><td>{{.At}}</td><td>{{.For}}</td><td>{{.Kind}}</td><td>{{.Target}}</td></tr>{{end}}</table>
+</body></html>
+`))
+
+type picture struct {
+	Title string
+	PNG   string
+}
+
+// WriteReport writes a page of a run into a file.
+func WriteReport(path string, h *History, violations []Violation) error {
+	var pictures []picture
+	for _, p := range []struct {
+		title, unit string
+		lines       []line
+	}{
+		{"Answers a second", "a second", answerLines(h)},
+		{"Time to the whole answer of calls", "ms", latencyLines(h, Checkout, Rates)},
+		{"Time to the whole stream", "ms", latencyLines(h, Review, Desk)},
+	} {
+		png, err := drawLines(p.title, p.unit, p.lines, h)
+		if err != nil {
+			return err
+		}
+		pictures = append(pictures, picture{p.title, base64.StdEncoding.EncodeToString(png)})
+	}
+	var page bytes.Buffer
+	err := reportPage.Execute(&page, struct {
+		Seed       uint64
+		Summary    Summary
+		Violations []Violation
+		Plots      []picture
+		Plan       []Step
+	}{h.Seed, Summarize(h), violations, pictures, h.Plan})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, page.Bytes(), 0o600)
+}
+
+// line is one line of a plot.
+type line struct {
+	name   string
+	color  color.Color
+	points plotter.XYs
+}
+
+var (
+	green  = color.RGBA{G: 130, A: 255}
+	orange = color.RGBA{R: 220, G: 130, A: 255}
+	red    = color.RGBA{R: 190, A: 255}
+	blue   = color.RGBA{B: 190, A: 255}
+	shade  = color.NRGBA{R: 60, G: 60, B: 60, A: 28}
+)
+
+// answerLines counts served, refused and failed requests by the time of their
+// end.
+func answerLines(h *History) []line {
+	lines := []line{{name: "served", color: green}, {name: "refused", color: orange}, {name: "failed", color: red}}
+	counts := make([]map[int]int, len(lines))
+	for i := range counts {
+		counts[i] = map[int]int{}
+	}
+	for _, q := range h.Requests {
+		if q.LeftAt > 0 {
+			continue
+		}
+		i := 2
+		switch {
+		case q.Status == http.StatusOK && !q.Cut:
+			i = 0
+		case q.Status == http.StatusServiceUnavailable:
+			i = 1
+		}
+		counts[i][int(q.Ended/bin)]++
+	}
+	for i := range lines {
+		for n := range int(h.Length/bin) + 1 {
+			lines[i].points = append(lines[i].points, plotter.XY{X: (time.Duration(n) * bin).Seconds(), Y: float64(counts[i][n]) / bin.Seconds()})
+		}
+	}
+	return lines
+}
+
+// latencyLines gives the median and the 95th percentile of served requests.
+func latencyLines(h *History, kinds ...RequestKind) []line {
+	taken := map[int][]float64{}
+	for _, q := range h.Requests {
+		for _, k := range kinds {
+			if q.Kind == k && q.Status == http.StatusOK && !q.Cut && q.LeftAt == 0 {
+				n := int(q.Ended / bin)
+				taken[n] = append(taken[n], float64((q.Ended - q.Sent).Milliseconds()))
+			}
+		}
+	}
+	median, high := line{name: "median", color: blue}, line{name: "95th percentile", color: red}
+	for n := range int(h.Length/bin) + 1 {
+		list := taken[n]
+		if len(list) == 0 {
+			continue
+		}
+		sort.Float64s(list)
+		x := (time.Duration(n) * bin).Seconds()
+		median.points = append(median.points, plotter.XY{X: x, Y: list[len(list)/2]})
+		high.points = append(high.points, plotter.XY{X: x, Y: list[len(list)*95/100]})
+	}
+	return []line{median, high}
+}
+
+// drawLines draws lines with the faults of a run as shaded spans.
+func drawLines(title, unit string, lines []line, h *History) ([]byte, error) {
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text = "seconds", unit
+	p.X.Min, p.X.Max, p.Y.Min = 0, h.Length.Seconds(), 0
+	for _, l := range lines {
+		if len(l.points) == 0 {
+			continue
+		}
+		drawn, err := plotter.NewLine(l.points)
+		if err != nil {
+			return nil, fmt.Errorf("soak: %s: %w", title, err)
+		}
+		drawn.Color, drawn.Width = l.color, vg.Points(1.5)
+		p.Add(drawn)
+		p.Legend.Add(l.name, drawn)
+	}
+	p.Legend.Top = true
+	for _, o := range h.Outages {
+		if o.Kind.Planned() {
+			continue
+		}
+		to := min(o.To, h.Length).Seconds()
+		span, err := plotter.NewPolygon(plotter.XYs{
+			{X: o.From.Seconds(), Y: p.Y.Min}, {X: to, Y: p.Y.Min}, {X: to, Y: p.Y.Max}, {X: o.From.Seconds(), Y: p.Y.Max},
+		})
+		if err != nil {
+			return nil, fmt.Errorf("soak: %s: %w", title, err)
+		}
+		span.Color, span.LineStyle = shade, draw.LineStyle{}
+		p.Add(span)
+	}
+	canvas := vgimg.New(11*vg.Inch, 3.2*vg.Inch)
+	p.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	_, err := vgimg.PngCanvas{Canvas: canvas}.WriteTo(&out)
+	return out.Bytes(), err
+}
--- /dev/null
+++ b/soak/site.go
@@ -0,0 +1,317 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/ledgepin/ledgepin/platform"
+	"github.com/ledgepin/ledgepin/standin"
+)
+
+// headers are the names that the run's callers and servers use.
+var headers = platform.Protocol.Headers
+
+// The services of a run.
+const (
+	engineService = "llm"
+	appService    = "app"
+)
+
+func serviceOf(k RequestKind) string {
+	if k == Review || k == Desk {
+		return engineService
+	}
+	return appService
+}
+
+func gatewayName(n int) string { return fmt.Sprint("gateway-", n) }
+func controlName(n int) string { return fmt.Sprint("control-", n) }
+
+// server is a stand-in backend server behind a proxy. A server that was killed
+// comes back as another incarnation.
+type server struct {
+	service, role string
+	// life is held by the step of a plan that ends and starts the server.
+	life sync.Mutex
+
+	mu      sync.Mutex
+	backend *standin.Backend
+	proxy   *proxy
+	leaving bool
+}
+
+func (s *server) now() (*standin.Backend, *proxy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.backend, s.proxy
+}
+
+// site is a deployment: real processes of the system, stand-in servers, and what
+// was seen of them.
+type site struct {
+	rec       *recorder
+	shape     Shape
+	dir       string
+	processes map[string]*process
+	// front, ready and api are the addresses of callers, readiness and control.
+	front, ready, api []string
+	group             *standin.BackendGroup
+	servers           []*server
+	past              []*standin.Backend
+	pastMu            sync.Mutex
+	incarnations      atomic.Int64
+	sequence          atomic.Int64
+	client            *http.Client
+}
+
+// host returns an address of the loopback range for the n-th process, so that
+// the ports of all processes can be alike.
+func host(n int) string { return fmt.Sprintf("127.0.1.%d", n+1) }
+
+// freePort returns a port that is free at each of some hosts.
+func freePort(hosts int) (string, error) {
+	for range 100 {
+		ln, err := net.Listen("tcp", host(0)+":0")
+		if err != nil {
+			return "", err
+		}
+		_, port, _ := net.SplitHostPort(ln.Addr().String())
+		_ = ln.Close()
+		free := true
+		for n := range hosts {
+			other, err := net.Listen("tcp", net.JoinHostPort(host(n), port))
+			if err != nil {
+				free = false
+				break
+			}
+			_ = other.Close()
+		}
+		if free {
+			return port, nil
+		}
+	}
+	return "", fmt.Errorf("soak: no free port")
+}
+
+// newSite writes the settings of all processes and starts everything.
+func newSite(binary, dir string, shape Shape, rec *recorder) (*site, error) {
+	s := &site{
+		rec: rec, shape: shape, dir: dir, processes: map[string]*process{}, group: standin.NewBackendGroup(),
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	ports := make([]string, 5)
+	for i := range ports {
+		p, err := freePort(shape.Processes())
+		if err != nil {
+			return nil, err
+		}
+		ports[i] = p
+	}
+	links, api, callers, ready, operators := ports[0], ports[1], ports[2], ports[3], ports[4]
+	var seeds []string
+	for n := range shape.Controls {
+		s.api = append(s.api, net.JoinHostPort(host(n), api))
+		if n < 3 {
+			seeds = append(seeds, fmt.Sprintf("%q", s.api[n]))
+		}
+	}
+	list := strings.Join(seeds, ", ")
+	for n := range shape.Controls {
+		name := controlName(n)
+		part := fmt.Sprintf("roles: [control]\ndata: %q\ncontrol:\n  links: %q\n  api: %q\n  discovery: {seeds: [%s], found: true, tolerate: %d}\n  engines: {prefill_share: 0.33, order_lease: 3s}\n",
+			s.data(name), net.JoinHostPort(host(n), links), s.api[n], list, (shape.Controls-1)/2)
+		if err := s.add(binary, name, net.JoinHostPort(host(n), operators), part); err != nil {
+			return nil, err
+		}
+	}
+	for n := range shape.Gateways {
+		h := host(shape.Controls + n)
+		s.front = append(s.front, net.JoinHostPort(h, callers))
+		s.ready = append(s.ready, net.JoinHostPort(h, ready))
+		part := fmt.Sprintf("roles: [gateway]\ndrain: 8s\ngateway: {callers: %q, ready: %q, seeds: [%s], links_port: %s, retry: {ratio: %g, slack: %d, window: %s}}\n",
+			s.front[n], s.ready[n], list, links, budgetRatio, budgetSlack, budgetWindow)
+		if err := s.add(binary, gatewayName(n), net.JoinHostPort(h, operators), part); err != nil {
+			return nil, err
+		}
+	}
+	for _, p := range s.processes {
+		if err := p.start(); err != nil {
+			s.close()
+			return nil, err
+		}
+	}
+	return s, s.startServers()
+}
+
+func (s *site) data(name string) string { return filepath.Join(s.dir, name+".data") }
+
+func (s *site) add(binary, name, operators, part string) error {
+	text := fmt.Sprintf("name: %s\nzone: z\noperators: %q\nlog: {level: info, format: json}\ntokens: {trusted_network: true}\n%s", name, operators, part)
+	p, err := newProcess(binary, s.dir, name, text)
+	if err != nil {
+		return err
+	}
+	p.onExit = func(name string, err error) {
+		s.rec.add(func(h *History) { h.Exits = append(h.Exits, fmt.Sprintf("%s: %v", name, err)) })
+	}
+	s.processes[name] = p
+	return nil
+}
+
+func (s *site) startServers() error {
+	start := func(n int, service, role string) error {
+		for range n {
+			v := &server{service: service, role: role}
+			s.servers = append(s.servers, v)
+			if err := s.raise(v); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	if err := start(s.shape.Prefills, engineService, "prefill"); err != nil {
+		return err
+	}
+	if err := start(s.shape.Decodes, engineService, "decode"); err != nil {
+		return err
+	}
+	return start(s.shape.Apps, appService, "")
+}
+
+// Paces of the stand-in servers.
+const (
+	prefillTime = 25 * time.Millisecond
+	eventTime   = 25 * time.Millisecond
+	engineSlots = 16
+)
+
+// raise starts a new incarnation of a server.
+func (s *site) raise(v *server) error {
+	id := fmt.Sprintf("%s-%d", v.service, s.incarnations.Add(1))
+	b, err := s.group.StartBackend("127.0.0.1:0", id, v.role, headers)
+	if err != nil {
+		return err
+	}
+	b.SetPace(prefillTime, eventTime, streamEvents)
+	if v.role == "decode" {
+		b.SetSlots(engineSlots)
+	}
+	p, err := newProxy(b.Addr())
+	if err != nil {
+		return err
+	}
+	s.group.Alias(p.addr(), b)
+	s.pastMu.Lock()
+	s.past = append(s.past, b)
+	s.pastMu.Unlock()
+	v.mu.Lock()
+	v.backend, v.proxy, v.leaving = b, p, false
+	v.mu.Unlock()
+	return nil
+}
+
+// leave sets whether the server has said that it leaves.
+func (v *server) leave(leaving bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.leaving = leaving
+}
+
+// end ends a server at once.
+func (v *server) end() {
+	b, p := v.now()
+	p.close()
+	b.Kill()
+}
+
+// beats reports all servers until the context ends.
+func (s *site) beats(ctx context.Context) {
+	t := time.NewTicker(300 * time.Millisecond)
+	defer t.Stop()
+	for {
+		for _, v := range s.servers {
+			v.mu.Lock()
+			leaving := v.leaving
+			v.mu.Unlock()
+			if !leaving {
+				s.report(ctx, v, "ready")
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// report tells control of a server, at any replica that takes it.
+func (s *site) report(ctx context.Context, v *server, state string) bool {
+	b, p := v.now()
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","slots":%d,"state":%q,"stage":%q,"sequence":%d}`,
+		v.service, p.addr(), engineSlots, state, b.CurrentRole(), s.sequence.Add(1))
+	for _, api := range s.api {
+		if status, _, err := s.call(ctx, http.MethodPost, "http://"+api+"/-/instances/"+b.ID+"/heartbeat", body); err == nil && status == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
+// callTimeout bounds a call to control.
+const callTimeout = time.Second
+
+func (s *site) call(ctx context.Context, method, url, body string) (int, string, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	data, err := readAll(resp.Body)
+	return resp.StatusCode, data, err
+}
+
+// close ends all that was started.
+func (s *site) close() {
+	var wg sync.WaitGroup
+	for _, p := range s.processes {
+		wg.Go(func() {
+			p.signal(syscall.SIGCONT)
+			p.end(syscall.SIGKILL)
+		})
+	}
+	for _, v := range s.servers {
+		wg.Go(v.end)
+	}
+	wg.Wait()
+}
+
+// wipe empties the disk of a process that has ended, and tells it that this is
+// no first start.
+func (s *site) wipe(name string) error {
+	if err := os.RemoveAll(s.data(name)); err != nil {
+		return err
+	}
+	p := s.processes[name]
+	text, err := os.ReadFile(p.settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(p.settings, []byte(strings.Replace(string(text), "found: true", "found: false", 1)), 0o600)
+}
--- /dev/null
+++ b/soak/summary.go
@@ -0,0 +1,96 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+)
+
+// Summary counts what a run, or several, did.
+type Summary struct {
+	Length                                       time.Duration
+	Steps, Requests, Served, Refused, Failed     int
+	Left, Tables, Reads, Probes, Drains, Arrived int
+	Processes                                    int
+}
+
+// Summarize counts a history.
+func Summarize(h *History) Summary {
+	s := Summary{
+		Length: h.Length, Steps: len(h.Plan), Requests: len(h.Requests), Tables: len(h.Puts), Reads: len(h.Reads),
+		Probes: len(h.Probes), Drains: len(h.Drains), Arrived: len(h.Arrivals), Processes: h.Shape.Processes(),
+	}
+	for _, q := range h.Requests {
+		switch {
+		case q.LeftAt > 0:
+			s.Left++
+		case q.Status == http.StatusOK && !q.Cut:
+			s.Served++
+		case q.Status == http.StatusServiceUnavailable:
+			s.Refused++
+		default:
+			s.Failed++
+		}
+	}
+	return s
+}
+
+// Add adds the counts of another run.
+func (s *Summary) Add(o Summary) {
+	s.Length += o.Length
+	s.Steps += o.Steps
+	s.Requests += o.Requests
+	s.Served += o.Served
+	s.Refused += o.Refused
+	s.Failed += o.Failed
+	s.Left += o.Left
+	s.Tables += o.Tables
+	s.Reads += o.Reads
+	s.Probes += o.Probes
+	s.Drains += o.Drains
+	s.Arrived += o.Arrived
+	s.Processes = max(s.Processes, o.Processes)
+}
+
+// String describes the counts for people.
+func (s Summary) String() string {
+	return fmt.Sprintf("%s, %d processes, %d steps, %d requests (%d served, %d refused, %d failed, %d left), %d arrivals, %d tables, %d reads, %d probes, %d drains",
+		s.Length, s.Processes, s.Steps, s.Requests, s.Served, s.Refused, s.Failed, s.Left, s.Arrived, s.Tables, s.Reads, s.Probes, s.Drains)
+}
+
+// Keep copies the logs of a run, its history and the rules that it broke into a
+// folder.
+func Keep(folder, dir string, h *History, violations []Violation) error {
+	if err := os.MkdirAll(folder, 0o750); err != nil {
+		return err
+	}
+	logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err != nil {
+		return err
+	}
+	for _, log := range logs {
+		data, err := os.ReadFile(log)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(folder, filepath.Base(log)), data, 0o600); err != nil {
+			return err
+		}
+	}
+	data, err := json.Marshal(h)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(folder, "history.json"), data, 0o600); err != nil {
+		return err
+	}
+	var text strings.Builder
+	for _, v := range violations {
+		fmt.Fprintln(&text, v)
+	}
+	return os.WriteFile(filepath.Join(folder, "broken.txt"), []byte(text.String()), 0o600)
+}
