--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -12,6 +12,9 @@
 	Slack float64
 	// Window is the length of the window.
 	Window time.Duration
+	// Since is when this gateway started. One that was there before it under the
+	// same name may have used its part of the constant within the window.
+	Since time.Time
 
 	// start is the first use: slots count from it on the monotonic clock, since
 	// the time of day may jump.
@@ -24,6 +27,9 @@
 	// budgetUse is the part of the bound that is used: gateways come and go,
 	// and some sends are counted where this gateway does not see them.
 	budgetUse = 0.7
+	// freshUse is the part of the constant that a gateway uses in its first
+	// window.
+	freshUse = 0.3
 )
 
 type budgetBucket struct {
@@ -59,7 +65,11 @@
 			extra += k.extra
 		}
 	}
-	allowed := budgetUse * (b.Ratio*float64(requests) + b.Slack/float64(max(gateways, 1)))
+	slack := b.Slack / float64(max(gateways, 1))
+	if now.Sub(b.Since) < b.Window {
+		slack *= freshUse
+	}
+	allowed := budgetUse * (b.Ratio*float64(requests) + slack)
 	if float64(extra+sends) > allowed {
 		return false
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -202,6 +202,37 @@
 	assert.Assert(t, len(taken) > 100)
 }
 
+// TestBudgetOverRestarts wants gateways that are restarted in turn, and could send
+// every request once more, to keep the budget of all together.
+func TestBudgetOverRestarts(t *testing.T) {
+	const gateways, slack = 3, 50.0
+	bounds := func(since time.Time) *dispatch.Budget {
+		return &dispatch.Budget{Ratio: 0.2, Slack: slack, Window: 10 * time.Second, Since: since}
+	}
+	var budgets [gateways]*dispatch.Budget
+	for g := range budgets {
+		budgets[g] = bounds(now.Add(-time.Minute))
+	}
+	requests, sends := 0, 0
+	for at := now; at.Before(now.Add(10 * time.Second)); at = at.Add(50 * time.Millisecond) {
+		for g, b := range budgets {
+			if at.Equal(now.Add(time.Duration(g+2) * 2 * time.Second)) {
+				budgets[g] = bounds(at)
+				b = budgets[g]
+			}
+			if at.Sub(now)%(500*time.Millisecond) == 0 {
+				b.Request(at)
+				requests++
+			}
+			for b.Take(at, gateways, 1) {
+				sends++
+			}
+		}
+	}
+	assert.Assert(t, float64(sends) <= 0.2*float64(requests)+slack, "%d sends for %d requests", sends, requests)
+	assert.Assert(t, sends > 30)
+}
+
 // TestGatewaysSpread wants gateways that choose on the same news to spread their
 // requests: what they hear of each other is some tens of milliseconds old, so
 // that the least used engine would get all of them.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -34,6 +34,9 @@
 }
 
 func newFleet(name, zone string, bounds dispatch.Budget) *fleet {
+	if bounds.Since.IsZero() {
+		bounds.Since = time.Now()
+	}
 	return &fleet{view: dispatch.NewFleet(name, zone), bounds: bounds, budgets: map[string]*dispatch.Budget{}}
 }
 
