--- a/app/gateway.go
+++ b/app/gateway.go
@@ -26,11 +26,15 @@
 	apiIdle    = 30 * time.Second
 	// maxHeader bounds the head of a request in bytes.
 	maxHeader = 16 << 10
-	// settle is how long a draining gateway still takes requests: until callers
+	// settle is how long a draining gateway still takes streams: until callers
 	// are sent elsewhere. What it takes later might not end in the grace time.
 	settle = 2900 * time.Millisecond
-	// graceMargin is what is left of the grace time to end in order.
-	graceMargin = 400 * time.Millisecond
+	// graceMargin is what is left of the grace time to end in order, and
+	// finishMargin what is left before that when the last request ends.
+	graceMargin  = 400 * time.Millisecond
+	finishMargin = 300 * time.Millisecond
+	// streamsEvery is how often a draining gateway looks whether streams run.
+	streamsEvery = 50 * time.Millisecond
 	// memoryShare is the part of the memory that the heap may fill.
 	memoryShare = 0.7
 	// Times of the replicated log where replicas are some milliseconds apart.
@@ -99,14 +103,21 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: apiIdle}
 }
 
-// drainGateway serves until callers are sent elsewhere, takes nothing more then
-// and waits for what is under way. It leaves a part of the grace time to end in
-// order.
+// drainGateway serves all until callers are sent elsewhere. After that it takes
+// no streams, and ends once those under way have ended; until then it goes on to
+// serve short requests, since all gateways may be stopping one after the other.
+// It leaves a part of the grace time to end in order.
 func (p *Process) drainGateway(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, p.file.Drain.D()-graceMargin)
+	grace := p.file.Drain.D() - graceMargin
+	end := time.Now().Add(grace - finishMargin)
+	ctx, cancel := context.WithTimeout(ctx, grace)
 	defer cancel()
 	p.gateway.Drain()
 	wait.For(ctx, settle)
+	p.gateway.Finish(end)
+	for p.gateway.Streams() > 0 && ctx.Err() == nil {
+		wait.For(ctx, streamsEvery)
+	}
 	p.ln.shutdown(ctx)
 	if n := p.gateway.Active(); n > 0 {
 		event.DrainTimeout.Log(p.log, "requests", n)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,9 +48,13 @@
 	tabled   chan struct{}
 	draining atomic.Bool
 	active   atomic.Int64
-	pool     *backend.Pool
-	links    *links
-	fleet    *fleet
+	// streams counts the streams under way; endsAt is set once the gateway takes
+	// only what ends before it.
+	streams atomic.Int64
+	endsAt  atomic.Pointer[time.Time]
+	pool    *backend.Pool
+	links   *links
+	fleet   *fleet
 }
 
 // Start returns a running gateway; it is ready once control has told it the
@@ -154,6 +158,14 @@
 	event.Draining.Log(g.log, "requests", g.active.Load())
 }
 
+// Finish makes a draining gateway take no streams any more, and other requests
+// only if there is time for them until it ends: what may take longer would be
+// cut.
+func (g *Gateway) Finish(end time.Time) { g.endsAt.Store(&end) }
+
+// Streams returns the number of streams under way.
+func (g *Gateway) Streams() int64 { return g.streams.Load() }
+
 // Active returns the number of requests under way.
 func (g *Gateway) Active() int64 { return g.active.Load() }
 
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -53,6 +53,8 @@
 // generate serves a request of a model engine: a decode engine's memory is
 // reserved first, then the prompt is read, then the answer is made.
 func (g *Gateway) generate(ctx context.Context, w http.ResponseWriter, q *request) {
+	g.streams.Add(1)
+	defer g.streams.Add(-1)
 	n := &generation{g: g, q: q, stream: newStreamWriter(g, w, q)}
 	n.stream.made = n.grow
 	defer n.unbook()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -55,6 +56,10 @@
 		g.refuse(w, q.id, *ref)
 		return
 	}
+	if end := g.endsAt.Load(); end != nil && !q.endBy(*end) {
+		g.refuse(w, q.id, q.stopping())
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	g.fleet.request(q.service.Name)
@@ -95,6 +100,38 @@
 
 var errTooLarge = errors.New("gateway: the body is too large")
 
+// Times of a gateway that is about to end.
+const (
+	// leastTargets and leastTime are the time, in targets of the route and at
+	// least, that a request must have to be taken.
+	leastTargets = 4
+	leastTime    = time.Second
+	// stopRetry is when a caller should come back, stopSpread spreads callers
+	// out: a gateway that ends is started again within seconds.
+	stopRetry  = 2 * time.Second
+	stopSpread = 1500 * time.Millisecond
+)
+
+// endBy bounds a request by the end of the gateway. It returns false if the
+// request may not be done by then.
+func (q *request) endBy(end time.Time) bool {
+	if q.route.Kind == route.Stream || time.Until(end) < max(leastTargets*q.route.Target, leastTime) {
+		return false
+	}
+	if end.Before(q.deadline) {
+		q.deadline = end
+	}
+	return true
+}
+
+// stopping refuses a request since the gateway is about to end.
+func (q *request) stopping() refusal {
+	return refusal{
+		route: q.route.Name, status: http.StatusServiceUnavailable, reason: "the gateway is stopping",
+		retryAfter: stopRetry + time.Duration(rand.Int64N(int64(stopSpread))),
+	}
+}
+
 // readBody reads a body of at most limit bytes; no limit if it is zero.
 func readBody(r *http.Request, limit int64) ([]byte, error) {
 	if limit <= 0 {
