--- a/app/watch.go
+++ b/app/watch.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/ledgepin/ledgepin/config"
@@ -18,20 +16,18 @@
 // change without a signal.
 const watchEvery = 2 * time.Second
 
-// Watch takes changes of the settings file until the context ends: at SIGHUP,
-// and when its content changes. A file with a fault changes nothing.
-func (p *Process) Watch(ctx context.Context, path string) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// Watch takes changes of the settings file until the context ends: at a signal,
+// and when its content changes. It starts from the content that the process was
+// started with: the file may have changed since. A file with a fault changes
+// nothing.
+func (p *Process) Watch(ctx context.Context, path string, last []byte, changed <-chan os.Signal) {
 	t := time.NewTicker(watchEvery)
 	defer t.Stop()
-	last, _ := os.ReadFile(path)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-changed:
 		case <-t.C:
 		}
 		data, err := os.ReadFile(path)
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -18,6 +18,7 @@
 	"github.com/ledgepin/ledgepin/config"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/internal/hangup"
 	"github.com/ledgepin/ledgepin/metric"
 	"github.com/ledgepin/ledgepin/settings"
 )
@@ -132,7 +133,7 @@
 
 // Run implements the run command.
 func (c *runCmd) Run(s *streams) error {
-	f, err := config.Load(c.Config)
+	f, data, err := config.Load(c.Config)
 	if err != nil {
 		return err
 	}
@@ -145,7 +146,7 @@
 		return err
 	}
 	defer p.Close()
-	go p.Watch(ctx, c.Config)
+	go p.Watch(ctx, c.Config, data, hangup.C)
 	<-ctx.Done()
 	stop() // a second signal ends the process at once
 	p.Drain(context.WithoutCancel(ctx))
--- a/cmd/ledgepin/platform_test.go
+++ b/cmd/ledgepin/platform_test.go
@@ -384,3 +384,16 @@
 		return poll.Continue("nobody answers")
 	}, poll.WithTimeout(20*time.Second))
 }
+
+// TestHangupWhileStopping wants a signal that the settings have changed not to
+// end a process that is stopping in order.
+func TestHangupWhileStopping(t *testing.T) {
+	s := newSite(t)
+	s.put(table(1, ""))
+	s.isReady("gateway-1", true)
+	p := s.processes["gateway-1"]
+	p.signal(syscall.SIGTERM)
+	s.isReady("gateway-1", false)
+	p.signal(syscall.SIGHUP)
+	assert.NilError(t, p.cmd.Wait(), "it ends in order")
+}
--- a/config/config.go
+++ b/config/config.go
@@ -171,12 +171,13 @@
 const DefaultDrain = 10 * time.Minute
 
 // Load reads and checks a file.
-func Load(path string) (*File, error) {
+func Load(path string) (*File, []byte, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.SettingsInvalid, fault.StepConfig, path)
+		return nil, nil, fault.Wrap(err, fault.SettingsInvalid, fault.StepConfig, path)
 	}
-	return Parse(path, data)
+	f, err := Parse(path, data)
+	return f, data, err
 }
 
 // Parse checks the text of a file.
