--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -3,6 +3,8 @@
 package sock
 
 import (
+	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -22,6 +24,35 @@
 	}
 }
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Redialer returns a function that tries to open a connection anew each time
+// that a timeout is over. A first packet may be lost, or meet a VM without power,
+// and the kernel sends the next one only after a second; the later timeouts are
+// for ways that are slow.
+func Redialer(silence time.Duration, timeouts ...time.Duration) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		var last error
+		for _, timeout := range timeouts {
+			c, err := Dialer(timeout, silence).DialContext(ctx, network, address)
+			if err == nil {
+				return c, nil
+			}
+			last = err
+			if ctx.Err() != nil || !isTimeout(err) {
+				break
+			}
+		}
+		return nil, last
+	}
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // setUserTimeout is a help and no promise, so that a kernel without the option
 // is no failure.
 func setUserTimeout(fd int, limit time.Duration) {
--- a/wire/link.go
+++ b/wire/link.go
@@ -54,17 +54,23 @@
 	sent, received, messages atomic.Int64
 }
 
-// dialer opens links. One that is not open soon is tried anew: the VM may have
-// had no power when the first packet came, and the kernel sends the next one
-// only after a second.
-var dialer = sock.Dialer(400*time.Millisecond, 2*time.Second)
+// Times of opening a link and of silence on it.
+const (
+	quickDial   = 120 * time.Millisecond
+	patientDial = 400 * time.Millisecond
+	linkSilence = 2 * time.Second
+)
+
+// dial opens the connection of a link: the VM may have had no power when the
+// first packet came.
+var dial = sock.Redialer(linkSilence, quickDial, quickDial, patientDial)
 
 // Dial opens a link to the process at addr, an IP number and port.
 func Dial(ctx context.Context, addr string, o Options) (*Link, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	scheme := "ws"
-	client := &http.Client{Transport: &http.Transport{TLSClientConfig: o.TLS, DialContext: dialer.DialContext}}
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: o.TLS, DialContext: dial}}
 	if o.TLS != nil {
 		scheme = "wss"
 	}
