--- a/control/hub.go
+++ b/control/hub.go
@@ -4,10 +4,9 @@
 	"sync"
 	"time"
 
-	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/registry"
-	"github.com/ledgepin/ledgepin/roles"
 	"github.com/ledgepin/ledgepin/route"
+	"github.com/ledgepin/ledgepin/subset"
 	"github.com/ledgepin/ledgepin/wire"
 )
 
@@ -15,10 +14,13 @@
 const (
 	// serverKeep is how long a server that says nothing stays listed.
 	serverKeep = 4500 * time.Millisecond
-	// aliveEvery is the time between two tellings of all servers with their
-	// ages, which keep those listed that have nothing new to say.
+	// aliveEvery is the time between two tellings of which servers have reported
+	// themselves, which keep those listed that have nothing new to say.
 	aliveEvery = time.Second
 	loadsEvery = 50 * time.Millisecond
+	// passEvery is the time between two tellings of reports with nothing new to
+	// the other replicas.
+	passEvery = 100 * time.Millisecond
 )
 
 // hub holds the soft state that replicas give to gateways: which backend
@@ -36,36 +38,54 @@
 	away     map[string]awayEngine
 	aliveAt  time.Time
 	loadsAt  time.Time
-}
-
-// awayEngine is an engine that is changing its role.
-type awayEngine struct {
-	role string
-	// back is the soonest that it can be back, and given the latest that it is
-	// waited for.
-	back, given time.Time
+	passAt   time.Time
+	// waiting are reports with nothing new that the other replicas get together.
+	waiting []registry.Server
+	// groups is the number of servers of each service and role that take
+	// requests; regroupedAt is when gateways got their parts of them, which was
+	// for the sizes in shared and a number of gateways.
+	groups         map[group]int
+	shared         map[group]int
+	sharedGateways int
+	regroupedAt    time.Time
+	// sum is what all gateways have reserved, by engine; moved are the engines
+	// whose sum has changed since the gateways were told.
+	sum   map[string]wire.EngineLoad
+	moved map[string]bool
+	// sharing is the number of gateways that tell this replica what they
+	// reserve.
+	sharing int
 }
 
 // gatewayState is what the hub knows of one gateway.
 type gatewayState struct {
+	key       subset.Key
 	told      uint64
 	confirmed bool
-	// sharing tells that the gateway tells this replica what it reserves.
-	sharing bool
-	loads   []wire.EngineLoad
-	changed bool
+	// servers are those that the gateway works with, as it was told of them.
+	servers map[string]registry.Server
+	// sharing tells that the gateway tells this replica what it reserves, which
+	// is own; others is what it was told that the others do, for so many of them.
+	sharing     bool
+	own, others map[string]wire.EngineLoad
+	othersOf    int
 }
 
 func newHub() *hub {
-	return &hub{servers: registry.New(serverKeep), gateways: map[*wire.Link]*gatewayState{}, peers: map[*wire.Link]bool{}, away: map[string]awayEngine{}}
+	return &hub{
+		servers: registry.New(serverKeep), gateways: map[*wire.Link]*gatewayState{}, peers: map[*wire.Link]bool{}, away: map[string]awayEngine{},
+		groups: map[group]int{}, sum: map[string]wire.EngineLoad{}, moved: map[string]bool{},
+	}
 }
 
 // addGateway starts telling a gateway.
 func (h *hub) addGateway(l *wire.Link, fresh bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.gateways[l] = &gatewayState{}
-	_ = l.Send(&wire.Message{Servers: &wire.Servers{List: h.servers.List(time.Now())}})
+	h.gateways[l] = &gatewayState{
+		key: subset.KeyOf(l.Peer.Name), servers: map[string]registry.Server{}, own: map[string]wire.EngineLoad{}, others: map[string]wire.EngineLoad{},
+	}
+	h.share(l, h.gateways[l], h.candidates(time.Now()))
 	_ = l.Send(&wire.Message{Servers: &wire.Servers{Away: h.awayList(time.Now())}})
 	h.tellTable(l, h.gateways[l], fresh)
 	h.sendReplicas()
@@ -74,6 +94,9 @@
 func (h *hub) removeGateway(l *wire.Link) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if g := h.gateways[l]; g != nil {
+		h.reserve(g, nil, false)
+	}
 	delete(h.gateways, l)
 	h.sendReplicas()
 }
@@ -93,39 +116,6 @@
 	delete(h.peers, l)
 }
 
-// report takes a server's own word, and passes it on at once if it is new. The
-// other replicas get every report, so that each of them can tell a gateway
-// that starts. It returns false if nobody is there to be told.
-func (h *hub) report(s registry.Server) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	changed := h.servers.Report(time.Now(), s)
-	m := &wire.Message{Servers: &wire.Servers{List: []registry.Server{s}}}
-	for l := range h.peers {
-		_ = l.Send(m)
-	}
-	if changed {
-		h.toGateways(m)
-	}
-	return len(h.peers)+len(h.gateways) > 0
-}
-
-// take takes reports that another replica passes on.
-func (h *hub) take(list []registry.Server) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := time.Now()
-	var news []registry.Server
-	for _, s := range list {
-		if h.servers.Report(now, s) {
-			news = append(news, s)
-		}
-	}
-	if len(news) > 0 {
-		h.toGateways(&wire.Message{Servers: &wire.Servers{List: news}})
-	}
-}
-
 func (h *hub) toGateways(m *wire.Message) {
 	frame, err := wire.Marshal(m)
 	if err != nil {
@@ -145,6 +135,7 @@
 	}
 	lean := *t
 	lean.Source = nil
+	lean.Index()
 	h.table = &lean
 	frame, err := wire.Marshal(&wire.Message{Routes: &wire.Routes{Table: h.table, Version: lean.Version, Confirmed: fresh}})
 	if err != nil {
@@ -197,15 +188,6 @@
 	}
 }
 
-// setLoads takes what a gateway has reserved.
-func (h *hub) setLoads(l *wire.Link, m *wire.Loads) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if g := h.gateways[l]; g != nil {
-		g.loads, g.sharing, g.changed = m.List, !m.Ended, true
-	}
-}
-
 // tick does what is due by time.
 func (h *hub) tick(now time.Time, fresh bool) {
 	h.mu.Lock()
@@ -213,10 +195,13 @@
 	for l, g := range h.gateways {
 		h.tellTable(l, g, fresh)
 	}
+	if now.Sub(h.passAt) >= passEvery {
+		h.passAt = now
+		h.passOn()
+	}
 	if now.Sub(h.aliveAt) >= aliveEvery {
+		h.tellAlive(now)
 		h.aliveAt = now
-		h.servers.Expire(now)
-		h.toGateways(&wire.Message{Servers: &wire.Servers{List: h.servers.List(now)}})
 	}
 	if now.Sub(h.loadsAt) >= loadsEvery {
 		h.loadsAt = now
@@ -224,52 +209,6 @@
 	}
 }
 
-// tellLoads tells each gateway what the others have reserved, if anything has
-// changed. Callers hold the lock.
-func (h *hub) tellLoads() {
-	changed, sharing := false, 0
-	sum := map[string]wire.EngineLoad{}
-	for _, g := range h.gateways {
-		changed = changed || g.changed
-		g.changed = false
-		if g.sharing {
-			sharing++
-		}
-		for _, e := range g.loads {
-			sum[e.Server] = addLoad(sum[e.Server], e, 1)
-		}
-	}
-	if !changed {
-		return
-	}
-	for l, g := range h.gateways {
-		rest := make(map[string]wire.EngineLoad, len(sum))
-		for id, e := range sum {
-			rest[id] = e
-		}
-		for _, e := range g.loads {
-			rest[e.Server] = addLoad(rest[e.Server], e, -1)
-		}
-		out := &wire.Loads{Gateways: sharing}
-		if g.sharing {
-			out.Gateways--
-		}
-		for id, e := range rest {
-			if e.Server = id; e.Tokens != 0 || e.Prefill != 0 || e.Runs != 0 {
-				out.List = append(out.List, e)
-			}
-		}
-		_ = l.Send(&wire.Message{Loads: out})
-	}
-}
-
-func addLoad(a, b wire.EngineLoad, sign int) wire.EngineLoad {
-	a.Tokens += sign * b.Tokens
-	a.Prefill += sign * b.Prefill
-	a.Runs += sign * b.Runs
-	return a
-}
-
 // beat shows life on the links of gateways and replicas.
 func (h *hub) beat() {
 	h.mu.Lock()
@@ -287,98 +226,3 @@
 	defer h.mu.Unlock()
 	return h.servers.List(time.Now())
 }
-
-// setAway tells all gateways that an engine changes its role.
-func (h *hub) setAway(id, role string, least time.Duration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := time.Now()
-	h.away[id] = awayEngine{role: role, back: now.Add(least), given: now.Add(least + awayLimit)}
-	h.toGateways(&wire.Message{Servers: &wire.Servers{Away: h.awayList(now)}})
-}
-
-// awayLimit is how long an engine is waited for beyond the least time: its runs
-// come to their end first.
-const awayLimit = 10 * time.Second
-
-// awayList returns the engines that are away, and forgets those that are back
-// or are not waited for any more. Callers hold the lock.
-func (h *hub) awayList(now time.Time) []wire.Away {
-	var out []wire.Away
-	for id, a := range h.away {
-		s, known := h.servers.Get(id)
-		done := known && s.Role == a.role && now.After(a.back)
-		if !known || done || now.After(a.given) {
-			delete(h.away, id)
-			continue
-		}
-		out = append(out, wire.Away{Server: id, Role: a.role, For: max(a.back.Sub(now), 0)})
-	}
-	return out
-}
-
-// engines returns the engines of each service for the planner, with what all
-// gateways have reserved there.
-func (h *hub) engines(now time.Time) map[string][]roles.Engine {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.awayList(now)
-	sum := map[string]wire.EngineLoad{}
-	for _, g := range h.gateways {
-		for _, e := range g.loads {
-			sum[e.Server] = addLoad(sum[e.Server], e, 1)
-		}
-	}
-	out := map[string][]roles.Engine{}
-	for _, s := range h.servers.List(now) {
-		if s.Role == "" || s.State != registry.Ready {
-			continue
-		}
-		e := roles.Engine{ID: s.ID, Zone: s.Zone, Role: s.Role, Busy: sum[s.ID].Prefill > 0, Used: h.used(s.Service, sum[s.ID])}
-		if a, ok := h.away[s.ID]; ok {
-			e.Role, e.Away = a.role, true
-		}
-		out[s.Service] = append(out[s.Service], e)
-	}
-	return out
-}
-
-// used returns the share of an engine that its runs fill, by memory or by
-// slots.
-func (h *hub) used(service string, l wire.EngineLoad) float64 {
-	if h.table == nil {
-		return 0
-	}
-	for i := range h.table.Services {
-		s := &h.table.Services[i]
-		if s.Name != service || s.Engine == nil {
-			continue
-		}
-		memory := float64(l.Tokens) / (dispatch.MemoryUse * float64(max(s.Engine.KVTokens, 1)))
-		slots := float64(l.Runs) / float64(max(s.Engine.Slots, 1))
-		return max(memory, slots)
-	}
-	return 0
-}
-
-// engineOf returns what the table says of the engines of a service.
-func (h *hub) engineOf(service string) (route.Engine, bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.table == nil {
-		return route.Engine{}, false
-	}
-	for i := range h.table.Services {
-		if s := &h.table.Services[i]; s.Name == service && s.Engine != nil {
-			return *s.Engine, true
-		}
-	}
-	return route.Engine{}, false
-}
-
-// get returns a server by the name of its incarnation.
-func (h *hub) get(id string) (registry.Server, bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.servers.Get(id)
-}
--- /dev/null
+++ b/control/loads.go
@@ -0,0 +1,82 @@
+package control
+
+import "github.com/ledgepin/ledgepin/wire"
+
+// setLoads takes what a gateway has reserved.
+func (h *hub) setLoads(l *wire.Link, m *wire.Loads) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if g := h.gateways[l]; g != nil {
+		h.reserve(g, m.List, !m.Ended)
+	}
+}
+
+// reserve puts what a gateway has reserved in the place of what it had before.
+// Callers hold the lock.
+func (h *hub) reserve(g *gatewayState, list []wire.EngineLoad, sharing bool) {
+	if g.sharing != sharing {
+		h.sharing += map[bool]int{true: 1, false: -1}[sharing]
+		g.sharing = sharing
+	}
+	now := make(map[string]wire.EngineLoad, len(list))
+	for _, e := range list {
+		now[e.Server] = e
+		if e != g.own[e.Server] {
+			h.move(e.Server, addLoad(e, g.own[e.Server], -1))
+		}
+	}
+	for id, e := range g.own {
+		if _, still := now[id]; !still {
+			h.move(id, addLoad(wire.EngineLoad{}, e, -1))
+		}
+	}
+	g.own = now
+}
+
+// move adds to the sum of an engine.
+func (h *hub) move(id string, change wire.EngineLoad) {
+	sum := addLoad(h.sum[id], change, 1)
+	sum.Server = id
+	if sum == (wire.EngineLoad{Server: id}) {
+		delete(h.sum, id)
+	} else {
+		h.sum[id] = sum
+	}
+	h.moved[id] = true
+}
+
+// tellLoads tells each gateway what the others have reserved at the engines that
+// it works with, where that has changed. Callers hold the lock.
+func (h *hub) tellLoads() {
+	for l, g := range h.gateways {
+		others := h.sharing
+		if g.sharing {
+			others--
+		}
+		out := &wire.Loads{Gateways: others}
+		for id := range h.moved {
+			if _, works := g.servers[id]; !works {
+				continue
+			}
+			rest := addLoad(h.sum[id], g.own[id], -1)
+			rest.Server = id
+			if rest != g.others[id] {
+				g.others[id] = rest
+				out.List = append(out.List, rest)
+			}
+		}
+		if len(out.List) > 0 || others != g.othersOf {
+			g.othersOf = others
+			_ = l.Send(&wire.Message{Loads: out})
+		}
+	}
+	clear(h.moved)
+}
+
+// addLoad adds or subtracts the numbers of a load.
+func addLoad(a, b wire.EngineLoad, sign int) wire.EngineLoad {
+	a.Tokens += sign * b.Tokens
+	a.Prefill += sign * b.Prefill
+	a.Runs += sign * b.Runs
+	return a
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,10 +7,10 @@
 package dispatch
 
 import (
-	"hash/fnv"
 	"sort"
 	"time"
 
+	"github.com/ledgepin/ledgepin/internal/mix"
 	"github.com/ledgepin/ledgepin/registry"
 )
 
@@ -48,7 +48,8 @@
 
 // Fleet is all servers that a gateway knows.
 type Fleet struct {
-	name    string
+	// key is the number of the gateway's name.
+	key     uint64
 	servers map[string]*Server
 	// groups are the servers by service and role, made anew when one comes,
 	// goes or changes its role; cursor is where the next choice starts to look.
@@ -108,20 +109,11 @@
 }
 
 // rank orders servers differently at each gateway.
-func (f *Fleet) rank(s *Server) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(f.name))
-	_, _ = h.Write([]byte(s.ID))
-	x := h.Sum64()
-	// The last letters of a name hardly reach the high bits of the sum.
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
+func (f *Fleet) rank(s *Server) uint64 { return mix.Pair(f.key, mix.Name(s.ID)) }
 
 // NewFleet returns a fleet without servers.
 func NewFleet(name, zone string) *Fleet {
-	return &Fleet{name: name, servers: map[string]*Server{}, Zone: zone, Gateways: 1, Known: 1}
+	return &Fleet{key: mix.Name(name), servers: map[string]*Server{}, Zone: zone, Gateways: 1, Known: 1}
 }
 
 // Update takes reports of servers.
@@ -155,6 +147,16 @@
 	}
 }
 
+// Heard takes that servers have reported themselves again, at a time, with
+// nothing new.
+func (f *Fleet) Heard(at time.Time, ids []string) {
+	for _, id := range ids {
+		if s := f.servers[id]; s != nil && at.After(s.heardAt) {
+			s.heardAt = at
+		}
+	}
+}
+
 // retire marks older incarnations at the address of a new server as gone.
 func (f *Fleet) retire(fresh registry.Server) {
 	if fresh.State != registry.Ready || fresh.Address == "" {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -51,10 +51,14 @@
 	return b
 }
 
-func (f *fleet) update(list []registry.Server) {
+// update takes reports of servers, and which of them have reported themselves
+// with nothing new within a time.
+func (f *fleet) update(list []registry.Server, heard []string, within time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view.Update(time.Now(), list)
+	now := time.Now()
+	f.view.Update(now, list)
+	f.view.Heard(now.Add(-within), heard)
 	f.serve()
 }
 
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -124,7 +124,7 @@
 func (l *links) handle(address string, m *wire.Message) {
 	switch {
 	case m.Servers != nil:
-		l.g.fleet.update(m.Servers.List)
+		l.g.fleet.update(m.Servers.List, m.Servers.Heard, m.Servers.For)
 		l.g.fleet.away(m.Servers.Away)
 	case m.Routes != nil:
 		l.routes(m.Routes)
@@ -142,7 +142,7 @@
 		l.mu.Unlock()
 	case m.Loads != nil:
 		l.mu.Lock()
-		l.loads[address] = toLoads(m.Loads.List)
+		l.takeLoads(address, m.Loads.List)
 		l.sharing[address] = m.Loads.Gateways
 		l.share()
 		l.mu.Unlock()
@@ -169,12 +169,22 @@
 	}
 }
 
-func toLoads(list []wire.EngineLoad) map[string]dispatch.Load {
-	out := make(map[string]dispatch.Load, len(list))
+// takeLoads takes which reservations have changed at a replica. Callers hold the
+// lock.
+func (l *links) takeLoads(address string, list []wire.EngineLoad) {
+	loads := l.loads[address]
+	if loads == nil {
+		loads = map[string]dispatch.Load{}
+		l.loads[address] = loads
+	}
 	for _, e := range list {
-		out[e.Server] = dispatch.Load{Tokens: e.Tokens, Prefill: e.Prefill, Runs: e.Runs}
+		load := dispatch.Load{Tokens: e.Tokens, Prefill: e.Prefill, Runs: e.Runs}
+		if load == (dispatch.Load{}) {
+			delete(loads, e.Server)
+		} else {
+			loads[e.Server] = load
+		}
 	}
-	return out
 }
 
 // share tells the fleet how many gateways there are and what the others have
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -7,6 +7,7 @@
 package registry
 
 import (
+	"math"
 	"sort"
 	"time"
 )
@@ -107,12 +108,6 @@
 	return 0
 }
 
-// Leave takes the word of a server that it has left, and tells whether that is
-// new. An unknown server is remembered as gone, for reports that are late.
-func (r *Registry) Leave(now time.Time, id string) bool {
-	return r.Report(now, Server{ID: id, State: Gone})
-}
-
 // Get returns a server by the name of its incarnation.
 func (r *Registry) Get(id string) (Server, bool) {
 	e := r.servers[id]
@@ -126,21 +121,30 @@
 // from before may come late, and must not bring it back.
 const leftKeep = time.Minute
 
-// Expire forgets servers that have been silent for too long, and returns their
-// names.
-func (r *Registry) Expire(now time.Time) []string {
-	var out []string
+// Age returns how long ago a server reported itself; the longest time there is
+// for one that is not known.
+func (r *Registry) Age(now time.Time, id string) time.Duration {
+	e := r.servers[id]
+	if e == nil {
+		return math.MaxInt64
+	}
+	return now.Sub(e.heardAt)
+}
+
+// Expire forgets servers that have been silent for too long, and returns them.
+func (r *Registry) Expire(now time.Time) []Server {
+	var out []Server
 	for id, e := range r.servers {
 		keep := r.keep
 		if e.server.State != Ready {
 			keep = max(keep, leftKeep)
 		}
 		if now.Sub(e.heardAt) > keep {
-			out = append(out, id)
+			out = append(out, e.server)
 			delete(r.servers, id)
 		}
 	}
-	sort.Strings(out)
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
 }
 
--- /dev/null
+++ b/subset/subset.go
@@ -0,0 +1,40 @@
+// Package subset chooses which servers of a large group a gateway works with.
+//
+// What a gateway must be told grows with the servers that it works with, so each
+// one gets a part of a large group: some tens of servers, of which any two
+// gateways share few. Membership is decided for each pair by itself, by a number
+// that is the same in every process, so that replicas of control agree without
+// a word, and a server that comes or goes moves hardly any other.
+package subset
+
+import (
+	"math"
+
+	"github.com/ledgepin/ledgepin/internal/mix"
+)
+
+const (
+	// servers is the number of servers of one group that a gateway works with,
+	// on average; all of a smaller group.
+	servers = 32
+	// gatewaysEach is the least number of gateways that a server should have, on
+	// average, so that next to none is left without.
+	gatewaysEach = 6
+)
+
+// Key is the number of a gateway or a server.
+type Key uint64
+
+// KeyOf returns the key of a name.
+func KeyOf(name string) Key { return Key(mix.Name(name)) }
+
+// Includes tells whether a gateway works with a server of a group of a size, one
+// of a number of gateways.
+func Includes(gateway, server Key, size, gateways int) bool {
+	wanted := max(servers, gatewaysEach*size/max(gateways, 1))
+	if size <= wanted {
+		return true
+	}
+	part := float64(wanted) / float64(size)
+	return float64(mix.Pair(uint64(gateway), uint64(server))) < part*math.MaxUint64
+}
--- /dev/null
+++ b/subset/subset_test.go
@@ -0,0 +1,68 @@
+package subset_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/subset"
+)
+
+func keys(prefix string, n int) []subset.Key {
+	out := make([]subset.Key, n)
+	for i := range out {
+		out[i] = subset.KeyOf(fmt.Sprint(prefix, i))
+	}
+	return out
+}
+
+// TestSizes wants parts of a bounded size, next to no server without a gateway,
+// and all of a small group.
+func TestSizes(t *testing.T) {
+	tests := []struct {
+		servers, gateways   int
+		least, most, lonely int
+	}{
+		{9, 5, 9, 9, 0},
+		{32, 400, 32, 32, 0},
+		{400, 410, 14, 56, 0},
+		{2000, 300, 18, 66, 20},
+		{600, 4, 600, 600, 0},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.servers, " servers, ", tt.gateways, " gateways"), func(t *testing.T) {
+			servers := keys("i-", tt.servers)
+			used := make([]int, tt.servers)
+			for _, g := range keys("front-", tt.gateways) {
+				n := 0
+				for i, s := range servers {
+					if subset.Includes(g, s, tt.servers, tt.gateways) {
+						used[i]++
+						n++
+					}
+				}
+				assert.Assert(t, n >= tt.least && n <= tt.most, "%d servers", n)
+			}
+			lonely := 0
+			for _, n := range used {
+				if n == 0 {
+					lonely++
+				}
+			}
+			assert.Assert(t, lonely <= tt.lonely, "%d servers without a gateway", lonely)
+		})
+	}
+}
+
+// TestStable wants a server more to change hardly anything for the others.
+func TestStable(t *testing.T) {
+	g := subset.KeyOf("front-1")
+	moved := 0
+	for _, s := range keys("i-", 400) {
+		if subset.Includes(g, s, 400, 400) != subset.Includes(g, s, 401, 400) {
+			moved++
+		}
+	}
+	assert.Assert(t, moved <= 2, "%d servers moved", moved)
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -292,6 +292,10 @@
 	List []registry.Server `cbor:"1,keyasint"`
 	// Away are engines that are changing their role.
 	Away []Away `cbor:"2,keyasint,omitempty"`
+	// Heard are servers that have reported themselves, with nothing new, within
+	// the time For.
+	Heard []string      `cbor:"3,keyasint,omitempty"`
+	For   time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Away is an engine that takes no requests until it has another role.
@@ -312,10 +316,11 @@
 }
 
 // Loads tells what gateways have reserved at engines, so that each of them
-// knows what the others use.
+// knows what the others use. A gateway tells all that it has reserved; control
+// tells a gateway those engines whose reservations have changed.
 type Loads struct {
 	List []EngineLoad `cbor:"1,keyasint"`
-	// Gateways is the number of other gateways whose loads are in the list.
+	// Gateways is the number of other gateways whose loads control knows.
 	Gateways int `cbor:"2,keyasint,omitempty"`
 	// Ended tells that the sender tells another replica from now on.
 	Ended bool `cbor:"3,keyasint,omitempty"`
