--- a/control/listing.go
+++ b/control/listing.go
@@ -182,7 +182,7 @@
 func differs(then, now int) bool { return max(then-now, now-then)*regroupPart > then }
 
 // tellAlive tells gateways which of their servers have reported themselves since
-// the last time.
+// the last time, and how many servers there are.
 func (h *hub) tellAlive(now time.Time) {
 	for _, gone := range h.servers.Expire(now) {
 		if gone.State == registry.Ready {
@@ -194,15 +194,17 @@
 	}
 	h.regroup(now)
 	passed := now.Sub(h.aliveAt)
+	var sizes []wire.GroupSize
+	for k, n := range h.groups {
+		sizes = append(sizes, wire.GroupSize{Service: k.service, Role: k.role, Size: n})
+	}
 	for l, g := range h.gateways {
-		m := &wire.Servers{For: passed}
+		m := &wire.Servers{For: passed, Sizes: sizes}
 		for id := range g.servers {
 			if h.servers.Age(now, id) <= passed {
 				m.Heard = append(m.Heard, id)
 			}
 		}
-		if len(m.Heard) > 0 {
-			_ = l.Send(&wire.Message{Servers: m})
-		}
+		_ = l.Send(&wire.Message{Servers: m})
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 
 	"github.com/ledgepin/ledgepin/internal/mix"
 	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/subset"
 )
 
 // Load is what is under way at an engine.
@@ -61,6 +62,18 @@
 	Gateways int
 	// Known is the number of gateways whose loads are known, this one included.
 	Known int
+	// sizes are the numbers of servers of all groups, also of those that this
+	// gateway does not work with.
+	sizes map[group]int
+}
+
+// SetSize takes the number of servers of a service and role.
+func (f *Fleet) SetSize(service, role string, n int) { f.sizes[group{service, role}] = n }
+
+// Sharing returns the number of gateways that work with one server of a service
+// and role: all of them, unless each has a part of the servers.
+func (f *Fleet) Sharing(service, role string) int {
+	return subset.Sharing(f.sizes[group{service, role}], f.Gateways)
 }
 
 // group is the servers of a service that do the same work.
@@ -113,7 +126,7 @@
 
 // NewFleet returns a fleet without servers.
 func NewFleet(name, zone string) *Fleet {
-	return &Fleet{key: mix.Name(name), servers: map[string]*Server{}, Zone: zone, Gateways: 1, Known: 1}
+	return &Fleet{key: mix.Name(name), servers: map[string]*Server{}, sizes: map[group]int{}, Zone: zone, Gateways: 1, Known: 1}
 }
 
 // Update takes reports of servers.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/dispatch"
-	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/route"
 	"github.com/ledgepin/ledgepin/wire"
 )
@@ -51,14 +50,17 @@
 	return b
 }
 
-// update takes reports of servers, and which of them have reported themselves
-// with nothing new within a time.
-func (f *fleet) update(list []registry.Server, heard []string, within time.Duration) {
+// update takes reports of servers, which of them have reported themselves with
+// nothing new, and how many there are.
+func (f *fleet) update(m *wire.Servers) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	f.view.Update(now, list)
-	f.view.Heard(now.Add(-within), heard)
+	f.view.Update(now, m.List)
+	f.view.Heard(now.Add(-m.For), m.Heard)
+	for _, g := range m.Sizes {
+		f.view.SetSize(g.Service, g.Role, g.Size)
+	}
 	f.serve()
 }
 
@@ -298,8 +300,9 @@
 	return *s, true
 }
 
-func (f *fleet) gateways() int {
+// sharing returns the number of gateways that work with a server.
+func (f *fleet) sharing(s *dispatch.Server) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.view.Gateways
+	return f.view.Sharing(s.Service, s.Role)
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -111,7 +111,7 @@
 	}
 	tryCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	r := q.to(h, s, limit, g.fleet.gateways())
+	r := q.to(h, s, limit, g.fleet.sharing(s))
 	r.Fresh = q.route.Kind == route.Once
 	a, err := g.pool.Do(tryCtx, h, r)
 	if err != nil {
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -155,7 +155,7 @@
 func (n *generation) prefill(ctx context.Context) result {
 	g, h, s := n.g, &n.g.cfg.Protocol.Headers, n.pair.Prefill
 	started := time.Now()
-	r := n.q.to(h, s, n.q.left(), g.fleet.gateways())
+	r := n.q.to(h, s, n.q.left(), g.fleet.sharing(s))
 	r.Header.Set(h.Role, registry.Prefill)
 	n.resumeAt(r.Header)
 	limit := 2*n.pair.Wait + time.Second
@@ -233,7 +233,7 @@
 func (n *generation) decode(ctx context.Context, s *dispatch.Server, withKV bool) result {
 	g, q, h := n.g, n.q, &n.g.cfg.Protocol.Headers
 	started := time.Now()
-	r := q.to(h, s, q.left(), g.fleet.gateways())
+	r := q.to(h, s, q.left(), g.fleet.sharing(s))
 	if withKV {
 		r.Header.Set(h.KVSource, n.kvFrom.Address+"/"+n.kv.Handle)
 	}
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -30,7 +30,7 @@
 	hctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
 	started := time.Now()
-	r := n.q.call(&p.Headers, s, p.TakeHold(n.q.work.Prompt, min(n.pair.Wait+holdMargin, engine.HoldMost)), n.g.fleet.gateways())
+	r := n.q.call(&p.Headers, s, p.TakeHold(n.q.work.Prompt, min(n.pair.Wait+holdMargin, engine.HoldMost)), n.g.fleet.sharing(s))
 	res, body := n.exchange(hctx, s, r)
 	if res.kind == answered && res.status == http.StatusOK {
 		hold, err := p.ParseHold(body)
@@ -47,13 +47,13 @@
 }
 
 // call returns a call of the gateway's own to an engine.
-func (q *request) call(h *backend.Headers, s *dispatch.Server, c backend.Call, gateways int) backend.Request {
+func (q *request) call(h *backend.Headers, s *dispatch.Server, c backend.Call, sharing int) backend.Request {
 	r := backend.Request{Address: s.Address, Method: c.Method, Target: c.Path, Host: s.Address, Header: http.Header{}, Body: c.Body}
 	r.Header.Set(h.ExpectInstance, s.ID)
 	if c.ContentType != "" {
 		r.Header.Set("Content-Type", c.ContentType)
 	}
-	r.MaxConnections = connectionShare(q.service.MaxConnections, gateways)
+	r.MaxConnections = connectionShare(q.service.MaxConnections, sharing)
 	return r
 }
 
@@ -64,7 +64,7 @@
 	}
 	s, hold := n.pair.Decode, n.hold
 	n.hold = ""
-	r := n.q.call(&n.g.cfg.Protocol.Headers, s, n.g.cfg.Protocol.DropHold(hold), n.g.fleet.gateways())
+	r := n.q.call(&n.g.cfg.Protocol.Headers, s, n.g.cfg.Protocol.DropHold(hold), n.g.fleet.sharing(s))
 	n.g.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(n.g.ctx, freeTime)
 		defer cancel()
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -124,7 +124,7 @@
 func (l *links) handle(address string, m *wire.Message) {
 	switch {
 	case m.Servers != nil:
-		l.g.fleet.update(m.Servers.List, m.Servers.Heard, m.Servers.For)
+		l.g.fleet.update(m.Servers)
 		l.g.fleet.away(m.Servers.Away)
 	case m.Routes != nil:
 		l.routes(m.Routes)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -232,25 +232,25 @@
 func (q *request) left() time.Duration { return time.Until(q.deadline) }
 
 // to returns the request as it goes to one server.
-func (q *request) to(h *backend.Headers, s *dispatch.Server, limit time.Duration, gateways int) backend.Request {
+func (q *request) to(h *backend.Headers, s *dispatch.Server, limit time.Duration, sharing int) backend.Request {
 	out := q.send
 	out.Address = s.Address
 	out.Header = q.send.Header.Clone()
 	out.Header.Set(h.Deadline, strconv.FormatInt(max(limit.Milliseconds(), 1), 10))
 	out.Header.Set(h.ExpectInstance, s.ID)
-	out.MaxConnections = connectionShare(q.service.MaxConnections, gateways)
+	out.MaxConnections = connectionShare(q.service.MaxConnections, sharing)
 	return out
 }
 
 // connectionShare is the part of a server's connections that one gateway opens.
-func connectionShare(most, gateways int) int {
+func connectionShare(most, sharing int) int {
 	if most <= 0 {
 		return 0
 	}
 	// Servers still count connections of gateways that have lost power, and take
 	// fewer while their queue is long.
 	const use = 0.5
-	return max(int(use*float64(most)/float64(max(gateways, 1))), 1)
+	return max(int(use*float64(most)/float64(max(sharing, 1))), 1)
 }
 
 // refusal is an answer of the gateway's own.
--- a/subset/subset.go
+++ b/subset/subset.go
@@ -28,13 +28,26 @@
 // KeyOf returns the key of a name.
 func KeyOf(name string) Key { return Key(mix.Name(name)) }
 
+// wanted returns how many servers of a group a gateway works with, on average.
+func wanted(size, gateways int) int {
+	return min(max(servers, gatewaysEach*size/max(gateways, 1)), size)
+}
+
 // Includes tells whether a gateway works with a server of a group of a size, one
 // of a number of gateways.
 func Includes(gateway, server Key, size, gateways int) bool {
-	wanted := max(servers, gatewaysEach*size/max(gateways, 1))
-	if size <= wanted {
+	part := wanted(size, gateways)
+	if part >= size {
 		return true
 	}
-	part := float64(wanted) / float64(size)
-	return float64(mix.Pair(uint64(gateway), uint64(server))) < part*math.MaxUint64
+	bound := float64(part) / float64(size) * math.MaxUint64
+	return float64(mix.Pair(uint64(gateway), uint64(server))) < bound
+}
+
+// Sharing returns how many gateways work with a server of a group, on average.
+func Sharing(size, gateways int) int {
+	if size <= 0 {
+		return gateways
+	}
+	return max((gateways*wanted(size, gateways)+size-1)/size, 1)
 }
--- a/subset/subset_test.go
+++ b/subset/subset_test.go
@@ -66,3 +66,15 @@
 	}
 	assert.Assert(t, moved <= 2, "%d servers moved", moved)
 }
+
+func TestSharing(t *testing.T) {
+	tests := []struct{ size, gateways, want int }{
+		{9, 5, 5},
+		{334, 100, 10},
+		{2000, 300, 6},
+		{0, 7, 7},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, subset.Sharing(tt.size, tt.gateways), tt.want, "%d servers", tt.size)
+	}
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -296,6 +296,15 @@
 	// the time For.
 	Heard []string      `cbor:"3,keyasint,omitempty"`
 	For   time.Duration `cbor:"4,keyasint,omitempty"`
+	// Sizes are the numbers of servers of all groups.
+	Sizes []GroupSize `cbor:"5,keyasint,omitempty"`
+}
+
+// GroupSize is the number of servers of a service that have a role.
+type GroupSize struct {
+	Service string `cbor:"1,keyasint"`
+	Role    string `cbor:"2,keyasint,omitempty"`
+	Size    int    `cbor:"3,keyasint"`
 }
 
 // Away is an engine that takes no requests until it has another role.
