--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -90,9 +90,9 @@
 )
 
 // members calls visit for some servers of a group, others each time.
-func (f *Fleet) members(service, role string, visit func(s *Server)) {
+func (f *Fleet) members(now time.Time, service, role string, visit func(s *Server)) {
 	if f.groups == nil {
-		f.regroup()
+		f.regroup(now)
 	}
 	list := f.groups[group{service, role}]
 	looked := min(max(len(list)/choicePart, leastChoices), mostChoices)
@@ -108,10 +108,13 @@
 	}
 }
 
-func (f *Fleet) regroup() {
+// regroup makes the groups anew. Servers that have fallen silent are left out:
+// control may have given them to other gateways, and a choice that looked at
+// them only would find none.
+func (f *Fleet) regroup(now time.Time) {
 	f.groups = map[group][]*Server{}
 	for _, s := range f.servers {
-		if !s.gone && s.State == registry.Ready {
+		if !s.gone && s.State == registry.Ready && s.alive(now) {
 			k := group{s.Service, s.Role}
 			f.groups[k] = append(f.groups[k], s)
 		}
@@ -164,9 +167,14 @@
 // nothing new.
 func (f *Fleet) Heard(at time.Time, ids []string) {
 	for _, id := range ids {
-		if s := f.servers[id]; s != nil && at.After(s.heardAt) {
-			s.heardAt = at
+		s := f.servers[id]
+		if s == nil || !at.After(s.heardAt) {
+			continue
+		}
+		if at.Sub(s.heardAt) > silentAfter {
+			f.groups = nil // it was left out
 		}
+		s.heardAt = at
 	}
 }
 
@@ -216,6 +224,11 @@
 	if s.gone || s.State != registry.Ready || s.isAway(now) {
 		return false
 	}
+	return s.alive(now)
+}
+
+// alive tells whether a server has reported itself of late, or has answered.
+func (s *Server) alive(now time.Time) bool {
 	return now.Sub(s.heardAt) < silentAfter || now.Sub(s.health.lastGood) < provenFor
 }
 
@@ -247,12 +260,13 @@
 	return true
 }
 
-// Sweep forgets servers that have been silent for long.
+// Sweep forgets servers that have been silent for long, and has the groups made
+// anew.
 func (f *Fleet) Sweep(now time.Time) {
+	f.groups = nil
 	for id, s := range f.servers {
 		if s.Open == 0 && s.Own == (Load{}) && now.Sub(s.heardAt) > forgetAfter {
 			delete(f.servers, id)
-			f.groups = nil
 		}
 	}
 }
@@ -266,7 +280,7 @@
 func (f *Fleet) Plain(now time.Time, service string, avoid Avoid) *Server {
 	var best *Server
 	bestScore := 0.0
-	f.members(service, "", func(s *Server) {
+	f.members(now, service, "", func(s *Server) {
 		if avoid[s.ID] || !s.listed(now) {
 			return
 		}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -118,6 +118,25 @@
 	assert.Equal(t, f.Plain(later, "plain", nil).ID, "a")
 }
 
+// TestOthersServersAreNoChoice wants the servers that control has given to other
+// gateways, and of which nothing is heard any more, not to hide those that are
+// left.
+func TestOthersServersAreNoChoice(t *testing.T) {
+	f := dispatch.NewFleet("g", "z0")
+	var list []registry.Server
+	for i := range 200 {
+		list = append(list, registry.Server{ID: fmt.Sprint("a", i), Service: "plain", State: registry.Ready, Address: fmt.Sprint(i, ":1"), Sequence: 1})
+	}
+	f.Update(now, list)
+	later := now.Add(10 * time.Second)
+	f.Heard(later.Add(-time.Second), []string{"a7"})
+	f.Sweep(later)
+	for range 50 {
+		s := f.Plain(later, "plain", nil)
+		assert.Assert(t, s != nil && s.ID == "a7")
+	}
+}
+
 // TestFailingServerIsLeftAlone wants a server that fails half of its requests,
 // whatever its health check says, to get few.
 func TestFailingServerIsLeftAlone(t *testing.T) {
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -50,12 +50,12 @@
 func (f *Fleet) Pair(now time.Time, w Work, e *route.Engine, avoid Avoid) (Pair, bool) {
 	prefill := map[string]candidate{}
 	decode := map[string]candidate{}
-	f.members(w.Service, registry.Prefill, func(s *Server) {
+	f.members(now, w.Service, registry.Prefill, func(s *Server) {
 		if s.open(now, avoid) {
 			keepBest(prefill, s, f.prefillCost(s))
 		}
 	})
-	f.members(w.Service, registry.Decode, func(s *Server) {
+	f.members(now, w.Service, registry.Decode, func(s *Server) {
 		if s.open(now, avoid) && f.fits(s, w, e) {
 			keepBest(decode, s, f.decodeCost(s, e))
 		}
@@ -110,7 +110,7 @@
 // Ruled tells what rules decode engines out for a request.
 func (f *Fleet) Ruled(now time.Time, w Work, e *route.Engine) Ruled {
 	out := Ruled{Known: f.Known, Gateways: f.Gateways}
-	f.members(w.Service, registry.Decode, func(s *Server) {
+	f.members(now, w.Service, registry.Decode, func(s *Server) {
 		out.Engines++
 		switch {
 		case !s.listed(now):
@@ -127,7 +127,7 @@
 // Decode chooses a decode engine for a prompt that has been read in a zone.
 func (f *Fleet) Decode(now time.Time, w Work, e *route.Engine, zone string, avoid Avoid) *Server {
 	var best candidate
-	f.members(w.Service, registry.Decode, func(s *Server) {
+	f.members(now, w.Service, registry.Decode, func(s *Server) {
 		if !s.open(now, avoid) || !f.fits(s, w, e) {
 			return
 		}
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -68,6 +68,9 @@
 	if s == nil || o == Neutral {
 		return
 	}
+	if o == Good && !s.alive(now) {
+		f.groups = nil // it was left out
+	}
 	s.health.note(now, o, took)
 }
 
