--- a/control/hub.go
+++ b/control/hub.go
@@ -39,6 +39,10 @@
 	aliveAt  time.Time
 	loadsAt  time.Time
 	passAt   time.Time
+	// joined are gateways that have not been told their part of the servers;
+	// counted tells that all have been told how many gateways there are.
+	joined  []*wire.Link
+	counted bool
 	// waiting are reports with nothing new that the other replicas get together.
 	waiting []registry.Server
 	// groups is the number of servers of each service and role that take
@@ -78,17 +82,33 @@
 	}
 }
 
-// addGateway starts telling a gateway.
+// addGateway starts telling a gateway. Its part of the servers goes out at the
+// next tick, together with those of all that have joined until then: they come
+// by hundreds after a loss of power.
 func (h *hub) addGateway(l *wire.Link, fresh bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.gateways[l] = &gatewayState{
 		key: subset.KeyOf(l.Peer.Name), servers: map[string]registry.Server{}, own: map[string]wire.EngineLoad{}, others: map[string]wire.EngineLoad{},
 	}
-	h.share(l, h.gateways[l], h.candidates(time.Now()))
+	h.joined = append(h.joined, l)
 	_ = l.Send(&wire.Message{Servers: &wire.Servers{Away: h.awayList(time.Now())}})
 	h.tellTable(l, h.gateways[l], fresh)
-	h.sendReplicas()
+	h.counted = false
+}
+
+// welcome tells the gateways that have joined their parts of the servers.
+func (h *hub) welcome(now time.Time) {
+	if len(h.joined) == 0 {
+		return
+	}
+	list := h.candidates(now)
+	for _, l := range h.joined {
+		if g := h.gateways[l]; g != nil {
+			h.share(l, g, list)
+		}
+	}
+	h.joined = nil
 }
 
 func (h *hub) removeGateway(l *wire.Link) {
@@ -98,7 +118,7 @@
 		h.reserve(g, nil, false)
 	}
 	delete(h.gateways, l)
-	h.sendReplicas()
+	h.counted = false
 }
 
 // addPeer starts telling a replica that has opened a link.
@@ -195,6 +215,11 @@
 	for l, g := range h.gateways {
 		h.tellTable(l, g, fresh)
 	}
+	h.welcome(now)
+	if !h.counted {
+		h.counted = true
+		h.sendReplicas()
+	}
 	if now.Sub(h.passAt) >= passEvery {
 		h.passAt = now
 		h.passOn()
