--- a/backend/names.go
+++ b/backend/names.go
@@ -23,8 +23,6 @@
 	ExpectInstance string
 	// Tokens gives the tokens of the prompt and the most tokens of the answer.
 	Tokens string
-	// Prefix gives the parts of the prompt.
-	Prefix string
 	// LengthHint is the caller's estimate of the tokens of the answer.
 	LengthHint string
 	// Role asks an engine for one phase of a request.
@@ -42,7 +40,7 @@
 // DefaultHeaders are ledgepin's own names.
 var DefaultHeaders = Headers{
 	RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", Signature: "X-Answer-Signature", NotRun: "X-Not-Run",
-	ExpectInstance: "X-Expect-Instance", Tokens: "X-Tokens", Prefix: "X-Prompt-Parts", LengthHint: "X-Length-Hint",
+	ExpectInstance: "X-Expect-Instance", Tokens: "X-Tokens", LengthHint: "X-Length-Hint",
 	Role: "X-Engine-Role", KVSource: "X-KV-Source", Hold: "X-Hold", LastEventID: "Last-Event-Id",
 }
 
@@ -59,8 +57,8 @@
 	Headers Headers
 	// ParseKV reads the answer to a prefill.
 	ParseKV func(body []byte) (KV, error)
-	// FreeKV returns the method and path of the call that frees a KV cache.
-	FreeKV func(handle string) (method, path string)
+	// FreeKV returns the call that frees a KV cache.
+	FreeKV func(handle string) Call
 	// TakeHold returns the call that sets a slot and memory aside at an engine
 	// for a time, ParseHold reads the name of the hold from the answer, and
 	// DropHold returns the call that gives it back. Engines without holds have
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -83,6 +83,11 @@
 	"No engine took a request: of the decode engines some leave, some failed lately, some are full; prefills and decodes are the sends that were turned away.",
 	"Many with full engines: the service needs more of them, or fewer that read prompts.")
 
+// NoHold tells that a decode engine set no room aside.
+var NoHold = define("LP2013", info, "no room held",
+	"A decode engine that was chosen has no free slot or memory (status 503), or could not be asked (error); another one is looked for before the prompt is read.",
+	"Many with status 503: the decode engines are full.")
+
 // NoServer tells that a service has no server.
 var NoServer = define("LP2012", info, "no server of a service is known",
 	"No server of the service has reported itself, or all of them leave.", "Look at the servers, and at the links to control.")
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -23,15 +21,6 @@
 	dirty   bool
 }
 
-// waiter is a request that waits for an engine with room.
-type waiter struct {
-	priority int
-	work     dispatch.Work
-	engine   *route.Engine
-	avoid    dispatch.Avoid
-	placed   chan dispatch.Pair
-}
-
 func newFleet(name, zone string, bounds dispatch.Budget) *fleet {
 	if bounds.Since.IsZero() {
 		bounds.Since = time.Now()
@@ -196,39 +185,6 @@
 	f.budget(service).Spend(time.Now(), 1)
 }
 
-// place finds a prefill and a decode engine and books both. It waits for room
-// until the context ends or the limit is over.
-func (f *fleet) place(ctx context.Context, w *waiter, limit time.Duration) (dispatch.Pair, bool) {
-	w.placed = make(chan dispatch.Pair, 1)
-	f.mu.Lock()
-	at, _ := slices.BinarySearchFunc(f.queue, w, func(a, b *waiter) int {
-		if a.priority <= b.priority {
-			return -1
-		}
-		return 1
-	})
-	f.queue = slices.Insert(f.queue, at, w)
-	f.serve()
-	f.mu.Unlock()
-	t := time.NewTimer(limit)
-	defer t.Stop()
-	select {
-	case p := <-w.placed:
-		return p, true
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.queue = slices.DeleteFunc(f.queue, func(o *waiter) bool { return o == w })
-	select {
-	case p := <-w.placed: // placed at the last moment
-		return p, true
-	default:
-		return dispatch.Pair{}, false
-	}
-}
-
 // ruled tells what rules engines out for a request now.
 func (f *fleet) ruled(w dispatch.Work, e *route.Engine) dispatch.Ruled {
 	f.mu.Lock()
@@ -236,31 +192,6 @@
 	return f.view.Ruled(time.Now(), w, e)
 }
 
-// serve places waiting requests, the first of the queue first: one that does
-// not fit holds up those behind it, so that a large prompt is not passed over
-// for ever. Callers hold the lock.
-func (f *fleet) serve() {
-	now := time.Now()
-	for len(f.queue) > 0 {
-		w := f.queue[0]
-		p, ok := f.view.Pair(now, w.work, w.engine, w.avoid)
-		if !ok {
-			return
-		}
-		f.queue = f.queue[1:]
-		f.view.Reserve(p.Decode.ID, w.work)
-		decode := *p.Decode
-		placed := dispatch.Pair{Decode: &decode, Wait: p.Wait}
-		if p.Prefill != nil {
-			f.view.StartPrefill(p.Prefill.ID, w.work)
-			prefill := *p.Prefill
-			placed.Prefill = &prefill
-		}
-		f.dirty = true
-		w.placed <- placed
-	}
-}
-
 // endPrefill takes back the booking at the prefill engine.
 func (f *fleet) endPrefill(id string, w dispatch.Work) {
 	f.mu.Lock()
@@ -287,19 +218,6 @@
 	f.dirty = true
 }
 
-// move books another decode engine for a prompt that has been read.
-func (f *fleet) move(w dispatch.Work, e *route.Engine, zone string, avoid dispatch.Avoid) (dispatch.Server, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := f.view.Decode(time.Now(), w, e, zone, avoid)
-	if s == nil {
-		return dispatch.Server{}, false
-	}
-	f.view.Reserve(s.ID, w)
-	f.dirty = true
-	return *s, true
-}
-
 // sharing returns the number of gateways that work with a server.
 func (f *fleet) sharing(s *dispatch.Server) int {
 	f.mu.Lock()
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -24,7 +24,6 @@
 	maxRounds = 3
 	// kvMargin is taken off the time that an engine keeps a prefill result.
 	kvMargin = 100 * time.Millisecond
-	freeTime = 300 * time.Millisecond
 	// growPart is the part of its expected length by which a run that reaches
 	// it is taken to be longer.
 	growPart = 4
@@ -134,7 +133,7 @@
 		}
 		return r
 	}
-	defer n.dropKV(ctx)
+	defer n.dropKV()
 	r = result{kind: notSent, err: errLeft}
 	if n.g.fleet.listed(n.pair.Decode.ID) {
 		r = n.decode(ctx, n.pair.Decode, true)
@@ -327,24 +326,6 @@
 	}
 }
 
-// dropKV frees a KV cache that no decode engine has taken.
-func (n *generation) dropKV(ctx context.Context) {
-	if n.kv.Handle == "" || time.Since(n.kvAt) > n.q.service.Engine.KVHold {
-		return
-	}
-	method, path := n.g.cfg.Protocol.FreeKV(n.kv.Handle)
-	r := backend.Request{Address: n.kvFrom.Address, Method: method, Target: path, Host: n.kvFrom.Address, Header: http.Header{}}
-	r.Header.Set(n.g.cfg.Protocol.Headers.ExpectInstance, n.kvFrom.ID)
-	n.kv.Handle = ""
-	n.g.wg.Go(func() {
-		fctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), freeTime)
-		defer cancel()
-		if a, err := n.g.pool.Do(fctx, &n.g.cfg.Protocol.Headers, r); err == nil {
-			_, _ = a.ReadAll(maxAnswer)
-		}
-	})
-}
-
 // conclude gives the caller its final answer, if the stream has not.
 func (n *generation) conclude(ctx context.Context, w http.ResponseWriter, last result) {
 	g, q := n.g, n.q
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -7,6 +7,7 @@
 
 	"github.com/ledgepin/ledgepin/backend"
 	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/event"
 )
 
 // Times of holds.
@@ -39,7 +40,7 @@
 			return true
 		}
 	}
-	n.g.logSend(n.q, s, res, time.Since(started))
+	event.NoHold.Log(n.g.log, "id", n.q.id, "server", s.ID, "status", res.status, "ms", time.Since(started).Milliseconds(), "error", res.err)
 	if res.kind == notSent {
 		n.g.fleet.note(s.ID, dispatch.Unreached, 0)
 	}
@@ -64,11 +65,29 @@
 	}
 	s, hold := n.pair.Decode, n.hold
 	n.hold = ""
-	r := n.q.call(&n.g.cfg.Protocol.Headers, s, n.g.cfg.Protocol.DropHold(hold), n.g.fleet.sharing(s))
-	n.g.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(n.g.ctx, freeTime)
+	n.g.giveBack(n.q.call(&n.g.cfg.Protocol.Headers, s, n.g.cfg.Protocol.DropHold(hold), n.g.fleet.sharing(s)))
+}
+
+// dropKV frees a KV cache that no decode engine has taken.
+func (n *generation) dropKV() {
+	if n.kv.Handle == "" || time.Since(n.kvAt) > n.q.service.Engine.KVHold {
+		return
+	}
+	s, handle := &n.kvFrom, n.kv.Handle
+	n.kv.Handle = ""
+	n.g.giveBack(n.q.call(&n.g.cfg.Protocol.Headers, s, n.g.cfg.Protocol.FreeKV(handle), n.g.fleet.sharing(s)))
+}
+
+// giveBackTime is how long an engine may take to free what nobody uses.
+const giveBackTime = 300 * time.Millisecond
+
+// giveBack sends a call that frees something at an engine. It outlives the
+// request that it belongs to, whose caller may have left.
+func (g *Gateway) giveBack(r backend.Request) {
+	g.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(g.ctx, giveBackTime)
 		defer cancel()
-		if a, err := n.g.pool.Do(ctx, &n.g.cfg.Protocol.Headers, r); err == nil {
+		if a, err := g.pool.Do(ctx, &g.cfg.Protocol.Headers, r); err == nil {
 			_, _ = a.ReadAll(maxAnswer)
 		}
 	})
--- /dev/null
+++ b/standin/holds.go
@@ -0,0 +1,82 @@
+package standin
+
+import (
+	"fmt"
+	"net/http"
+	"path"
+	"strconv"
+	"time"
+)
+
+// Where an engine sets room aside, in ledgepin's own words and in those of the
+// users' platform.
+const (
+	HoldPath         = "/hold"
+	platformHoldPath = "/-/hold-"
+)
+
+// SetSlots bounds the requests that an engine runs and holds room for.
+func (b *Backend) SetSlots(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slots = n
+}
+
+// Holds returns the number of holds that are set aside, and of all that were.
+func (b *Backend) Holds() (now, ever int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lapseHolds()
+	return len(b.holds), b.held
+}
+
+// serveHold sets a slot aside, or gives one back.
+func (b *Backend) serveHold(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.Method == http.MethodDelete {
+		delete(b.holds, path.Base(r.URL.Path))
+		return
+	}
+	if b.full() {
+		w.Header().Set(b.headers.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if b.holds == nil {
+		b.holds = map[string]time.Time{}
+	}
+	b.held++
+	hold := strconv.Itoa(b.held)
+	b.holds[hold] = time.Now()
+	fmt.Fprintf(w, `{"hold":%q}`, hold)
+}
+
+// full tells whether no slot is free. Callers hold the lock.
+func (b *Backend) full() bool {
+	b.lapseHolds()
+	return b.slots > 0 && b.running+len(b.holds) >= b.slots
+}
+
+// holdLife is how long a slot is set aside at most.
+const holdLife = 2 * time.Second
+
+// lapseHolds drops the holds whose time is over. Callers hold the lock.
+func (b *Backend) lapseHolds() {
+	for hold, taken := range b.holds {
+		if time.Since(taken) > holdLife {
+			delete(b.holds, hold)
+		}
+	}
+}
+
+// admit takes a request's hold, or asks for a free slot.
+func (b *Backend) admit(hold string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, ok := b.holds[hold]; ok {
+		delete(b.holds, hold)
+		return true
+	}
+	return hold == "" && !b.full()
+}
