--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -89,13 +89,27 @@
 	mostChoices  = 24
 )
 
-// members calls visit for some servers of a group, others each time.
-func (f *Fleet) members(now time.Time, service, role string, visit func(s *Server)) {
+// search calls fits for some servers of a group, others each time, and if none of
+// them fits for all of it, or as many as a choice may look at.
+func (f *Fleet) search(now time.Time, service, role string, fits func(s *Server) bool) {
+	list := f.group(now, service, role)
+	looked := min(max(len(list)/choicePart, leastChoices), mostChoices)
+	found := false
+	visit := func(s *Server) { found = fits(s) || found }
+	f.visit(list, looked, visit)
+	if !found && looked < len(list) {
+		f.visit(list, mostChoices, visit)
+	}
+}
+
+func (f *Fleet) group(now time.Time, service, role string) []*Server {
 	if f.groups == nil {
 		f.regroup(now)
 	}
-	list := f.groups[group{service, role}]
-	looked := min(max(len(list)/choicePart, leastChoices), mostChoices)
+	return f.groups[group{service, role}]
+}
+
+func (f *Fleet) visit(list []*Server, looked int, visit func(s *Server)) {
 	if len(list) <= looked {
 		for _, s := range list {
 			visit(s)
@@ -280,14 +294,15 @@
 func (f *Fleet) Plain(now time.Time, service string, avoid Avoid) *Server {
 	var best *Server
 	bestScore := 0.0
-	f.members(now, service, "", func(s *Server) {
+	f.search(now, service, "", func(s *Server) bool {
 		if avoid[s.ID] || !s.listed(now) {
-			return
+			return false
 		}
 		score := s.score(now)
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
+		return true
 	})
 	return best
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -137,6 +137,30 @@
 	}
 }
 
+// TestTheOneWithRoomIsFound wants a choice that looks at some of the servers to
+// look at the others before it says that there is none.
+func TestTheOneWithRoomIsFound(t *testing.T) {
+	f := fleet(4, 10)
+	loads := map[string]dispatch.Load{}
+	for i := range 20 {
+		loads[fmt.Sprintf("d%d-%d", i%2, i/2)] = dispatch.Load{Tokens: 20000}
+	}
+	delete(loads, "d1-6")
+	f.SetOthers(loads)
+	avoid := dispatch.Avoid{}
+	for i := range 8 {
+		avoid[fmt.Sprintf("p%d-%d", i%2, i/2)] = true
+	}
+	delete(avoid, "p0-3")
+	for range 20 {
+		p, ok := f.Pair(now, small, engine, avoid)
+		assert.Assert(t, ok)
+		assert.Equal(t, p.Decode.ID, "d1-6")
+		assert.Assert(t, p.Prefill != nil && p.Prefill.ID == "p0-3")
+		assert.Equal(t, f.Decode(now, small, engine, "z0", nil).ID, "d1-6")
+	}
+}
+
 // TestFailingServerIsLeftAlone wants a server that fails half of its requests,
 // whatever its health check says, to get few.
 func TestFailingServerIsLeftAlone(t *testing.T) {
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -50,15 +50,19 @@
 func (f *Fleet) Pair(now time.Time, w Work, e *route.Engine, avoid Avoid) (Pair, bool) {
 	prefill := map[string]candidate{}
 	decode := map[string]candidate{}
-	f.members(now, w.Service, registry.Prefill, func(s *Server) {
-		if s.open(now, avoid) {
-			keepBest(prefill, s, f.prefillCost(s))
+	f.search(now, w.Service, registry.Prefill, func(s *Server) bool {
+		if !s.open(now, avoid) {
+			return false
 		}
+		keepBest(prefill, s, f.prefillCost(s))
+		return true
 	})
-	f.members(now, w.Service, registry.Decode, func(s *Server) {
-		if s.open(now, avoid) && f.fits(s, w, e) {
-			keepBest(decode, s, f.decodeCost(s, e))
+	f.search(now, w.Service, registry.Decode, func(s *Server) bool {
+		if !s.open(now, avoid) || !f.fits(s, w, e) {
+			return false
 		}
+		keepBest(decode, s, f.decodeCost(s, e))
+		return true
 	})
 	if len(prefill) == 0 {
 		return alone(decode, w)
@@ -110,7 +114,7 @@
 // Ruled tells what rules decode engines out for a request.
 func (f *Fleet) Ruled(now time.Time, w Work, e *route.Engine) Ruled {
 	out := Ruled{Known: f.Known, Gateways: f.Gateways}
-	f.members(now, w.Service, registry.Decode, func(s *Server) {
+	f.visit(f.group(now, w.Service, registry.Decode), mostChoices, func(s *Server) {
 		out.Engines++
 		switch {
 		case !s.listed(now):
@@ -127,9 +131,9 @@
 // Decode chooses a decode engine for a prompt that has been read in a zone.
 func (f *Fleet) Decode(now time.Time, w Work, e *route.Engine, zone string, avoid Avoid) *Server {
 	var best candidate
-	f.members(now, w.Service, registry.Decode, func(s *Server) {
+	f.search(now, w.Service, registry.Decode, func(s *Server) bool {
 		if !s.open(now, avoid) || !f.fits(s, w, e) {
-			return
+			return false
 		}
 		cost := f.decodeCost(s, e)
 		if s.Zone != zone {
@@ -138,6 +142,7 @@
 		if best.server == nil || cost < best.cost {
 			best = candidate{s, cost}
 		}
+		return true
 	})
 	return best.server
 }
