--- a/roles/roles.go
+++ b/roles/roles.go
@@ -50,6 +50,11 @@
 	// balance is the use of prefill engines over that of decode engines that
 	// is aimed at: a prompt that waits is late, a run that waits is refused.
 	balance = 0.75
+	// shortUse is the use from which on engines of a role may get more of them.
+	// When a load rises, prefill engines are busy at once and decode engines
+	// only once runs have added up: the balance alone would take that for a want
+	// of prefill engines, and take decode engines away at the worst time.
+	shortUse = 0.55
 	// offBy is the number of engines that the balance must be off by.
 	offBy = 0.8
 	// between is the least time between the orders for a service, and batchOf
@@ -109,10 +114,10 @@
 	for len(out) < most {
 		o := Order{Prefill: len(prefill), Decode: len(decode), PrefillUse: p.prefillUse, DecodeUse: p.decodeUse, Want: want}
 		switch off := want - float64(len(prefill)); {
-		case off < -offBy && len(prefill) > 1:
+		case off < -offBy && len(prefill) > 1 && (p.decodeUse >= shortUse || !p.loaded):
 			o.Engine, o.Role = surplus(prefill), registry.Decode
 			prefill, decode = change(prefill, decode, o.Engine)
-		case off > offBy && len(decode) > 1:
+		case off > offBy && len(decode) > 1 && (p.prefillUse >= shortUse || float64(len(prefill)) < p.floor(len(prefill)+len(decode))):
 			o.Engine, o.Role = lightest(decode, prefill), registry.Prefill
 			decode, prefill = change(decode, prefill, o.Engine)
 		default:
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -48,6 +48,8 @@
 		{"no fewer prefill engines than the floor", engines(3, 6, 0, 1), 0.33, ""},
 		{"below the floor", engines(2, 7, 1, 1), 0.33, registry.Prefill},
 		{"prefill engines full, decode engines half empty", engines(1, 8, 1, 0.5), 0.11, registry.Prefill},
+		{"a load that rises: prefill engines are busy first", engines(5, 10, 2, 0.41), 0.33, ""},
+		{"decode engines have room", engines(5, 4, 0, 0.5), 0.33, ""},
 		{"the last prefill engine stays", engines(1, 8, 0, 1), 0.11, ""},
 		{"no prefill engine at all", engines(0, 9, 0, 0.5), 0.33, registry.Prefill},
 	}
