--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -42,7 +42,7 @@
 	}
 	event.NoHold.Log(n.g.log, "id", n.q.id, "server", s.ID, "status", res.status, "ms", time.Since(started).Milliseconds(), "error", res.err)
 	if res.kind == notSent {
-		n.g.fleet.note(s.ID, dispatch.Unreached, 0)
+		n.g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
 	}
 	return false
 }
--- a/gateway/hold_test.go
+++ b/gateway/hold_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/standin"
 )
 
@@ -129,3 +130,22 @@
 		return poll.Success()
 	})
 }
+
+// TestLeavingCallerBlamesNoEngine wants an engine not to be left alone because a
+// caller left while it was asked for a hold.
+func TestLeavingCallerBlamesNoEngine(t *testing.T) {
+	r := newRig(t)
+	r.add("llm", "p1", "prefill")
+	r.add("llm", "d1", "decode")
+	service := r.gateway.table.Load().Service("llm")
+	q := &request{id: "q1", service: service, work: dispatch.Work{Service: "llm", Prompt: 10, Expected: 10}, tried: dispatch.Avoid{}}
+	servers := map[string]*dispatch.Server{}
+	for _, s := range r.gateway.fleet.list() {
+		servers[s.ID] = s
+	}
+	n := &generation{g: r.gateway, q: q, pair: dispatch.Pair{Prefill: servers["p1"], Decode: servers["d1"]}}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Assert(t, !n.takeHold(ctx))
+	assert.Equal(t, r.gateway.fleet.ruled(q.work, service.Engine).Blocked, 0)
+}
