--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -165,7 +165,11 @@
 	apply(t, c, 0, text(10))
 	first := startEntry(t, entry.Config{Name: "e1", Zone: "z1", Upstream: []string{way.Addr()}})
 	waitRevision(t, first, 1)
+	// The links to the agents open once the settings are there.
 	_, err := ask(t, first)
+	for end := time.Now().Add(10 * time.Second); fault.Is(err, fault.NoServer) && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		_, err = ask(t, first)
+	}
 	assert.NilError(t, err)
 
 	way.Freeze()
