--- a/consensus/consensus_test.go
+++ b/consensus/consensus_test.go
@@ -184,6 +184,38 @@
 	assert.ErrorIs(t, err, consensus.ErrPending)
 }
 
+// TestMembershipIsToldAsPending shows a repair that a leader has in its log and
+// nobody else has: a status that called it done would let an operator take away
+// the one replica that knows of it.
+func TestMembershipIsToldAsPending(t *testing.T) {
+	c := newCluster(t, 6, "a", "b")
+	c.run(2 * time.Second)
+	l := c.leader()
+	c.add("n", disk{})
+	assert.Assert(t, c.change(consensus.Change{Add: "n"}))
+	c.run(time.Second)
+	for _, id := range []string{"a", "b", "n"} {
+		if id != l.id {
+			c.cut[[2]string{l.id, id}] = true
+		}
+	}
+	assert.Assert(t, !l.node.Status(c.clock(l)).Pending)
+	_, err := l.node.ChangeMembers(c.clock(l), consensus.Change{Promote: "n"})
+	assert.NilError(t, err)
+
+	s := l.node.Status(c.clock(l))
+	assert.Equal(t, len(s.Members.Voters), 3, "in force from the moment that it is in the log")
+	assert.Assert(t, s.Pending, "but not safe from the loss of this replica")
+
+	c.heal()
+	c.run(time.Second)
+	for _, id := range []string{"a", "b", "n"} {
+		r := c.replicas[id]
+		s := r.node.Status(c.clock(r))
+		assert.Assert(t, !s.Pending && len(s.Members.Voters) == 3, "%s: %+v", id, s)
+	}
+}
+
 func TestFailedDiskGivesUpItsVote(t *testing.T) {
 	c := newCluster(t, 4, "a", "b", "c")
 	c.run(2 * time.Second)
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -299,15 +299,19 @@
 	Last    uint64  `json:"last"`
 	First   uint64  `json:"first"`
 	Members Members `json:"members"`
-	Lease   bool    `json:"lease"`
-	Failed  bool    `json:"failed"`
+	// Pending tells that Members is in force but not committed: the loss of the
+	// replicas that have it takes it back.
+	Pending bool `json:"members_pending"`
+	Lease   bool `json:"lease"`
+	Failed  bool `json:"failed"`
 }
 
 // Status returns the state of the replica.
 func (n *Node) Status(now time.Time) Status {
 	return Status{
 		ID: n.cfg.ID, Role: n.role.String(), Term: n.hard.Term, Leader: n.leader, Commit: n.commit,
-		Last: n.log.last(), First: n.log.snap.Index + 1, Members: n.members, Lease: n.Lead(now), Failed: n.failed,
+		Last: n.log.last(), First: n.log.snap.Index + 1, Members: n.members, Pending: n.membersIndex > n.commit,
+		Lease: n.Lead(now), Failed: n.failed,
 	}
 }
 
