--- a/backend/names.go
+++ b/backend/names.go
@@ -59,6 +59,11 @@
 	ParseKV func(body []byte) (KV, error)
 	// FreeKV returns the call that frees a KV cache.
 	FreeKV func(handle string) Call
+	// CopyRun returns the call that copies the KV cache of a run to the engine at
+	// another address; stop ends the run first, so that nothing is added to it
+	// any more. ParseKV reads the answer, whose handle names the copy. Engines
+	// whose runs can't go on elsewhere have none.
+	CopyRun func(id, target string, stop bool) Call
 	// TakeHold returns the call that sets a slot and memory aside at an engine
 	// for a time, ParseHold reads the name of the hold from the answer, and
 	// DropHold returns the call that gives it back. Engines without holds have
--- a/control/loads.go
+++ b/control/loads.go
@@ -60,7 +60,7 @@
 			}
 			rest := addLoad(h.sum[id], g.own[id], -1)
 			rest.Server = id
-			if rest != g.others[id] {
+			if worthTelling(g.others[id], rest) {
 				g.others[id] = rest
 				out.List = append(out.List, rest)
 			}
@@ -73,10 +73,25 @@
 	clear(h.moved)
 }
 
+// heldStep is the change of the tokens that runs have now from which on a gateway
+// is told of it: they grow all the time, and a run makes so many in a second.
+const heldStep = 1000
+
+// worthTelling tells whether a gateway has to hear of a load that has changed.
+func worthTelling(told, load wire.EngineLoad) bool {
+	grown := load.Held - told.Held
+	if grown >= heldStep || grown <= -heldStep {
+		return true
+	}
+	load.Held = told.Held
+	return load != told
+}
+
 // addLoad adds or subtracts the numbers of a load.
 func addLoad(a, b wire.EngineLoad, sign int) wire.EngineLoad {
 	a.Tokens += sign * b.Tokens
 	a.Prefill += sign * b.Prefill
 	a.Runs += sign * b.Runs
+	a.Held += sign * b.Held
 	return a
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -23,10 +23,13 @@
 	Prefill int
 	// Runs are the requests that run.
 	Runs int
+	// Held are the tokens of KV cache that the runs have now.
+	Held int
 }
 
-func (l Load) add(o Load) Load {
-	return Load{Tokens: l.Tokens + o.Tokens, Prefill: l.Prefill + o.Prefill, Runs: l.Runs + o.Runs}
+// Add returns the sum of two loads.
+func (l Load) Add(o Load) Load {
+	return Load{Tokens: l.Tokens + o.Tokens, Prefill: l.Prefill + o.Prefill, Runs: l.Runs + o.Runs, Held: l.Held + o.Held}
 }
 
 // Server is one backend server as a gateway sees it.
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -12,8 +12,13 @@
 	Service string
 	// Prompt are the tokens of the prompt, Expected those of the answer.
 	Prompt, Expected int
+	// Made are the tokens of the answer so far.
+	Made int
 }
 
+// held is the KV cache that the request has now.
+func (w Work) held() int { return w.Prompt + w.Made }
+
 // tokens is the KV cache that the request will have at its end.
 func (w Work) tokens() int { return w.Prompt + w.Expected }
 
@@ -164,7 +169,7 @@
 }
 
 func (f *Fleet) prefillCost(s *Server) float64 {
-	return float64(s.Own.add(s.Others).Prefill)/readRate + 100*s.health.failing
+	return float64(s.Own.Add(s.Others).Prefill)/readRate + 100*s.health.failing
 }
 
 func (f *Fleet) decodeCost(s *Server, e *route.Engine) float64 {
@@ -176,9 +181,18 @@
 // are taken to have reserved as much as the others on average, less a part,
 // since their requests may well come to this one.
 func (f *Fleet) used(s *Server) int {
-	heard := s.Own.Tokens + s.Others.Tokens
+	return f.withBlind(s.Own.Tokens + s.Others.Tokens)
+}
+
+// held returns the tokens that the runs of an engine have now.
+func (f *Fleet) held(s *Server) int {
+	return f.withBlind(s.Own.Held + s.Others.Held)
+}
+
+// withBlind adds what gateways that are not heard may have to what is known.
+func (f *Fleet) withBlind(tokens int) int {
 	missing := max(f.Gateways-f.Known, 0)
-	return int(float64(heard) * (1 + blindShare*float64(missing)/float64(max(f.Known, 1))))
+	return int(float64(tokens) * (1 + blindShare*float64(missing)/float64(max(f.Known, 1))))
 }
 
 func (f *Fleet) fits(s *Server, w Work, e *route.Engine) bool {
@@ -193,6 +207,9 @@
 	if used == 0 {
 		return float64(w.tokens()) <= float64(e.KVTokens)
 	}
+	if !f.roomNow(s, w, e, fullMark) {
+		return false
+	}
 	return used+float64(w.tokens()) <= limit
 }
 
@@ -200,21 +217,37 @@
 func (f *Fleet) Reserve(id string, w Work) {
 	if s := f.servers[id]; s != nil {
 		s.Own.Tokens += w.tokens()
+		s.Own.Held += w.held()
 		s.Own.Runs++
 	}
 }
 
-// Extend books more tokens for a run that Reserve has booked.
-func (f *Fleet) Extend(id string, tokens int) {
+// growPart is the part of its expected length by which a run that reaches it is
+// taken to be longer.
+const growPart = 4
+
+// Grow books what a run that Reserve has booked has made, and more for its end
+// if it has made all that was expected of it. It returns the work as it is
+// booked now, and whether more is expected of it.
+func (f *Fleet) Grow(id string, w Work, made int) (grown Work, longer bool) {
+	grown = w
+	grown.Made = made
+	if made >= w.Expected {
+		grown.Expected += max(w.Expected/growPart, 1)
+		longer = true
+	}
 	if s := f.servers[id]; s != nil {
-		s.Own.Tokens += tokens
+		s.Own.Tokens += grown.tokens() - w.tokens()
+		s.Own.Held += grown.held() - w.held()
 	}
+	return grown, longer
 }
 
-// Release takes back what Reserve and Extend have booked.
+// Release takes back what Reserve and Grow have booked.
 func (f *Fleet) Release(id string, w Work) {
 	if s := f.servers[id]; s != nil {
 		s.Own.Tokens -= w.tokens()
+		s.Own.Held -= w.held()
 		s.Own.Runs--
 	}
 }
--- /dev/null
+++ b/dispatch/migrate.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/route"
+)
+
+// An engine whose memory runs out takes a run's KV cache away and reads it anew
+// later, in the middle of its stream. Reservations can't prevent that: they rest
+// on what callers guess of their answers, and an engine has too few runs for the
+// errors to even out. So a run moves on, with its KV cache, to an engine with
+// room while its own is about to run out.
+
+// Constants of migration.
+const (
+	// fullMark is the part of an engine's memory from which on its runs move
+	// away, at leastHurry at first and at 1 when it is full. The hurry is the
+	// number of runs that leave while each of them makes one event: they belong to
+	// many gateways, which hear of each other with a lag of some events.
+	fullMark   = 0.90
+	leastHurry = 0.25
+	// roomMark is the part of an engine's memory that its runs may have when
+	// one more comes.
+	roomMark = 0.80
+)
+
+// Reason tells why a run should leave its engine.
+type Reason string
+
+// The reasons.
+const (
+	Stay    Reason = ""
+	Full    Reason = "full"
+	Leaving Reason = "leaving"
+)
+
+// Leave tells why a run that has made another event should leave its engine, if
+// it should; draw is evenly spread in [0, 1).
+func (f *Fleet) Leave(id string, e *route.Engine, draw float64) Reason {
+	s := f.servers[id]
+	if s == nil || s.gone || e.KVTokens <= 0 {
+		return Stay
+	}
+	if s.State == registry.Draining {
+		return Leaving
+	}
+	runs, level := s.Own.Runs+s.Others.Runs, float64(f.held(s))/float64(e.KVTokens)
+	if runs < 2 || level < fullMark {
+		return Stay
+	}
+	hurry := min(max((level-fullMark)/(1-fullMark), leastHurry), 1)
+	if draw*float64(runs) < hurry {
+		return Full
+	}
+	return Stay
+}
+
+// Refuge returns an engine that a run can move to, or nil. Pick, in [0, 1),
+// chooses among those with room: the emptiest of them is known to all gateways,
+// and runs that all went there would not find room.
+func (f *Fleet) Refuge(now time.Time, from string, w Work, e *route.Engine, pick float64) *Server {
+	s := f.servers[from]
+	if s == nil {
+		return nil
+	}
+	rest := Work{Service: w.Service, Prompt: w.held(), Expected: max(w.Expected-w.Made, 0)}
+	var near, far []*Server
+	f.search(now, w.Service, registry.Decode, func(to *Server) bool {
+		if to.ID == from || !to.open(now, nil) || !f.fits(to, rest, e) || !f.roomNow(to, rest, e, roomMark) {
+			return false
+		}
+		if to.Zone == s.Zone {
+			near = append(near, to)
+		} else {
+			far = append(far, to)
+		}
+		return true
+	})
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return nil
+	}
+	return near[int(pick*float64(len(near)))]
+}
+
+// roomNow tells whether a request's tokens would fill less than a part of an
+// engine's memory, by what its runs have now.
+func (f *Fleet) roomNow(s *Server, w Work, e *route.Engine, part float64) bool {
+	return float64(f.held(s)+w.held()) <= part*float64(e.KVTokens)
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -88,6 +88,11 @@
 	"A decode engine that was chosen has no free slot or memory (status 503), or could not be asked (error); another one is looked for before the prompt is read.",
 	"Many with status 503: the decode engines are full.")
 
+// RunMigrated tells that a run went on at another engine, or was to.
+var RunMigrated = define("LP2014", info, "run migrated",
+	"The run of a stream was to go on at another engine with its KV cache, since its own was almost full or leaves; the outcome tells whether it did.",
+	"Many that stayed: the engines are full, or their links slow; the error tells.")
+
 // NoServer tells that a service has no server.
 var NoServer = define("LP2012", info, "no server of a service is known",
 	"No server of the service has reported itself, or all of them leave.", "Look at the servers, and at the links to control.")
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,7 +19,10 @@
 	bounds  dispatch.Budget
 	budgets map[string]*dispatch.Budget
 	queue   []*waiter
-	dirty   bool
+	// dirty tells that reservations have changed since they were told, grown that
+	// runs have; toldAt is when they were told.
+	dirty, grown bool
+	toldAt       time.Time
 }
 
 func newFleet(name, zone string, bounds dispatch.Budget) *fleet {
@@ -89,17 +93,21 @@
 	f.dirty = true
 }
 
+// grownEvery is the least time between two tellings of what runs have made, if
+// nothing else has changed.
+const grownEvery = 160 * time.Millisecond
+
 // loads returns this gateway's reservations if they have changed.
-func (f *fleet) loads() ([]wire.EngineLoad, bool) {
+func (f *fleet) loads(now time.Time) ([]wire.EngineLoad, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.dirty {
+	if !f.dirty && (!f.grown || now.Sub(f.toldAt) < grownEvery) {
 		return nil, false
 	}
-	f.dirty = false
+	f.dirty, f.grown, f.toldAt = false, false, now
 	var out []wire.EngineLoad
 	for id, l := range f.view.Loads() {
-		out = append(out, wire.EngineLoad{Server: id, Tokens: l.Tokens, Prefill: l.Prefill, Runs: l.Runs})
+		out = append(out, wire.EngineLoad{Server: id, Tokens: l.Tokens, Prefill: l.Prefill, Runs: l.Runs, Held: l.Held})
 	}
 	return out, true
 }
@@ -210,12 +218,28 @@
 	f.serve()
 }
 
-// extend books more tokens for a run at a decode engine.
-func (f *fleet) extend(id string, tokens int) {
+// grow books what a run at a decode engine has made. It returns the work as it
+// is booked now, and why the run should go on elsewhere, if it should.
+func (f *fleet) grow(id string, w dispatch.Work, e *route.Engine, made int) (dispatch.Work, dispatch.Reason) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, longer := f.view.Grow(id, w, made)
+	f.grown = true
+	f.dirty = f.dirty || longer
+	return w, f.view.Leave(id, e, rand.Float64())
+}
+
+// refuge books an engine that a run can move to.
+func (f *fleet) refuge(from string, w dispatch.Work, e *route.Engine) (dispatch.Server, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view.Extend(id, tokens)
+	s := f.view.Refuge(time.Now(), from, w, e, rand.Float64())
+	if s == nil {
+		return dispatch.Server{}, false
+	}
+	f.view.Reserve(s.ID, w)
 	f.dirty = true
+	return *s, true
 }
 
 // sharing returns the number of gateways that work with a server.
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -24,9 +24,6 @@
 	maxRounds = 3
 	// kvMargin is taken off the time that an engine keeps a prefill result.
 	kvMargin = 100 * time.Millisecond
-	// growPart is the part of its expected length by which a run that reaches
-	// it is taken to be longer.
-	growPart = 4
 )
 
 // errLeft tells that a decode engine began to leave while the prompt was read.
@@ -47,6 +44,7 @@
 	stream *streamWriter
 	// prefills and decodes count what has reached engines of each role.
 	prefills, decodes int
+	mover             mover
 }
 
 // generate serves a request of a model engine: a decode engine's memory is
@@ -55,7 +53,7 @@
 	g.streams.Add(1)
 	defer g.streams.Add(-1)
 	n := &generation{g: g, q: q, stream: newStreamWriter(g, w, q)}
-	n.stream.made = n.grow
+	n.stream.made = func(tokens int) { n.grow(ctx, tokens) }
 	defer n.unbook()
 	var last result
 	for round := range maxRounds {
@@ -250,7 +248,7 @@
 		g.logSend(q, s, res, time.Since(started))
 		return res
 	}
-	defer a.Close()
+	defer func() { a.Close() }()
 	n.decodes++
 	if res, ok := g.turnedAway(q, s, a); ok {
 		g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
@@ -263,7 +261,7 @@
 	if a.Status >= http.StatusMultipleChoices || a.Header.Get(h.Signature) == "" {
 		return n.failedAnswer(s, a)
 	}
-	err = n.stream.copy(ctx, a)
+	s, a, err = n.relay(ctx, s, a)
 	if err == nil {
 		g.fleet.note(s.ID, dispatch.Good, time.Since(started))
 		n.done(s, a.Status)
@@ -288,7 +286,7 @@
 	metric.RouteGap.WithLabelValues(name).Observe(stream.gap.Seconds())
 	event.RequestDone.Log(n.g.log, "id", n.q.id, "route", name, "status", status, "ms", time.Since(n.q.arrived).Milliseconds(),
 		"first_ms", first.Milliseconds(), "gap_ms", stream.gap.Milliseconds(), "prefill", n.kvFrom.ID, "decode", s.ID,
-		"prefill_ms", prefill.Milliseconds(), "rounds", n.prefills)
+		"prefill_ms", prefill.Milliseconds(), "rounds", n.prefills, "migrations", n.mover.count)
 }
 
 // failedAnswer takes an answer of an engine that is no stream.
@@ -308,14 +306,18 @@
 	}
 }
 
-// grow books more memory for a run that makes more than was expected of it.
-func (n *generation) grow(made int) {
-	if n.booked == "" || made < n.q.work.Expected {
+// grow books what a run has made, and has it move on if its engine has no room
+// for it any more.
+func (n *generation) grow(ctx context.Context, made int) {
+	if n.booked == "" {
 		return
 	}
-	more := max(n.q.work.Expected/growPart, 1)
-	n.g.fleet.extend(n.booked, more)
-	n.q.work.Expected += more
+	n.checkMigration()
+	work, reason := n.g.fleet.grow(n.booked, n.q.work, n.q.service.Engine, made)
+	n.q.work = work
+	if reason != dispatch.Stay {
+		n.moveOn(ctx, reason)
+	}
 }
 
 func (n *generation) unbook() {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -178,7 +178,7 @@
 		l.loads[address] = loads
 	}
 	for _, e := range list {
-		load := dispatch.Load{Tokens: e.Tokens, Prefill: e.Prefill, Runs: e.Runs}
+		load := dispatch.Load{Tokens: e.Tokens, Prefill: e.Prefill, Runs: e.Runs, Held: e.Held}
 		if load == (dispatch.Load{}) {
 			delete(loads, e.Server)
 		} else {
@@ -198,8 +198,7 @@
 	sum := map[string]dispatch.Load{}
 	for _, loads := range l.loads {
 		for id, e := range loads {
-			s := sum[id]
-			sum[id] = dispatch.Load{Tokens: s.Tokens + e.Tokens, Prefill: s.Prefill + e.Prefill, Runs: s.Runs + e.Runs}
+			sum[id] = sum[id].Add(e)
 		}
 	}
 	l.g.fleet.share(gateways, min(known, gateways), sum)
@@ -277,7 +276,7 @@
 			if hub == nil {
 				continue
 			}
-			if loads, changed := l.g.fleet.loads(); changed {
+			if loads, changed := l.g.fleet.loads(now); changed {
 				_ = hub.Send(&wire.Message{Loads: &wire.Loads{List: loads}})
 			}
 		}
--- /dev/null
+++ b/gateway/migrate.go
@@ -0,0 +1,255 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/ledgepin/ledgepin/backend"
+	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/metric"
+)
+
+// Times and bounds of migrations.
+const (
+	// copyTimeout is how long the first copy of a run may take; the run goes on
+	// meanwhile. stopTimeout is how long the rest may take, while it stands
+	// still.
+	copyTimeout = 1500 * time.Millisecond
+	stopTimeout = 700 * time.Millisecond
+	// moveAgain is the time after which a run that could not move tries again.
+	moveAgain = 150 * time.Millisecond
+	// leastRest is the number of events that a run must have before it for a
+	// migration to be worth its bytes.
+	leastRest = 3
+)
+
+// mover is what a request knows of the migrations of its run.
+type mover struct {
+	// current is the migration under way, nil if there is none.
+	current   *migration
+	notBefore time.Time
+	count     int
+}
+
+// take returns the migration under way, if there is one, and forgets it.
+func (m *mover) take() *migration {
+	out := m.current
+	m.current = nil
+	return out
+}
+
+// migration is the way of a run to another engine: its KV cache is copied while
+// it goes on, then it is stopped, the rest is copied, and the request is sent to
+// the other engine with the name of the copy. For the engines it stays one run.
+type migration struct {
+	reason   dispatch.Reason
+	from, to dispatch.Server
+	// work is what is booked at the engine to.
+	work    dispatch.Work
+	started time.Time
+	// done is closed when the fields below are set.
+	done chan struct{}
+	// kv names the copy; stopped tells that the run has ended at the engine from,
+	// copied that the engine to has all of it.
+	kv              backend.KV
+	stopped, copied bool
+	err             error
+}
+
+// checkMigration ends a migration that has failed before the run was stopped: the
+// run goes on where it is, and may try again.
+func (n *generation) checkMigration() {
+	m := n.mover.current
+	if m == nil {
+		return
+	}
+	select {
+	case <-m.done:
+	default:
+		return
+	}
+	if m.stopped {
+		return // its stream ends, and follow goes on
+	}
+	n.mover.current = nil
+	n.mover.notBefore = time.Now().Add(moveAgain)
+	n.giveUp(m, m.err)
+}
+
+// moveOn starts a migration, unless one is under way or was not possible just
+// before.
+func (n *generation) moveOn(ctx context.Context, reason dispatch.Reason) {
+	engine, now := n.q.service.Engine, time.Now()
+	if n.g.cfg.Protocol.CopyRun == nil || !engine.Migrates || n.mover.current != nil || now.Before(n.mover.notBefore) {
+		return
+	}
+	n.mover.notBefore = now.Add(moveAgain)
+	if n.q.work.Expected-n.q.work.Made < leastRest*engine.EventTokens {
+		return
+	}
+	to, ok := n.g.fleet.refuge(n.booked, n.q.work, engine)
+	if !ok {
+		return
+	}
+	m := &migration{reason: reason, from: *n.pair.Decode, to: to, work: n.q.work, started: now, done: make(chan struct{})}
+	n.mover.current = m
+	n.g.wg.Go(func() { n.copyRun(ctx, m) })
+}
+
+// copyRun copies a run, stops it and copies the rest. It runs beside the stream.
+func (n *generation) copyRun(ctx context.Context, m *migration) {
+	defer close(m.done)
+	_, kv, err := n.askCopy(ctx, m, false)
+	if err != nil {
+		m.err = err
+		return
+	}
+	m.kv = kv
+	status, kv, err := n.askCopy(ctx, m, true)
+	m.err = err
+	if kv.Handle == "" {
+		return // what is known of the run is that it may go on
+	}
+	m.kv, m.stopped = kv, true
+	m.copied = status == http.StatusOK
+}
+
+// askCopy has a run copied. An engine without room for it still names the copy
+// if the run was stopped, since it keeps the run's KV cache then.
+func (n *generation) askCopy(ctx context.Context, m *migration, stop bool) (int, backend.KV, error) {
+	limit := copyTimeout
+	if stop {
+		limit = stopTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	p := &n.g.cfg.Protocol
+	a, err := n.g.pool.Do(ctx, &p.Headers, n.q.call(&p.Headers, &m.from, p.CopyRun(n.q.id, m.to.Address, stop), n.g.fleet.sharing(&m.from)))
+	if err != nil {
+		return 0, backend.KV{}, err
+	}
+	body, err := a.ReadAll(maxAnswer)
+	if err != nil {
+		return a.Status, backend.KV{}, err
+	}
+	kv, err := p.ParseKV(body)
+	if a.Status != http.StatusOK {
+		err = fmt.Errorf("gateway: status %d to a copy", a.Status)
+	}
+	return a.Status, kv, err
+}
+
+// relay passes an engine's stream on, and those of the engines that its run moves
+// to. It returns the last of them.
+func (n *generation) relay(ctx context.Context, s *dispatch.Server, a *backend.Answer) (*dispatch.Server, *backend.Answer, error) {
+	for {
+		err := n.stream.copy(ctx, a)
+		m := n.mover.take()
+		if m == nil {
+			return s, a, err
+		}
+		next := n.follow(ctx, m, err)
+		if next == nil {
+			return s, a, err
+		}
+		a.Close()
+		s, a = n.pair.Decode, next
+	}
+}
+
+// follow continues a run that has moved, or that was to move and could not after
+// it had been stopped. It returns nil if its stream has ended, whole or not.
+func (n *generation) follow(ctx context.Context, m *migration, streamErr error) *backend.Answer {
+	<-m.done
+	var a *backend.Answer
+	err := m.err
+	if m.stopped && streamErr != nil && ctx.Err() == nil {
+		a, err = n.continueRun(ctx, m)
+	}
+	if a == nil {
+		n.giveUp(m, err)
+		return nil
+	}
+	if n.booked == m.to.ID {
+		n.noteMigration(m, "moved", nil)
+		return a
+	}
+	n.noteMigration(m, "returned", err)
+	n.g.fleet.release(m.to.ID, m.work)
+	return a
+}
+
+// giveUp ends a migration that has not come about.
+func (n *generation) giveUp(m *migration, err error) {
+	n.noteMigration(m, "stayed", err)
+	n.g.fleet.release(m.to.ID, m.work)
+	n.freeCopy(m)
+}
+
+var errNotCopied = errors.New("gateway: the other engine has no room for the run")
+
+// continueRun sends the request to the engine that has the copy, or, if that one
+// has not begun with it, back to the one that the run was stopped at.
+func (n *generation) continueRun(ctx context.Context, m *migration) (*backend.Answer, error) {
+	err, begun := errNotCopied, false
+	var a *backend.Answer
+	if m.copied {
+		if a, begun, err = n.sendCopy(ctx, m, &m.to); a != nil {
+			n.settle(m)
+			return a, nil
+		}
+	}
+	if begun {
+		return nil, err
+	}
+	a, _, err = n.sendCopy(ctx, m, &m.from)
+	return a, err
+}
+
+// sendCopy sends the request with the name of its copy to an engine. Begun tells
+// that the engine may work on it.
+func (n *generation) sendCopy(ctx context.Context, m *migration, s *dispatch.Server) (a *backend.Answer, begun bool, err error) {
+	h := &n.g.cfg.Protocol.Headers
+	r := n.q.to(h, s, n.q.left(), n.g.fleet.sharing(s))
+	r.Header.Set(h.KVSource, m.from.Address+"/"+m.kv.Handle)
+	n.resumeAt(r.Header)
+	a, err = n.g.pool.Do(ctx, h, r)
+	if err != nil {
+		var be *backend.Error
+		return nil, !errors.As(err, &be) || be.Sent, err
+	}
+	if res, ok := n.g.turnedAway(n.q, s, a); ok {
+		return nil, false, fmt.Errorf("gateway: status %d to a copied run", res.status)
+	}
+	if a.Status >= http.StatusMultipleChoices || a.Header.Get(h.Signature) == "" {
+		a.Close()
+		return nil, true, fmt.Errorf("gateway: status %d to a copied run", a.Status)
+	}
+	return a, true, nil
+}
+
+// settle books a run where it has moved to.
+func (n *generation) settle(m *migration) {
+	n.g.fleet.release(m.from.ID, n.q.work)
+	n.q.work, _ = n.g.fleet.grow(m.to.ID, m.work, n.q.service.Engine, n.q.work.Made)
+	n.booked, n.pair.Decode = m.to.ID, &m.to
+	n.mover.count++
+}
+
+// freeCopy frees a copy that is not used, at both engines.
+func (n *generation) freeCopy(m *migration) {
+	if m.kv.Handle == "" {
+		return
+	}
+	n.g.giveBack(n.q.call(&n.g.cfg.Protocol.Headers, &m.from, n.g.cfg.Protocol.FreeKV(m.kv.Handle), n.g.fleet.sharing(&m.from)))
+}
+
+func (n *generation) noteMigration(m *migration, outcome string, err error) {
+	metric.Migrations.WithLabelValues(n.q.service.Name, string(m.reason), outcome).Inc()
+	event.RunMigrated.Log(n.g.log, "id", n.q.id, "reason", string(m.reason), "from", m.from.ID, "to", m.to.ID, "outcome", outcome,
+		"stopped", m.stopped, "made", n.q.work.Made, "ms", time.Since(m.started).Milliseconds(), "error", err)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -17,8 +17,9 @@
 	w       http.ResponseWriter
 	q       *request
 	started bool
-	// lastID is the last event that the caller has, if the stream may be
-	// resumed.
+	// whole tells that only whole events are passed on, since the stream may go
+	// on at another engine; lastID is the last one that the caller has.
+	whole   bool
 	lastID  string
 	partial []byte
 	// firstAt is when the first part came, lastAt the newest, and gap the
@@ -31,7 +32,7 @@
 }
 
 func newStreamWriter(g *Gateway, w http.ResponseWriter, q *request) *streamWriter {
-	return &streamWriter{g: g, w: w, q: q}
+	return &streamWriter{g: g, w: w, q: q, whole: q.route.Resumable || q.service.Engine.Migrates}
 }
 
 const (
@@ -55,12 +56,11 @@
 		n, err := a.Read(buf)
 		if n > 0 {
 			s.pace(time.Now())
-			s.events += bytes.Count(buf[:n], eventEnd)
-			s.made(s.events * s.q.service.Engine.EventTokens)
 			_ = control.SetWriteDeadline(time.Now().Add(callerTimeout))
 			if werr := s.write(control, buf[:n]); werr != nil {
 				return werr
 			}
+			s.made(s.events * s.q.service.Engine.EventTokens)
 		}
 		if errors.Is(err, io.EOF) {
 			if len(s.partial) > 0 {
@@ -87,10 +87,11 @@
 
 var eventEnd = []byte("\n\n")
 
-// write passes bytes on; of a stream that may be resumed only whole events, so
-// that another engine can go on after the last.
+// write passes bytes on; of a stream that may go on at another engine only whole
+// events, so that that one can go on after the last.
 func (s *streamWriter) write(control *http.ResponseController, data []byte) error {
-	if !s.q.route.Resumable {
+	if !s.whole {
+		s.events += bytes.Count(data, eventEnd)
 		if _, err := s.w.Write(data); err != nil {
 			return err
 		}
@@ -105,6 +106,7 @@
 	if _, err := s.w.Write(s.partial[:end]); err != nil {
 		return err
 	}
+	s.events += bytes.Count(s.partial[:end], eventEnd)
 	s.note(s.partial[:end])
 	s.partial = append(s.partial[:0], s.partial[end:]...)
 	return control.Flush()
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -82,6 +82,7 @@
 	RoutePrefill = histogram("ledgepin_route_prefill_seconds", "Time from arrival until the prompt has been read.",
 		[]float64{.05, .1, .2, .3, .5, .9, 2}, "route")
 	Sends      = counter("ledgepin_sends_total", "Requests of a gateway to backend servers that did not end well, by kind.", "service", "kind")
+	Migrations = counter("ledgepin_migrations_total", "Runs that were to go on at another engine with their KV cache, by reason and outcome.", "service", "reason", "outcome")
 	LogDropped = counter("ledgepin_log_lines_dropped_total", "Log lines left out because the output was not read fast enough.")
 )
 
--- a/route/route.go
+++ b/route/route.go
@@ -82,6 +82,8 @@
 	// HoldMost is how long an engine sets room aside at most; zero if it does
 	// not.
 	HoldMost time.Duration `cbor:"8,keyasint,omitempty" json:"hold_most"`
+	// Migrates tells that a run can go on at another engine with its KV cache.
+	Migrates bool `cbor:"9,keyasint,omitempty" json:"migrates,omitempty"`
 }
 
 // Limits bound what a caller may send.
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -46,7 +46,10 @@
 	case orderPath:
 		b.takeOrder(w, body)
 	default:
-		return false
+		if !isCopy(r.URL.Path) {
+			return false
+		}
+		b.serveCopy(w, body)
 	}
 	return true
 }
--- a/wire/message.go
+++ b/wire/message.go
@@ -345,4 +345,6 @@
 	Prefill int `cbor:"3,keyasint,omitempty"`
 	// Runs are the requests that run.
 	Runs int `cbor:"4,keyasint,omitempty"`
+	// Held are the tokens of KV cache that the runs have now.
+	Held int `cbor:"5,keyasint,omitempty"`
 }
