--- a/control/hub_test.go
+++ b/control/hub_test.go
@@ -190,6 +190,8 @@
 	reserve(list[1], wire.EngineLoad{Server: "e2", Tokens: 8})
 	list[2].wait(t, "less", has(list[2], "e1", 100))
 	list[2].wait(t, "more", has(list[2], "e2", 8))
+	reserve(list[1], wire.EngineLoad{Server: "elsewhere", Tokens: 9})
+	list[2].wait(t, "of an engine that only another replica knows", has(list[2], "elsewhere", 9))
 	list[0].link.Close()
 	list[2].wait(t, "nothing of one that is gone", has(list[2], "e1", 0))
 	h.mu.Lock()
--- a/control/loads.go
+++ b/control/loads.go
@@ -46,7 +46,9 @@
 }
 
 // tellLoads tells each gateway what the others have reserved at the engines that
-// it works with, where that has changed. Callers hold the lock.
+// it works with, where that has changed. An engine that this replica has not
+// heard of is told of to all: while the replicas are cut from each other, it may
+// have reported itself to others, and so be in use. Callers hold the lock.
 func (h *hub) tellLoads() {
 	for l, g := range h.gateways {
 		others := h.sharing
@@ -55,7 +57,8 @@
 		}
 		out := &wire.Loads{Gateways: others}
 		for id := range h.moved {
-			if _, works := g.servers[id]; !works {
+			_, works := g.servers[id]
+			if _, known := h.servers.Get(id); known && !works {
 				continue
 			}
 			rest := addLoad(h.sum[id], g.own[id], -1)
