--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -14,6 +14,8 @@
 	Prompt, Expected int
 	// Made are the tokens of the answer so far.
 	Made int
+	// Within is the time in which the prompt should be read; zero for no bound.
+	Within time.Duration
 }
 
 // held is the KV cache that the request has now.
@@ -31,9 +33,6 @@
 	// blindShare is the part of the average that a gateway that is not heard is
 	// taken to have reserved.
 	blindShare = 0.7
-	// readRate is the number of prompt tokens that an engine reads in a
-	// millisecond; only the order of the servers depends on it.
-	readRate = 50.0
 	// crossZone is the time that a move to another zone counts as, in
 	// milliseconds: its link is slower and its bytes are dear.
 	crossZone = 60.0
@@ -42,75 +41,13 @@
 	fullCost = 250.0
 )
 
-// Pair is where a request is read and where its answer is made. Without a
-// prefill engine the decode engine reads the prompt itself, at half the pace.
-type Pair struct {
-	Prefill, Decode *Server
-	// Wait is the expected time until the prompt has been read.
-	Wait time.Duration
-}
-
-// Pair chooses a prefill and a decode engine together. It returns false if no
-// decode engine has room.
-func (f *Fleet) Pair(now time.Time, w Work, e *route.Engine, avoid Avoid) (Pair, bool) {
-	prefill := map[string]candidate{}
-	decode := map[string]candidate{}
-	f.search(now, w.Service, registry.Prefill, func(s *Server) bool {
-		if !s.open(now, avoid) {
-			return false
-		}
-		keepBest(prefill, s, f.prefillCost(s))
-		return true
-	})
-	f.search(now, w.Service, registry.Decode, func(s *Server) bool {
-		if !s.open(now, avoid) || !f.fits(s, w, e) {
-			return false
-		}
-		keepBest(decode, s, f.decodeCost(s, e))
-		return true
-	})
-	if len(prefill) == 0 {
-		return alone(decode, w)
-	}
-	var out Pair
-	best := 0.0
-	for pz, p := range prefill {
-		for dz, d := range decode {
-			cost := p.cost + d.cost
-			if pz != dz {
-				cost += crossZone
-			}
-			if out.Decode == nil || cost < best {
-				best = cost
-				wait := p.cost + float64(w.Prompt)/readRate
-				out = Pair{Prefill: p.server, Decode: d.server, Wait: time.Duration(wait * float64(time.Millisecond))}
-			}
-		}
-	}
-	return out, out.Decode != nil
-}
-
-// selfReadRate is the number of prompt tokens that a decode engine reads in a
-// millisecond.
-const selfReadRate = readRate / 2
-
-// alone chooses a decode engine that reads the prompt itself.
-func alone(decode map[string]candidate, w Work) (Pair, bool) {
-	var best candidate
-	for _, d := range decode {
-		if best.server == nil || d.cost < best.cost {
-			best = d
-		}
-	}
-	wait := time.Duration(float64(w.Prompt) / selfReadRate * float64(time.Millisecond))
-	return Pair{Decode: best.server, Wait: wait}, best.server != nil
-}
-
 // Ruled counts why decode engines are not chosen for a request, for the log.
 type Ruled struct {
 	// Engines are those that were looked at. Leaving ones take no new work or
 	// change their role, blocked ones failed lately, full ones have no room.
 	Engines, Leaving, Blocked, Full int
+	// Read is the least time in which the prompt would be read.
+	Read time.Duration
 	// Known is the number of gateways whose reservations are known, Gateways
 	// that of all.
 	Known, Gateways int
@@ -118,7 +55,7 @@
 
 // Ruled tells what rules decode engines out for a request.
 func (f *Fleet) Ruled(now time.Time, w Work, e *route.Engine) Ruled {
-	out := Ruled{Known: f.Known, Gateways: f.Gateways}
+	out := Ruled{Known: f.Known, Gateways: f.Gateways, Read: f.leastRead(now, w)}
 	f.visit(f.group(now, w.Service, registry.Decode), mostChoices, func(s *Server) {
 		out.Engines++
 		switch {
@@ -168,10 +105,6 @@
 	}
 }
 
-func (f *Fleet) prefillCost(s *Server) float64 {
-	return float64(s.Own.Add(s.Others).Prefill)/readRate + 100*s.health.failing
-}
-
 func (f *Fleet) decodeCost(s *Server, e *route.Engine) float64 {
 	used := float64(f.used(s)) / float64(max(e.KVTokens, 1))
 	return fullCost*used + 200*s.health.failing
@@ -251,17 +184,3 @@
 		s.Own.Runs--
 	}
 }
-
-// StartPrefill books a prompt at a prefill engine.
-func (f *Fleet) StartPrefill(id string, w Work) {
-	if s := f.servers[id]; s != nil {
-		s.Own.Prefill += w.Prompt
-	}
-}
-
-// EndPrefill takes back what StartPrefill has booked.
-func (f *Fleet) EndPrefill(id string, w Work) {
-	if s := f.servers[id]; s != nil {
-		s.Own.Prefill -= w.Prompt
-	}
-}
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -30,6 +30,10 @@
 	lastGood     time.Time
 	blockedUntil time.Time
 	block        time.Duration
+	// slow is how many times longer than expected an engine took to read prompts,
+	// on average, at slowAt.
+	slow   float64
+	slowAt time.Time
 	// unreachedAt is when a connection could not be opened, if that was the
 	// newest that is known of the server.
 	unreachedAt time.Time
--- /dev/null
+++ b/dispatch/read.go
@@ -0,0 +1,166 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/route"
+)
+
+// Constants of reading prompts.
+const (
+	// readRate is the number of prompt tokens that a prefill engine reads in a
+	// millisecond, selfReadRate that of a decode engine.
+	readRate     = 50.0
+	selfReadRate = readRate / 2
+	// aloneCost is the time in milliseconds that a read at a decode engine counts
+	// as beyond its own: all runs there make their tokens slower meanwhile, so it
+	// is for queues that would make the request late.
+	aloneCost = 1000.0
+	// slowWeight is the weight of the newest read in the average of how much
+	// slower than expected an engine reads; slowLife is the time after which a
+	// third of that is left, so that an engine that recovers is found.
+	slowWeight = 0.3
+	slowLife   = 4 * time.Second
+	mostSlow   = 20.0
+)
+
+// Pair is where a request is read and where its answer is made. Without a
+// prefill engine the decode engine reads the prompt itself, at half the pace.
+type Pair struct {
+	Prefill, Decode *Server
+	// Wait is the expected time until the prompt has been read.
+	Wait time.Duration
+}
+
+// Reader is the engine that reads the prompt.
+func (p Pair) Reader() *Server {
+	if p.Prefill != nil {
+		return p.Prefill
+	}
+	return p.Decode
+}
+
+// Pair chooses a prefill and a decode engine together. It returns false if no
+// decode engine has room, or if none would have read the prompt in time.
+func (f *Fleet) Pair(now time.Time, w Work, e *route.Engine, avoid Avoid) (Pair, bool) {
+	prefill := map[string]candidate{}
+	decode := map[string]candidate{}
+	var alone candidate
+	f.search(now, w.Service, registry.Prefill, func(s *Server) bool {
+		if !s.open(now, avoid) {
+			return false
+		}
+		keepBest(prefill, s, s.readCost(now, w))
+		return true
+	})
+	f.search(now, w.Service, registry.Decode, func(s *Server) bool {
+		if !s.open(now, avoid) || !f.fits(s, w, e) {
+			return false
+		}
+		cost := f.decodeCost(s, e)
+		keepBest(decode, s, cost)
+		cost += aloneCost + s.readCost(now, w)
+		if alone.server == nil || cost < alone.cost {
+			alone = candidate{s, cost}
+		}
+		return true
+	})
+	out, cost := f.together(prefill, decode)
+	if alone.server != nil && (out.Decode == nil || alone.cost < cost && !alone.server.reads()) {
+		out = Pair{Decode: alone.server}
+	}
+	if out.Decode == nil {
+		return Pair{}, false
+	}
+	out.Wait = milliseconds(out.Reader().readTime(now, w))
+	return out, w.Within <= 0 || out.Wait <= w.Within
+}
+
+// together chooses the prefill and the decode engine that cost least.
+func (f *Fleet) together(prefill, decode map[string]candidate) (Pair, float64) {
+	var out Pair
+	best := 0.0
+	for pz, p := range prefill {
+		for dz, d := range decode {
+			cost := p.cost + d.cost
+			if pz != dz {
+				cost += crossZone
+			}
+			if out.Decode == nil || cost < best {
+				best = cost
+				out = Pair{Prefill: p.server, Decode: d.server}
+			}
+		}
+	}
+	return out, best
+}
+
+// reads tells whether an engine has a prompt to read.
+func (s *Server) reads() bool { return s.Own.Prefill+s.Others.Prefill > 0 }
+
+// readTime is the expected time in milliseconds until an engine has read a prompt
+// after those that wait there.
+func (s *Server) readTime(now time.Time, w Work) float64 {
+	rate := readRate
+	if s.Role == registry.Decode {
+		rate = selfReadRate
+	}
+	return float64(s.Own.Prefill+s.Others.Prefill+w.Prompt) / rate * s.health.slowness(now)
+}
+
+func (s *Server) readCost(now time.Time, w Work) float64 {
+	return s.readTime(now, w) + 100*s.health.failing
+}
+
+// leastRead returns the least time in which a prompt would be read.
+func (f *Fleet) leastRead(now time.Time, w Work) time.Duration {
+	least := math.Inf(1)
+	f.visit(f.group(now, w.Service, registry.Prefill), mostChoices, func(s *Server) {
+		if s.open(now, nil) {
+			least = min(least, s.readTime(now, w))
+		}
+	})
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	return milliseconds(least)
+}
+
+func milliseconds(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
+// NoteRead takes how long an engine took to read a prompt, and how long it was
+// expected to take.
+func (f *Fleet) NoteRead(now time.Time, id string, took, expected time.Duration) {
+	s := f.servers[id]
+	if s == nil || expected <= 0 {
+		return
+	}
+	h := &s.health
+	ratio := min(max(float64(took)/float64(expected), 1), mostSlow)
+	h.slow = h.slowness(now) + slowWeight*(ratio-h.slowness(now))
+	h.slowAt = now
+}
+
+// slowness is how many times longer than expected an engine takes to read.
+func (h *health) slowness(now time.Time) float64 {
+	if h.slow <= 1 {
+		return 1
+	}
+	return 1 + (h.slow-1)*math.Exp(-float64(now.Sub(h.slowAt))/float64(slowLife))
+}
+
+// StartRead books a prompt at the engine that reads it.
+func (f *Fleet) StartRead(id string, w Work) {
+	if s := f.servers[id]; s != nil {
+		s.Own.Prefill += w.Prompt
+	}
+}
+
+// EndRead takes back what StartRead has booked.
+func (f *Fleet) EndRead(id string, w Work) {
+	if s := f.servers[id]; s != nil {
+		s.Own.Prefill -= w.Prompt
+	}
+}
--- /dev/null
+++ b/dispatch/read_test.go
@@ -0,0 +1,68 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/dispatch"
+)
+
+// TestWhoReads wants a prompt to be read where that is done first, and none to be
+// taken that would be read too late.
+func TestWhoReads(t *testing.T) {
+	const queue = 150000 // tokens that a prefill engine reads in three seconds
+	tests := []struct {
+		name   string
+		loads  map[string]dispatch.Load
+		within time.Duration
+		reader string
+	}{
+		{"idle", nil, time.Second, "prefill"},
+		{"a short queue", map[string]dispatch.Load{"p0-0": {Prefill: 5000}, "p1-0": {Prefill: 5000}}, time.Second, "prefill"},
+		{"a long queue", map[string]dispatch.Load{"p0-0": {Prefill: queue}, "p1-0": {Prefill: queue}}, 500 * time.Millisecond, "decode"},
+		{"a long queue at one of them", map[string]dispatch.Load{"p0-0": {Prefill: queue}}, 500 * time.Millisecond, "prefill"},
+		{"all decode engines read", map[string]dispatch.Load{
+			"p0-0": {Prefill: queue}, "p1-0": {Prefill: queue}, "d0-0": {Prefill: 1}, "d1-0": {Prefill: 1},
+		}, 500 * time.Millisecond, ""},
+		{"no hurry", map[string]dispatch.Load{
+			"p0-0": {Prefill: queue}, "p1-0": {Prefill: queue}, "d0-0": {Prefill: 1}, "d1-0": {Prefill: 1},
+		}, 0, "prefill"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := fleet(1, 1)
+			f.SetOthers(tt.loads)
+			work := small
+			work.Within = tt.within
+			p, ok := f.Pair(now, work, engine, nil)
+			assert.Equal(t, ok, tt.reader != "")
+			if ok {
+				assert.Equal(t, p.Reader().Role, tt.reader)
+				assert.Equal(t, f.Get(p.Reader().ID).Others.Prefill < queue || tt.within == 0, true)
+			}
+		})
+	}
+}
+
+// TestSlowReader wants a prefill engine that reads slower than expected to get
+// less, and to be tried again when it may have recovered.
+func TestSlowReader(t *testing.T) {
+	f := fleet(1, 1)
+	for range 5 {
+		f.NoteRead(now, "p0-0", time.Second, 20*time.Millisecond)
+	}
+	for range 8 {
+		p, ok := f.Pair(now, small, engine, nil)
+		assert.Assert(t, ok)
+		assert.Equal(t, p.Prefill.ID, "p1-0")
+	}
+	f.SetOthers(map[string]dispatch.Load{"p1-0": {Prefill: 3000}})
+	p, _ := f.Pair(now, small, engine, nil)
+	assert.Equal(t, p.Prefill.ID, "p1-0", "still the faster one")
+	later := now.Add(30 * time.Second)
+	f.Heard(later, []string{"p0-0", "p1-0", "d0-0", "d1-0"})
+	p, _ = f.Pair(later, small, engine, nil)
+	assert.Equal(t, p.Prefill.ID, "p0-0")
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -80,7 +80,7 @@
 
 // NoRoom tells why a request of an engine's service found no place.
 var NoRoom = define("LP2011", info, "no place for a request",
-	"No engine took a request: of the decode engines some leave, some failed lately, some are full; prefills and decodes are the sends that were turned away.",
+	"No engine took a request: of the decode engines some leave, some failed lately, some are full; read_ms is the least time in which the prompt would be read; prefills and decodes are the sends that were turned away.",
 	"Many with full engines: the service needs more of them, or fewer that read prompts.")
 
 // NoHold tells that a decode engine set no room aside.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -200,11 +200,18 @@
 	return f.view.Ruled(time.Now(), w, e)
 }
 
-// endPrefill takes back the booking at the prefill engine.
-func (f *fleet) endPrefill(id string, w dispatch.Work) {
+// noteRead tells how long an engine took to read a prompt.
+func (f *fleet) noteRead(id string, took, expected time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view.EndPrefill(id, w)
+	f.view.NoteRead(time.Now(), id, took, expected)
+}
+
+// endRead takes back the booking at the engine that reads a prompt.
+func (f *fleet) endRead(id string, w dispatch.Work) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.EndRead(id, w)
 	f.dirty = true
 	f.serve()
 }
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -20,6 +20,10 @@
 	// waitShare is the part of the target that a request waits for room; a
 	// caller that is refused within it can still be served in time.
 	waitShare = 0.22
+	// readShare is the part of the target by which the prompt should have been
+	// read. An answer that is a little late is worth as much as one that comes
+	// after a refusal, and more if the queue is shorter than it looks.
+	readShare = 1.5
 	// maxRounds bounds how often a request is placed.
 	maxRounds = 3
 	// kvMargin is taken off the time that an engine keeps a prefill result.
@@ -34,8 +38,9 @@
 	g    *Gateway
 	q    *request
 	pair dispatch.Pair
-	// booked is the decode engine whose memory is reserved; empty if none.
-	booked string
+	// booked is the decode engine whose memory is reserved, reader the engine at
+	// which the prompt is booked to be read; empty if none.
+	booked, reader string
 	// hold is the room that the engine booked has set aside; empty if none.
 	hold   string
 	kv     backend.KV
@@ -97,18 +102,18 @@
 	until := time.Now().Add(limit)
 	for {
 		wait := &waiter{priority: q.route.Priority, work: q.work, engine: q.service.Engine, avoid: q.tried}
+		if !n.stream.started && q.route.Target > 0 {
+			wait.work.Within = time.Duration(readShare*float64(q.route.Target)) - time.Since(q.arrived)
+		}
 		pair, ok := n.g.fleet.place(ctx, wait, max(time.Until(until), 0))
 		if !ok {
 			return false
 		}
-		n.pair, n.booked = pair, pair.Decode.ID
+		n.pair, n.booked, n.reader = pair, pair.Decode.ID, pair.Reader().ID
 		if n.takeHold(ctx) {
 			return true
 		}
 		q.tried[pair.Decode.ID] = true
-		if pair.Prefill != nil {
-			n.g.fleet.endPrefill(pair.Prefill.ID, q.work)
-		}
 		n.unbook()
 	}
 }
@@ -119,7 +124,7 @@
 		return n.decode(ctx, n.pair.Decode, false)
 	}
 	r := n.prefill(ctx)
-	n.g.fleet.endPrefill(n.pair.Prefill.ID, n.q.work)
+	n.endRead()
 	if r.kind != answered {
 		n.q.tried[n.pair.Prefill.ID] = true
 		n.g.logSend(n.q, n.pair.Prefill, r, time.Since(n.q.arrived))
@@ -175,6 +180,7 @@
 		return result{kind: broken, err: err}
 	}
 	g.fleet.note(s.ID, dispatch.Good, time.Since(started))
+	g.fleet.noteRead(s.ID, time.Since(started), n.pair.Wait)
 	n.kv, n.kvFrom, n.kvAt = kv, *s, time.Now()
 	return res
 }
@@ -312,6 +318,7 @@
 	if n.booked == "" {
 		return
 	}
+	n.endRead()
 	n.checkMigration()
 	work, reason := n.g.fleet.grow(n.booked, n.q.work, n.q.service.Engine, made)
 	n.q.work = work
@@ -320,7 +327,16 @@
 	}
 }
 
+// endRead takes back the booking of the read.
+func (n *generation) endRead() {
+	if n.reader != "" {
+		n.g.fleet.endRead(n.reader, n.q.work)
+		n.reader = ""
+	}
+}
+
 func (n *generation) unbook() {
+	n.endRead()
 	n.dropHold()
 	if n.booked != "" {
 		n.g.fleet.release(n.booked, n.q.work)
@@ -349,17 +365,18 @@
 	if !q.mayHaveRun {
 		r := g.fleet.ruled(q.work, q.service.Engine)
 		event.NoRoom.Log(g.log, "id", q.id, "prompt", q.work.Prompt, "expected", q.work.Expected, "engines", r.Engines,
-			"leaving", r.Leaving, "blocked", r.Blocked, "full", r.Full, "gateways_known", r.Known, "gateways", r.Gateways,
+			"leaving", r.Leaving, "blocked", r.Blocked, "full", r.Full, "read_ms", r.Read.Milliseconds(), "gateways_known", r.Known, "gateways", r.Gateways,
 			"prefills", n.prefills, "decodes", n.decodes)
-		g.refuse(w, q.id, refusal{route: q.route.Name, status: http.StatusServiceUnavailable, reason: "no engine has room", retryAfter: engineRetry()})
+		g.refuse(w, q.id, refusal{route: q.route.Name, status: http.StatusServiceUnavailable, reason: "no engine has room", retryAfter: engineRetry(r.Read)})
 		return
 	}
 	g.conclude(w, q, last)
 }
 
-// engineRetry is when a caller should come back: some runs have ended then. It
-// is spread, so that those who were refused together don't come together.
-func engineRetry() time.Duration {
-	const least, spread = 500 * time.Millisecond, 1500 * time.Millisecond
-	return least + time.Duration(rand.Int64N(int64(spread)))
+// engineRetry is when a caller should come back: some runs have ended then, and
+// the prompts that wait have been read. It is spread, so that those who were
+// refused together don't come together.
+func engineRetry(read time.Duration) time.Duration {
+	const least, most, spread = 500 * time.Millisecond, 3 * time.Second, 1500 * time.Millisecond
+	return min(max(least, read), most) + time.Duration(rand.Int64N(int64(spread)))
 }
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -66,8 +66,8 @@
 		f.view.Reserve(p.Decode.ID, w.work)
 		decode := *p.Decode
 		placed := dispatch.Pair{Decode: &decode, Wait: p.Wait}
+		f.view.StartRead(p.Reader().ID, w.work)
 		if p.Prefill != nil {
-			f.view.StartPrefill(p.Prefill.ID, w.work)
 			prefill := *p.Prefill
 			placed.Prefill = &prefill
 		}
