--- a/consensus/boot.go
+++ b/consensus/boot.go
@@ -10,6 +10,10 @@
 // says that it is idle in this sense may ask for votes at once, and voters that
 // are still idle grant them.
 //
+// A voter that has lost its disk can say nothing: what runs in its place has
+// another identity, and no vote. But it leads nobody either, so it does not hold
+// the others up.
+//
 // A voter that has heard a leader meanwhile is not idle any more and keeps to
 // the election time, so a new leader's lease is as safe as ever. The answers
 // count for one round of pre-votes only.
@@ -31,8 +35,12 @@
 	}
 }
 
-// allIdle tells whether every voter is idle and a majority would grant its
-// vote.
+// NoteLost takes that a replica has lost its disk, and that its process has ended:
+// another identity answers at its address. It never votes or leads again.
+func (n *Node) NoteLost(id string) { n.lost[id] = true }
+
+// allIdle tells whether every voter is idle, or lost, and a majority would grant
+// its vote.
 func (n *Node) allIdle() bool {
 	if !n.idle {
 		return false
@@ -40,6 +48,9 @@
 	fits := 0
 	for _, v := range n.members.Voters {
 		fit, idle := n.idles[v]
+		if n.lost[v] {
+			continue
+		}
 		if !idle {
 			return false
 		}
--- a/consensus/consensus_test.go
+++ b/consensus/consensus_test.go
@@ -112,6 +112,43 @@
 	assert.Equal(t, c.leader().id, old, "the lease of a leader that is cut off holds")
 }
 
+// TestLostVotersHoldNobodyUp wants a leader before the election time when two of
+// five voters lose their disks while all lose power, if that is known of them; and
+// no haste while it is not, since one of them may lead. Three votes of three are
+// needed, so elections that collide are many.
+func TestLostVotersHoldNobodyUp(t *testing.T) {
+	const seeds = 40
+	early := func(known bool) int {
+		out := 0
+		for seed := range uint64(seeds) {
+			c := newCluster(t, seed, "a", "b", "c", "d", "e")
+			c.run(2 * time.Second)
+			assert.Assert(t, c.propose(c.leader()))
+			c.run(200 * time.Millisecond)
+			for _, id := range c.order {
+				c.crash(id)
+			}
+			c.run(50 * time.Millisecond)
+			for _, id := range []string{"a", "b", "c"} {
+				c.boot(c.replicas[id])
+				if known {
+					c.replicas[id].node.NoteLost("d")
+					c.replicas[id].node.NoteLost("e")
+				}
+			}
+			c.run(cfg.ElectionMin)
+			if c.leader() != nil {
+				out++
+			}
+			c.run(5 * time.Second)
+			assert.Equal(t, len(c.leader().applied), 1, "nothing is lost")
+		}
+		return out
+	}
+	quick, slow := early(true), early(false)
+	assert.Assert(t, quick >= seeds/2 && slow <= seeds/4, "early with the losses known %d, else %d of %d", quick, slow, seeds)
+}
+
 func TestCutOffLeaderStops(t *testing.T) {
 	c := newCluster(t, 1, "a", "b", "c")
 	c.run(2 * time.Second)
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -100,8 +100,10 @@
 	// idle tells that no leader was heard since the start; idles are the voters
 	// that say the same in the round of pre-votes preRound, and whether they
 	// would grant their vote.
-	idle     bool
-	idles    map[string]bool
+	idle  bool
+	idles map[string]bool
+	// lost are replicas that have lost their disks for good.
+	lost     map[string]bool
 	preRound uint64
 	// forced tells that this candidacy rests on all voters being idle.
 	forced      bool
@@ -125,7 +127,7 @@
 // New returns a replica with what was on its disk. A replica without any
 // members waits to be added by a leader.
 func New(cfg Config, r Restored, first Members, now time.Time, rng *rand.Rand) *Node {
-	n := &Node{cfg: cfg, rng: rng, hard: r.Hard, log: newLog(r.Snapshot, r.Entries), stamps: map[uint64]time.Time{}}
+	n := &Node{cfg: cfg, rng: rng, hard: r.Hard, log: newLog(r.Snapshot, r.Entries), stamps: map[uint64]time.Time{}, lost: map[string]bool{}}
 	n.stamp = rng.Uint64() >> 1 // marks of an earlier life mean nothing
 	n.commit, n.applied = r.Snapshot.Index, r.Snapshot.Index
 	n.members = first
--- a/control/control.go
+++ b/control/control.go
@@ -203,6 +203,9 @@
 	c.state = state
 	rng := rand.New(rand.NewPCG(uint64(c.epoch), uint64(time.Now().UnixNano())))
 	c.node = consensus.New(c.times(c.id), r, r.Snapshot.Members, time.Now(), rng)
+	for id := range c.seen {
+		c.noteSuccessor(id)
+	}
 	c.publish(time.Now())
 	return nil
 }
--- a/control/identity.go
+++ b/control/identity.go
@@ -62,6 +62,19 @@
 	return hex.EncodeToString(b[:])
 }
 
+// noteSuccessor takes that a replica runs under an identity: whoever was a voter
+// at its address under another one has lost its disk. Callers hold the lock.
+func (c *Control) noteSuccessor(id string) {
+	if c.node == nil || id == baseName(id) {
+		return // the first identity at an address succeeds nobody
+	}
+	for _, v := range c.node.Status(time.Now()).Members.Voters {
+		if v != id && baseName(v) == baseName(id) {
+			c.node.NoteLost(v)
+		}
+	}
+}
+
 // founds asks the other first members until it knows that each of them is empty,
 // or one says that the group exists.
 //
--- a/control/links.go
+++ b/control/links.go
@@ -87,6 +87,7 @@
 		c.down[l] = true
 	} else {
 		c.seen[l.Peer.Name]++
+		c.noteSuccessor(l.Peer.Name)
 		if c.cfg.Discovery != nil {
 			c.meet([]string{baseName(l.Peer.Name)})
 		}
