--- a/control/hub.go
+++ b/control/hub.go
@@ -57,8 +57,8 @@
 	sum   map[string]wire.EngineLoad
 	moved map[string]bool
 	// sharing is the number of gateways that tell this replica what they
-	// reserve.
-	sharing int
+	// reserve, queued that of their requests that wait for room.
+	sharing, queued int
 }
 
 // gatewayState is what the hub knows of one gateway.
@@ -73,6 +73,9 @@
 	sharing     bool
 	own, others map[string]wire.EngineLoad
 	othersOf    int
+	// queued are the gateway's requests that wait for room, othersQueued those of
+	// the others as it was told.
+	queued, othersQueued int
 }
 
 func newHub() *hub {
@@ -116,6 +119,7 @@
 	defer h.mu.Unlock()
 	if g := h.gateways[l]; g != nil {
 		h.reserve(g, nil, false)
+		h.queue(g, 0)
 	}
 	delete(h.gateways, l)
 	h.counted = false
--- a/control/hub_test.go
+++ b/control/hub_test.go
@@ -25,6 +25,7 @@
 	listed map[string]registry.State
 	heard  map[string]int
 	loads  map[string]wire.EngineLoad
+	queued int
 	bytes  int
 }
 
@@ -42,6 +43,7 @@
 		}
 	}
 	if m.Loads != nil {
+		g.queued = m.Loads.Queued
 		for _, e := range m.Loads.List {
 			g.loads[e.Server] = e
 		}
@@ -198,3 +200,25 @@
 	defer h.mu.Unlock()
 	assert.Equal(t, h.sharing, 1, "the third has never told any")
 }
+
+// TestQueuedOfOthers wants each gateway to know how many requests of the others
+// wait, and not those of one that is gone.
+func TestQueuedOfOthers(t *testing.T) {
+	h := newHub()
+	list := listen(t, h, 3)
+	for i, g := range list[:2] {
+		assert.NilError(t, g.link.Send(&wire.Message{Loads: &wire.Loads{Queued: 3 + i}}))
+	}
+	has := func(g *listener, queued int) func() bool {
+		return func() bool {
+			g.mu.Unlock()
+			h.tick(time.Now().Add(time.Second), true)
+			g.mu.Lock()
+			return g.queued == queued
+		}
+	}
+	list[2].wait(t, "the sum", has(list[2], 7))
+	list[0].wait(t, "not its own", has(list[0], 4))
+	list[1].link.Close()
+	list[2].wait(t, "not of one that is gone", has(list[2], 3))
+}
--- a/control/loads.go
+++ b/control/loads.go
@@ -8,9 +8,16 @@
 	defer h.mu.Unlock()
 	if g := h.gateways[l]; g != nil {
 		h.reserve(g, m.List, !m.Ended)
+		h.queue(g, m.Queued)
 	}
 }
 
+// queue takes how many requests of a gateway wait for room. Callers hold the lock.
+func (h *hub) queue(g *gatewayState, queued int) {
+	h.queued += queued - g.queued
+	g.queued = queued
+}
+
 // reserve puts what a gateway has reserved in the place of what it had before.
 // Callers hold the lock.
 func (h *hub) reserve(g *gatewayState, list []wire.EngineLoad, sharing bool) {
@@ -55,7 +62,7 @@
 		if g.sharing {
 			others--
 		}
-		out := &wire.Loads{Gateways: others}
+		out := &wire.Loads{Gateways: others, Queued: h.queued - g.queued}
 		for id := range h.moved {
 			_, works := g.servers[id]
 			if _, known := h.servers.Get(id); known && !works {
@@ -68,8 +75,8 @@
 				out.List = append(out.List, rest)
 			}
 		}
-		if len(out.List) > 0 || others != g.othersOf {
-			g.othersOf = others
+		if len(out.List) > 0 || others != g.othersOf || out.Queued != g.othersQueued {
+			g.othersOf, g.othersQueued = others, out.Queued
 			_ = l.Send(&wire.Message{Loads: out})
 		}
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -65,6 +65,8 @@
 	Gateways int
 	// Known is the number of gateways whose loads are known, this one included.
 	Known int
+	// Queued is the number of requests of other gateways that wait for room.
+	Queued int
 	// sizes are the numbers of servers of all groups, also of those that this
 	// gateway does not work with.
 	sizes map[group]int
--- a/dispatch/read.go
+++ b/dispatch/read.go
@@ -56,7 +56,7 @@
 		return true
 	})
 	f.search(now, w.Service, registry.Decode, func(s *Server) bool {
-		if !s.open(now, avoid) || !f.fits(s, w, e) {
+		if !s.open(now, avoid) || !f.fits(s, w, e) || !f.turn(now, s, w, e) {
 			return false
 		}
 		cost := f.decodeCost(s, e)
--- /dev/null
+++ b/dispatch/turn.go
@@ -0,0 +1,40 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/ledgepin/ledgepin/internal/mix"
+	"github.com/ledgepin/ledgepin/route"
+)
+
+// While requests wait at several gateways, all of them hear at the same time that
+// an engine has room for one of them. If each took it, the engine would have a
+// multiple of what it can hold. So each takes it with a chance that lets about as
+// many requests in as there is room for, drawn anew after a while.
+
+// turnTime is how long a draw holds: the time in which gateways hear of each
+// other.
+const turnTime = 80 * time.Millisecond
+
+// turn tells whether this gateway may take room at an engine now.
+func (f *Fleet) turn(now time.Time, s *Server, w Work, e *route.Engine) bool {
+	if f.Queued <= 0 || e.KVTokens <= 0 {
+		return true
+	}
+	chance := f.places(s, w, e) / float64(f.Queued+1)
+	if chance >= 1 {
+		return true
+	}
+	slice := uint64(now.UnixNano() / int64(turnTime))
+	draw := mix.Pair(mix.Pair(f.key, slice), mix.Name(s.ID))
+	return float64(draw) < chance*math.MaxUint64
+}
+
+// places is the number of requests like one for which an engine has room.
+func (f *Fleet) places(s *Server, w Work, e *route.Engine) float64 {
+	memory := float64(e.KVTokens)
+	end := (MemoryUse*memory - float64(f.used(s))) / float64(max(w.tokens(), 1))
+	now := (fullMark*memory - float64(f.held(s))) / float64(max(w.held(), 1))
+	return max(min(end, now), 1)
+}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -23,6 +23,8 @@
 	// runs have; toldAt is when they were told.
 	dirty, grown bool
 	toldAt       time.Time
+	// toldQueued is how many waiting requests were told.
+	toldQueued int
 }
 
 func newFleet(name, zone string, bounds dispatch.Budget) *fleet {
@@ -77,11 +79,12 @@
 }
 
 // share takes how many gateways there are, of how many the loads are known,
-// this one included, and what the others have reserved.
-func (f *fleet) share(gateways, known int, others map[string]dispatch.Load) {
+// this one included, how many requests of the others wait, and what they have
+// reserved.
+func (f *fleet) share(gateways, known, queued int, others map[string]dispatch.Load) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view.Gateways, f.view.Known = gateways, known
+	f.view.Gateways, f.view.Known, f.view.Queued = gateways, known, queued
 	f.view.SetOthers(others)
 	f.serve()
 }
@@ -97,19 +100,20 @@
 // nothing else has changed.
 const grownEvery = 160 * time.Millisecond
 
-// loads returns this gateway's reservations if they have changed.
-func (f *fleet) loads(now time.Time) ([]wire.EngineLoad, bool) {
+// loads returns this gateway's reservations, and how many of its requests wait, if
+// they have changed.
+func (f *fleet) loads(now time.Time) *wire.Loads {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.dirty && (!f.grown || now.Sub(f.toldAt) < grownEvery) {
-		return nil, false
+	if !f.dirty && len(f.queue) == f.toldQueued && (!f.grown || now.Sub(f.toldAt) < grownEvery) {
+		return nil
 	}
-	f.dirty, f.grown, f.toldAt = false, false, now
-	var out []wire.EngineLoad
+	f.dirty, f.grown, f.toldAt, f.toldQueued = false, false, now, len(f.queue)
+	out := &wire.Loads{Queued: len(f.queue)}
 	for id, l := range f.view.Loads() {
-		out = append(out, wire.EngineLoad{Server: id, Tokens: l.Tokens, Prefill: l.Prefill, Runs: l.Runs, Held: l.Held})
+		out.List = append(out.List, wire.EngineLoad{Server: id, Tokens: l.Tokens, Prefill: l.Prefill, Runs: l.Runs, Held: l.Held})
 	}
-	return out, true
+	return out
 }
 
 func (f *fleet) list() []*dispatch.Server {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -42,8 +42,10 @@
 	// many.
 	loads   map[string]map[string]dispatch.Load
 	sharing map[string]int
-	hub     string
-	leader  string
+	// queued is how many requests of other gateways wait, as each replica tells.
+	queued map[string]int
+	hub    string
+	leader string
 	// waiting is a table that no replica has vouched for yet.
 	waiting *route.Table
 }
@@ -54,7 +56,7 @@
 }
 
 func newLinks(g *Gateway) *links {
-	l := &links{g: g, peers: map[string]*peer{}, gateways: map[string]int{}, loads: map[string]map[string]dispatch.Load{}, sharing: map[string]int{}}
+	l := &links{g: g, peers: map[string]*peer{}, gateways: map[string]int{}, loads: map[string]map[string]dispatch.Load{}, sharing: map[string]int{}, queued: map[string]int{}}
 	g.wg.Go(l.loop)
 	return l
 }
@@ -116,6 +118,7 @@
 		delete(l.gateways, address)
 		delete(l.loads, address)
 		delete(l.sharing, address)
+		delete(l.queued, address)
 	}
 	l.share()
 	l.mu.Unlock()
@@ -144,6 +147,7 @@
 		l.mu.Lock()
 		l.takeLoads(address, m.Loads.List)
 		l.sharing[address] = m.Loads.Gateways
+		l.queued[address] = m.Loads.Queued
 		l.share()
 		l.mu.Unlock()
 	}
@@ -201,7 +205,11 @@
 			sum[id] = sum[id].Add(e)
 		}
 	}
-	l.g.fleet.share(gateways, min(known, gateways), sum)
+	queued := 0
+	for _, n := range l.queued {
+		queued += n
+	}
+	l.g.fleet.share(gateways, min(known, gateways), queued, sum)
 }
 
 // Bounds of the number of gateways.
@@ -276,8 +284,8 @@
 			if hub == nil {
 				continue
 			}
-			if loads, changed := l.g.fleet.loads(now); changed {
-				_ = hub.Send(&wire.Message{Loads: &wire.Loads{List: loads}})
+			if m := l.g.fleet.loads(now); m != nil {
+				_ = hub.Send(&wire.Message{Loads: m})
 			}
 		}
 	}
--- a/wire/message.go
+++ b/wire/message.go
@@ -333,6 +333,9 @@
 	Gateways int `cbor:"2,keyasint,omitempty"`
 	// Ended tells that the sender tells another replica from now on.
 	Ended bool `cbor:"3,keyasint,omitempty"`
+	// Queued are the requests that wait for room at an engine: a gateway's own, or
+	// those of all gateways but the receiver.
+	Queued int `cbor:"4,keyasint,omitempty"`
 }
 
 // EngineLoad is what one gateway, or all gateways but the receiver, have
