--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -29,7 +29,7 @@
 	// MemoryUse is the part of an engine's memory that reservations may fill.
 	// A reservation counts the tokens at the end of a run, which most runs have
 	// not reached yet.
-	MemoryUse = 1.1
+	MemoryUse = 1.2
 	// blindShare is the part of the average that a gateway that is not heard is
 	// taken to have reserved.
 	blindShare = 0.7
