--- a/control/control.go
+++ b/control/control.go
@@ -17,6 +17,7 @@
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
 	"github.com/ledgepin/ledgepin/fleet"
+	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/order"
 	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/spread"
@@ -273,18 +274,7 @@
 	event.Stopped.Log(c.log)
 }
 
-func (c *Control) tickLoop() {
-	t := time.NewTicker(tickEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-c.ctx.Done():
-			return
-		case now := <-t.C:
-			c.tick(now)
-		}
-	}
-}
+func (c *Control) tickLoop() { wait.Each(c.ctx, tickEvery, c.tick) }
 
 func (c *Control) tick(now time.Time) {
 	c.mu.Lock()
--- a/control/disk.go
+++ b/control/disk.go
@@ -58,21 +58,14 @@
 
 // hubLoop keeps the gateways told; a disk that stalls does not hold it up.
 func (c *Control) hubLoop() {
-	t := time.NewTicker(loadsEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-c.ctx.Done():
-			return
-		case now := <-t.C:
-			fresh := false
-			if c.mu.TryLock() {
-				fresh = c.node.Fresh(now)
-				c.mu.Unlock()
-			}
-			c.hub.tick(now, fresh)
+	wait.Each(c.ctx, loadsEvery, func(now time.Time) {
+		fresh := false
+		if c.mu.TryLock() {
+			fresh = c.node.Fresh(now)
+			c.mu.Unlock()
 		}
-	}
+		c.hub.tick(now, fresh)
+	})
 }
 
 // diskFailed gives up the vote of the replica: what its disk holds is not known
--- a/control/hub_test.go
+++ b/control/hub_test.go
@@ -199,6 +199,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	assert.Equal(t, h.sharing, 1, "the third has never told any")
+	for _, g := range h.gateways {
+		for id, e := range g.others {
+			assert.Assert(t, e.Tokens+e.Runs > 0, "%s is kept for nothing", id)
+		}
+	}
 }
 
 // TestQueuedOfOthers wants each gateway to know how many requests of the others
--- a/control/loads.go
+++ b/control/loads.go
@@ -71,8 +71,8 @@
 			rest := addLoad(h.sum[id], g.own[id], -1)
 			rest.Server = id
 			if worthTelling(g.others[id], rest) {
-				g.others[id] = rest
 				out.List = append(out.List, rest)
+				g.note(rest)
 			}
 		}
 		if len(out.List) > 0 || others != g.othersOf || out.Queued != g.othersQueued {
@@ -83,12 +83,23 @@
 	clear(h.moved)
 }
 
+// note keeps what a gateway was told of the others' reservations at an engine, if
+// there are any.
+func (g *gatewayState) note(load wire.EngineLoad) {
+	if load == (wire.EngineLoad{Server: load.Server}) {
+		delete(g.others, load.Server)
+	} else {
+		g.others[load.Server] = load
+	}
+}
+
 // heldStep is the change of the tokens that runs have now from which on a gateway
 // is told of it: they grow all the time, and a run makes so many in a second.
 const heldStep = 1000
 
 // worthTelling tells whether a gateway has to hear of a load that has changed.
 func worthTelling(told, load wire.EngineLoad) bool {
+	told.Server = load.Server // nothing was told of an engine without reservations
 	grown := load.Held - told.Held
 	if grown >= heldStep || grown <= -heldStep {
 		return true
--- a/control/roles.go
+++ b/control/roles.go
@@ -9,6 +9,7 @@
 
 	"github.com/ledgepin/ledgepin/backend"
 	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/roles"
 )
@@ -35,47 +36,46 @@
 	firstTerm = 2
 )
 
+// rolePlanning is what a replica knows while it plans the roles of engines.
+type rolePlanning struct {
+	pool     *backend.Pool
+	planners map[string]*roles.Planner
+	// ledSince is when this replica began to lead; zero if it does not.
+	ledSince time.Time
+}
+
 // roleLoop plans while this replica leads.
 func (c *Control) roleLoop() {
-	pool := backend.NewPool()
-	defer pool.Close()
-	planners := map[string]*roles.Planner{}
-	var ledSince time.Time
-	t := time.NewTicker(planEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-c.ctx.Done():
-			return
-		case <-t.C:
+	p := &rolePlanning{pool: backend.NewPool(), planners: map[string]*roles.Planner{}}
+	defer p.pool.Close()
+	wait.Each(c.ctx, planEvery, func(now time.Time) { c.planRoles(now, p) })
+}
+
+// planRoles orders what is due. A new leader waits until no order of the one
+// before can be on its way.
+func (c *Control) planRoles(now time.Time, p *rolePlanning) {
+	fence, ok := c.fence(now)
+	if !ok {
+		p.ledSince = time.Time{}
+		clear(p.planners)
+		return
+	}
+	if p.ledSince.IsZero() {
+		p.ledSince = now
+	}
+	mayOrder := fence <= firstTerm || now.Sub(p.ledSince) >= c.cfg.Roles.Lease+leaseMargin
+	for service, engines := range c.hub.engines(now) {
+		planner := p.planners[service]
+		if planner == nil {
+			planner = c.newPlanner(fence)
+			p.planners[service] = planner
 		}
-		now := time.Now()
-		fence, ok := c.fence(now)
-		if !ok {
-			ledSince = time.Time{}
-			clear(planners)
+		if !mayOrder {
+			planner.Observe(now, engines)
 			continue
 		}
-		if ledSince.IsZero() {
-			ledSince = now
-		}
-		wait := c.cfg.Roles.Lease + leaseMargin
-		if fence <= firstTerm {
-			wait = 0 // nobody has led before
-		}
-		for service, engines := range c.hub.engines(now) {
-			p := planners[service]
-			if p == nil {
-				p = c.newPlanner(fence)
-				planners[service] = p
-			}
-			if now.Sub(ledSince) < wait {
-				p.Observe(now, engines)
-				continue
-			}
-			for _, o := range p.Plan(now, engines) {
-				c.orderRole(pool, service, o)
-			}
+		for _, o := range planner.Plan(now, engines) {
+			c.orderRole(p.pool, service, o)
 		}
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -32,6 +32,17 @@
 	return Load{Tokens: l.Tokens + o.Tokens, Prefill: l.Prefill + o.Prefill, Runs: l.Runs + o.Runs, Held: l.Held + o.Held}
 }
 
+// Others is what a gateway knows of the other gateways.
+type Others struct {
+	// Gateways is the number of gateways that share the servers, and Known that
+	// of those whose loads are known; both count this one.
+	Gateways, Known int
+	// Queued is the number of their requests that wait for room.
+	Queued int
+	// Loads is what they have reserved, by engine.
+	Loads map[string]Load
+}
+
 // Server is one backend server as a gateway sees it.
 type Server struct {
 	registry.Server
@@ -61,12 +72,8 @@
 	cursor int
 	// Zone is the gateway's own availability zone.
 	Zone string
-	// Gateways is the number of gateways that share the servers.
-	Gateways int
-	// Known is the number of gateways whose loads are known, this one included.
-	Known int
-	// Queued is the number of requests of other gateways that wait for room.
-	Queued int
+	// Others is what is known of the other gateways.
+	Others Others
 	// sizes are the numbers of servers of all groups, also of those that this
 	// gateway does not work with.
 	sizes map[group]int
@@ -78,7 +85,7 @@
 // Sharing returns the number of gateways that work with one server of a service
 // and role: all of them, unless each has a part of the servers.
 func (f *Fleet) Sharing(service, role string) int {
-	return subset.Sharing(f.sizes[group{service, role}], f.Gateways)
+	return subset.Sharing(f.sizes[group{service, role}], f.Others.Gateways)
 }
 
 // group is the servers of a service that do the same work.
@@ -148,148 +155,20 @@
 
 // NewFleet returns a fleet without servers.
 func NewFleet(name, zone string) *Fleet {
-	return &Fleet{key: mix.Name(name), servers: map[string]*Server{}, sizes: map[group]int{}, Zone: zone, Gateways: 1, Known: 1}
-}
-
-// Update takes reports of servers.
-func (f *Fleet) Update(now time.Time, list []registry.Server) {
-	for _, r := range list {
-		heard := now.Add(-r.Age)
-		s := f.servers[r.ID]
-		if s == nil {
-			s = &Server{Server: r, heardAt: heard}
-			s.gone = r.State == registry.Gone
-			f.servers[r.ID] = s
-			f.retire(r)
-			f.groups = nil
-			continue
-		}
-		if heard.After(s.heardAt) {
-			s.heardAt = heard
-		}
-		if r.State == registry.Gone {
-			s.State, s.gone = registry.Gone, true
-			f.groups = nil
-			continue
-		}
-		if s.gone || s.State == registry.Draining && r.State == registry.Ready || r.Sequence < s.Sequence && r.State == s.State {
-			continue
-		}
-		if s.State != r.State || s.Role != r.Role || s.Service != r.Service {
-			f.groups = nil
-		}
-		s.Server = r
-	}
-}
-
-// Heard takes that servers have reported themselves again, at a time, with
-// nothing new.
-func (f *Fleet) Heard(at time.Time, ids []string) {
-	for _, id := range ids {
-		s := f.servers[id]
-		if s == nil || !at.After(s.heardAt) {
-			continue
-		}
-		if at.Sub(s.heardAt) > silentAfter {
-			f.groups = nil // it was left out
-		}
-		s.heardAt = at
-	}
-}
-
-// retire marks older incarnations at the address of a new server as gone.
-func (f *Fleet) retire(fresh registry.Server) {
-	if fresh.State != registry.Ready || fresh.Address == "" {
-		return
-	}
-	for id, s := range f.servers {
-		if id != fresh.ID && s.Address == fresh.Address {
-			s.gone = true
-		}
-	}
-}
-
-// Gone marks a server that another one answered for at its address.
-func (f *Fleet) Gone(id string) {
-	if s := f.servers[id]; s != nil {
-		s.gone = true
-		f.groups = nil
-	}
+	return &Fleet{key: mix.Name(name), servers: map[string]*Server{}, sizes: map[group]int{}, Zone: zone, Others: Others{Gateways: 1, Known: 1}}
 }
 
-// SetOthers takes what all other gateways have reserved, by server.
-func (f *Fleet) SetOthers(loads map[string]Load) {
+// SetOthers takes what is known of the other gateways.
+func (f *Fleet) SetOthers(o Others) {
+	f.Others = o
 	for id, s := range f.servers {
-		s.Others = loads[id]
+		s.Others = o.Loads[id]
 	}
 }
 
 // Get returns a server, or nil.
 func (f *Fleet) Get(id string) *Server { return f.servers[id] }
 
-// Times of membership as a gateway sees it.
-const (
-	// silentAfter is the age of a server's last report after which only a
-	// request that went well shows that it is there.
-	silentAfter = 5 * time.Second
-	provenFor   = 2 * time.Second
-	// forgetAfter is how long a server that is gone is remembered, for reports
-	// that come late.
-	forgetAfter = time.Minute
-)
-
-// listed tells whether a server may get new work.
-func (s *Server) listed(now time.Time) bool {
-	if s.gone || s.State != registry.Ready || s.isAway(now) {
-		return false
-	}
-	return s.alive(now)
-}
-
-// alive tells whether a server has reported itself of late, or has answered.
-func (s *Server) alive(now time.Time) bool {
-	return now.Sub(s.heardAt) < silentAfter || now.Sub(s.health.lastGood) < provenFor
-}
-
-// Listed tells whether a server may get new work now.
-func (f *Fleet) Listed(now time.Time, id string) bool {
-	s := f.servers[id]
-	return s != nil && s.listed(now)
-}
-
-// awayLimit is how long an engine is left alone beyond the least time that a
-// change of its role takes.
-const awayLimit = 10 * time.Second
-
-// Away takes that an engine changes its role, which takes at least a time.
-func (f *Fleet) Away(now time.Time, id, role string, least time.Duration) {
-	if s := f.servers[id]; s != nil {
-		s.away, s.backAt, s.awayUntil = role, now.Add(least), now.Add(least+awayLimit)
-	}
-}
-
-func (s *Server) isAway(now time.Time) bool {
-	if s.away == "" {
-		return false
-	}
-	if s.Role == s.away && !now.Before(s.backAt) || now.After(s.awayUntil) {
-		s.away = ""
-		return false
-	}
-	return true
-}
-
-// Sweep forgets servers that have been silent for long, and has the groups made
-// anew.
-func (f *Fleet) Sweep(now time.Time) {
-	f.groups = nil
-	for id, s := range f.servers {
-		if s.Open == 0 && s.Own == (Load{}) && now.Sub(s.heardAt) > forgetAfter {
-			delete(f.servers, id)
-		}
-	}
-}
-
 // Avoid names servers that a request has tried already.
 type Avoid map[string]bool
 
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -55,7 +55,7 @@
 
 // Ruled tells what rules decode engines out for a request.
 func (f *Fleet) Ruled(now time.Time, w Work, e *route.Engine) Ruled {
-	out := Ruled{Known: f.Known, Gateways: f.Gateways, Read: f.leastRead(now, w)}
+	out := Ruled{Known: f.Others.Known, Gateways: f.Others.Gateways, Read: f.leastRead(now, w)}
 	f.visit(f.group(now, w.Service, registry.Decode), mostChoices, func(s *Server) {
 		out.Engines++
 		switch {
@@ -124,8 +124,8 @@
 
 // withBlind adds what gateways that are not heard may have to what is known.
 func (f *Fleet) withBlind(tokens int) int {
-	missing := max(f.Gateways-f.Known, 0)
-	return int(float64(tokens) * (1 + blindShare*float64(missing)/float64(max(f.Known, 1))))
+	missing := max(f.Others.Gateways-f.Others.Known, 0)
+	return int(float64(tokens) * (1 + blindShare*float64(missing)/float64(max(f.Others.Known, 1))))
 }
 
 func (f *Fleet) fits(s *Server, w Work, e *route.Engine) bool {
--- a/dispatch/turn.go
+++ b/dispatch/turn.go
@@ -19,10 +19,10 @@
 
 // turn tells whether this gateway may take room at an engine now.
 func (f *Fleet) turn(now time.Time, s *Server, w Work, e *route.Engine) bool {
-	if f.Queued <= 0 || e.KVTokens <= 0 {
+	if f.Others.Queued <= 0 || e.KVTokens <= 0 {
 		return true
 	}
-	chance := f.places(s, w, e) / float64(f.Queued+1)
+	chance := f.places(s, w, e) / float64(f.Others.Queued+1)
 	if chance >= 1 {
 		return true
 	}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -78,13 +78,10 @@
 	f.serve()
 }
 
-// share takes how many gateways there are, of how many the loads are known,
-// this one included, how many requests of the others wait, and what they have
-// reserved.
-func (f *fleet) share(gateways, known, queued int, others map[string]dispatch.Load) {
+// share takes what is known of the other gateways.
+func (f *fleet) share(others dispatch.Others) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view.Gateways, f.view.Known, f.view.Queued = gateways, known, queued
 	f.view.SetOthers(others)
 	f.serve()
 }
@@ -187,7 +184,7 @@
 func (f *fleet) retry(service string, sends int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.budget(service).Take(time.Now(), f.view.Gateways, sends)
+	return f.budget(service).Take(time.Now(), f.view.Others.Gateways, sends)
 }
 
 // spend counts a send that was turned away and had not to be paid before.
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -12,7 +12,6 @@
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/metric"
-	"github.com/ledgepin/ledgepin/registry"
 )
 
 // Times and bounds of generation.
@@ -153,59 +152,6 @@
 	return r
 }
 
-// prefill has the prompt read.
-func (n *generation) prefill(ctx context.Context) result {
-	g, h, s := n.g, &n.g.cfg.Protocol.Headers, n.pair.Prefill
-	started := time.Now()
-	r := n.q.to(h, s, n.q.left(), g.fleet.sharing(s))
-	r.Header.Set(h.Role, registry.Prefill)
-	n.resumeAt(r.Header)
-	limit := 2*n.pair.Wait + time.Second
-	pctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	res, body := n.exchange(pctx, s, r)
-	if res.kind != notSent {
-		n.prefills++
-	}
-	if res.kind != answered || res.status != http.StatusOK {
-		if res.kind == answered {
-			res.kind = broken
-		}
-		g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
-		return res
-	}
-	kv, err := g.cfg.Protocol.ParseKV(body)
-	if err != nil {
-		g.fleet.note(s.ID, dispatch.Bad, 0)
-		return result{kind: broken, err: err}
-	}
-	g.fleet.note(s.ID, dispatch.Good, time.Since(started))
-	g.fleet.noteRead(s.ID, time.Since(started), n.pair.Wait)
-	n.kv, n.kvFrom, n.kvAt = kv, *s, time.Now()
-	return res
-}
-
-// exchange sends to an engine what is answered by a whole body.
-func (n *generation) exchange(ctx context.Context, s *dispatch.Server, r backend.Request) (result, []byte) {
-	g := n.g
-	a, err := g.pool.Do(ctx, &g.cfg.Protocol.Headers, r)
-	if err != nil {
-		var be *backend.Error
-		if errors.As(err, &be) && !be.Sent {
-			return result{kind: notSent, err: err}, nil
-		}
-		return result{kind: broken, err: err}, nil
-	}
-	if res, ok := g.turnedAway(n.q, s, a); ok {
-		return res, nil
-	}
-	body, err := a.ReadAll(maxAnswer)
-	if err != nil {
-		return result{kind: broken, err: err}, nil
-	}
-	return result{kind: answered, status: a.Status}, body
-}
-
 // elsewhere continues after a decode engine has not taken the request: another
 // one takes the KV cache while it lives. Engines that can't be reached cost
 // nothing but the try, so as many are tried as there is time for: a good part of
@@ -327,14 +273,6 @@
 	}
 }
 
-// endRead takes back the booking of the read.
-func (n *generation) endRead() {
-	if n.reader != "" {
-		n.g.fleet.endRead(n.reader, n.q.work)
-		n.reader = ""
-	}
-}
-
 func (n *generation) unbook() {
 	n.endRead()
 	n.dropHold()
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/route"
@@ -38,12 +37,8 @@
 	gateways map[string]int
 	peak     int
 	peakAt   time.Time
-	// loads is what each replica tells of other gateways, and sharing of how
-	// many.
-	loads   map[string]map[string]dispatch.Load
-	sharing map[string]int
-	// queued is how many requests of other gateways wait, as each replica tells.
-	queued map[string]int
+	// told is what each replica tells of other gateways.
+	told   map[string]*shares
 	hub    string
 	leader string
 	// waiting is a table that no replica has vouched for yet.
@@ -56,7 +51,7 @@
 }
 
 func newLinks(g *Gateway) *links {
-	l := &links{g: g, peers: map[string]*peer{}, gateways: map[string]int{}, loads: map[string]map[string]dispatch.Load{}, sharing: map[string]int{}, queued: map[string]int{}}
+	l := &links{g: g, peers: map[string]*peer{}, gateways: map[string]int{}, told: map[string]*shares{}}
 	g.wg.Go(l.loop)
 	return l
 }
@@ -116,9 +111,7 @@
 	p.link = link
 	if link == nil {
 		delete(l.gateways, address)
-		delete(l.loads, address)
-		delete(l.sharing, address)
-		delete(l.queued, address)
+		delete(l.told, address)
 	}
 	l.share()
 	l.mu.Unlock()
@@ -145,9 +138,7 @@
 		l.mu.Unlock()
 	case m.Loads != nil:
 		l.mu.Lock()
-		l.takeLoads(address, m.Loads.List)
-		l.sharing[address] = m.Loads.Gateways
-		l.queued[address] = m.Loads.Queued
+		l.takeLoads(address, m.Loads)
 		l.share()
 		l.mu.Unlock()
 	}
@@ -173,120 +164,31 @@
 	}
 }
 
-// takeLoads takes which reservations have changed at a replica. Callers hold the
-// lock.
-func (l *links) takeLoads(address string, list []wire.EngineLoad) {
-	loads := l.loads[address]
-	if loads == nil {
-		loads = map[string]dispatch.Load{}
-		l.loads[address] = loads
-	}
-	for _, e := range list {
-		load := dispatch.Load{Tokens: e.Tokens, Prefill: e.Prefill, Runs: e.Runs, Held: e.Held}
-		if load == (dispatch.Load{}) {
-			delete(loads, e.Server)
-		} else {
-			loads[e.Server] = load
-		}
-	}
-}
-
-// share tells the fleet how many gateways there are and what the others have
-// reserved. Callers hold the lock.
-func (l *links) share() {
-	gateways := l.count(time.Now())
-	known := 1
-	for _, n := range l.sharing {
-		known += n
-	}
-	sum := map[string]dispatch.Load{}
-	for _, loads := range l.loads {
-		for id, e := range loads {
-			sum[id] = sum[id].Add(e)
+// loop sends heartbeats and reservations.
+func (l *links) loop() {
+	var beatAt time.Time
+	wait.Each(l.g.ctx, loadsEvery, func(now time.Time) {
+		l.mu.Lock()
+		if now.Sub(beatAt) >= beatEvery {
+			beatAt = now
+			l.beat()
 		}
-	}
-	queued := 0
-	for _, n := range l.queued {
-		queued += n
-	}
-	l.g.fleet.share(gateways, min(known, gateways), queued, sum)
-}
-
-// Bounds of the number of gateways.
-const (
-	// leastGateways is assumed of a system whose gateways are not all known yet.
-	leastGateways = 3
-	peakFor       = 20 * time.Second
-)
-
-// count returns the number of gateways, as the highest that any replica has
-// seen of late. Callers hold the lock.
-func (l *links) count(now time.Time) int {
-	seen := leastGateways
-	for _, n := range l.gateways {
-		seen = max(seen, n)
-	}
-	if seen >= l.peak || now.Sub(l.peakAt) > peakFor {
-		l.peak, l.peakAt = seen, now
-	}
-	return l.peak
-}
-
-// hubLink returns the link over which reservations are shared: the leader's, or
-// else that of the replica with the lowest address, so that most gateways use
-// the same. Callers hold the lock.
-func (l *links) hubLink() *wire.Link {
-	best := ""
-	for a, p := range l.peers {
-		if p.link != nil && (best == "" || a < best) {
-			best = a
+		hub := l.hubLink()
+		l.mu.Unlock()
+		if hub == nil {
+			return
 		}
-	}
-	if p := l.peers[l.leader]; p != nil && p.link != nil {
-		best = l.leader
-	}
-	if best == "" {
-		l.hub = ""
-		return nil
-	}
-	link := l.peers[best].link
-	if l.hub != best {
-		if old := l.peers[l.hub]; old != nil && old.link != nil {
-			_ = old.link.Send(&wire.Message{Loads: &wire.Loads{Ended: true}})
+		if m := l.g.fleet.loads(now); m != nil {
+			_ = hub.Send(&wire.Message{Loads: m})
 		}
-		l.hub = best
-		l.g.fleet.touch()
-	}
-	return link
+	})
 }
 
-// loop sends heartbeats and reservations.
-func (l *links) loop() {
-	t := time.NewTicker(loadsEvery)
-	defer t.Stop()
-	var beatAt time.Time
-	for {
-		select {
-		case <-l.g.ctx.Done():
-			return
-		case now := <-t.C:
-			l.mu.Lock()
-			if now.Sub(beatAt) >= beatEvery {
-				beatAt = now
-				for _, p := range l.peers {
-					if p.link != nil {
-						_ = p.link.Send(&wire.Message{Heartbeat: &wire.Heartbeat{}})
-					}
-				}
-			}
-			hub := l.hubLink()
-			l.mu.Unlock()
-			if hub == nil {
-				continue
-			}
-			if m := l.g.fleet.loads(now); m != nil {
-				_ = hub.Send(&wire.Message{Loads: m})
-			}
+// beat shows life on all links. Callers hold the lock.
+func (l *links) beat() {
+	for _, p := range l.peers {
+		if p.link != nil {
+			_ = p.link.Send(&wire.Message{Heartbeat: &wire.Heartbeat{}})
 		}
 	}
 }
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -15,3 +15,17 @@
 	case <-t.C:
 	}
 }
+
+// Each calls do at once each time that a while has passed, until ctx is done.
+func Each(ctx context.Context, every time.Duration, do func(now time.Time)) {
+	t := time.NewTicker(every)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			do(now)
+		}
+	}
+}
--- a/soak/check.go
+++ b/soak/check.go
@@ -21,6 +21,9 @@
 	// touchTime is how long a process must have been undisturbed to be held to
 	// a bound of time.
 	touchTime = 4 * time.Second
+	// overlap is how long a run may go on at an engine after it went on at the
+	// next one.
+	overlap = 400 * time.Millisecond
 	// budgetWindow, budgetRatio and budgetSlack are the retry budget of the
 	// settings that a run uses.
 	budgetWindow = 10 * time.Second
@@ -55,6 +58,7 @@
 }{
 	{"whole and own answer", checkWhole},
 	{"at most once", checkOnce},
+	{"a run is at one engine at a time", checkOneEngine},
 	{"not run is true", checkNotRun},
 	{"nothing held for a caller gone", checkGone},
 	{"no new work for a leaving server", checkDrain},
@@ -99,11 +103,12 @@
 	return out
 }
 
-// runs returns the number of times that each request was worked on.
+// runs returns the number of times that each request was worked on. A run that
+// goes on at another engine stays one.
 func runs(h *History) map[string]int {
 	out := map[string]int{}
 	for _, a := range h.Arrivals {
-		if a.Ran {
+		if a.Ran && !a.Continues {
 			out[a.ID]++
 		}
 	}
@@ -121,6 +126,26 @@
 	return out
 }
 
+// checkOneEngine looks at runs that went on at another engine: none may go on at
+// both.
+func checkOneEngine(h *History) []string {
+	var out []string
+	for _, next := range h.Arrivals {
+		if !next.Continues {
+			continue
+		}
+		for _, a := range h.Arrivals {
+			if a.ID != next.ID || !a.Ran || a.At >= next.At {
+				continue
+			}
+			if a.Ended == 0 || a.Ended > next.At+overlap {
+				out = append(out, fmt.Sprintf("%s went on at %s at %v, %s worked until %v", a.ID, next.Server, next.At, a.Server, a.Ended))
+			}
+		}
+	}
+	return out
+}
+
 // promises are the answers that say that a request did not run.
 var promises = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
 
@@ -238,7 +263,7 @@
 	arrivals := slices.Clone(h.Arrivals)
 	sort.Slice(arrivals, func(i, j int) bool { return arrivals[i].At < arrivals[j].At })
 	for _, a := range arrivals {
-		if a.ID == "" {
+		if a.ID == "" || a.Continues {
 			continue
 		}
 		// The first read of a prompt is no run; each further one counts.
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -61,6 +61,11 @@
 		{"at most once", "a checkout on two servers", func(h *History) {
 			h.Arrivals = append(h.Arrivals, h.Arrivals[0])
 		}},
+		{"a run is at one engine at a time", "at two", func(h *History) {
+			a := h.Arrivals[2]
+			a.Server, a.At, a.Ended, a.Continues = "llm-3", second+100*time.Millisecond, 3*second, true
+			h.Arrivals = append(h.Arrivals, a)
+		}},
 		{"not run is true", "a refusal that ran", func(h *History) {
 			a := h.Arrivals[0]
 			a.ID = "q3"
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -20,7 +20,7 @@
  {"name":"desk","host":"h","pathPrefix":"/desk/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":900,"gapTargetMs":500,"service":"llm","maxAttempts":3,"resumable":true},
  {"name":"version","host":"h","pathPrefix":"/version-VERSION/","kind":"idempotent","timeoutMs":1000,"targetLatencyMs":300,"service":"SERVICE","maxAttempts":1}],
  "services":[{"name":"app","healthCheck":"/health","maxConnections":200},
- {"name":"llm","healthCheck":"/health","maxConnections":200,"engine":{"slots":16,"kvTokens":100000,"kvHoldS":2,"roleSwitchS":0.5,"stride":1,"holdMs":2000}}],
+ {"name":"llm","healthCheck":"/health","maxConnections":200,"engine":{"slots":16,"kvTokens":100000,"kvHoldS":2,"roleSwitchS":0.5,"stride":1,"holdMs":2000,"moves":true}}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
 
 func tableText(version int, service string) string {
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -41,8 +41,9 @@
 	Target string
 	Header http.Header
 	Body   string
-	// Ran tells that the server worked on it.
-	Ran bool
+	// Ran tells that the server worked on it, Continues that it went on with a run
+	// that was stopped at another server.
+	Ran, Continues bool
 	// At is when it came, Ended when the server stopped working on it; zero
 	// while it does.
 	At, Ended time.Time
@@ -189,6 +190,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.arrivals[at].Ran = true
+	b.arrivals[at].Continues = continues(b.arrivals[at].Header.Get(b.headers.KVSource))
 	b.running++
 }
 
--- a/standin/copies.go
+++ b/standin/copies.go
@@ -16,6 +16,15 @@
 	platformCopyPath = "/-/kv-move"
 )
 
+// copyPrefix begins the names of copies.
+const copyPrefix = "copy-"
+
+// continues tells whether a KV cache is the copy of a run.
+func continues(source string) bool {
+	_, handle, _ := strings.Cut(source, "/")
+	return strings.HasPrefix(handle, copyPrefix)
+}
+
 // copyRequest asks for a copy in either words.
 type copyRequest struct {
 	ID            string `json:"id"`
@@ -61,7 +70,7 @@
 	case refused:
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
-	handle := b.group.keep(b.addr, "copy-"+in.ID)
+	handle := b.group.keep(b.addr, copyPrefix+in.ID)
 	fmt.Fprintf(w, `{"handle":%q,"kvHandle":%q}`, handle, handle)
 }
 
