--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -18,6 +18,8 @@
 	// bounds are the retry bounds that hold for each service by itself.
 	bounds  dispatch.Budget
 	budgets map[string]*dispatch.Budget
+	// returns tell refused callers when to come back, for each service.
+	returns map[string]*dispatch.Returns
 	queue   []*waiter
 	// dirty tells that reservations have changed since they were told, grown that
 	// runs have; toldAt is when they were told.
@@ -31,7 +33,7 @@
 	if bounds.Since.IsZero() {
 		bounds.Since = time.Now()
 	}
-	return &fleet{view: dispatch.NewFleet(name, zone), bounds: bounds, budgets: map[string]*dispatch.Budget{}}
+	return &fleet{view: dispatch.NewFleet(name, zone), bounds: bounds, budgets: map[string]*dispatch.Budget{}, returns: map[string]*dispatch.Returns{}}
 }
 
 // budget returns the retry budget of a service. Callers hold the lock.
@@ -45,6 +47,23 @@
 	return b
 }
 
+// returnsOf returns what is known of the room of a service. Callers hold the lock.
+func (f *fleet) returnsOf(service string) *dispatch.Returns {
+	r := f.returns[service]
+	if r == nil {
+		r = &dispatch.Returns{}
+		f.returns[service] = r
+	}
+	return r
+}
+
+// comeBack returns how long a caller that finds no room stays away.
+func (f *fleet) comeBack(service string, read time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.returnsOf(service).After(time.Now(), read, rand.Float64())
+}
+
 // update takes reports of servers, which of them have reported themselves with
 // nothing new, and how many there are.
 func (f *fleet) update(m *wire.Servers) {
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -305,16 +304,8 @@
 		event.NoRoom.Log(g.log, "id", q.id, "prompt", q.work.Prompt, "expected", q.work.Expected, "engines", r.Engines,
 			"leaving", r.Leaving, "blocked", r.Blocked, "full", r.Full, "read_ms", r.Read.Milliseconds(), "gateways_known", r.Known, "gateways", r.Gateways,
 			"prefills", n.prefills, "decodes", n.decodes)
-		g.refuse(w, q.id, refusal{route: q.route.Name, status: http.StatusServiceUnavailable, reason: "no engine has room", retryAfter: engineRetry(r.Read)})
+		g.refuse(w, q.id, refusal{route: q.route.Name, status: http.StatusServiceUnavailable, reason: "no engine has room", retryAfter: g.fleet.comeBack(q.service.Name, r.Read)})
 		return
 	}
 	g.conclude(w, q, last)
 }
-
-// engineRetry is when a caller should come back: some runs have ended then, and
-// the prompts that wait have been read. It is spread, so that those who were
-// refused together don't come together.
-func engineRetry(read time.Duration) time.Duration {
-	const least, most, spread = 500 * time.Millisecond, 3 * time.Second, 1500 * time.Millisecond
-	return min(max(least, read), most) + time.Duration(rand.Int64N(int64(spread)))
-}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -64,6 +64,7 @@
 		}
 		f.queue = f.queue[1:]
 		f.view.Reserve(p.Decode.ID, w.work)
+		f.returnsOf(w.work.Service).Placed(now)
 		decode := *p.Decode
 		placed := dispatch.Pair{Decode: &decode, Wait: p.Wait}
 		f.view.StartRead(p.Reader().ID, w.work)
