--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -54,7 +54,9 @@
 	lapsed  int
 	health  health
 	heardAt time.Time
-	gone    bool
+	// leavingAt is when this gateway heard that it leaves.
+	leavingAt time.Time
+	gone      bool
 	// away is the role that an engine is changing to, if it is; it is back no
 	// sooner than backAt, and is used as it is after awayUntil.
 	away              string
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -30,6 +30,9 @@
 		if s.gone || s.State == registry.Draining && r.State == registry.Ready || r.Sequence < s.Sequence && r.State == s.State {
 			continue
 		}
+		if s.State != r.State && r.State == registry.Draining {
+			s.leavingAt = now
+		}
 		if s.State != r.State || s.Role != r.Role || s.Service != r.Service {
 			f.groups = nil
 		}
--- a/dispatch/migrate.go
+++ b/dispatch/migrate.go
@@ -24,6 +24,9 @@
 	// roomMark is the part of an engine's memory that its runs may have when
 	// one more comes.
 	roomMark = 0.80
+	// leaveTime is the time in which runs move away from an engine that leaves: one
+	// that can't goes back there, which must be before the engine takes no more.
+	leaveTime = 500 * time.Millisecond
 )
 
 // Reason tells why a run should leave its engine.
@@ -38,13 +41,16 @@
 
 // Leave tells why a run that has made another event should leave its engine, if
 // it should; draw is evenly spread in [0, 1).
-func (f *Fleet) Leave(id string, e *route.Engine, draw float64) Reason {
+func (f *Fleet) Leave(now time.Time, id string, e *route.Engine, draw float64) Reason {
 	s := f.servers[id]
 	if s == nil || s.gone || e.KVTokens <= 0 {
 		return Stay
 	}
 	if s.State == registry.Draining {
-		return Leaving
+		if now.Sub(s.leavingAt) < leaveTime {
+			return Leaving
+		}
+		return Stay
 	}
 	runs, level := s.Own.Runs+s.Others.Runs, float64(f.held(s))/float64(e.KVTokens)
 	if runs < 2 || level < fullMark {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -253,7 +253,7 @@
 	w, longer := f.view.Grow(id, w, made)
 	f.grown = true
 	f.dirty = f.dirty || longer
-	return w, f.view.Leave(id, e, rand.Float64())
+	return w, f.view.Leave(time.Now(), id, e, rand.Float64())
 }
 
 // refuge books an engine that a run can move to.
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -20,6 +20,9 @@
 	// still.
 	copyTimeout = 1500 * time.Millisecond
 	stopTimeout = 700 * time.Millisecond
+	// leaveTimeout is how long the first copy may take if the engine leaves: a run
+	// that can't go on elsewhere goes back there, while the engine still takes it.
+	leaveTimeout = 400 * time.Millisecond
 	// moveAgain is the time after which a run that could not move tries again.
 	moveAgain = 150 * time.Millisecond
 	// leastRest is the number of events that a run must have before it for a
@@ -122,8 +125,11 @@
 // if the run was stopped, since it keeps the run's KV cache then.
 func (n *generation) askCopy(ctx context.Context, m *migration, stop bool) (int, backend.KV, error) {
 	limit := copyTimeout
-	if stop {
+	switch {
+	case stop:
 		limit = stopTimeout
+	case m.reason == dispatch.Leaving:
+		limit = leaveTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -197,7 +203,7 @@
 func (n *generation) continueRun(ctx context.Context, m *migration) (*backend.Answer, error) {
 	err, begun := errNotCopied, false
 	var a *backend.Answer
-	if m.copied {
+	if m.copied && n.g.fleet.listed(m.to.ID) {
 		if a, begun, err = n.sendCopy(ctx, m, &m.to); a != nil {
 			n.settle(m)
 			return a, nil
--- a/gateway/migrate_test.go
+++ b/gateway/migrate_test.go
@@ -148,6 +148,20 @@
 		assert.Equal(t, got.body, longStream())
 		m.nothingLeft()
 	})
+	t.Run("the other engine leaves", func(t *testing.T) {
+		m := startRun(t, t.Context())
+		m.from.RefuseCopies(func(stop bool) bool {
+			if stop {
+				m.report("llm", m.to.ID, registry.Draining)
+			}
+			return false
+		})
+		m.fill()
+		got := <-m.done
+		assert.Assert(t, got.status == 200 && !got.cut && got.body == longStream())
+		assert.Equal(t, len(m.to.Arrivals()), 0, "no new work for a leaving engine")
+		m.nothingLeft()
+	})
 	t.Run("the other engine may have begun", func(t *testing.T) {
 		m := startRun(t, t.Context())
 		m.to.SetFault(first(standin.LoseAnswer, nil))
