--- a/dispatch/migrate.go
+++ b/dispatch/migrate.go
@@ -16,11 +16,11 @@
 // Constants of migration.
 const (
 	// fullMark is the part of an engine's memory from which on its runs move
-	// away, at leastHurry at first and at 1 when it is full. The hurry is the
+	// away, at leastUrgency at first and at 1 when it is full. The urgency is the
 	// number of runs that leave while each of them makes one event: they belong to
 	// many gateways, which hear of each other with a lag of some events.
-	fullMark   = 0.90
-	leastHurry = 0.25
+	fullMark     = 0.90
+	leastUrgency = 0.25
 	// roomMark is the part of an engine's memory that its runs may have when
 	// one more comes.
 	roomMark = 0.80
@@ -56,17 +56,17 @@
 	if runs < 2 || level < fullMark {
 		return Stay
 	}
-	hurry := min(max((level-fullMark)/(1-fullMark), leastHurry), 1)
-	if draw*float64(runs) < hurry {
+	urgency := min(max((level-fullMark)/(1-fullMark), leastUrgency), 1)
+	if draw*float64(runs) < urgency {
 		return Full
 	}
 	return Stay
 }
 
-// Refuge returns an engine that a run can move to, or nil. Pick, in [0, 1),
+// MigrationTarget returns an engine that a run can move to, or nil. Pick, in [0, 1),
 // chooses among those with room: the emptiest of them is known to all gateways,
 // and runs that all went there would not find room.
-func (f *Fleet) Refuge(now time.Time, from string, w Work, e *route.Engine, pick float64) *Server {
+func (f *Fleet) MigrationTarget(now time.Time, from string, w Work, e *route.Engine, pick float64) *Server {
 	s := f.servers[from]
 	if s == nil {
 		return nil
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -256,11 +256,11 @@
 	return w, f.view.Leave(time.Now(), id, e, rand.Float64())
 }
 
-// refuge books an engine that a run can move to.
-func (f *fleet) refuge(from string, w dispatch.Work, e *route.Engine) (dispatch.Server, bool) {
+// migrationTarget books an engine that a run can move to.
+func (f *fleet) migrationTarget(from string, w dispatch.Work, e *route.Engine) (dispatch.Server, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.view.Refuge(time.Now(), from, w, e, rand.Float64())
+	s := f.view.MigrationTarget(time.Now(), from, w, e, rand.Float64())
 	if s == nil {
 		return dispatch.Server{}, false
 	}
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -94,7 +94,7 @@
 	if n.q.work.Expected-n.q.work.Made < leastRest*engine.EventTokens {
 		return
 	}
-	to, ok := n.g.fleet.refuge(n.booked, n.q.work, engine)
+	to, ok := n.g.fleet.migrationTarget(n.booked, n.q.work, engine)
 	if !ok {
 		return
 	}
