--- a/consensus/node.go
+++ b/consensus/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -306,6 +307,8 @@
 	Pending bool `json:"members_pending"`
 	Lease   bool `json:"lease"`
 	Failed  bool `json:"failed"`
+	// Lost are the replicas that are taken to have lost their disks.
+	Lost []string `json:"lost,omitempty"`
 }
 
 // Status returns the state of the replica.
@@ -313,7 +316,7 @@
 	return Status{
 		ID: n.cfg.ID, Role: n.role.String(), Term: n.hard.Term, Leader: n.leader, Commit: n.commit,
 		Last: n.log.last(), First: n.log.snap.Index + 1, Members: n.members, Pending: n.membersIndex > n.commit,
-		Lease: n.Lead(now), Failed: n.failed,
+		Lease: n.Lead(now), Failed: n.failed, Lost: slices.Sorted(maps.Keys(n.lost)),
 	}
 }
 
--- a/control/identity.go
+++ b/control/identity.go
@@ -63,9 +63,11 @@
 }
 
 // noteSuccessor takes that a replica runs under an identity: whoever was a voter
-// at its address under another one has lost its disk. Callers hold the lock.
+// at its address under another one has lost its disk. Where replicas are named by
+// the settings tree, a name proves nothing: it may be used at two VMs by mistake,
+// and the one that was first may lead. Callers hold the lock.
 func (c *Control) noteSuccessor(id string) {
-	if c.node == nil || id == baseName(id) {
+	if c.cfg.Discovery == nil || c.node == nil || id == baseName(id) {
 		return // the first identity at an address succeeds nobody
 	}
 	for _, v := range c.node.Status(time.Now()).Members.Voters {
--- /dev/null
+++ b/control/identity_test.go
@@ -0,0 +1,42 @@
+package control
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/consensus"
+)
+
+// TestWhoIsLost wants a voter taken for lost only where the address of a new
+// identity proves that its process has ended.
+func TestWhoIsLost(t *testing.T) {
+	tests := []struct {
+		name      string
+		discovery *Discovery
+		seen      string
+		lost      string
+	}{
+		{"a new identity at a voter's address", &Discovery{}, "10.0.0.2:1~9f31c2aa", "10.0.0.2:1"},
+		{"the voter itself", &Discovery{}, "10.0.0.3:1~01234567", ""},
+		{"another address", &Discovery{}, "10.0.0.9:1~9f31c2aa", ""},
+		{"the first identity at an address", &Discovery{}, "10.0.0.3:1", ""},
+		{"a name of the settings tree", nil, "10.0.0.2:1~9f31c2aa", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			members := consensus.Members{Voters: []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1~01234567"}}
+			c := &Control{cfg: Config{Discovery: tt.discovery}}
+			node := consensus.Config{ID: "10.0.0.1:1", HeartbeatEvery: time.Second, ElectionMin: time.Second, ElectionMax: 2 * time.Second}
+			c.node = consensus.New(node, consensus.Bootstrap(members), members, time.Now(), rand.New(rand.NewPCG(1, 2)))
+			c.noteSuccessor(tt.seen)
+			var want []string
+			if tt.lost != "" {
+				want = []string{tt.lost}
+			}
+			assert.DeepEqual(t, c.node.Status(time.Now()).Lost, want)
+		})
+	}
+}
