--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -181,7 +181,7 @@
 func (n *generation) decode(ctx context.Context, s *dispatch.Server, withKV bool) result {
 	g, q, h := n.g, n.q, &n.g.cfg.Protocol.Headers
 	started := time.Now()
-	r := q.to(h, s, q.left(), g.fleet.sharing(s))
+	r := n.sendTo(s)
 	if withKV {
 		r.Header.Set(h.KVSource, n.kvFrom.Address+"/"+n.kv.Handle)
 	}
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -31,7 +31,7 @@
 	hctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
 	started := time.Now()
-	r := n.q.call(&p.Headers, s, p.TakeHold(n.q.work.Prompt, min(n.pair.Wait+holdMargin, engine.HoldMost)), n.g.fleet.sharing(s))
+	r := n.callTo(s, p.TakeHold(n.q.work.Prompt, min(n.pair.Wait+holdMargin, engine.HoldMost)))
 	res, body := n.exchange(hctx, s, r)
 	if res.kind == answered && res.status == http.StatusOK {
 		hold, err := p.ParseHold(body)
@@ -47,17 +47,22 @@
 	return false
 }
 
-// call returns a call of the gateway's own to an engine.
-func (q *request) call(h *backend.Headers, s *dispatch.Server, c backend.Call, sharing int) backend.Request {
+// callTo returns a call of the gateway's own to an engine.
+func (n *generation) callTo(s *dispatch.Server, c backend.Call) backend.Request {
 	r := backend.Request{Address: s.Address, Method: c.Method, Target: c.Path, Host: s.Address, Header: http.Header{}, Body: c.Body}
-	r.Header.Set(h.ExpectInstance, s.ID)
+	r.Header.Set(n.g.cfg.Protocol.Headers.ExpectInstance, s.ID)
 	if c.ContentType != "" {
 		r.Header.Set("Content-Type", c.ContentType)
 	}
-	r.MaxConnections = connectionShare(q.service.MaxConnections, sharing)
+	r.MaxConnections = connectionShare(n.q.service.MaxConnections, n.g.fleet.sharing(s))
 	return r
 }
 
+// sendTo returns the caller's request as it goes to an engine.
+func (n *generation) sendTo(s *dispatch.Server) backend.Request {
+	return n.q.to(&n.g.cfg.Protocol.Headers, s, n.q.left(), n.g.fleet.sharing(s))
+}
+
 // dropHold gives room back that has not been used.
 func (n *generation) dropHold() {
 	if n.hold == "" {
@@ -65,7 +70,7 @@
 	}
 	s, hold := n.pair.Decode, n.hold
 	n.hold = ""
-	n.g.giveBack(n.q.call(&n.g.cfg.Protocol.Headers, s, n.g.cfg.Protocol.DropHold(hold), n.g.fleet.sharing(s)))
+	n.g.giveBack(n.callTo(s, n.g.cfg.Protocol.DropHold(hold)))
 }
 
 // dropKV frees a KV cache that no decode engine has taken.
@@ -75,7 +80,7 @@
 	}
 	s, handle := &n.kvFrom, n.kv.Handle
 	n.kv.Handle = ""
-	n.g.giveBack(n.q.call(&n.g.cfg.Protocol.Headers, s, n.g.cfg.Protocol.FreeKV(handle), n.g.fleet.sharing(s)))
+	n.g.giveBack(n.callTo(s, n.g.cfg.Protocol.FreeKV(handle)))
 }
 
 // giveBackTime is how long an engine may take to free what nobody uses.
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -134,7 +134,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	p := &n.g.cfg.Protocol
-	a, err := n.g.pool.Do(ctx, &p.Headers, n.q.call(&p.Headers, &m.from, p.CopyRun(n.q.id, m.to.Address, stop), n.g.fleet.sharing(&m.from)))
+	a, err := n.g.pool.Do(ctx, &p.Headers, n.callTo(&m.from, p.CopyRun(n.q.id, m.to.Address, stop)))
 	if err != nil {
 		return 0, backend.KV{}, err
 	}
@@ -220,7 +220,7 @@
 // that the engine may work on it.
 func (n *generation) sendCopy(ctx context.Context, m *migration, s *dispatch.Server) (a *backend.Answer, begun bool, err error) {
 	h := &n.g.cfg.Protocol.Headers
-	r := n.q.to(h, s, n.q.left(), n.g.fleet.sharing(s))
+	r := n.sendTo(s)
 	r.Header.Set(h.KVSource, m.from.Address+"/"+m.kv.Handle)
 	n.resumeAt(r.Header)
 	a, err = n.g.pool.Do(ctx, h, r)
@@ -251,7 +251,7 @@
 	if m.kv.Handle == "" {
 		return
 	}
-	n.g.giveBack(n.q.call(&n.g.cfg.Protocol.Headers, &m.from, n.g.cfg.Protocol.FreeKV(m.kv.Handle), n.g.fleet.sharing(&m.from)))
+	n.g.giveBack(n.callTo(&m.from, n.g.cfg.Protocol.FreeKV(m.kv.Handle)))
 }
 
 func (n *generation) noteMigration(m *migration, outcome string, err error) {
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -15,7 +15,7 @@
 func (n *generation) prefill(ctx context.Context) result {
 	g, h, s := n.g, &n.g.cfg.Protocol.Headers, n.pair.Prefill
 	started := time.Now()
-	r := n.q.to(h, s, n.q.left(), g.fleet.sharing(s))
+	r := n.sendTo(s)
 	r.Header.Set(h.Role, registry.Prefill)
 	n.resumeAt(r.Header)
 	limit := 2*n.pair.Wait + time.Second
--- a/soak/site.go
+++ b/soak/site.go
@@ -273,18 +273,7 @@
 func (s *site) call(ctx context.Context, method, url, body string) (int, string, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
-	if err != nil {
-		return 0, "", err
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := s.client.Do(req)
-	if err != nil {
-		return 0, "", err
-	}
-	defer resp.Body.Close()
-	data, err := readAll(resp.Body)
-	return resp.StatusCode, data, err
+	return standin.Call(ctx, s.client, method, url, body)
 }
 
 // close ends all that was started.
