--- a/backend/names.go
+++ b/backend/names.go
@@ -6,42 +6,87 @@
 // that the caller can decide what a retry would mean.
 package backend
 
-import "time"
+import (
+	"reflect"
+	"time"
+)
 
 // Headers are the names of the header fields between callers, gateways and
-// backend servers. A deployment whose servers use other names brings its own.
+// backend servers, by who sets them. A deployment whose servers use other names
+// brings its own.
 type Headers struct {
+	CallerFields
+	GatewayFields
+	ServerFields
+}
+
+// CallerFields are set by callers and passed on.
+type CallerFields struct {
 	// RequestID names one attempt of a caller; answers carry it back.
 	RequestID string
-	// Deadline is the time in milliseconds that the sender will still wait.
+	// Deadline is the time in milliseconds that the sender will still wait;
+	// each send has its own.
 	Deadline string
-	// Signature marks an answer as a server's own.
-	Signature string
-	// NotRun in an answer tells that the server did not run the request.
-	NotRun string
-	// ExpectInstance names the incarnation that a request is meant for.
-	ExpectInstance string
 	// Tokens gives the tokens of the prompt and the most tokens of the answer.
 	Tokens string
 	// LengthHint is the caller's estimate of the tokens of the answer.
 	LengthHint string
+	// LastEventID is the last event of a stream that the caller has.
+	LastEventID string
+}
+
+// GatewayFields are set by gateways only: what a caller sends of them reaches no
+// server.
+type GatewayFields struct {
+	// ExpectInstance names the incarnation that a request is meant for.
+	ExpectInstance string
 	// Role asks an engine for one phase of a request.
 	Role string
 	// KVSource tells a decode engine where the KV cache of the prompt is.
 	KVSource string
 	// Hold names room that was set aside at an engine for the request.
 	Hold string
-	// LastEventID is the last event of a stream that the caller has.
-	LastEventID string
-	// Private are further fields that only gateways set.
-	Private []string
+	// Unused are those that servers know and no gateway sets.
+	Unused []string
+}
+
+// ServerFields are set by servers in their answers only.
+type ServerFields struct {
+	// Signature marks an answer as a server's own.
+	Signature string
+	// NotRun tells that the server did not run the request.
+	NotRun string
+}
+
+// Private returns the names of the fields that are no caller's to set. It goes
+// through all fields of the two structs, so that a new one can't be forgotten.
+func (h *Headers) Private() []string {
+	return append(fieldNames(h.GatewayFields), fieldNames(h.ServerFields)...)
+}
+
+// fieldNames returns the strings and the lists of strings of a struct.
+func fieldNames(fields any) []string {
+	var out []string
+	v := reflect.ValueOf(fields)
+	for i := range v.NumField() {
+		switch name := v.Field(i).Interface().(type) {
+		case string:
+			out = append(out, name)
+		case []string:
+			out = append(out, name...)
+		}
+	}
+	return out
 }
 
 // DefaultHeaders are ledgepin's own names.
 var DefaultHeaders = Headers{
-	RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", Signature: "X-Answer-Signature", NotRun: "X-Not-Run",
-	ExpectInstance: "X-Expect-Instance", Tokens: "X-Tokens", LengthHint: "X-Length-Hint",
-	Role: "X-Engine-Role", KVSource: "X-KV-Source", Hold: "X-Hold", LastEventID: "Last-Event-Id",
+	CallerFields{
+		RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", Tokens: "X-Tokens", LengthHint: "X-Length-Hint",
+		LastEventID: "Last-Event-Id",
+	},
+	GatewayFields{ExpectInstance: "X-Expect-Instance", Role: "X-Engine-Role", KVSource: "X-KV-Source", Hold: "X-Hold"},
+	ServerFields{Signature: "X-Answer-Signature", NotRun: "X-Not-Run"},
 }
 
 // KV is the result of a prefill.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,7 +43,9 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	table atomic.Pointer[route.Table]
+	// private are the header fields that no caller may set.
+	private []string
+	table   atomic.Pointer[route.Table]
 	// tabled is closed when the first table is in force.
 	tabled   chan struct{}
 	draining atomic.Bool
@@ -63,7 +65,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
 		cfg: cfg, log: cfg.Log.With("role", "gateway", "name", cfg.Name), ctx: ctx, cancel: cancel,
-		tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Name, cfg.Zone, cfg.Retry),
+		private: cfg.Protocol.Headers.Private(), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Name, cfg.Zone, cfg.Retry),
 	}
 	g.links = newLinks(g)
 	g.links.meet(cfg.Seeds)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"reflect"
 	"strings"
 	"sync"
 	"testing"
@@ -83,6 +84,36 @@
 	assert.Assert(t, left > 0 && left <= 700, "left %d", left)
 }
 
+// TestForgedFields wants no field of a gateway's or a server's that a caller has
+// sent to reach a server, of either kind of service.
+func TestForgedFields(t *testing.T) {
+	const forged = "forged"
+	r := newRig(t)
+	servers := []*standin.Backend{r.add("plain", "a", ""), r.add("llm", "p1", "prefill"), r.add("llm", "d1", "decode")}
+	sent := map[string]string{}
+	for _, fields := range []any{protocol.Headers.GatewayFields, protocol.Headers.ServerFields} {
+		v := reflect.ValueOf(fields)
+		for i := range v.NumField() {
+			if name, ok := v.Field(i).Interface().(string); ok {
+				sent[name] = forged
+			}
+		}
+	}
+	assert.Assert(t, len(sent) >= 6)
+	for _, target := range []string{"/rates/1", "/review/1"} {
+		got := r.send("POST", target, "q"+target, "x", sent)
+		assert.Equal(t, got.status, 200, got.body)
+	}
+	for _, b := range servers {
+		assert.Assert(t, len(b.Arrivals()) > 0, b.ID)
+		for _, in := range b.Arrivals() {
+			for name := range sent {
+				assert.Assert(t, in.Header.Get(name) != forged, "%s reaches %s", name, b.ID)
+			}
+		}
+	}
+}
+
 func TestStreamFaults(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -90,7 +90,7 @@
 	}
 	q.deadline = q.arrived.Add(deadlineOf(r.Header.Get(h.Deadline), q.route.Timeout))
 	q.send = backend.Request{
-		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: forwarded(h, r.Header), Body: body, ID: q.id,
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: forwarded(g.private, r.Header), Body: body, ID: q.id,
 	}
 	if q.service.Engine != nil {
 		q.work = workOf(h, r.Header, q.service)
@@ -177,8 +177,8 @@
 }
 
 // forwarded returns the fields of a caller that go to a server: not those of
-// the connection, nor those that only a gateway sets, whatever the caller sent.
-func forwarded(h *backend.Headers, in http.Header) http.Header {
+// the connection, nor the private ones that are no caller's to set.
+func forwarded(private []string, in http.Header) http.Header {
 	out := make(http.Header, len(in)+4)
 	drop := perConnection(in)
 	for name, values := range in {
@@ -186,7 +186,7 @@
 			out[name] = values
 		}
 	}
-	for _, name := range append([]string{h.Role, h.KVSource, h.ExpectInstance, h.Deadline, h.NotRun, h.Signature}, h.Private...) {
+	for _, name := range private {
 		out.Del(name)
 	}
 	return out
