--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -50,10 +50,10 @@
 	Open int
 	// Own is what this gateway has reserved, Others what all others have.
 	Own, Others Load
-	// lapsed counts the results in a row that no decode engine could take.
-	lapsed  int
-	health  health
-	heardAt time.Time
+	// refusals counts those in a row that may be this engine's fault.
+	refusals int
+	health   health
+	heardAt  time.Time
 	// leavingAt is when this gateway heard that it leaves.
 	leavingAt time.Time
 	gone      bool
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -78,24 +78,6 @@
 	s.health.note(now, o, took)
 }
 
-// NoteKV takes whether a decode engine could take the KV cache that a prefill
-// engine has read. An engine whose results lapse is left alone for a while,
-// since each prompt that it reads is read for nothing.
-func (f *Fleet) NoteKV(now time.Time, id string, taken bool) {
-	s := f.servers[id]
-	if s == nil {
-		return
-	}
-	if taken {
-		s.lapsed = 0
-		return
-	}
-	if s.lapsed++; s.lapsed >= lapsedAt {
-		s.lapsed = 0
-		s.health.eject(now)
-	}
-}
-
 func (h *health) note(now time.Time, o Outcome, took time.Duration) {
 	h.samples++
 	failed := 0.0
@@ -110,19 +92,21 @@
 	case Bad:
 		failed = 1
 	case Unreached:
-		h.eject(now)
+		h.eject(now, blockMin)
 		h.unreachedAt = now
 		return
 	}
 	h.failing += weight * (failed - h.failing)
 	if h.failing > ejectAt && h.samples >= ejectSamples {
 		h.failing = afterEject
-		h.eject(now)
+		h.eject(now, blockMin)
 	}
 }
 
-func (h *health) eject(now time.Time) {
-	h.block = min(max(h.block*2, blockMin), blockMax)
+// eject has a server left alone for at least a time, and for twice as long as the
+// last time if it has not done well since.
+func (h *health) eject(now time.Time, least time.Duration) {
+	h.block = min(max(h.block*2, least), blockMax)
 	h.blockedUntil = now.Add(h.block)
 }
 
@@ -137,6 +121,12 @@
 	return !h.unreachedAt.IsZero() && !s.heardAt.After(h.unreachedAt) && now.Sub(h.unreachedAt) < unheardFor
 }
 
+// LeftAlone tells whether a server gets no new work for what went wrong there.
+func (f *Fleet) LeftAlone(now time.Time, id string) bool {
+	s := f.servers[id]
+	return s != nil && s.blocked(now)
+}
+
 // score is the expected cost of one more request.
 func (s *Server) score(now time.Time) float64 {
 	h := &s.health
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -179,11 +179,11 @@
 	f.view.Note(time.Now(), id, o, took)
 }
 
-// noteKV tells whether a KV cache that an engine has read could be taken.
-func (f *fleet) noteKV(id string, taken bool) {
+// noteHandover tells how decode engines took a KV cache.
+func (f *fleet) noteHandover(h dispatch.Handover) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view.NoteKV(time.Now(), id, taken)
+	f.view.NoteHandover(time.Now(), h)
 }
 
 func (f *fleet) gone(id string) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -289,3 +289,26 @@
 	assert.Equal(t, got.status, 200, got.body)
 	assert.Equal(t, len(p.Arrivals()), 1, "read once")
 }
+
+// TestEngineThatTakesNone wants a decode engine that turns away each prompt that
+// was read for it, as one whose role changes unheard, to be left alone: each try
+// costs a prompt, and it looks emptier than all others.
+func TestEngineThatTakesNone(t *testing.T) {
+	r := newRig(t)
+	r.add("llm", "p1", "prefill")
+	r.add("llm", "p2", "prefill")
+	none := r.add("llm", "d1", "decode")
+	none.SetFault(func(*http.Request) standin.Fault { return standin.Refuse })
+	r.add("llm", "d2", "decode").SetPace(0, 40*time.Millisecond, 10)
+	large := map[string]string{protocol.Headers.Tokens: "9000,1000", protocol.Headers.LengthHint: "900"}
+	var wg sync.WaitGroup
+	for i := range 16 {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+			got := r.send("POST", "/review/1", fmt.Sprint("q", i), "x", large)
+			assert.Check(t, got.status == 200, got.body)
+		})
+	}
+	wg.Wait()
+	assert.Assert(t, len(none.Arrivals()) <= 2, "%d prompts were read for it", len(none.Arrivals()))
+}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -44,7 +44,9 @@
 	kv     backend.KV
 	kvFrom dispatch.Server
 	kvAt   time.Time
-	stream *streamWriter
+	// handover is how decode engines took the newest KV cache.
+	handover dispatch.Handover
+	stream   *streamWriter
 	// prefills and decodes count what has reached engines of each role.
 	prefills, decodes int
 	mover             mover
@@ -140,14 +142,12 @@
 		r = n.decode(ctx, n.pair.Decode, true)
 	}
 	switch r.kind {
-	case answered:
-		n.g.fleet.noteKV(n.kvFrom.ID, true)
-	case notRun:
-		n.g.fleet.noteKV(n.kvFrom.ID, false)
-		r = n.elsewhere(ctx, r)
-	case notSent, misdirected:
+	case notRun, notSent, misdirected:
 		r = n.elsewhere(ctx, r)
 	}
+	if n.handover.Taken == "" {
+		n.g.fleet.noteHandover(n.handover)
+	}
 	return r
 }
 
@@ -202,11 +202,16 @@
 	defer func() { a.Close() }()
 	n.decodes++
 	if res, ok := g.turnedAway(q, s, a); ok {
+		if res.kind == notRun {
+			n.handover.Refused = append(n.handover.Refused, s.ID)
+		}
 		g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
 		g.logSend(q, s, res, time.Since(started))
 		return res
 	}
 	n.kv.Handle, n.hold = "", "" // taken
+	n.handover.Taken = s.ID
+	g.fleet.noteHandover(n.handover)
 	q.sends++
 	q.mayHaveRun = true
 	if a.Status >= http.StatusMultipleChoices || a.Header.Get(h.Signature) == "" {
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -229,6 +229,7 @@
 		return nil, !errors.As(err, &be) || be.Sent, err
 	}
 	if res, ok := n.g.turnedAway(n.q, s, a); ok {
+		n.g.fleet.noteHandover(dispatch.Handover{Refused: []string{s.ID}})
 		return nil, false, fmt.Errorf("gateway: status %d to a copied run", res.status)
 	}
 	if a.Status >= http.StatusMultipleChoices || a.Header.Get(h.Signature) == "" {
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -40,6 +40,7 @@
 	g.fleet.note(s.ID, dispatch.Good, time.Since(started))
 	g.fleet.noteRead(s.ID, time.Since(started), n.pair.Wait)
 	n.kv, n.kvFrom, n.kvAt = kv, *s, time.Now()
+	n.handover = dispatch.Handover{Prefill: s.ID}
 	return res
 }
 
