--- a/agent/links.go
+++ b/agent/links.go
@@ -176,6 +176,7 @@
 		a.order(l, m.Order)
 	case m.Register != nil:
 		a.register(now, owner, m.Register)
+		_ = l.Send(&wire.Message{Registered: &wire.Registered{Req: m.Register.Req}})
 	}
 }
 
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -134,6 +134,8 @@
 		e.answerPull(l, m.Pull)
 	case m.Superseded != nil:
 		e.superseded(now, m.Superseded)
+	case m.Registered != nil:
+		e.registered(now, m.Registered.Req)
 	case m.Granted != nil:
 		e.voted(m.Granted)
 	case m.Answer != nil:
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"sort"
 	"sync"
@@ -19,7 +18,6 @@
 	"github.com/ledgepin/ledgepin/router"
 	"github.com/ledgepin/ledgepin/settings"
 	"github.com/ledgepin/ledgepin/stream"
-	"github.com/ledgepin/ledgepin/wire"
 )
 
 // Job is a model request as a caller brings it.
@@ -48,13 +46,15 @@
 	decodeAt string
 	finish   string // why the answer ended
 	claim    *onceClaim
-	class    string
-	target   settings.Class
-	arrived  time.Time
-	first    time.Time
-	last     time.Time
-	count    int
-	prompt   int
+	// start gives the request to the router; nil once that is done.
+	start   func(now time.Time)
+	class   string
+	target  settings.Class
+	arrived time.Time
+	first   time.Time
+	last    time.Time
+	count   int
+	prompt  int
 }
 
 // NewID returns a new request ID.
@@ -172,7 +172,10 @@
 	if c != nil {
 		e.limitOnce(f)
 	}
-	e.perform(f.arrived, e.core.Arrive(f.arrived, req, limit))
+	f.start = func(now time.Time) { e.perform(now, e.core.Arrive(f.arrived, req, limit)) }
+	if !e.register(f) {
+		e.start(f.arrived, f)
+	}
 	e.askEarly(f.arrived, req.Customer)
 	return f, nil
 }
@@ -189,46 +192,6 @@
 	return f
 }
 
-// supersede ends an open request with the same key: its caller has asked
-// again, and one of the two must not be answered. One at another entry is ended
-// through the key's home agent.
-func (e *Entry) supersede(f *Flow) {
-	if f.key == "" {
-		return
-	}
-	if old := e.keys[f.key]; old != nil {
-		e.cutOff(f.arrived, old, fault.Superseded)
-	}
-	e.keys[f.key] = f
-	if home := e.homeOf(f.key); home != "" {
-		e.toAgent(home, &wire.Message{Register: &wire.Register{Key: f.key, Req: f.ID}})
-	}
-}
-
-// homeOf returns the agent of this zone that keeps a key, by the highest hash,
-// so that all entries of the zone that see the same agents agree.
-func (e *Entry) homeOf(key string) string {
-	best, most := "", uint64(0)
-	for name, a := range e.agents {
-		if a.link == nil || a.placed.Zone != e.cfg.Zone {
-			continue
-		}
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(name + "/" + key))
-		if sum := h.Sum64(); best == "" || sum > most {
-			best, most = name, sum
-		}
-	}
-	return best
-}
-
-// superseded ends a request whose caller has asked again at another entry.
-func (e *Entry) superseded(now time.Time, m *wire.Superseded) {
-	if f := e.flows[m.Req]; f != nil {
-		e.cutOff(now, f, fault.Superseded)
-	}
-}
-
 // plan turns a job into a request for the router.
 func (e *Entry) plan(job *Job) (router.Request, int, error) {
 	tree := e.store.Tree()
--- /dev/null
+++ b/entry/keys_test.go
@@ -0,0 +1,102 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/engine"
+	"github.com/ledgepin/ledgepin/entry"
+	"github.com/ledgepin/ledgepin/settings"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// homeAgent stands in for an agent that no work goes to. It answers a Register
+// when it is told to.
+type homeAgent struct {
+	asked  chan string
+	answer chan struct{}
+}
+
+func (h *homeAgent) serve(l *wire.Link) {
+	_ = l.Run(context.Background(), func(m *wire.Message) {
+		if m.Register == nil {
+			return
+		}
+		h.asked <- m.Register.Req
+		<-h.answer
+		_ = l.Send(&wire.Message{Registered: &wire.Registered{Req: m.Register.Req}})
+	})
+}
+
+// keyAt returns a key whose home is one of the agents.
+func keyAt(home string, agents ...string) string {
+	sum := func(name, key string) uint64 {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(name + "/c/" + key))
+		return h.Sum64()
+	}
+	for i := 0; ; i++ {
+		key := fmt.Sprint("k", i)
+		highest := true
+		for _, a := range agents {
+			highest = highest && sum(home, key) > sum(a, key)
+		}
+		if highest {
+			return key
+		}
+	}
+}
+
+// TestRunsOnceRegistered wants a request with a key not to run before the key's
+// home agent knows of it: a retry through another entry would else be able to
+// overtake its word there, and be taken for the older one.
+func TestRunsOnceRegistered(t *testing.T) {
+	t.Parallel()
+	c, addr := startControl(t)
+	p, d := startServer(t, "p1", "z1"), startServer(t, "d1", "z1")
+	home := &homeAgent{asked: make(chan string, 1), answer: make(chan struct{}, 1)}
+	homeAddr := serve(t, wire.Handler(quiet, wire.Options{Hello: func() wire.Hello {
+		return wire.Hello{Name: "home", Role: wire.RoleAgent, Zone: "z1"}
+	}}, home.serve))
+	apply(t, c, 0, fmt.Sprintf(head, 10)+site("s1", "z1", map[string]string{"p1": p}, map[string]string{"d1": d, "home": homeAddr}))
+	e := startEntry(t, entry.Config{Name: "e1", Zone: "z1", Upstream: []string{addr}})
+	waitRevision(t, e, 1)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := ask(t, e); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+
+	var f *entry.Flow
+	job := entry.Job{
+		Grant: settings.Grant{Customer: "c", Class: "desk"}, Key: keyAt("home", "p1", "d1"),
+		Request: engine.Request{Model: "m", Prompt: "hello"},
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		var err error
+		f, err = e.Submit(t.Context(), job)
+		assert.NilError(t, err)
+		select {
+		case <-home.asked:
+			return poll.Success()
+		case <-time.After(100 * time.Millisecond):
+			f.Cancel()
+			return poll.Continue("the link to the home agent is not up")
+		}
+	}, poll.WithTimeout(10*time.Second))
+	early, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err := f.Next(early)
+	assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "it ran before it was registered: %v", err)
+	home.answer <- struct{}{}
+	_, err = f.Next(t.Context())
+	assert.NilError(t, err)
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -56,6 +56,7 @@
 
 	Register   *Register   `cbor:"30,keyasint,omitempty"`
 	Superseded *Superseded `cbor:"31,keyasint,omitempty"`
+	Registered *Registered `cbor:"36,keyasint,omitempty"`
 
 	Routes   *Routes   `cbor:"32,keyasint,omitempty"`
 	Servers  *Servers  `cbor:"33,keyasint,omitempty"`
@@ -273,6 +274,11 @@
 	Req string `cbor:"2,keyasint"`
 }
 
+// Registered tells that the home agent has taken a Register.
+type Registered struct {
+	Req string `cbor:"1,keyasint"`
+}
+
 // Superseded tells an entry that a newer request has the key of one of its own.
 type Superseded struct {
 	Req string `cbor:"1,keyasint"`
