--- a/control/disk.go
+++ b/control/disk.go
@@ -43,7 +43,9 @@
 	c.membersChanged()
 	c.hub.setTable(c.state.Table(), false)
 	c.mu.Unlock()
+	c.loadKnown()
 	c.wg.Go(c.hubLoop)
+	c.wg.Go(c.keepKnown)
 	if c.cfg.Roles.Protocol != nil {
 		c.wg.Go(c.roleLoop)
 	}
--- a/control/engines.go
+++ b/control/engines.go
@@ -24,6 +24,7 @@
 	defer h.mu.Unlock()
 	now := time.Now()
 	h.away[id] = awayEngine{role: role, back: now.Add(least), given: now.Add(least + awayLimit)}
+	h.changed = true
 	h.toGateways(&wire.Message{Servers: &wire.Servers{Away: h.awayList(now)}})
 }
 
--- a/control/hub.go
+++ b/control/hub.go
@@ -59,6 +59,8 @@
 	// sharing is the number of gateways that tell this replica what they
 	// reserve, queued that of their requests that wait for room.
 	sharing, queued int
+	// changed tells that servers have changed since they were kept.
+	changed bool
 }
 
 // gatewayState is what the hub knows of one gateway.
--- /dev/null
+++ b/control/known_test.go
@@ -0,0 +1,80 @@
+package control_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/registry"
+)
+
+// knownAt returns the states of the servers that a replica knows.
+func knownAt(n *node) map[string]registry.State {
+	out := map[string]registry.State{}
+	for _, s := range n.proc.Servers() {
+		out[s.ID] = s.State
+	}
+	return out
+}
+
+func server(id string, state registry.State, sequence uint64) registry.Server {
+	return registry.Server{ID: id, Service: "llm", Address: id + ":1", Zone: "z", Role: registry.Decode, State: state, Sequence: sequence}
+}
+
+// TestServersOutliveRestart wants a replica to start with the servers that it knew,
+// with those that left as left.
+func TestServersOutliveRestart(t *testing.T) {
+	c := newCell(t, 3)
+	n := c.nodes[0]
+	file := filepath.Join(n.dir, "control.servers")
+	for i := range 3 {
+		n.proc.Report(server(fmt.Sprint("s", i), registry.Ready, 1))
+	}
+	n.proc.Report(server("s1", registry.Draining, 2))
+	want := map[string]registry.State{"s0": registry.Ready, "s1": registry.Draining, "s2": registry.Ready}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		data, err := os.ReadFile(file)
+		if err != nil || !bytes.Contains(data, []byte(registry.Draining)) {
+			return poll.Continue("not kept: %v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+	n.stop()
+	c.start(n)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(knownAt(n)) == 0 {
+			return poll.Continue("not read yet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+	assert.DeepEqual(t, knownAt(n), want)
+	n.proc.Report(server("s1", registry.Ready, 1))
+	assert.Equal(t, knownAt(n)["s1"], registry.Draining, "who leaves never comes back")
+}
+
+// TestDamagedServersAreLeft wants a replica to start without what it knew, if that
+// can't be read.
+func TestDamagedServersAreLeft(t *testing.T) {
+	c := newCell(t, 3)
+	n := c.nodes[0]
+	heard := func(id string) {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			n.proc.Report(server(id, registry.Ready, 1))
+			if knownAt(n)[id] != registry.Ready {
+				return poll.Continue("not started")
+			}
+			return poll.Success()
+		}, poll.WithTimeout(10*time.Second))
+	}
+	heard("before")
+	n.stop()
+	assert.NilError(t, os.WriteFile(filepath.Join(n.dir, "control.servers"), []byte("\xffno servers"), 0o600))
+	c.start(n)
+	heard("after")
+}
--- a/control/listing.go
+++ b/control/listing.go
@@ -52,6 +52,7 @@
 	if !h.servers.Report(now, s) {
 		return false
 	}
+	h.changed = true
 	if known && before.State == registry.Ready {
 		h.groups[groupOf(before)]--
 	}
@@ -185,6 +186,7 @@
 // the last time, and how many servers there are.
 func (h *hub) tellAlive(now time.Time) {
 	for _, gone := range h.servers.Expire(now) {
+		h.changed = true
 		if gone.State == registry.Ready {
 			h.groups[groupOf(gone)]--
 		}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -114,6 +114,20 @@
 	}
 }
 
+// TestNewerIncarnationStays wants the incarnation that was heard last to be used,
+// whichever is told first: a replica that has just started tells what it knew.
+func TestNewerIncarnationStays(t *testing.T) {
+	older := registry.Server{ID: "old", Service: "s", Address: "x:1", State: registry.Ready, Sequence: 9, Age: 2 * time.Second}
+	newer := registry.Server{ID: "new", Service: "s", Address: "x:1", State: registry.Ready, Sequence: 1}
+	for _, order := range [][]registry.Server{{older, newer}, {newer, older}} {
+		f := dispatch.NewFleet("g", "z0")
+		for _, s := range order {
+			f.Update(now, []registry.Server{s})
+		}
+		assert.Assert(t, f.Listed(now, "new") && !f.Listed(now, "old"), "%s first", order[0].ID)
+	}
+}
+
 // TestSilentServer wants a server that control has lost to be used while its
 // requests go well: it may only be cut off from control.
 func TestSilentServer(t *testing.T) {
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -15,7 +15,7 @@
 			s = &Server{Server: r, heardAt: heard}
 			s.gone = r.State == registry.Gone
 			f.servers[r.ID] = s
-			f.retire(r)
+			f.retire(s)
 			f.groups = nil
 			continue
 		}
@@ -55,13 +55,20 @@
 	}
 }
 
-// retire marks older incarnations at the address of a new server as gone.
-func (f *Fleet) retire(fresh registry.Server) {
+// retire marks older incarnations at the address of a new server as gone. The new
+// one is the older if it was heard before them: a replica that has just started
+// tells what it knew before.
+func (f *Fleet) retire(fresh *Server) {
 	if fresh.State != registry.Ready || fresh.Address == "" {
 		return
 	}
 	for id, s := range f.servers {
-		if id != fresh.ID && s.Address == fresh.Address {
+		if id == fresh.ID || s.Address != fresh.Address {
+			continue
+		}
+		if s.heardAt.After(fresh.heardAt) {
+			fresh.gone = true
+		} else {
 			s.gone = true
 		}
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -171,6 +171,11 @@
 		"The disk refused a write or a sync; the replica gave up its vote.", "Replace the disk or make room, then restart.")
 	JournalBack = define("LP6012", info, "journal back",
 		"The disk takes writes again; the replica takes part with what the disk holds.", nothing)
+	KnownServersRead = define("LP6013", info, "known servers read",
+		"The replica starts with the servers that it knew before; they count as there for some seconds, unless they say otherwise.", nothing)
+	KnownServersFailed = define("LP6014", warn, "known servers not kept",
+		"What the replica knows of the servers could not be read or written; after a loss of power they are known once they report themselves.",
+		"Make room on the disk, or replace it.")
 	SettingsInForce = define("LP6006", info, "settings in force", "A new revision of the settings is in force here.", nothing)
 	SettingsBad     = define("LP6007", fail, "settings not usable",
 		"Settings came that do not parse or have another hash.", "Check that all processes run versions that go together.")
