--- /dev/null
+++ b/cmd/ledgepin/hangup_test.go
@@ -0,0 +1,47 @@
+package main_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// catches tells whether a process catches a signal.
+func catches(pid int, s syscall.Signal) bool {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return false // it has ended
+	}
+	_, rest, _ := strings.Cut(string(data), "SigCgt:")
+	field, _, _ := strings.Cut(rest, "\n")
+	set, _ := strconv.ParseUint(strings.TrimSpace(field), 16, 64)
+	return set&(1<<(s-1)) != 0
+}
+
+// TestHangupWhileStarting sends SIGHUP as soon as the Go runtime catches signals,
+// which is before any package can ask for one.
+func TestHangupWhileStarting(t *testing.T) {
+	const tries, looks = 20, 1000
+	sent := 0
+	for range tries {
+		cmd := exec.Command(binary, "run", "--config", "/nonexistent")
+		assert.NilError(t, cmd.Start())
+		for range looks {
+			if catches(cmd.Process.Pid, syscall.SIGUSR1) {
+				assert.NilError(t, cmd.Process.Signal(syscall.SIGHUP))
+				sent++
+				break
+			}
+		}
+		_ = cmd.Wait()
+		status, ok := cmd.ProcessState.Sys().(syscall.WaitStatus)
+		assert.Assert(t, ok && !status.Signaled(), "ended by %v", status.Signal())
+	}
+	assert.Assert(t, sent > 0, "no process was seen to start")
+}
--- /dev/null
+++ b/internal/hangup/early/none.go
@@ -0,0 +1,3 @@
+//go:build !cgo
+
+package early
--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	_ "github.com/ledgepin/ledgepin/internal/hangup/early" // the time before this package
 )
 
 // C gets the signals. It holds one: what matters is that there was one.
