--- a/roles/roles.go
+++ b/roles/roles.go
@@ -43,13 +43,16 @@
 // Constants of the planner.
 const (
 	// memoryTime is the time over which use is averaged.
-	memoryTime = 5 * time.Second
+	memoryTime  = 15 * time.Second
+	leastMemory = 2 * time.Second
+	idleUse     = 0.05
 	// leastUse is the use of the decode engines below which the balance says
 	// nothing.
 	leastUse = 0.4
 	// balance is the use of prefill engines over that of decode engines that
-	// is aimed at: a prompt that waits is late, a run that waits is refused.
-	balance = 0.75
+	// is aimed at. A prompt waits tenths of a second where engines are busy, a
+	// run that finds no room is refused.
+	balance = 1.1
 	// shortUse is the use from which on engines of a role may get more of them.
 	// When a load rises, prefill engines are busy at once and decode engines
 	// only once runs have added up: the balance alone would take that for a want
@@ -72,10 +75,12 @@
 	Share float64
 
 	prefillUse, decodeUse float64
-	seenAt                time.Time
-	orderedAt             time.Time
-	changedAt             time.Time
-	count                 int
+	// useSince is when the engines began to be used.
+	useSince  time.Time
+	seenAt    time.Time
+	orderedAt time.Time
+	changedAt time.Time
+	count     int
 	// loaded tells that there has been load since the start. Before, engines
 	// are not missed, and several may change their roles at once.
 	loaded bool
@@ -156,11 +161,16 @@
 // Observe averages how busy the engines of each role are.
 func (p *Planner) Observe(now time.Time, engines []Engine) {
 	prefill, decode, _ := split(engines)
+	use := used(decode)
+	if p.useSince.IsZero() || p.decodeUse < idleUse && use < idleUse {
+		p.useSince = now
+	}
 	passed := now.Sub(p.seenAt)
 	p.seenAt = now
-	part := min(float64(passed)/float64(memoryTime), 1) // the first time counts whole
+	memory := min(max(now.Sub(p.useSince), leastMemory), memoryTime)
+	part := min(float64(passed)/float64(memory), 1) // the first time counts whole
 	p.prefillUse += part * (busy(prefill) - p.prefillUse)
-	p.decodeUse += part * (used(decode) - p.decodeUse)
+	p.decodeUse += part * (use - p.decodeUse)
 }
 
 func busy(list []Engine) float64 {
@@ -196,20 +206,14 @@
 	return float64(prefill) * p.prefillUse / p.decodeUse / balance
 }
 
-// Prefill engines never fall below a part of the share of the settings: the loss
-// of one, or the return of all callers after a fault, would leave prompts waiting
-// for the seconds that another change takes. Among few engines the loss of one
-// counts more, so there the part is larger, up to fewEngines.
-const (
-	floorShare    = 0.5
-	fewFloorShare = 0.75
-	fewEngines    = 3
-)
+// floorShare is the part of the share of the settings below which prefill engines
+// never fall: the loss of one, or the return of all callers after a fault, would
+// leave prompts waiting for the seconds that another change takes.
+const floorShare = 0.5
 
 // floor is the least number of prefill engines.
 func (p *Planner) floor(all int) float64 {
-	share := p.Share * float64(all)
-	return math.Ceil(math.Max(floorShare*share, math.Min(fewFloorShare*share, fewEngines)))
+	return math.Ceil(floorShare * p.Share * float64(all))
 }
 
 // surplus returns a prefill engine of the zone that has most of them.
