--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -93,6 +93,11 @@
 	"The run of a stream was to go on at another engine with its KV cache, since its own was almost full or leaves; the outcome tells whether it did.",
 	"Many that stayed: the engines are full, or their links slow; the error tells.")
 
+// PromptWasted is a prompt that was read and whose answer did not become whole.
+var PromptWasted = define("LP2015", info, "prompt read for nothing",
+	"An engine read a prompt, and the run that it was for did not end well; the cause tells why.",
+	"Many of `refused`: look at the decode engines. Many of `engine lost`: look at the engines that the line names.")
+
 // NoServer tells that a service has no server.
 var NoServer = define("LP2012", info, "no server of a service is known",
 	"No server of the service has reported itself, or all of them leave.", "Look at the servers, and at the links to control.")
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -260,7 +260,12 @@
 func (f *fleet) migrationTarget(from string, w dispatch.Work, e *route.Engine) (dispatch.Server, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.view.MigrationTarget(time.Now(), from, w, e, rand.Float64())
+	return f.reserve(f.view.MigrationTarget(time.Now(), from, w, e, rand.Float64()), w)
+}
+
+// reserve books a run at an engine that was chosen, if one was. Callers hold the
+// lock.
+func (f *fleet) reserve(s *dispatch.Server, w dispatch.Work) (dispatch.Server, bool) {
 	if s == nil {
 		return dispatch.Server{}, false
 	}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -148,9 +148,37 @@
 	if n.handover.Taken == "" {
 		n.g.fleet.noteHandover(n.handover)
 	}
+	if r.kind != answered {
+		n.noteWasted(wasteCause(ctx, r, n.handover.Taken != ""))
+	}
 	return r
 }
 
+// wasteCause tells why a prompt that was read has no whole answer; begun tells
+// that a decode engine had taken it.
+func wasteCause(ctx context.Context, r result, begun bool) string {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return "caller gone"
+	case ctx.Err() != nil:
+		return "deadline"
+	case begun:
+		return "engine lost"
+	case r.kind == broken:
+		return "answer lost"
+	case r.kind == notRun:
+		return "refused"
+	default:
+		return "not reached"
+	}
+}
+
+func (n *generation) noteWasted(cause string) {
+	metric.WastedTokens.WithLabelValues(n.q.service.Name, cause).Add(float64(n.kv.Tokens))
+	event.PromptWasted.Log(n.g.log, "id", n.q.id, "cause", cause, "tokens", n.kv.Tokens, "made", n.q.work.Made,
+		"prefill", n.kvFrom.ID, "decode", n.pair.Decode.ID)
+}
+
 // elsewhere continues after a decode engine has not taken the request: another
 // one takes the KV cache while it lives. Engines that can't be reached cost
 // nothing but the try, so as many are tried as there is time for: a good part of
@@ -214,7 +242,7 @@
 	g.fleet.noteHandover(n.handover)
 	q.sends++
 	q.mayHaveRun = true
-	if a.Status >= http.StatusMultipleChoices || a.Header.Get(h.Signature) == "" {
+	if !g.isStream(a) {
 		return n.failedAnswer(s, a)
 	}
 	s, a, err = n.relay(ctx, s, a)
@@ -229,6 +257,11 @@
 	return res
 }
 
+// isStream tells whether an engine's answer is that of a run, and the engine's own.
+func (g *Gateway) isStream(a *backend.Answer) bool {
+	return a.Status < http.StatusMultipleChoices && a.Header.Get(g.cfg.Protocol.Headers.Signature) != ""
+}
+
 // done notes the end of a whole stream.
 func (n *generation) done(s *dispatch.Server, status int) {
 	name, stream := n.q.route.Name, n.stream
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -232,7 +232,7 @@
 		n.g.fleet.noteHandover(dispatch.Handover{Refused: []string{s.ID}})
 		return nil, false, fmt.Errorf("gateway: status %d to a copied run", res.status)
 	}
-	if a.Status >= http.StatusMultipleChoices || a.Header.Get(h.Signature) == "" {
+	if !n.g.isStream(a) {
 		a.Close()
 		return nil, true, fmt.Errorf("gateway: status %d to a copied run", a.Status)
 	}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -81,11 +81,5 @@
 func (f *fleet) move(w dispatch.Work, e *route.Engine, zone string, avoid dispatch.Avoid) (dispatch.Server, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.view.Decode(time.Now(), w, e, zone, avoid)
-	if s == nil {
-		return dispatch.Server{}, false
-	}
-	f.view.Reserve(s.ID, w)
-	f.dirty = true
-	return *s, true
+	return f.reserve(f.view.Decode(time.Now(), w, e, zone, avoid), w)
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -81,9 +81,10 @@
 		[]float64{.02, .05, .1, .2, .3, .5, 1, 2}, "route")
 	RoutePrefill = histogram("ledgepin_route_prefill_seconds", "Time from arrival until the prompt has been read.",
 		[]float64{.05, .1, .2, .3, .5, .9, 2}, "route")
-	Sends      = counter("ledgepin_sends_total", "Requests of a gateway to backend servers that did not end well, by kind.", "service", "kind")
-	Migrations = counter("ledgepin_migrations_total", "Runs that were to go on at another engine with their KV cache, by reason and outcome.", "service", "reason", "outcome")
-	LogDropped = counter("ledgepin_log_lines_dropped_total", "Log lines left out because the output was not read fast enough.")
+	Sends        = counter("ledgepin_sends_total", "Requests of a gateway to backend servers that did not end well, by kind.", "service", "kind")
+	Migrations   = counter("ledgepin_migrations_total", "Runs that were to go on at another engine with their KV cache, by reason and outcome.", "service", "reason", "outcome")
+	WastedTokens = counter("ledgepin_wasted_prompt_tokens_total", "Tokens of prompts that were read and whose answer did not become whole, by cause.", "service", "cause")
+	LogDropped   = counter("ledgepin_log_lines_dropped_total", "Log lines left out because the output was not read fast enough.")
 )
 
 // WriteMarkdown writes the catalogue as the page docs/METRICS.md.
