--- a/app/gateway.go
+++ b/app/gateway.go
@@ -103,7 +103,7 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: apiIdle}
 }
 
-// drainGateway serves all until callers are sent elsewhere. After that it takes
+// drainGateway serves all that can end in time until callers are sent elsewhere. After that it takes
 // no streams, and ends once those under way have ended; until then it goes on to
 // serve short requests, since all gateways may be stopping one after the other.
 // It leaves a part of the grace time to end in order.
@@ -112,7 +112,7 @@
 	end := time.Now().Add(grace - finishMargin)
 	ctx, cancel := context.WithTimeout(ctx, grace)
 	defer cancel()
-	p.gateway.Drain()
+	p.gateway.Drain(end)
 	wait.For(ctx, settle)
 	p.gateway.Finish(end)
 	for p.gateway.Streams() > 0 && ctx.Err() == nil {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -18,6 +18,8 @@
 	// bounds are the retry bounds that hold for each service by itself.
 	bounds  dispatch.Budget
 	budgets map[string]*dispatch.Budget
+	// paces are the times that a token of an answer takes, by service.
+	paces map[string]time.Duration
 	// returns tell refused callers when to come back, for each service.
 	returns map[string]*dispatch.Returns
 	queue   []*waiter
@@ -33,7 +35,7 @@
 	if bounds.Since.IsZero() {
 		bounds.Since = time.Now()
 	}
-	return &fleet{view: dispatch.NewFleet(name, zone), bounds: bounds, budgets: map[string]*dispatch.Budget{}, returns: map[string]*dispatch.Returns{}}
+	return &fleet{view: dispatch.NewFleet(name, zone), bounds: bounds, budgets: map[string]*dispatch.Budget{}, returns: map[string]*dispatch.Returns{}, paces: map[string]time.Duration{}}
 }
 
 // budget returns the retry budget of a service. Callers hold the lock.
@@ -274,6 +276,32 @@
 	return *s, true
 }
 
+// paceWeight is the part of the newest stream in the average pace.
+const paceWeight = 0.1
+
+// notePace takes how long an answer of some tokens took.
+func (f *fleet) notePace(service string, took time.Duration, tokens int) {
+	if tokens <= 0 || took <= 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	newest := took / time.Duration(tokens)
+	old, known := f.paces[service]
+	if !known {
+		old = newest
+	}
+	f.paces[service] = old + time.Duration(paceWeight*float64(newest-old))
+}
+
+// pace returns the time that a token of an answer took of late; zero if that is
+// not known.
+func (f *fleet) pace(service string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.paces[service]
+}
+
 // sharing returns the number of gateways that work with a server.
 func (f *fleet) sharing(s *dispatch.Server) int {
 	f.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,13 +50,13 @@
 	tabled   chan struct{}
 	draining atomic.Bool
 	active   atomic.Int64
-	// streams counts the streams under way; endsAt is set once the gateway takes
-	// only what ends before it.
-	streams atomic.Int64
-	endsAt  atomic.Pointer[time.Time]
-	pool    *backend.Pool
-	links   *links
-	fleet   *fleet
+	// streams counts the streams under way. stopsAt is when a draining gateway
+	// ends; endsAt is the same once it takes only what surely ends before.
+	streams         atomic.Int64
+	stopsAt, endsAt atomic.Pointer[time.Time]
+	pool            *backend.Pool
+	links           *links
+	fleet           *fleet
 }
 
 // Start returns a running gateway; it is ready once control has told it the
@@ -154,8 +154,9 @@
 }
 
 // Drain calls the gateway not ready. It goes on serving until the listener is
-// shut down.
-func (g *Gateway) Drain() {
+// shut down, but takes no stream that would probably still run at the end.
+func (g *Gateway) Drain(end time.Time) {
+	g.stopsAt.Store(&end)
 	g.draining.Store(true)
 	event.Draining.Log(g.log, "requests", g.active.Load())
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -60,6 +60,10 @@
 		g.refuse(w, q.id, q.stopping())
 		return
 	}
+	if end := g.stopsAt.Load(); end != nil && q.outlasts(time.Until(*end), g.fleet.pace(q.service.Name)) {
+		g.refuse(w, q.id, q.elsewhere())
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	g.fleet.request(q.service.Name)
@@ -132,6 +136,25 @@
 	}
 }
 
+// outlasts tells whether a stream will probably run for longer than a time, at the
+// time that tokens of its service took of late.
+func (q *request) outlasts(left, perToken time.Duration) bool {
+	return q.route.Kind == route.Stream && time.Duration(q.work.Expected)*perToken+q.route.Target > left
+}
+
+// elsewhereRetry is when a caller should come back whose stream a stopping gateway
+// would cut: at once, at another gateway, since the platform sends new connections
+// to others.
+const elsewhereRetry = 50 * time.Millisecond
+
+// elsewhere refuses a stream that would be cut by the end of the gateway.
+func (q *request) elsewhere() refusal {
+	return refusal{
+		route: q.route.Name, status: http.StatusServiceUnavailable, reason: "the stream would outlast the gateway",
+		retryAfter: elsewhereRetry, closing: true,
+	}
+}
+
 // readBody reads a body of at most limit bytes; no limit if it is zero.
 func readBody(r *http.Request, limit int64) ([]byte, error) {
 	if limit <= 0 {
