--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -79,6 +79,8 @@
 	// sizes are the numbers of servers of all groups, also of those that this
 	// gateway does not work with.
 	sizes map[group]int
+	// readRates are the paces at which prefill engines read, by service.
+	readRates map[string]float64
 }
 
 // SetSize takes the number of servers of a service and role.
@@ -157,7 +159,7 @@
 
 // NewFleet returns a fleet without servers.
 func NewFleet(name, zone string) *Fleet {
-	return &Fleet{key: mix.Name(name), servers: map[string]*Server{}, sizes: map[group]int{}, Zone: zone, Others: Others{Gateways: 1, Known: 1}}
+	return &Fleet{key: mix.Name(name), servers: map[string]*Server{}, sizes: map[group]int{}, readRates: map[string]float64{}, Zone: zone, Others: Others{Gateways: 1, Known: 1}}
 }
 
 // SetOthers takes what is known of the other gateways.
--- a/dispatch/read.go
+++ b/dispatch/read.go
@@ -10,10 +10,16 @@
 
 // Constants of reading prompts.
 const (
-	// readRate is the number of prompt tokens that a prefill engine reads in a
-	// millisecond, selfReadRate that of a decode engine.
-	readRate     = 50.0
-	selfReadRate = readRate / 2
+	// firstReadRate is the number of prompt tokens that a prefill engine is taken to
+	// read in a millisecond until reads have shown it. selfPart is the part of that
+	// pace at which a decode engine reads.
+	firstReadRate = 50.0
+	selfPart      = 0.5
+	// rateUp and rateDown are the weights of a read in the pace: one that was faster
+	// shows what engines can do, one that was slower may have met others, or a slow
+	// engine.
+	rateUp   = 0.2
+	rateDown = 0.03
 	// aloneCost is the time in milliseconds that a read at a decode engine counts
 	// as beyond its own: all runs there make their tokens slower meanwhile, so it
 	// is for queues that would make the request late.
@@ -30,8 +36,10 @@
 // prefill engine the decode engine reads the prompt itself, at half the pace.
 type Pair struct {
 	Prefill, Decode *Server
-	// Wait is the expected time until the prompt has been read.
-	Wait time.Duration
+	// Wait is the expected time until the prompt has been read, Ahead the tokens that
+	// are to be read until then, its own included.
+	Wait  time.Duration
+	Ahead int
 }
 
 // Reader is the engine that reads the prompt.
@@ -52,7 +60,7 @@
 		if !s.open(now, avoid) {
 			return false
 		}
-		keepBest(prefill, s, s.readCost(now, w))
+		keepBest(prefill, s, f.readCost(now, s, w))
 		return true
 	})
 	f.search(now, w.Service, registry.Decode, func(s *Server) bool {
@@ -61,7 +69,7 @@
 		}
 		cost := f.decodeCost(s, e)
 		keepBest(decode, s, cost)
-		cost += aloneCost + s.readCost(now, w)
+		cost += aloneCost + f.readCost(now, s, w)
 		if alone.server == nil || cost < alone.cost {
 			alone = candidate{s, cost}
 		}
@@ -74,7 +82,8 @@
 	if out.Decode == nil {
 		return Pair{}, false
 	}
-	out.Wait = milliseconds(out.Reader().readTime(now, w))
+	out.Wait = milliseconds(f.readTime(now, out.Reader(), w))
+	out.Ahead = out.Reader().ahead(w)
 	return out, w.Within <= 0 || out.Wait <= w.Within
 }
 
@@ -100,18 +109,30 @@
 // reads tells whether an engine has a prompt to read.
 func (s *Server) reads() bool { return s.Own.Prefill+s.Others.Prefill > 0 }
 
+// readRate is the number of prompt tokens that a prefill engine of a service reads
+// in a millisecond.
+func (f *Fleet) readRate(service string) float64 {
+	if rate := f.readRates[service]; rate > 0 {
+		return rate
+	}
+	return firstReadRate
+}
+
+// ahead is the tokens that an engine has to read until it has read a prompt.
+func (s *Server) ahead(w Work) int { return s.Own.Prefill + s.Others.Prefill + w.Prompt }
+
 // readTime is the expected time in milliseconds until an engine has read a prompt
 // after those that wait there.
-func (s *Server) readTime(now time.Time, w Work) float64 {
-	rate := readRate
+func (f *Fleet) readTime(now time.Time, s *Server, w Work) float64 {
+	rate := f.readRate(s.Service)
 	if s.Role == registry.Decode {
-		rate = selfReadRate
+		rate *= selfPart
 	}
-	return float64(s.Own.Prefill+s.Others.Prefill+w.Prompt) / rate * s.health.slowness(now)
+	return float64(s.ahead(w)) / rate * s.health.slowness(now)
 }
 
-func (s *Server) readCost(now time.Time, w Work) float64 {
-	return s.readTime(now, w) + 100*s.health.failing
+func (f *Fleet) readCost(now time.Time, s *Server, w Work) float64 {
+	return f.readTime(now, s, w) + 100*s.health.failing
 }
 
 // leastRead returns the least time in which a prompt would be read.
@@ -119,7 +140,7 @@
 	least := math.Inf(1)
 	f.visit(f.group(now, w.Service, registry.Prefill), mostChoices, func(s *Server) {
 		if s.open(now, nil) {
-			least = min(least, s.readTime(now, w))
+			least = min(least, f.readTime(now, s, w))
 		}
 	})
 	if math.IsInf(least, 1) {
@@ -130,15 +151,21 @@
 
 func milliseconds(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 
-// NoteRead takes how long an engine took to read a prompt, and how long it was
-// expected to take.
-func (f *Fleet) NoteRead(now time.Time, id string, took, expected time.Duration) {
+// NoteRead takes how long a prefill engine took to read some tokens.
+func (f *Fleet) NoteRead(now time.Time, id string, took time.Duration, tokens int) {
 	s := f.servers[id]
-	if s == nil || expected <= 0 {
+	if s == nil || took <= 0 || tokens <= 0 {
 		return
 	}
+	ms := float64(took) / float64(time.Millisecond)
+	pace, rate := float64(tokens)/ms, f.readRate(s.Service)
+	weight := rateDown
+	if pace > rate {
+		weight = rateUp
+	}
+	f.readRates[s.Service] = rate + weight*(pace-rate)
 	h := &s.health
-	ratio := min(max(float64(took)/float64(expected), 1), mostSlow)
+	ratio := min(max(rate/pace, 1), mostSlow)
 	h.slow = h.slowness(now) + slowWeight*(ratio-h.slowness(now))
 	h.slowAt = now
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -223,10 +223,10 @@
 }
 
 // noteRead tells how long an engine took to read a prompt.
-func (f *fleet) noteRead(id string, took, expected time.Duration) {
+func (f *fleet) noteRead(id string, took time.Duration, tokens int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view.NoteRead(time.Now(), id, took, expected)
+	f.view.NoteRead(time.Now(), id, took, tokens)
 }
 
 // endRead takes back the booking at the engine that reads a prompt.
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -38,7 +38,7 @@
 		return result{kind: broken, err: err}
 	}
 	g.fleet.note(s.ID, dispatch.Good, time.Since(started))
-	g.fleet.noteRead(s.ID, time.Since(started), n.pair.Wait)
+	g.fleet.noteRead(s.ID, time.Since(started), n.pair.Ahead)
 	n.kv, n.kvFrom, n.kvAt = kv, *s, time.Now()
 	n.handover = dispatch.Handover{Prefill: s.ID}
 	return res
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -66,7 +66,7 @@
 		f.view.Reserve(p.Decode.ID, w.work)
 		f.returnsOf(w.work.Service).Placed(now)
 		decode := *p.Decode
-		placed := dispatch.Pair{Decode: &decode, Wait: p.Wait}
+		placed := dispatch.Pair{Decode: &decode, Wait: p.Wait, Ahead: p.Ahead}
 		f.view.StartRead(p.Reader().ID, w.work)
 		if p.Prefill != nil {
 			prefill := *p.Prefill
