--- a/control/known.go
+++ b/control/known.go
@@ -51,7 +51,10 @@
 	if err == nil {
 		m, err = wire.Unmarshal(data, path)
 	}
-	if err != nil || m.Servers == nil {
+	if err == nil && m.Servers == nil {
+		err = errors.New("the file holds no servers")
+	}
+	if err != nil {
 		event.KnownServersFailed.Log(c.log, "step", "read", "error", fault.From(err))
 		return
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -312,3 +312,26 @@
 	wg.Wait()
 	assert.Assert(t, len(none.Arrivals()) <= 2, "%d prompts were read for it", len(none.Arrivals()))
 }
+
+// TestReadAnewBlamesNobody wants engines that refused a KV cache not to be blamed
+// because another engine has read the prompt itself and taken the request.
+func TestReadAnewBlamesNobody(t *testing.T) {
+	r := newRig(t)
+	r.add("llm", "p1", "prefill")
+	for _, id := range []string{"d1", "d2", "d3"} {
+		r.add("llm", id, "decode").SetFault(func(in *http.Request) standin.Fault {
+			if in.Header.Get(protocol.Headers.KVSource) != "" {
+				return standin.Refuse
+			}
+			return standin.NoFault
+		})
+	}
+	got := r.send("POST", "/desk/1", "q1", "x", work)
+	assert.Equal(t, got.status, 200, got.body)
+	for _, id := range []string{"d1", "d2", "d3"} {
+		r.gateway.fleet.mu.Lock()
+		alone := r.gateway.fleet.view.LeftAlone(time.Now(), id)
+		r.gateway.fleet.mu.Unlock()
+		assert.Assert(t, !alone, "%s is left alone for the fault of the prefill engine", id)
+	}
+}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -120,6 +120,7 @@
 
 // round reads the prompt and makes the answer at the engines that are booked.
 func (n *generation) round(ctx context.Context) result {
+	n.handover = dispatch.Handover{}
 	if n.pair.Prefill == nil {
 		return n.decode(ctx, n.pair.Decode, false)
 	}
