--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -54,8 +54,6 @@
 	// share of failures that is usual and not weighed.
 	failPenalty = 12
 	freeShare   = 0.08
-	// lapsedAt is the number of results in a row that could not be taken.
-	lapsedAt = 2
 	// blockedPenalty puts servers that are left alone behind all others; they
 	// are still chosen if there is no other.
 	blockedPenalty = 1e6
