--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -37,18 +37,18 @@
 func redialer(dial DialFunc, every, timeout time.Duration) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
-		all := &tries{ended: make(chan opened)}
+		tries := &tries{ended: make(chan opened)}
 		defer func() {
 			cancel()
-			go all.closeRest()
+			go tries.closeRest()
 		}()
 		again := time.NewTicker(every)
 		defer again.Stop()
 		for {
-			all.add(func() (net.Conn, error) { return dial(ctx, network, address) })
+			tries.add(func() (net.Conn, error) { return dial(ctx, network, address) })
 			select {
-			case first := <-all.ended:
-				all.open--
+			case first := <-tries.ended:
+				tries.open--
 				return first.conn, first.err
 			case <-again.C:
 			}
