--- a/agent/links.go
+++ b/agent/links.go
@@ -168,6 +168,7 @@
 		a.grant(now, l, m.Grant)
 	case m.Record != nil:
 		a.record(now, m.Record)
+		_ = l.Send(&wire.Message{Recorded: &wire.Recorded{Attempt: m.Record.Attempt}})
 	case m.Copy != nil:
 		a.copyFor(now, l, m.Copy)
 	case m.Call != nil:
--- a/claim/proposer.go
+++ b/claim/proposer.go
@@ -92,7 +92,7 @@
 			holders[v.Holder]++
 		}
 	}
-	if granted >= majority(p.size) {
+	if granted >= Majority(p.size) {
 		return Won
 	}
 	if len(p.votes) < p.size && !last {
@@ -105,11 +105,11 @@
 // holds can't have gone to another one.
 func (p *Proposer) lost(holders map[string]int, unknown int) Verdict {
 	for _, n := range holders {
-		if n+unknown >= majority(p.size) {
+		if n+unknown >= Majority(p.size) {
 			return Taken
 		}
 	}
-	if unknown >= majority(p.size) {
+	if unknown >= Majority(p.size) {
 		return Unreached
 	}
 	return Lost
--- a/claim/voter.go
+++ b/claim/voter.go
@@ -208,7 +208,7 @@
 		return
 	}
 	v.copied[c.Voter] = true
-	v.warm = len(v.copied) >= majority(len(v.members))
+	v.warm = len(v.copied) >= Majority(len(v.members))
 }
 
 // merge takes one grant of another member. If two members hold different
@@ -248,4 +248,5 @@
 	return out
 }
 
-func majority(n int) int { return n/2 + 1 }
+// Majority returns the least number of n voters that any two such numbers share one of.
+func Majority(n int) int { return n/2 + 1 }
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -138,6 +138,8 @@
 		e.registered(now, m.Registered.Req)
 	case m.Granted != nil:
 		e.voted(m.Granted)
+	case m.Recorded != nil:
+		e.outcomeTaken(m.Recorded.Attempt)
 	case m.Answer != nil:
 		e.answered(m.Answer)
 	case m.Ordered != nil && e.up != nil:
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -261,7 +261,7 @@
 		}
 		if ans.Sent {
 			out := &claim.Answer{Status: ans.Status, Type: ans.Type, Body: ans.Body}
-			e.tellGroup(&claim.Record{Key: ask.Key, Attempt: ask.Attempt, Answer: out}, members)
+			<-e.tellGroup(&claim.Record{Key: ask.Key, Attempt: ask.Attempt, Answer: out}, members)
 			e.step(id, c, decision.Step{Kind: decision.Done, Server: name, Detail: fmt.Sprintf("status %d", ans.Status)})
 			return out, nil
 		}
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -72,19 +72,66 @@
 	}
 }
 
+// recordWait is an outcome that a majority of the voters has not taken yet.
+type recordWait struct {
+	// missing is the number of voters that must still answer.
+	missing int
+	timer   *time.Timer
+	done    chan struct{}
+}
+
 // giveUp frees the grants of an attempt that sent nothing.
 func (e *Entry) giveUp(ask claim.Ask, members []string) {
 	e.tellGroup(&claim.Record{Key: ask.Key, Attempt: ask.Attempt}, members)
 }
 
-func (e *Entry) tellGroup(r *claim.Record, members []string) {
+// tellGroup tells the voters the outcome of an attempt. The channel that it returns
+// is closed once a majority of them has taken it, or claimTimeout later: a retry
+// through another entry that its caller sends after that finds the outcome.
+func (e *Entry) tellGroup(r *claim.Record, members []string) <-chan struct{} {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.tellGroupLocked(r, members)
+	return e.tellGroupLocked(r, members)
 }
 
-func (e *Entry) tellGroupLocked(r *claim.Record, members []string) {
+// tellGroupLocked is tellGroup for callers that hold the lock.
+func (e *Entry) tellGroupLocked(r *claim.Record, members []string) <-chan struct{} {
+	sent := 0
 	for _, name := range members {
-		e.toAgent(name, &wire.Message{Record: r})
+		if e.toAgent(name, &wire.Message{Record: r}) {
+			sent++
+		}
+	}
+	w := &recordWait{missing: min(claim.Majority(len(members)), sent), done: make(chan struct{})}
+	if w.missing == 0 {
+		close(w.done)
+		return w.done
+	}
+	e.records[r.Attempt] = w
+	w.timer = time.AfterFunc(claimTimeout, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.endRecord(r.Attempt, w)
+	})
+	return w.done
+}
+
+// outcomeTaken takes a voter's word that it has an outcome. Callers hold the lock.
+func (e *Entry) outcomeTaken(attempt string) {
+	w := e.records[attempt]
+	if w == nil {
+		return
+	}
+	if w.missing--; w.missing == 0 {
+		e.endRecord(attempt, w)
+	}
+}
+
+// endRecord ends the wait for an outcome to be taken. Callers hold the lock.
+func (e *Entry) endRecord(attempt string, w *recordWait) {
+	if e.records[attempt] == w {
+		w.timer.Stop()
+		delete(e.records, attempt)
+		close(w.done)
 	}
 }
--- /dev/null
+++ b/entry/claims_test.go
@@ -0,0 +1,136 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/claim"
+	"github.com/ledgepin/ledgepin/engine"
+	"github.com/ledgepin/ledgepin/entry"
+	"github.com/ledgepin/ledgepin/settings"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// slowVoter stands in for the agent of a plain server that grants each claim,
+// answers each call, and says that it has taken an outcome when it is told to.
+type slowVoter struct {
+	name  string
+	taken chan struct{}
+}
+
+func (v *slowVoter) serve(l *wire.Link) {
+	_ = l.Run(context.Background(), func(m *wire.Message) {
+		switch {
+		case m.Grant != nil:
+			_ = l.Send(&wire.Message{Granted: &claim.Vote{Key: m.Grant.Key, Attempt: m.Grant.Attempt, Voter: v.name, Incarnation: 1, OK: true}})
+		case m.Call != nil:
+			_ = l.Send(&wire.Message{Answer: &wire.Answer{ID: m.Call.ID, Sent: true, Status: 200}})
+		case m.Record != nil:
+			attempt := m.Record.Attempt
+			go func() {
+				<-v.taken
+				_ = l.Send(&wire.Message{Recorded: &wire.Recorded{Attempt: attempt}})
+			}()
+		}
+	})
+}
+
+// startVoters starts an entry with one engine of each kind and three voters of a
+// service whose calls may not be repeated. taken lets the voters take an outcome.
+func startVoters(t *testing.T) (e *entry.Entry, taken chan struct{}) {
+	t.Helper()
+	c, addr := startControl(t)
+	p, d := startServer(t, "p1", "z1"), startServer(t, "d1", "z1")
+	taken = make(chan struct{})
+	text := strings.Replace(fmt.Sprintf(head, 10), "ttft: 5s, tbt: 1s}", "ttft: 5s, tbt: 1s, once: true, claim_group: licence}", 1)
+	text = strings.Replace(text, "  sites:\n", "  services: {licence: {once: [/checkout], claim_group: {s1: [v1, v2, v3]}}}\n  sites:\n", 1)
+	text += site("s1", "z1", map[string]string{"p1": p}, map[string]string{"d1": d})
+	text += "        brokers:\n          role: service\n          service: licence\n          servers:\n"
+	for _, name := range []string{"v1", "v2", "v3"} {
+		v := &slowVoter{name: name, taken: taken}
+		at := serve(t, wire.Handler(quiet, wire.Options{Hello: func() wire.Hello {
+			return wire.Hello{Name: name, Role: wire.RoleAgent, Zone: "z1"}
+		}}, v.serve))
+		text += fmt.Sprintf("            %s: {agent: %q}\n", name, at)
+	}
+	apply(t, c, 0, text)
+	e = startEntry(t, entry.Config{Name: "e1", Zone: "z1", Upstream: []string{addr}})
+	waitRevision(t, e, 1)
+	return e, taken
+}
+
+// TestStreamEndsOnceRecorded wants the end of an answer that may be made once to be
+// held until a majority of the voters has the outcome: a retry through another entry
+// would else be told that the attempt still runs.
+func TestStreamEndsOnceRecorded(t *testing.T) {
+	t.Parallel()
+	e, taken := startVoters(t)
+	var f *entry.Flow
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		var err error
+		f, err = e.Submit(t.Context(), entry.Job{
+			Grant: settings.Grant{Customer: "c", Class: "desk"}, Key: entry.NewID(),
+			Request: engine.Request{Model: "m", Prompt: "hello"},
+		})
+		if err == nil {
+			_, err = f.Next(t.Context())
+		}
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	for finished := false; !finished; {
+		p, err := f.Next(t.Context())
+		assert.NilError(t, err)
+		finished = p.Finish != ""
+	}
+	taken <- struct{}{}
+	early, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err := f.Next(early)
+	assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "it ended when one voter of three knew: %v", err)
+	taken <- struct{}{}
+	_, err = f.Next(t.Context())
+	assert.ErrorContains(t, err, "EOF")
+}
+
+// TestCallAnsweredOnceRecorded is the same for a call of a plain service.
+func TestCallAnsweredOnceRecorded(t *testing.T) {
+	t.Parallel()
+	e, taken := startVoters(t)
+	call := func(key string) <-chan error {
+		done := make(chan error, 1)
+		go func() {
+			_, _, err := e.Call(t.Context(), entry.ServiceCall{
+				Grant: settings.Grant{Customer: "c"}, Service: "licence", Key: key, Method: "POST", Path: "/checkout",
+			})
+			done <- err
+		}()
+		return done
+	}
+	var done <-chan error
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		done = call(entry.NewID())
+		select {
+		case err := <-done:
+			return poll.Continue("%v", err)
+		case taken <- struct{}{}:
+			return poll.Success()
+		}
+	}, poll.WithTimeout(10*time.Second))
+	select {
+	case err := <-done:
+		t.Fatalf("it was answered when one voter of three knew: %v", err)
+	case <-time.After(200 * time.Millisecond):
+	}
+	taken <- struct{}{}
+	assert.NilError(t, <-done)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -78,6 +78,7 @@
 	leaving  map[string]bool
 	keys     map[string]*Flow // open flows by customer and key
 	claims   map[string]*claimWait
+	records  map[string]*recordWait // by attempt
 	calls    map[string]*callWait
 	draining bool
 	started  time.Time
@@ -102,7 +103,7 @@
 		cfg: cfg, log: cfg.Log.With("role", "entry", "name", cfg.Name), epoch: now.UnixNano(),
 		ctx: ctx, cancel: cancel, flows: map[string]*Flow{}, agents: map[string]*agentLink{},
 		down: map[*wire.Link]bool{}, leaving: map[string]bool{}, keys: map[string]*Flow{},
-		claims: map[string]*claimWait{}, calls: map[string]*callWait{}, started: now,
+		claims: map[string]*claimWait{}, records: map[string]*recordWait{}, calls: map[string]*callWait{}, started: now,
 		borrowed: map[string]time.Time{}, short: map[string]time.Time{},
 		holder: quota.NewHolder(), broker: quota.NewBroker(), story: decision.NewRing(records), dirty: make(chan struct{}, 1),
 	}
@@ -165,7 +166,7 @@
 func (e *Entry) OpenRequests() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.flows) + len(e.calls) + len(e.claims)
+	return len(e.flows) + len(e.calls) + len(e.claims) + len(e.records)
 }
 
 // Close ends the entry at once.
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -101,6 +101,14 @@
 	}
 }
 
+// close ends the parts; only its first call counts.
+func (f *Flow) close(err error) {
+	f.once.Do(func() {
+		f.err = err
+		close(f.parts)
+	})
+}
+
 // tokens keeps the times that the targets are measured by.
 func (f *Flow) tokens(now time.Time, p stream.Part) {
 	if p.Finish != "" {
@@ -245,14 +253,18 @@
 	e.end(f, fault.New(code, fault.StepStream, "caller", code.Text))
 }
 
-// end closes a flow.
+// end ends a flow. That of a request with a claim is closed once the voters know of
+// its outcome. Callers hold the lock.
 func (e *Entry) end(f *Flow, err error) {
-	f.once.Do(func() {
-		f.err = err
-		close(f.parts)
-	})
 	delete(e.flows, f.ID)
-	e.settle(f, err)
+	if settled := e.settle(f, err); settled != nil {
+		go func() {
+			<-settled
+			f.close(err)
+		}()
+	} else {
+		f.close(err)
+	}
 	if e.keys[f.key] == f {
 		delete(e.keys, f.key)
 	}
--- a/entry/once.go
+++ b/entry/once.go
@@ -97,11 +97,12 @@
 }
 
 // settle records the outcome of a request that holds a claim: its answer, or
-// that it has none, which frees the key for a retry. Callers hold the lock.
-func (e *Entry) settle(f *Flow, err error) {
+// that it has none, which frees the key for a retry. The channel that it returns is
+// closed once the voters know; it is nil without a claim. Callers hold the lock.
+func (e *Entry) settle(f *Flow, err error) <-chan struct{} {
 	c := f.claim
 	if c == nil || c.settled {
-		return
+		return nil
 	}
 	c.settled = true
 	r := &claim.Record{Key: c.ask.Key, Attempt: c.ask.Attempt}
@@ -112,7 +113,7 @@
 		}
 		r.Answer, r.Keep = &claim.Answer{Status: 200, Type: "application/json", Body: body}, c.keep
 	}
-	e.tellGroupLocked(r, c.members)
+	return e.tellGroupLocked(r, c.members)
 }
 
 // limitOnce cuts a request off before its claim runs out.
--- a/wire/message.go
+++ b/wire/message.go
@@ -57,6 +57,7 @@
 	Register   *Register   `cbor:"30,keyasint,omitempty"`
 	Superseded *Superseded `cbor:"31,keyasint,omitempty"`
 	Registered *Registered `cbor:"36,keyasint,omitempty"`
+	Recorded   *Recorded   `cbor:"37,keyasint,omitempty"`
 
 	Routes   *Routes   `cbor:"32,keyasint,omitempty"`
 	Servers  *Servers  `cbor:"33,keyasint,omitempty"`
@@ -279,6 +280,11 @@
 	Req string `cbor:"1,keyasint"`
 }
 
+// Recorded tells that a voter has taken the Record of an attempt.
+type Recorded struct {
+	Attempt string `cbor:"1,keyasint"`
+}
+
 // Superseded tells an entry that a newer request has the key of one of its own.
 type Superseded struct {
 	Req string `cbor:"1,keyasint"`
