--- a/backend/names.go
+++ b/backend/names.go
@@ -9,6 +9,8 @@
 import (
 	"reflect"
 	"time"
+
+	"github.com/ledgepin/ledgepin/route"
 )
 
 // Headers are the names of the header fields between callers, gateways and
@@ -33,6 +35,8 @@
 	LengthHint string
 	// LastEventID is the last event of a stream that the caller has.
 	LastEventID string
+	// PromptParts names the parts of the prompt in order, each with its tokens.
+	PromptParts string
 }
 
 // GatewayFields are set by gateways only: what a caller sends of them reaches no
@@ -83,7 +87,7 @@
 var DefaultHeaders = Headers{
 	CallerFields{
 		RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", Tokens: "X-Tokens", LengthHint: "X-Length-Hint",
-		LastEventID: "Last-Event-Id",
+		LastEventID: "Last-Event-Id", PromptParts: "X-Prompt-Parts",
 	},
 	GatewayFields{ExpectInstance: "X-Expect-Instance", Role: "X-Engine-Role", KVSource: "X-KV-Source", Hold: "X-Hold"},
 	ServerFields{Signature: "X-Answer-Signature", NotRun: "X-Not-Run"},
@@ -116,6 +120,12 @@
 	TakeHold  func(tokens int, d time.Duration) Call
 	ParseHold func(body []byte) (string, error)
 	DropHold  func(hold string) Call
+	// ListKept returns the call that lists the prompt parts whose KV cache an engine
+	// keeps, and ParseKept reads the answer. Engines that do not tell have neither.
+	ListKept  func() Call
+	ParseKept func(body []byte) ([]route.PromptPart, error)
+	// ParseParts reads the field PromptParts of a caller; what can't be read is none.
+	ParseParts func(field string) []route.PromptPart
 	// RoleOrder returns the call that changes an engine's role, and Report the
 	// call that asks for its state; ParseReport reads the answer.
 	RoleOrder   func(o RoleOrder) Call
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -14,6 +14,9 @@
 	Prompt, Expected int
 	// Made are the tokens of the answer so far.
 	Made int
+	// Kept are the tokens at the begin of the prompt that engines are known to keep
+	// the KV cache of, by engine; they need not be read there again.
+	Kept map[string]int
 	// Within is the time in which the prompt should be read; zero for no bound.
 	Within time.Duration
 }
--- a/dispatch/read.go
+++ b/dispatch/read.go
@@ -24,6 +24,9 @@
 	// as beyond its own: all runs there make their tokens slower meanwhile, so it
 	// is for queues that would make the request late.
 	aloneCost = 1000.0
+	// handoverCost is the time in milliseconds that handing a KV cache over counts as:
+	// some round trips and the copy.
+	handoverCost = 20.0
 	// slowWeight is the weight of the newest read in the average of how much
 	// slower than expected an engine reads; slowLife is the time after which a
 	// third of that is left, so that an engine that recovers is found.
@@ -56,20 +59,20 @@
 	prefill := map[string]candidate{}
 	decode := map[string]candidate{}
 	var alone candidate
-	f.search(now, w.Service, registry.Prefill, func(s *Server) bool {
+	f.searchKept(now, w, registry.Prefill, func(s *Server) bool {
 		if !s.open(now, avoid) {
 			return false
 		}
 		keepBest(prefill, s, f.readCost(now, s, w))
 		return true
 	})
-	f.search(now, w.Service, registry.Decode, func(s *Server) bool {
+	f.searchKept(now, w, registry.Decode, func(s *Server) bool {
 		if !s.open(now, avoid) || !f.fits(s, w, e) || !f.turn(now, s, w, e) {
 			return false
 		}
 		cost := f.decodeCost(s, e)
 		keepBest(decode, s, cost)
-		cost += aloneCost + f.readCost(now, s, w)
+		cost += aloneCost*w.unreadPart(s.ID) + f.readCost(now, s, w)
 		if alone.server == nil || cost < alone.cost {
 			alone = candidate{s, cost}
 		}
@@ -93,7 +96,7 @@
 	best := 0.0
 	for pz, p := range prefill {
 		for dz, d := range decode {
-			cost := p.cost + d.cost
+			cost := handoverCost + p.cost + d.cost
 			if pz != dz {
 				cost += crossZone
 			}
@@ -119,7 +122,7 @@
 }
 
 // ahead is the tokens that an engine has to read until it has read a prompt.
-func (s *Server) ahead(w Work) int { return s.Own.Prefill + s.Others.Prefill + w.Prompt }
+func (s *Server) ahead(w Work) int { return s.Own.Prefill + s.Others.Prefill + w.unread(s.ID) }
 
 // readTime is the expected time in milliseconds until an engine has read a prompt
 // after those that wait there.
@@ -132,7 +135,8 @@
 }
 
 func (f *Fleet) readCost(now time.Time, s *Server, w Work) float64 {
-	return f.readTime(now, s, w) + 100*s.health.failing
+	cost := f.readTime(now, s, w) + 100*s.health.failing
+	return cost + f.againCost(s, w)
 }
 
 // leastRead returns the least time in which a prompt would be read.
@@ -181,13 +185,13 @@
 // StartRead books a prompt at the engine that reads it.
 func (f *Fleet) StartRead(id string, w Work) {
 	if s := f.servers[id]; s != nil {
-		s.Own.Prefill += w.Prompt
+		s.Own.Prefill += w.unread(id)
 	}
 }
 
 // EndRead takes back what StartRead has booked.
 func (f *Fleet) EndRead(id string, w Work) {
 	if s := f.servers[id]; s != nil {
-		s.Own.Prefill -= w.Prompt
+		s.Own.Prefill -= w.unread(id)
 	}
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -98,6 +98,11 @@
 	"An engine read a prompt, and the run that it was for did not end well; the cause tells why.",
 	"Many of `refused`: look at the decode engines. Many of `engine lost`: look at the engines that the line names.")
 
+// KeptUnknown tells that an engine did not say which prompts it keeps.
+var KeptUnknown = define("LP2016", info, "kept prompts not known",
+	"An engine did not tell which prompts it keeps, so a request that comes again may be read there anew.",
+	"Many at one engine: look at it. Many at all: lists take longer than they are waited for.")
+
 // NoServer tells that a service has no server.
 var NoServer = define("LP2012", info, "no server of a service is known",
 	"No server of the service has reported itself, or all of them leave.", "Look at the servers, and at the links to control.")
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -145,6 +145,17 @@
 	return out
 }
 
+// usable returns the servers of a service that may get new work.
+func (f *fleet) usable(service string) []dispatch.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []dispatch.Server
+	for _, s := range f.view.Usable(time.Now(), service) {
+		out = append(out, *s)
+	}
+	return out
+}
+
 // plain chooses a server of a plain service and counts the request there.
 func (f *fleet) plain(service string, avoid dispatch.Avoid) (dispatch.Server, bool) {
 	f.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,6 +57,9 @@
 	pool            *backend.Pool
 	links           *links
 	fleet           *fleet
+	// kept is what engines keep of prompts, by service.
+	keptMu sync.Mutex
+	kept   map[string]*keptPrompts
 }
 
 // Start returns a running gateway; it is ready once control has told it the
@@ -65,7 +68,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
 		cfg: cfg, log: cfg.Log.With("role", "gateway", "name", cfg.Name), ctx: ctx, cancel: cancel,
-		private: cfg.Protocol.Headers.Private(), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Name, cfg.Zone, cfg.Retry),
+		private: cfg.Protocol.Headers.Private(), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Name, cfg.Zone, cfg.Retry), kept: map[string]*keptPrompts{},
 	}
 	g.links = newLinks(g)
 	g.links.meet(cfg.Seeds)
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -65,6 +65,9 @@
 		if round > 0 && !n.mayGoOn(last) {
 			break
 		}
+		if round > 0 || q.resumed {
+			q.work.Kept = g.findKept(ctx, q)
+		}
 		if !n.place(ctx) {
 			if round == 0 {
 				last = result{kind: notRun}
@@ -110,6 +113,9 @@
 			return false
 		}
 		n.pair, n.booked, n.reader = pair, pair.Decode.ID, pair.Reader().ID
+		if kept := q.work.Kept[n.reader]; kept > 0 {
+			metric.KeptTokens.WithLabelValues(q.service.Name).Add(float64(kept))
+		}
 		if n.takeHold(ctx) {
 			return true
 		}
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -49,12 +49,17 @@
 
 // callTo returns a call of the gateway's own to an engine.
 func (n *generation) callTo(s *dispatch.Server, c backend.Call) backend.Request {
+	return n.g.callTo(n.q, s, c)
+}
+
+// callTo returns a call of the gateway's own to an engine, for a request.
+func (g *Gateway) callTo(q *request, s *dispatch.Server, c backend.Call) backend.Request {
 	r := backend.Request{Address: s.Address, Method: c.Method, Target: c.Path, Host: s.Address, Header: http.Header{}, Body: c.Body}
-	r.Header.Set(n.g.cfg.Protocol.Headers.ExpectInstance, s.ID)
+	r.Header.Set(g.cfg.Protocol.Headers.ExpectInstance, s.ID)
 	if c.ContentType != "" {
 		r.Header.Set("Content-Type", c.ContentType)
 	}
-	r.MaxConnections = connectionShare(n.q.service.MaxConnections, n.g.fleet.sharing(s))
+	r.MaxConnections = connectionShare(q.service.MaxConnections, g.fleet.sharing(s))
 	return r
 }
 
--- /dev/null
+++ b/gateway/kept.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/event"
+)
+
+// Times of asking engines for the prompts that they keep.
+const (
+	// keptTimeout is how long an engine may take to tell: about the time of a read,
+	// which is what the answer saves.
+	keptTimeout = 60 * time.Millisecond
+	// keptFor is how long what engines have told is used: requests that come again
+	// come together, after an outage, and a list holds up an engine's work.
+	keptFor = time.Second
+)
+
+// keptPrompts is what the engines of one service keep.
+type keptPrompts struct {
+	// mu is held while engines are asked, so that requests that come again together
+	// ask once.
+	mu      sync.Mutex
+	askedAt time.Time
+	// tokens are those of each part, by engine and the part's ID.
+	tokens map[string]map[string]int
+}
+
+// keptOf returns what is known of the prompts that a service's engines keep.
+func (g *Gateway) keptOf(service string) *keptPrompts {
+	g.keptMu.Lock()
+	defer g.keptMu.Unlock()
+	k := g.kept[service]
+	if k == nil {
+		k = &keptPrompts{}
+		g.kept[service] = k
+	}
+	return k
+}
+
+// findKept returns how many tokens of a request's prompt engines keep, by engine.
+func (g *Gateway) findKept(ctx context.Context, q *request) map[string]int {
+	if g.cfg.Protocol.ListKept == nil || len(q.parts) == 0 {
+		return nil
+	}
+	k := g.keptOf(q.service.Name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if time.Since(k.askedAt) >= keptFor {
+		k.tokens = g.askKept(ctx, q)
+		k.askedAt = time.Now()
+	}
+	out := map[string]int{}
+	for id, kept := range k.tokens {
+		if tokens := dispatch.KeptTokens(q.parts, kept); tokens > 0 {
+			out[id] = tokens
+		}
+	}
+	return out
+}
+
+// askKept asks all engines of a request's service at once.
+func (g *Gateway) askKept(ctx context.Context, q *request) map[string]map[string]int {
+	ctx, cancel := context.WithTimeout(ctx, keptTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	out := map[string]map[string]int{}
+	for _, s := range g.fleet.usable(q.service.Name) {
+		wg.Go(func() {
+			kept, err := g.askKeptAt(ctx, q, &s)
+			if err != nil {
+				event.KeptUnknown.Log(g.log, "server", s.ID, "error", err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out[s.ID] = kept
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+// askKeptAt asks one engine for the tokens of each part that it keeps.
+func (g *Gateway) askKeptAt(ctx context.Context, q *request, s *dispatch.Server) (map[string]int, error) {
+	p := &g.cfg.Protocol
+	a, err := g.pool.Do(ctx, &p.Headers, g.callTo(q, s, p.ListKept()))
+	if err != nil {
+		return nil, err
+	}
+	body, err := a.ReadAll(maxAnswer)
+	if err != nil {
+		return nil, err
+	}
+	if a.Status != http.StatusOK {
+		return nil, fmt.Errorf("gateway: status %d to a list of kept prompts", a.Status)
+	}
+	list, err := p.ParseKept(body)
+	if err != nil {
+		return nil, err
+	}
+	out := make(map[string]int, len(list))
+	for _, part := range list {
+		out[part.ID] = part.Tokens
+	}
+	return out, nil
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -29,6 +29,10 @@
 	arrived  time.Time
 	deadline time.Time
 	work     dispatch.Work
+	// parts are those of the prompt; resumed tells that the caller has a part of
+	// the answer already.
+	parts   []route.PromptPart
+	resumed bool
 	// mayHaveRun tells that a server may have worked on it.
 	mayHaveRun bool
 	tried      dispatch.Avoid
@@ -98,6 +102,10 @@
 	}
 	if q.service.Engine != nil {
 		q.work = workOf(h, r.Header, q.service)
+		q.resumed = r.Header.Get(h.LastEventID) != ""
+		if parse := g.cfg.Protocol.ParseParts; parse != nil {
+			q.parts = parse(r.Header.Get(h.PromptParts))
+		}
 	}
 	return q, nil
 }
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -51,6 +52,22 @@
 	DropHold: func(hold string) backend.Call {
 		return backend.Call{Method: http.MethodDelete, Path: standin.HoldPath + "/" + hold}
 	},
+	ListKept: func() backend.Call { return backend.Call{Method: http.MethodGet, Path: standin.KeptPath} },
+	ParseKept: func(body []byte) ([]route.PromptPart, error) {
+		var in struct{ Kept []route.PromptPart }
+		err := json.Unmarshal(body, &in)
+		return in.Kept, err
+	},
+	ParseParts: func(field string) []route.PromptPart {
+		var out []route.PromptPart
+		for _, part := range strings.Split(field, ",") {
+			id, count, _ := strings.Cut(part, ":")
+			if tokens, err := strconv.Atoi(count); err == nil {
+				out = append(out, route.PromptPart{ID: id, Tokens: tokens})
+			}
+		}
+		return out
+	},
 }
 
 // rig is a gateway before stand-in servers.
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -84,6 +84,7 @@
 	Sends        = counter("ledgepin_sends_total", "Requests of a gateway to backend servers that did not end well, by kind.", "service", "kind")
 	Migrations   = counter("ledgepin_migrations_total", "Runs that were to go on at another engine with their KV cache, by reason and outcome.", "service", "reason", "outcome")
 	WastedTokens = counter("ledgepin_wasted_prompt_tokens_total", "Tokens of prompts that were read and whose answer did not become whole, by cause.", "service", "cause")
+	KeptTokens   = counter("ledgepin_kept_prompt_tokens_total", "Tokens of prompts that came again and were placed at an engine that keeps them.", "service")
 	LogDropped   = counter("ledgepin_log_lines_dropped_total", "Log lines left out because the output was not read fast enough.")
 )
 
--- a/route/route.go
+++ b/route/route.go
@@ -86,6 +86,13 @@
 	Migrates bool `cbor:"9,keyasint,omitempty" json:"migrates,omitempty"`
 }
 
+// PromptPart is one part of a prompt. Prompts with equal beginnings share parts, and
+// engines keep the KV cache of parts that they have read.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
 // Limits bound what a caller may send.
 type Limits struct {
 	HeaderBytes   int           `cbor:"1,keyasint" json:"header_bytes"`
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -76,6 +76,10 @@
 	// is closed when its run is stopped.
 	runs       map[string]chan struct{}
 	refuseCopy func(stop bool) bool
+	// kept are the tokens of the prompt parts that the engine keeps, by their ID, and
+	// read is the sum of the tokens that it has read.
+	kept map[string]int
+	read int
 	// orders are the orders that came, taken counts those that were carried
 	// out, and fence is the highest of theirs.
 	orders []Order
@@ -172,6 +176,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if role != "" {
+		b.keepPrompt(r, r.Header.Get(b.headers.KVSource) != "")
+	}
 	b.begin(at)
 	defer b.end(at)
 	b.answer(w, r, id, fault)
@@ -230,6 +237,7 @@
 	case <-r.Context().Done():
 		return
 	}
+	b.keepPrompt(r, false)
 	handle := b.group.keep(b.addr, "", r.Header.Get(b.headers.RequestID))
 	// Once in ledgepin's own words, once in those of the users' platform.
 	fmt.Fprintf(w, `{"handle":%q,"kvHandle":%q,"tokens":1}`, handle, handle)
--- /dev/null
+++ b/standin/kept.go
@@ -0,0 +1,64 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// Where an engine tells which parts of prompts it keeps, in ledgepin's own words and
+// in those of the users' platform.
+const (
+	KeptPath         = "/kept"
+	platformKeptPath = "/-/kv-list"
+)
+
+// Read returns the tokens of prompts that the engine has read.
+func (b *Backend) Read() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.read
+}
+
+// Forget has the engine keep no prompts, as if others had needed the memory.
+func (b *Backend) Forget() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.kept = nil
+}
+
+// keepPrompt keeps the prompt of a request, and counts what had to be read for it.
+// With taken, its KV cache came from another engine.
+func (b *Backend) keepPrompt(r *http.Request, taken bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.kept == nil {
+		b.kept = map[string]int{}
+	}
+	whole := true
+	for _, part := range strings.Split(r.Header.Get(b.headers.PromptParts), ",") {
+		id, count, _ := strings.Cut(part, ":")
+		tokens, err := strconv.Atoi(count)
+		if err != nil {
+			return
+		}
+		whole = whole && b.kept[id] >= tokens
+		if !whole && !taken {
+			b.read += tokens
+		}
+		b.kept[id] = tokens
+	}
+}
+
+// serveKept lists what the engine keeps.
+func (b *Backend) serveKept(w http.ResponseWriter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list, held := []map[string]any{}, [][]any{}
+	for id, tokens := range b.kept {
+		list = append(list, map[string]any{"ID": id, "Tokens": tokens})
+		held = append(held, []any{"", id, tokens, "m"})
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"kept": list, "held": held, "epoch": 1, "nextPageToken": 0})
+}
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -45,6 +45,8 @@
 		_ = json.NewEncoder(w).Encode(map[string]any{"stage": b.Role, "busy": false, "sequence": b.taken})
 	case orderPath:
 		b.takeOrder(w, body)
+	case KeptPath, platformKeptPath:
+		b.serveKept(w)
 	default:
 		if !isCopy(r.URL.Path) {
 			return false
