--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -18,11 +18,9 @@
 	// bounds are the retry bounds that hold for each service by itself.
 	bounds  dispatch.Budget
 	budgets map[string]*dispatch.Budget
-	// paces are the times that a token of an answer takes, by service.
-	paces map[string]time.Duration
-	// returns tell refused callers when to come back, for each service.
-	returns map[string]*dispatch.Returns
-	queue   []*waiter
+	// runTimes are how long runs took of late, by service.
+	runTimes map[string]runTime
+	queue    []*waiter
 	// dirty tells that reservations have changed since they were told, grown that
 	// runs have; toldAt is when they were told.
 	dirty, grown bool
@@ -35,7 +33,7 @@
 	if bounds.Since.IsZero() {
 		bounds.Since = time.Now()
 	}
-	return &fleet{view: dispatch.NewFleet(name, zone), bounds: bounds, budgets: map[string]*dispatch.Budget{}, returns: map[string]*dispatch.Returns{}, paces: map[string]time.Duration{}}
+	return &fleet{view: dispatch.NewFleet(name, zone), bounds: bounds, budgets: map[string]*dispatch.Budget{}, runTimes: map[string]runTime{}}
 }
 
 // budget returns the retry budget of a service. Callers hold the lock.
@@ -49,21 +47,11 @@
 	return b
 }
 
-// returnsOf returns what is known of the room of a service. Callers hold the lock.
-func (f *fleet) returnsOf(service string) *dispatch.Returns {
-	r := f.returns[service]
-	if r == nil {
-		r = &dispatch.Returns{}
-		f.returns[service] = r
-	}
-	return r
-}
-
 // comeBack returns how long a caller that finds no room stays away.
 func (f *fleet) comeBack(service string, read time.Duration) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.returnsOf(service).After(time.Now(), read, rand.Float64())
+	return dispatch.ReturnAfter(f.runTimes[service].whole, read, rand.Float64())
 }
 
 // update takes reports of servers, which of them have reported themselves with
@@ -287,22 +275,32 @@
 	return *s, true
 }
 
-// paceWeight is the part of the newest stream in the average pace.
-const paceWeight = 0.1
+// runTime is how long runs of a service take on average; zero if not known.
+type runTime struct {
+	// token is the time of one token of the answer, whole that of the request from its
+	// arrival to its end.
+	token, whole time.Duration
+}
+
+// runWeight is the part of the newest run in the averages.
+const runWeight = 0.1
 
-// notePace takes how long an answer of some tokens took.
-func (f *fleet) notePace(service string, took time.Duration, tokens int) {
-	if tokens <= 0 || took <= 0 {
+// noteRun takes how long a request took, and how long the tokens of its answer.
+func (f *fleet) noteRun(service string, whole, answer time.Duration, tokens int) {
+	if tokens <= 0 || answer <= 0 {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	newest := took / time.Duration(tokens)
-	old, known := f.paces[service]
+	newest := runTime{token: answer / time.Duration(tokens), whole: whole}
+	old, known := f.runTimes[service]
 	if !known {
 		old = newest
 	}
-	f.paces[service] = old + time.Duration(paceWeight*float64(newest-old))
+	part := func(old, newest time.Duration) time.Duration {
+		return old + time.Duration(runWeight*float64(newest-old))
+	}
+	f.runTimes[service] = runTime{token: part(old.token, newest.token), whole: part(old.whole, newest.whole)}
 }
 
 // pace returns the time that a token of an answer took of late; zero if that is
@@ -310,7 +308,7 @@
 func (f *fleet) pace(service string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.paces[service]
+	return f.runTimes[service].token
 }
 
 // sharing returns the number of gateways that work with a server.
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -64,7 +64,6 @@
 		}
 		f.queue = f.queue[1:]
 		f.view.Reserve(p.Decode.ID, w.work)
-		f.returnsOf(w.work.Service).Placed(now)
 		decode := *p.Decode
 		placed := dispatch.Pair{Decode: &decode, Wait: p.Wait, Ahead: p.Ahead}
 		f.view.StartRead(p.Reader().ID, w.work)
