--- a/gateway/request.go
+++ b/gateway/request.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -61,11 +60,11 @@
 		return
 	}
 	if end := g.endsAt.Load(); end != nil && !q.endBy(*end) {
-		g.refuse(w, q.id, q.stopping())
+		g.refuse(w, q.id, q.elsewhere("the gateway is stopping"))
 		return
 	}
 	if end := g.stopsAt.Load(); end != nil && q.outlasts(time.Until(*end), g.fleet.pace(q.service.Name)) {
-		g.refuse(w, q.id, q.elsewhere())
+		g.refuse(w, q.id, q.elsewhere("the stream would outlast the gateway"))
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
@@ -118,10 +117,6 @@
 	// least, that a request must have to be taken.
 	leastTargets = 4
 	leastTime    = time.Second
-	// stopRetry is when a caller should come back, stopSpread spreads callers
-	// out: a gateway that ends is started again within seconds.
-	stopRetry  = 2 * time.Second
-	stopSpread = 1500 * time.Millisecond
 )
 
 // endBy bounds a request by the end of the gateway. It returns false if the
@@ -136,29 +131,20 @@
 	return true
 }
 
-// stopping refuses a request since the gateway is about to end.
-func (q *request) stopping() refusal {
-	return refusal{
-		route: q.route.Name, status: http.StatusServiceUnavailable, reason: "the gateway is stopping",
-		retryAfter: stopRetry + time.Duration(rand.Int64N(int64(stopSpread))),
-	}
-}
-
 // outlasts tells whether a stream will probably run for longer than a time, at the
 // time that tokens of its service took of late.
 func (q *request) outlasts(left, perToken time.Duration) bool {
 	return q.route.Kind == route.Stream && time.Duration(q.work.Expected)*perToken+q.route.Target > left
 }
 
-// elsewhereRetry is when a caller should come back whose stream a stopping gateway
-// would cut: at once, at another gateway, since the platform sends new connections
-// to others.
+// elsewhereRetry is when a caller should come back to a gateway that stops: at once,
+// since the others have room, and the platform sends new connections to them.
 const elsewhereRetry = 50 * time.Millisecond
 
-// elsewhere refuses a stream that would be cut by the end of the gateway.
-func (q *request) elsewhere() refusal {
+// elsewhere refuses a request that the end of the gateway would cut.
+func (q *request) elsewhere(reason string) refusal {
 	return refusal{
-		route: q.route.Name, status: http.StatusServiceUnavailable, reason: "the stream would outlast the gateway",
+		route: q.route.Name, status: http.StatusServiceUnavailable, reason: reason,
 		retryAfter: elsewhereRetry, closing: true,
 	}
 }
