--- a/caller/answer.go
+++ b/caller/answer.go
@@ -20,23 +20,15 @@
 func (s *server) completion(c echo.Context) error { return s.complete(c, false) }
 
 func (s *server) complete(c echo.Context, chat bool) error {
-	g, err := s.grant(c)
+	in, err := s.read(c)
 	if err != nil {
 		return err
 	}
-	k, err := key(c)
+	p, err := Parse(in.body, chat)
 	if err != nil {
 		return err
 	}
-	data, err := body(c)
-	if err != nil {
-		return err
-	}
-	p, err := Parse(data, chat)
-	if err != nil {
-		return err
-	}
-	f, err := s.entry.Submit(c.Request().Context(), entry.Job{Grant: g, Key: k, Request: p.Request})
+	f, err := s.entry.Submit(c.Request().Context(), entry.Job{Grant: in.grant, Key: in.key, Request: p.Request})
 	if err != nil {
 		return err
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -190,16 +190,29 @@
 	c.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(int(seconds)))
 }
 
-func (s *server) service(c echo.Context) error {
-	g, err := s.grant(c)
-	if err != nil {
-		return err
+// incoming is what each request of a caller brings.
+type incoming struct {
+	grant settings.Grant
+	key   string
+	body  []byte
+}
+
+// read takes a request of a caller whose token is known.
+func (s *server) read(c echo.Context) (incoming, error) {
+	var in incoming
+	var err error
+	if in.grant, err = s.grant(c); err != nil {
+		return in, err
 	}
-	k, err := key(c)
-	if err != nil {
-		return err
+	if in.key, err = key(c); err != nil {
+		return in, err
 	}
-	data, err := body(c)
+	in.body, err = body(c)
+	return in, err
+}
+
+func (s *server) service(c echo.Context) error {
+	in, err := s.read(c)
 	if err != nil {
 		return err
 	}
@@ -208,8 +221,8 @@
 		return err
 	}
 	ans, id, err := s.entry.Call(c.Request().Context(), entry.ServiceCall{
-		Grant: g, Service: c.Param("name"), Key: k, Method: c.Request().Method, Path: target,
-		Type: c.Request().Header.Get(echo.HeaderContentType), Body: data,
+		Grant: in.grant, Service: c.Param("name"), Key: in.key, Method: c.Request().Method, Path: target,
+		Type: c.Request().Header.Get(echo.HeaderContentType), Body: in.body,
 	})
 	c.Response().Header().Set(echo.HeaderXRequestID, id)
 	if err != nil {
--- /dev/null
+++ b/gateway/calls.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/ledgepin/ledgepin/backend"
+	"github.com/ledgepin/ledgepin/dispatch"
+)
+
+// callTo returns a call of the gateway's own to an engine.
+func (n *generation) callTo(s *dispatch.Server, c backend.Call) backend.Request {
+	return n.g.callTo(n.q, s, c)
+}
+
+// callTo returns a call of the gateway's own to an engine, for a request.
+func (g *Gateway) callTo(q *request, s *dispatch.Server, c backend.Call) backend.Request {
+	r := backend.Request{Address: s.Address, Method: c.Method, Target: c.Path, Host: s.Address, Header: http.Header{}, Body: c.Body}
+	r.Header.Set(g.cfg.Protocol.Headers.ExpectInstance, s.ID)
+	if c.ContentType != "" {
+		r.Header.Set("Content-Type", c.ContentType)
+	}
+	r.MaxConnections = connectionShare(q.service.MaxConnections, g.fleet.sharing(s))
+	return r
+}
+
+// exchange sends to an engine, for a request, what is answered by a whole body.
+func (g *Gateway) exchange(ctx context.Context, q *request, s *dispatch.Server, r backend.Request) (result, []byte) {
+	a, err := g.pool.Do(ctx, &g.cfg.Protocol.Headers, r)
+	if err != nil {
+		var be *backend.Error
+		if errors.As(err, &be) && !be.Sent {
+			return result{kind: notSent, err: err}, nil
+		}
+		return result{kind: broken, err: err}, nil
+	}
+	if res, ok := g.turnedAway(q, s, a); ok {
+		return res, nil
+	}
+	body, err := a.ReadAll(maxAnswer)
+	if err != nil {
+		return result{kind: broken, err: err}, nil
+	}
+	return result{kind: answered, status: a.Status}, body
+}
+
+// giveBackTime is how long an engine may take to free what nobody uses.
+const giveBackTime = 300 * time.Millisecond
+
+// giveBack sends a call that frees something at an engine. It outlives the
+// request that it belongs to, whose caller may have left.
+func (g *Gateway) giveBack(r backend.Request) {
+	g.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(g.ctx, giveBackTime)
+		defer cancel()
+		if a, err := g.pool.Do(ctx, &g.cfg.Protocol.Headers, r); err == nil {
+			_, _ = a.ReadAll(maxAnswer)
+		}
+	})
+}
--- /dev/null
+++ b/gateway/decode.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ledgepin/ledgepin/backend"
+	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/metric"
+)
+
+// elsewhere continues after a decode engine has not taken the request: another
+// one takes the KV cache while it lives. Engines that can't be reached cost
+// nothing but the try, so as many are tried as there is time for: a good part of
+// them may have gone at once.
+func (n *generation) elsewhere(ctx context.Context, r result) result {
+	for time.Since(n.kvAt) < n.q.service.Engine.KVHold-kvMargin {
+		n.q.tried[n.pair.Decode.ID] = true
+		n.unbook()
+		s, ok := n.g.fleet.move(n.q.work, n.q.service.Engine, n.kvFrom.Zone, n.q.tried)
+		if !ok {
+			return r
+		}
+		n.booked, n.pair.Decode = s.ID, &s
+		if !n.takeHold(ctx) {
+			continue
+		}
+		if n.decodes > 0 && !n.g.again(n.q, r, 1) {
+			return r
+		}
+		if r = n.decode(ctx, &s, true); r.kind != notSent {
+			return r
+		}
+	}
+	return r
+}
+
+// decode has the answer made and passes it on.
+func (n *generation) decode(ctx context.Context, s *dispatch.Server, withKV bool) result {
+	g, q, h := n.g, n.q, &n.g.cfg.Protocol.Headers
+	started := time.Now()
+	r := n.sendTo(s)
+	if withKV {
+		r.Header.Set(h.KVSource, n.kvFrom.Address+"/"+n.kv.Handle)
+	}
+	if n.hold != "" {
+		r.Header.Set(h.Hold, n.hold)
+	}
+	n.resumeAt(r.Header)
+	a, err := g.pool.Do(ctx, h, r)
+	if err != nil {
+		res := g.failed(ctx, q, err)
+		if res.kind != notSent {
+			n.decodes++
+		}
+		g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
+		g.logSend(q, s, res, time.Since(started))
+		return res
+	}
+	defer func() { a.Close() }()
+	n.decodes++
+	if res, ok := g.turnedAway(q, s, a); ok {
+		if res.kind == notRun {
+			n.handover.Refused = append(n.handover.Refused, s.ID)
+		}
+		g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
+		g.logSend(q, s, res, time.Since(started))
+		return res
+	}
+	n.kv.Handle, n.hold = "", "" // taken
+	n.handover.Taken = s.ID
+	g.fleet.noteHandover(n.handover)
+	q.sends++
+	q.mayHaveRun = true
+	if !g.isStream(a) {
+		return n.failedAnswer(s, a)
+	}
+	s, a, err = n.relay(ctx, s, a)
+	if err == nil {
+		g.fleet.note(s.ID, dispatch.Good, time.Since(started))
+		n.done(s, a.Status)
+		return result{kind: answered, status: a.Status}
+	}
+	res := result{kind: broken, err: err}
+	g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
+	g.logSend(q, s, res, time.Since(started))
+	return res
+}
+
+// isStream tells whether an engine's answer is that of a run, and the engine's own.
+func (g *Gateway) isStream(a *backend.Answer) bool {
+	return a.Status < http.StatusMultipleChoices && a.Header.Get(g.cfg.Protocol.Headers.Signature) != ""
+}
+
+// done notes the end of a whole stream.
+func (n *generation) done(s *dispatch.Server, status int) {
+	name, stream := n.q.route.Name, n.stream
+	n.g.fleet.noteRun(n.q.service.Name, time.Since(n.q.arrived), time.Since(stream.firstAt), stream.events*n.q.service.Engine.EventTokens)
+	first, prefill := stream.firstAt.Sub(n.q.arrived), time.Duration(0)
+	if !n.kvAt.IsZero() {
+		prefill = n.kvAt.Sub(n.q.arrived)
+		metric.RoutePrefill.WithLabelValues(name).Observe(prefill.Seconds())
+	}
+	metric.RouteRequests.WithLabelValues(name, strconv.Itoa(status)).Inc()
+	metric.RouteFirst.WithLabelValues(name).Observe(first.Seconds())
+	metric.RouteGap.WithLabelValues(name).Observe(stream.gap.Seconds())
+	event.RequestDone.Log(n.g.log, "id", n.q.id, "route", name, "status", status, "ms", time.Since(n.q.arrived).Milliseconds(),
+		"first_ms", first.Milliseconds(), "gap_ms", stream.gap.Milliseconds(), "prefill", n.kvFrom.ID, "decode", s.ID,
+		"prefill_ms", prefill.Milliseconds(), "rounds", n.prefills, "migrations", n.mover.count)
+}
+
+// failedAnswer takes an answer of an engine that is no stream.
+func (n *generation) failedAnswer(s *dispatch.Server, a *backend.Answer) result {
+	n.g.fleet.note(s.ID, dispatch.Bad, 0)
+	body, err := a.ReadAll(maxAnswer)
+	if err != nil || a.Status < http.StatusMultipleChoices || n.stream.started {
+		return result{kind: broken, err: err}
+	}
+	return result{kind: answered, status: a.Status, header: a.Header, body: body}
+}
+
+// resumeAt asks for the events after the last one that the caller has.
+func (n *generation) resumeAt(head http.Header) {
+	if n.stream.lastID != "" {
+		head.Set(n.g.cfg.Protocol.Headers.LastEventID, n.stream.lastID)
+	}
+}
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -32,7 +32,7 @@
 	defer cancel()
 	started := time.Now()
 	r := n.callTo(s, p.TakeHold(n.q.work.Prompt, min(n.pair.Wait+holdMargin, engine.HoldMost)))
-	res, body := n.exchange(hctx, s, r)
+	res, body := n.g.exchange(hctx, n.q, s, r)
 	if res.kind == answered && res.status == http.StatusOK {
 		hold, err := p.ParseHold(body)
 		if err == nil {
@@ -47,22 +47,6 @@
 	return false
 }
 
-// callTo returns a call of the gateway's own to an engine.
-func (n *generation) callTo(s *dispatch.Server, c backend.Call) backend.Request {
-	return n.g.callTo(n.q, s, c)
-}
-
-// callTo returns a call of the gateway's own to an engine, for a request.
-func (g *Gateway) callTo(q *request, s *dispatch.Server, c backend.Call) backend.Request {
-	r := backend.Request{Address: s.Address, Method: c.Method, Target: c.Path, Host: s.Address, Header: http.Header{}, Body: c.Body}
-	r.Header.Set(g.cfg.Protocol.Headers.ExpectInstance, s.ID)
-	if c.ContentType != "" {
-		r.Header.Set("Content-Type", c.ContentType)
-	}
-	r.MaxConnections = connectionShare(q.service.MaxConnections, g.fleet.sharing(s))
-	return r
-}
-
 // sendTo returns the caller's request as it goes to an engine.
 func (n *generation) sendTo(s *dispatch.Server) backend.Request {
 	return n.q.to(&n.g.cfg.Protocol.Headers, s, n.q.left(), n.g.fleet.sharing(s))
@@ -87,18 +71,3 @@
 	n.kv.Handle = ""
 	n.g.giveBack(n.callTo(s, n.g.cfg.Protocol.FreeKV(handle)))
 }
-
-// giveBackTime is how long an engine may take to free what nobody uses.
-const giveBackTime = 300 * time.Millisecond
-
-// giveBack sends a call that frees something at an engine. It outlives the
-// request that it belongs to, whose caller may have left.
-func (g *Gateway) giveBack(r backend.Request) {
-	g.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(g.ctx, giveBackTime)
-		defer cancel()
-		if a, err := g.pool.Do(ctx, &g.cfg.Protocol.Headers, r); err == nil {
-			_, _ = a.ReadAll(maxAnswer)
-		}
-	})
-}
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
-	"github.com/ledgepin/ledgepin/backend"
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/registry"
 )
@@ -21,7 +19,7 @@
 	limit := 2*n.pair.Wait + time.Second
 	pctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	res, body := n.exchange(pctx, s, r)
+	res, body := g.exchange(pctx, n.q, s, r)
 	if res.kind != notSent {
 		n.prefills++
 	}
@@ -44,27 +42,6 @@
 	return res
 }
 
-// exchange sends to an engine what is answered by a whole body.
-func (n *generation) exchange(ctx context.Context, s *dispatch.Server, r backend.Request) (result, []byte) {
-	g := n.g
-	a, err := g.pool.Do(ctx, &g.cfg.Protocol.Headers, r)
-	if err != nil {
-		var be *backend.Error
-		if errors.As(err, &be) && !be.Sent {
-			return result{kind: notSent, err: err}, nil
-		}
-		return result{kind: broken, err: err}, nil
-	}
-	if res, ok := g.turnedAway(n.q, s, a); ok {
-		return res, nil
-	}
-	body, err := a.ReadAll(maxAnswer)
-	if err != nil {
-		return result{kind: broken, err: err}, nil
-	}
-	return result{kind: answered, status: a.Status}, body
-}
-
 // endRead takes back the booking of the read.
 func (n *generation) endRead() {
 	if n.reader != "" {
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -37,18 +37,18 @@
 func redialer(dial DialFunc, every, timeout time.Duration) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
-		tries := &tries{ended: make(chan opened)}
+		dials := &tries{ended: make(chan opened)}
 		defer func() {
 			cancel()
-			go tries.closeRest()
+			go dials.closeRest()
 		}()
 		again := time.NewTicker(every)
 		defer again.Stop()
 		for {
-			tries.add(func() (net.Conn, error) { return dial(ctx, network, address) })
+			dials.add(func() (net.Conn, error) { return dial(ctx, network, address) })
 			select {
-			case first := <-tries.ended:
-				tries.open--
+			case first := <-dials.ended:
+				dials.open--
 				return first.conn, first.err
 			case <-again.C:
 			}
