--- a/entry/claims.go
+++ b/entry/claims.go
@@ -108,7 +108,7 @@
 		return w.done
 	}
 	e.records[r.Attempt] = w
-	w.timer = time.AfterFunc(claimTimeout, func() {
+	w.timer = time.AfterFunc(e.recordTimeout, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.endRecord(r.Attempt, w)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,29 +69,31 @@
 	core     *router.Core
 	// fleet are the limits of the fleet, and limits those of each model in the
 	// first pool of this zone that prefills it; worked out once a revision.
-	fleet    settings.Effective
-	limits   map[string]settings.Effective
-	flows    map[string]*Flow
-	agents   map[string]*agentLink
-	down     map[*wire.Link]bool // relay links to processes below
-	up       *wire.Link
-	leaving  map[string]bool
-	keys     map[string]*Flow // open flows by customer and key
-	claims   map[string]*claimWait
-	records  map[string]*recordWait // by attempt
-	calls    map[string]*callWait
-	draining bool
-	started  time.Time
-	dirty    chan struct{}  // settings to write to the disk
-	story    *decision.Ring // records of plain calls
-	zones    []wire.ZoneFree
-	borrowed map[string]time.Time // servers of other zones, until when
-	short    map[string]time.Time // when this zone last had no room for a model
-	holder   *quota.Holder
-	broker   *quota.Broker
-	askedAt  time.Time // of the last wish out of turn
-	removing bool      // a server that is out of the settings still has work
-	beats    int
+	fleet   settings.Effective
+	limits  map[string]settings.Effective
+	flows   map[string]*Flow
+	agents  map[string]*agentLink
+	down    map[*wire.Link]bool // relay links to processes below
+	up      *wire.Link
+	leaving map[string]bool
+	keys    map[string]*Flow // open flows by customer and key
+	claims  map[string]*claimWait
+	records map[string]*recordWait // by attempt
+	// recordTimeout is how long an outcome waits to be taken: claimTimeout, but in tests.
+	recordTimeout time.Duration
+	calls         map[string]*callWait
+	draining      bool
+	started       time.Time
+	dirty         chan struct{}  // settings to write to the disk
+	story         *decision.Ring // records of plain calls
+	zones         []wire.ZoneFree
+	borrowed      map[string]time.Time // servers of other zones, until when
+	short         map[string]time.Time // when this zone last had no room for a model
+	holder        *quota.Holder
+	broker        *quota.Broker
+	askedAt       time.Time // of the last wish out of turn
+	removing      bool      // a server that is out of the settings still has work
+	beats         int
 }
 
 // Start returns a running entry.
@@ -103,7 +105,7 @@
 		cfg: cfg, log: cfg.Log.With("role", "entry", "name", cfg.Name), epoch: now.UnixNano(),
 		ctx: ctx, cancel: cancel, flows: map[string]*Flow{}, agents: map[string]*agentLink{},
 		down: map[*wire.Link]bool{}, leaving: map[string]bool{}, keys: map[string]*Flow{},
-		claims: map[string]*claimWait{}, records: map[string]*recordWait{}, calls: map[string]*callWait{}, started: now,
+		claims: map[string]*claimWait{}, records: map[string]*recordWait{}, recordTimeout: claimTimeout, calls: map[string]*callWait{}, started: now,
 		borrowed: map[string]time.Time{}, short: map[string]time.Time{},
 		holder: quota.NewHolder(), broker: quota.NewBroker(), story: decision.NewRing(records), dirty: make(chan struct{}, 1),
 	}
--- /dev/null
+++ b/entry/export_test.go
@@ -0,0 +1,10 @@
+package entry
+
+import "time"
+
+// SetRecordTimeout sets how long outcomes wait to be taken by the voters.
+func (e *Entry) SetRecordTimeout(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.recordTimeout = d
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,8 @@
 	// kept is what engines keep of prompts, by service.
 	keptMu sync.Mutex
 	kept   map[string]*keptPrompts
+	// keptWait is how long an engine may take to tell: keptTimeout, but in tests.
+	keptWait time.Duration
 }
 
 // Start returns a running gateway; it is ready once control has told it the
@@ -68,7 +70,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
 		cfg: cfg, log: cfg.Log.With("role", "gateway", "name", cfg.Name), ctx: ctx, cancel: cancel,
-		private: cfg.Protocol.Headers.Private(), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Name, cfg.Zone, cfg.Retry), kept: map[string]*keptPrompts{},
+		private: cfg.Protocol.Headers.Private(), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Name, cfg.Zone, cfg.Retry), kept: map[string]*keptPrompts{}, keptWait: keptTimeout,
 	}
 	g.links = newLinks(g)
 	g.links.meet(cfg.Seeds)
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -65,7 +65,7 @@
 			break
 		}
 		if round > 0 || q.resumed {
-			q.work.Kept = g.findKept(ctx, q)
+			q.work.Kept = g.findKept(q)
 		}
 		if !n.place(ctx) {
 			if round == 0 {
--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -45,7 +45,7 @@
 }
 
 // findKept returns how many tokens of a request's prompt engines keep, by engine.
-func (g *Gateway) findKept(ctx context.Context, q *request) map[string]int {
+func (g *Gateway) findKept(q *request) map[string]int {
 	if g.cfg.Protocol.ListKept == nil || len(q.parts) == 0 {
 		return nil
 	}
@@ -53,7 +53,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if time.Since(k.askedAt) >= keptFor {
-		k.tokens = g.askKept(ctx, q)
+		k.tokens = g.askKept(q)
 		k.askedAt = time.Now()
 	}
 	out := map[string]int{}
@@ -65,9 +65,10 @@
 	return out
 }
 
-// askKept asks all engines of a request's service at once.
-func (g *Gateway) askKept(ctx context.Context, q *request) map[string]map[string]int {
-	ctx, cancel := context.WithTimeout(ctx, keptTimeout)
+// askKept asks all engines of a request's service at once. Others use what they say, so
+// it goes on if the request's own caller leaves.
+func (g *Gateway) askKept(q *request) map[string]map[string]int {
+	ctx, cancel := context.WithTimeout(g.ctx, g.keptWait)
 	defer cancel()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
--- a/gateway/kept_test.go
+++ b/gateway/kept_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -32,6 +34,7 @@
 // startKept starts a rig with two engines of each role.
 func startKept(t *testing.T) *rig {
 	r := newRig(t)
+	r.gateway.keptWait = 10 * time.Second // no list is late because the machine is busy
 	for _, id := range []string{"p1", "p2"} {
 		r.add("llm", id, "prefill")
 	}
@@ -100,6 +103,7 @@
 		}},
 		{"engines that do not answer", func(r *rig) {
 			const silent = "/review/silent"
+			r.gateway.keptWait = keptTimeout
 			r.gateway.cfg.Protocol.ListKept = func() backend.Call { return backend.Call{Method: http.MethodGet, Path: silent} }
 			for _, b := range r.servers {
 				b.SetFault(func(r *http.Request) standin.Fault {
@@ -142,3 +146,30 @@
 	_, tokens := r.reads()
 	assert.Equal(t, tokens, 1000)
 }
+
+// TestKeptListsOutliveTheirCaller wants what engines keep to be known to the requests
+// that come together, though the caller of the one that asked leaves meanwhile.
+func TestKeptListsOutliveTheirCaller(t *testing.T) {
+	r := startKept(t)
+	assert.Equal(t, r.send("POST", "/desk/1", "q1", "x", promptParts).body, wholeStream())
+	asked, leave := make(chan struct{}), make(chan struct{})
+	list := r.gateway.cfg.Protocol.ListKept
+	var once sync.Once
+	r.gateway.cfg.Protocol.ListKept = func() backend.Call {
+		once.Do(func() {
+			close(asked)
+			<-leave
+		})
+		return list()
+	}
+	again := with(promptParts, protocol.Headers.LastEventID, "2")
+	ctx, cancel := context.WithCancel(t.Context())
+	gone := make(chan reply, 1)
+	go func() { gone <- r.sendWith(ctx, "POST", "/desk/1", "leaves", "x", again) }()
+	<-asked
+	cancel()
+	<-gone
+	close(leave)
+	assert.Equal(t, r.send("POST", "/desk/1", "stays", "x", again).body, rest(2))
+	r.wantOneRead()
+}
