--- a/gateway/kept_test.go
+++ b/gateway/kept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -173,3 +174,18 @@
 	assert.Equal(t, r.send("POST", "/desk/1", "stays", "x", again).body, rest(2))
 	r.wantOneRead()
 }
+
+// TestFailedListTellsItsCause wants the error of a list that did not come to say why.
+func TestFailedListTellsItsCause(t *testing.T) {
+	r := startKept(t)
+	q := &request{id: "q1", service: r.gateway.table.Load().Service("llm")}
+	engines := r.gateway.fleet.usable("llm")
+	for _, b := range r.servers {
+		b.Kill()
+	}
+	for _, s := range engines {
+		_, err := r.gateway.askKeptAt(t.Context(), q, &s)
+		var cause *backend.Error
+		assert.Assert(t, errors.As(err, &cause), "%v", err)
+	}
+}
