--- a/app/gateway.go
+++ b/app/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/ledgepin/ledgepin/gateway"
 	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/platform"
+	"github.com/ledgepin/ledgepin/quota"
 )
 
 // Times of the listeners of a gateway and of control's API.
@@ -86,6 +87,7 @@
 		Name: p.file.Name, Zone: p.file.Zone, Token: token, Protocol: platform.Protocol, Log: p.log,
 		Seeds: withPort(part.Seeds, strconv.Itoa(part.LinksPort)),
 		Retry: dispatch.Budget{Ratio: part.Retry.Ratio, Slack: part.Retry.Slack, Window: part.Retry.Window.D()},
+		Quota: quotaOf(part.Quota),
 	})
 	ready := http.NewServeMux()
 	ready.Handle("/", p.gateway.ReadyHandler())
@@ -99,6 +101,10 @@
 	return err
 }
 
+func quotaOf(q config.Quota) quota.Bounds {
+	return quota.Bounds{Window: q.Window.D(), Overshoot: q.Overshoot, Slack: q.Slack}
+}
+
 func apiServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: apiIdle}
 }
--- a/app/run.go
+++ b/app/run.go
@@ -85,7 +85,7 @@
 		return nil
 	}
 	c.Name, c.Zone, c.Log = p.file.Name, p.file.Zone, p.log
-	c.Members, c.Dir = part.Members, p.file.Data
+	c.Members, c.Dir, c.Quota = part.Members, p.file.Data, quotaOf(part.Quota)
 	if part.Discovery != nil {
 		discovered(&c, part)
 	}
--- a/backend/names.go
+++ b/backend/names.go
@@ -50,6 +50,8 @@
 	KVSource string
 	// Hold names room that was set aside at an engine for the request.
 	Hold string
+	// Organisation names whose request it is, where callers have keys.
+	Organisation string
 	// Unused are those that servers know and no gateway sets.
 	Unused []string
 }
@@ -89,7 +91,7 @@
 		RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", Tokens: "X-Tokens", LengthHint: "X-Length-Hint",
 		LastEventID: "Last-Event-Id", PromptParts: "X-Prompt-Parts",
 	},
-	GatewayFields{ExpectInstance: "X-Expect-Instance", Role: "X-Engine-Role", KVSource: "X-KV-Source", Hold: "X-Hold"},
+	GatewayFields{ExpectInstance: "X-Expect-Instance", Role: "X-Engine-Role", KVSource: "X-KV-Source", Hold: "X-Hold", Organisation: "X-Organisation"},
 	ServerFields{Signature: "X-Answer-Signature", NotRun: "X-Not-Run"},
 }
 
--- a/config/config.go
+++ b/config/config.go
@@ -111,6 +111,7 @@
 	// Engines is how the leader gives the engines that gateways drive their
 	// roles.
 	Engines Engines `yaml:"engines,omitempty"`
+	Quota   Quota   `yaml:"quota,omitempty"`
 }
 
 // Engines is how engines get their roles.
@@ -145,6 +146,16 @@
 	Seeds     []string `yaml:"seeds" check:"required"`
 	LinksPort int      `yaml:"links_port" check:"required,min=1,max=65535"`
 	Retry     Retry    `yaml:"retry,omitempty"`
+	Quota     Quota    `yaml:"quota,omitempty"`
+}
+
+// Quota tells how the use of the limits of organisations is judged; gateways and control
+// have the same. In no Window may it be above what the limit gives by more than the share
+// Overshoot and Slack units.
+type Quota struct {
+	Window    strict.Duration `yaml:"window,omitempty" check:"min=0,max=3600000000000"`
+	Overshoot float64         `yaml:"overshoot,omitempty" check:"min=0,max=1"`
+	Slack     float64         `yaml:"slack,omitempty" check:"min=0,max=1000000000"`
 }
 
 // Retry bounds the sends beyond the first of each request, for all gateways
--- a/control/control.go
+++ b/control/control.go
@@ -45,6 +45,8 @@
 	Discovery *Discovery
 	// Roles is how engines that gateways drive get their roles.
 	Roles RoleConfig
+	// Quota tells how the use of limits is judged.
+	Quota quota.Bounds
 	// ElectionMin is the least silence of a leader before an election, and
 	// HeartbeatEvery the time between a leader's heartbeats; the usual if zero.
 	ElectionMin, HeartbeatEvery time.Duration
@@ -113,7 +115,7 @@
 		cfg: cfg, log: cfg.Log.With("role", "control", "name", cfg.Name), epoch: time.Now().UnixNano(),
 		ctx: ctx, cancel: cancel, state: fleet.New(), waiters: map[string][]chan fleet.Result{},
 		out: map[string]*peerLink{}, down: map[*wire.Link]bool{}, seen: map[string]int{}, asked: map[string]bool{}, zones: map[string]*wire.Summary{},
-		broker: quota.NewBroker(), hub: newHub(cfg.Zone),
+		broker: quota.NewBroker(), hub: newHub(cfg.Zone, cfg.Quota),
 	}
 	if cfg.Discovery != nil {
 		c.wg.Go(c.bootDiscovered)
--- a/control/discovery.go
+++ b/control/discovery.go
@@ -187,6 +187,9 @@
 	if m.Loads != nil {
 		c.hub.setPeerLoads(l, m.Loads)
 	}
+	if m.Use != nil {
+		c.hub.setPeerUse(l, m.Use)
+	}
 	if m.Servers != nil {
 		c.hub.take(l, m.Servers)
 	}
--- a/control/hub.go
+++ b/control/hub.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/route"
 	"github.com/ledgepin/ledgepin/subset"
@@ -76,11 +77,16 @@
 	cut bool
 	// changed tells that servers have changed since they were kept.
 	changed bool
+	// peerHeard is when each replica told last what its gateways use.
+	peerHeard map[*wire.Link]time.Time
+	// ledger is what organisations have used of their limits.
+	ledger *quota.Ledger[*wire.Link]
 }
 
 // gatewayState is what the hub knows of one gateway.
 type gatewayState struct {
-	key subset.Key
+	link *wire.Link
+	key  subset.Key
 	// near tells that the gateway is in the replica's availability zone.
 	near bool
 	// told is the version of the newest table that the gateway was told of, has that
@@ -95,6 +101,8 @@
 	sharing, fresh bool
 	own            map[string]wire.EngineLoad
 	others         share
+	// heard is when it has said something last.
+	heard time.Time
 	// queued are the gateway's requests that wait for room.
 	queued int
 }
@@ -105,12 +113,13 @@
 // replica and not once for each gateway.
 func (g *gatewayState) follows() bool { return g.near || g.sharing }
 
-func newHub(zone string) *hub {
+func newHub(zone string, bounds quota.Bounds) *hub {
 	return &hub{
 		zone:    zone,
 		servers: registry.New(serverKeep), gateways: map[*wire.Link]*gatewayState{}, peers: map[*wire.Link]bool{}, away: map[string]awayEngine{},
 		groups: map[group]int{}, own: newShare(), others: map[*wire.Link]*share{}, sum: map[string]wire.EngineLoad{}, moved: map[string]bool{},
 		toldPeers: newShare(), movedOwn: map[string]bool{}, home: map[string]time.Time{}, news: map[string]bool{}, rosters: map[*wire.Link]*registry.Roster{},
+		peerHeard: map[*wire.Link]time.Time{}, ledger: quota.NewLedger[*wire.Link](time.Now(), bounds),
 	}
 }
 
@@ -121,7 +130,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.gateways[l] = &gatewayState{
-		key: subset.KeyOf(l.Peer.Name), near: l.Peer.Zone == h.zone, servers: map[string]registry.Server{}, own: map[string]wire.EngineLoad{}, others: newShare(),
+		link: l, heard: time.Now(), key: subset.KeyOf(l.Peer.Name), near: l.Peer.Zone == h.zone, servers: map[string]registry.Server{}, own: map[string]wire.EngineLoad{}, others: newShare(),
 	}
 	h.joined = append(h.joined, l)
 	_ = l.Send(&wire.Message{Servers: &wire.Servers{Away: h.awayList(time.Now())}})
@@ -162,6 +171,7 @@
 	_ = l.Send(&wire.Message{Replicas: h.replicasNow()})
 	_ = l.Send(&wire.Message{Servers: h.allServers(time.Now())})
 	_ = l.Send(&wire.Message{Loads: h.toldPeers.message()})
+	_ = l.Send(&wire.Message{Use: h.ledger.Whole(time.Now())})
 }
 
 func (h *hub) removePeer(l *wire.Link) {
@@ -191,6 +201,7 @@
 	lean.Source = nil
 	lean.Index()
 	h.table = &lean
+	h.ledger.SetLimits(time.Now(), lean.Quotas())
 	whole, err := wire.Marshal(&wire.Message{Routes: &wire.Routes{Table: h.table, Version: lean.Version, Confirmed: fresh}})
 	if err != nil {
 		return
@@ -293,9 +304,11 @@
 		h.aliveAt = now
 	}
 	h.tellPeers()
+	h.tellPeersUse(now)
 	if now.Sub(h.loadsAt) >= loadsEvery {
 		h.loadsAt = now
 		h.tellLoads()
+		h.tellUse(now)
 	}
 }
 
--- a/control/links.go
+++ b/control/links.go
@@ -121,9 +121,12 @@
 	c.mu.Unlock()
 	c.hub.addGateway(l, fresh)
 	err := l.Run(c.ctx, func(m *wire.Message) {
+		c.hub.hear(l)
 		switch {
 		case m.Loads != nil:
 			c.hub.setLoads(l, m.Loads)
+		case m.Use != nil:
+			c.hub.setUse(l, m.Use)
 		case m.Routes != nil:
 			c.hub.wantTable(l, m.Routes.Version)
 		}
--- a/control/loads.go
+++ b/control/loads.go
@@ -65,6 +65,11 @@
 	if g.sharing != sharing {
 		h.own.gateways += map[bool]int{true: 1, false: -1}[sharing]
 		g.sharing, g.fresh, g.others = sharing, sharing, newShare()
+		if sharing {
+			h.ledger.Join(g.link)
+		} else {
+			h.ledger.Leave(g.link)
+		}
 	}
 	now := make(map[string]wire.EngineLoad, len(list))
 	for _, e := range list {
@@ -128,6 +133,7 @@
 	defer h.mu.Unlock()
 	h.dropPeer(l)
 	delete(h.rosters, l)
+	delete(h.peerHeard, l)
 }
 
 // dropPeer takes what a replica has told out of the sums. Callers hold the lock.
--- /dev/null
+++ b/control/use.go
@@ -0,0 +1,103 @@
+package control
+
+import (
+	"time"
+
+	"github.com/ledgepin/ledgepin/quota"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// How long the word of others stands for what they use of the limits.
+const (
+	// gatewayHeardFor is for a gateway: it shows life every 0.4 s.
+	gatewayHeardFor = time.Second
+	// peerHeardFor is for another replica and its gateways, some of the times in
+	// which replicas tell each other. Until then the gateways of both sides of a cut use
+	// the whole of each limit.
+	peerHeardFor = 300 * time.Millisecond
+)
+
+// setUse takes what organisations have used at a gateway.
+func (h *hub) setUse(l *wire.Link, u *quota.Use) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ledger.Use(time.Now(), l, u.Used)
+}
+
+// hear takes that a gateway has said something.
+func (h *hub) hear(l *wire.Link) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if g := h.gateways[l]; g != nil {
+		g.heard = time.Now()
+	}
+}
+
+// setPeerUse takes what another replica tells of the use of limits.
+func (h *hub) setPeerUse(l *wire.Link, u *quota.Use) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	h.peerHeard[l] = now
+	h.ledger.Peer(now, u)
+}
+
+// group returns the number of gateways that are told of each other: those that this
+// replica or another one has just heard. Callers hold the lock.
+func (h *hub) group(now time.Time) int {
+	n := 0
+	for _, g := range h.gateways {
+		if g.sharing && now.Sub(g.heard) < gatewayHeardFor {
+			n++
+		}
+	}
+	for l, s := range h.others {
+		if now.Sub(h.peerHeard[l]) < peerHeardFor {
+			n += s.gateways
+		}
+	}
+	return n
+}
+
+// seen returns the number of gateways that have a link to this replica; one that has
+// started anew may have two for a moment. Callers hold the lock.
+func (h *hub) seen() int {
+	names := make(map[string]bool, len(h.gateways))
+	for l := range h.gateways {
+		names[l.Peer.Name] = true
+	}
+	return len(names)
+}
+
+// tellPeersUse tells the other replicas what organisations have used here. Callers hold
+// the lock.
+func (h *hub) tellPeersUse(now time.Time) {
+	if !h.keyed() {
+		return
+	}
+	u := h.ledger.ForPeers(now)
+	if u == nil {
+		return
+	}
+	frame, err := wire.Marshal(&wire.Message{Use: u})
+	if err != nil {
+		return
+	}
+	for l := range h.peers {
+		_ = l.SendFrame(frame)
+	}
+}
+
+// tellUse tells the gateways that share with this replica what organisations have used
+// elsewhere. Callers hold the lock.
+func (h *hub) tellUse(now time.Time) {
+	if !h.keyed() {
+		return
+	}
+	h.ledger.Divide(now, h.group(now), h.seen(), h.cut)
+	h.ledger.ForGateways(now, func(l *wire.Link, u *quota.Use) { _ = l.Send(&wire.Message{Use: u}) })
+}
+
+// keyed tells whether there are organisations, so that their use has to be told. Callers
+// hold the lock.
+func (h *hub) keyed() bool { return h.table != nil && h.table.Keyed }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -83,6 +83,11 @@
 	"No engine took a request. The rule that decided is named, and ruled counts the engines that each rule kept it from: leaving, blocked (failed lately), slots, memory now, memory (before the end of the runs), turn (room that another gateway's request is to have), late read (room, but the prompt would be read too late). read_ms is the least time in which the prompt would be read, queued the requests that wait at other gateways, waited_ms the time since it came; prefills and decodes are the sends that were turned away.",
 	"Many by memory: the service needs more engines, or fewer that read prompts. Many by late read: it needs more of these.")
 
+// OverLimit tells why a request was refused for the limit of its organisation.
+var OverLimit = define("LP2017", info, "over the limit of an organisation",
+	"A request was refused since its organisation has used its limit: rate and burst are the limit, used is what was counted of the room that it gives (the burst and a part of the slack), size what the request counts. told_ms is how long ago this gateway heard what the others have used; if it is cut_off, used and room are those of its own part.",
+	"Raise the limit of the organisation, if that is what it is to have. Many with cut_off: look at the links to control.")
+
 // NoHold tells that a decode engine set no room aside.
 var NoHold = define("LP2013", info, "no room held",
 	"A decode engine that was chosen has no free slot or memory (status 503), or could not be asked (error); another one is looked for before the prompt is read.",
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -74,7 +74,7 @@
 	n.handover.Taken = s.ID
 	g.fleet.noteHandover(n.handover)
 	q.sends++
-	q.mayHaveRun = true
+	g.ran(q)
 	if !g.isStream(a) {
 		return n.failedAnswer(s, a)
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -121,7 +121,7 @@
 	if res, ok := g.turnedAway(q, s, a); ok {
 		return res
 	}
-	q.mayHaveRun = true
+	g.ran(q)
 	body, err := a.ReadAll(maxAnswer)
 	if err != nil {
 		return g.failed(tryCtx, q, &backend.Error{Sent: true, Cause: err})
@@ -164,7 +164,7 @@
 		return result{kind: notSent, err: err}
 	}
 	q.sends++
-	q.mayHaveRun = true
+	g.ran(q)
 	// The connection's deadline may be seen before the context's.
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded) {
 		return result{kind: late, err: err}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/ledgepin/ledgepin/backend"
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/route"
 )
 
@@ -32,6 +33,8 @@
 	Protocol backend.Protocol
 	// Retry bounds the sends beyond the first of each request.
 	Retry dispatch.Budget
+	// Quota tells how the use of limits is judged.
+	Quota quota.Bounds
 	Log   *slog.Logger
 }
 
@@ -57,6 +60,7 @@
 	pool            *backend.Pool
 	links           *links
 	fleet           *fleet
+	spending        *spending
 	// kept is what engines keep of prompts, by service.
 	keptMu sync.Mutex
 	kept   map[string]*keptPrompts
@@ -71,6 +75,7 @@
 	g := &Gateway{
 		cfg: cfg, log: cfg.Log.With("role", "gateway", "name", cfg.Name), ctx: ctx, cancel: cancel,
 		private: cfg.Protocol.Headers.Private(), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Name, cfg.Zone, cfg.Retry), kept: map[string]*keptPrompts{}, keptWait: keptTimeout,
+		spending: newSpending(cfg.Quota),
 	}
 	g.links = newLinks(g)
 	g.links.meet(cfg.Seeds)
@@ -94,29 +99,37 @@
 			if old == nil {
 				close(g.tabled)
 			}
+			g.spending.setTable(&g.table)
 			event.SettingsInForce.Log(g.log, "version", t.Version, "routes", len(t.Routes))
 			return
 		}
 	}
 }
 
-// firstTable is how long a request waits for the first table: a gateway that
-// has just started gets it within some tenths of a second.
+// firstTable is how long a request waits for the first table, and to be told for the
+// first time what organisations have used: a gateway that has just started gets that
+// within some tenths of a second.
 const firstTable = 500 * time.Millisecond
 
 // awaitTable returns the table in force; nil if there is none in time.
 func (g *Gateway) awaitTable(ctx context.Context) *route.Table {
-	if t := g.table.Load(); t != nil {
+	if t := g.table.Load(); t != nil && (!t.Keyed || g.links.hasToldUse()) {
 		return t
 	}
-	timer := time.NewTimer(firstTable)
-	defer timer.Stop()
+	ctx, cancel := context.WithTimeout(ctx, firstTable)
+	defer cancel()
 	select {
 	case <-g.tabled:
-	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return g.table.Load()
+	t := g.table.Load()
+	if t != nil && t.Keyed {
+		select {
+		case <-g.links.toldUse:
+		case <-ctx.Done():
+		}
+	}
+	return t
 }
 
 const sweepEvery = 250 * time.Millisecond
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -102,7 +102,7 @@
 	}
 	until := time.Now().Add(limit)
 	for {
-		wait := &dispatch.Waiting{Priority: q.route.Priority, Work: q.work, Engine: q.service.Engine, Avoid: q.tried}
+		wait := &dispatch.Waiting{Priority: q.organisation.Rank(q.route), Work: q.work, Engine: q.service.Engine, Avoid: q.tried}
 		if !n.stream.started && q.route.Target > 0 {
 			wait.Work.Within = time.Duration(readShare*float64(q.route.Target)) - time.Since(q.arrived)
 		}
--- /dev/null
+++ b/gateway/key_test.go
@@ -0,0 +1,252 @@
+package gateway
+
+import (
+	"bytes"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/quota"
+	"github.com/ledgepin/ledgepin/route"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+func TestBearer(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		fields []string
+		key    string
+	}{
+		{"as usual", []string{"Bearer k1"}, "k1"},
+		{"scheme in any case", []string{"bEARER k1"}, "k1"},
+		{"blanks around", []string{"  Bearer \t k1  "}, "k1"},
+		{"no field", nil, ""},
+		{"two fields", []string{"Bearer k1", "Bearer k1"}, ""},
+		{"another scheme", []string{"Basic k1"}, ""},
+		{"a scheme that begins alike", []string{"BearerX k1"}, ""},
+		{"no scheme", []string{"k1"}, ""},
+		{"no key", []string{"Bearer"}, ""},
+		{"an empty key", []string{"Bearer  "}, ""},
+		{"two words", []string{"Bearer k1 k2"}, ""},
+		{"a list", []string{"Bearer k1,Bearer k2"}, ""},
+	} {
+		key, ok := bearer(c.fields)
+		assert.Equal(t, key, c.key, c.name)
+		assert.Equal(t, ok, c.key != "", c.name)
+	}
+}
+
+// FuzzBearer wants a key to be one word of the field that it came in.
+func FuzzBearer(f *testing.F) {
+	for _, seed := range []string{"Bearer k1", "bearer  k", "Bearer", "Bearer a b", "Bearer\tk", "\x00Bearer k"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, field string) {
+		key, ok := bearer([]string{field})
+		if !ok {
+			assert.Equal(t, key, "")
+			return
+		}
+		words := strings.FieldsFunc(field, func(r rune) bool { return r == ' ' || r == '\t' })
+		assert.Equal(t, len(words), 2, "%q", field)
+		assert.Equal(t, key, words[1], "%q", field)
+	})
+}
+
+// withKeys gives the rig a table with two organisations, and tells it that it is in touch
+// with control and that nothing was used.
+func (r *rig) withKeys(version uint64, organisations ...route.Organisation) {
+	r.t.Helper()
+	old := r.gateway.table.Load()
+	table := &route.Table{Version: version, Routes: append([]route.Route{}, old.Routes[:4]...), Services: old.Services, Limits: old.Limits, Keyed: true, Organisations: organisations}
+	public := table.Routes[0]
+	public.Name, public.Prefix, public.Public = "public", "/public/", true
+	table.Routes = append(table.Routes, public)
+	assert.NilError(r.t, table.Check())
+	table.Index()
+	r.gateway.takeTable(table)
+}
+
+// meet gives the gateway a replica to share with, which tells that nothing was used.
+func (r *rig) meet() {
+	r.t.Helper()
+	hello := func() wire.Hello { return wire.Hello{Name: "hub", Role: wire.RoleControl, Zone: "z"} }
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		l, err := wire.Accept(w, req, wire.Options{Hello: hello})
+		if err != nil {
+			return
+		}
+		go func() {
+			for l.Send(&wire.Message{Use: &quota.Use{Whole: true, Together: 1, Alone: 0.1}}) == nil {
+				time.Sleep(20 * time.Millisecond)
+			}
+		}()
+		_ = l.Run(req.Context(), func(*wire.Message) {})
+	}))
+	r.t.Cleanup(server.CloseClientConnections)
+	r.gateway.SetSeeds([]string{strings.TrimPrefix(server.URL, "http://")})
+	poll.WaitOn(r.t, func(poll.LogT) poll.Result {
+		if r.gateway.links.hasToldUse() && r.gateway.links.inTouch() {
+			return poll.Success()
+		}
+		return poll.Continue("not told yet")
+	}, poll.WithDelay(5*time.Millisecond))
+}
+
+func organisation(name string, keys ...string) route.Organisation {
+	out := route.Organisation{Name: name, Unit: route.Tokens, PlainTokens: 200}
+	for _, key := range keys {
+		out.Keys = append(out.Keys, route.DigestOf(key))
+	}
+	return out
+}
+
+// TestKeys wants a server to be told whose request it is, whatever the caller said of
+// that, and not to see the key; and requests without a known key to be refused.
+func TestKeys(t *testing.T) {
+	r := newRig(t)
+	r.withKeys(2, organisation("one", "key1", "key2"), organisation("two", "key3"))
+	r.meet()
+	a, p, d := r.add("plain", "a", ""), r.add("llm", "p1", "prefill"), r.add("llm", "d1", "decode")
+	h := protocol.Headers
+	for _, c := range []struct {
+		name, target, authorization string
+		status                      int
+		organisation                string
+	}{
+		{"known", "/rates/1", "Bearer key1", 200, "one"},
+		{"second key", "/rates/1", "Bearer key2", 200, "one"},
+		{"another one", "/review/1", "bearer key3", 200, "two"},
+		{"none", "/rates/1", "", 401, ""},
+		{"the beginning of one", "/rates/1", "Bearer key", 401, ""},
+		{"one with more behind", "/rates/1", "Bearer key11", 401, ""},
+		{"in another case", "/rates/1", "Bearer KEY1", 401, ""},
+		{"the name of an organisation", "/rates/1", "Bearer one", 401, ""},
+		{"no route", "/nowhere/1", "", 404, ""},
+		{"public", "/public/1", "", 200, ""},
+		{"public with a key", "/public/1", "Bearer key3", 200, "two"},
+		{"public with an unknown key", "/public/1", "Bearer nobody", 200, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			before := [3]int{len(a.Arrivals()), len(p.Arrivals()), len(d.Arrivals())}
+			header := map[string]string{h.Organisation: "forged", strings.ReplaceAll(h.Organisation, "-", "_"): "forged", "Connection": h.Organisation}
+			if c.authorization != "" {
+				header["Authorization"] = c.authorization
+			}
+			got := r.send("POST", c.target, "q1", "x", header)
+			assert.Equal(t, got.status, c.status, got.body)
+			arrivals := append(append(a.Arrivals()[before[0]:], p.Arrivals()[before[1]:]...), d.Arrivals()[before[2]:]...)
+			assert.Equal(t, len(arrivals) > 0, c.status == 200)
+			for _, in := range arrivals {
+				assert.Equal(t, in.Header.Get(h.Organisation), c.organisation)
+				for name, values := range in.Header {
+					for _, v := range values {
+						assert.Assert(t, !strings.Contains(v, "forged") && !strings.Contains(v, "key"), "%s: %s", name, v)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestUnknownKeyOutOfTouch wants a gateway that may lack the newest table to promise that
+// the request has not run, and not to say that its key is none.
+func TestUnknownKeyOutOfTouch(t *testing.T) {
+	r := newRig(t)
+	r.withKeys(2, organisation("one", "key1"))
+	r.add("plain", "a", "")
+	bad := map[string]string{"Authorization": "Bearer new"}
+	assert.Equal(t, r.send("POST", "/rates/1", "q1", "x", bad).status, 503)
+	assert.Equal(t, r.send("POST", "/rates/1", "q2", "x", map[string]string{"Authorization": "Bearer key1"}).status, 200, "it goes on with what it has")
+	r.meet()
+	assert.Equal(t, r.send("POST", "/rates/1", "q3", "x", bad).status, 401)
+}
+
+// TestKeysChange wants a key that a table takes away or brings to be none, or one, from
+// the next request on.
+func TestKeysChange(t *testing.T) {
+	r := newRig(t)
+	r.meet()
+	r.add("plain", "a", "")
+	status := func(key string) int {
+		return r.send("POST", "/rates/1", "q", "x", map[string]string{"Authorization": "Bearer " + key}).status
+	}
+	r.withKeys(2, organisation("one", "old"))
+	assert.Equal(t, status("old"), 200)
+	r.withKeys(3, organisation("one", "new"))
+	assert.Equal(t, status("old"), 401)
+	assert.Equal(t, status("new"), 200)
+	r.withKeys(2, organisation("one", "old"))
+	assert.Equal(t, status("old"), 401, "an older table changes nothing")
+}
+
+// TestNoKeysWanted wants the field to pass where no keys are kept.
+func TestNoKeysWanted(t *testing.T) {
+	r := newRig(t)
+	a := r.add("plain", "a", "")
+	assert.Equal(t, r.send("POST", "/rates/1", "q", "x", map[string]string{"Authorization": "Bearer k"}).status, 200)
+	assert.Equal(t, a.Arrivals()[0].Header.Get("Authorization"), "Bearer k")
+}
+
+// TestLimit wants what is beyond the limit of an organisation to be refused with the time
+// at which it fits, what never ran not to count, and the log to tell the reason but no key.
+func TestLimit(t *testing.T) {
+	r := newRig(t)
+	var log bytes.Buffer
+	r.gateway.log = slog.New(slog.NewTextHandler(&log, nil))
+	o := organisation("one", "secret-key")
+	o.Rate, o.Burst = 1000, 1000
+	r.withKeys(2, o)
+	r.meet()
+	header := map[string]string{"Authorization": "Bearer secret-key", protocol.Headers.Tokens: "500,500"}
+	assert.Equal(t, r.send("POST", "/rates/1", "q1", "x", header).status, 503, "no server")
+	b := r.add("plain", "a", "")
+	assert.Equal(t, r.send("POST", "/rates/1", "q2", "x", header).status, 200, "the one before did not run")
+	got := r.send("POST", "/rates/1", "q3", "x", header)
+	assert.Equal(t, got.status, 429)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, ran(b), 1)
+	assert.Assert(t, strings.Contains(log.String(), "LP2017") && strings.Contains(log.String(), "organisation=one"), log.String())
+	assert.Assert(t, !strings.Contains(log.String(), "secret-key"))
+}
+
+// TestRunsCount wants a second run of a request to count too.
+func TestRunsCount(t *testing.T) {
+	g := &Gateway{spending: newSpending(quota.Bounds{})}
+	now := time.Now()
+	g.spending.limiter.SetLimits(now, map[string]quota.Limit{"one": {Rate: 0.001, Burst: 1000}})
+	g.spending.limiter.SetPart(now, quota.Part{Together: 1, Alone: 1, Heard: now.Add(time.Hour)})
+	g.spending.limiter.Levels(now, nil)
+	q := &request{arrived: now, organisation: &route.Organisation{Name: "one", Unit: route.Tokens, Rate: 1, Burst: 1000, PlainTokens: 100}}
+	used := func() int { return g.spending.limiter.Used(now)["one"] }
+	assert.Assert(t, g.charge(q, 0) == nil)
+	assert.Equal(t, used(), 100)
+	g.ran(q)
+	g.ran(q)
+	g.settle(q)
+	assert.Equal(t, used(), 200)
+	other := &request{arrived: now, organisation: q.organisation}
+	assert.Assert(t, g.charge(other, 0) == nil)
+	g.settle(other)
+	assert.Equal(t, used(), 200, "what did not run is given back")
+}
+
+// TestOrganisationPriority wants that of the organisation to go before that of the route.
+func TestOrganisationPriority(t *testing.T) {
+	urgent := 0
+	r := &route.Route{Priority: 3}
+	assert.Equal(t, (&route.Organisation{Priority: &urgent}).Rank(r), 0)
+	assert.Equal(t, (&route.Organisation{}).Rank(r), 3)
+	assert.Equal(t, (*route.Organisation)(nil).Rank(r), 3)
+	var q dispatch.Queue
+	q.Add(&dispatch.Waiting{Priority: 3})
+	q.Add(&dispatch.Waiting{Priority: (&route.Organisation{Priority: &urgent}).Rank(r)})
+	assert.Equal(t, q.Len(), 2)
+}
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -8,6 +8,7 @@
 
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/internal/wait"
+	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/route"
 	"github.com/ledgepin/ledgepin/wire"
@@ -47,6 +48,11 @@
 	hub    string
 	others shares
 	leader string
+	// parts are those of the limits that partsFrom, a replica, has told.
+	parts     quota.Part
+	partsFrom string
+	// toldUse is closed when a replica has told of the use of limits for the first time.
+	toldUse chan struct{}
 	// waiting is a table that no replica has vouched for yet.
 	waiting *route.Table
 }
@@ -54,12 +60,12 @@
 type peer struct {
 	stop context.CancelFunc
 	link *wire.Link
-	// since is when the link was opened.
-	since time.Time
+	// since is when the link was opened, heard when the replica last said something.
+	since, heard time.Time
 }
 
 func newLinks(g *Gateway) *links {
-	l := &links{g: g, peers: map[string]*peer{}, gateways: map[string]int{}, cut: map[string]bool{}, told: map[string]*registry.Roster{}}
+	l := &links{g: g, peers: map[string]*peer{}, gateways: map[string]int{}, cut: map[string]bool{}, told: map[string]*registry.Roster{}, toldUse: make(chan struct{})}
 	g.wg.Go(l.loop)
 	return l
 }
@@ -117,6 +123,7 @@
 func (l *links) set(address string, p *peer, link *wire.Link) {
 	l.mu.Lock()
 	p.link, p.since = link, time.Now()
+	p.heard = p.since
 	if link == nil {
 		delete(l.gateways, address)
 		delete(l.told, address)
@@ -127,6 +134,7 @@
 }
 
 func (l *links) handle(address string, m *wire.Message) {
+	l.hear(address)
 	switch {
 	case m.Servers != nil:
 		l.g.fleet.update(m.Servers, l.alive(address, m.Servers))
@@ -146,6 +154,8 @@
 		l.sync()
 		l.share()
 		l.mu.Unlock()
+	case m.Use != nil:
+		l.use(address, m.Use)
 	case m.Loads != nil:
 		l.mu.Lock()
 		l.takeLoads(address, m.Loads)
@@ -154,6 +164,55 @@
 	}
 }
 
+func (l *links) hear(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.peers[address]
+	if p == nil {
+		return
+	}
+	p.heard = time.Now()
+	if address == l.partsFrom {
+		l.parts.Heard = p.heard
+		l.g.spending.setPart(l.parts)
+	}
+}
+
+// hasToldUse tells whether a replica has told of the use of limits.
+func (l *links) hasToldUse() bool {
+	select {
+	case <-l.toldUse:
+		return true
+	default:
+		return false
+	}
+}
+
+// use takes what the replica that this gateway shares with tells of the use of limits.
+func (l *links) use(address string, u *quota.Use) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if address != l.hub {
+		return
+	}
+	if l.partsFrom == "" {
+		close(l.toldUse)
+	}
+	l.partsFrom = address
+	l.parts = quota.Part{Together: u.Together, Alone: u.Alone, Heard: time.Now()}
+	l.g.spending.setPart(l.parts)
+	l.g.spending.take(u)
+}
+
+// inTouch tells whether this gateway shares with a replica that it has just heard and
+// that has links to most of the others.
+func (l *links) inTouch() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.peers[l.hub]
+	return p != nil && p.link != nil && !l.cut[l.hub] && !l.silent(l.hub)
+}
+
 // alive returns the servers that a replica says have reported themselves of late: all
 // that it has told of as ready, but for the exceptions that it names.
 func (l *links) alive(address string, m *wire.Servers) []string {
@@ -232,6 +291,9 @@
 		if m := l.g.fleet.loads(now); m != nil {
 			_ = hub.Send(&wire.Message{Loads: m})
 		}
+		if used := l.g.spending.untold(now); used != nil {
+			_ = hub.Send(&wire.Message{Use: &quota.Use{Used: used}})
+		}
 	})
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -22,6 +22,8 @@
 	id      string
 	route   *route.Route
 	service *route.Service
+	// organisation is whose request it is; nil where no key is wanted.
+	organisation *route.Organisation
 	// send is what goes to a server; the server's own fields are added for
 	// each send.
 	send     backend.Request
@@ -34,8 +36,12 @@
 	resumed bool
 	// mayHaveRun tells that a server may have worked on it.
 	mayHaveRun bool
-	tried      dispatch.Avoid
-	sends      int
+	// size is what it counts against the limit of its organisation, charged that it
+	// was counted.
+	size    float64
+	charged bool
+	tried   dispatch.Avoid
+	sends   int
 }
 
 // defaultDeadline is for callers that name none.
@@ -55,6 +61,7 @@
 		return
 	}
 	q, ref := g.read(table, r)
+	defer g.settle(q)
 	if ref != nil {
 		g.refuse(w, q.id, *ref)
 		return
@@ -85,10 +92,17 @@
 	if q.route == nil {
 		return q, &refusal{status: http.StatusNotFound, reason: "no route"}
 	}
+	if ref := g.identify(table, q, r.Header); ref != nil {
+		return q, ref
+	}
 	q.service = table.Service(q.route.Pick(pick()))
 	if q.service == nil {
 		return q, &notReady
 	}
+	prompt, most := tokensOf(r.Header.Get(h.Tokens))
+	if ref := g.charge(q, prompt+most); ref != nil {
+		return q, ref
+	}
 	body, err := readBody(r, table.Limits.BodyBytes)
 	if err != nil {
 		refused := bodyRefusal(err)
@@ -99,6 +113,7 @@
 	q.send = backend.Request{
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: forwarded(g.private, r.Header), Body: body, ID: q.id,
 	}
+	g.name(table, q)
 	if q.service.Engine != nil {
 		q.work = workOf(h, r.Header, q.service)
 		q.resumed = r.Header.Get(h.LastEventID) != ""
@@ -233,18 +248,32 @@
 
 // workOf reads what a request will need at an engine.
 func workOf(h *backend.Headers, in http.Header, s *route.Service) dispatch.Work {
-	prompt, most, _ := strings.Cut(in.Get(h.Tokens), ",")
-	w := dispatch.Work{Service: s.Name, Expected: unknownAnswer}
-	w.Prompt, _ = strconv.Atoi(strings.TrimSpace(prompt))
+	prompt, most := tokensOf(in.Get(h.Tokens))
+	w := dispatch.Work{Service: s.Name, Expected: unknownAnswer, Prompt: prompt}
 	if hint, err := strconv.ParseFloat(in.Get(h.LengthHint), 64); err == nil && hint > 0 {
 		w.Expected = int(hint * hintFactor)
 	}
-	if bound, err := strconv.Atoi(strings.TrimSpace(most)); err == nil && bound > 0 {
-		w.Expected = min(w.Expected, bound)
+	if most > 0 {
+		w.Expected = min(w.Expected, most)
 	}
 	return w
 }
 
+// tokensOf reads the tokens of a prompt and the most tokens of its answer; what can't be
+// read is zero.
+func tokensOf(field string) (prompt, most int) {
+	first, second, _ := strings.Cut(field, ",")
+	return count(first), count(second)
+}
+
+func count(field string) int {
+	n, err := strconv.Atoi(strings.TrimSpace(field))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
 // left is the time that remains for a request.
 func (q *request) left() time.Duration { return time.Until(q.deadline) }
 
@@ -299,6 +328,9 @@
 	metric.RouteRequests.WithLabelValues(r.route, r.reason).Inc()
 	event.RequestRefused.Log(g.log, "id", id, "route", r.route, "status", r.status, "reason", r.reason, "retry_after_ms", r.retryAfter.Milliseconds())
 	body := r.reason + "\n"
+	if r.status == http.StatusUnauthorized {
+		head.Set("WWW-Authenticate", "Bearer")
+	}
 	head.Set("Content-Type", "text/plain; charset=utf-8")
 	head.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(r.status)
--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -112,7 +112,7 @@
 // the lowest address, so that gateways of a zone choose the same one. A replica of
 // another zone is not chosen before hubWait. Callers hold the lock.
 func (l *links) chooseHub(now time.Time) string {
-	best, rank := "", 0
+	best, rank := "", -1
 	for a, p := range l.peers {
 		if p.link == nil {
 			continue
@@ -138,9 +138,20 @@
 	bestRank = 4
 )
 
+// silentFor is the silence after which a replica is left for another one, before its link
+// is given up: it shows life every 0.4 s, and a packet that is lost is sent again after 0.2 s.
+const silentFor = 700 * time.Millisecond
+
+func (l *links) silent(address string) bool {
+	p := l.peers[address]
+	return p != nil && !p.heard.IsZero() && time.Since(p.heard) > silentFor
+}
+
 // hubRank tells how well a linked replica serves to share with; the highest is best.
 func (l *links) hubRank(address, zone string) int {
 	switch {
+	case l.silent(address):
+		return 0
 	case l.cut[address]:
 		return 1
 	case zone == l.g.cfg.Zone:
--- /dev/null
+++ b/gateway/use.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/quota"
+	"github.com/ledgepin/ledgepin/route"
+)
+
+// spending is the lock around what organisations use.
+type spending struct {
+	mu      sync.Mutex
+	limiter *quota.Limiter
+}
+
+func newSpending(b quota.Bounds) *spending {
+	return &spending{limiter: quota.NewLimiter(b)}
+}
+
+// setTable puts the limits of the table in force, which is read under the lock: two may
+// come one after the other.
+func (s *spending) setTable(table *atomic.Pointer[route.Table]) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limiter.SetLimits(time.Now(), table.Load().Quotas())
+}
+
+// setPart takes the part of the limits that this gateway may use.
+func (s *spending) setPart(p quota.Part) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limiter.SetPart(time.Now(), p)
+}
+
+// take takes what a replica tells of the other gateways.
+func (s *spending) take(u *quota.Use) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if u.Whole {
+		s.limiter.Levels(now, u.Used)
+		return
+	}
+	for name, size := range u.Used {
+		s.limiter.Others(now, name, float64(size))
+	}
+}
+
+// untold returns what the other gateways have to hear.
+func (s *spending) untold(now time.Time) map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limiter.Untold(now)
+}
+
+// charge counts a request against the limit of its organisation, and refuses it if it
+// lies beyond that.
+func (g *Gateway) charge(q *request, tokens int) *refusal {
+	if q.organisation == nil || q.organisation.Rate <= 0 {
+		return nil
+	}
+	q.size = q.organisation.Size(tokens)
+	g.spending.mu.Lock()
+	v := g.spending.limiter.Take(q.arrived, q.organisation.Name, q.size, rand.Float64())
+	g.spending.mu.Unlock()
+	if v.OK {
+		q.charged = true
+		return nil
+	}
+	event.OverLimit.Log(g.log, "id", q.id, "organisation", q.organisation.Name, "size", q.size, "rate", q.organisation.Rate, "burst", q.organisation.Burst,
+		"used", int(v.Used), "room", int(v.Room), "cut_off", v.CutOff, "told_ms", v.Age.Milliseconds())
+	return &refusal{route: q.route.Name, status: http.StatusTooManyRequests, reason: "over the limit of the organisation", retryAfter: spread(v.Wait)}
+}
+
+// waitSpread is the part by which times to come back differ, so that callers who were
+// refused together do not return together.
+const waitSpread = 0.2
+
+func spread(wait time.Duration) time.Duration {
+	return time.Duration(float64(wait) * (1 + waitSpread*rand.Float64()))
+}
+
+// ran notes that a server may have worked on the request. Each time counts.
+func (g *Gateway) ran(q *request) {
+	if q.mayHaveRun && q.charged {
+		g.count(q, q.size)
+	}
+	q.mayHaveRun = true
+}
+
+// settle gives back what was counted for a request that has not run.
+func (g *Gateway) settle(q *request) {
+	if q.charged && !q.mayHaveRun {
+		g.count(q, -q.size)
+	}
+}
+
+func (g *Gateway) count(q *request, size float64) {
+	g.spending.mu.Lock()
+	defer g.spending.mu.Unlock()
+	g.spending.limiter.Count(time.Now(), q.organisation.Name, size)
+}
--- /dev/null
+++ b/route/organisation.go
@@ -0,0 +1,121 @@
+package route
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math"
+
+	"github.com/ledgepin/ledgepin/quota"
+)
+
+// Unit is what the limit of an organisation counts.
+type Unit string
+
+// The units of limits.
+const (
+	// Requests counts each request as one.
+	Requests Unit = "requests"
+	// Tokens counts the tokens of the prompt and the most tokens of the answer.
+	Tokens Unit = "tokens"
+)
+
+// KeyDigest stands for an API key. Gateways hold digests only, so that no dump, log
+// line or error of theirs can show a key; a look-up by digest takes as long for a near
+// miss as for any other.
+type KeyDigest [sha256.Size]byte
+
+// DigestOf returns the digest of a key.
+func DigestOf(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
+
+// Organisation is who the requests with some keys belong to, and what it may use.
+type Organisation struct {
+	Name string      `cbor:"1,keyasint" json:"name"`
+	Keys []KeyDigest `cbor:"2,keyasint" json:"-"`
+	// Priority takes the place of a route's; nil leaves that.
+	Priority *int `cbor:"3,keyasint,omitempty" json:"priority,omitempty"`
+	// Rate and Burst bound what it uses, in units a second and units on top; no bound
+	// if Rate is zero.
+	Unit  Unit    `cbor:"4,keyasint,omitempty" json:"unit,omitempty"`
+	Rate  float64 `cbor:"5,keyasint,omitempty" json:"rate,omitempty"`
+	Burst float64 `cbor:"6,keyasint,omitempty" json:"burst,omitempty"`
+	// PlainTokens is what a request counts that names no tokens.
+	PlainTokens int `cbor:"7,keyasint,omitempty" json:"plain_tokens,omitempty"`
+}
+
+// Size returns what a request counts, which names so many tokens; zero if it names
+// none.
+func (o *Organisation) Size(tokens int) float64 {
+	switch {
+	case o.Unit == Requests:
+		return 1
+	case tokens > 0:
+		return float64(tokens)
+	}
+	return float64(o.PlainTokens)
+}
+
+// Rank returns the priority of the organisation's requests on a route. No organisation
+// leaves the route's.
+func (o *Organisation) Rank(r *Route) int {
+	if o == nil || o.Priority == nil {
+		return r.Priority
+	}
+	return *o.Priority
+}
+
+func (o *Organisation) check() error {
+	if o.Unit != Requests && o.Unit != Tokens {
+		return fmt.Errorf("unknown unit %q", o.Unit)
+	}
+	for _, v := range []float64{o.Rate, o.Burst, float64(o.PlainTokens)} {
+		if v < 0 || math.IsNaN(v) || math.IsInf(v, 0) {
+			return fmt.Errorf("want a rate, a burst and plain tokens of 0 or more, not %v", v)
+		}
+	}
+	if o.Burst > 0 && o.Rate == 0 {
+		return fmt.Errorf("a burst without a rate")
+	}
+	return nil
+}
+
+// checkOrganisations returns what is wrong with the organisations, naming the place
+// but no key.
+func checkOrganisations(list []Organisation) error {
+	names := map[string]bool{}
+	holders := map[KeyDigest]int{}
+	empty := DigestOf("")
+	for i := range list {
+		o := &list[i]
+		if o.Name == "" || names[o.Name] {
+			return fmt.Errorf("organisations[%d]: the name %q is empty or stands twice", i, o.Name)
+		}
+		names[o.Name] = true
+		if err := o.check(); err != nil {
+			return fmt.Errorf("organisations[%d] (%s): %w", i, o.Name, err)
+		}
+		for n, key := range o.Keys {
+			if key == empty {
+				return fmt.Errorf("organisations[%d] (%s): key %d is empty", i, o.Name, n)
+			}
+			if first, ok := holders[key]; ok {
+				return fmt.Errorf("organisations[%d] (%s): key %d stands at organisations[%d] too", i, o.Name, n, first)
+			}
+			holders[key] = i
+		}
+	}
+	return nil
+}
+
+// Holder returns the organisation that holds a key, or nil.
+func (t *Table) Holder(key string) *Organisation { return t.holders[DigestOf(key)] }
+
+// Quotas returns the limits of the organisations that have one, by name.
+func (t *Table) Quotas() map[string]quota.Limit {
+	out := map[string]quota.Limit{}
+	for i := range t.Organisations {
+		if o := &t.Organisations[i]; o.Rate > 0 {
+			out[o.Name] = quota.Limit{Rate: o.Rate, Burst: o.Burst}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/route/organisation_test.go
@@ -0,0 +1,35 @@
+package route
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+)
+
+// TestSize wants requests counted in the unit of the limit.
+func TestSize(t *testing.T) {
+	tokens := Organisation{Unit: Tokens, PlainTokens: 200}
+	assert.Equal(t, tokens.Size(1500), 1500.0)
+	assert.Equal(t, tokens.Size(0), 200.0)
+	requests := Organisation{Unit: Requests, PlainTokens: 200}
+	assert.Equal(t, requests.Size(1500), 1.0)
+}
+
+// TestKeysOnTheWire wants tables to bring the digests of keys to gateways, and what is
+// shown of a table to have neither keys nor digests.
+func TestKeysOnTheWire(t *testing.T) {
+	in := Table{Version: 1, Keyed: true, Organisations: []Organisation{{Name: "one", Unit: Tokens, Keys: []KeyDigest{DigestOf("secret")}}}}
+	frame, err := cbor.Marshal(&in)
+	assert.NilError(t, err)
+	assert.Assert(t, !strings.Contains(string(frame), "secret"))
+	var out Table
+	assert.NilError(t, cbor.Unmarshal(frame, &out))
+	out.Index()
+	assert.Equal(t, out.Holder("secret").Name, "one")
+	shown, err := json.Marshal(&in)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(shown), `"name":"one"`) && !strings.Contains(string(shown), "keys"), string(shown))
+}
--- a/route/route.go
+++ b/route/route.go
@@ -45,6 +45,8 @@
 	Services  []Weight `cbor:"10,keyasint" json:"services"`
 	Affinity  bool     `cbor:"11,keyasint,omitempty" json:"affinity"`
 	Resumable bool     `cbor:"12,keyasint,omitempty" json:"resumable"`
+	// Public routes want no key.
+	Public bool `cbor:"13,keyasint,omitempty" json:"public,omitempty"`
 }
 
 // Weight is the share of a service in a route.
@@ -110,9 +112,14 @@
 	// Source is the document that the table was read from; operators get it
 	// back as they sent it. It stays with control.
 	Source []byte `cbor:"5,keyasint,omitempty" json:"-"`
+	// Keyed tells that requests want the key of one of the Organisations, but on
+	// public routes.
+	Keyed         bool           `cbor:"6,keyasint,omitempty" json:"keyed,omitempty"`
+	Organisations []Organisation `cbor:"7,keyasint,omitempty" json:"organisations,omitempty"`
 
 	byHost   map[string][]*Route
 	services map[string]*Service
+	holders  map[KeyDigest]*Organisation
 }
 
 // Check returns what is wrong with a table, naming the place.
@@ -136,7 +143,7 @@
 		}
 		places[place] = i
 	}
-	return nil
+	return checkOrganisations(t.Organisations)
 }
 
 func (r *Route) check(services map[string]bool) error {
@@ -182,6 +189,12 @@
 	for i := range t.Services {
 		t.services[t.Services[i].Name] = &t.Services[i]
 	}
+	t.holders = map[KeyDigest]*Organisation{}
+	for i := range t.Organisations {
+		for _, key := range t.Organisations[i].Keys {
+			t.holders[key] = &t.Organisations[i]
+		}
+	}
 }
 
 // Lookup returns the route of a host with the longest prefix that begins the
--- a/wire/message.go
+++ b/wire/message.go
@@ -59,10 +59,11 @@
 	Registered *Registered `cbor:"36,keyasint,omitempty"`
 	Recorded   *Recorded   `cbor:"37,keyasint,omitempty"`
 
-	Routes   *Routes   `cbor:"32,keyasint,omitempty"`
-	Servers  *Servers  `cbor:"33,keyasint,omitempty"`
-	Replicas *Replicas `cbor:"34,keyasint,omitempty"`
-	Loads    *Loads    `cbor:"35,keyasint,omitempty"`
+	Routes   *Routes    `cbor:"32,keyasint,omitempty"`
+	Servers  *Servers   `cbor:"33,keyasint,omitempty"`
+	Replicas *Replicas  `cbor:"34,keyasint,omitempty"`
+	Loads    *Loads     `cbor:"35,keyasint,omitempty"`
+	Use      *quota.Use `cbor:"38,keyasint,omitempty"`
 }
 
 // Roles that a Hello may name.
