--- a/gateway/key_test.go
+++ b/gateway/key_test.go
@@ -217,6 +217,17 @@
 	assert.Assert(t, !strings.Contains(log.String(), "secret-key"))
 }
 
+// TestNeverToldOfUse wants a gateway that was never told what organisations have used to
+// promise that the request has not run, and not to say that its organisation is over its limit.
+func TestNeverToldOfUse(t *testing.T) {
+	r := newRig(t)
+	r.add("plain", "a", "")
+	o := organisation("one", "key1")
+	o.Rate, o.Burst = 1000, 1000
+	r.withKeys(2, o)
+	assert.Equal(t, r.send("POST", "/rates/1", "q1", "x", map[string]string{"Authorization": "Bearer key1"}).status, 503)
+}
+
 // TestRunsCount wants a second run of a request to count too.
 func TestRunsCount(t *testing.T) {
 	g := &Gateway{spending: newSpending(quota.Bounds{})}
--- a/gateway/use.go
+++ b/gateway/use.go
@@ -74,6 +74,9 @@
 	}
 	event.OverLimit.Log(g.log, "id", q.id, "organisation", q.organisation.Name, "size", q.size, "rate", q.organisation.Rate, "burst", q.organisation.Burst,
 		"used", int(v.Used), "room", int(v.Room), "cut_off", v.CutOff, "told_ms", v.Age.Milliseconds())
+	if v.Untold {
+		return &refusal{route: q.route.Name, status: http.StatusServiceUnavailable, reason: "what organisations have used is not known yet", retryAfter: unsureRetry}
+	}
 	return &refusal{route: q.route.Name, status: http.StatusTooManyRequests, reason: "over the limit of the organisation", retryAfter: spread(v.Wait)}
 }
 
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -225,6 +225,8 @@
 	Used, Room float64
 	CutOff     bool
 	Age        time.Duration
+	// Untold tells that it was never told, and so has no part.
+	Untold bool
 }
 
 // Take counts the size of a request of an organisation if that lies within its limit.
@@ -235,7 +237,7 @@
 		return Verdict{OK: true}
 	}
 	l.settle(now, a)
-	v := Verdict{Used: a.used, Room: l.bounds.room(a.limit) * a.share, Age: now.Sub(l.part.Heard)}
+	v := Verdict{Used: a.used, Room: l.bounds.room(a.limit) * a.share, Age: now.Sub(l.part.Heard), Untold: l.part.Heard.IsZero()}
 	v.CutOff = a.cutOff && (a.used+size > v.Room/2 || v.Age >= looseFor)
 	if v.CutOff {
 		v.Used, v.Room = a.alone, l.bounds.room(a.limit)*l.part.Alone
