--- a/app/run.go
+++ b/app/run.go
@@ -28,8 +28,8 @@
 	agent   *agent.Agent
 	control *control.Control
 	// Callers, Operators and Links are the addresses in use; Links by role.
-	Callers, Operators string
-	Links              map[string]string
+	Callers, Operators, Metrics string
+	Links                       map[string]string
 }
 
 // Start starts the roles of a settings file. On an error nothing is left
@@ -151,6 +151,10 @@
 	o := operator.Options{Token: token, Processes: roles, Control: p.control, Log: p.log}
 	var err error
 	p.Operators, err = p.ln.serve(p.file.Operators, operator.NewServer(operator.Handler(o)))
+	if err != nil || p.file.Metrics == "" {
+		return err
+	}
+	p.Metrics, err = p.ln.serve(p.file.Metrics, operator.NewServer(operator.MetricsHandler(o)))
 	return err
 }
 
--- a/config/config.go
+++ b/config/config.go
@@ -31,6 +31,9 @@
 	Roles []string `yaml:"roles" check:"required"`
 	// Operators is the address of the operators' listener.
 	Operators string `yaml:"operators" check:"required"`
+	// Metrics is an address at which the metrics alone are served, without a token; empty
+	// if there is none.
+	Metrics string `yaml:"metrics,omitempty"`
 	// Data is the data folder; empty on a VM without a disk.
 	Data string `yaml:"data,omitempty"`
 	// Drain bounds the time for streams in progress after SIGTERM.
@@ -254,6 +257,9 @@
 
 func (c *checker) addresses() {
 	c.address("operators", c.file.Operators)
+	if c.file.Metrics != "" {
+		c.address("metrics", c.file.Metrics)
+	}
 	if e := c.file.Entry; e != nil {
 		c.address("entry.callers", e.Callers)
 		if e.Links != "" {
--- a/operator/server.go
+++ b/operator/server.go
@@ -80,6 +80,15 @@
 	return r
 }
 
+// MetricsHandler serves the metrics alone, without a token, to whoever collects them.
+func MetricsHandler(o Options) http.Handler {
+	s := &server{o}
+	r := echo.New()
+	r.HTTPErrorHandler = s.fail
+	r.GET("/metrics", s.metrics)
+	return r
+}
+
 func (s *server) auth(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		if !wire.TokenOK(c.Request(), s.Token) {
