--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,7 +60,7 @@
 	pool            *backend.Pool
 	links           *links
 	fleet           *fleet
-	spending        *spending
+	limits          *limits
 	// kept is what engines keep of prompts, by service.
 	keptMu sync.Mutex
 	kept   map[string]*keptPrompts
@@ -75,7 +75,7 @@
 	g := &Gateway{
 		cfg: cfg, log: cfg.Log.With("role", "gateway", "name", cfg.Name), ctx: ctx, cancel: cancel,
 		private: cfg.Protocol.Headers.Private(), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Name, cfg.Zone, cfg.Retry), kept: map[string]*keptPrompts{}, keptWait: keptTimeout,
-		spending: newSpending(cfg.Quota),
+		limits: newLimits(cfg.Quota),
 	}
 	g.links = newLinks(g)
 	g.links.meet(cfg.Seeds)
@@ -99,7 +99,7 @@
 			if old == nil {
 				close(g.tabled)
 			}
-			g.spending.setTable(&g.table)
+			g.limits.setTable(&g.table)
 			event.SettingsInForce.Log(g.log, "version", t.Version, "routes", len(t.Routes))
 			return
 		}
--- a/gateway/use.go
+++ b/gateway/limits.go
@@ -12,50 +12,50 @@
 	"github.com/ledgepin/ledgepin/route"
 )
 
-// spending is the lock around what organisations use.
-type spending struct {
+// limits is the lock around what organisations use.
+type limits struct {
 	mu      sync.Mutex
 	limiter *quota.Limiter
 }
 
-func newSpending(b quota.Bounds) *spending {
-	return &spending{limiter: quota.NewLimiter(b)}
+func newLimits(b quota.Bounds) *limits {
+	return &limits{limiter: quota.NewLimiter(b)}
 }
 
 // setTable puts the limits of the table in force, which is read under the lock: two may
 // come one after the other.
-func (s *spending) setTable(table *atomic.Pointer[route.Table]) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.limiter.SetLimits(time.Now(), table.Load().Quotas())
+func (l *limits) setTable(table *atomic.Pointer[route.Table]) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limiter.SetLimits(time.Now(), table.Load().Quotas())
 }
 
 // setPart takes the part of the limits that this gateway may use.
-func (s *spending) setPart(p quota.Part) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.limiter.SetPart(time.Now(), p)
+func (l *limits) setPart(p quota.Part) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limiter.SetPart(time.Now(), p)
 }
 
 // take takes what a replica tells of the other gateways.
-func (s *spending) take(u *quota.Use) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (l *limits) take(u *quota.Use) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	now := time.Now()
 	if u.Whole {
-		s.limiter.Levels(now, u.Used)
+		l.limiter.Levels(now, u.Used)
 		return
 	}
 	for name, size := range u.Used {
-		s.limiter.Others(now, name, float64(size))
+		l.limiter.Others(now, name, float64(size))
 	}
 }
 
 // untold returns what the other gateways have to hear.
-func (s *spending) untold(now time.Time) map[string]int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.limiter.Untold(now)
+func (l *limits) untold(now time.Time) map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limiter.Untold(now)
 }
 
 // charge counts a request against the limit of its organisation, and refuses it if it
@@ -65,9 +65,9 @@
 		return nil
 	}
 	q.size = q.organisation.Size(tokens)
-	g.spending.mu.Lock()
-	v := g.spending.limiter.Take(q.arrived, q.organisation.Name, q.size, rand.Float64())
-	g.spending.mu.Unlock()
+	g.limits.mu.Lock()
+	v := g.limits.limiter.Take(q.arrived, q.organisation.Name, q.size, rand.Float64())
+	g.limits.mu.Unlock()
 	if v.OK {
 		q.charged = true
 		return nil
@@ -104,7 +104,7 @@
 }
 
 func (g *Gateway) count(q *request, size float64) {
-	g.spending.mu.Lock()
-	defer g.spending.mu.Unlock()
-	g.spending.limiter.Count(time.Now(), q.organisation.Name, size)
+	g.limits.mu.Lock()
+	defer g.limits.mu.Unlock()
+	g.limits.limiter.Count(time.Now(), q.organisation.Name, size)
 }
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -174,7 +174,7 @@
 	p.heard = time.Now()
 	if address == l.partsFrom {
 		l.parts.Heard = p.heard
-		l.g.spending.setPart(l.parts)
+		l.g.limits.setPart(l.parts)
 	}
 }
 
@@ -200,8 +200,8 @@
 	}
 	l.partsFrom = address
 	l.parts = quota.Part{Together: u.Together, Alone: u.Alone, Heard: time.Now()}
-	l.g.spending.setPart(l.parts)
-	l.g.spending.take(u)
+	l.g.limits.setPart(l.parts)
+	l.g.limits.take(u)
 }
 
 // inTouch tells whether this gateway shares with a replica that it has just heard and
@@ -291,7 +291,7 @@
 		if m := l.g.fleet.loads(now); m != nil {
 			_ = hub.Send(&wire.Message{Loads: m})
 		}
-		if used := l.g.spending.untold(now); used != nil {
+		if used := l.g.limits.untold(now); used != nil {
 			_ = hub.Send(&wire.Message{Use: &quota.Use{Used: used}})
 		}
 	})
--- a/quota/quota.go
+++ b/quota/broker.go
@@ -1,11 +1,3 @@
-// Package quota shares the limits of customers out over many entries.
-//
-// A customer may have so many open requests in the fleet. Asking for each
-// request would put control on its path, so units are leased downwards: from
-// control to the relay of an availability zone, and from there to entries. A
-// Holder asks ahead when it runs short and gives back what it does not need; a
-// Broker never has more on loan than it has itself, counting loans until they
-// end.
 package quota
 
 import (
@@ -13,6 +5,12 @@
 	"time"
 )
 
+// A customer may have so many open requests in the fleet. Asking for each request would
+// put control on its path, so units are leased downwards: from control to the relay of an
+// availability zone, and from there to entries. A Holder asks ahead when it runs short and
+// gives back what it does not need; a Broker never has more on loan than it has itself,
+// counting loans until they end.
+
 // Ask is what a holder wants to have of one customer in all.
 type Ask struct {
 	Customer string `cbor:"1,keyasint"`
