--- a/soak/check.go
+++ b/soak/check.go
@@ -71,6 +71,8 @@
 	{"no invalid table is taken", checkInvalid},
 	{"the retry budget is kept", checkBudget},
 	{"one holder of orders", checkOrders},
+	{"keys and organisations are told apart", checkKeys},
+	{"limits are kept", checkLimits},
 	{"no process ends by itself", checkExits},
 }
 
--- /dev/null
+++ b/soak/check_keys.go
@@ -0,0 +1,73 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bounds of the use of limits, which the settings of a run name too.
+const (
+	quotaWindow    = 8 * time.Second
+	quotaOvershoot = 0.1
+	quotaSlack     = 22000
+)
+
+// checkKeys wants servers to be told whose request it is, and to see no key; and a request
+// to be refused for its key if, and only if, no table has held that.
+func checkKeys(h *History) []string {
+	var out []string
+	asked := map[string]string{}
+	for _, q := range h.Requests {
+		asked[q.ID] = q.Organisation
+		if (q.Status == http.StatusUnauthorized) && q.Organisation != unknown {
+			out = append(out, fmt.Sprintf("%s of %s was refused for its key", q.ID, q.Organisation))
+		}
+		if q.Status == http.StatusOK && q.Organisation == unknown {
+			out = append(out, fmt.Sprintf("%s has no key and got an answer", q.ID))
+		}
+	}
+	for _, a := range h.Arrivals {
+		organisation, ok := asked[a.ID]
+		if ok && a.Header.Get(headers.Organisation) != organisation {
+			out = append(out, fmt.Sprintf("%s of %s came to %s as one of %q", a.ID, organisation, a.Server, a.Header.Get(headers.Organisation)))
+		}
+		for name, values := range a.Header {
+			if strings.Contains(strings.Join(values, " "), "key-") {
+				out = append(out, fmt.Sprintf("%s sees the key of %s in %s", a.Server, a.ID, name))
+			}
+		}
+	}
+	return out
+}
+
+// checkLimits wants an organisation that asks for more than its limit to stay within the
+// bounds in each window.
+func checkLimits(h *History) []string {
+	hot := map[string]bool{}
+	for _, q := range h.Requests {
+		hot[q.ID] = q.Organisation == "hot"
+	}
+	var ran []time.Duration
+	for _, a := range h.Arrivals {
+		if a.Ran && !a.Continues && hot[a.ID] {
+			ran = append(ran, a.At)
+		}
+	}
+	slices.Sort(ran)
+	most := (hotRate*quotaWindow.Seconds()+hotRate)*(1+quotaOvershoot) + quotaSlack
+	for i, from := range ran {
+		n := 0
+		for _, at := range ran[i:] {
+			if at < from+quotaWindow {
+				n++
+			}
+		}
+		if used := n * requestTokens; float64(used) > most {
+			return []string{fmt.Sprintf("%d tokens were used in the window from %v, %.0f are allowed", used, from, most)}
+		}
+	}
+	return nil
+}
--- a/soak/history.go
+++ b/soak/history.go
@@ -23,6 +23,8 @@
 	ID      string
 	Kind    RequestKind
 	Gateway int
+	// Organisation is whose key the request names.
+	Organisation string
 	// Sent and Ended are times since the start of the run.
 	Sent, Ended time.Duration
 	// Status is zero if no answer came.
--- a/soak/load.go
+++ b/soak/load.go
@@ -24,6 +24,20 @@
 	connections = 8
 )
 
+// organisations are whose requests come, each as often as it stands here; the last one has
+// no key that any table has held.
+var organisations = []string{"one", "one", "one", "two", "two", "two", "two", "hot", "hot", unknown}
+
+// unknown is the organisation of callers whose key is not known.
+const unknown = "nobody"
+
+// Sizes of requests and of the limit of the organisation hot, in tokens. At sixty requests
+// a second it asks for some 2.5 times its limit.
+const (
+	requestTokens = 1100
+	hotRate       = 5500
+)
+
 // deadlines are how long callers wait.
 var deadlines = map[RequestKind]time.Duration{Checkout: 3 * time.Second, Rates: 3 * time.Second, Review: 8 * time.Second, Desk: 8 * time.Second}
 
@@ -69,7 +83,8 @@
 func (l *load) one() {
 	l.next++
 	kinds := []RequestKind{Checkout, Checkout, Rates, Review, Desk}
-	q := Request{ID: fmt.Sprintf("q%d", l.next), Kind: kinds[l.rng.IntN(len(kinds))], Gateway: l.rng.IntN(l.site.shape.Gateways)}
+	organisation := organisations[l.rng.IntN(len(organisations))]
+	q := Request{ID: fmt.Sprintf("q%d", l.next), Kind: kinds[l.rng.IntN(len(kinds))], Gateway: l.rng.IntN(l.site.shape.Gateways), Organisation: organisation}
 	if l.out[q.Gateway].Load() {
 		return // the platform sends callers elsewhere
 	}
@@ -112,7 +127,9 @@
 	req.Host = "h"
 	req.Header.Set(headers.RequestID, q.ID)
 	req.Header.Set(headers.Deadline, fmt.Sprint(deadline.Milliseconds()))
-	req.Header.Set(headers.Tokens, "1000,100")
+	req.Header.Set("Authorization", "Bearer key-"+q.Organisation)
+	req.Header.Set(headers.Organisation, "forged")
+	req.Header.Set(headers.Tokens, fmt.Sprintf("%d,%d", requestTokens-100, 100))
 	req.Header.Set(headers.LengthHint, fmt.Sprint(streamEvents))
 	resp, err := l.clients[q.Gateway].Do(req)
 	if err != nil {
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -21,10 +21,14 @@
  {"name":"version","host":"h","pathPrefix":"/version-VERSION/","kind":"idempotent","timeoutMs":1000,"targetLatencyMs":300,"service":"SERVICE","maxAttempts":1}],
  "services":[{"name":"app","healthCheck":"/health","maxConnections":200},
  {"name":"llm","healthCheck":"/health","maxConnections":200,"engine":{"slots":16,"kvTokens":100000,"kvHoldS":2,"roleSwitchS":0.5,"stride":1,"holdMs":2000,"moves":true}}],
+ "tenants":[
+ {"name":"one","apiKeys":["key-one","key-VERSION"],"unit":"token_stream","plainTokens":200},
+ {"name":"two","apiKeys":["key-two"],"priority":0,"unit":"token_stream","plainTokens":200,"ratePerS":10000000,"burst":10000000},
+ {"name":"hot","apiKeys":["key-hot"],"unit":"token_stream","plainTokens":200,"ratePerS":HOT,"burst":HOT}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
 
 func tableText(version int, service string) string {
-	return strings.NewReplacer("VERSION", fmt.Sprint(version), "SERVICE", service).Replace(document)
+	return strings.NewReplacer("VERSION", fmt.Sprint(version), "SERVICE", service, "HOT", fmt.Sprint(hotRate)).Replace(document)
 }
 
 // operators change the table, read it, and look which one gateways show.
@@ -120,6 +124,7 @@
 		return 0
 	}
 	req.Host = "h"
+	req.Header.Set("Authorization", "Bearer key-two")
 	req.Header.Set(headers.RequestID, fmt.Sprint("probe-", o.probes.Add(1)))
 	resp, err := o.site.client.Do(req)
 	if err != nil {
--- a/soak/site.go
+++ b/soak/site.go
@@ -17,6 +17,9 @@
 	"github.com/ledgepin/ledgepin/standin"
 )
 
+// quotaSettings tell how the use of limits is judged, as checkLimits does.
+var quotaSettings = fmt.Sprintf("quota: {window: %s, overshoot: %g, slack: %d}", quotaWindow, quotaOvershoot, quotaSlack)
+
 // headers are the names that the run's callers and servers use.
 var headers = platform.Protocol.Headers
 
@@ -127,7 +130,7 @@
 	list := strings.Join(seeds, ", ")
 	for n := range shape.Controls {
 		name := controlName(n)
-		part := fmt.Sprintf("roles: [control]\ndata: %q\ncontrol:\n  links: %q\n  api: %q\n  discovery: {seeds: [%s], found: true, tolerate: %d}\n  engines: {prefill_share: 0.33, order_lease: 3s}\n",
+		part := fmt.Sprintf("roles: [control]\ndata: %q\ncontrol:\n  links: %q\n  api: %q\n  discovery: {seeds: [%s], found: true, tolerate: %d}\n  engines: {prefill_share: 0.33, order_lease: 3s}\n  "+quotaSettings+"\n",
 			s.data(name), net.JoinHostPort(host(n), links), s.api[n], list, (shape.Controls-1)/2)
 		if err := s.add(binary, name, net.JoinHostPort(host(n), operators), part); err != nil {
 			return nil, err
@@ -137,7 +140,7 @@
 		h := host(shape.Controls + n)
 		s.front = append(s.front, net.JoinHostPort(h, callers))
 		s.ready = append(s.ready, net.JoinHostPort(h, ready))
-		part := fmt.Sprintf("roles: [gateway]\ndrain: 8s\ngateway: {callers: %q, ready: %q, seeds: [%s], links_port: %s, retry: {ratio: %g, slack: %d, window: %s}}\n",
+		part := fmt.Sprintf("roles: [gateway]\ndrain: 8s\ngateway: {callers: %q, ready: %q, seeds: [%s], links_port: %s, retry: {ratio: %g, slack: %d, window: %s}, "+quotaSettings+"}\n",
 			s.front[n], s.ready[n], list, links, budgetRatio, budgetSlack, budgetWindow)
 		if err := s.add(binary, gatewayName(n), net.JoinHostPort(h, operators), part); err != nil {
 			return nil, err
--- a/soak/summary.go
+++ b/soak/summary.go
@@ -30,7 +30,7 @@
 			s.Left++
 		case q.Status == http.StatusOK && !q.Cut:
 			s.Served++
-		case q.Status == http.StatusServiceUnavailable:
+		case q.Status == http.StatusServiceUnavailable, q.Status == http.StatusTooManyRequests, q.Status == http.StatusUnauthorized:
 			s.Refused++
 		default:
 			s.Failed++
