--- a/gateway/key_test.go
+++ b/gateway/key_test.go
@@ -217,6 +217,21 @@
 	assert.Assert(t, !strings.Contains(log.String(), "secret-key"))
 }
 
+// TestToldOfUseOnly wants no other message of a replica to count as being told what
+// organisations have used.
+func TestToldOfUseOnly(t *testing.T) {
+	l := testLinks(map[string]string{"a": "z1"})
+	l.hub, l.toldUse = "a", make(chan struct{})
+	l.g.limits = newLimits(quota.Bounds{})
+	l.use("a", &quota.Use{Whole: true, Together: 1, Alone: 0.1})
+	told := l.parts.Heard
+	time.Sleep(time.Millisecond)
+	l.handle("a", &wire.Message{Heartbeat: &wire.Heartbeat{}})
+	assert.Equal(t, l.parts.Heard, told)
+	l.use("a", &quota.Use{Together: 1, Alone: 0.1})
+	assert.Assert(t, l.parts.Heard.After(told))
+}
+
 // TestOverLimitRetry wants callers beyond a limit to come back while they can still be in
 // time, and no sooner than their request fits.
 func TestOverLimitRetry(t *testing.T) {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -167,14 +167,8 @@
 func (l *links) hear(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p := l.peers[address]
-	if p == nil {
-		return
-	}
-	p.heard = time.Now()
-	if address == l.partsFrom {
-		l.parts.Heard = p.heard
-		l.g.limits.setPart(l.parts)
+	if p := l.peers[address]; p != nil {
+		p.heard = time.Now()
 	}
 }
 
@@ -188,7 +182,9 @@
 	}
 }
 
-// use takes what the replica that this gateway shares with tells of the use of limits.
+// use takes what the replica that this gateway shares with tells of the use of limits. Only
+// that counts as being told: a replica that has just started says other things before it
+// has a table and limits to tell of.
 func (l *links) use(address string, u *quota.Use) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -18,10 +18,10 @@
 	all, own sums
 	// gateways are those that share with this replica.
 	gateways map[K]*gateway
-	// start tells this start of the replica from others; peers are what is known of the
-	// sums of other replicas, by their start.
+	// start tells this start of the replica from others; peers are the other replicas, by
+	// their start.
 	start int64
-	peers map[int64]map[string]int
+	peers map[int64]*peer
 	// peak is the most gateways that were seen of late, at peakAt.
 	peak   int
 	peakAt time.Time
@@ -94,7 +94,7 @@
 
 // NewLedger returns a ledger that has counted nothing yet.
 func NewLedger[K comparable](now time.Time, b Bounds) *Ledger[K] {
-	out := &Ledger[K]{limiter: NewLimiter(b), all: newSums(), own: newSums(), gateways: map[K]*gateway{}, start: now.UnixNano(), peers: map[int64]map[string]int{}}
+	out := &Ledger[K]{limiter: NewLimiter(b), all: newSums(), own: newSums(), gateways: map[K]*gateway{}, start: now.UnixNano(), peers: map[int64]*peer{}}
 	out.limiter.SetPart(now, Part{Together: 1, Alone: 1})
 	return out
 }
@@ -120,8 +120,8 @@
 		delete(g.used, name)
 		delete(g.told, name)
 	}
-	for _, known := range l.peers {
-		delete(known, name)
+	for _, p := range l.peers {
+		delete(p.own, name)
 	}
 }
 
@@ -144,41 +144,6 @@
 	l.count(now, used)
 }
 
-// Peer takes what another replica tells.
-func (l *Ledger[K]) Peer(now time.Time, u *Use) {
-	known := l.peers[u.Start]
-	switch {
-	case !u.Whole:
-		l.count(now, u.Used)
-		for name, size := range u.Used {
-			if known != nil {
-				known[name] += size
-			}
-		}
-		return
-	case known == nil:
-		l.limiter.Levels(now, u.Used)
-	default:
-		missed := map[string]int{}
-		for name, size := range u.Own {
-			missed[name] = size - known[name]
-		}
-		for name, size := range l.limiter.rejoin(now, missed, u.Used) {
-			l.all.used[name] += size
-		}
-	}
-	if len(l.peers) >= mostPeers {
-		clear(l.peers)
-	}
-	l.peers[u.Start] = maps.Clone(u.Own)
-	if l.peers[u.Start] == nil {
-		l.peers[u.Start] = map[string]int{}
-	}
-}
-
-// mostPeers bounds the starts of other replicas whose sums are known.
-const mostPeers = 32
-
 func (l *Ledger[K]) count(now time.Time, used map[string]int) {
 	for name, size := range used {
 		l.all.used[name] += int(l.limiter.Others(now, name, float64(size)))
@@ -196,7 +161,7 @@
 // a small part of them.
 func (l *Ledger[K]) Divide(now time.Time, group, seen int, cut bool) {
 	if now.Sub(l.dividedAt) > tightFor {
-		l.holdUntil = now.Add(creditFor)
+		l.holdUntil = now.Add(heldUp)
 	}
 	l.dividedAt = now
 	if now.Before(l.holdUntil) {
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -19,7 +19,9 @@
 	// has run off since; used is for the part share.
 	used, alone float64
 	share       float64
-	at          time.Time
+	// absent is what those had used who are not in the group that has the part.
+	absent float64
+	at     time.Time
 	// untold is what this gateway has used and not told.
 	untold float64
 	toldAt time.Time
@@ -91,13 +93,22 @@
 	}
 }
 
-// rescale moves the account to another part: what is left of one is left of the other,
-// each in its size.
+// rescale moves the account to another part. What was used is divided like the limit when
+// others are not in the group any more; when they are back, their share of it counts again,
+// since they may have used all that has run off meanwhile. What they used beyond that they
+// tell themselves.
 func (l *Limiter) rescale(a *account, share float64) {
-	if a.share > 0 {
-		a.used *= share / a.share
-	} else {
+	switch {
+	case a.share <= 0:
 		a.used = l.bounds.start(a.limit) * share
+	case share < a.share:
+		gone := a.used * (1 - share/a.share)
+		a.used -= gone
+		a.absent += gone
+	case share > a.share && a.share < 1:
+		back := a.absent * min((share-a.share)/(1-a.share), 1)
+		a.used += back
+		a.absent -= back
 	}
 	a.share = share
 }
@@ -144,9 +155,9 @@
 	}
 }
 
-// creditFor is how long after a silence what others have used is set against what has
-// run off meanwhile: all that was held up comes at once.
-const creditFor = 300 * time.Millisecond
+// heldUp is how long after a silence all that was held up may take to come. Until then what
+// others have used is set against what has run off meanwhile.
+const heldUp = 300 * time.Millisecond
 
 // Others counts what others have used. After a silence, as when this process was frozen,
 // it is told all of some seconds at once, which has partly run off since. It returns what
@@ -165,7 +176,7 @@
 // late returns how much of what others have used has run off already, and takes it from
 // the credit.
 func (a *account) late(now time.Time, size float64) float64 {
-	if now.Sub(a.creditAt) > creditFor {
+	if now.Sub(a.creditAt) > heldUp {
 		a.credit = 0
 	}
 	out := min(max(size, 0), a.credit)
@@ -189,28 +200,49 @@
 
 // rejoinFor is for how long two sides of a cut use the whole limit side by side, until
 // they notice it, with a margin.
-const rejoinFor = 500 * time.Millisecond
+const rejoinFor = time.Second
 
 // rejoin counts what others have used while they were cut from this process. Most of it
 // has run off: after a cut was noticed each side has kept to its part, so that together
-// not more is used than at the side that has used more of its own, told being that of the
-// others. All of it would be seconds of use counted at once. It returns what was counted.
-func (l *Limiter) rejoin(now time.Time, missed, told map[string]int) map[string]int {
+// not more is used than at the side that has used more of its own. Base is that, and what
+// comes in several pieces is held against the same one. It returns what was counted.
+func (l *Limiter) rejoin(now time.Time, used map[string]int, base map[string]float64) map[string]int {
 	out := map[string]int{}
-	for name, size := range missed {
+	for name, size := range used {
 		a := l.accounts[name]
 		if a == nil {
 			continue
 		}
 		l.settle(now, a)
 		before := a.used
-		most := max(before, float64(told[name])*a.share) + l.bounds.rate(a.limit)*rejoinFor.Seconds()
+		most := max(base[name]+l.bounds.rate(a.limit)*rejoinFor.Seconds(), before)
 		a.used = max(min(before+float64(size)-a.late(now, float64(size)), most), 0)
 		out[name] = int(a.used - before)
 	}
 	return out
 }
 
+// levels returns what was used of the part that this process knows of.
+func (l *Limiter) levels(now time.Time) map[string]float64 {
+	out := make(map[string]float64, len(l.accounts))
+	for name, a := range l.accounts {
+		l.settle(now, a)
+		out[name] = a.used
+	}
+	return out
+}
+
+// inPart returns levels that were told as those of the part that this process knows of.
+func (l *Limiter) inPart(told map[string]int) map[string]float64 {
+	out := make(map[string]float64, len(told))
+	for name, used := range told {
+		if a := l.accounts[name]; a != nil {
+			out[name] = float64(used) * a.share
+		}
+	}
+	return out
+}
+
 // Used returns what all have used of each limit, as Levels takes it.
 func (l *Limiter) Used(now time.Time) map[string]int {
 	out := map[string]int{}
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -152,6 +152,63 @@
 	assert.Assert(t, got <= want+int(limiterBounds.rate(limits["o"])/2), "%d, the others know of %d", got, want)
 }
 
+// TestCutReplicaCatchesUp wants a replica that was cut off from another one, whose news are
+// held up and come all at once, to know about as much as that, and not to count seconds of
+// use as just now.
+func TestCutReplicaCatchesUp(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limits := map[string]Limit{"o": {Rate: 10000, Burst: 10000}}
+	other, cut := NewLedger[int](now, limiterBounds), NewLedger[int](now.Add(1), limiterBounds)
+	for _, l := range []*Ledger[int]{other, cut} {
+		l.SetLimits(now, limits)
+		l.Divide(now, 20, 20, false)
+	}
+	cut.Peer(now, other.Whole(now))
+	cut.Join(7)
+	told := 0
+	tell := func() {
+		cut.ForGateways(now, func(_ int, u *Use) { told += u.Used["o"] })
+	}
+	var late []*Use
+	for n := range 200 {
+		now = now.Add(50 * time.Millisecond)
+		other.Use(now, 1, map[string]int{"o": 300})
+		for _, l := range []*Ledger[int]{other, cut} {
+			l.Divide(now, 20, 20, false)
+		}
+		if u := other.ForPeers(now); u != nil {
+			late = append(late, u)
+		}
+		if n < 60 || n == 199 {
+			for _, u := range late {
+				cut.Peer(now, u)
+			}
+			late = nil
+		}
+		if n == 198 {
+			tell()
+			told = 0
+		}
+	}
+	tell()
+	got, want := cut.limiter.Used(now)["o"], other.limiter.Used(now)["o"]
+	bound := int(limiterBounds.rate(limits["o"]))
+	assert.Assert(t, got <= want+bound, "%d, the other knows of %d", got, want)
+	assert.Assert(t, told <= bound, "its gateways are told of %d", told)
+}
+
+// TestPartsComeAndGo wants what was told to a small group to count as it is when the group
+// grows again, and not as if all others had used as much each.
+func TestPartsComeAndGo(t *testing.T) {
+	l, now := newTold(Part{Together: 1, Alone: 0.05})
+	l.Count(now, "o", 20000)
+	l.SetPart(now, Part{Together: 0.05, Alone: 0.05, Heard: now})
+	assert.Equal(t, l.accounts["o"].used, 1000.0, "the part of what was used")
+	l.Others(now, "o", 5000)
+	l.SetPart(now, Part{Together: 1, Alone: 0.05, Heard: now})
+	assert.Equal(t, l.Used(now)["o"], 25000)
+}
+
 // TestLimitsChange wants what was used to stay when a limit changes, an organisation
 // without one to be counted no more, and one that gets a limit to start with its burst used.
 func TestLimitsChange(t *testing.T) {
