--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -73,13 +73,13 @@
 	}
 }
 
-// SetPart takes the part of the limits that this gateway may use.
+// SetPart takes the part of the limits that this gateway may use. After a silence the
+// accounts are settled before it counts as over.
 func (l *Limiter) SetPart(now time.Time, p Part) {
 	if p.Together == l.part.Together && p.Alone == l.part.Alone && p.Heard.Sub(l.part.Heard) < tightFor {
 		l.part = p
 		return
 	}
-	// After a silence the accounts are settled before it counts as over.
 	first := l.part.Alone == 0
 	for _, a := range l.accounts {
 		l.settle(now, a)
@@ -222,8 +222,8 @@
 	return out
 }
 
-// levels returns what was used of the part that this process knows of.
-func (l *Limiter) levels(now time.Time) map[string]float64 {
+// usedNow returns what was used of the part that this process knows of.
+func (l *Limiter) usedNow(now time.Time) map[string]float64 {
 	out := make(map[string]float64, len(l.accounts))
 	for name, a := range l.accounts {
 		l.settle(now, a)
--- a/quota/peer.go
+++ b/quota/peer.go
@@ -56,7 +56,7 @@
 // seconds of use at once, most of which has run off.
 func (l *Ledger[K]) hear(now time.Time, p *peer, used map[string]int) {
 	if now.Sub(p.heard) > silentPeer {
-		p.catchUntil, p.base = now.Add(heldUp), l.limiter.levels(now)
+		p.catchUntil, p.base = now.Add(heldUp), l.limiter.usedNow(now)
 	}
 	p.heard = now
 	for name, size := range used {
@@ -75,7 +75,7 @@
 	for name, size := range u.Own {
 		missed[name] = size - p.own[name]
 	}
-	base := l.limiter.levels(now)
+	base := l.limiter.usedNow(now)
 	for name, level := range l.limiter.inPart(u.Used) {
 		base[name] = max(base[name], level)
 	}
