--- a/backend/pool.go
+++ b/backend/pool.go
@@ -55,6 +55,16 @@
 // sent, as it does when it has too many.
 var errNotTaken = errors.New("backend: the server closed the new connection")
 
+// Reach opens a connection to a server and closes it again, which tells whether the server
+// is there.
+func Reach(ctx context.Context, address string) error {
+	c, err := dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // takeIdle returns the connection that was used last and is still good.
 func (p *Pool) takeIdle(address string) *conn {
 	now := time.Now()
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -117,6 +117,11 @@
 	"A gateway's request to a backend server was turned away, broke off or was too late; the kind tells which.",
 	"Many from one server: look at the server.")
 
+// ServerEnded tells that a server was not there any more after a request had broken off.
+var ServerEnded = define("LP2018", warn, "server ended under a request",
+	"A request broke off at a server, and the server took no connection just after. The content names what was asked: lines with the same content are the same request, also under other IDs and at other gateways. made is how many tokens of the answer there were.",
+	"One content at several servers with made 0: the request itself may end them. Many contents at one server: it ended with all that it ran.")
+
 // Links between processes.
 var (
 	LinkUp   = define("LP3001", info, "link up", "A link to a peer process is open.", nothing)
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -57,7 +57,7 @@
 			n.decodes++
 		}
 		g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
-		g.logSend(q, s, res, time.Since(started))
+		g.noteSend(ctx, q, s, res, time.Since(started))
 		return res
 	}
 	defer func() { a.Close() }()
@@ -67,7 +67,7 @@
 			n.handover.Refused = append(n.handover.Refused, s.ID)
 		}
 		g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
-		g.logSend(q, s, res, time.Since(started))
+		g.noteSend(ctx, q, s, res, time.Since(started))
 		return res
 	}
 	n.kv.Handle, n.hold = "", "" // taken
@@ -86,7 +86,7 @@
 	}
 	res := result{kind: broken, err: err}
 	g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
-	g.logSend(q, s, res, time.Since(started))
+	g.noteSend(ctx, q, s, res, time.Since(started))
 	return res
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -63,7 +63,7 @@
 		started := time.Now()
 		last = g.send(ctx, q, &s)
 		g.fleet.done(s.ID, outcomeOf(ctx, last), time.Since(started))
-		g.logSend(q, &s, last, time.Since(started))
+		g.noteSend(ctx, q, &s, last, time.Since(started))
 		if ctx.Err() == context.Canceled {
 			event.CallerGone.Log(g.log, "id", q.id)
 			return
@@ -243,13 +243,17 @@
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// logSend writes how one send ended, if it did not end well.
-func (g *Gateway) logSend(q *request, s *dispatch.Server, r result, took time.Duration) {
+// noteSend writes how one send ended, if it did not end well, and looks after the server
+// if it broke off there.
+func (g *Gateway) noteSend(ctx context.Context, q *request, s *dispatch.Server, r result, took time.Duration) {
 	if r.kind == answered && r.status < http.StatusInternalServerError {
 		return
 	}
 	metric.Sends.WithLabelValues(q.service.Name, r.kind.String()).Inc()
 	event.SendFailed.Log(g.log, "id", q.id, "server", s.ID, "phase", s.Role, "kind", r.kind.String(), "status", r.status, "ms", took.Milliseconds(), "error", r.err)
+	if r.kind == broken && !errors.Is(ctx.Err(), context.Canceled) {
+		g.lookAfter(q, s)
+	}
 }
 
 // String names a kind for the log.
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -133,7 +133,7 @@
 	n.endRead()
 	if r.kind != answered {
 		n.q.tried[n.pair.Prefill.ID] = true
-		n.g.logSend(n.q, n.pair.Prefill, r, time.Since(n.q.arrived))
+		n.g.noteSend(ctx, n.q, n.pair.Prefill, r, time.Since(n.q.arrived))
 		if r.kind == notRun || r.kind == misdirected {
 			n.g.fleet.spend(n.q.service.Name)
 		}
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -226,7 +226,11 @@
 	a, err = n.g.pool.Do(ctx, h, r)
 	if err != nil {
 		var be *backend.Error
-		return nil, !errors.As(err, &be) || be.Sent, err
+		begun = !errors.As(err, &be) || be.Sent
+		if begun && ctx.Err() == nil {
+			n.g.lookAfter(n.q, s)
+		}
+		return nil, begun, err
 	}
 	if res, ok := n.g.turnedAway(n.q, s, a); ok {
 		n.g.fleet.noteHandover(dispatch.Handover{Refused: []string{s.ID}})
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -14,6 +14,7 @@
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/metric"
+	"github.com/ledgepin/ledgepin/poison"
 	"github.com/ledgepin/ledgepin/route"
 )
 
@@ -42,6 +43,8 @@
 	charged bool
 	tried   dispatch.Avoid
 	sends   int
+	// digest names its content, once that was asked for.
+	digest poison.Digest
 }
 
 // defaultDeadline is for callers that name none.
--- /dev/null
+++ b/poison/digest_test.go
@@ -0,0 +1,28 @@
+package poison
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestDigestTellsContentsApart wants each part of a request to count, and parts that run
+// into each other to be told apart.
+func TestDigestTellsContentsApart(t *testing.T) {
+	base := Content{Organisation: "o", Method: "POST", Host: "h", Target: "/a", Body: []byte("b")}
+	same := base
+	assert.Equal(t, base.Digest(), same.Digest())
+	for name, change := range map[string]func(c *Content){
+		"organisation":    func(c *Content) { c.Organisation = "p" },
+		"method":          func(c *Content) { c.Method = "PUT" },
+		"host":            func(c *Content) { c.Host = "i" },
+		"target":          func(c *Content) { c.Target = "/a?b" },
+		"body":            func(c *Content) { c.Body = []byte("c") },
+		"moved by a byte": func(c *Content) { c.Target, c.Body = "/ab", nil },
+		"host for method": func(c *Content) { c.Method, c.Host = "POSTh", "" },
+	} {
+		other := base
+		change(&other)
+		assert.Assert(t, base.Digest() != other.Digest(), name)
+	}
+}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -32,6 +33,8 @@
 	CutStream
 	// Hang runs the request and answers nothing.
 	Hang
+	// Crash ends the server as it begins to run the request.
+	Crash
 )
 
 // Arrival is one request that came to a server.
@@ -161,7 +164,7 @@
 		return
 	}
 	at := b.arrive(r, id, string(body))
-	fault := b.faultOf(r)
+	fault := b.faultOf(r.WithContext(context.WithValue(r.Context(), bodyKey{}, string(body))))
 	if fault == Refuse || role != "" && !b.fits(r, role) {
 		w.Header().Set(b.headers.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -184,6 +187,14 @@
 	b.answer(w, r, id, fault)
 }
 
+type bodyKey struct{}
+
+// BodyOf returns the body of a request that a fault is chosen for; it has been read.
+func BodyOf(r *http.Request) string {
+	body, _ := r.Context().Value(bodyKey{}).(string)
+	return body
+}
+
 func (b *Backend) arrive(r *http.Request, id, body string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -249,6 +260,9 @@
 	case LoseAnswer:
 		reset(w)
 		return
+	case Crash:
+		_ = b.srv.Close() // this request's connection too
+		return
 	case Hang:
 		<-r.Context().Done()
 		return
