--- /dev/null
+++ b/cmd/ledgepin/poison_test.go
@@ -0,0 +1,96 @@
+package main_test
+
+// A request that ends each server which runs it came to five gateways in turn, so that no
+// gateway saw more than four of the eleven engines end. What one gateway has seen has to
+// reach all others while callers wait for their next try, and to outlive its processes: in
+// the first record the request came again after a calm of 14 s.
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/standin"
+)
+
+const deadlyPath = "/checkout/deadly"
+
+// knowsPoison waits until a gateway refuses a content, by its dump.
+func (s *site) knowsPoison(gateway string) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		_, body, err := s.call("GET", "http://"+s.processes[gateway].operators+"/v1/dump", "")
+		if err != nil || !strings.Contains(body, `"blocked_contents": 1`) && !strings.Contains(body, `"blocked_contents":1`) {
+			return poll.Continue("%s does not know the content: %v", gateway, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+// TestGatewaysTellOfRequestsThatEndServers wants all gateways to refuse a request under
+// which three servers have ended at one of them, also after all processes were killed.
+func TestGatewaysTellOfRequestsThatEndServers(t *testing.T) {
+	s := newSite(t)
+	var servers []*standin.Backend
+	for n := range 8 {
+		b := s.server("app", fmt.Sprintf("a%d", n), "")
+		b.SetFault(func(r *http.Request) standin.Fault {
+			if r.URL.Path == deadlyPath {
+				return standin.Crash
+			}
+			return standin.NoFault
+		})
+		servers = append(servers, b)
+	}
+	s.put(table(1, ""))
+	for name := range s.front {
+		s.isReady(name, true)
+		s.serves(name, "/checkout/0", 200)
+	}
+	ended := func() int {
+		n := 0
+		for _, b := range servers {
+			for _, a := range b.Arrivals() {
+				if a.Ran && a.Target == deadlyPath {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	for n := 0; ended() < 3; n++ {
+		_, _, _ = s.ask("gateway-0", deadlyPath, fmt.Sprint("deadly-", n))
+	}
+	for name := range s.front {
+		s.knowsPoison(name)
+	}
+	for n := range 10 {
+		status, _, err := s.ask(fmt.Sprint("gateway-", n%2), deadlyPath, fmt.Sprint("again-", n))
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+	}
+	assert.Equal(t, ended(), 3, "servers that ended")
+
+	for _, p := range s.processes {
+		p.signal(syscall.SIGKILL)
+		assert.Assert(t, p.cmd.Wait() != nil)
+	}
+	for _, p := range s.processes {
+		p.start()
+	}
+	for name := range s.front {
+		s.isReady(name, true)
+		s.serves(name, "/checkout/0", 200)
+		s.knowsPoison(name)
+		status, _, err := s.ask(name, deadlyPath, "after-"+name)
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+	}
+	assert.Equal(t, ended(), 3, "servers that ended, after all were killed")
+}
--- /dev/null
+++ b/gateway/poison_test.go
@@ -0,0 +1,66 @@
+package gateway
+
+// One request ended eleven engines within 12 s. Each engine that began to run it ended
+// some 0.1 s later, with all other runs that it had; the caller sent it again under a new
+// ID, through any gateway, and nothing knew it again. The lines that settled it were those
+// of prompts read for nothing: one size of prompt (2,239 tokens, then 9,375) with made=0 at
+// each engine that ended, under eleven IDs.
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/standin"
+)
+
+// TestRequestThatEndsServers wants a request that ends each server which runs it to be
+// refused, as not run, once three servers have ended under it, and all others to be served.
+func TestRequestThatEndsServers(t *testing.T) {
+	r := newRig(t)
+	r.add("llm", "p1", "prefill")
+	var engines []*standin.Backend
+	for n := range 6 {
+		e := r.add("llm", fmt.Sprintf("d%d", n), "decode")
+		e.SetFault(ends("deadly"))
+		engines = append(engines, e)
+	}
+	for n := range 12 {
+		r.send("POST", "/review/1", fmt.Sprintf("deadly-%d", n), "deadly", work)
+		time.Sleep(20 * time.Millisecond)
+	}
+	ended := 0
+	for _, e := range engines {
+		for _, a := range e.Arrivals() {
+			if a.Ran && a.Body == "deadly" {
+				ended++
+			}
+		}
+	}
+	assert.Equal(t, ended, 3, "servers that ended")
+	last := r.send("POST", "/review/1", "deadly-last", "deadly", work)
+	assert.Equal(t, last.status, http.StatusServiceUnavailable)
+	assert.Assert(t, last.header.Get("Retry-After") != "", "when to come back")
+	assert.Equal(t, r.send("POST", "/review/1", "other", "harmless", work).body, wholeStream())
+}
+
+// TestPlainRequestThatEndsServers wants the same of plain services, where a gateway sends
+// what may be repeated to a second server by itself.
+func TestPlainRequestThatEndsServers(t *testing.T) {
+	r := newRig(t)
+	var servers []*standin.Backend
+	for n := range 6 {
+		s := r.add("plain", fmt.Sprintf("s%d", n), "")
+		s.SetFault(ends("deadly"))
+		servers = append(servers, s)
+	}
+	for n := range 6 {
+		r.send("POST", "/rates/1", fmt.Sprintf("deadly-%d", n), "deadly", nil)
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, ran(servers...), 3, "servers that ended")
+	assert.Equal(t, r.send("POST", "/rates/1", "other", "harmless", nil).status, http.StatusOK)
+}
