--- a/cmd/ledgepin/poison_test.go
+++ b/cmd/ledgepin/poison_test.go
@@ -8,6 +8,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -17,6 +19,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/ledgepin/ledgepin/standin"
+	"github.com/ledgepin/ledgepin/wire"
 )
 
 const deadlyPath = "/checkout/deadly"
@@ -33,6 +36,26 @@
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(20*time.Millisecond))
 }
 
+// keepsPoison waits until a replica has one content with a number of endings on its disk.
+func (s *site) keepsPoison(replica string, endings int) {
+	s.t.Helper()
+	file := filepath.Join(filepath.Dir(s.processes[replica].file), replica, "control.contents")
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		m, err := wire.Unmarshal(data, file)
+		if err != nil {
+			return poll.Error(err)
+		}
+		if len(m.Contents) != 1 || len(m.Contents[0].Endings) != endings {
+			return poll.Continue("the file holds %v", m.Contents)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
 // TestGatewaysTellOfRequestsThatEndServers wants all gateways to refuse a request under
 // which three servers have ended at one of them, also after all processes were killed.
 func TestGatewaysTellOfRequestsThatEndServers(t *testing.T) {
@@ -77,6 +100,7 @@
 	}
 	assert.Equal(t, ended(), 3, "servers that ended")
 
+	s.keepsPoison("control-0", 3)
 	for _, p := range s.processes {
 		p.signal(syscall.SIGKILL)
 		assert.Assert(t, p.cmd.Wait() != nil)
--- a/control/disk.go
+++ b/control/disk.go
@@ -45,7 +45,9 @@
 	c.mu.Unlock()
 	c.loadKnown()
 	c.wg.Go(c.hubLoop)
-	c.wg.Go(c.keepKnown)
+	for _, f := range c.knownFiles() {
+		c.wg.Go(func() { c.keepKnown(f) })
+	}
 	if c.cfg.Roles.Protocol != nil {
 		c.wg.Go(c.roleLoop)
 	}
--- a/control/hub.go
+++ b/control/hub.go
@@ -80,7 +80,8 @@
 	// peerHeard is when each replica told last what its gateways use.
 	peerHeard map[*wire.Link]time.Time
 	// ledger is what organisations have used of their limits.
-	ledger *quota.Ledger[*wire.Link]
+	ledger   *quota.Ledger[*wire.Link]
+	contents contents
 }
 
 // gatewayState is what the hub knows of one gateway.
@@ -120,6 +121,7 @@
 		groups: map[group]int{}, own: newShare(), others: map[*wire.Link]*share{}, sum: map[string]wire.EngineLoad{}, moved: map[string]bool{},
 		toldPeers: newShare(), movedOwn: map[string]bool{}, home: map[string]time.Time{}, news: map[string]bool{}, rosters: map[*wire.Link]*registry.Roster{},
 		peerHeard: map[*wire.Link]time.Time{}, ledger: quota.NewLedger[*wire.Link](time.Now(), bounds),
+		contents: newContents(),
 	}
 }
 
@@ -133,6 +135,7 @@
 		link: l, heard: time.Now(), key: subset.KeyOf(l.Peer.Name), near: l.Peer.Zone == h.zone, servers: map[string]registry.Server{}, own: map[string]wire.EngineLoad{}, others: newShare(),
 	}
 	h.joined = append(h.joined, l)
+	h.contents.tell(time.Now(), l, suspectAt) // before the table, with which it serves
 	_ = l.Send(&wire.Message{Servers: &wire.Servers{Away: h.awayList(time.Now())}})
 	h.tellTable(l, h.gateways[l], fresh)
 	h.counted = false
@@ -160,6 +163,7 @@
 		h.queue(g, 0)
 	}
 	delete(h.gateways, l)
+	delete(h.contents.told, l)
 	h.counted = false
 }
 
@@ -178,6 +182,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.peers, l)
+	delete(h.contents.told, l)
 }
 
 func (h *hub) toGateways(m *wire.Message) {
@@ -305,6 +310,7 @@
 	}
 	h.tellPeers()
 	h.tellPeersUse(now)
+	h.tellContents(now)
 	if now.Sub(h.loadsAt) >= loadsEvery {
 		h.loadsAt = now
 		h.tellLoads()
--- a/control/known.go
+++ b/control/known.go
@@ -15,80 +15,110 @@
 	"github.com/ledgepin/ledgepin/wire"
 )
 
-// Servers repeat their reports about once a second, so a system whose processes
-// were all ended knew no server for as long after it was back. Replicas keep what
-// they know of the servers beside the log, and start with it as last known: for
-// lastKnownFor it counts as heard, unless the servers say otherwise. Whoever uses
-// it names the incarnation, so what is wrong costs a refused try.
+// Replicas keep beside the log what they would otherwise have to learn anew after all
+// processes were ended.
+//
+// Servers repeat their reports about once a second, so a system whose processes were all
+// ended knew no server for as long after it was back. A replica starts with them as last
+// known: for lastKnownFor they count as heard, unless they say otherwise. Whoever uses one
+// names the incarnation, so what is wrong costs a refused try.
 //
 // It is no part of the log: it may be lost, and no answer waits for it.
 
 const (
-	// knownEvery is the least time between two writes of the servers.
+	// knownEvery is the least time between two writes of a file.
 	knownEvery = 250 * time.Millisecond
 	// lastKnownFor is how long a server counts as there that was only known before
 	// the start: two of the times in which servers repeat their reports.
 	lastKnownFor = 2500 * time.Millisecond
-	knownFile    = "control.servers"
 )
 
-// knownPath is the file of the servers; empty if all is kept in memory.
-func (c *Control) knownPath() string {
+// knownFile is one file beside the log.
+type knownFile struct {
+	name string
+	// restore takes what the file held, and returns how many entries; false if it is
+	// another message than the file should hold.
+	restore func(now time.Time, m *wire.Message) (int, bool)
+	// unsaved returns what is to be kept, nil if it has not changed; notSaved has it kept
+	// at the next try.
+	unsaved  func(now time.Time) *wire.Message
+	notSaved func()
+}
+
+// knownFiles are the files beside the log; none if all is kept in memory.
+func (c *Control) knownFiles() []knownFile {
 	if c.cfg.Dir == "" {
-		return ""
+		return nil
+	}
+	return []knownFile{
+		{"control.servers", c.hub.restoreServers, c.hub.unsaved, c.hub.notSaved},
+		{"control.contents", c.hub.restoreContents, c.hub.unsavedContents, c.hub.contentsNotSaved},
 	}
-	return filepath.Join(c.cfg.Dir, knownFile)
 }
 
-// loadKnown starts with the servers that were known before.
+// loadKnown starts with what was known before.
 func (c *Control) loadKnown() {
-	path := c.knownPath()
-	data, err := os.ReadFile(path)
-	if errors.Is(err, fs.ErrNotExist) {
-		return
-	}
-	var m *wire.Message
-	if err == nil {
-		m, err = wire.Unmarshal(data, path)
+	for _, f := range c.knownFiles() {
+		n, err := c.loadFile(f)
+		switch {
+		case errors.Is(err, fs.ErrNotExist):
+		case err != nil:
+			event.KnownFailed.Log(c.log, "step", "read", "file", f.name, "error", fault.From(err))
+		default:
+			event.KnownRead.Log(c.log, "file", f.name, "entries", n)
+		}
 	}
-	if err == nil && m.Servers == nil {
-		err = errors.New("the file holds no servers")
+}
+
+func (c *Control) loadFile(f knownFile) (int, error) {
+	path := filepath.Join(c.cfg.Dir, f.name)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return 0, err
 	}
+	m, err := wire.Unmarshal(data, path)
 	if err != nil {
-		event.KnownServersFailed.Log(c.log, "step", "read", "error", fault.From(err))
-		return
+		return 0, err
+	}
+	n, ok := f.restore(time.Now(), m)
+	if !ok {
+		return 0, errors.New("the file holds something else")
 	}
-	c.hub.restore(time.Now(), m.Servers)
-	event.KnownServersRead.Log(c.log, "servers", len(m.Servers.List))
+	return n, nil
 }
 
-// keepKnown writes the servers when they have changed, until the replica ends. A
+// keepKnown writes a file when what it holds has changed, until the replica ends. A
 // disk that is full or stalls holds up nothing else.
-func (c *Control) keepKnown() {
-	path := c.knownPath()
-	if path == "" {
-		return
-	}
+func (c *Control) keepKnown(f knownFile) {
 	failing := false
 	wait.Each(c.ctx, knownEvery, func(now time.Time) {
-		m := c.hub.unsaved(now)
+		m := f.unsaved(now)
 		if m == nil {
 			return
 		}
 		data, err := wire.Marshal(m)
 		if err == nil {
-			err = spread.WriteSynced(path, data)
+			err = spread.WriteSynced(filepath.Join(c.cfg.Dir, f.name), data)
 		}
 		if err != nil {
-			c.hub.notSaved()
+			f.notSaved()
 		}
 		if err != nil && !failing {
-			event.KnownServersFailed.Log(c.log, "step", "write", "error", fault.From(err))
+			event.KnownFailed.Log(c.log, "step", "write", "file", f.name, "error", fault.From(err))
 		}
 		failing = err != nil
 	})
 }
 
+// restoreServers takes the servers that were known before the start.
+func (h *hub) restoreServers(now time.Time, m *wire.Message) (int, bool) {
+	if m.Servers == nil {
+		return 0, false
+	}
+	h.restore(now, m.Servers)
+	return len(m.Servers.List), true
+}
+
 // restore takes what was known before the start. Gateways are told of it when
 // they join, as of all other servers.
 func (h *hub) restore(now time.Time, m *wire.Servers) {
--- a/control/links.go
+++ b/control/links.go
@@ -127,6 +127,8 @@
 			c.hub.setLoads(l, m.Loads)
 		case m.Use != nil:
 			c.hub.setUse(l, m.Use)
+		case m.Contents != nil:
+			c.hub.takeContents(m.Contents)
 		case m.Routes != nil:
 			c.hub.wantTable(l, m.Routes.Version)
 		}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -122,6 +122,11 @@
 	"A request broke off at a server, and the server took no connection just after. The content names what was asked: lines with the same content are the same request, also under other IDs and at other gateways. made is how many tokens of the answer there were.",
 	"One content at several servers with made 0: the request itself may end them. Many contents at one server: it ended with all that it ran.")
 
+// ContentBlocked tells that a content is refused from now on.
+var ContentBlocked = define("LP2019", warn, "content blocked",
+	"Three servers have ended under requests with this content, and it has not run to its end since. It is refused with 503 for ten minutes after the newest ending, at all gateways.",
+	"Find the caller by the lines LP2018 with the same content, and what in its request ends the servers.")
+
 // Links between processes.
 var (
 	LinkUp   = define("LP3001", info, "link up", "A link to a peer process is open.", nothing)
@@ -191,10 +196,10 @@
 		"The disk refused a write or a sync; the replica gave up its vote.", "Replace the disk or make room, then restart.")
 	JournalBack = define("LP6012", info, "journal back",
 		"The disk takes writes again; the replica takes part with what the disk holds.", nothing)
-	KnownServersRead = define("LP6013", info, "known servers read",
-		"The replica starts with the servers that it knew before; they count as there for some seconds, unless they say otherwise.", nothing)
-	KnownServersFailed = define("LP6014", warn, "known servers not kept",
-		"What the replica knows of the servers could not be read or written; after a loss of power they are known once they report themselves.",
+	KnownRead = define("LP6013", info, "known before",
+		"The replica starts with what it knew before, of the file that is named: servers count as there for some seconds, unless they say otherwise.", nothing)
+	KnownFailed = define("LP6014", warn, "not kept beside the log",
+		"What the replica knows of servers or of blocked contents could not be read or written; after a loss of power servers are known once they report themselves, and contents once gateways tell of them.",
 		"Make room on the disk, or replace it.")
 	SettingsInForce = define("LP6006", info, "settings in force", "A new revision of the settings is in force here.", nothing)
 	SettingsBad     = define("LP6007", fail, "settings not usable",
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -81,6 +81,7 @@
 	s, a, err = n.relay(ctx, s, a)
 	if err == nil {
 		g.fleet.note(s.ID, dispatch.Good, time.Since(started))
+		g.contents.ran(q)
 		n.done(s, a.Status)
 		return result{kind: answered, status: a.Status}
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -71,6 +71,9 @@
 		if last.kind == answered && last.status < http.StatusInternalServerError {
 			break
 		}
+		if !g.mayGo(q) {
+			break
+		}
 		q.tried[s.ID] = true
 		if last.kind == notSent {
 			if unsent++; unsent >= maxUnsent {
@@ -129,6 +132,7 @@
 	if a.Status < http.StatusMultipleChoices && a.Header.Get(h.Signature) == "" {
 		return result{kind: broken, err: errors.New("a success without a signature")}
 	}
+	g.contents.ran(q)
 	return result{kind: answered, status: a.Status, header: a.Header, body: body}
 }
 
@@ -251,7 +255,7 @@
 	}
 	metric.Sends.WithLabelValues(q.service.Name, r.kind.String()).Inc()
 	event.SendFailed.Log(g.log, "id", q.id, "server", s.ID, "phase", s.Role, "kind", r.kind.String(), "status", r.status, "ms", took.Milliseconds(), "error", r.err)
-	if r.kind == broken && !errors.Is(ctx.Err(), context.Canceled) {
+	if (r.kind == broken || r.kind == late) && !errors.Is(ctx.Err(), context.Canceled) {
 		g.lookAfter(q, s)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,7 @@
 	links           *links
 	fleet           *fleet
 	limits          *limits
+	contents        *contents
 	// kept is what engines keep of prompts, by service.
 	keptMu sync.Mutex
 	kept   map[string]*keptPrompts
@@ -75,7 +76,7 @@
 	g := &Gateway{
 		cfg: cfg, log: cfg.Log.With("role", "gateway", "name", cfg.Name), ctx: ctx, cancel: cancel,
 		private: cfg.Protocol.Headers.Private(), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Name, cfg.Zone, cfg.Retry), kept: map[string]*keptPrompts{}, keptWait: keptTimeout,
-		limits: newLimits(cfg.Quota),
+		limits: newLimits(cfg.Quota), contents: newContents(),
 	}
 	g.links = newLinks(g)
 	g.links.meet(cfg.Seeds)
@@ -145,6 +146,7 @@
 		case now := <-t.C:
 			g.pool.Sweep(now)
 			g.fleet.sweep(now)
+			g.contents.sweep(now)
 		}
 	}
 }
@@ -204,18 +206,20 @@
 
 // Dump is the state of a gateway.
 type Dump struct {
-	Name     string             `json:"name"`
-	Zone     string             `json:"zone"`
-	Version  uint64             `json:"table_version"`
-	Draining bool               `json:"draining"`
-	Active   int64              `json:"active"`
-	Control  []string           `json:"control"`
-	Servers  []*dispatch.Server `json:"servers"`
+	Name     string   `json:"name"`
+	Zone     string   `json:"zone"`
+	Version  uint64   `json:"table_version"`
+	Draining bool     `json:"draining"`
+	Active   int64    `json:"active"`
+	Control  []string `json:"control"`
+	// Blocked is how many contents are refused since servers ended under them.
+	Blocked int                `json:"blocked_contents"`
+	Servers []*dispatch.Server `json:"servers"`
 }
 
 // Dump returns the state of the gateway.
 func (g *Gateway) Dump() any {
-	d := Dump{Name: g.cfg.Name, Zone: g.cfg.Zone, Draining: g.draining.Load(), Active: g.active.Load(), Control: g.links.open()}
+	d := Dump{Name: g.cfg.Name, Zone: g.cfg.Zone, Draining: g.draining.Load(), Active: g.active.Load(), Control: g.links.open(), Blocked: g.contents.count()}
 	if t := g.table.Load(); t != nil {
 		d.Version = t.Version
 	}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -74,7 +74,7 @@
 		}
 		last = n.round(ctx)
 		n.unbook()
-		if last.kind == answered || ctx.Err() != nil {
+		if last.kind == answered || ctx.Err() != nil || errors.Is(last.err, errBlocked) {
 			break
 		}
 	}
@@ -126,6 +126,9 @@
 // round reads the prompt and makes the answer at the engines that are booked.
 func (n *generation) round(ctx context.Context) result {
 	n.handover = dispatch.Handover{}
+	if !n.g.mayGo(n.q) {
+		return result{kind: notSent, err: errBlocked}
+	}
 	if n.pair.Prefill == nil {
 		return n.decode(ctx, n.pair.Decode, false)
 	}
@@ -227,6 +230,10 @@
 		g.pass(w, q, last)
 		return
 	}
+	if left := g.contents.blocked(q); left > 0 && !q.mayHaveRun {
+		g.refuse(w, q.id, q.refuseContent(left))
+		return
+	}
 	if !q.mayHaveRun {
 		r := g.fleet.ruled(q.work, q.service.Engine)
 		event.NoRoom.Log(g.log, "id", q.id, "rule", string(r.Rule), "prompt", q.work.Prompt, "expected", q.work.Expected, "engines", r.Engines,
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -156,6 +156,8 @@
 		l.mu.Unlock()
 	case m.Use != nil:
 		l.use(address, m.Use)
+	case m.Contents != nil:
+		l.g.contents.take(l.g, m.Contents)
 	case m.Loads != nil:
 		l.mu.Lock()
 		l.takeLoads(address, m.Loads)
@@ -287,6 +289,9 @@
 		if m := l.g.fleet.loads(now); m != nil {
 			_ = hub.Send(&wire.Message{Loads: m})
 		}
+		if list := l.g.contents.untold(hub); list != nil {
+			_ = hub.Send(&wire.Message{Contents: list})
+		}
 		if used := l.g.limits.untold(now); used != nil {
 			_ = hub.Send(&wire.Message{Use: &quota.Use{Used: used}})
 		}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -45,6 +45,9 @@
 	sends   int
 	// digest names its content, once that was asked for.
 	digest poison.Digest
+	// looked is closed once it is known whether the server of the newest send has ended;
+	// nil if that is no question.
+	looked chan struct{}
 }
 
 // defaultDeadline is for callers that name none.
@@ -69,6 +72,10 @@
 		g.refuse(w, q.id, *ref)
 		return
 	}
+	if left := g.contents.blocked(q); left > 0 {
+		g.refuse(w, q.id, q.refuseContent(left))
+		return
+	}
 	if end := g.endsAt.Load(); end != nil && !q.endBy(*end) {
 		g.refuse(w, q.id, q.elsewhere("the gateway is stopping"))
 		return
--- /dev/null
+++ b/poison/table_test.go
@@ -0,0 +1,185 @@
+package poison
+
+import (
+	"encoding/binary"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func digest(n int) Digest {
+	var d Digest
+	binary.BigEndian.PutUint64(d[:], uint64(n))
+	return d
+}
+
+// TestBlocked plays what happens to one content.
+func TestBlocked(t *testing.T) {
+	type step struct {
+		after time.Duration
+		// ended is a server that ends, ran that the content runs to its end.
+		ended string
+		ran   bool
+	}
+	for _, c := range []struct {
+		name  string
+		steps []step
+		after time.Duration
+		want  bool
+	}{
+		{name: "two servers", steps: []step{{ended: "a"}, {ended: "b"}}},
+		{name: "three servers", steps: []step{{ended: "a"}, {ended: "b"}, {ended: "c"}}, want: true},
+		{name: "one server that three gateways saw", steps: []step{{ended: "a"}, {ended: "a"}, {ended: "a"}}},
+		{name: "a run between excuses it", steps: []step{{ended: "a"}, {ended: "b"}, {ran: true}, {ended: "c"}}},
+		{name: "a run after the third excuses it", steps: []step{{ended: "a"}, {ended: "b"}, {ended: "c"}, {ran: true}}},
+		{name: "three after a run", steps: []step{{ended: "a"}, {ran: true}, {ended: "b"}, {ended: "c"}, {ended: "d"}}, want: true},
+		{name: "slowly, one in a quarter of an hour", steps: []step{{ended: "a"}, {after: 15 * time.Minute, ended: "b"}, {after: 15 * time.Minute, ended: "c"}}, want: true},
+		{name: "long ago", steps: []step{{ended: "a"}, {ended: "b"}, {after: 2 * time.Hour, ended: "c"}}},
+		{name: "it is tried again", steps: []step{{ended: "a"}, {ended: "b"}, {ended: "c"}}, after: blockFor},
+		{name: "and refused again", steps: []step{{ended: "a"}, {ended: "b"}, {ended: "c"}, {after: blockFor, ended: "d"}}, want: true},
+	} {
+		table, now := NewTable(), start
+		for _, s := range c.steps {
+			now = now.Add(s.after)
+			table.Sweep(now)
+			if s.ran {
+				table.Ran(digest(1))
+			} else {
+				table.Ended(now, digest(1), s.ended)
+			}
+		}
+		now = now.Add(c.after)
+		assert.Equal(t, table.Blocked(now, digest(1)) > 0, c.want, c.name)
+		assert.Equal(t, table.Blocked(now, digest(2)), time.Duration(0), c.name)
+	}
+}
+
+// TestNeighboursAreNotBlocked plays the record that this package comes from: one content
+// ends a server at each try, and each server takes some ten other runs with it. Those run
+// to their end when they come again and are never refused.
+func TestNeighboursAreNotBlocked(t *testing.T) {
+	table, now, next := NewTable(), start, 100
+	deadly, tries := digest(1), 0
+	neighbours := map[Digest]bool{}
+	for n := range 12 {
+		now = now.Add(time.Second)
+		if table.Blocked(now, deadly) > 0 {
+			continue
+		}
+		tries++
+		server := fmt.Sprint("s", n)
+		table.Ended(now, deadly, server)
+		for d := range neighbours { // they come again, elsewhere
+			table.Ran(d)
+			delete(neighbours, d)
+		}
+		for range 10 {
+			next++
+			table.Ended(now, digest(next), server)
+			neighbours[digest(next)] = true
+		}
+		assert.Equal(t, table.Count(now), min(tries/blockAt, 1))
+	}
+	assert.Equal(t, tries, blockAt)
+}
+
+// TestTablesAgree wants tables that tell each other in any order, twice, or over one that
+// has lost all it had, to end with the same.
+func TestTablesAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		tables := []*Table{NewTable(), NewTable(), NewTable()}
+		cursor := map[[2]int]uint64{}
+		now := start
+		tell := func(from, to int) {
+			list, at := tables[from].Since(now, cursor[[2]int{from, to}], 1)
+			cursor[[2]int{from, to}] = at
+			tables[to].Merge(now, list)
+			if rapid.Bool().Draw(rt, "twice") {
+				tables[to].Merge(now, list)
+			}
+		}
+		want := NewTable()
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(rt, "ms")) * time.Millisecond)
+			i, d := rapid.IntRange(0, 2).Draw(rt, "table"), digest(rapid.IntRange(1, 3).Draw(rt, "content"))
+			switch rapid.IntRange(0, 2).Draw(rt, "what") {
+			case 0:
+				server := fmt.Sprint("s", rapid.IntRange(1, 6).Draw(rt, "server"))
+				tables[i].Ended(now, d, server)
+				want.Ended(now, d, server)
+			case 1:
+				tell(i, rapid.IntRange(0, 2).Draw(rt, "to"))
+			case 2:
+				// What runs excuses all that this table knows.
+				known, _ := tables[i].Since(now, 0, 1)
+				tables[i].Ran(d)
+				for _, r := range known {
+					if r.Content == d {
+						for n := range r.Endings {
+							r.Endings[n].Excused = true
+						}
+						want.Merge(now, []Record{r})
+					}
+				}
+			}
+		}
+		for range 2 {
+			for i := range tables {
+				for j := range tables {
+					tell(i, j)
+				}
+			}
+		}
+		for n := 1; n <= 3; n++ {
+			for i, table := range tables {
+				got, wanted := table.Blocked(now, digest(n)) > 0, want.Blocked(now, digest(n)) > 0
+				if got != wanted {
+					rt.Fatalf("table %d, content %d: blocked %v, want %v", i, n, got, wanted)
+				}
+			}
+		}
+	})
+}
+
+// TestTellingEnds wants two tables that agree to have nothing to tell.
+func TestTellingEnds(t *testing.T) {
+	a, b := NewTable(), NewTable()
+	a.Ended(start, digest(1), "s")
+	toB, atA := a.Since(start, 0, 1)
+	b.Merge(start.Add(time.Millisecond), toB)
+	toA, _ := b.Since(start.Add(time.Millisecond), 0, 1)
+	a.Merge(start.Add(2*time.Millisecond), toA)
+	again, _ := a.Since(start.Add(time.Second), atA, 1)
+	assert.Equal(t, len(again), 0)
+}
+
+// TestBoundOfContents wants a bound, and the contents with most endings to outlast it.
+func TestBoundOfContents(t *testing.T) {
+	table := NewTable()
+	for _, s := range []string{"a", "b", "c"} {
+		table.Ended(start, digest(0), s)
+	}
+	for n := range 3 * mostContents {
+		table.Ended(start.Add(time.Duration(n)*time.Millisecond), digest(n+1), "x")
+		assert.Assert(t, table.Len() <= mostContents)
+	}
+	assert.Assert(t, table.Blocked(start, digest(0)) > 0)
+}
+
+// BenchmarkBlocked is what each request pays while some thousand contents are known.
+func BenchmarkBlocked(b *testing.B) {
+	table := NewTable()
+	for n := range 5000 {
+		table.Ended(start, digest(n), "x")
+	}
+	c := Content{Method: "POST", Host: "h", Target: "/review/1", Body: make([]byte, 5000)}
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Blocked(start, c.Digest())
+	}
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -9,6 +9,7 @@
 	"github.com/ledgepin/ledgepin/lease"
 	"github.com/ledgepin/ledgepin/order"
 	"github.com/ledgepin/ledgepin/placement"
+	"github.com/ledgepin/ledgepin/poison"
 	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/route"
@@ -64,6 +65,8 @@
 	Replicas *Replicas  `cbor:"34,keyasint,omitempty"`
 	Loads    *Loads     `cbor:"35,keyasint,omitempty"`
 	Use      *quota.Use `cbor:"38,keyasint,omitempty"`
+	// Contents are those under which servers have ended.
+	Contents []poison.Record `cbor:"39,keyasint,omitempty"`
 }
 
 // Roles that a Hello may name.
