--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -26,6 +26,8 @@
 	ID string
 	// MaxConnections bounds the connections of this pool to the server.
 	MaxConnections int
+	// Server names the start of the server; its requests end with it (Pool.End).
+	Server string
 	// Fresh asks for a new connection, since a kept one may break in a way
 	// that leaves it open whether the server has seen the request.
 	Fresh bool
@@ -81,6 +83,7 @@
 	if err != nil {
 		return nil, &Error{Cause: err, Refused: !errors.Is(err, ErrFull)}
 	}
+	p.begin(r.Server, c)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.SetDeadline(deadline)
@@ -211,6 +214,7 @@
 // finish gives the connection back once.
 func (a *Answer) finish(whole bool) {
 	a.once.Do(func() {
+		a.pool.end(a.request.Server, a.conn)
 		undisturbed := a.stop()
 		sent := false
 		select {
--- a/backend/names.go
+++ b/backend/names.go
@@ -157,4 +157,6 @@
 	// Busy tells that an order is under way.
 	Busy     bool
 	Sequence uint64
+	// Born is when it started, in Unix milliseconds; zero if it does not tell.
+	Born int64
 }
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -9,14 +9,18 @@
 
 // Pool keeps the connections of one gateway, by server address.
 type Pool struct {
-	mu     sync.Mutex
-	idle   map[string][]*conn
-	open   map[string]int
+	mu   sync.Mutex
+	idle map[string][]*conn
+	open map[string]int
+	// busy are the connections with a request, by the start of their server.
+	busy   map[string]map[*conn]bool
 	closed bool
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: map[string][]*conn{}, open: map[string]int{}} }
+func NewPool() *Pool {
+	return &Pool{idle: map[string][]*conn{}, open: map[string]int{}, busy: map[string]map[*conn]bool{}}
+}
 
 // ErrFull tells that the gateway has as many connections to the server as it
 // may have.
@@ -149,6 +153,44 @@
 	}
 }
 
+// begin notes that a connection has a request to a server, end that it has none any more.
+func (p *Pool) begin(server string, c *conn) {
+	if server == "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy[server] == nil {
+		p.busy[server] = map[*conn]bool{}
+	}
+	p.busy[server][c] = true
+}
+
+func (p *Pool) end(server string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy[server], c)
+	if len(p.busy[server]) == 0 {
+		delete(p.busy, server)
+	}
+}
+
+// End closes the connections to a start of a server that has ended: idle ones to its
+// address, and those with requests, which break off as they would have if the server's VM
+// had still been there to reset them.
+func (p *Pool) End(server, address string) {
+	p.mu.Lock()
+	var busy []*conn
+	for c := range p.busy[server] {
+		busy = append(busy, c)
+	}
+	p.mu.Unlock()
+	for _, c := range busy {
+		_ = c.Close()
+	}
+	p.Forget(address)
+}
+
 // Close closes all idle connections and keeps none from now on.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/control/control.go
+++ b/control/control.go
@@ -103,8 +103,17 @@
 	zonesAt  time.Time
 	planAt   time.Time
 	floorAt  time.Time
+	// refused bounds the lines about words of servers that are not used.
+	refused event.Limiter
 }
 
+// Lines about refused words of servers: one a minute for each server and reason, and for no
+// more of them than a large fleet has servers.
+const (
+	refusedEvery = time.Minute
+	mostRefused  = 1000
+)
+
 // Start opens the journal and returns a running replica.
 func Start(cfg Config) (*Control, error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -115,7 +124,7 @@
 		cfg: cfg, log: cfg.Log.With("role", "control", "name", cfg.Name), epoch: time.Now().UnixNano(),
 		ctx: ctx, cancel: cancel, state: fleet.New(), waiters: map[string][]chan fleet.Result{},
 		out: map[string]*peerLink{}, down: map[*wire.Link]bool{}, seen: map[string]int{}, asked: map[string]bool{}, zones: map[string]*wire.Summary{},
-		broker: quota.NewBroker(), hub: newHub(cfg.Zone, cfg.Quota),
+		broker: quota.NewBroker(), hub: newHub(cfg.Zone, cfg.Quota), refused: event.Limiter{Every: refusedEvery, Most: mostRefused},
 	}
 	if cfg.Discovery != nil {
 		c.wg.Go(c.bootDiscovered)
--- a/control/listing.go
+++ b/control/listing.go
@@ -17,12 +17,16 @@
 
 // report takes a server's own word, and passes it on at once if it is new. The
 // other replicas get every report, so that each of them can tell a gateway that
-// starts; those with nothing new go together. It returns false if nobody is
-// there to be told.
-func (h *hub) report(s registry.Server) bool {
+// starts; those with nothing new go together. It returns whether anybody is there to be
+// told, and an error if the word is not that of the server's newest start.
+func (h *hub) report(s registry.Server) (heard bool, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
+	s = h.servers.Resolve(s)
+	if err := h.servers.Check(s); err != nil {
+		return len(h.peers)+len(h.gateways) > 0, err
+	}
 	news := h.note(now, s)
 	_, known := h.home[s.ID]
 	if s.State == registry.Ready {
@@ -36,11 +40,10 @@
 		for l := range h.peers {
 			_ = l.Send(m)
 		}
-		h.tellNews(s)
 	case !known:
 		h.waiting = append(h.waiting, s)
 	}
-	return len(h.peers)+len(h.gateways) > 0
+	return len(h.peers)+len(h.gateways) > 0, nil
 }
 
 // take takes what another replica tells of servers.
@@ -49,9 +52,7 @@
 	defer h.mu.Unlock()
 	now := time.Now()
 	for _, s := range m.List {
-		if h.note(now, s) {
-			h.tellNews(s)
-		}
+		h.note(now, s)
 	}
 	roster := h.rosters[l]
 	if roster == nil {
@@ -64,20 +65,25 @@
 	}
 }
 
-// note puts a report into the registry, and tells whether it is new.
+// note puts a report into the registry and tells gateways what is new by it. It returns
+// whether anything is. Callers hold the lock.
 func (h *hub) note(now time.Time, s registry.Server) bool {
-	before, known := h.servers.Get(s.ID)
-	if !h.servers.Report(now, s) {
-		return false
-	}
-	h.changed = true
-	if known && before.State == registry.Ready {
-		h.groups[groupOf(before)]--
-	}
-	if after, _ := h.servers.Get(s.ID); after.State == registry.Ready {
-		h.groups[groupOf(after)]++
+	news := h.servers.Report(now, s)
+	for _, n := range news {
+		h.changed = true
+		if n.Before != nil && n.Before.State == registry.Ready {
+			h.groups[groupOf(*n.Before)]--
+		}
+		if n.Server.State == registry.Ready {
+			h.groups[groupOf(n.Server)]++
+		}
+		if n.Server.State == registry.Gone {
+			delete(h.home, n.Server.ID)
+			delete(h.away, n.Server.ID)
+		}
+		h.tellNews(n.Server)
 	}
-	return true
+	return len(news) > 0
 }
 
 // homeWithin is how long after its last report a server counts as one that reports to
@@ -119,13 +125,12 @@
 // them at once: one may know it from another replica. All else is told at the next tick,
 // together: after an outage servers come by thousands.
 func (h *hub) tellNews(s registry.Server) {
-	after, _ := h.servers.Get(s.ID)
-	if after.State == registry.Ready {
+	if s.State == registry.Ready {
 		h.news[s.ID] = true
 		return
 	}
 	delete(h.news, s.ID)
-	frame, err := wire.Marshal(&wire.Message{Servers: &wire.Servers{List: []registry.Server{after}}})
+	frame, err := wire.Marshal(&wire.Message{Servers: &wire.Servers{List: []registry.Server{s}}})
 	if err != nil {
 		return
 	}
@@ -185,7 +190,7 @@
 	list := h.servers.List(now)
 	out := make([]candidate, len(list))
 	for i, s := range list {
-		out[i] = candidate{s, subset.KeyOf(s.ID), h.groups[groupOf(s)]}
+		out[i] = candidate{s, subset.KeyOf(s.Called()), h.groups[groupOf(s)]}
 	}
 	return out
 }
--- a/control/roles.go
+++ b/control/roles.go
@@ -107,7 +107,7 @@
 		return
 	}
 	status, err := c.giveOrder(pool, s, o)
-	event.RoleOrdered.Log(c.log, "server", s.ID, "role", o.Role, "status", status, "error", err, "prefill", o.Prefill,
+	event.RoleOrdered.Log(c.log, "server", s.Called(), "role", o.Role, "status", status, "error", err, "prefill", o.Prefill,
 		"decode", o.Decode, "prefill_use", o.PrefillUse, "decode_use", o.DecodeUse, "want", o.Want)
 	if status == http.StatusAccepted || errors.Is(err, errNoAnswer) {
 		c.hub.setAway(s.ID, o.Role, engine.RoleSwitch)
@@ -117,6 +117,9 @@
 // errNoAnswer tells that an order was sent and may be carried out.
 var errNoAnswer = errors.New("control: no answer to an order")
 
+// errRestarted tells that an engine has started again since it was planned with.
+var errRestarted = errors.New("control: the engine has started again")
+
 func (c *Control) giveOrder(pool *backend.Pool, s registry.Server, o roles.Order) (int, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
 	defer cancel()
@@ -129,6 +132,9 @@
 	if err != nil || report.Busy || report.Role == o.Role {
 		return 0, err
 	}
+	if report.Born != 0 && s.Born != 0 && report.Born != s.Born {
+		return 0, errRestarted
+	}
 	fence, ok := c.fence(time.Now())
 	if !ok {
 		return 0, nil
@@ -146,7 +152,7 @@
 func (c *Control) call(ctx context.Context, pool *backend.Pool, s registry.Server, call backend.Call) (int, []byte, error) {
 	h := &c.cfg.Roles.Protocol.Headers
 	r := backend.Request{Address: s.Address, Method: call.Method, Target: call.Path, Host: s.Address, Header: http.Header{}, Body: call.Body}
-	r.Header.Set(h.ExpectInstance, s.ID)
+	r.Header.Set(h.ExpectInstance, s.Called())
 	if call.ContentType != "" {
 		r.Header.Set("Content-Type", call.ContentType)
 	}
--- a/control/table.go
+++ b/control/table.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
 	"github.com/ledgepin/ledgepin/fleet"
+	"github.com/ledgepin/ledgepin/metric"
 	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/route"
 )
@@ -92,12 +94,34 @@
 }
 
 // Report takes a backend server's word about itself. It returns false if this
-// replica is cut off, so that the server tells another one.
-func (c *Control) Report(s registry.Server) bool {
-	if s.State != registry.Ready {
-		event.ServerLeaving.Log(c.log, "server", s.ID, "service", s.Service, "state", string(s.State))
+// replica is cut off, so that the server tells another one, and an error if another server
+// must have said it. The word of an earlier start counts as taken: that start gets nothing
+// any more.
+func (c *Control) Report(s registry.Server) (heard bool, err error) {
+	heard, err = c.hub.report(s)
+	switch {
+	case errors.Is(err, registry.ErrEarlier):
+		c.refuseWord("earlier", s.Called(), s.Address, err)
+		err = nil
+	case err != nil:
+		c.refuseWord("another", s.Called(), s.Address, err)
+	case s.State != registry.Ready:
+		event.ServerLeaving.Log(c.log, "server", s.Called(), "service", s.Service, "state", string(s.State))
+	}
+	return heard, err
+}
+
+// Unreadable takes that a word about a server could not be read.
+func (c *Control) Unreadable(name, from string, err error) {
+	c.refuseWord("unreadable", name, from, err)
+}
+
+// refuseWord tells of a word that is not used.
+func (c *Control) refuseWord(reason, name, from string, err error) {
+	metric.WordsRefused.WithLabelValues(reason).Inc()
+	if c.refused.Allow(time.Now(), reason+" "+name) {
+		event.ServerWordRefused.Log(c.log, "server", name, "from", from, "error", err)
 	}
-	return c.hub.report(s)
 }
 
 // Near returns the link address of a replica in an availability zone that this one has
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -66,6 +66,8 @@
 	// leavingAt is when this gateway heard that it leaves.
 	leavingAt time.Time
 	gone      bool
+	// ended tells that a later start of the server has replaced this one.
+	ended bool
 	// rival is another incarnation at the same address, which counts in its place.
 	rival *Server
 	// away is the role that an engine is changing to, if it is; it is back no
@@ -79,6 +81,7 @@
 	// key is the number of the gateway's name.
 	key     uint64
 	servers map[string]*Server
+	starts  *registry.Starts
 	// groups are the servers by service and role, made anew when one comes,
 	// goes or changes its role; cursor is where the next choice starts to look.
 	groups map[group][]*Server
@@ -170,7 +173,7 @@
 
 // NewFleet returns a fleet without servers.
 func NewFleet(name, zone string) *Fleet {
-	return &Fleet{key: mix.Name(name), servers: map[string]*Server{}, sizes: map[group]int{}, readRates: map[string]float64{}, Zone: zone, Others: Others{Gateways: 1, Known: 1}}
+	return &Fleet{key: mix.Name(name), servers: map[string]*Server{}, starts: registry.NewStarts(), sizes: map[group]int{}, readRates: map[string]float64{}, Zone: zone, Others: Others{Gateways: 1, Known: 1}}
 }
 
 // SetOthers takes what is known of the other gateways.
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -6,39 +6,61 @@
 	"github.com/ledgepin/ledgepin/registry"
 )
 
-// Update takes reports of servers.
-func (f *Fleet) Update(now time.Time, list []registry.Server) {
+// Update takes reports of servers. It returns the starts that a later one has replaced:
+// what they had under way has ended.
+func (f *Fleet) Update(now time.Time, list []registry.Server) (ended []*Server) {
 	for _, r := range list {
-		heard := now.Add(-r.Age)
-		s := f.servers[r.ID]
-		if s == nil {
-			s = &Server{Server: r, heardAt: heard, rank: f.rank(r.ID), Others: f.Others.Loads[r.ID], OthersSeen: f.Others.Seen[r.ID]}
-			s.gone = r.State == registry.Gone
-			f.servers[r.ID] = s
-			f.retire(s)
-			f.groups = nil
+		replaced, err := f.starts.Take(now, r)
+		if err != nil {
 			continue
 		}
-		if heard.After(s.heardAt) {
-			s.heardAt = heard
-			f.outlive(s)
+		if old := f.servers[replaced]; old != nil && !old.ended {
+			old.State, old.ended = registry.Gone, true
+			f.Gone(replaced)
+			ended = append(ended, old)
 		}
-		if r.State == registry.Gone {
-			s.State = registry.Gone
-			f.Gone(s.ID)
-			continue
-		}
-		if s.gone || s.State == registry.Draining && r.State == registry.Ready || r.Sequence < s.Sequence && r.State == s.State {
-			continue
-		}
-		if s.State != r.State && r.State == registry.Draining {
-			s.leavingAt = now
-		}
-		if s.State != r.State || s.Role != r.Role || s.Service != r.Service {
-			f.groups = nil
-		}
-		s.Server = r
+		f.update(now, r)
+	}
+	return ended
+}
+
+// update takes the report of a server's newest start.
+func (f *Fleet) update(now time.Time, r registry.Server) {
+	heard := now.Add(-r.Age)
+	s := f.servers[r.ID]
+	if s == nil {
+		s = &Server{Server: r, heardAt: heard, rank: f.rank(r.ID), Others: f.Others.Loads[r.ID], OthersSeen: f.Others.Seen[r.ID]}
+		s.gone = r.State == registry.Gone
+		f.servers[r.ID] = s
+		f.retire(s)
+		f.groups = nil
+		return
 	}
+	if heard.After(s.heardAt) {
+		s.heardAt = heard
+		f.outlive(s)
+	}
+	if r.State == registry.Gone {
+		s.State = registry.Gone
+		f.Gone(s.ID)
+		return
+	}
+	if s.gone || s.State == registry.Draining && r.State == registry.Ready || r.Sequence < s.Sequence && r.State == s.State {
+		return
+	}
+	if s.State != r.State && r.State == registry.Draining {
+		s.leavingAt = now
+	}
+	if s.State != r.State || s.Role != r.Role || s.Service != r.Service {
+		f.groups = nil
+	}
+	s.Server = r
+}
+
+// Ended tells whether a start has been replaced by a later one of its server.
+func (f *Fleet) Ended(id string) bool {
+	s := f.servers[id]
+	return s != nil && s.ended
 }
 
 // Heard takes that servers have reported themselves again, at a time, with
@@ -169,4 +191,5 @@
 			delete(f.servers, id)
 		}
 	}
+	f.starts.Sweep(now)
 }
--- /dev/null
+++ b/dispatch/restart_test.go
@@ -0,0 +1,60 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/registry"
+)
+
+// TestServerStartsAgain wants nothing of a server's earlier start to pass for its later
+// one: not what was reserved, how requests went, that it is blocked or away, nor late words.
+func TestServerStartsAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	word := func(born int64, role string, sequence uint64) registry.Server {
+		return registry.Server{ID: registry.StartID("e", born), Name: "e", Born: born, Service: "llm", Address: "10.0.0.1:80", State: registry.Ready, Role: role, Sequence: sequence}
+	}
+	first, second := registry.StartID("e", 1), registry.StartID("e", 2)
+	f := NewFleet("g", "z")
+	f.Update(now, []registry.Server{word(1, registry.Decode, 9)})
+	f.Reserve(first, Work{Service: "llm", Prompt: 1000, Expected: 500})
+	f.Note(now, first, Unreached, 0)
+	f.Away(now, first, registry.Prefill, time.Second)
+
+	ended := f.Update(now, []registry.Server{word(2, registry.Decode, 1)})
+	assert.Equal(t, len(ended), 1)
+	assert.Equal(t, ended[0].ID, first)
+	assert.Assert(t, f.Ended(first) && !f.Ended(second))
+	assert.Assert(t, !f.Listed(now, first) && f.Listed(now, second))
+	s := f.Get(second)
+	assert.Equal(t, s.Own, Load{})
+	assert.Assert(t, !s.blocked(now))
+
+	for _, late := range []registry.Server{word(1, registry.Prefill, 99), {ID: first, Name: "e", Born: 1, State: registry.Gone}} {
+		assert.Equal(t, len(f.Update(now, []registry.Server{late})), 0)
+	}
+	assert.Assert(t, !f.Listed(now, first) && f.Listed(now, second))
+	assert.Equal(t, len(f.Update(now, []registry.Server{word(2, registry.Decode, 2)})), 0, "told once")
+	f.Release(first, Work{Service: "llm", Prompt: 1000, Expected: 500})
+	assert.Equal(t, f.Get(second).Own, Load{})
+}
+
+// TestCrossedAddresses wants two servers that start again at each other's address to be
+// used where they are.
+func TestCrossedAddresses(t *testing.T) {
+	now := time.Unix(1000, 0)
+	word := func(name, address string, born int64) registry.Server {
+		return registry.Server{ID: registry.StartID(name, born), Name: name, Born: born, Service: "plain", Address: address, State: registry.Ready, Sequence: 1}
+	}
+	f := NewFleet("g", "z")
+	f.Update(now, []registry.Server{word("a", "10.0.0.1:80", 1), word("b", "10.0.0.2:80", 1)})
+	now = now.Add(3 * time.Second)
+	f.Update(now, []registry.Server{word("a", "10.0.0.2:80", 2)})
+	f.Update(now, []registry.Server{word("b", "10.0.0.1:80", 2)})
+	for _, name := range []string{"a", "b"} {
+		assert.Assert(t, !f.Listed(now, registry.StartID(name, 1)), name)
+		assert.Assert(t, f.Listed(now, registry.StartID(name, 2)), name)
+	}
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -127,6 +127,10 @@
 	"Three servers have ended under requests with this content, and it has not run to its end since. It is refused with 503 for ten minutes after the newest ending, at all gateways.",
 	"Find the caller by the lines LP2018 with the same content, and what in its request ends the servers.")
 
+// ServerRestarted tells that a server has started again under its name.
+var ServerRestarted = define("LP2020", info, "server started again",
+	"A later start of a server has reported itself, so the earlier one has ended with all that it had: its requests broke off, and its connections were closed.", nothing)
+
 // Links between processes.
 var (
 	LinkUp   = define("LP3001", info, "link up", "A link to a peer process is open.", nothing)
@@ -154,6 +158,9 @@
 		"After a restart of the agent, the engine ran a request that no entry claimed.", nothing)
 	ServerEjected = define("LP4006", warn, "server ejected",
 		"A server failed several times in a row and gets only probes for a while.", "Look at the server.")
+	ServerWordRefused = define("LP4013", warn, "word about a server refused",
+		"What came as the word of a server is not used: it can't be read, is of an earlier start than the one that is known, or says of a start that is known what only another server can say. One line a minute for each server and reason.",
+		"Look at what writes at the address. An earlier start whose server is up: its clock was set back between two starts; set it right and start the server again.")
 	ServerLeaving = define("LP4007", info, "server leaving",
 		"A backend server is leaving and gets no new work.", nothing)
 	Borrowed = define("LP4011", info, "server borrowed",
--- /dev/null
+++ b/event/limiter.go
@@ -0,0 +1,42 @@
+package event
+
+import (
+	"sync"
+	"time"
+)
+
+// Limiter bounds how often lines about the same thing are written, and about how many
+// things in a while: what others send decides how many there would be.
+type Limiter struct {
+	// Every is the least time between two lines about one thing, Most the things of
+	// which lines are written in that time.
+	Every time.Duration
+	Most  int
+
+	mu   sync.Mutex
+	last map[string]time.Time
+}
+
+// Allow tells whether a line about a thing may be written now.
+func (l *Limiter) Allow(now time.Time, thing string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if at, told := l.last[thing]; told && now.Sub(at) < l.Every {
+		return false
+	}
+	if len(l.last) >= l.Most {
+		for other, at := range l.last {
+			if now.Sub(at) >= l.Every {
+				delete(l.last, other)
+			}
+		}
+		if len(l.last) >= l.Most {
+			return false
+		}
+	}
+	if l.last == nil {
+		l.last = map[string]time.Time{}
+	}
+	l.last[thing] = now
+	return true
+}
--- /dev/null
+++ b/event/limiter_test.go
@@ -0,0 +1,27 @@
+package event_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/event"
+)
+
+func TestLimiter(t *testing.T) {
+	l := event.Limiter{Every: time.Second, Most: 3}
+	now := time.Unix(1000, 0)
+	assert.Assert(t, l.Allow(now, "a"))
+	assert.Assert(t, !l.Allow(now.Add(900*time.Millisecond), "a"), "once in a while")
+	assert.Assert(t, l.Allow(now.Add(time.Second), "a"))
+	written := 0
+	for n := range 100 {
+		if l.Allow(now.Add(time.Second), fmt.Sprint(n)) {
+			written++
+		}
+	}
+	assert.Equal(t, written, 2, "of three things in all")
+	assert.Assert(t, l.Allow(now.Add(3*time.Second), "b"), "old ones make room")
+}
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -18,7 +18,8 @@
 // callTo returns a call of the gateway's own to an engine, for a request.
 func (g *Gateway) callTo(q *request, s *dispatch.Server, c backend.Call) backend.Request {
 	r := backend.Request{Address: s.Address, Method: c.Method, Target: c.Path, Host: s.Address, Header: http.Header{}, Body: c.Body}
-	r.Header.Set(g.cfg.Protocol.Headers.ExpectInstance, s.ID)
+	r.Server = s.ID
+	r.Header.Set(g.cfg.Protocol.Headers.ExpectInstance, s.Called())
 	if c.ContentType != "" {
 		r.Header.Set("Content-Type", c.ContentType)
 	}
--- a/gateway/ended.go
+++ b/gateway/ended.go
@@ -31,6 +31,8 @@
 	return q.digest
 }
 
+var errRestarted = errors.New("gateway: the server has started again")
+
 // lookAfter finds out whether a server has ended under a request that broke off there. A
 // connection that broke alone, as by a reset on the way, says nothing of the request.
 func (g *Gateway) lookAfter(q *request, s *dispatch.Server) {
@@ -41,11 +43,14 @@
 		defer close(done)
 		ctx, cancel := context.WithTimeout(g.ctx, lookTime)
 		defer cancel()
-		err := backend.Reach(ctx, s.Address)
+		err := errRestarted
+		if !g.fleet.ended(s.ID) {
+			err = backend.Reach(ctx, s.Address)
+		}
 		if err == nil || g.ctx.Err() != nil {
 			return
 		}
-		event.ServerEnded.Log(g.log, "id", q.id, "content", content.String(), "server", s.ID, "phase", s.Role, "made", made, "error", err)
+		event.ServerEnded.Log(g.log, "id", q.id, "content", content.String(), "server", s.Called(), "phase", s.Role, "made", made, "error", err)
 		g.contents.ended(g, content, s.ID)
 	})
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -52,17 +52,26 @@
 }
 
 // update takes reports of servers, which of them have reported themselves with
-// nothing new, and how many there are.
-func (f *fleet) update(m *wire.Servers, alive []string) {
+// nothing new, and how many there are. It returns the starts of servers that have ended,
+// since a later one has come.
+func (f *fleet) update(m *wire.Servers, alive []string) []*dispatch.Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	f.view.Update(now, m.List)
+	ended := f.view.Update(now, m.List)
 	f.view.Heard(now.Add(-m.For), alive)
 	for _, g := range m.Sizes {
 		f.view.SetSize(g.Service, g.Role, g.Size)
 	}
 	f.serve()
+	return ended
+}
+
+// ended tells whether a start of a server has been replaced by a later one.
+func (f *fleet) ended(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Ended(id)
 }
 
 // away takes which engines are changing their role.
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -185,7 +185,7 @@
 func (n *generation) noteWasted(cause string) {
 	metric.WastedTokens.WithLabelValues(n.q.service.Name, cause).Add(float64(n.kv.Tokens))
 	event.PromptWasted.Log(n.g.log, "id", n.q.id, "cause", cause, "tokens", n.kv.Tokens, "made", n.q.work.Made,
-		"prefill", n.kvFrom.ID, "decode", n.pair.Decode.ID)
+		"prefill", n.kvFrom.Called(), "decode", n.pair.Decode.Called())
 }
 
 // grow books what a run has made, and has it move on if its engine has no room
--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -76,8 +76,7 @@
 		wg.Go(func() {
 			kept, err := g.askKeptAt(ctx, q, &s)
 			if err != nil {
-				event.KeptUnknown.Log(g.log, "server", s.ID, "error", err)
-				return
+				event.KeptUnknown.Log(g.log, "server", s.Called(), "error", err)
 			}
 			mu.Lock()
 			defer mu.Unlock()
@@ -88,7 +87,8 @@
 	return out
 }
 
-// askKeptAt asks one engine for the tokens of each part that it keeps.
+// askKeptAt asks one engine for the tokens of each part that it keeps. With an error come
+// those parts that could be read.
 func (g *Gateway) askKeptAt(ctx context.Context, q *request, s *dispatch.Server) (map[string]int, error) {
 	p := &g.cfg.Protocol
 	res, body := g.exchange(ctx, q, s, g.callTo(q, s, p.ListKept()))
@@ -99,12 +99,9 @@
 		return nil, fmt.Errorf("gateway: list of kept prompts: %s, status %d", res.kind, res.status)
 	}
 	list, err := p.ParseKept(body)
-	if err != nil {
-		return nil, err
-	}
 	out := make(map[string]int, len(list))
 	for _, part := range list {
 		out[part.ID] = part.Tokens
 	}
-	return out, nil
+	return out, err
 }
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -137,7 +137,10 @@
 	l.hear(address)
 	switch {
 	case m.Servers != nil:
-		l.g.fleet.update(m.Servers, l.alive(address, m.Servers))
+		for _, s := range l.g.fleet.update(m.Servers, l.alive(address, m.Servers)) {
+			event.ServerRestarted.Log(l.g.log, "server", s.Called(), "address", s.Address)
+			l.g.pool.End(s.ID, s.Address)
+		}
 		l.g.fleet.away(m.Servers.Away)
 	case m.Routes != nil:
 		l.routes(address, m.Routes)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -293,7 +293,8 @@
 	out.Address = s.Address
 	out.Header = q.send.Header.Clone()
 	out.Header.Set(h.Deadline, strconv.FormatInt(max(limit.Milliseconds(), 1), 10))
-	out.Header.Set(h.ExpectInstance, s.ID)
+	out.Header.Set(h.ExpectInstance, s.Called())
+	out.Server = s.ID
 	out.MaxConnections = connectionShare(q.service.MaxConnections, sharing)
 	return out
 }
--- /dev/null
+++ b/gateway/restart_test.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/backend"
+	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/standin"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// start starts a stand-in as a start of a server, and has its first word told.
+func (r *rig) start(service, name, role string, born int64) *standin.Backend {
+	r.t.Helper()
+	b, err := r.group.StartBackend("127.0.0.1:0", name, role, backend.DefaultHeaders)
+	assert.NilError(r.t, err)
+	r.t.Cleanup(b.Kill)
+	r.gateway.links.handle("replica", &wire.Message{Servers: &wire.Servers{List: []registry.Server{{
+		ID: registry.StartID(name, born), Name: name, Born: born, Service: service, Address: b.Addr(), Zone: "z", State: registry.Ready, Role: role, Sequence: 1,
+	}}}})
+	return b
+}
+
+// TestRequestsEndWithTheirServer wants a request at a server that has gone silent to end
+// as soon as the server's next start reports itself: what may be repeated goes on there,
+// what may not is not sent again.
+func TestRequestsEndWithTheirServer(t *testing.T) {
+	for _, c := range []struct {
+		path   string
+		status int
+		runs   int
+	}{
+		{"/rates/1", http.StatusOK, 1},
+		{"/seats/1", http.StatusBadGateway, 0},
+	} {
+		r := newRig(t)
+		old := r.start("plain", "s", "", 1000)
+		old.SetFault(func(*http.Request) standin.Fault { return standin.Hang })
+		done := make(chan reply, 1)
+		go func() { done <- r.send("POST", c.path, "1", "x", nil) }()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if old.Running() == 0 {
+				return poll.Continue("it has not come")
+			}
+			return poll.Success()
+		}, poll.WithDelay(time.Millisecond))
+		fresh := r.start("plain", "s", "", 2000)
+		got := <-done
+		assert.Equal(t, got.status, c.status, c.path)
+		assert.Equal(t, ran(fresh), c.runs, c.path)
+	}
+}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -85,6 +85,7 @@
 	Migrations   = counter("ledgepin_migrations_total", "Runs that were to go on at another engine with their KV cache, by reason and outcome.", "service", "reason", "outcome")
 	WastedTokens = counter("ledgepin_wasted_prompt_tokens_total", "Tokens of prompts that were read and whose answer did not become whole, by cause.", "service", "cause")
 	KeptTokens   = counter("ledgepin_kept_prompt_tokens_total", "Tokens of prompts that came again and were placed at an engine that keeps them.", "service")
+	WordsRefused = counter("ledgepin_server_words_refused_total", "Words about servers that are not used: unreadable, of an earlier start, or of another server.", "reason")
 	LogDropped   = counter("ledgepin_log_lines_dropped_total", "Log lines left out because the output was not read fast enough.")
 )
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -2,8 +2,10 @@
 // themselves.
 //
 // It is soft state: servers repeat their reports, so that a process which has
-// just started knows all of them within one interval. Reports of one
-// incarnation carry rising sequence numbers; a late one is known by its number.
+// just started knows all of them within one interval. A server that starts again under
+// its name is another one here: its later start replaces the earlier at once, and words of
+// the earlier one never bring it back. Reports of one start carry rising sequence numbers;
+// a late one is known by its number.
 package registry
 
 import (
@@ -29,9 +31,9 @@
 	Decode  = "decode"
 )
 
-// Server is one incarnation of a backend server.
+// Server is one start of a backend server.
 type Server struct {
-	// ID names the incarnation; a server that restarts has a new one.
+	// ID names the start (StartID).
 	ID      string `cbor:"1,keyasint" json:"id"`
 	Service string `cbor:"2,keyasint" json:"service"`
 	// Address is an IP number and a port.
@@ -45,6 +47,19 @@
 	Sequence uint64 `cbor:"8,keyasint" json:"sequence"`
 	// Age is how long ago the newest report came, when sent between processes.
 	Age time.Duration `cbor:"9,keyasint,omitempty" json:"-"`
+	// Name is what the server calls itself, in all its starts; empty if it is the ID.
+	Name string `cbor:"10,keyasint,omitempty" json:"name,omitempty"`
+	// Born is when it started, in Unix milliseconds by its own clock; zero if it does
+	// not tell.
+	Born int64 `cbor:"11,keyasint,omitempty" json:"born,omitempty"`
+}
+
+// Called returns what the server calls itself.
+func (s Server) Called() string {
+	if s.Name != "" {
+		return s.Name
+	}
+	return s.ID
 }
 
 // same tells whether two reports differ only in their number.
@@ -61,40 +76,82 @@
 // Registry is the set of known servers. It is not safe for concurrent use.
 type Registry struct {
 	servers map[string]*entry
+	starts  *Starts
 	// keep is how long a silent server stays listed.
 	keep time.Duration
 }
 
 // New returns an empty registry that forgets servers that are silent for keep.
 func New(keep time.Duration) *Registry {
-	return &Registry{servers: map[string]*entry{}, keep: keep}
+	return &Registry{servers: map[string]*entry{}, starts: NewStarts(), keep: keep}
+}
+
+// News is a server of which a report tells something new.
+type News struct {
+	Server Server
+	// Before is what was known of it; nil if nothing was.
+	Before *Server
+}
+
+// Resolve returns a word about a server with the start that it is about.
+func (r *Registry) Resolve(s Server) Server { return r.starts.Resolve(s) }
+
+// Check returns why a report is not taken: it is of an earlier start, or it says of a
+// start that is known what only another server can say. A late report is no error.
+func (r *Registry) Check(s Server) error {
+	if n, known := r.starts.newest[s.Called()]; known && n.born > s.Born {
+		return ErrEarlier
+	}
+	if old := r.servers[s.ID]; old != nil && s.State != Gone && old.server.State != Gone &&
+		(old.server.Service != s.Service || s.Address != "" && old.server.Address != s.Address) {
+		return ErrAnother
+	}
+	return nil
+}
+
+// Report takes a report and returns the servers of which it tells something new: a new
+// one, other words of a known one, and first of all the earlier start that a new one
+// replaces. A start that has said that it drains or is gone never becomes ready again.
+func (r *Registry) Report(now time.Time, s Server) []News {
+	s = r.Resolve(s)
+	if r.Check(s) != nil {
+		return nil
+	}
+	var out []News
+	replaced, _ := r.starts.Take(now, s)
+	if old := r.servers[replaced]; old != nil && old.server.State != Gone {
+		before := old.server
+		old.server.State = Gone
+		out = append(out, News{Server: old.server, Before: &before})
+	}
+	if n, ok := r.take(now, s); ok {
+		out = append(out, n)
+	}
+	return out
 }
 
-// Report takes a report and tells whether it changed what is known: a new
-// server, or other words of a known one. An incarnation that has said that it
-// drains or is gone never becomes ready again.
-func (r *Registry) Report(now time.Time, s Server) bool {
+// take puts a report in the place of the one before.
+func (r *Registry) take(now time.Time, s Server) (News, bool) {
 	heard := now.Add(-s.Age)
 	s.Age = 0
 	old := r.servers[s.ID]
 	if old == nil {
 		r.servers[s.ID] = &entry{server: s, heardAt: heard}
-		return true
+		return News{Server: s}, true
 	}
 	if heard.After(old.heardAt) {
 		old.heardAt = heard
 	}
-	if rank(s.State) < rank(old.server.State) || s.Sequence < old.server.Sequence && s.State == old.server.State {
-		return false
+	before := old.server
+	if rank(s.State) < rank(before.State) || s.Sequence < before.Sequence && s.State == before.State {
+		return News{}, false
 	}
 	if s.State == Gone {
-		changed := old.server.State != Gone
 		old.server.State = Gone
-		return changed
+	} else {
+		old.server = s
 	}
-	changed := !same(old.server, s)
-	old.server = s
-	return changed
+	return News{Server: old.server, Before: &before}, !same(before, old.server)
 }
 
 func rank(s State) int {
@@ -142,6 +199,7 @@
 			delete(r.servers, id)
 		}
 	}
+	r.starts.Sweep(now)
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
 }
--- /dev/null
+++ b/registry/start.go
@@ -0,0 +1,89 @@
+package registry
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"time"
+)
+
+// A server keeps the name that it gives itself when it starts again, and holds nothing of
+// before. So processes know a server by its start: everything that is kept by ID (loads,
+// evidence, holds, kept prompts, connections, roles, blocked contents) is that of one start.
+
+// startBytes is the length of a start's hash: 600 servers that start a thousand times each
+// share one by chance once in a hundred million years of such days.
+const startBytes = 8
+
+// StartID names one start of a server: its name if it does not tell when it was born, else
+// a hash that is no longer than a name, so that what passes between processes does not
+// grow.
+func StartID(name string, born int64) string {
+	if born == 0 {
+		return name
+	}
+	sum := sha256.Sum256(binary.BigEndian.AppendUint64([]byte(name), uint64(born)))
+	return base64.RawURLEncoding.EncodeToString(sum[:startBytes])
+}
+
+// MaxBorn is the latest time of a start that is taken, in Unix milliseconds: above it
+// other programs lose digits.
+const MaxBorn = 1 << 53
+
+// startKeep is how long the newest start of a name is remembered after its last word: an
+// earlier one must not come back, however late its words are.
+const startKeep = time.Hour
+
+// Starts knows the newest start of each server.
+type Starts struct{ newest map[string]start }
+
+type start struct {
+	id   string
+	born int64
+	at   time.Time
+}
+
+// NewStarts returns an empty set.
+func NewStarts() *Starts { return &Starts{newest: map[string]start{}} }
+
+// Errors of words about servers.
+var (
+	// ErrEarlier tells that a later start of the server is known.
+	ErrEarlier = errors.New("registry: a later start of the server is known")
+	// ErrAnother tells that the start is known with another service or address.
+	ErrAnother = errors.New("registry: the start is known with another service or address")
+)
+
+// Resolve returns a word about a server with the start that it is about. A word that tells
+// no start is about the newest if it says that the server has gone, since some servers say
+// only that; else it is a word of an earlier start.
+func (st *Starts) Resolve(s Server) Server {
+	if n, known := st.newest[s.Called()]; known && s.Born == 0 && n.born > 0 && s.State == Gone {
+		s.ID, s.Name, s.Born = n.id, s.Called(), n.born
+	}
+	return s
+}
+
+// Take notes a start. It returns the ID of the one that it replaces, empty if there is
+// none, and ErrEarlier if a later one is known.
+func (st *Starts) Take(now time.Time, s Server) (replaced string, err error) {
+	n, known := st.newest[s.Called()]
+	switch {
+	case known && n.born > s.Born:
+		return "", ErrEarlier
+	case known && n.born < s.Born:
+		replaced = n.id
+	}
+	st.newest[s.Called()] = start{id: s.ID, born: s.Born, at: now}
+	return replaced, nil
+}
+
+// Sweep forgets servers of which nothing was heard for long.
+func (st *Starts) Sweep(now time.Time) {
+	for name, n := range st.newest {
+		if now.Sub(n.at) > startKeep {
+			delete(st.newest, name)
+		}
+	}
+}
--- /dev/null
+++ b/registry/start_test.go
@@ -0,0 +1,101 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/registry"
+)
+
+// started is the word of a start of the server "i".
+func started(born int64, state registry.State, sequence uint64) registry.Server {
+	return registry.Server{ID: registry.StartID("i", born), Name: "i", Born: born, Service: "s", Address: "10.0.0.1:80", State: state, Sequence: sequence}
+}
+
+func stateOf(r *registry.Registry, born int64) registry.State {
+	s, known := r.Get(registry.StartID("i", born))
+	if !known {
+		return ""
+	}
+	return s.State
+}
+
+// TestStartsOfOneServer plays words of a server that starts again under its name. Until a
+// start had a name of its own, a server that had drained stayed unusable, and one that had
+// crashed was known by what its earlier start had said, until its entry lapsed.
+func TestStartsOfOneServer(t *testing.T) {
+	const first, second, third = 1000, 2000, 3000
+	leave := registry.Server{ID: "i", State: registry.Gone}
+	for _, c := range []struct {
+		name  string
+		words []registry.Server
+		// want are the states of the three starts; empty for one that is not known.
+		want [3]registry.State
+	}{
+		{"comes back after draining", []registry.Server{started(first, registry.Draining, 9), started(second, registry.Ready, 1)}, [3]registry.State{registry.Gone, registry.Ready}},
+		{"comes back after a crash", []registry.Server{started(first, registry.Ready, 9), started(second, registry.Ready, 1)}, [3]registry.State{registry.Gone, registry.Ready}},
+		{"a late heartbeat of the earlier start", []registry.Server{started(first, registry.Ready, 9), started(second, registry.Ready, 1), started(first, registry.Ready, 99)}, [3]registry.State{registry.Gone, registry.Ready}},
+		{"a late heartbeat of a start never heard of", []registry.Server{started(second, registry.Ready, 1), started(first, registry.Ready, 99)}, [3]registry.State{"", registry.Ready}},
+		{"a late word that the earlier start drains", []registry.Server{started(first, registry.Ready, 9), started(second, registry.Ready, 1), started(first, registry.Draining, 99)}, [3]registry.State{registry.Gone, registry.Ready}},
+		{"a late word that the earlier start has gone", []registry.Server{started(second, registry.Ready, 1), started(first, registry.Gone, 0)}, [3]registry.State{"", registry.Ready}},
+		{"the newest start goes", []registry.Server{started(second, registry.Ready, 1), started(second, registry.Gone, 0)}, [3]registry.State{"", registry.Gone}},
+		{"a word that tells no start says that it has gone", []registry.Server{started(second, registry.Ready, 1), leave}, [3]registry.State{"", registry.Gone}},
+		{"a word that tells no start says that it is ready", []registry.Server{started(second, registry.Draining, 1), {ID: "i", Service: "s", Address: "10.0.0.1:80", State: registry.Ready, Sequence: 9}}, [3]registry.State{"", registry.Draining}},
+		{"twice again", []registry.Server{started(first, registry.Ready, 1), started(third, registry.Ready, 1), started(second, registry.Ready, 1)}, [3]registry.State{registry.Gone, "", registry.Ready}},
+		{"equal starts go by sequence", []registry.Server{started(second, registry.Draining, 5), started(second, registry.Ready, 9)}, [3]registry.State{"", registry.Draining}},
+	} {
+		r := registry.New(time.Second)
+		for _, w := range c.words {
+			r.Report(now, w)
+		}
+		for n, born := range []int64{first, second, third} {
+			assert.Equal(t, stateOf(r, born), c.want[n], "%s: start %d", c.name, born)
+		}
+	}
+}
+
+// TestClockSetBack wants a start whose clock was set back not to be used while the later
+// one is remembered, and to be used again after that.
+func TestClockSetBack(t *testing.T) {
+	r := registry.New(time.Second)
+	r.Report(now, started(5000, registry.Ready, 1))
+	later := now.Add(30 * time.Minute)
+	r.Expire(later)
+	assert.ErrorIs(t, r.Check(started(4000, registry.Ready, 1)), registry.ErrEarlier)
+	assert.Equal(t, len(r.Report(later, started(4000, registry.Ready, 1))), 0)
+	r.Expire(now.Add(61 * time.Minute))
+	assert.Equal(t, len(r.Report(now.Add(61*time.Minute), started(4000, registry.Ready, 1))), 1)
+}
+
+// TestWordOfAnotherWriter wants a start to keep its service and address, whoever writes.
+func TestWordOfAnotherWriter(t *testing.T) {
+	r := registry.New(time.Second)
+	r.Report(now, server(registry.Ready, 1))
+	for _, change := range []func(s *registry.Server){
+		func(s *registry.Server) { s.Service = "other" },
+		func(s *registry.Server) { s.Address = "10.0.0.2:80" },
+	} {
+		s := server(registry.Ready, 9)
+		change(&s)
+		assert.ErrorIs(t, r.Check(s), registry.ErrAnother)
+		assert.Equal(t, len(r.Report(now, s)), 0)
+	}
+	got, _ := r.Get("i")
+	assert.DeepEqual(t, got, server(registry.Ready, 1))
+}
+
+// TestStartIDs wants an ID that is no longer than the names of servers, and another one
+// for each start and name.
+func TestStartIDs(t *testing.T) {
+	assert.Equal(t, registry.StartID("i-7f3a91c2", 0), "i-7f3a91c2")
+	seen := map[string]bool{}
+	for _, name := range []string{"i-7f3a91c2", "i-7f3a91c3", "i-7f3a91c"} {
+		for born := int64(1); born < 1000; born++ {
+			id := registry.StartID(name, born)
+			assert.Assert(t, len(id) <= len("i-7f3a91c2ab") && !seen[id], id)
+			seen[id] = true
+		}
+	}
+}
--- a/soak/site.go
+++ b/soak/site.go
@@ -260,7 +260,7 @@
 // report tells control of a server, at any replica that takes it.
 func (s *site) report(ctx context.Context, v *server, state string) bool {
 	b, p := v.now()
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","slots":%d,"state":%q,"stage":%q,"sequence":%d}`,
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","coldRemainingMs":0,"slots":%d,"state":%q,"stage":%q,"sequence":%d}`,
 		v.service, p.addr(), engineSlots, state, b.CurrentRole(), s.sequence.Add(1))
 	for _, api := range s.api {
 		if status, _, err := s.call(ctx, http.MethodPost, "http://"+api+"/-/instances/"+b.ID+"/heartbeat", body); err == nil && status == http.StatusOK {
