--- /dev/null
+++ b/dispatch/starts_model_test.go
@@ -0,0 +1,260 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/registry"
+)
+
+// The model: servers that start again and again under their names, some at each other's
+// addresses; replicas that hear their words late, twice and out of order, tell each other
+// and the gateways, are cut off, and start anew from what they kept; and gateways. The
+// reference is what was delivered to whom, nothing else.
+
+// word is a message on its way to a replica or a gateway.
+type word struct {
+	at   time.Time
+	list []registry.Server
+}
+
+// modelServer is a server with its present start.
+type modelServer struct {
+	name     string
+	born     int64
+	address  int
+	sequence uint64
+	up       bool
+	state    registry.State
+}
+
+type modelReplica struct {
+	registry *registry.Registry
+	kept     []registry.Server
+	inbox    []word
+	cut      bool
+}
+
+type modelGateway struct {
+	fleet *Fleet
+	inbox []word
+	// newest is the latest start of each server of which any word was delivered, ended
+	// those of which a word that they leave was.
+	newest map[string]int64
+	left   map[string]bool
+}
+
+type model struct {
+	t        *testing.T
+	r        *rand.Rand
+	now      time.Time
+	servers  []*modelServer
+	replicas []*modelReplica
+	gateways []*modelGateway
+}
+
+func newModel(t *testing.T, seed uint64) *model {
+	m := &model{t: t, r: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0)}
+	for n := range 5 {
+		m.servers = append(m.servers, &modelServer{name: fmt.Sprint("s", n), address: n})
+	}
+	for range 3 {
+		m.replicas = append(m.replicas, &modelReplica{registry: registry.New(time.Hour)})
+		m.gateways = append(m.gateways, &modelGateway{fleet: NewFleet("g", "z"), newest: map[string]int64{}, left: map[string]bool{}})
+	}
+	return m
+}
+
+func (s *modelServer) word(state registry.State) registry.Server {
+	s.sequence++
+	return registry.Server{
+		ID: registry.StartID(s.name, s.born), Name: s.name, Born: s.born, Service: "plain",
+		Address: fmt.Sprintf("10.0.0.%d:80", s.address), State: state, Sequence: s.sequence,
+	}
+}
+
+// late is a time of delivery: mostly soon, sometimes after seconds.
+func (m *model) late() time.Time {
+	if m.r.IntN(4) == 0 {
+		return m.now.Add(time.Duration(m.r.IntN(8000)) * time.Millisecond)
+	}
+	return m.now.Add(time.Duration(m.r.IntN(50)) * time.Millisecond)
+}
+
+// say sends a server's word to a replica, sometimes twice.
+func (m *model) say(s *modelServer, state registry.State) {
+	w := s.word(state)
+	to := m.replicas[m.r.IntN(len(m.replicas))]
+	for range 1 + m.r.IntN(2) {
+		to.inbox = append(to.inbox, word{m.late(), []registry.Server{w}})
+	}
+}
+
+// start starts a server again, perhaps at the address of another one that is down.
+func (m *model) start(s *modelServer) {
+	used := map[int]bool{}
+	for _, o := range m.servers {
+		if o != s && o.up {
+			used[o.address] = true
+		}
+	}
+	if a := m.r.IntN(len(m.servers)); !used[a] {
+		s.address = a
+	}
+	if used[s.address] {
+		return
+	}
+	s.born = max(s.born+1+int64(m.r.IntN(1000)), m.now.UnixMilli())
+	s.up, s.state, s.sequence = true, registry.Ready, 0
+	m.say(s, registry.Ready)
+}
+
+// deliver gives all that is due at a replica to its registry, and what is new by it to the
+// other replicas and the gateways.
+func (m *model) deliver(from *modelReplica) {
+	var rest []word
+	for _, w := range from.inbox {
+		if w.at.After(m.now) {
+			rest = append(rest, w)
+			continue
+		}
+		for _, s := range w.list {
+			m.tell(from, from.registry.Report(m.now, s))
+		}
+	}
+	from.inbox = rest
+}
+
+func (m *model) tell(from *modelReplica, news []registry.News) {
+	if len(news) == 0 {
+		return
+	}
+	var list []registry.Server
+	for _, n := range news {
+		list = append(list, n.Server)
+	}
+	for _, to := range m.replicas {
+		if to != from && !from.cut && !to.cut {
+			to.inbox = append(to.inbox, word{m.late(), list})
+		}
+	}
+	for _, g := range m.gateways {
+		g.inbox = append(g.inbox, word{m.late(), list})
+	}
+}
+
+// listen delivers what is due at a gateway and checks what it would use.
+func (m *model) listen(g *modelGateway) {
+	var rest []word
+	for _, w := range g.inbox {
+		if w.at.After(m.now) {
+			rest = append(rest, w)
+			continue
+		}
+		for _, s := range w.list {
+			g.newest[s.Name] = max(g.newest[s.Name], s.Born)
+			if s.State != registry.Ready {
+				g.left[s.ID] = true
+			}
+		}
+		g.fleet.Update(m.now, w.list)
+	}
+	g.inbox = rest
+	for _, s := range g.fleet.List() {
+		if !s.listed(m.now) {
+			continue
+		}
+		assert.Assert(m.t, s.Born == g.newest[s.Name], "uses %s of %d, knows %d", s.Name, s.Born, g.newest[s.Name])
+		assert.Assert(m.t, !g.left[s.ID], "uses %s of %d, which leaves", s.Name, s.Born)
+	}
+}
+
+// step does one thing that happens to a server or a replica.
+func (m *model) step() {
+	s, r := m.servers[m.r.IntN(len(m.servers))], m.replicas[m.r.IntN(len(m.replicas))]
+	switch m.r.IntN(9) {
+	case 0, 1:
+		if !s.up {
+			m.start(s)
+		} else {
+			s.up = false // a crash says nothing
+		}
+	case 2:
+		if s.up && s.state == registry.Ready {
+			s.state = registry.Draining
+			m.say(s, registry.Draining)
+		}
+	case 3:
+		if s.up && s.state == registry.Draining {
+			m.say(s, registry.Gone)
+			s.up = false
+		}
+	case 4:
+		r.cut = !r.cut
+	case 5:
+		r.kept = r.registry.List(m.now)
+	case 6: // it starts anew from its disk, perhaps after a while
+		r.registry, r.inbox = registry.New(time.Hour), nil
+		for _, k := range r.kept {
+			m.tell(r, r.registry.Report(m.now, k))
+		}
+	default:
+		if s.up {
+			m.say(s, s.state)
+		}
+	}
+}
+
+// settle heals all and lets every server that is up report itself, for longer than words
+// are late twice (at a replica and at a gateway) and a silent server stays listed.
+func (m *model) settle() {
+	for range 60 {
+		m.now = m.now.Add(500 * time.Millisecond)
+		for _, r := range m.replicas {
+			r.cut = false
+			for _, s := range m.servers {
+				if s.up {
+					m.tell(r, r.registry.Report(m.now, s.word(s.state)))
+				}
+			}
+			for _, to := range m.replicas {
+				to.inbox = append(to.inbox, word{m.now, r.registry.List(m.now)})
+			}
+			m.deliver(r)
+		}
+		for _, g := range m.gateways {
+			g.inbox = append(g.inbox, word{m.now, m.replicas[0].registry.List(m.now)})
+			m.listen(g)
+		}
+	}
+}
+
+// TestStartsUnderFaults wants no gateway ever to use a start of which it has heard a later
+// one, or that it leaves, and each to use just the newest starts once all have been heard.
+func TestStartsUnderFaults(t *testing.T) {
+	for seed := range uint64(300) {
+		m := newModel(t, seed)
+		for range 150 {
+			m.now = m.now.Add(time.Duration(m.r.IntN(300)) * time.Millisecond)
+			m.step()
+			for _, r := range m.replicas {
+				m.deliver(r)
+			}
+			for _, g := range m.gateways {
+				m.listen(g)
+			}
+		}
+		m.settle()
+		for n, g := range m.gateways {
+			for _, s := range m.servers {
+				want := s.up && s.state == registry.Ready
+				got := g.fleet.Listed(m.now, registry.StartID(s.name, s.born))
+				assert.Equal(t, got, want, "seed %d, gateway %d, %s", seed, n, s.name)
+			}
+		}
+	}
+}
