--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/claim"
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/decision"
 	"github.com/ledgepin/ledgepin/engine"
 	"github.com/ledgepin/ledgepin/event"
@@ -106,7 +107,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	opts := lease.Options{Time: firstLease, CancelEvery: cancelEvery}
 	a := &Agent{
-		cfg: cfg, log: cfg.Log.With("role", "agent", "name", cfg.Name), epoch: time.Now().UnixNano(),
+		cfg: cfg, log: cfg.Log.With("role", "agent", "name", cfg.Name), epoch: clock.Day().UnixNano(),
 		ctx: ctx, cancel: cancel, work: lease.New(0, opts), kv: lease.New(kvSlots, opts),
 		jobs: map[lease.ID]*job{}, links: map[string]*wire.Link{}, orphans: map[lease.ID]time.Time{},
 		calls: map[lease.ID]time.Time{}, parted: map[string]time.Time{}, records: decision.NewRing(records), registry: newRegistry(),
@@ -193,7 +194,8 @@
 		select {
 		case <-a.ctx.Done():
 			return
-		case now := <-t.C:
+		case <-t.C:
+			now := clock.VM.Now()
 			a.tick(now)
 		}
 	}
@@ -227,7 +229,7 @@
 // note adds a step to the record of a request. Callers hold the lock.
 func (a *Agent) note(id lease.ID, kind decision.Kind, detail string) {
 	a.records.Open(id.Req).Add(decision.Step{
-		At: time.Now(), Kind: kind, Attempt: id.Attempt, Where: a.cfg.Name, Server: a.cfg.Name, Detail: detail,
+		At: clock.Day(), Kind: kind, Attempt: id.Attempt, Where: a.cfg.Name, Server: a.cfg.Name, Detail: detail,
 	})
 }
 
--- a/agent/claims.go
+++ b/agent/claims.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/claim"
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/settings"
@@ -89,7 +90,7 @@
 			return
 		}
 		a.mu.Lock()
-		v.Copied(time.Now(), *m.Copied)
+		v.Copied(clock.VM.Now(), *m.Copied)
 		a.mu.Unlock()
 		if m.Copied.Cold {
 			l.Close()
--- a/agent/dump.go
+++ b/agent/dump.go
@@ -1,8 +1,7 @@
 package agent
 
 import (
-	"time"
-
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/lease"
 	"github.com/ledgepin/ledgepin/metric"
 )
@@ -71,5 +70,5 @@
 		metric.Leases.WithLabelValues(a.cfg.Name, state.String()).Set(float64(a.work.Count(state)))
 	}
 	metric.Revision.WithLabelValues(a.cfg.Name).Set(float64(a.store.Revision()))
-	metric.Age.WithLabelValues(a.cfg.Name).Set(time.Since(a.store.Since()).Seconds())
+	metric.Age.WithLabelValues(a.cfg.Name).Set(clock.VM.Since(a.store.Since()).Seconds())
 }
--- a/agent/links.go
+++ b/agent/links.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/placement"
 	"github.com/ledgepin/ledgepin/settings"
@@ -42,7 +43,7 @@
 	}
 	a.links[owner] = l
 	delete(a.parted, owner)
-	a.work.Seen(time.Now(), owner)
+	a.work.Seen(clock.VM.Now(), owner)
 	a.sendBeat(owner, l)
 	a.tellAssets(l)
 }
@@ -52,7 +53,7 @@
 	defer a.mu.Unlock()
 	if a.links[owner] == l {
 		delete(a.links, owner)
-		a.parted[owner] = time.Now()
+		a.parted[owner] = clock.VM.Now()
 	}
 }
 
@@ -82,7 +83,7 @@
 		a.sendBeat(owner, l)
 	}
 	a.hashes = nil
-	a.beatAt, a.beatUsed = time.Now(), a.work.Used()
+	a.beatAt, a.beatUsed = clock.VM.Now(), a.work.Used()
 }
 
 const (
@@ -142,7 +143,7 @@
 func (a *Agent) handle(owner string, l *wire.Link, m *wire.Message) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
+	now := clock.VM.Now()
 	switch {
 	case m.Heartbeat != nil:
 		a.work.Seen(now, owner)
--- a/agent/recover.go
+++ b/agent/recover.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/decision"
 	"github.com/ledgepin/ledgepin/engine"
 	"github.com/ledgepin/ledgepin/event"
@@ -30,7 +31,7 @@
 func (a *Agent) recovered(ids []string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	until := time.Now().Add(orphanGrace)
+	until := clock.VM.Now().Add(orphanGrace)
 	for _, s := range ids {
 		if id, ok := parseID(s); ok {
 			a.orphans[id] = until
--- a/agent/work.go
+++ b/agent/work.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/decision"
 	"github.com/ledgepin/ledgepin/engine"
 	"github.com/ledgepin/ledgepin/event"
@@ -95,7 +96,7 @@
 }
 
 func (a *Agent) prefill(ctx context.Context, owner string, id lease.ID, j *job, r engine.Request) {
-	start := time.Now()
+	start := clock.VM.Now()
 	res, err := a.engine.Prefill(ctx, r)
 	if err != nil {
 		a.lost(owner, id, fault.StepPrefill, err)
@@ -109,7 +110,7 @@
 func (a *Agent) prefilled(owner string, id lease.ID, j *job, res engine.Prefilled, start time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
+	now := clock.VM.Now()
 	if state, ok := a.work.State(id); !ok || state != lease.Running {
 		return // cancelled meanwhile; the cancel frees the result too
 	}
@@ -141,7 +142,7 @@
 }
 
 func (a *Agent) decode(ctx context.Context, owner string, m *wire.Decode, j *job, r engine.Request) {
-	start := time.Now()
+	start := clock.VM.Now()
 	s, err := a.engine.Decode(ctx, r, m.KV, m.From)
 	if err != nil {
 		a.lost(owner, m.ID, fault.StepTransfer, err)
@@ -151,7 +152,7 @@
 	j.moving = false
 	a.note(m.ID, decision.Imported, "")
 	a.mu.Unlock()
-	a.send(owner, &wire.Message{Imported: &wire.Imported{ID: m.ID, Took: time.Since(start)}})
+	a.send(owner, &wire.Message{Imported: &wire.Imported{ID: m.ID, Took: clock.VM.Since(start)}})
 	a.pump(ctx, owner, m.ID, j, s)
 }
 
@@ -219,7 +220,7 @@
 	if !cancelled {
 		a.note(id, decision.Failure, fault.From(err).Error())
 	}
-	a.cancelWork(time.Now(), id)
+	a.cancelWork(clock.VM.Now(), id)
 	a.mu.Unlock()
 	if !cancelled && a.ctx.Err() == nil {
 		a.send(owner, &wire.Message{Failed: &wire.Failed{
--- a/app/gateway.go
+++ b/app/gateway.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/config"
 	"github.com/ledgepin/ledgepin/control"
 	"github.com/ledgepin/ledgepin/dispatch"
@@ -115,7 +116,7 @@
 // It leaves a part of the grace time to end in order.
 func (p *Process) drainGateway(ctx context.Context) {
 	grace := p.file.Drain.D() - graceMargin
-	end := time.Now().Add(grace - finishMargin)
+	end := clock.VM.Now().Add(grace - finishMargin)
 	ctx, cancel := context.WithTimeout(ctx, grace)
 	defer cancel()
 	p.gateway.Drain(end)
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/ledgepin/ledgepin/clock"
 )
 
 // Pool keeps the connections of one gateway, by server address.
@@ -71,7 +73,7 @@
 
 // takeIdle returns the connection that was used last and is still good.
 func (p *Pool) takeIdle(address string) *conn {
-	now := time.Now()
+	now := clock.VM.Now()
 	for {
 		p.mu.Lock()
 		list := p.idle[address]
@@ -91,7 +93,7 @@
 
 // put keeps a connection for later requests.
 func (p *Pool) put(address string, c *conn, keep time.Duration) {
-	c.idleUntil = time.Now().Add(keep)
+	c.idleUntil = clock.VM.Now().Add(keep)
 	c.uses++
 	_ = c.SetDeadline(time.Time{})
 	p.mu.Lock()
@@ -196,5 +198,5 @@
 	p.mu.Lock()
 	p.closed = true
 	p.mu.Unlock()
-	p.Sweep(time.Now().Add(24 * time.Hour))
+	p.Sweep(clock.VM.Now().Add(24 * time.Hour))
 }
--- a/caller/answer.go
+++ b/caller/answer.go
@@ -7,10 +7,10 @@
 	"io"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/entry"
 	"github.com/ledgepin/ledgepin/fault"
 	"github.com/ledgepin/ledgepin/stream"
@@ -34,7 +34,7 @@
 	}
 	defer f.Cancel()
 	c.Response().Header().Set(echo.HeaderXRequestID, f.ID)
-	a := &answer{c: c, flow: f, chat: chat, model: p.Request.Model, created: time.Now().Unix(), usage: p.Usage}
+	a := &answer{c: c, flow: f, chat: chat, model: p.Request.Model, created: clock.Day().Unix(), usage: p.Usage}
 	if p.Stream {
 		return a.stream()
 	}
@@ -210,7 +210,7 @@
 func (a *answer) write(data []byte) error {
 	w := a.c.Response()
 	rc := http.NewResponseController(w.Writer)
-	_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = rc.SetWriteDeadline(clock.Deadline(writeTimeout))
 	if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
 		return err
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/entry"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
@@ -75,7 +76,7 @@
 		}
 		defer func() { <-s.open }()
 		rc := http.NewResponseController(c.Response().Writer)
-		_ = rc.SetReadDeadline(time.Now().Add(s.bodyTimeout))
+		_ = rc.SetReadDeadline(clock.Deadline(s.bodyTimeout))
 		return next(c)
 	}
 }
--- /dev/null
+++ b/clock/clock.go
@@ -0,0 +1,113 @@
+// Package clock is where ledgepin reads the time; no other code of the product does.
+//
+// A VM may be suspended for seconds. The steady clock of the kernel does not count that
+// time, so a leader or a holder of a lease that went by it would wake up in office. The
+// time of day counts it, and jumps for other reasons too. So all ages, leases, locks,
+// windows and deadlines go by Now, which is steady and counts suspension.
+package clock
+
+import (
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Source reads the clocks of a VM.
+type Source struct {
+	// Read returns the steady time since some moment, and the time of day in Unix
+	// nanoseconds.
+	Read func() (steady time.Duration, day int64)
+	// Boot returns the steady time that counts suspension, since some moment.
+	Boot func() (time.Duration, error)
+}
+
+// Clock tells the time. A nil Clock is the one of the VM. It is safe for concurrent use.
+type Clock struct {
+	source Source
+	// epoch is the time of day at the start, without a reading of the steady clock, so
+	// that differences between times of this clock are its own.
+	epoch  time.Time
+	steady time.Duration
+	boot   time.Duration
+	day    int64
+	// shift is how far the time of day had moved against the steady clock at the newest
+	// look, away the time of which the steady clock did not know.
+	shift, away atomic.Int64
+}
+
+// noticed is the least move of the time of day against the steady clock that is looked
+// into: the adjustment of a clock moves it by half a millisecond in a second at most.
+const noticed = 5 * time.Millisecond
+
+// New returns a clock.
+func New(s Source) *Clock {
+	c := &Clock{source: s}
+	c.steady, c.day = s.Read()
+	c.boot, _ = s.Boot()
+	c.epoch = time.Unix(0, c.day)
+	return c
+}
+
+// VM is the clock of this VM.
+var VM = New(Source{Read: read, Boot: boot})
+
+var processStart = time.Now()
+
+func read() (time.Duration, int64) {
+	now := time.Now()
+	return now.Sub(processStart), now.UnixNano()
+}
+
+func boot() (time.Duration, error) {
+	var ts unix.Timespec
+	err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts)
+	return time.Duration(ts.Nano()), err
+}
+
+func (c *Clock) real() *Clock {
+	if c == nil {
+		return VM
+	}
+	return c
+}
+
+// Now returns the time, for differences. It looks like a time of day, which it was when the
+// process began. It costs as much as time.Now: the clock that counts suspension, a system
+// call, is read only when the time of day has moved against the steady one, as it does when
+// a VM wakes up.
+func (c *Clock) Now() time.Time {
+	c = c.real()
+	steady, day := c.source.Read()
+	steady -= c.steady
+	shift := day - c.day - int64(steady)
+	if move := shift - c.shift.Load(); move > int64(noticed) || move < -int64(noticed) {
+		c.look(shift)
+		steady, _ = c.source.Read()
+		steady -= c.steady
+	}
+	return c.epoch.Add(steady + time.Duration(c.away.Load()))
+}
+
+// look finds out how much of the time the VM was suspended. A kernel that does not tell
+// leaves it as it was: the time of day may have jumped for other reasons.
+func (c *Clock) look(shift int64) {
+	if boot, err := c.source.Boot(); err == nil {
+		steady, _ := c.source.Read()
+		c.away.Store(max(int64(boot-c.boot)-int64(steady-c.steady), c.away.Load()))
+	}
+	c.shift.Store(shift)
+}
+
+// Since returns the time since t, which is of this clock.
+func (c *Clock) Since(t time.Time) time.Duration { return c.Now().Sub(t) }
+
+// Until returns the time until t, which is of this clock.
+func (c *Clock) Until(t time.Time) time.Duration { return t.Sub(c.Now()) }
+
+// Day returns the time of day, for people and for documents only.
+func Day() time.Time { return time.Now() }
+
+// Deadline returns the moment after a while, for the deadlines of connections, which the
+// runtime takes by its own clock.
+func Deadline(d time.Duration) time.Time { return time.Now().Add(d) }
--- /dev/null
+++ b/clock/clock_test.go
@@ -0,0 +1,148 @@
+package clock
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// vm has clocks that a test moves.
+type vm struct{ steady, boot, day atomic.Int64 }
+
+func (v *vm) source() Source {
+	return Source{
+		Read: func() (time.Duration, int64) { return time.Duration(v.steady.Load()), v.day.Load() },
+		Boot: func() (time.Duration, error) { return time.Duration(v.boot.Load()), nil },
+	}
+}
+
+func (v *vm) run(d time.Duration) {
+	v.steady.Add(int64(d))
+	v.boot.Add(int64(d))
+	v.day.Add(int64(d))
+}
+
+func (v *vm) suspend(d time.Duration) {
+	v.boot.Add(int64(d))
+	v.day.Add(int64(d))
+}
+
+// TestSuspensionCounts wants the time for which a VM was suspended to count, and jumps of
+// the time of day not to.
+func TestSuspensionCounts(t *testing.T) {
+	v := &vm{}
+	v.day.Store(time.Unix(1000, 0).UnixNano())
+	v.boot.Store(int64(time.Hour))
+	c := New(v.source())
+	start := c.Now()
+	passed := time.Duration(0)
+	check := func(name string) {
+		t.Helper()
+		got := c.Since(start)
+		assert.Equal(t, got, passed, name)
+	}
+	for _, step := range []struct {
+		name         string
+		do           func(d time.Duration)
+		d, countedAs time.Duration
+	}{
+		{"runs", v.run, 3 * time.Second, 3 * time.Second},
+		{"suspended", v.suspend, 4 * time.Second, 4 * time.Second},
+		{"runs after it", v.run, time.Second, time.Second},
+		{"time of day forward", func(d time.Duration) { v.day.Add(int64(d)) }, 5 * time.Second, 0},
+		{"time of day back", func(d time.Duration) { v.day.Add(-int64(d)) }, 9 * time.Second, 0},
+		{"suspended again, with the time of day set back", func(d time.Duration) { v.suspend(d); v.day.Add(-2 * int64(d)) }, 6 * time.Second, 6 * time.Second},
+		{"runs on", v.run, time.Minute, time.Minute},
+	} {
+		step.do(step.d)
+		passed += step.countedAs
+		check(step.name)
+	}
+}
+
+// TestNeverBack wants a clock never to go back, whatever its sources do.
+func TestNeverBack(t *testing.T) {
+	v := &vm{}
+	s := v.source()
+	failing := false
+	s.Boot = func() (time.Duration, error) {
+		if failing {
+			return 0, errors.New("not known here")
+		}
+		return time.Duration(v.boot.Load()), nil
+	}
+	c := New(s)
+	last := c.Now()
+	for n := range 1000 {
+		switch n % 7 {
+		case 1:
+			v.suspend(time.Duration(n) * time.Millisecond)
+		case 2:
+			v.day.Add(-int64(time.Hour))
+		case 3:
+			failing = !failing
+		case 4:
+			v.day.Add(int64(2 * time.Hour))
+		default:
+			v.run(time.Millisecond)
+		}
+		now := c.Now()
+		assert.Assert(t, !now.Before(last), "step %d", n)
+		last = now
+	}
+}
+
+// TestSystem wants the clock of this VM to run with the runtime's.
+func TestSystem(t *testing.T) {
+	var c *Clock
+	began, at := time.Now(), c.Now()
+	time.Sleep(20 * time.Millisecond)
+	passed, counted := time.Since(began), c.Since(at)
+	assert.Assert(t, counted >= 20*time.Millisecond && counted <= passed+time.Second, "%v, %v", counted, passed)
+}
+
+// tools are packages that stand outside the product: they play the outside or measure.
+var tools = []string{"standin", "soak", "policybench", "cmd/spreadbench", "cmd/soak", "cmd/policybench", "clock"}
+
+// TestNothingElseReadsAClock wants the product to read the time through this package.
+func TestNothingElseReadsAClock(t *testing.T) {
+	assert.NilError(t, filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		name := filepath.ToSlash(strings.TrimPrefix(path, "../"))
+		if d.IsDir() {
+			for _, tool := range tools {
+				if name == tool || name == "target" || name == ".git" {
+					return filepath.SkipDir
+				}
+			}
+			return nil
+		}
+		if !strings.HasSuffix(name, ".go") || strings.HasSuffix(name, "_test.go") {
+			return nil
+		}
+		source, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, call := range []string{"time.Now()", "time.Since(", "time.Until(", "context.WithDeadline(", "ClockGettime("} {
+			assert.Check(t, !strings.Contains(string(source), call), "%s calls %s", name, call)
+		}
+		return nil
+	}))
+}
+
+func BenchmarkNow(b *testing.B) {
+	var c *Clock
+	for b.Loop() {
+		c.Now()
+	}
+}
--- a/control/apply.go
+++ b/control/apply.go
@@ -35,7 +35,7 @@
 			return err
 		}
 		c.state = state
-		c.publish(time.Now())
+		c.publish(c.clock.Now())
 		c.hub.setTable(state.Table(), false)
 		c.membersChanged()
 	}
@@ -101,6 +101,6 @@
 		return
 	}
 	if err := c.disk.Snapshot(s, c.node.Hard(), c.node.Entries()); err != nil {
-		c.diskFailed(time.Now(), err)
+		c.diskFailed(c.clock.Now(), err)
 	}
 }
--- a/control/change.go
+++ b/control/change.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/consensus"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
@@ -74,7 +75,7 @@
 func (c *Control) propose(p Proposal) (Outcome, bool, chan fleet.Result, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
+	now := c.clock.Now()
 	if c.node == nil || !c.node.Lead(now) {
 		return Outcome{}, false, nil, c.notLeader()
 	}
@@ -133,7 +134,7 @@
 	}
 	return fleet.Change{
 		ID: p.ID, Base: p.Base, Delta: settings.MakeDelta(c.state.Text(), p.Text), Sum: sha256.Sum256(p.Text),
-		Who: p.Who, Note: p.Note, When: time.Now().UnixNano(), Edits: edits[:min(len(edits), fleet.MaxEdits)],
+		Who: p.Who, Note: p.Note, When: clock.Day().UnixNano(), Edits: edits[:min(len(edits), fleet.MaxEdits)],
 	}, edits, nil
 }
 
@@ -167,7 +168,7 @@
 func (c *Control) Settings() (Current, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.node == nil || !c.node.Fresh(time.Now()) {
+	if c.node == nil || !c.node.Fresh(c.clock.Now()) {
 		return Current{}, c.notLeader()
 	}
 	return Current{Revision: c.state.Revision(), Text: string(c.state.Text()), Current: true}, nil
@@ -177,7 +178,7 @@
 func (c *Control) History(after uint64) ([]fleet.Past, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.node == nil || !c.node.Fresh(time.Now()) {
+	if c.node == nil || !c.node.Fresh(c.clock.Now()) {
 		return nil, c.notLeader()
 	}
 	return slices.Clone(c.state.History(after)), nil
--- a/control/contents.go
+++ b/control/contents.go
@@ -33,7 +33,7 @@
 func (h *hub) takeContents(list []poison.Record) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.contents.table.Merge(time.Now(), list)
+	h.contents.table.Merge(h.clock.Now(), list)
 }
 
 // tellContents tells the gateways that follow this replica, and the other replicas, what
--- a/control/control.go
+++ b/control/control.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/consensus"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
@@ -47,6 +48,8 @@
 	Roles RoleConfig
 	// Quota tells how the use of limits is judged.
 	Quota quota.Bounds
+	// Clock is that of the VM if it is nil.
+	Clock *clock.Clock
 	// ElectionMin is the least silence of a leader before an election, and
 	// HeartbeatEvery the time between a leader's heartbeats; the usual if zero.
 	ElectionMin, HeartbeatEvery time.Duration
@@ -71,6 +74,7 @@
 // Control is the process.
 type Control struct {
 	cfg    Config
+	clock  *clock.Clock
 	id     string
 	log    *slog.Logger
 	epoch  int64
@@ -121,10 +125,10 @@
 		cfg.SnapshotEvery = DefaultSnapshotEvery
 	}
 	c := &Control{
-		cfg: cfg, log: cfg.Log.With("role", "control", "name", cfg.Name), epoch: time.Now().UnixNano(),
+		cfg: cfg, clock: cfg.Clock, log: cfg.Log.With("role", "control", "name", cfg.Name), epoch: clock.Day().UnixNano(),
 		ctx: ctx, cancel: cancel, state: fleet.New(), waiters: map[string][]chan fleet.Result{},
 		out: map[string]*peerLink{}, down: map[*wire.Link]bool{}, seen: map[string]int{}, asked: map[string]bool{}, zones: map[string]*wire.Summary{},
-		broker: quota.NewBroker(), hub: newHub(cfg.Zone, cfg.Quota), refused: event.Limiter{Every: refusedEvery, Most: mostRefused},
+		broker: quota.NewBroker(), hub: newHub(cfg.Clock, cfg.Zone, cfg.Quota), refused: event.Limiter{Every: refusedEvery, Most: mostRefused},
 	}
 	if cfg.Discovery != nil {
 		c.wg.Go(c.bootDiscovered)
@@ -213,12 +217,12 @@
 		return fault.Wrap(err, fault.JournalBroken, fault.StepJournal, c.cfg.Dir)
 	}
 	c.state = state
-	rng := rand.New(rand.NewPCG(uint64(c.epoch), uint64(time.Now().UnixNano())))
-	c.node = consensus.New(c.times(c.id), r, r.Snapshot.Members, time.Now(), rng)
+	rng := rand.New(rand.NewPCG(uint64(c.epoch), uint64(clock.Day().UnixNano())))
+	c.node = consensus.New(c.times(c.id), r, r.Snapshot.Members, c.clock.Now(), rng)
 	for id := range c.seen {
 		c.noteSuccessor(id)
 	}
-	c.publish(time.Now())
+	c.publish(c.clock.Now())
 	return nil
 }
 
@@ -262,7 +266,7 @@
 	defer c.mu.Unlock()
 	h := wire.Hello{Name: c.id, Role: wire.RoleControl, Zone: c.cfg.Zone, Epoch: c.epoch, Revision: c.state.Revision()}
 	if c.node != nil {
-		h.Commit = c.node.Status(time.Now()).Commit
+		h.Commit = c.node.Status(c.clock.Now()).Commit
 	}
 	return h
 }
@@ -285,7 +289,7 @@
 	event.Stopped.Log(c.log)
 }
 
-func (c *Control) tickLoop() { wait.Each(c.ctx, tickEvery, c.tick) }
+func (c *Control) tickLoop() { wait.Each(c.ctx, c.clock, tickEvery, c.tick) }
 
 func (c *Control) tick(now time.Time) {
 	c.mu.Lock()
--- a/control/discovery.go
+++ b/control/discovery.go
@@ -133,7 +133,7 @@
 	if c.node == nil {
 		return nil
 	}
-	m := c.node.Status(time.Now()).Members
+	m := c.node.Status(c.clock.Now()).Members
 	var out []string
 	for _, id := range append(slices.Clone(m.Voters), m.Learners...) {
 		if a := baseName(id); !slices.Contains(out, a) {
--- a/control/disk.go
+++ b/control/disk.go
@@ -62,7 +62,7 @@
 
 // hubLoop keeps the gateways told; a disk that stalls does not hold it up.
 func (c *Control) hubLoop() {
-	wait.Each(c.ctx, loadsEvery, func(now time.Time) {
+	wait.Each(c.ctx, c.clock, loadsEvery, func(now time.Time) {
 		fresh := false
 		if c.mu.TryLock() {
 			fresh = c.node.Fresh(now)
--- a/control/dump.go
+++ b/control/dump.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"time"
-
 	"github.com/ledgepin/ledgepin/consensus"
 	"github.com/ledgepin/ledgepin/metric"
 	"github.com/ledgepin/ledgepin/settings"
@@ -22,14 +20,14 @@
 	if c.node == nil {
 		return consensus.Status{}
 	}
-	return c.node.Status(time.Now())
+	return c.node.Status(c.clock.Now())
 }
 
 // Ready tells whether the replica knows the newest settings.
 func (c *Control) Ready() (bool, string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.node == nil || !c.node.Fresh(time.Now()) {
+	if c.node == nil || !c.node.Fresh(c.clock.Now()) {
 		return false, "no leader with a live lease is in reach"
 	}
 	return true, ""
@@ -53,7 +51,7 @@
 	defer c.mu.Unlock()
 	d := Dump{Name: c.cfg.Name, ID: c.id, Revision: c.state.Revision()}
 	if c.node != nil {
-		d.Log = c.node.Status(time.Now())
+		d.Log = c.node.Status(c.clock.Now())
 	}
 	if c.disk != nil {
 		d.Journal = c.disk.Size()
--- a/control/engines.go
+++ b/control/engines.go
@@ -22,7 +22,7 @@
 func (h *hub) setAway(id, role string, least time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
+	now := h.clock.Now()
 	h.away[id] = awayEngine{role: role, back: now.Add(least), given: now.Add(least + awayLimit)}
 	h.changed = true
 	h.toGateways(&wire.Message{Servers: &wire.Servers{Away: h.awayList(now)}})
--- a/control/hub.go
+++ b/control/hub.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/route"
@@ -29,7 +30,8 @@
 // table. It has a lock of its own, so that a disk that stalls holds up neither
 // the word of a leaving server nor a table that is committed.
 type hub struct {
-	mu sync.Mutex
+	clock *clock.Clock
+	mu    sync.Mutex
 	// zone is this replica's availability zone.
 	zone     string
 	servers  *registry.Registry
@@ -114,13 +116,13 @@
 // replica and not once for each gateway.
 func (g *gatewayState) follows() bool { return g.near || g.sharing }
 
-func newHub(zone string, bounds quota.Bounds) *hub {
+func newHub(c *clock.Clock, zone string, bounds quota.Bounds) *hub {
 	return &hub{
-		zone:    zone,
+		clock: c, zone: zone,
 		servers: registry.New(serverKeep), gateways: map[*wire.Link]*gatewayState{}, peers: map[*wire.Link]bool{}, away: map[string]awayEngine{},
 		groups: map[group]int{}, own: newShare(), others: map[*wire.Link]*share{}, sum: map[string]wire.EngineLoad{}, moved: map[string]bool{},
 		toldPeers: newShare(), movedOwn: map[string]bool{}, home: map[string]time.Time{}, news: map[string]bool{}, rosters: map[*wire.Link]*registry.Roster{},
-		peerHeard: map[*wire.Link]time.Time{}, ledger: quota.NewLedger[*wire.Link](time.Now(), bounds),
+		peerHeard: map[*wire.Link]time.Time{}, ledger: quota.NewLedger[*wire.Link](c.Now(), bounds),
 		contents: newContents(),
 	}
 }
@@ -132,11 +134,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.gateways[l] = &gatewayState{
-		link: l, heard: time.Now(), key: subset.KeyOf(l.Peer.Name), near: l.Peer.Zone == h.zone, servers: map[string]registry.Server{}, own: map[string]wire.EngineLoad{}, others: newShare(),
+		link: l, heard: h.clock.Now(), key: subset.KeyOf(l.Peer.Name), near: l.Peer.Zone == h.zone, servers: map[string]registry.Server{}, own: map[string]wire.EngineLoad{}, others: newShare(),
 	}
 	h.joined = append(h.joined, l)
-	h.contents.tell(time.Now(), l, suspectAt) // before the table, with which it serves
-	_ = l.Send(&wire.Message{Servers: &wire.Servers{Away: h.awayList(time.Now())}})
+	h.contents.tell(h.clock.Now(), l, suspectAt) // before the table, with which it serves
+	_ = l.Send(&wire.Message{Servers: &wire.Servers{Away: h.awayList(h.clock.Now())}})
 	h.tellTable(l, h.gateways[l], fresh)
 	h.counted = false
 }
@@ -173,9 +175,9 @@
 	defer h.mu.Unlock()
 	h.peers[l] = true
 	_ = l.Send(&wire.Message{Replicas: h.replicasNow()})
-	_ = l.Send(&wire.Message{Servers: h.allServers(time.Now())})
+	_ = l.Send(&wire.Message{Servers: h.allServers(h.clock.Now())})
 	_ = l.Send(&wire.Message{Loads: h.toldPeers.message()})
-	_ = l.Send(&wire.Message{Use: h.ledger.Whole(time.Now())})
+	_ = l.Send(&wire.Message{Use: h.ledger.Whole(h.clock.Now())})
 }
 
 func (h *hub) removePeer(l *wire.Link) {
@@ -206,7 +208,7 @@
 	lean.Source = nil
 	lean.Index()
 	h.table = &lean
-	h.ledger.SetLimits(time.Now(), lean.Quotas())
+	h.ledger.SetLimits(h.clock.Now(), lean.Quotas())
 	whole, err := wire.Marshal(&wire.Message{Routes: &wire.Routes{Table: h.table, Version: lean.Version, Confirmed: fresh}})
 	if err != nil {
 		return
@@ -333,5 +335,5 @@
 func (h *hub) list() []registry.Server {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.servers.List(time.Now())
+	return h.servers.List(h.clock.Now())
 }
--- a/control/identity.go
+++ b/control/identity.go
@@ -70,7 +70,7 @@
 	if c.cfg.Discovery == nil || c.node == nil || id == baseName(id) {
 		return // the first identity at an address succeeds nobody
 	}
-	for _, v := range c.node.Status(time.Now()).Members.Voters {
+	for _, v := range c.node.Status(c.clock.Now()).Members.Voters {
 		if v != id && baseName(v) == baseName(id) {
 			c.node.NoteLost(v)
 		}
--- a/control/known.go
+++ b/control/known.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return 0, err
 	}
-	n, ok := f.restore(time.Now(), m)
+	n, ok := f.restore(c.clock.Now(), m)
 	if !ok {
 		return 0, errors.New("the file holds something else")
 	}
@@ -91,7 +91,7 @@
 // disk that is full or stalls holds up nothing else.
 func (c *Control) keepKnown(f knownFile) {
 	failing := false
-	wait.Each(c.ctx, knownEvery, func(now time.Time) {
+	wait.Each(c.ctx, c.clock, knownEvery, func(now time.Time) {
 		m := f.unsaved(now)
 		if m == nil {
 			return
--- a/control/links.go
+++ b/control/links.go
@@ -117,7 +117,7 @@
 // serveGateway runs the link of a gateway.
 func (c *Control) serveGateway(l *wire.Link) {
 	c.mu.Lock()
-	fresh := c.node != nil && c.node.Fresh(time.Now())
+	fresh := c.node != nil && c.node.Fresh(c.clock.Now())
 	c.mu.Unlock()
 	c.hub.addGateway(l, fresh)
 	err := l.Run(c.ctx, func(m *wire.Message) {
@@ -145,7 +145,7 @@
 	if c.node == nil {
 		return
 	}
-	now := time.Now()
+	now := c.clock.Now()
 	switch {
 	case m.Raft != nil:
 		c.node.Step(now, *m.Raft)
--- a/control/listing.go
+++ b/control/listing.go
@@ -22,7 +22,7 @@
 func (h *hub) report(s registry.Server) (heard bool, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
+	now := h.clock.Now()
 	s = h.servers.Resolve(s)
 	if err := h.servers.Check(s); err != nil {
 		return len(h.peers)+len(h.gateways) > 0, err
@@ -50,7 +50,7 @@
 func (h *hub) take(l *wire.Link, m *wire.Servers) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
+	now := h.clock.Now()
 	for _, s := range m.List {
 		h.note(now, s)
 	}
--- a/control/roles.go
+++ b/control/roles.go
@@ -48,7 +48,7 @@
 func (c *Control) roleLoop() {
 	p := &rolePlanning{pool: backend.NewPool(), planners: map[string]*roles.Planner{}}
 	defer p.pool.Close()
-	wait.Each(c.ctx, planEvery, func(now time.Time) { c.planRoles(now, p) })
+	wait.Each(c.ctx, c.clock, planEvery, func(now time.Time) { c.planRoles(now, p) })
 }
 
 // planRoles orders what is due. A new leader waits until no order of the one
@@ -135,7 +135,7 @@
 	if report.Born != 0 && s.Born != 0 && report.Born != s.Born {
 		return 0, errRestarted
 	}
-	fence, ok := c.fence(time.Now())
+	fence, ok := c.fence(c.clock.Now())
 	if !ok {
 		return 0, nil
 	}
--- a/control/table.go
+++ b/control/table.go
@@ -51,7 +51,7 @@
 	if held := c.state.Table(); held != nil && held.Version >= t.Version {
 		return "", nil, true, nil // what is applied here is committed
 	}
-	now := time.Now()
+	now := c.clock.Now()
 	if c.node == nil || !c.node.Lead(now) {
 		return "", nil, false, c.notLeader()
 	}
@@ -76,7 +76,7 @@
 func (c *Control) Table() (*route.Table, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.node == nil || !c.node.Fresh(time.Now()) {
+	if c.node == nil || !c.node.Fresh(c.clock.Now()) {
 		return nil, c.notLeader()
 	}
 	return c.state.Table(), nil
@@ -119,7 +119,7 @@
 // refuseWord tells of a word that is not used.
 func (c *Control) refuseWord(reason, name, from string, err error) {
 	metric.WordsRefused.WithLabelValues(reason).Inc()
-	if c.refused.Allow(time.Now(), reason+" "+name) {
+	if c.refused.Allow(c.clock.Now(), reason+" "+name) {
 		event.ServerWordRefused.Log(c.log, "server", name, "from", from, "error", err)
 	}
 }
--- a/control/use.go
+++ b/control/use.go
@@ -21,7 +21,7 @@
 func (h *hub) setUse(l *wire.Link, u *quota.Use) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.ledger.Use(time.Now(), l, u.Used)
+	h.ledger.Use(h.clock.Now(), l, u.Used)
 }
 
 // hear takes that a gateway has said something.
@@ -29,7 +29,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if g := h.gateways[l]; g != nil {
-		g.heard = time.Now()
+		g.heard = h.clock.Now()
 	}
 }
 
@@ -37,7 +37,7 @@
 func (h *hub) setPeerUse(l *wire.Link, u *quota.Use) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
+	now := h.clock.Now()
 	h.peerHeard[l] = now
 	h.ledger.Peer(now, u)
 }
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
 	"github.com/ledgepin/ledgepin/internal/wait"
@@ -54,7 +55,7 @@
 		}
 		e.checkGrace(a)
 		wait.For(ctx, again)
-		if time.Since(a.lost) > linkGrace {
+		if clock.VM.Since(a.lost) > linkGrace {
 			again = min(2*again, maxRedial)
 		}
 	}
@@ -66,7 +67,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	a.link = nil
-	a.lost = time.Now()
+	a.lost = clock.VM.Now()
 	if ctx.Err() != nil {
 		return
 	}
@@ -80,18 +81,18 @@
 func (e *Entry) checkGrace(a *agentLink) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if a.link != nil || a.gone || e.ctx.Err() != nil || time.Since(a.lost) < linkGrace {
+	if a.link != nil || a.gone || e.ctx.Err() != nil || clock.VM.Since(a.lost) < linkGrace {
 		return
 	}
 	a.gone = true
-	e.perform(time.Now(), e.core.ServerDown(time.Now(), a.name))
+	e.perform(clock.VM.Now(), e.core.ServerDown(clock.VM.Now(), a.name))
 }
 
 func (e *Entry) agentUp(a *agentLink, l *wire.Link) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	event.LinkUp.Log(e.log, "peer", a.name)
-	now := time.Now()
+	now := clock.VM.Now()
 	a.link, a.gone, a.leaving, a.reported, a.told = l, false, false, false, false
 	_ = l.Send(&wire.Message{Heartbeat: &wire.Heartbeat{Revision: e.inForce()}})
 	again, effects := e.core.Rejoin(now, a.name)
@@ -112,7 +113,7 @@
 	if a.link != l {
 		return
 	}
-	now := time.Now()
+	now := clock.VM.Now()
 	switch {
 	case m.Chunk != nil:
 		e.chunk(now, m.Chunk)
--- a/entry/boot.go
+++ b/entry/boot.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/wire"
@@ -82,7 +83,7 @@
 	if e.mayAct() {
 		return
 	}
-	now := time.Now()
+	now := clock.VM.Now()
 	e.store.Apply(now, m)
 	if e.store.Tree() == nil {
 		return
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/claim"
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/decision"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
@@ -78,7 +79,7 @@
 func (e *Entry) tell(id string, c ServiceCall, s decision.Step) {
 	rec := e.story.Open(id)
 	rec.Customer, rec.Class = c.Grant.Customer, c.Grant.Class
-	s.At, s.Where = time.Now(), e.cfg.Name
+	s.At, s.Where = clock.Day(), e.cfg.Name
 	rec.Add(s)
 }
 
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/metric"
 	"github.com/ledgepin/ledgepin/router"
 	"github.com/ledgepin/ledgepin/wire"
@@ -44,7 +45,7 @@
 	defer e.mu.Unlock()
 	d := Dump{
 		Name: e.cfg.Name, Zone: e.cfg.Zone, Revision: e.inForce(), Since: e.store.Since(), Degraded: e.degraded,
-		Draining: e.draining, Waiting: e.core.Waiting(), Open: e.core.Dump(time.Now()), Calls: len(e.calls), Stats: e.core.Stats(),
+		Draining: e.draining, Waiting: e.core.Waiting(), Open: e.core.Dump(clock.VM.Now()), Calls: len(e.calls), Stats: e.core.Stats(),
 		Leaving: e.leavingMessage().Leaving.Servers,
 	}
 	if e.up != nil {
@@ -77,7 +78,7 @@
 	metric.Retries.WithLabelValues(name, "allowed").Set(float64(spent))
 	metric.Retries.WithLabelValues(name, "denied").Set(float64(denied))
 	metric.Revision.WithLabelValues(name).Set(float64(e.inForce()))
-	metric.Age.WithLabelValues(name).Set(time.Since(e.store.Since()).Seconds())
+	metric.Age.WithLabelValues(name).Set(clock.VM.Since(e.store.Since()).Seconds())
 	degraded := 0.0
 	if e.degraded {
 		degraded = 1
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/decision"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/placement"
@@ -99,7 +100,7 @@
 // Start returns a running entry.
 func Start(cfg Config) *Entry {
 	ctx, cancel := context.WithCancel(context.Background())
-	now := time.Now()
+	now := clock.VM.Now()
 	rng := rand.New(rand.NewPCG(uint64(now.UnixNano()), 1))
 	e := &Entry{
 		cfg: cfg, log: cfg.Log.With("role", "entry", "name", cfg.Name), epoch: now.UnixNano(),
@@ -196,7 +197,8 @@
 		select {
 		case <-e.ctx.Done():
 			return
-		case now := <-t.C:
+		case <-t.C:
+			now := clock.VM.Now()
 			e.mu.Lock()
 			e.perform(now, e.core.Tick(now))
 			e.mu.Unlock()
@@ -238,7 +240,7 @@
 	}
 	e.beats++
 	if e.mayAct() {
-		e.slowBeat(time.Now())
+		e.slowBeat(clock.VM.Now())
 	}
 }
 
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/claim"
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/engine"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
@@ -191,7 +192,7 @@
 func (e *Entry) newFlow(job Job, req router.Request) *Flow {
 	f := &Flow{
 		ID: req.ID, entry: e, req: job.Request, parts: make(chan stream.Part, bufferedParts),
-		class: req.Class, arrived: time.Now(), prompt: req.Tokens,
+		class: req.Class, arrived: clock.VM.Now(), prompt: req.Tokens,
 		target: e.store.Tree().Fleet.Classes[req.Class],
 	}
 	if job.Key != "" {
@@ -240,7 +241,7 @@
 	defer e.mu.Unlock()
 	if e.flows[f.ID] == f {
 		event.CallerGone.Log(e.log, "request", f.ID)
-		e.cutOff(time.Now(), f, fault.CallerGone)
+		e.cutOff(clock.VM.Now(), f, fault.CallerGone)
 	}
 }
 
@@ -275,7 +276,7 @@
 	event.RequestRefused.Log(e.log, "request", x.Req, "code", x.Code.ID, "detail", x.Detail)
 	if f := e.flows[x.Req]; f != nil {
 		if x.Code == fault.TargetMissed || x.Code == fault.NoServer {
-			e.short[f.req.Model] = time.Now()
+			e.short[f.req.Model] = clock.VM.Now()
 		}
 		e.end(f, refusal(x))
 	}
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/fault"
 	"github.com/ledgepin/ledgepin/wire"
 )
@@ -40,7 +41,7 @@
 	time.AfterFunc(registerTimeout, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.registered(time.Now(), f.ID)
+		e.registered(clock.VM.Now(), f.ID)
 	})
 	return true
 }
--- a/entry/once.go
+++ b/entry/once.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/claim"
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
 	"github.com/ledgepin/ledgepin/stream"
@@ -123,7 +124,7 @@
 		defer e.mu.Unlock()
 		if e.flows[f.ID] == f {
 			event.RequestFailed.Log(e.log, "request", f.ID, "detail", "the claim of its key is about to run out")
-			e.cutOff(time.Now(), f, fault.EngineLost)
+			e.cutOff(clock.VM.Now(), f, fault.EngineLost)
 		}
 	})
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
 	"github.com/ledgepin/ledgepin/internal/wait"
@@ -227,7 +228,7 @@
 	defer e.mu.Unlock()
 	switch {
 	case m.Settings != nil:
-		e.takeSettings(time.Now(), l, m.Settings)
+		e.takeSettings(clock.VM.Now(), l, m.Settings)
 	case m.Heartbeat != nil:
 		if m.Heartbeat.Revision > e.store.Revision() {
 			_ = l.Send(&wire.Message{Pull: &wire.Pull{Have: e.store.Revision()}})
@@ -266,6 +267,6 @@
 	case m.Ordered != nil && e.up != nil:
 		_ = e.up.Send(m)
 	case m.Shares != nil:
-		e.lend(time.Now(), l, m.Shares)
+		e.lend(clock.VM.Now(), l, m.Shares)
 	}
 }
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -17,7 +17,7 @@
 // nothing but the try, so as many are tried as there is time for: a good part of
 // them may have gone at once.
 func (n *generation) elsewhere(ctx context.Context, r result) result {
-	for time.Since(n.kvAt) < n.q.service.Engine.KVHold-kvMargin {
+	for n.g.clock.Since(n.kvAt) < n.q.service.Engine.KVHold-kvMargin {
 		n.q.tried[n.pair.Decode.ID] = true
 		n.unbook()
 		s, ok := n.g.fleet.move(n.q.work, n.q.service.Engine, n.kvFrom.Zone, n.q.tried)
@@ -41,7 +41,7 @@
 // decode has the answer made and passes it on.
 func (n *generation) decode(ctx context.Context, s *dispatch.Server, withKV bool) result {
 	g, q, h := n.g, n.q, &n.g.cfg.Protocol.Headers
-	started := time.Now()
+	started := n.g.clock.Now()
 	r := n.sendTo(s)
 	if withKV {
 		r.Header.Set(h.KVSource, n.kvFrom.Address+"/"+n.kv.Handle)
@@ -57,7 +57,7 @@
 			n.decodes++
 		}
 		g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
-		g.noteSend(ctx, q, s, res, time.Since(started))
+		g.noteSend(ctx, q, s, res, n.g.clock.Since(started))
 		return res
 	}
 	defer func() { a.Close() }()
@@ -67,7 +67,7 @@
 			n.handover.Refused = append(n.handover.Refused, s.ID)
 		}
 		g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
-		g.noteSend(ctx, q, s, res, time.Since(started))
+		g.noteSend(ctx, q, s, res, n.g.clock.Since(started))
 		return res
 	}
 	n.kv.Handle, n.hold = "", "" // taken
@@ -80,14 +80,14 @@
 	}
 	s, a, err = n.relay(ctx, s, a)
 	if err == nil {
-		g.fleet.note(s.ID, dispatch.Good, time.Since(started))
+		g.fleet.note(s.ID, dispatch.Good, n.g.clock.Since(started))
 		g.contents.ran(q)
 		n.done(s, a.Status)
 		return result{kind: answered, status: a.Status}
 	}
 	res := result{kind: broken, err: err}
 	g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
-	g.noteSend(ctx, q, s, res, time.Since(started))
+	g.noteSend(ctx, q, s, res, n.g.clock.Since(started))
 	return res
 }
 
@@ -99,7 +99,7 @@
 // done notes the end of a whole stream.
 func (n *generation) done(s *dispatch.Server, status int) {
 	name, stream := n.q.route.Name, n.stream
-	n.g.fleet.noteRun(n.q.service.Name, time.Since(n.q.arrived), max(stream.firstAt.Sub(n.placedAt), 0), time.Since(stream.firstAt), stream.events*n.q.service.Engine.EventTokens)
+	n.g.fleet.noteRun(n.q.service.Name, n.g.clock.Since(n.q.arrived), max(stream.firstAt.Sub(n.placedAt), 0), n.g.clock.Since(stream.firstAt), stream.events*n.q.service.Engine.EventTokens)
 	first, prefill := stream.firstAt.Sub(n.q.arrived), time.Duration(0)
 	if !n.kvAt.IsZero() {
 		prefill = n.kvAt.Sub(n.q.arrived)
@@ -108,7 +108,7 @@
 	metric.RouteRequests.WithLabelValues(name, strconv.Itoa(status)).Inc()
 	metric.RouteFirst.WithLabelValues(name).Observe(first.Seconds())
 	metric.RouteGap.WithLabelValues(name).Observe(stream.gap.Seconds())
-	event.RequestDone.Log(n.g.log, "id", n.q.id, "route", name, "status", status, "ms", time.Since(n.q.arrived).Milliseconds(),
+	event.RequestDone.Log(n.g.log, "id", n.q.id, "route", name, "status", status, "ms", n.g.clock.Since(n.q.arrived).Milliseconds(),
 		"first_ms", first.Milliseconds(), "gap_ms", stream.gap.Milliseconds(), "prefill", n.kvFrom.Called(), "decode", s.Called(),
 		"prefill_ms", prefill.Milliseconds(), "rounds", n.prefills, "migrations", n.mover.count)
 }
--- a/gateway/ended.go
+++ b/gateway/ended.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/backend"
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/poison"
@@ -74,6 +75,7 @@
 
 // contents is the lock around the contents under which servers have ended.
 type contents struct {
+	clock *clock.Clock
 	mu    sync.Mutex
 	table *poison.Table
 	// toldTo is the link over which a replica was told, and told the change up to which.
@@ -81,12 +83,12 @@
 	told   uint64
 }
 
-func newContents() *contents { return &contents{table: poison.NewTable()} }
+func newContents(c *clock.Clock) *contents { return &contents{clock: c, table: poison.NewTable()} }
 
 func (c *contents) ended(g *Gateway, d poison.Digest, server string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.table.Ended(time.Now(), d, server) {
+	if c.table.Ended(c.clock.Now(), d, server) {
 		event.ContentBlocked.Log(g.log, "content", d.String())
 	}
 }
@@ -95,7 +97,7 @@
 func (c *contents) take(g *Gateway, list []poison.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, d := range c.table.Merge(time.Now(), list) {
+	for _, d := range c.table.Merge(c.clock.Now(), list) {
 		event.ContentBlocked.Log(g.log, "content", d.String())
 	}
 }
@@ -116,7 +118,7 @@
 	if c.table.Len() == 0 {
 		return 0
 	}
-	return c.table.Blocked(time.Now(), q.content())
+	return c.table.Blocked(c.clock.Now(), q.content())
 }
 
 // untold returns what a replica has not been told over a link: all, over a new one, since
@@ -127,7 +129,7 @@
 	if c.toldTo != l {
 		c.toldTo, c.told = l, 0
 	}
-	out, told := c.table.Since(time.Now(), c.told, 1)
+	out, told := c.table.Since(c.clock.Now(), c.told, 1)
 	c.told = told
 	return out
 }
@@ -141,7 +143,7 @@
 func (c *contents) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.table.Count(time.Now())
+	return c.table.Count(c.clock.Now())
 }
 
 // errBlocked ends a request that may not go to a further server.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/route"
 	"github.com/ledgepin/ledgepin/wire"
@@ -13,8 +14,9 @@
 // fleet is the lock around the decisions about servers, and the queue of the
 // requests that wait for room at an engine.
 type fleet struct {
-	mu   sync.Mutex
-	view *dispatch.Fleet
+	clock *clock.Clock
+	mu    sync.Mutex
+	view  *dispatch.Fleet
 	// bounds are the retry bounds that hold for each service by itself.
 	bounds  dispatch.Budget
 	budgets map[string]*dispatch.Budget
@@ -26,11 +28,11 @@
 	telling telling
 }
 
-func newFleet(name, zone string, bounds dispatch.Budget) *fleet {
+func newFleet(c *clock.Clock, name, zone string, bounds dispatch.Budget) *fleet {
 	if bounds.Since.IsZero() {
-		bounds.Since = time.Now()
+		bounds.Since = c.Now()
 	}
-	return &fleet{view: dispatch.NewFleet(name, zone), bounds: bounds, budgets: map[string]*dispatch.Budget{}, runTimes: map[string]dispatch.RunTimes{}, placed: map[*dispatch.Waiting]chan dispatch.Pair{}}
+	return &fleet{clock: c, view: dispatch.NewFleet(name, zone), bounds: bounds, budgets: map[string]*dispatch.Budget{}, runTimes: map[string]dispatch.RunTimes{}, placed: map[*dispatch.Waiting]chan dispatch.Pair{}}
 }
 
 // budget returns the retry budget of a service. Callers hold the lock.
@@ -57,7 +59,7 @@
 func (f *fleet) update(m *wire.Servers, alive []string) []*dispatch.Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
+	now := f.clock.Now()
 	ended := f.view.Update(now, m.List)
 	f.view.Heard(now.Add(-m.For), alive)
 	for _, g := range m.Sizes {
@@ -82,7 +84,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, a := range list {
-		f.view.Away(time.Now(), a.Server, a.Role, a.For)
+		f.view.Away(f.clock.Now(), a.Server, a.Role, a.For)
 	}
 }
 
@@ -97,7 +99,7 @@
 func (f *fleet) share(others dispatch.Others) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view.SetOthers(time.Now(), others)
+	f.view.SetOthers(f.clock.Now(), others)
 	f.serve()
 }
 
@@ -124,7 +126,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []dispatch.Server
-	for _, s := range f.view.Usable(time.Now(), service) {
+	for _, s := range f.view.Usable(f.clock.Now(), service) {
 		out = append(out, *s)
 	}
 	return out
@@ -134,7 +136,7 @@
 func (f *fleet) plain(service string, avoid dispatch.Avoid) (dispatch.Server, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.view.Plain(time.Now(), service, avoid)
+	s := f.view.Plain(f.clock.Now(), service, avoid)
 	if s == nil {
 		return dispatch.Server{}, false
 	}
@@ -146,7 +148,7 @@
 func (f *fleet) listed(id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.view.Listed(time.Now(), id)
+	return f.view.Listed(f.clock.Now(), id)
 }
 
 // done ends a request that plain has counted.
@@ -169,7 +171,7 @@
 // noteLocked tells how a request went; one that failed is told to the other gateways
 // at once. Callers hold the lock.
 func (f *fleet) noteLocked(id string, o dispatch.Outcome, took time.Duration) {
-	f.view.Note(time.Now(), id, o, took)
+	f.view.Note(f.clock.Now(), id, o, took)
 	f.telling.noted = true
 	if o == dispatch.Bad || o == dispatch.Unreached {
 		f.telling.changed = true
@@ -180,7 +182,7 @@
 func (f *fleet) noteHandover(h dispatch.Handover) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view.NoteHandover(time.Now(), h)
+	f.view.NoteHandover(f.clock.Now(), h)
 }
 
 func (f *fleet) gone(id string) {
@@ -193,35 +195,35 @@
 func (f *fleet) request(service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.budget(service).Request(time.Now())
+	f.budget(service).Request(f.clock.Now())
 }
 
 // retry takes further sends from the budget of a service.
 func (f *fleet) retry(service string, sends int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.budget(service).Take(time.Now(), f.view.Others.Gateways, sends)
+	return f.budget(service).Take(f.clock.Now(), f.view.Others.Gateways, sends)
 }
 
 // spend counts a send that was turned away and had not to be paid before.
 func (f *fleet) spend(service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.budget(service).Spend(time.Now(), 1)
+	f.budget(service).Spend(f.clock.Now(), 1)
 }
 
 // ruled tells what rules engines out for a request now.
 func (f *fleet) ruled(w dispatch.Work, e *route.Engine) dispatch.Ruled {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.view.Ruled(time.Now(), w, e)
+	return f.view.Ruled(f.clock.Now(), w, e)
 }
 
 // noteRead tells how long an engine took to read a prompt.
 func (f *fleet) noteRead(id string, took time.Duration, tokens int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view.NoteRead(time.Now(), id, took, tokens)
+	f.view.NoteRead(f.clock.Now(), id, took, tokens)
 }
 
 // endRead takes back the booking at the engine that reads a prompt.
@@ -250,14 +252,14 @@
 	w, longer := f.view.Grow(id, w, made)
 	f.telling.grown = true
 	f.telling.changed = f.telling.changed || longer
-	return w, f.view.Leave(time.Now(), id, e, rand.Float64())
+	return w, f.view.Leave(f.clock.Now(), id, e, rand.Float64())
 }
 
 // migrationTarget books an engine that a run can move to.
 func (f *fleet) migrationTarget(from string, w dispatch.Work, e *route.Engine) (dispatch.Server, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.reserve(f.view.MigrationTarget(time.Now(), from, w, e, rand.Float64()), w)
+	return f.reserve(f.view.MigrationTarget(f.clock.Now(), from, w, e, rand.Float64()), w)
 }
 
 // reserve books a run at an engine that was chosen, if one was. Callers hold the
@@ -294,7 +296,7 @@
 func (f *fleet) patience(w dispatch.Work, within time.Duration) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.view.Patience(time.Now(), w, within, f.queue.Len(), f.runTimes[w.Service])
+	return f.view.Patience(f.clock.Now(), w, within, f.queue.Len(), f.runTimes[w.Service])
 }
 
 // sharing returns the number of gateways that work with a server.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -60,10 +60,10 @@
 			}
 			break
 		}
-		started := time.Now()
+		started := g.clock.Now()
 		last = g.send(ctx, q, &s)
-		g.fleet.done(s.ID, outcomeOf(ctx, last), time.Since(started))
-		g.noteSend(ctx, q, &s, last, time.Since(started))
+		g.fleet.done(s.ID, outcomeOf(ctx, last), g.clock.Since(started))
+		g.noteSend(ctx, q, &s, last, g.clock.Since(started))
 		if ctx.Err() == context.Canceled {
 			event.CallerGone.Log(g.log, "id", q.id)
 			return
@@ -239,8 +239,8 @@
 	w.WriteHeader(r.status)
 	_, _ = w.Write(r.body)
 	metric.RouteRequests.WithLabelValues(q.route.Name, strconv.Itoa(r.status)).Inc()
-	metric.RouteFirst.WithLabelValues(q.route.Name).Observe(time.Since(q.arrived).Seconds())
-	event.RequestDone.Log(g.log, "id", q.id, "route", q.route.Name, "status", r.status, "ms", time.Since(q.arrived).Milliseconds())
+	metric.RouteFirst.WithLabelValues(q.route.Name).Observe(g.clock.Since(q.arrived).Seconds())
+	event.RequestDone.Log(g.log, "id", q.id, "route", q.route.Name, "status", r.status, "ms", g.clock.Since(q.arrived).Milliseconds())
 }
 
 func bodyAllowed(method string, status int) bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/backend"
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/quota"
@@ -35,12 +36,15 @@
 	Retry dispatch.Budget
 	// Quota tells how the use of limits is judged.
 	Quota quota.Bounds
+	// Clock is that of the VM if it is nil.
+	Clock *clock.Clock
 	Log   *slog.Logger
 }
 
 // Gateway is the process.
 type Gateway struct {
 	cfg    Config
+	clock  *clock.Clock
 	log    *slog.Logger
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -74,9 +78,9 @@
 func Start(cfg Config) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
-		cfg: cfg, log: cfg.Log.With("role", "gateway", "name", cfg.Name), ctx: ctx, cancel: cancel,
-		private: cfg.Protocol.Headers.Private(), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Name, cfg.Zone, cfg.Retry), kept: map[string]*keptPrompts{}, keptWait: keptTimeout,
-		limits: newLimits(cfg.Quota), contents: newContents(),
+		cfg: cfg, clock: cfg.Clock, log: cfg.Log.With("role", "gateway", "name", cfg.Name), ctx: ctx, cancel: cancel,
+		private: cfg.Protocol.Headers.Private(), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Clock, cfg.Name, cfg.Zone, cfg.Retry), kept: map[string]*keptPrompts{}, keptWait: keptTimeout,
+		limits: newLimits(cfg.Clock, cfg.Quota), contents: newContents(cfg.Clock),
 	}
 	g.links = newLinks(g)
 	g.links.meet(cfg.Seeds)
@@ -143,7 +147,8 @@
 		select {
 		case <-g.ctx.Done():
 			return
-		case now := <-t.C:
+		case <-t.C:
+			now := g.clock.Now()
 			g.pool.Sweep(now)
 			g.fleet.sweep(now)
 			g.contents.sweep(now)
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -96,22 +96,22 @@
 // place books a prefill and a decode engine.
 func (n *generation) place(ctx context.Context) bool {
 	q := n.q
-	limit := n.g.fleet.patience(q.work, q.route.Target-time.Since(q.arrived))
+	limit := n.g.fleet.patience(q.work, q.route.Target-n.g.clock.Since(q.arrived))
 	if n.stream.started {
 		limit = q.route.GapTarget
 	}
-	until := time.Now().Add(limit)
+	until := n.g.clock.Now().Add(limit)
 	for {
 		wait := &dispatch.Waiting{Priority: q.organisation.Rank(q.route), Work: q.work, Engine: q.service.Engine, Avoid: q.tried}
 		if !n.stream.started && q.route.Target > 0 {
-			wait.Work.Within = time.Duration(readShare*float64(q.route.Target)) - time.Since(q.arrived)
+			wait.Work.Within = time.Duration(readShare*float64(q.route.Target)) - n.g.clock.Since(q.arrived)
 		}
-		pair, ok := n.g.fleet.place(ctx, wait, max(time.Until(until), 0))
+		pair, ok := n.g.fleet.place(ctx, wait, max(n.g.clock.Until(until), 0))
 		if !ok {
 			return false
 		}
 		n.pair, n.booked, n.reader = pair, pair.Decode.ID, pair.Reader().ID
-		n.placedAt = time.Now()
+		n.placedAt = n.g.clock.Now()
 		if kept := q.work.Kept[n.reader]; kept > 0 {
 			metric.KeptTokens.WithLabelValues(q.service.Name).Add(float64(kept))
 		}
@@ -136,7 +136,7 @@
 	n.endRead()
 	if r.kind != answered {
 		n.q.tried[n.pair.Prefill.ID] = true
-		n.g.noteSend(ctx, n.q, n.pair.Prefill, r, time.Since(n.q.arrived))
+		n.g.noteSend(ctx, n.q, n.pair.Prefill, r, n.g.clock.Since(n.q.arrived))
 		if r.kind == notRun || r.kind == misdirected {
 			n.g.fleet.spend(n.q.service.Name)
 		}
@@ -238,7 +238,7 @@
 		r := g.fleet.ruled(q.work, q.service.Engine)
 		event.NoRoom.Log(g.log, "id", q.id, "rule", string(r.Rule), "prompt", q.work.Prompt, "expected", q.work.Expected, "engines", r.Engines,
 			"ruled", r.Count, "read_ms", r.Read.Milliseconds(), "queued", r.Queued, "gateways_known", r.Known, "gateways", r.Gateways,
-			"waited_ms", time.Since(q.arrived).Milliseconds(), "prefills", n.prefills, "decodes", n.decodes)
+			"waited_ms", n.g.clock.Since(q.arrived).Milliseconds(), "prefills", n.prefills, "decodes", n.decodes)
 		g.refuse(w, q.id, refusal{route: q.route.Name, status: http.StatusServiceUnavailable, reason: "no engine has room", retryAfter: g.fleet.comeBack(q.service.Name, r.Read)})
 		return
 	}
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -30,7 +30,7 @@
 	s := n.pair.Decode
 	hctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
-	started := time.Now()
+	started := n.g.clock.Now()
 	r := n.callTo(s, p.TakeHold(n.q.work.Prompt, min(n.pair.Wait+holdMargin, engine.HoldMost)))
 	res, body := n.g.exchange(hctx, n.q, s, r)
 	if res.kind == answered && res.status == http.StatusOK {
@@ -40,7 +40,7 @@
 			return true
 		}
 	}
-	event.NoHold.Log(n.g.log, "id", n.q.id, "server", s.ID, "status", res.status, "ms", time.Since(started).Milliseconds(), "error", res.err)
+	event.NoHold.Log(n.g.log, "id", n.q.id, "server", s.ID, "status", res.status, "ms", n.g.clock.Since(started).Milliseconds(), "error", res.err)
 	if res.kind == notSent {
 		n.g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
 	}
@@ -64,7 +64,7 @@
 
 // dropKV frees a KV cache that no decode engine has taken.
 func (n *generation) dropKV() {
-	if n.kv.Handle == "" || time.Since(n.kvAt) > n.q.service.Engine.KVHold {
+	if n.kv.Handle == "" || n.g.clock.Since(n.kvAt) > n.q.service.Engine.KVHold {
 		return
 	}
 	s, handle := &n.kvFrom, n.kv.Handle
--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -51,9 +51,9 @@
 	k := g.keptOf(q.service.Name)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if time.Since(k.askedAt) >= keptFor {
+	if g.clock.Since(k.askedAt) >= keptFor {
 		k.tokens = g.askKept(q)
-		k.askedAt = time.Now()
+		k.askedAt = g.clock.Now()
 	}
 	out := map[string]int{}
 	for id, kept := range k.tokens {
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/route"
@@ -14,12 +15,13 @@
 
 // limits is the lock around what organisations use.
 type limits struct {
+	clock   *clock.Clock
 	mu      sync.Mutex
 	limiter *quota.Limiter
 }
 
-func newLimits(b quota.Bounds) *limits {
-	return &limits{limiter: quota.NewLimiter(b)}
+func newLimits(c *clock.Clock, b quota.Bounds) *limits {
+	return &limits{clock: c, limiter: quota.NewLimiter(b)}
 }
 
 // setTable puts the limits of the table in force, which is read under the lock: two may
@@ -27,21 +29,21 @@
 func (l *limits) setTable(table *atomic.Pointer[route.Table]) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.limiter.SetLimits(time.Now(), table.Load().Quotas())
+	l.limiter.SetLimits(l.clock.Now(), table.Load().Quotas())
 }
 
 // setPart takes the part of the limits that this gateway may use.
 func (l *limits) setPart(p quota.Part) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.limiter.SetPart(time.Now(), p)
+	l.limiter.SetPart(l.clock.Now(), p)
 }
 
 // take takes what a replica tells of the other gateways.
 func (l *limits) take(u *quota.Use) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
+	now := l.clock.Now()
 	if u.Whole {
 		l.limiter.Levels(now, u.Used)
 		return
@@ -117,5 +119,5 @@
 func (g *Gateway) count(q *request, size float64) {
 	g.limits.mu.Lock()
 	defer g.limits.mu.Unlock()
-	g.limits.limiter.Count(time.Now(), q.organisation.Name, size)
+	g.limits.limiter.Count(g.clock.Now(), q.organisation.Name, size)
 }
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -122,7 +122,7 @@
 
 func (l *links) set(address string, p *peer, link *wire.Link) {
 	l.mu.Lock()
-	p.link, p.since = link, time.Now()
+	p.link, p.since = link, l.g.clock.Now()
 	p.heard = p.since
 	if link == nil {
 		delete(l.gateways, address)
@@ -173,7 +173,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if p := l.peers[address]; p != nil {
-		p.heard = time.Now()
+		p.heard = l.g.clock.Now()
 	}
 }
 
@@ -200,7 +200,7 @@
 		close(l.toldUse)
 	}
 	l.partsFrom = address
-	l.parts = quota.Part{Together: u.Together, Alone: u.Alone, Heard: time.Now()}
+	l.parts = quota.Part{Together: u.Together, Alone: u.Alone, Heard: l.g.clock.Now()}
 	l.g.limits.setPart(l.parts)
 	l.g.limits.take(u)
 }
@@ -278,7 +278,7 @@
 // loop sends heartbeats and reservations.
 func (l *links) loop() {
 	var beatAt time.Time
-	wait.Each(l.g.ctx, loadsEvery, func(now time.Time) {
+	wait.Each(l.g.ctx, l.g.clock, loadsEvery, func(now time.Time) {
 		l.mu.Lock()
 		if now.Sub(beatAt) >= beatEvery {
 			beatAt = now
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -79,14 +79,14 @@
 		return // its stream ends, and follow goes on
 	}
 	n.mover.current = nil
-	n.mover.notBefore = time.Now().Add(moveAgain)
+	n.mover.notBefore = n.g.clock.Now().Add(moveAgain)
 	n.giveUp(m, m.err)
 }
 
 // moveOn starts a migration, unless one is under way or was not possible just
 // before.
 func (n *generation) moveOn(ctx context.Context, reason dispatch.Reason) {
-	engine, now := n.q.service.Engine, time.Now()
+	engine, now := n.q.service.Engine, n.g.clock.Now()
 	if n.g.cfg.Protocol.CopyRun == nil || !engine.Migrates || n.mover.current != nil || now.Before(n.mover.notBefore) {
 		return
 	}
@@ -262,5 +262,5 @@
 func (n *generation) noteMigration(m *migration, outcome string, err error) {
 	metric.Migrations.WithLabelValues(n.q.service.Name, string(m.reason), outcome).Inc()
 	event.RunMigrated.Log(n.g.log, "id", n.q.id, "reason", string(m.reason), "from", m.from.ID, "to", m.to.ID, "outcome", outcome,
-		"stopped", m.stopped, "made", n.q.work.Made, "ms", time.Since(m.started).Milliseconds(), "error", err)
+		"stopped", m.stopped, "made", n.q.work.Made, "ms", n.g.clock.Since(m.started).Milliseconds(), "error", err)
 }
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -12,7 +12,7 @@
 // prefill has the prompt read.
 func (n *generation) prefill(ctx context.Context) result {
 	g, h, s := n.g, &n.g.cfg.Protocol.Headers, n.pair.Prefill
-	started := time.Now()
+	started := n.g.clock.Now()
 	r := n.sendTo(s)
 	r.Header.Set(h.Role, registry.Prefill)
 	n.resumeAt(r.Header)
@@ -35,9 +35,9 @@
 		g.fleet.note(s.ID, dispatch.Bad, 0)
 		return result{kind: broken, err: err}
 	}
-	g.fleet.note(s.ID, dispatch.Good, time.Since(started))
-	g.fleet.noteRead(s.ID, time.Since(started), n.pair.Ahead)
-	n.kv, n.kvFrom, n.kvAt = kv, *s, time.Now()
+	g.fleet.note(s.ID, dispatch.Good, n.g.clock.Since(started))
+	g.fleet.noteRead(s.ID, n.g.clock.Since(started), n.pair.Ahead)
+	n.kv, n.kvFrom, n.kvAt = kv, *s, n.g.clock.Now()
 	n.handover = dispatch.Handover{Prefill: s.ID}
 	return res
 }
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -39,7 +39,7 @@
 
 // serve books engines for the requests that wait and find room. Callers hold the lock.
 func (f *fleet) serve() {
-	f.view.Serve(time.Now(), &f.queue, func(w *dispatch.Waiting, p dispatch.Pair) {
+	f.view.Serve(f.clock.Now(), &f.queue, func(w *dispatch.Waiting, p dispatch.Pair) {
 		decode := *p.Decode
 		out := dispatch.Pair{Decode: &decode, Wait: p.Wait, Ahead: p.Ahead}
 		if p.Prefill != nil {
@@ -56,5 +56,5 @@
 func (f *fleet) move(w dispatch.Work, e *route.Engine, zone string, avoid dispatch.Avoid) (dispatch.Server, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.reserve(f.view.Decode(time.Now(), w, e, zone, avoid), w)
+	return f.reserve(f.view.Decode(f.clock.Now(), w, e, zone, avoid), w)
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/backend"
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/metric"
@@ -28,6 +29,7 @@
 	// send is what goes to a server; the server's own fields are added for
 	// each send.
 	send     backend.Request
+	clock    *clock.Clock
 	arrived  time.Time
 	deadline time.Time
 	work     dispatch.Work
@@ -80,11 +82,11 @@
 		g.refuse(w, q.id, q.elsewhere("the gateway is stopping"))
 		return
 	}
-	if end := g.stopsAt.Load(); end != nil && q.outlasts(time.Until(*end), g.fleet.pace(q.service.Name)) {
+	if end := g.stopsAt.Load(); end != nil && q.outlasts(g.clock.Until(*end), g.fleet.pace(q.service.Name)) {
 		g.refuse(w, q.id, q.elsewhere("the stream would outlast the gateway"))
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	ctx, cancel := context.WithTimeout(r.Context(), q.left())
 	defer cancel()
 	g.fleet.request(q.service.Name)
 	if q.service.Engine != nil && q.route.Kind == route.Stream {
@@ -97,7 +99,7 @@
 // read finds the route of a request and takes its body.
 func (g *Gateway) read(table *route.Table, r *http.Request) (*request, *refusal) {
 	h := &g.cfg.Protocol.Headers
-	q := &request{id: r.Header.Get(h.RequestID), arrived: time.Now(), tried: dispatch.Avoid{}}
+	q := &request{id: r.Header.Get(h.RequestID), clock: g.clock, arrived: g.clock.Now(), tried: dispatch.Avoid{}}
 	q.route = table.Lookup(r.Host, r.URL.Path)
 	if q.route == nil {
 		return q, &refusal{status: http.StatusNotFound, reason: "no route"}
@@ -147,7 +149,7 @@
 // endBy bounds a request by the end of the gateway. It returns false if the
 // request may not be done by then.
 func (q *request) endBy(end time.Time) bool {
-	if q.route.Kind == route.Stream || time.Until(end) < max(leastTargets*q.route.Target, leastTime) {
+	if q.route.Kind == route.Stream || q.clock.Until(end) < max(leastTargets*q.route.Target, leastTime) {
 		return false
 	}
 	if end.Before(q.deadline) {
@@ -285,7 +287,7 @@
 }
 
 // left is the time that remains for a request.
-func (q *request) left() time.Duration { return time.Until(q.deadline) }
+func (q *request) left() time.Duration { return q.clock.Until(q.deadline) }
 
 // to returns the request as it goes to one server.
 func (q *request) to(h *backend.Headers, s *dispatch.Server, limit time.Duration, sharing int) backend.Request {
--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -53,7 +53,7 @@
 // share tells the fleet how many gateways there are and what the others have
 // reserved. Callers hold the lock.
 func (l *links) share() {
-	gateways := l.count(time.Now())
+	gateways := l.count(l.g.clock.Now())
 	l.g.fleet.share(dispatch.Others{
 		Gateways: gateways, Known: min(1+l.others.gateways, gateways), Queued: l.others.queued, Loads: maps.Clone(l.others.loads), Seen: maps.Clone(l.others.seen),
 	})
@@ -144,7 +144,7 @@
 
 func (l *links) silent(address string) bool {
 	p := l.peers[address]
-	return p != nil && !p.heard.IsZero() && time.Since(p.heard) > silentFor
+	return p != nil && !p.heard.IsZero() && l.g.clock.Since(p.heard) > silentFor
 }
 
 // hubRank tells how well a linked replica serves to share with; the highest is best.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/backend"
+	"github.com/ledgepin/ledgepin/clock"
 )
 
 // streamWriter passes the events of a stream on.
@@ -55,8 +56,8 @@
 	for {
 		n, err := a.Read(buf)
 		if n > 0 {
-			s.pace(time.Now())
-			_ = control.SetWriteDeadline(time.Now().Add(callerTimeout))
+			s.pace(s.g.clock.Now())
+			_ = control.SetWriteDeadline(clock.Deadline(callerTimeout))
 			if werr := s.write(control, buf[:n]); werr != nil {
 				return werr
 			}
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/ledgepin/ledgepin/clock"
 )
 
 // For waits for d, or less if ctx is done before.
@@ -16,16 +18,17 @@
 	}
 }
 
-// Each calls do at once each time that a while has passed, until ctx is done.
-func Each(ctx context.Context, every time.Duration, do func(now time.Time)) {
+// Each calls do each time that a while has passed, with the time of a clock, until ctx is
+// done.
+func Each(ctx context.Context, c *clock.Clock, every time.Duration, do func(now time.Time)) {
 	t := time.NewTicker(every)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-t.C:
-			do(now)
+		case <-t.C:
+			do(c.Now())
 		}
 	}
 }
