--- /dev/null
+++ b/control/power_test.go
@@ -0,0 +1,109 @@
+package control_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/wal"
+)
+
+// powered is the disk of a VM that can lose power: what is not synced then is lost.
+type powered struct {
+	mu   sync.Mutex
+	off  bool
+	file *os.File
+	path string
+	// synced is how much of the file is kept.
+	synced int64
+}
+
+func (p *powered) open(path string) (wal.File, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.off, p.file, p.path = false, f, path
+	return p, p.note()
+}
+
+// note takes that all of the file is kept. Callers hold the lock.
+func (p *powered) note() error {
+	info, err := p.file.Stat()
+	if err == nil && !p.off {
+		p.synced = info.Size()
+	}
+	return err
+}
+
+func (p *powered) Write(b []byte) (int, error) { return p.file.Write(b) }
+func (p *powered) Close() error                { return p.file.Close() }
+func (p *powered) Truncate(size int64) error   { return p.file.Truncate(size) }
+func (p *powered) Sync() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.file.Sync(); err != nil {
+		return err
+	}
+	return p.note()
+}
+
+// lose takes the power away; it is back when the file is opened again.
+func (p *powered) lose() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.off = true
+}
+
+// settle takes away what was not synced when the power went.
+func (p *powered) settle() error { return os.Truncate(p.path, p.synced) }
+
+// TestAcknowledgedOutlivesPowerAndDisks wants an acknowledged table to be there after two of
+// five replicas have lost their disks in the moment of the acknowledgement while all others
+// lost power, again and again.
+func TestAcknowledgedOutlivesPowerAndDisks(t *testing.T) {
+	c := &cell{t: t}
+	disks := map[*node]*powered{}
+	for i := range 5 {
+		n := c.prepare(true)
+		disks[n] = &powered{}
+		n.open = disks[n].open
+		if i < 3 {
+			c.seeds = append(c.seeds, n.addr)
+		}
+	}
+	for _, n := range c.nodes {
+		c.start(n)
+		t.Cleanup(n.stop)
+	}
+	r := rand.New(rand.NewPCG(1, 2))
+	for version := uint64(1); version <= 4; version++ {
+		c.voters(5)
+		c.put(version)
+		for _, d := range disks {
+			d.lose()
+		}
+		wiped := r.Perm(len(c.nodes))[:2]
+		for _, n := range c.nodes {
+			n.stop()
+			assert.NilError(t, disks[n].settle())
+		}
+		for _, i := range wiped {
+			n := c.nodes[i]
+			assert.NilError(t, os.RemoveAll(n.dir))
+			assert.NilError(t, os.Mkdir(n.dir, 0o700))
+		}
+		for _, n := range c.nodes {
+			n.found = false
+			c.start(n)
+		}
+		c.holds(version)
+		t.Log(fmt.Sprintf("version %d is there after replicas %v lost their disks", version, wiped))
+	}
+}
