--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -9,6 +9,7 @@
 
 	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/metric"
 	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/route"
 )
@@ -64,8 +65,12 @@
 		return false
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.shares.Beyond(l.clock.Now(), q.organisation.Name)
+	beyond := l.shares.Beyond(l.clock.Now(), q.organisation.Name)
+	l.mu.Unlock()
+	if beyond {
+		metric.OrganisationRequests.WithLabelValues(q.organisation.Name, "beyond its share").Inc()
+	}
+	return beyond
 }
 
 // untold returns what the other gateways have to hear.
@@ -90,8 +95,10 @@
 	g.limits.mu.Unlock()
 	if v.OK {
 		q.charged = true
+		metric.OrganisationRequests.WithLabelValues(q.organisation.Name, "taken").Inc()
 		return nil
 	}
+	metric.OrganisationRequests.WithLabelValues(q.organisation.Name, "over its limit").Inc()
 	event.OverLimit.Log(g.log, "id", q.id, "organisation", q.organisation.Name, "size", q.size, "rate", q.organisation.Rate, "burst", q.organisation.Burst,
 		"used", int(v.Used), "room", int(v.Room), "cut_off", v.CutOff, "told_ms", v.Age.Milliseconds())
 	if v.Untold {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -81,10 +81,12 @@
 		[]float64{.02, .05, .1, .2, .3, .5, 1, 2}, "route")
 	RoutePrefill = histogram("ledgepin_route_prefill_seconds", "Time from arrival until the prompt has been read.",
 		[]float64{.05, .1, .2, .3, .5, .9, 2}, "route")
-	Sends        = counter("ledgepin_sends_total", "Requests of a gateway to backend servers that did not end well, by kind.", "service", "kind")
-	Migrations   = counter("ledgepin_migrations_total", "Runs that were to go on at another engine with their KV cache, by reason and outcome.", "service", "reason", "outcome")
-	WastedTokens = counter("ledgepin_wasted_prompt_tokens_total", "Tokens of prompts that were read and whose answer did not become whole, by cause.", "service", "cause")
-	KeptTokens   = counter("ledgepin_kept_prompt_tokens_total", "Tokens of prompts that came again and were placed at an engine that keeps them.", "service")
+	Sends                = counter("ledgepin_sends_total", "Requests of a gateway to backend servers that did not end well, by kind.", "service", "kind")
+	Migrations           = counter("ledgepin_migrations_total", "Runs that were to go on at another engine with their KV cache, by reason and outcome.", "service", "reason", "outcome")
+	WastedTokens         = counter("ledgepin_wasted_prompt_tokens_total", "Tokens of prompts that were read and whose answer did not become whole, by cause.", "service", "cause")
+	KeptTokens           = counter("ledgepin_kept_prompt_tokens_total", "Tokens of prompts that came again and were placed at an engine that keeps them.", "service")
+	OrganisationRequests = counter("ledgepin_organisation_requests_total",
+		"Requests of an organisation with a limit at a gateway, by what became of them there: taken, beyond its share while it waited for room, or over its limit.", "organisation", "outcome")
 	WordsRefused = counter("ledgepin_server_words_refused_total", "Words about servers that are not used: unreadable, of an earlier start, or of another server.", "reason")
 	LogDropped   = counter("ledgepin_log_lines_dropped_total", "Log lines left out because the output was not read fast enough.")
 )
