--- a/gateway/ended.go
+++ b/gateway/ended.go
@@ -58,10 +58,11 @@
 	return &contents{clock: c, table: poison.NewTable(), broke: map[string][]brokeOff{}}
 }
 
-// brokeOff is a request that broke off at a server.
+// brokeOff is a request that broke off at a server, some time after it was sent.
 type brokeOff struct {
 	content poison.Digest
 	at      time.Time
+	ran     time.Duration
 }
 
 // brokeFor is how long after a request broke off a later start of its server shows that the
@@ -69,10 +70,10 @@
 const brokeFor = 10 * time.Second
 
 // breakOff notes that a request broke off at a start of a server.
-func (c *contents) breakOff(d poison.Digest, server string) {
+func (c *contents) breakOff(b brokeOff, server string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.broke[server] = append(c.broke[server], brokeOff{d, c.clock.Now()})
+	c.broke[server] = append(c.broke[server], b)
 }
 
 // restarted takes that a start of a server has been replaced, which ended what broke off
@@ -84,16 +85,16 @@
 	c.mu.Unlock()
 	for _, b := range list {
 		if c.clock.Since(b.at) < brokeFor {
-			c.ended(g, b.content, server)
+			c.ended(g, b, server)
 		}
 	}
 }
 
-func (c *contents) ended(g *Gateway, d poison.Digest, server string) {
+func (c *contents) ended(g *Gateway, b brokeOff, server string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.table.Ended(c.clock.Now(), d, server) {
-		event.ContentBlocked.Log(g.log, "content", d.String())
+	if c.table.Ended(c.clock.Now(), b.content, server, b.at, b.ran) {
+		event.ContentBlocked.Log(g.log, "content", b.content.String())
 	}
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -256,7 +256,7 @@
 	metric.Sends.WithLabelValues(q.service.Name, r.kind.String()).Inc()
 	event.SendFailed.Log(g.log, "id", q.id, "server", s.Called(), "phase", s.Role, "kind", r.kind.String(), "status", r.status, "ms", took.Milliseconds(), "error", r.err)
 	if (r.kind == broken || r.kind == late) && !errors.Is(ctx.Err(), context.Canceled) {
-		g.lookAfter(q, s)
+		g.lookAfter(q, s, took)
 	}
 }
 
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -137,7 +137,7 @@
 	n.endRead()
 	if r.kind != answered {
 		n.q.tried[n.pair.Prefill.ID] = true
-		n.g.noteSend(ctx, n.q, n.pair.Prefill, r, n.g.clock.Since(n.q.arrived))
+		n.g.noteSend(ctx, n.q, n.pair.Prefill, r, n.g.clock.Since(n.placedAt))
 		if r.kind == notRun || r.kind == misdirected {
 			n.g.fleet.spend(n.q.service.Name)
 		}
--- a/gateway/look.go
+++ b/gateway/look.go
@@ -24,11 +24,13 @@
 
 var errRestarted = errors.New("gateway: the server has started again")
 
-// lookAfter finds out whether a server has ended under a request that broke off there. A
+// lookAfter finds out whether a server has ended under a request that broke off there, some
+// time after it was sent. A
 // connection that broke alone, as by a reset on the way, says nothing of the request.
-func (g *Gateway) lookAfter(q *request, s *dispatch.Server) {
-	content, made := q.content(), q.work.Made
-	g.contents.breakOff(content, s.ID)
+func (g *Gateway) lookAfter(q *request, s *dispatch.Server, ran time.Duration) {
+	made := q.work.Made
+	broke := brokeOff{content: q.content(), at: g.clock.Now(), ran: ran}
+	g.contents.breakOff(broke, s.ID)
 	done := make(chan struct{})
 	q.looked = done
 	g.wg.Go(func() {
@@ -37,8 +39,8 @@
 		if err == nil || g.ctx.Err() != nil {
 			return
 		}
-		event.ServerEnded.Log(g.log, "id", q.id, "content", content.String(), "server", s.Called(), "phase", s.Role, "made", made, "error", err)
-		g.contents.ended(g, content, s.ID)
+		event.ServerEnded.Log(g.log, "id", q.id, "content", broke.content.String(), "server", s.Called(), "phase", s.Role, "made", made, "error", err)
+		g.contents.ended(g, broke, s.ID)
 	})
 }
 
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -223,12 +223,13 @@
 	r := n.sendTo(s)
 	r.Header.Set(h.KVSource, m.from.Address+"/"+m.kv.Handle)
 	n.resumeAt(r.Header)
+	started := n.g.clock.Now()
 	a, err = n.g.pool.Do(ctx, h, r)
 	if err != nil {
 		var be *backend.Error
 		begun = !errors.As(err, &be) || be.Sent
 		if begun && ctx.Err() == nil {
-			n.g.lookAfter(n.q, s)
+			n.g.lookAfter(n.q, s, n.g.clock.Since(started))
 		}
 		return nil, begun, err
 	}
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/ledgepin/ledgepin/standin"
 )
@@ -64,3 +65,41 @@
 	assert.Equal(t, ran(servers...), 3, "servers that ended")
 	assert.Equal(t, r.send("POST", "/rates/1", "other", "harmless", nil).status, http.StatusOK)
 }
+
+// TestServersThatEndTogether wants a content that several servers run when all of them end at
+// once, as when a rack loses its power, to be served by the servers that come after them.
+func TestServersThatEndTogether(t *testing.T) {
+	r := newRig(t)
+	hang := func(*http.Request) standin.Fault { return standin.Hang }
+	var servers []*standin.Backend
+	for n := range 5 {
+		s := r.add("plain", fmt.Sprintf("s%d", n), "")
+		s.SetFault(hang)
+		servers = append(servers, s)
+	}
+	done := make(chan reply, 10)
+	for n := range 10 {
+		go func() { done <- r.send("POST", "/seats/1", fmt.Sprint("popular-", n), "popular", nil) }()
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, s := range servers {
+			if s.Running() == 0 {
+				return poll.Continue("not all servers run it")
+			}
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	for _, s := range servers {
+		go s.Kill()
+	}
+	for range 10 {
+		<-done
+	}
+	r.add("plain", "next", "")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := r.send("POST", "/seats/1", "after", "popular", nil); got.status != http.StatusOK {
+			return poll.Continue("%d %s", got.status, got.body)
+		}
+		return poll.Success()
+	})
+}
--- a/poison/table.go
+++ b/poison/table.go
@@ -8,7 +8,8 @@
 
 // Bounds of what is kept.
 const (
-	// blockAt is the number of servers that must have ended under a content. A whole run
+	// blockAt is the number of servers that must have ended under a content, one after the
+	// other. A whole run
 	// excuses a content, so a third ending without one is hardly chance; one more would
 	// cost a server and all that it runs.
 	blockAt = 3
@@ -31,6 +32,8 @@
 	Age time.Duration `cbor:"2,keyasint,omitempty"`
 	// Excused tells that the content has run to its end since.
 	Excused bool `cbor:"3,keyasint,omitempty"`
+	// Ran is how long before that the content had been sent to the server.
+	Ran time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Record is what is known of a content, as tables tell each other.
@@ -41,8 +44,8 @@
 
 // ending is one Ending with its time.
 type ending struct {
-	at      time.Time
-	excused bool
+	sent, at time.Time
+	excused  bool
 }
 
 type entry struct {
@@ -68,10 +71,10 @@
 // Changes is the number of the newest change.
 func (t *Table) Changes() uint64 { return t.changes }
 
-// Ended notes that a server has ended while it ran a content. It returns whether the
-// content is blocked by that.
-func (t *Table) Ended(now time.Time, d Digest, server string) bool {
-	return len(t.Merge(now, []Record{{Content: d, Endings: []Ending{{Server: server}}}})) > 0
+// Ended notes that a server ended at a time while it ran a content, which had been sent to
+// it for a while. It returns whether the content is blocked by that.
+func (t *Table) Ended(now time.Time, d Digest, server string, at time.Time, ran time.Duration) bool {
+	return len(t.Merge(now, []Record{{Content: d, Endings: []Ending{{Server: server, Age: now.Sub(at), Ran: ran}}}})) > 0
 }
 
 // Ran notes that a content has run to its end at a server that is there, which excuses it
@@ -128,6 +131,7 @@
 		}
 		if !known {
 			old.at = now.Add(-x.Age)
+			old.sent = old.at.Add(-x.Ran)
 		}
 		old.excused = x.Excused
 		e.endings[x.Server] = old
@@ -156,15 +160,24 @@
 	return n
 }
 
+// blockedFor counts the servers that ended one after the other. Of runs that were under way
+// together one ending counts: when a rack loses its power, all that many callers ask at that
+// moment ends with several servers at once.
 func (e *entry) blockedFor(now time.Time) time.Duration {
-	n, newest := 0, time.Time{}
+	if len(e.endings) < blockAt {
+		return 0
+	}
+	list := make([]ending, 0, len(e.endings))
 	for _, x := range e.endings {
-		if x.excused {
-			continue
+		if !x.excused {
+			list = append(list, x)
 		}
-		n++
-		if x.at.After(newest) {
-			newest = x.at
+	}
+	slices.SortFunc(list, func(a, b ending) int { return a.at.Compare(b.at) })
+	n, newest := 0, time.Time{}
+	for _, x := range list {
+		if x.sent.After(newest) {
+			n, newest = n+1, x.at
 		}
 	}
 	if n < blockAt {
@@ -187,7 +200,7 @@
 		r := Record{Content: d}
 		for _, server := range slices.Sorted(maps.Keys(e.endings)) {
 			x := e.endings[server]
-			r.Endings = append(r.Endings, Ending{Server: server, Age: now.Sub(x.at), Excused: x.excused})
+			r.Endings = append(r.Endings, Ending{Server: server, Age: now.Sub(x.at), Ran: x.at.Sub(x.sent), Excused: x.excused})
 		}
 		out = append(out, r)
 	}
