--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -16,10 +16,8 @@
 	// same name may have used its part of the constant within the window.
 	Since time.Time
 
-	// start is the first use: slots count from it on the monotonic clock, since
-	// the time of day may jump.
-	start   time.Time
-	buckets [budgetBuckets]budgetBucket
+	// sends counts requests, and sends beyond the first of each.
+	sends window
 }
 
 const (
@@ -32,39 +30,24 @@
 	freshUse = 0.3
 )
 
-type budgetBucket struct {
-	slot            int64
-	requests, extra int
-}
-
-func (b *Budget) bucket(now time.Time) *budgetBucket {
-	if b.start.IsZero() {
-		b.start = now
+// window returns the counts, which begin with the first use.
+func (b *Budget) window() *window {
+	if b.sends.parts == nil {
+		b.sends = newWindow(budgetBuckets, b.Window/(budgetBuckets-1))
 	}
-	slot := 1 + int64(now.Sub(b.start)/(b.Window/(budgetBuckets-1)))
-	k := &b.buckets[slot%budgetBuckets]
-	if k.slot != slot {
-		*k = budgetBucket{slot: slot}
-	}
-	return k
+	return &b.sends
 }
 
 // Request counts a request.
-func (b *Budget) Request(now time.Time) { b.bucket(now).requests++ }
+func (b *Budget) Request(now time.Time) { b.window().at(now).a++ }
 
 // Spend counts sends that could not be foreseen.
-func (b *Budget) Spend(now time.Time, sends int) { b.bucket(now).extra += sends }
+func (b *Budget) Spend(now time.Time, sends int) { b.window().at(now).b += sends }
 
 // Take counts further sends if all of them are allowed.
 func (b *Budget) Take(now time.Time, gateways, sends int) bool {
-	newest := b.bucket(now).slot
-	requests, extra := 0, 0
-	for i := range b.buckets {
-		if k := &b.buckets[i]; newest-k.slot < budgetBuckets {
-			requests += k.requests
-			extra += k.extra
-		}
-	}
+	newest := b.window().at(now)
+	requests, extra := b.window().sum(now)
 	slack := b.Slack / float64(max(gateways, 1))
 	if now.Sub(b.Since) < b.Window {
 		slack *= freshUse
@@ -73,6 +56,6 @@
 	if float64(extra+sends) > allowed {
 		return false
 	}
-	b.bucket(now).extra += sends
+	newest.b += sends
 	return true
 }
--- a/dispatch/evidence.go
+++ b/dispatch/evidence.go
@@ -65,47 +65,27 @@
 	returnDraw = 200 * time.Millisecond
 )
 
-// evidence keeps the outcomes of one gateway's requests to one server.
-type evidence struct {
-	// start is the first outcome: slots count from it on the monotonic clock, since
-	// the time of day may jump.
-	start     time.Time
-	slots     [evidenceBuckets]int64
-	good, bad [evidenceBuckets]int
-}
-
-// slot is the number of a part of the time, from one on.
-func (e *evidence) slot(now time.Time) int64 {
-	return 1 + int64(now.Sub(e.start)/(evidenceTime/evidenceBuckets))
-}
+// evidence keeps the outcomes of one gateway's requests to one server: those that went well
+// and those that failed.
+type evidence struct{ outcomes window }
 
 // note counts an outcome.
 func (e *evidence) note(now time.Time, bad bool) {
-	if e.start.IsZero() {
-		e.start = now
-	}
-	slot := e.slot(now)
-	i := slot % evidenceBuckets
-	if e.slots[i] != slot {
-		e.slots[i], e.good[i], e.bad[i] = slot, 0, 0
+	if e.outcomes.parts == nil {
+		e.outcomes = newWindow(evidenceBuckets, evidenceTime/evidenceBuckets)
 	}
+	c := e.outcomes.at(now)
 	if bad {
-		e.bad[i]++
+		c.b++
 	} else {
-		e.good[i]++
+		c.a++
 	}
 }
 
 // sum returns what counts now.
 func (e *evidence) sum(now time.Time) Evidence {
-	newest := e.slot(now)
 	var out Evidence
-	for i, slot := range e.slots {
-		if slot > 0 && newest-slot < evidenceBuckets {
-			out.Good += e.good[i]
-			out.Bad += e.bad[i]
-		}
-	}
+	out.Good, out.Bad = e.outcomes.sum(now)
 	if out.Bad > 0 {
 		out.Gateways = 1
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
-	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -13,8 +10,6 @@
 	"github.com/ledgepin/ledgepin/backend"
 	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/dispatch"
-	"github.com/ledgepin/ledgepin/event"
-	"github.com/ledgepin/ledgepin/metric"
 	"github.com/ledgepin/ledgepin/poison"
 	"github.com/ledgepin/ledgepin/route"
 )
@@ -136,8 +131,6 @@
 	return q, nil
 }
 
-var errTooLarge = errors.New("gateway: the body is too large")
-
 // Times of a gateway that is about to end.
 const (
 	// leastTargets and leastTime are the time, in targets of the route and at
@@ -176,33 +169,6 @@
 	}
 }
 
-// readBody reads a body of at most limit bytes; no limit if it is zero.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
-	if limit <= 0 {
-		limit = 1 << 30
-	}
-	if r.ContentLength > limit {
-		return nil, errTooLarge
-	}
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = errTooLarge
-	}
-	return body, err
-}
-
-func bodyRefusal(err error) *refusal {
-	if errors.Is(err, errTooLarge) {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large", closing: true}
-	}
-	return &refusal{status: http.StatusBadRequest, reason: "the body could not be read", closing: true}
-}
-
 // deadlineOf is the time that a request may take: what the caller waits, and at
 // most what the operator allows.
 func deadlineOf(field string, timeout time.Duration) time.Duration {
@@ -214,42 +180,6 @@
 	return min(time.Duration(ms*float64(time.Millisecond)), timeout)
 }
 
-// hopByHop are fields that belong to one connection.
-var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
-}
-
-// forwarded returns the fields of a caller that go to a server: not those of
-// the connection, nor the private ones that are no caller's to set.
-func forwarded(private []string, in http.Header) http.Header {
-	out := make(http.Header, len(in)+4)
-	drop := perConnection(in)
-	for name, values := range in {
-		if !hopByHop[name] && !drop[name] {
-			out[name] = values
-		}
-	}
-	for _, name := range private {
-		out.Del(name)
-	}
-	return out
-}
-
-// perConnection returns the fields that a Connection field names.
-func perConnection(in http.Header) map[string]bool {
-	var out map[string]bool
-	for _, field := range in["Connection"] {
-		for _, name := range strings.Split(field, ",") {
-			if out == nil {
-				out = map[string]bool{}
-			}
-			out[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	return out
-}
-
 // Estimates of the length of answers.
 const (
 	// hintFactor is the mean length over the median, which the hint gives.
@@ -311,55 +241,3 @@
 	const use = 0.5
 	return max(int(use*float64(most)/float64(max(sharing, 1))), 1)
 }
-
-// refusal is an answer of the gateway's own.
-type refusal struct {
-	status int
-	reason string
-	// route is the name of the route, if one was found.
-	route string
-	// retryAfter tells the caller when to come back; zero if not useful.
-	retryAfter time.Duration
-	// closing ends the connection, since the rest of the request is unread.
-	closing bool
-}
-
-var notReady = refusal{status: http.StatusServiceUnavailable, reason: "no routing table yet", retryAfter: 500 * time.Millisecond}
-
-// refuse answers a request that no server has answered.
-func (g *Gateway) refuse(w http.ResponseWriter, id string, r refusal) {
-	head := w.Header()
-	if id != "" {
-		head.Set(g.cfg.Protocol.Headers.RequestID, id)
-	}
-	if r.retryAfter > 0 {
-		head.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 2, 64))
-	}
-	if r.closing {
-		head.Set("Connection", "close")
-	}
-	metric.RouteRequests.WithLabelValues(r.route, r.reason).Inc()
-	event.RequestRefused.Log(g.log, "id", id, "route", r.route, "status", r.status, "reason", r.reason, "retry_after_ms", r.retryAfter.Milliseconds())
-	body := r.reason + "\n"
-	if r.status == http.StatusUnauthorized {
-		head.Set("WWW-Authenticate", "Bearer")
-	}
-	head.Set("Content-Type", "text/plain; charset=utf-8")
-	head.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(r.status)
-	_, _ = io.WriteString(w, body)
-}
-
-// copyHead puts the fields of a server's answer before the caller.
-func copyHead(w http.ResponseWriter, in http.Header) {
-	out := w.Header()
-	drop := perConnection(in)
-	for name, values := range in {
-		if !hopByHop[name] && !drop[name] {
-			out[name] = values
-		}
-	}
-	if _, ok := in["Content-Type"]; !ok {
-		out["Content-Type"] = nil // none is guessed
-	}
-}
