--- /dev/null
+++ b/poison/main_test.go
@@ -0,0 +1,3 @@
+package poison
+
+import _ "github.com/ledgepin/ledgepin/internal/seeded"
--- a/poison/table.go
+++ b/poison/table.go
@@ -121,25 +121,36 @@
 	return blocked
 }
 
-// merge adds endings that are news and tells whether there were any.
+// merge adds endings that are news and tells whether there were any. Several gateways may see
+// one server end, at times that differ: the earliest of each counts, so that all tables come
+// to the same, and what a way between two of them adds changes nothing.
 func (e *entry) merge(now time.Time, list []Ending) bool {
 	changed := false
 	for _, x := range list {
-		old, known := e.endings[x.Server]
-		if x.Age >= keepFor || known && (old.excused || !x.Excused) {
+		if x.Age >= keepFor {
 			continue
 		}
-		if !known {
-			old.at = now.Add(-x.Age)
-			old.sent = old.at.Add(-x.Ran)
+		old, known := e.endings[x.Server]
+		at := now.Add(-x.Age)
+		merged := ending{sent: at.Add(-x.Ran), at: at, excused: x.Excused}
+		if known {
+			merged = ending{sent: earliest(old.sent, merged.sent), at: earliest(old.at, at), excused: old.excused || x.Excused}
+		}
+		if merged != old || !known {
+			e.endings[x.Server] = merged
+			changed = true
 		}
-		old.excused = x.Excused
-		e.endings[x.Server] = old
-		changed = true
 	}
 	return changed
 }
 
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // Blocked returns for how long a content is still refused; zero if it is not.
 func (t *Table) Blocked(now time.Time, d Digest) time.Duration {
 	e := t.contents[d]
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -188,3 +188,20 @@
 		table.Blocked(start, c.Digest())
 	}
 }
+
+// TestTwoTimesOfOneEnding wants tables to agree on a server whose end two gateways saw at
+// different times: which of the times came first to a table made it count or not.
+func TestTwoTimesOfOneEnding(t *testing.T) {
+	a, b := NewTable(), NewTable()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	a.Ended(at(0), digest(3), "s1", at(0), 0)
+	a.Ended(at(1), digest(3), "s2", at(1), 0)
+	b.Ended(at(2), digest(3), "s1", at(2), 0)
+	a.Ended(at(3), digest(3), "s6", at(3), time.Millisecond)
+	toB, _ := a.Since(at(3), 0, 1)
+	toA, _ := b.Since(at(3), 0, 1)
+	a.Merge(at(3), toA)
+	b.Merge(at(3), toB)
+	assert.Equal(t, a.Blocked(at(3), digest(3)), b.Blocked(at(3), digest(3)))
+	assert.Assert(t, b.Blocked(at(3), digest(3)) > 0)
+}
