--- a/poison/main_test.go
+++ b/poison/main_test.go
@@ -1,3 +1,10 @@
 package poison
 
-import _ "github.com/ledgepin/ledgepin/internal/seeded"
+import (
+	"os"
+	"testing"
+
+	"github.com/ledgepin/ledgepin/internal/seeded"
+)
+
+func TestMain(m *testing.M) { os.Exit(seeded.Main(m)) }
