--- a/gateway/contents.go
+++ b/gateway/contents.go
@@ -35,7 +35,7 @@
 	if q.looked != nil {
 		select {
 		case <-q.looked:
-		case <-time.After(lookWait):
+		case <-time.After(g.lookWait):
 		}
 		q.looked = nil
 	}
@@ -65,6 +65,11 @@
 	ran     time.Duration
 }
 
+// brokeOff returns a request as one that breaks off now.
+func (g *Gateway) brokeOff(q *request, ran time.Duration) brokeOff {
+	return brokeOff{content: q.content(), at: g.clock.Now(), ran: ran}
+}
+
 // brokeFor is how long after a request broke off a later start of its server shows that the
 // server ended under it: servers that crash are back after some seconds.
 const brokeFor = 10 * time.Second
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -255,8 +255,13 @@
 	}
 	metric.Sends.WithLabelValues(q.service.Name, r.kind.String()).Inc()
 	event.SendFailed.Log(g.log, "id", q.id, "server", s.Called(), "phase", s.Role, "kind", r.kind.String(), "status", r.status, "ms", took.Milliseconds(), "error", r.err)
-	if (r.kind == broken || r.kind == late) && !errors.Is(ctx.Err(), context.Canceled) {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+	case r.kind == broken:
 		g.lookAfter(q, s, took)
+	case r.kind == late:
+		// A server that is full is late often, and to ask it takes one more of its slots.
+		g.contents.breakOff(g.brokeOff(q, took), s.ID)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,9 @@
 	fleet           *fleet
 	limits          *limits
 	contents        *contents
+	// lookWait is how long a request waits for a look at the server before it: the
+	// constant of that name, but in tests.
+	lookWait time.Duration
 	// kept is what engines keep of prompts, by service.
 	keptMu sync.Mutex
 	kept   map[string]*keptPrompts
@@ -80,7 +83,7 @@
 	g := &Gateway{
 		cfg: cfg, clock: cfg.Clock, log: cfg.Log.With("role", "gateway", "name", cfg.Name), ctx: ctx, cancel: cancel,
 		private: cfg.Protocol.Headers.Private(), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Clock, cfg.Name, cfg.Zone, cfg.Retry), kept: map[string]*keptPrompts{}, keptWait: keptTimeout,
-		limits: newLimits(cfg.Clock, cfg.Quota), contents: newContents(cfg.Clock),
+		limits: newLimits(cfg.Clock, cfg.Quota), contents: newContents(cfg.Clock), lookWait: lookWait,
 	}
 	g.links = newLinks(g)
 	g.links.meet(cfg.Seeds)
--- a/gateway/look.go
+++ b/gateway/look.go
@@ -29,7 +29,7 @@
 // connection that broke alone, as by a reset on the way, says nothing of the request.
 func (g *Gateway) lookAfter(q *request, s *dispatch.Server, ran time.Duration) {
 	made := q.work.Made
-	broke := brokeOff{content: q.content(), at: g.clock.Now(), ran: ran}
+	broke := g.brokeOff(q, ran)
 	g.contents.breakOff(broke, s.ID)
 	done := make(chan struct{})
 	q.looked = done
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -88,6 +88,7 @@
 		Name: "g", Zone: "z", Protocol: protocol, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Retry: dispatch.Budget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second},
 	})
+	r.gateway.lookWait = 5 * time.Second // no test hangs on how busy the machine is
 	t.Cleanup(r.gateway.Close)
 	r.front = httptest.NewServer(r.gateway)
 	t.Cleanup(r.front.Close)
