--- a/wire/message.go
+++ b/wire/message.go
@@ -17,7 +17,7 @@
 )
 
 // Version is the protocol version; peers must have the same.
-const Version = 2
+const Version = 3
 
 // Message is one frame. Exactly one field is set.
 type Message struct {
