--- a/registry/registry.go
+++ b/registry/registry.go
@@ -142,16 +142,20 @@
 	if heard.After(old.heardAt) {
 		old.heardAt = heard
 	}
-	before := old.server
-	if rank(s.State) < rank(before.State) || s.Sequence < before.Sequence && s.State == before.State {
+	if rank(s.State) < rank(old.server.State) || s.Sequence < old.server.Sequence && s.State == old.server.State {
 		return News{}, false
 	}
 	if s.State == Gone {
-		old.server.State = Gone
-	} else {
+		s = old.server
+		s.State = Gone
+	}
+	if same(old.server, s) {
 		old.server = s
+		return News{}, false
 	}
-	return News{Server: old.server, Before: &before}, !same(before, old.server)
+	before := old.server // copied for news only: most reports have none, by hundreds a second
+	old.server = s
+	return News{Server: s, Before: &before}, true
 }
 
 func rank(s State) int {
