--- a/control/known.go
+++ b/control/known.go
@@ -128,7 +128,7 @@
 		if s.State == registry.Ready {
 			s.Age = max(serverKeep-lastKnownFor, 0)
 		}
-		h.note(now, s)
+		_, _ = h.note(now, s) // what was kept of an earlier start is of no use
 	}
 	for _, a := range m.Away {
 		back := now.Add(a.For)
--- a/control/listing.go
+++ b/control/listing.go
@@ -23,11 +23,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
+	heard = len(h.peers)+len(h.gateways) > 0
 	s = h.servers.Resolve(s)
-	if err := h.servers.Check(s); err != nil {
-		return len(h.peers)+len(h.gateways) > 0, err
+	news, err := h.note(now, s)
+	if err != nil {
+		return heard, err
 	}
-	news := h.note(now, s)
 	_, known := h.home[s.ID]
 	if s.State == registry.Ready {
 		h.home[s.ID] = now
@@ -43,7 +44,7 @@
 	case !known:
 		h.waiting = append(h.waiting, s)
 	}
-	return len(h.peers)+len(h.gateways) > 0, nil
+	return heard, nil
 }
 
 // take takes what another replica tells of servers.
@@ -52,7 +53,7 @@
 	defer h.mu.Unlock()
 	now := h.clock.Now()
 	for _, s := range m.List {
-		h.note(now, s)
+		_, _ = h.note(now, s) // the replica that the server told has told of a refusal
 	}
 	roster := h.rosters[l]
 	if roster == nil {
@@ -66,9 +67,9 @@
 }
 
 // note puts a report into the registry and tells gateways what is new by it. It returns
-// whether anything is. Callers hold the lock.
-func (h *hub) note(now time.Time, s registry.Server) bool {
-	news := h.servers.Report(now, s)
+// whether anything is, and why the report is not taken if it is not. Callers hold the lock.
+func (h *hub) note(now time.Time, s registry.Server) (isNews bool, err error) {
+	news, err := h.servers.Report(now, s)
 	for _, n := range news {
 		h.changed = true
 		if n.Before != nil && n.Before.State == registry.Ready {
@@ -83,7 +84,7 @@
 		}
 		h.tellNews(n.Server)
 	}
-	return len(news) > 0
+	return len(news) > 0, err
 }
 
 // homeWithin is how long after its last report a server counts as one that reports to
--- a/control/roles.go
+++ b/control/roles.go
@@ -132,7 +132,7 @@
 	if err != nil || report.Busy || report.Role == o.Role {
 		return 0, err
 	}
-	if report.Born != 0 && s.Born != 0 && report.Born != s.Born {
+	if !s.BornAt(report.Born) {
 		return 0, errRestarted
 	}
 	fence, ok := c.fence(c.clock.Now())
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -96,29 +96,28 @@
 // Resolve returns a word about a server with the start that it is about.
 func (r *Registry) Resolve(s Server) Server { return r.starts.Resolve(s) }
 
-// Check returns why a report is not taken: it is of an earlier start, or it says of a
-// start that is known what only another server can say. A late report is no error.
-func (r *Registry) Check(s Server) error {
-	if n, known := r.starts.newest[s.Called()]; known && n.born > s.Born {
-		return ErrEarlier
-	}
-	if old := r.servers[s.ID]; old != nil && s.State != Gone && old.server.State != Gone &&
-		(old.server.Service != s.Service || s.Address != "" && old.server.Address != s.Address) {
-		return ErrAnother
-	}
-	return nil
+// contradicts tells whether a report says of a start that is known what only another server
+// can say.
+func (r *Registry) contradicts(s Server) bool {
+	old := r.servers[s.ID]
+	return old != nil && s.State != Gone && old.server.State != Gone &&
+		(old.server.Service != s.Service || s.Address != "" && old.server.Address != s.Address)
 }
 
 // Report takes a report and returns the servers of which it tells something new: a new
 // one, other words of a known one, and first of all the earlier start that a new one
-// replaces. A start that has said that it drains or is gone never becomes ready again.
-func (r *Registry) Report(now time.Time, s Server) []News {
+// replaces. A start that has said that it drains or is gone never becomes ready again. An
+// error tells why a report is not taken: ErrEarlier or ErrAnother. A late report is none.
+func (r *Registry) Report(now time.Time, s Server) ([]News, error) {
 	s = r.Resolve(s)
-	if r.Check(s) != nil {
-		return nil
+	if r.contradicts(s) {
+		return nil, ErrAnother
+	}
+	replaced, err := r.starts.Take(now, s)
+	if err != nil {
+		return nil, err
 	}
 	var out []News
-	replaced, _ := r.starts.Take(now, s)
 	if old := r.servers[replaced]; old != nil && old.server.State != Gone {
 		before := old.server
 		old.server.State = Gone
@@ -127,7 +126,7 @@
 	if n, ok := r.take(now, s); ok {
 		out = append(out, n)
 	}
-	return out
+	return out, nil
 }
 
 // take puts a report in the place of the one before.
--- a/registry/start.go
+++ b/registry/start.go
@@ -31,6 +31,10 @@
 // other programs lose digits.
 const MaxBorn = 1 << 53
 
+// BornAt tells whether a time of a start that a server has told of itself is that of s. One
+// that either does not tell is taken to be.
+func (s Server) BornAt(told int64) bool { return told == 0 || s.Born == 0 || told == s.Born }
+
 // startKeep is how long the newest start of a name is remembered after its last word: an
 // earlier one must not come back, however late its words are.
 const startKeep = time.Hour
