--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -53,6 +53,13 @@
 // Unwrap returns the error below.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// WasSent tells whether an error is that of a request which a server may have seen, and to
+// which it has not begun to answer.
+func WasSent(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Sent
+}
+
 // Answer is the answer of a server. Its body must be read to the end or
 // closed.
 type Answer struct {
--- a/control/roles.go
+++ b/control/roles.go
@@ -142,8 +142,7 @@
 	status, _, err = c.call(ctx, pool, s, protocol.RoleOrder(backend.RoleOrder{
 		Role: o.Role, Holder: c.cfg.Name, Fence: fence, Sequence: report.Sequence,
 	}))
-	var be *backend.Error
-	if errors.As(err, &be) && be.Sent {
+	if backend.WasSent(err) {
 		return 0, errNoAnswer
 	}
 	return status, err
--- a/gateway/contents.go
+++ b/gateway/contents.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"net/http"
 	"sync"
 	"time"
@@ -45,6 +46,7 @@
 // contents is the lock around the contents under which servers have ended.
 type contents struct {
 	clock *clock.Clock
+	log   *slog.Logger
 	mu    sync.Mutex
 	table *poison.Table
 	// broke are the contents that broke off of late at each start of a server, and when.
@@ -54,8 +56,8 @@
 	told   uint64
 }
 
-func newContents(c *clock.Clock) *contents {
-	return &contents{clock: c, table: poison.NewTable(), broke: map[string][]brokeOff{}}
+func newContents(c *clock.Clock, log *slog.Logger) *contents {
+	return &contents{clock: c, log: log, table: poison.NewTable(), broke: map[string][]brokeOff{}}
 }
 
 // brokeOff is a request that broke off at a server, some time after it was sent.
@@ -65,50 +67,49 @@
 	ran     time.Duration
 }
 
-// brokeOff returns a request as one that breaks off now.
-func (g *Gateway) brokeOff(q *request, ran time.Duration) brokeOff {
-	return brokeOff{content: q.content(), at: g.clock.Now(), ran: ran}
-}
-
 // brokeFor is how long after a request broke off a later start of its server shows that the
 // server ended under it: servers that crash are back after some seconds.
 const brokeFor = 10 * time.Second
 
-// breakOff notes that a request broke off at a start of a server.
-func (c *contents) breakOff(b brokeOff, server string) {
+// note notes that a request breaks off at a start of a server now, some time after it was
+// sent there.
+func (c *contents) note(q *request, server string, ran time.Duration) brokeOff {
+	b := brokeOff{content: q.content(), at: c.clock.Now(), ran: ran}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.broke[server] = append(c.broke[server], b)
+	return b
 }
 
 // restarted takes that a start of a server has been replaced, which ended what broke off
 // there.
-func (c *contents) restarted(g *Gateway, server string) {
+func (c *contents) restarted(server string) {
 	c.mu.Lock()
 	list := c.broke[server]
 	delete(c.broke, server)
 	c.mu.Unlock()
 	for _, b := range list {
 		if c.clock.Since(b.at) < brokeFor {
-			c.ended(g, b, server)
+			c.ended(b, server)
 		}
 	}
 }
 
-func (c *contents) ended(g *Gateway, b brokeOff, server string) {
+// ended notes that a server has ended under a request that broke off there.
+func (c *contents) ended(b brokeOff, server string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.table.Ended(c.clock.Now(), b.content, server, b.at, b.ran) {
-		event.ContentBlocked.Log(g.log, "content", b.content.String())
+		event.ContentBlocked.Log(c.log, "content", b.content.String())
 	}
 }
 
 // take takes what a replica tells.
-func (c *contents) take(g *Gateway, list []poison.Record) {
+func (c *contents) take(list []poison.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, d := range c.table.Merge(c.clock.Now(), list) {
-		event.ContentBlocked.Log(g.log, "content", d.String())
+		event.ContentBlocked.Log(c.log, "content", d.String())
 	}
 }
 
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -41,7 +41,7 @@
 // decode has the answer made and passes it on.
 func (n *generation) decode(ctx context.Context, s *dispatch.Server, withKV bool) result {
 	g, q, h := n.g, n.q, &n.g.cfg.Protocol.Headers
-	started := n.g.clock.Now()
+	started := g.clock.Now()
 	r := n.sendTo(s)
 	if withKV {
 		r.Header.Set(h.KVSource, n.kvFrom.Address+"/"+n.kv.Handle)
@@ -57,7 +57,7 @@
 			n.decodes++
 		}
 		g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
-		g.noteSend(ctx, q, s, res, n.g.clock.Since(started))
+		g.noteSend(ctx, q, s, res, g.clock.Since(started))
 		return res
 	}
 	defer func() { a.Close() }()
@@ -67,7 +67,7 @@
 			n.handover.Refused = append(n.handover.Refused, s.ID)
 		}
 		g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
-		g.noteSend(ctx, q, s, res, n.g.clock.Since(started))
+		g.noteSend(ctx, q, s, res, g.clock.Since(started))
 		return res
 	}
 	n.kv.Handle, n.hold = "", "" // taken
@@ -80,14 +80,14 @@
 	}
 	s, a, err = n.relay(ctx, s, a)
 	if err == nil {
-		g.fleet.note(s.ID, dispatch.Good, n.g.clock.Since(started))
+		g.fleet.note(s.ID, dispatch.Good, g.clock.Since(started))
 		g.contents.ran(q)
 		n.done(s, a.Status)
 		return result{kind: answered, status: a.Status}
 	}
 	res := result{kind: broken, err: err}
 	g.fleet.note(s.ID, outcomeOf(ctx, res), 0)
-	g.noteSend(ctx, q, s, res, n.g.clock.Since(started))
+	g.noteSend(ctx, q, s, res, g.clock.Since(started))
 	return res
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -261,7 +261,7 @@
 		g.lookAfter(q, s, took)
 	case r.kind == late:
 		// A server that is full is late often, and to ask it takes one more of its slots.
-		g.contents.breakOff(g.brokeOff(q, took), s.ID)
+		g.contents.note(q, s.ID, took)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,10 +80,11 @@
 // routing table.
 func Start(cfg Config) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
+	log := cfg.Log.With("role", "gateway", "name", cfg.Name)
 	g := &Gateway{
-		cfg: cfg, clock: cfg.Clock, log: cfg.Log.With("role", "gateway", "name", cfg.Name), ctx: ctx, cancel: cancel,
+		cfg: cfg, clock: cfg.Clock, log: log, ctx: ctx, cancel: cancel,
 		private: cfg.Protocol.Headers.Private(), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Clock, cfg.Name, cfg.Zone, cfg.Retry), kept: map[string]*keptPrompts{}, keptWait: keptTimeout,
-		limits: newLimits(cfg.Clock, cfg.Quota), contents: newContents(cfg.Clock), lookWait: lookWait,
+		limits: newLimits(cfg.Clock, cfg.Quota), contents: newContents(cfg.Clock, log), lookWait: lookWait,
 	}
 	g.links = newLinks(g)
 	g.links.meet(cfg.Seeds)
@@ -114,6 +115,13 @@
 	}
 }
 
+// restarted ends what was under way at a start of a server that a later one has replaced.
+func (g *Gateway) restarted(s *dispatch.Server) {
+	event.ServerRestarted.Log(g.log, "server", s.Called(), "address", s.Address)
+	g.contents.restarted(s.ID)
+	g.pool.End(s.ID, s.Address)
+}
+
 // firstTable is how long a request waits for the first table, and to be told for the
 // first time what organisations have used: a gateway that has just started gets that
 // within some tenths of a second.
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -239,7 +239,7 @@
 		r := g.fleet.ruled(q.work, q.service.Engine)
 		event.NoRoom.Log(g.log, "id", q.id, "rule", string(r.Rule), "prompt", q.work.Prompt, "expected", q.work.Expected, "engines", r.Engines,
 			"ruled", r.Count, "read_ms", r.Read.Milliseconds(), "queued", r.Queued, "gateways_known", r.Known, "gateways", r.Gateways,
-			"waited_ms", n.g.clock.Since(q.arrived).Milliseconds(), "prefills", n.prefills, "decodes", n.decodes)
+			"waited_ms", g.clock.Since(q.arrived).Milliseconds(), "prefills", n.prefills, "decodes", n.decodes)
 		g.refuse(w, q.id, refusal{route: q.route.Name, status: http.StatusServiceUnavailable, reason: "no engine has room", retryAfter: g.fleet.comeBack(q.service.Name, r.Read)})
 		return
 	}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -80,6 +80,17 @@
 	return l.limiter.Untold(now)
 }
 
+// charge counts a request if it lies within the limit of its organisation.
+func (l *limits) charge(q *request) quota.Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := l.limiter.Take(q.arrived, q.organisation.Name, q.size, rand.Float64())
+	if v.OK {
+		l.shares.Note(q.arrived, q.organisation.Name, q.size)
+	}
+	return v
+}
+
 // charge counts a request against the limit of its organisation, and refuses it if it
 // lies beyond that.
 func (g *Gateway) charge(q *request, tokens int) *refusal {
@@ -87,12 +98,7 @@
 		return nil
 	}
 	q.size = q.organisation.Size(tokens)
-	g.limits.mu.Lock()
-	v := g.limits.limiter.Take(q.arrived, q.organisation.Name, q.size, rand.Float64())
-	if v.OK {
-		g.limits.shares.Note(q.arrived, q.organisation.Name, q.size)
-	}
-	g.limits.mu.Unlock()
+	v := g.limits.charge(q)
 	if v.OK {
 		q.charged = true
 		metric.OrganisationRequests.WithLabelValues(q.organisation.Name, "taken").Inc()
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -138,9 +138,7 @@
 	switch {
 	case m.Servers != nil:
 		for _, s := range l.g.fleet.update(m.Servers, l.alive(address, m.Servers)) {
-			event.ServerRestarted.Log(l.g.log, "server", s.Called(), "address", s.Address)
-			l.g.contents.restarted(l.g, s.ID)
-			l.g.pool.End(s.ID, s.Address)
+			l.g.restarted(s)
 		}
 		l.g.fleet.away(m.Servers.Away)
 	case m.Routes != nil:
@@ -161,7 +159,7 @@
 	case m.Use != nil:
 		l.use(address, m.Use)
 	case m.Contents != nil:
-		l.g.contents.take(l.g, m.Contents)
+		l.g.contents.take(m.Contents)
 	case m.Loads != nil:
 		l.mu.Lock()
 		l.takeLoads(address, m.Loads)
--- a/gateway/look.go
+++ b/gateway/look.go
@@ -25,12 +25,10 @@
 var errRestarted = errors.New("gateway: the server has started again")
 
 // lookAfter finds out whether a server has ended under a request that broke off there, some
-// time after it was sent. A
-// connection that broke alone, as by a reset on the way, says nothing of the request.
+// time after it was sent. A connection that broke alone, as by a reset on the way, says
+// nothing of the request.
 func (g *Gateway) lookAfter(q *request, s *dispatch.Server, ran time.Duration) {
-	made := q.work.Made
-	broke := g.brokeOff(q, ran)
-	g.contents.breakOff(broke, s.ID)
+	made, broke := q.work.Made, g.contents.note(q, s.ID, ran)
 	done := make(chan struct{})
 	q.looked = done
 	g.wg.Go(func() {
@@ -40,7 +38,7 @@
 			return
 		}
 		event.ServerEnded.Log(g.log, "id", q.id, "content", broke.content.String(), "server", s.Called(), "phase", s.Role, "made", made, "error", err)
-		g.contents.ended(g, broke, s.ID)
+		g.contents.ended(broke, s.ID)
 	})
 }
 
@@ -49,18 +47,17 @@
 	if g.fleet.ended(s.ID) {
 		return errRestarted
 	}
-	err := g.ask(q, s)
-	var be *backend.Error
-	if errors.As(err, &be) && be.Sent {
+	err := g.askState(q, s)
+	if backend.WasSent(err) {
 		wait.For(g.ctx, lookAgain)
-		err = g.ask(q, s)
+		err = g.askState(q, s)
 	}
 	return err
 }
 
-// ask asks a server for its state, or for its health if it is no engine. A connection alone
-// shows little: what stands before a server may take it in its place.
-func (g *Gateway) ask(q *request, s *dispatch.Server) error {
+// askState asks a server for its state, or for its health if it is no engine. A connection
+// alone shows little: what stands before a server may take it in its place.
+func (g *Gateway) askState(q *request, s *dispatch.Server) error {
 	ctx, cancel := context.WithTimeout(g.ctx, lookTime)
 	defer cancel()
 	p := &g.cfg.Protocol
@@ -71,25 +68,18 @@
 	if call.Path == "" {
 		return backend.Reach(ctx, s.Address)
 	}
-	a, err := g.pool.Do(ctx, &p.Headers, g.callTo(q, s, call))
-	var be *backend.Error
+	res, body := g.exchange(ctx, q, s, g.callTo(q, s, call))
 	switch {
-	case errors.Is(err, backend.ErrFull):
-		return nil
-	case errors.As(err, &be) && be.Sent && (ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded)):
-		return nil // it took the connection, and is slow
-	case err != nil:
-		return err
-	}
-	status := a.Status
-	body, err := a.ReadAll(maxAnswer)
-	if status == http.StatusMisdirectedRequest {
+	case res.kind == misdirected:
 		return errRestarted
+	case res.kind == notSent && !errors.Is(res.err, backend.ErrFull):
+		return res.err
+	case res.kind == broken && backend.WasSent(res.err) && ctx.Err() == nil && !errors.Is(res.err, os.ErrDeadlineExceeded):
+		return res.err // what is slow, or begins to answer, is there
+	case res.kind != answered || s.Role == "" || p.ParseReport == nil:
+		return nil
 	}
-	if err != nil || s.Role == "" || p.ParseReport == nil {
-		return nil // it has answered
-	}
-	if report, err := p.ParseReport(body); err == nil && report.Born != 0 && s.Born != 0 && report.Born != s.Born {
+	if report, err := p.ParseReport(body); err == nil && !s.BornAt(report.Born) {
 		return errRestarted
 	}
 	return nil
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -12,7 +12,7 @@
 // prefill has the prompt read.
 func (n *generation) prefill(ctx context.Context) result {
 	g, h, s := n.g, &n.g.cfg.Protocol.Headers, n.pair.Prefill
-	started := n.g.clock.Now()
+	started := g.clock.Now()
 	r := n.sendTo(s)
 	r.Header.Set(h.Role, registry.Prefill)
 	n.resumeAt(r.Header)
@@ -35,9 +35,9 @@
 		g.fleet.note(s.ID, dispatch.Bad, 0)
 		return result{kind: broken, err: err}
 	}
-	g.fleet.note(s.ID, dispatch.Good, n.g.clock.Since(started))
-	g.fleet.noteRead(s.ID, n.g.clock.Since(started), n.pair.Ahead)
-	n.kv, n.kvFrom, n.kvAt = kv, *s, n.g.clock.Now()
+	g.fleet.note(s.ID, dispatch.Good, g.clock.Since(started))
+	g.fleet.noteRead(s.ID, g.clock.Since(started), n.pair.Ahead)
+	n.kv, n.kvFrom, n.kvAt = kv, *s, g.clock.Now()
 	n.handover = dispatch.Handover{Prefill: s.ID}
 	return res
 }
--- a/soak/words.go
+++ b/soak/words.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"time"
 )
@@ -30,9 +29,11 @@
 	r := rand.New(rand.NewPCG(seed, 3))
 	for ; ctx.Err() == nil; sleep(ctx, wordEvery) {
 		v := s.servers[r.IntN(len(s.servers))]
-		n := r.IntN(len(spoilt) + len(foreign))
-		another := n >= len(spoilt)
-		how := append(slices.Clone(spoilt), foreign...)[n]
+		ways, another := spoilt, r.IntN(len(spoilt)+len(foreign)) >= len(spoilt)
+		if another {
+			ways = foreign
+		}
+		how := ways[r.IntN(len(ways))]
 		text := strings.Replace(s.word(v, "ready"), how[0], how[1], 1)
 		status := s.say(ctx, r.IntN(len(s.api)), v.name, text)
 		s.rec.add(func(h *History) { h.Words = append(h.Words, Word{text, status, another}) })
