--- /dev/null
+++ b/config/logger.go
@@ -0,0 +1,33 @@
+package config
+
+import (
+	"log/slog"
+	"os"
+	"time"
+
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/logqueue"
+	"github.com/ledgepin/ledgepin/metric"
+)
+
+// Logger returns the logger that the file asks for. It never holds up who logs;
+// flush writes what waits at the end of the process.
+func (l Log) Logger() (log *slog.Logger, flush func()) {
+	var level slog.Level
+	if l.Level != "" {
+		_ = level.UnmarshalText([]byte(l.Level))
+	}
+	o := &slog.HandlerOptions{Level: level}
+	if l.Format == "text" {
+		return slog.New(slog.NewTextHandler(os.Stderr, o)), func() {}
+	}
+	q := logqueue.New(os.Stdout, logqueue.DefaultBytes, func(lines int) {
+		metric.LogDropped.WithLabelValues().Add(float64(lines))
+		event.LogDropped.Log(log, "lines", lines)
+	})
+	log = slog.New(slog.NewJSONHandler(q, o))
+	return log, func() { q.Close(flushTime) }
+}
+
+// flushTime bounds how long the end of a process waits for its log.
+const flushTime = 300 * time.Millisecond
