--- a/gateway/look_test.go
+++ b/gateway/look_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"log/slog"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -13,9 +14,11 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/ledgepin/ledgepin/backend"
+	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/internal/gate"
 	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/route"
 	"github.com/ledgepin/ledgepin/standin"
 	"github.com/ledgepin/ledgepin/wire"
 )
@@ -107,3 +110,26 @@
 		return poll.Success()
 	})
 }
+
+// TestAnotherServerAtTheAddress wants a server to be known to have ended when another one
+// answers at its address, and one that is full or slow to be there.
+func TestAnotherServerAtTheAddress(t *testing.T) {
+	r := newRig(t)
+	b := r.add("plain", "s", "")
+	q := &request{service: &route.Service{Name: "plain", HealthPath: standin.HealthPath}}
+	s := &dispatch.Server{Server: registry.Server{ID: "s", Service: "plain", Address: b.Addr()}}
+	assert.NilError(t, r.gateway.look(q, s))
+	b.Kill()
+	other, err := r.group.StartBackend(b.Addr(), "other", "", backend.DefaultHeaders)
+	assert.NilError(t, err)
+	t.Cleanup(other.Kill)
+	assert.ErrorIs(t, r.gateway.look(q, s), errRestarted)
+	other.Kill()
+	assert.Assert(t, r.gateway.look(q, s) != nil, "nothing is there")
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // takes connections and says nothing
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	s.Address = ln.Addr().String()
+	assert.NilError(t, r.gateway.look(q, s), "what is slow is there")
+}
