--- a/backend/names.go
+++ b/backend/names.go
@@ -95,12 +95,15 @@
 	ServerFields{Signature: "X-Answer-Signature", NotRun: "X-Not-Run"},
 }
 
-// KV is the result of a prefill.
+// KV is the result of a prefill, or the copy of a run.
 type KV struct {
 	// Handle names the KV cache at its engine.
 	Handle string
 	// Tokens is its length.
 	Tokens int
+	// Made is the number of events that a copied run had made by its engine's own
+	// count; zero if the engine does not tell.
+	Made int
 }
 
 // Protocol is what a deployment's servers speak.
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -98,6 +98,11 @@
 	"The run of a stream was to go on at another engine with its KV cache, since its own was almost full or leaves; the outcome tells whether it did.",
 	"Many that stayed: the engines are full, or their links slow; the error tells.")
 
+// StreamGoesOn tells that a stream that broke off is asked for anew.
+var StreamGoesOn = define("LP2021", info, "stream goes on",
+	"A stream broke off and is asked for anew after the last event that its caller has. last is the ID of that event, resumed tells that the caller had a part of the answer before this request, and moved how often the run had gone on at another engine with its KV cache.",
+	"Many from one server: look at the server.")
+
 // PromptWasted is a prompt that was read and whose answer did not become whole.
 var PromptWasted = define("LP2015", info, "prompt read for nothing",
 	"An engine read a prompt, and the run that it was for did not end well; the cause tells why.",
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -66,6 +66,9 @@
 		if round > 0 || q.resumed {
 			q.work.Kept = g.findKept(q)
 		}
+		if n.stream.started {
+			event.StreamGoesOn.Log(g.log, "id", q.id, "last", n.stream.lastID, "resumed", q.resumed, "moved", n.mover.count, "error", last.err)
+		}
 		if !n.place(ctx) {
 			if round == 0 {
 				last = result{kind: notRun}
