--- /dev/null
+++ b/eventstream/field.go
@@ -0,0 +1,29 @@
+package eventstream
+
+import "bytes"
+
+// interpret reads the fields of a whole block.
+func interpret(raw []byte) Block {
+	block := Block{Kind: Quiet, Raw: raw}
+	for at := 0; at < len(raw); {
+		end := at + lineLength(raw[at:])
+		block.field(raw[at:end])
+		at = end + 1
+	}
+	return block
+}
+
+// field notes what a line says. The LF of a CR LF makes an empty line, which says
+// nothing.
+func (b *Block) field(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte{':'})
+	switch string(name) {
+	case "data":
+		b.Kind = Event
+	case "id":
+		if bytes.IndexByte(value, 0) >= 0 {
+			return
+		}
+		b.HasID, b.ID = true, bytes.TrimPrefix(value, []byte{' '})
+	}
+}
--- /dev/null
+++ b/eventstream/reader.go
@@ -0,0 +1,89 @@
+package eventstream
+
+import "fmt"
+
+// MaxBlock is the most bytes that a block may have, and what a Reader holds at
+// most. An event of some tokens has a few hundred bytes; 256 KiB is chosen four
+// times above what readers of lines take by default (bufio.MaxScanTokenSize), so
+// that an event with probabilities of many tokens still passes, and a thousand
+// streams that never end an event stay bounded. The choice is not measured.
+const MaxBlock = 256 << 10
+
+// TooLongError tells that a block had more than Limit bytes and no end. Nothing of
+// it was given back. The stream can't be read on.
+type TooLongError struct {
+	// Limit is in bytes.
+	Limit int
+}
+
+// Error implements error.
+func (e *TooLongError) Error() string {
+	return fmt.Sprintf("eventstream: a block of more than %d bytes", e.Limit)
+}
+
+// Reader splits the bytes of one stream into blocks. The zero value is ready for
+// the begin of a stream. Not for use by several goroutines at once.
+type Reader struct {
+	// held has the begin of a block that is not whole yet.
+	held []byte
+	// given tells that held was given back and is to be emptied.
+	given bool
+	cut   cutter
+	err   error
+}
+
+// Reset makes the Reader ready for the begin of another stream. A rest is dropped.
+func (r *Reader) Reset() {
+	*r = Reader{held: r.held[:0]}
+}
+
+// Rest returns the begin of a block that is not whole yet. A stream that ends here
+// never made it an event; a caller that got it would take what follows for a
+// part of it. It is valid until the next call.
+func (r *Reader) Rest() []byte {
+	if r.given {
+		return nil
+	}
+	return r.held
+}
+
+// Next takes bytes of the piece up to the end of the first block, and returns that
+// block and the bytes not yet taken. If no block ends in the piece, all of it is
+// taken and the block is of kind None. A block that lies whole in the piece is not
+// copied. After an error all further calls return the same.
+func (r *Reader) Next(piece []byte) (block Block, rest []byte, err error) {
+	if r.err != nil {
+		return Block{}, piece, r.err
+	}
+	if r.given {
+		r.held, r.given = r.held[:0], false
+	}
+	if len(piece) == 0 {
+		return Block{}, nil, nil
+	}
+	n, kind := r.cut.next(piece, len(r.held))
+	if len(r.held)+n > MaxBlock {
+		r.held, r.err = r.held[:0], &TooLongError{Limit: MaxBlock}
+		return Block{}, piece, r.err
+	}
+	if kind == Quiet && r.cut.takeLF(piece[n:]) {
+		n++
+	}
+	return r.take(piece[:n], kind), piece[n:], nil
+}
+
+// take makes the block that ends with these bytes, or holds them.
+func (r *Reader) take(part []byte, kind Kind) Block {
+	raw := part
+	if len(r.held) > 0 || kind == None {
+		r.held = append(r.held, part...)
+		raw, r.given = r.held, kind != None
+	}
+	switch kind {
+	case None:
+		return Block{}
+	case Quiet:
+		return interpret(raw)
+	}
+	return Block{Kind: kind, Raw: raw}
+}
