--- a/eventstream/block.go
+++ b/eventstream/block.go
@@ -13,11 +13,13 @@
 	// an ID alone. It is no event, but its ID counts.
 	Quiet
 	// LineEnd: the LF of a CR LF whose CR ended the block before, which was
-	// passed on without waiting. It is no blank line and stands alone in Raw.
+	// passed on without waiting. It is no blank line and stands alone in Raw. After
+	// a block that was kept from the caller it does no harm: to the caller it is an
+	// empty block.
 	LineEnd
-	// Mark: the byte order mark before a stream. A stream that goes on in
-	// an answer that has begun must not bring its own: within a stream the mark
-	// is text, and spoils the name of the field that it stands before.
+	// Mark: the byte order mark before a stream. A stream that goes on in an answer
+	// that has begun must not bring its own: there it is text, and spoils the name
+	// of the field after it.
 	Mark
 )
 
--- a/eventstream/cutter.go
+++ b/eventstream/cutter.go
@@ -1,5 +1,7 @@
 package eventstream
 
+import "bytes"
+
 // mark is the byte order mark in UTF-8.
 const mark = "\xEF\xBB\xBF"
 
@@ -82,12 +84,25 @@
 	return len(mark) - held, Mark
 }
 
+// window is how many bytes are searched at once: some are worth the call, and so
+// many only that streams whose lines all end with a CR are not searched for an LF
+// to their end at each line.
+const window = 128
+
 // lineLength returns how many bytes come before the first CR or LF, or before the
 // end.
 func lineLength(part []byte) int {
-	for i, b := range part {
-		if b == '\n' || b == '\r' {
-			return i
+	for at := 0; at < len(part); at += window {
+		near := part[at:min(at+window, len(part))]
+		lf := bytes.IndexByte(near, '\n')
+		if lf >= 0 {
+			near = near[:lf]
+		}
+		if cr := bytes.IndexByte(near, '\r'); cr >= 0 {
+			return at + cr
+		}
+		if lf >= 0 {
+			return at + lf
 		}
 	}
 	return len(part)
--- /dev/null
+++ b/eventstream/reference_test.go
@@ -0,0 +1,68 @@
+package eventstream
+
+import (
+	"regexp"
+	"strings"
+)
+
+// expected is a block as the reference finds it.
+type expected struct {
+	found
+	// ready is after how many bytes of the stream it can be passed on.
+	ready int
+}
+
+var wholeLine = regexp.MustCompile(`(?s)^([^\r\n]*)(\r\n|\r|\n)`)
+
+// reference reads a whole stream the slow way, by the letter of the standard.
+func reference(stream string) (blocks []expected, rest string) {
+	at := 0
+	if strings.HasPrefix(stream, mark) {
+		at = len(mark)
+		blocks = append(blocks, expected{found{Kind: Mark, Raw: mark}, at})
+	}
+	begin := at
+	var lines []string
+	for {
+		m := wholeLine.FindStringSubmatch(stream[at:])
+		if m == nil {
+			return blocks, stream[begin:]
+		}
+		at += len(m[0])
+		if m[1] != "" {
+			lines = append(lines, m[1])
+			continue
+		}
+		b := referenceFields(lines)
+		b.Raw = stream[begin:at]
+		blocks = append(blocks, expected{b, at - len(m[2]) + 1})
+		begin, lines = at, nil
+	}
+}
+
+// referenceFields keeps the standard's buffers for one block.
+func referenceFields(lines []string) found {
+	b := found{Kind: Quiet}
+	data := ""
+	for _, line := range lines {
+		field, value := line, ""
+		if colon := strings.IndexRune(line, ':'); colon == 0 {
+			continue
+		} else if colon > 0 {
+			field, value = line[:colon], line[colon+1:]
+			if len(value) > 0 && value[0] == ' ' {
+				value = value[1:]
+			}
+		}
+		if field == "data" {
+			data += value + "\n"
+		}
+		if field == "id" && !strings.Contains(value, "\x00") {
+			b.HasID, b.ID = true, value
+		}
+	}
+	if data != "" {
+		b.Kind = Event
+	}
+	return b
+}
