--- /dev/null
+++ b/eventstream/model_test.go
@@ -0,0 +1,188 @@
+package eventstream
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// made is an event of the one true stream: number is 0 if it has none.
+type made struct {
+	number int
+	text   string
+}
+
+func (m made) block() Block {
+	if m.number == 0 {
+		return Block{Kind: Event, Raw: []byte(m.text)}
+	}
+	return Block{Kind: Event, Raw: []byte(m.text), HasID: true, ID: fmt.Append(nil, m.number)}
+}
+
+// drawStream makes a stream of numbered events, amid which some have no number.
+func drawStream(t *rapid.T) []made {
+	var stream []made
+	bare := rapid.IntRange(0, 3).Draw(t, "bare") // of ten events
+	for number := range rapid.IntRange(1, 15).Draw(t, "events") {
+		stream = append(stream, made{number + 1, fmt.Sprint("event ", number+1)})
+		for range 2 {
+			if rapid.IntRange(0, 9).Draw(t, "has one after") < bare {
+				stream = append(stream, made{0, fmt.Sprint("bare ", len(stream))})
+			}
+		}
+	}
+	return stream
+}
+
+// indexOf returns where the event with a number stands, or the end.
+func indexOf(stream []made, number int) int {
+	for i, m := range stream {
+		if m.number >= number {
+			return i
+		}
+	}
+	return len(stream)
+}
+
+// run plays an engine that is asked for what follows Last: it may begin too early
+// or too late, repeat, skip, begin again at 1, and break off anywhere. Only the
+// first event of all is believed, since any number may be the first. It returns
+// what the caller got beyond what it had, and whether the stream ended as whole.
+func run(t *rapid.T, s *Sequence, stream []made, have int, faulty bool) (passed []string, whole bool) {
+	next, last := 0, 0
+	if s.Last() != "" {
+		_, err := fmt.Sscan(s.Last(), &last)
+		assert.NilError(t, err)
+		next = indexOf(stream, last) + 1
+	}
+	breaks := len(stream) * 3
+	if faulty {
+		breaks = rapid.IntRange(0, len(stream)).Draw(t, "breaks after")
+	}
+	for i := range breaks {
+		if jump := faulty && s.Last() != "" && rapid.IntRange(0, 4).Draw(t, "jumps") == 0; jump {
+			number := rapid.IntRange(1, len(stream)).Draw(t, "to number")
+			if to := indexOf(stream, number); to < len(stream) && canBeSeen(stream, have+len(passed), to) {
+				next = to
+			}
+		}
+		if next == len(stream) {
+			return passed, true
+		}
+		verdict := s.Take(stream[next].block())
+		assert.Assert(t, faulty || verdict.Passes(), "%v at %d of a good run", verdict, i)
+		if verdict.Kind == Missing {
+			return passed, false
+		}
+		if verdict.Passes() {
+			passed = append(passed, stream[next].text)
+		}
+		next++
+	}
+	return passed, false
+}
+
+// canBeSeen tells whether a jump can: back to a number that the caller has, to the
+// event that is due, or over a number that it has not. One over events without a
+// number only can't be.
+func canBeSeen(stream []made, have, to int) bool {
+	if to <= have {
+		return true
+	}
+	for _, m := range stream[have:to] {
+		if m.number > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// TestPassedIsTheStream has one caller served by runs that break every rule, on the
+// same answer and on tries that the caller resumes itself: what it got is always
+// the begin of the true stream, each event once; and a good run then ends it.
+func TestPassedIsTheStream(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stream := drawStream(t)
+		s := &Sequence{}
+		var got []string
+		for range rapid.IntRange(0, 8).Draw(t, "runs") {
+			passed, _ := run(t, s, stream, len(got), true)
+			got = append(got, passed...)
+			checkBegin(t, stream, got)
+			if !s.Resumable() {
+				return
+			}
+			if rapid.Bool().Draw(t, "the caller comes back") {
+				last := s.Last()
+				s = &Sequence{}
+				s.Resume(last)
+			} else {
+				s.Again()
+			}
+		}
+		passed, whole := run(t, s, stream, len(got), false)
+		got = append(got, passed...)
+		checkBegin(t, stream, got)
+		assert.Assert(t, whole && len(got) == len(stream), "%d of %d events", len(got), len(stream))
+	})
+}
+
+func checkBegin(t *rapid.T, stream []made, got []string) {
+	t.Helper()
+	for i, text := range got {
+		assert.Assert(t, i < len(stream) && text == stream[i].text, "got %q of %v", got, stream)
+	}
+}
+
+// FuzzSequence sends IDs in any order and holds against it that passed numbers rise
+// by one, or over numbers that came without data.
+func FuzzSequence(f *testing.F) {
+	f.Add([]byte{1, 2, 3, 3, 5, 4})
+	f.Add([]byte{1, 2, 0x40, 2, 0x80, 3, 0xC0, 5})
+	f.Add([]byte{0x87, 7, 9, 8, 0x48, 0x49, 10, 9, 0x40, 9})
+	f.Fuzz(func(t *testing.T, ops []byte) {
+		var s Sequence
+		last, bare := -1, map[int]bool{}
+		for _, op := range ops {
+			n := int(op & 0x3F)
+			id := fmt.Append(nil, n)
+			switch op >> 6 {
+			case 0:
+				v := s.Take(Block{Kind: Event, HasID: true, ID: id})
+				if v.Passes() {
+					checkRise(t, last, n, bare)
+					last = n
+					assert.Equal(t, s.Last(), string(id))
+				} else {
+					assert.Assert(t, last >= 0 && (v.Kind == Repeated) == (n <= last), "%v after %d", v, last)
+				}
+			case 1:
+				if v := s.Take(Block{Kind: Quiet, HasID: true, ID: id}); v.Passes() {
+					bare[n] = true
+				}
+			case 2:
+				s.Resume(string(id))
+				last, bare = n, map[int]bool{}
+			case 3:
+				s.Take(Block{Kind: Event})
+				if n%2 == 0 {
+					s.Again()
+					clear(bare)
+				}
+			}
+		}
+	})
+}
+
+func checkRise(t *testing.T, last, n int, bare map[int]bool) {
+	t.Helper()
+	if last < 0 {
+		return
+	}
+	assert.Assert(t, n > last, "%d after %d", n, last)
+	for missing := last + 1; missing < n; missing++ {
+		assert.Assert(t, bare[missing], "%d after %d", n, last)
+	}
+}
--- a/eventstream/sequence.go
+++ b/eventstream/sequence.go
@@ -4,20 +4,23 @@
 // tries that serve it. The zero value knows nothing. Not to be copied after its
 // first use, nor for use by several goroutines at once.
 //
-// Events with numbers: the first may have any number if nothing is known; each
-// further one has to have the next number.
+// Events with numbers: the first may have any number if nothing is known, so that
+// what is missing before it can't be seen; each further one has to have the next
+// number.
 //
 // Events without one (no ID, an empty one, or one that is no whole number up to
 // MaxNumber) are part of the stream and pass, also amid numbered ones, where they
 // belong after the number before: after a number that the caller has already got
 // they are Repeated, after one that was Missing they are Missing. Where it can't be
 // told (the last number came again, and such events had been passed after it)
-// they are Missing too: an event twice and one too few are both worse than a cut. A run that begins with them is
-// believed: nothing can be compared until its first number.
+// they are Missing too: an event twice and one too few are both worse than a cut.
+// A run that begins with them is believed: nothing can be compared until its first
+// number.
 //
 // Blocks without data pass. One whose ID is a number moves the caller's last ID,
 // though, so that it is judged too: it may repeat the last number or be the next
-// one, which may then come again with data. It never changes Last.
+// one, which may then come again with data. It never changes Last. A byte order mark
+// passes only before all else of an answer.
 type Sequence struct {
 	// last is the ID of the last event that the caller has; its bytes are kept for
 	// the next one. known tells that an event had a number, number is the last
@@ -28,7 +31,9 @@
 	// extra tells that events without a number were passed after number, and
 	// nameless that the last event passed had no ID.
 	extra, nameless bool
-	place           place
+	// begun tells that the answer has a block.
+	begun bool
+	place place
 }
 
 // place is where in the stream the run is that serves now.
@@ -47,7 +52,8 @@
 )
 
 // Resume sets the ID of the last event that the caller says it has, as of
-// `Last-Event-ID`; an empty one means that it has none. All else is forgotten.
+// `Last-Event-ID`; an empty one means that it has none. All else is forgotten: a
+// new answer begins.
 func (s *Sequence) Resume(last string) {
 	*s = Sequence{last: append(s.last[:0], last...)}
 	s.number, s.known = number(last)
@@ -81,6 +87,8 @@
 	}
 	n, numbered := number(b.ID)
 	switch {
+	case b.Kind == Mark && s.begun:
+		v.Kind = Repeated
 	case b.Kind == Event && numbered:
 		v.Kind = s.event(n, b.ID)
 	case b.Kind == Event:
@@ -90,6 +98,7 @@
 	default:
 		v.Kind = Pass
 	}
+	s.begun = s.begun || v.Passes()
 	return v
 }
 
