--- /dev/null
+++ b/gateway/doubling_test.go
@@ -0,0 +1,257 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/standin"
+)
+
+// doubling stands before an engine and sends some of its answers a second time, late: in the
+// place where the answer to the next request on the connection is due. What may be nil is
+// set before any request is sent.
+type doubling struct {
+	engine *standin.Backend
+	ln     net.Listener
+	// repeat tells whether the answer to a request comes again before that to the next one
+	// on its connection, once only; ahead, whether the right answer is kept back until a
+	// further request is there.
+	repeat func(before, now *passed) bool
+	ahead  bool
+	// queues tells that the engine takes up the request in whose place that answer comes only
+	// when a further one is there.
+	queues bool
+	// closes tells whether the answer to a request ends its connection.
+	closes func(now *passed) bool
+	// coming is told of a request before the engine has it, breaking of one whose answer
+	// breaks off before the gateway sees that.
+	coming, breaking func(now *passed)
+
+	mu sync.Mutex
+	// repeated is the request whose answer came again.
+	repeated *passed
+	all      []*passed
+}
+
+// passed is a request that has gone through.
+type passed struct {
+	method, path, id, body, hold string
+	// status is that of its answer, 0 as long as there is none, and answer what came back, if
+	// that has a length.
+	status int
+	answer string
+}
+
+func (p *passed) isCopy(stop bool) bool {
+	return p.path == standin.CopyPath && strings.Contains(p.body, fmt.Sprintf(`"stop":%v`, stop))
+}
+
+// How long an answer, or a request, is kept back for a further request that does not come. No
+// verdict depends on them.
+const (
+	aheadTime = 60 * time.Millisecond
+	queueTime = 5 * time.Second
+)
+
+// await waits for what comes next on a connection, and leaves it there.
+func await(next chan error, d time.Duration) {
+	select {
+	case err := <-next:
+		next <- err
+	case <-time.After(d):
+	}
+}
+
+// before has the gateway know an engine by the address of what stands before it.
+func (r *rig) before(service, id, role string) *doubling {
+	r.t.Helper()
+	b, err := r.group.StartBackend("127.0.0.1:0", id, role, protocol.Headers)
+	assert.NilError(r.t, err)
+	r.t.Cleanup(b.Kill)
+	r.servers[id] = b
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() { _ = ln.Close() })
+	d := &doubling{engine: b, ln: ln}
+	r.group.Alias(ln.Addr().String(), b)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go d.serve(c)
+		}
+	}()
+	r.tell(service, id, ln.Addr().String(), role)
+	return d
+}
+
+// comesAgain tells whether the answer to a request is to come again now.
+func (d *doubling) comesAgain(before, now *passed) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.repeated != nil || before == nil || before.answer == "" || d.repeat == nil || !d.repeat(before, now) {
+		return false
+	}
+	d.repeated = before
+	return true
+}
+
+func (d *doubling) serve(c net.Conn) {
+	defer c.Close()
+	engine, err := net.Dial("tcp", d.engine.Addr())
+	if err != nil {
+		return
+	}
+	defer engine.Close()
+	br, er := bufio.NewReader(c), bufio.NewReader(engine)
+	var last *passed
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		raw, err := httputil.DumpRequest(req, true)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		h := protocol.Headers
+		now := &passed{method: req.Method, path: req.URL.Path, id: req.Header.Get(h.RequestID), body: string(body), hold: req.Header.Get(h.Hold)}
+		d.mu.Lock()
+		d.all = append(d.all, now)
+		d.mu.Unlock()
+		if d.coming != nil {
+			d.coming(now)
+		}
+		next := make(chan error, 1)
+		go func() {
+			_, err := br.Peek(1)
+			if err != nil {
+				_ = engine.Close() // nobody waits any more
+			}
+			next <- err
+		}()
+		again := d.comesAgain(last, now)
+		if again && d.queues {
+			_, _ = io.WriteString(c, last.answer)
+			await(next, queueTime)
+		}
+		if _, err := engine.Write(raw); err != nil {
+			return
+		}
+		resp, err := http.ReadResponse(er, req)
+		if err != nil {
+			return
+		}
+		if again && !d.queues {
+			_, _ = io.WriteString(c, last.answer)
+		}
+		if again && d.ahead {
+			await(next, aheadTime)
+		}
+		closes := d.closes != nil && d.closes(now)
+		if !d.pass(c, resp, now, closes) {
+			if d.breaking != nil {
+				d.breaking(now)
+			}
+			return
+		}
+		if closes || <-next != nil {
+			return
+		}
+		last = now
+	}
+}
+
+// pass passes an answer on; false if it broke off.
+func (d *doubling) pass(c net.Conn, resp *http.Response, now *passed, closes bool) bool {
+	d.mu.Lock()
+	now.status = resp.StatusCode
+	d.mu.Unlock()
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "HTTP/1.1 %d x\r\nKeep-Alive: timeout=60\r\n", resp.StatusCode)
+	if closes {
+		out.WriteString("Connection: close\r\n")
+	}
+	if now.id == "" {
+		resp.Header.Del(protocol.Headers.RequestID) // there is none to carry back
+	}
+	_ = resp.Header.WriteSubset(&out, map[string]bool{"Transfer-Encoding": true, "Content-Length": true, "Date": true})
+	if resp.ContentLength >= 0 {
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return false
+		}
+		fmt.Fprintf(&out, "Content-Length: %d\r\n\r\n%s", len(body), body)
+		now.answer = out.String()
+		_, err = c.Write(out.Bytes())
+		return err == nil
+	}
+	out.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+	if _, err := c.Write(out.Bytes()); err != nil {
+		return false
+	}
+	buf := make([]byte, 4<<10)
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", n, buf[:n]); err != nil {
+				return false
+			}
+		}
+		switch err {
+		case nil:
+		case io.EOF:
+			_, err := io.WriteString(c, "0\r\n\r\n")
+			return err == nil
+		default:
+			return false
+		}
+	}
+}
+
+// logRepeated tells whether an answer came again: it does not where no connection is used
+// again.
+func (d *doubling) logRepeated(t *testing.T) {
+	t.Helper()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.repeated == nil {
+		t.Log("no answer came again")
+		return
+	}
+	t.Logf("the answer to %s %s %s came again: status %d", d.repeated.method, d.repeated.path, d.repeated.id, d.repeated.status)
+}
+
+// runsOf returns how many runs of a request there were, all engines together; one that goes
+// on from its copy is no further one.
+func (r *rig) runsOf(id string) int {
+	n := 0
+	for _, b := range r.servers {
+		for _, a := range b.Arrivals() {
+			if a.ID == id && a.Ran && !a.Continues {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// until waits for a condition.
+func (r *rig) until(what string, cond func() bool) {
+	r.t.Helper()
+	(&moving{rig: r}).wait(what, cond)
+}
