--- a/backend/late_answer_test.go
+++ b/backend/late_answer_test.go
@@ -113,3 +113,32 @@
 		checkAfter(t, func(n int) string { return fmt.Sprint("q", n) })
 	})
 }
+
+// TestLateAnswerWithoutID wants the same where an ID tells nothing: one of the two is a call,
+// or it is one request that is sent again.
+func TestLateAnswerWithoutID(t *testing.T) {
+	for _, tt := range []lateCase{
+		{"a call after a request", "one", ""},
+		{"a request after a call", "", "two"},
+		{"a call after a call", "", ""},
+		{"a request that is sent again", "one", "one"},
+	} {
+		tt.check(t)
+	}
+}
+
+// TestAfterLateAnswerWithoutID wants one late answer not to put what follows on its
+// connection out of step.
+func TestAfterLateAnswerWithoutID(t *testing.T) {
+	tests := []struct {
+		name string
+		id   func(n int) string
+	}{
+		{"calls", func(int) string { return "" }},
+		{"calls and requests", func(n int) string { return []string{"", fmt.Sprint("q", n)}[n%2] }},
+		{"one request again and again", func(int) string { return "q" }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { checkAfter(t, tt.id) })
+	}
+}
