--- a/gateway/doubling_test.go
+++ b/gateway/doubling_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"path"
 	"strings"
 	"sync"
 	"testing"
@@ -53,10 +54,15 @@
 	answer string
 }
 
+func (p *passed) isHold() bool { return p.method == http.MethodPost && p.path == standin.HoldPath }
+
 func (p *passed) isCopy(stop bool) bool {
 	return p.path == standin.CopyPath && strings.Contains(p.body, fmt.Sprintf(`"stop":%v`, stop))
 }
 
+// isFor tells whether a copy is that of a request's run.
+func (p *passed) isFor(id string) bool { return strings.Contains(p.body, `"id":"`+id+`"`) }
+
 // How long an answer, or a request, is kept back for a further request that does not come. No
 // verdict depends on them.
 const (
@@ -98,6 +104,18 @@
 	return d
 }
 
+// find returns the first request that a condition holds for; nil if there is none.
+func (d *doubling) find(cond func(p *passed) bool) *passed {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.all {
+		if cond(p) {
+			return p
+		}
+	}
+	return nil
+}
+
 // comesAgain tells whether the answer to a request is to come again now.
 func (d *doubling) comesAgain(before, now *passed) bool {
 	d.mu.Lock()
@@ -250,6 +268,20 @@
 	return n
 }
 
+// foreignCopies returns the requests that went to an engine with the copy of another one's
+// run.
+func (r *rig) foreignCopies() []string {
+	var out []string
+	for _, b := range r.servers {
+		for _, a := range b.Arrivals() {
+			if name, ok := strings.CutPrefix(path.Base(a.Header.Get(protocol.Headers.KVSource)), "copy-"); ok && name != a.ID {
+				out = append(out, fmt.Sprintf("%s with the copy of %s at %s (ran: %v)", a.ID, name, b.ID, a.Ran))
+			}
+		}
+	}
+	return out
+}
+
 // until waits for a condition.
 func (r *rig) until(what string, cond func() bool) {
 	r.t.Helper()
