--- a/gateway/comeback_test.go
+++ b/gateway/comeback_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"strconv"
@@ -81,6 +83,42 @@
 	}
 }
 
+// TestGoesOnAtAnotherEvent wants the caller to get each event once and in order, or an answer
+// that is visibly cut, if the engine that an answer goes on at begins with another event than
+// the next.
+func TestGoesOnAtAnotherEvent(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		from func(after int) int
+	}{
+		{"one too early", func(after int) int { return after }},
+		{"one too late", func(after int) int { return after + 2 }},
+		{"the first", func(int) int { return 1 }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			checkOrder(t, func(n int, w http.ResponseWriter, r *http.Request) {
+				if n == 0 {
+					breakAfter(someEvents(1, 3))(w, r)
+				}
+				streamHead(w, r)
+				sendPart(w, someEvents(tt.from(afterOf(r)), lastEvent))
+			})
+		})
+	}
+}
+
+// TestEndsWithinAnEvent wants an answer not to look whole that has no length and ends, as its
+// connection is closed, within an event.
+func TestEndsWithinAnEvent(t *testing.T) {
+	for _, version := range []string{"1.1", "1.0"} {
+		t.Run(version, func(t *testing.T) {
+			checkOrder(t, goOn(func(w http.ResponseWriter, r *http.Request) {
+				toTheEnd(w, r, version, someEvents(1, 3)+"id: 4\nda", false)
+			}))
+		})
+	}
+}
+
 // TestLastEventWithoutBlankLine wants an answer unchanged whose last event lacks the blank
 // line behind it.
 func TestLastEventWithoutBlankLine(t *testing.T) {
@@ -94,6 +132,62 @@
 	assert.Equal(t, got.body, text)
 }
 
+// TestStoppedRunWithoutLength wants the answer of a run that the gateway has stopped not
+// taken for whole, though it has no length and ends as a whole one does.
+func TestStoppedRunWithoutLength(t *testing.T) {
+	const last = 200
+	for _, end := range []string{"", "id: 1000\nda"} {
+		t.Run(fmt.Sprintf("%d bytes of the next event", len(end)), func(t *testing.T) {
+			stopped, began := make(chan struct{}), make(chan struct{})
+			s := script(t, func(n int, w http.ResponseWriter, r *http.Request) {
+				if n > 0 {
+					streamHead(w, r)
+					sendPart(w, someEvents(afterOf(r)+1, last))
+					return
+				}
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				h := protocol.Headers
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: q1\r\n%s: signed\r\nConnection: close\r\n\r\n", h.RequestID, h.Signature)
+				close(began)
+				for n := 1; n <= last; n++ {
+					_, _ = io.WriteString(c, oneEvent(n))
+					select {
+					case <-stopped:
+						_, _ = io.WriteString(c, end)
+						return
+					case <-time.After(5 * time.Millisecond):
+					}
+				}
+			})
+			s.copied = func(w http.ResponseWriter, stop bool) {
+				if stop {
+					close(stopped)
+				}
+				fmt.Fprint(w, `{"handle":"copy-q1"}`)
+			}
+			done := make(chan reply, 1)
+			go func() { done <- s.send("POST", "/review/1", "q1", "x", longWork) }()
+			<-began
+			full := map[string]dispatch.Load{}
+			for _, e := range s.gateway.fleet.list() {
+				if e.Own.Runs > 0 || e.Own.Tokens > 0 {
+					full[e.ID] = dispatch.Load{Tokens: 99000, Held: 98000, Runs: 1}
+				}
+			}
+			assert.Equal(t, len(full), 1)
+			s.gateway.fleet.share(dispatch.Others{Gateways: 2, Known: 2, Loads: full})
+			got := <-done
+			assert.Equal(t, got.status, 200)
+			<-stopped
+			assert.Check(t, inOrder(got, 0, last) == "", "%s; the engines were asked for what is after %q", inOrder(got, 0, last), s.came())
+		})
+	}
+}
+
 // comesBack is a caller that comes back with a last ID, and has the events up to it.
 type comesBack struct {
 	name   string
@@ -149,6 +243,13 @@
 	}
 }
 
+// TestLastIDNamedAsTheConnections wants a last ID used that the caller's Connection field
+// names: it is meant for the engine, whatever that field says.
+func TestLastIDNamedAsTheConnections(t *testing.T) {
+	field := protocol.Headers.LastEventID
+	comesBack{"named", map[string]string{field: "3", "Connection": field}, 3}.check(t)
+}
+
 // TestStrangeLastIDs wants a last ID that is no number, or a very large one, to reach each
 // engine as the caller wrote it until there is an event after it.
 func TestStrangeLastIDs(t *testing.T) {
