--- a/backend/conn.go
+++ b/backend/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -39,7 +40,22 @@
 	reader *bufio.Reader
 	// idleUntil is when the connection must not be used any more.
 	idleUntil time.Time
-	uses      int
+	// carried are the IDs of its requests. A server may answer one of them a second
+	// time, late, where the answer to the newest is due: only another ID tells them
+	// apart. By the late refusal of one send a run was taken for another, and its caller
+	// got 88 of 200 events twice.
+	carried []string
+	// single tells that the connection is not kept.
+	single bool
+}
+
+// maxCarried bounds the IDs that a connection remembers; after as many requests another
+// one is opened, which one in 64 requests pays for.
+const maxCarried = 64
+
+// mayCarry tells whether a request's answer can be told from those to all before it.
+func (c *conn) mayCarry(id string) bool {
+	return id != "" && len(c.carried) < maxCarried && !slices.Contains(c.carried, id)
 }
 
 var dialer = sock.Dialer(DialTimeout, userTimeout)
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -22,7 +22,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// ID is the request ID that the answer must carry; empty if none is sent.
+	// ID is the request ID that the answer carries back. A call without one has a
+	// connection to itself.
 	ID string
 	// MaxConnections bounds the connections of this pool to the server.
 	MaxConnections int
@@ -86,10 +87,11 @@
 // Do sends a request once and returns the head of its answer. The context
 // bounds the whole exchange, the body included.
 func (p *Pool) Do(ctx context.Context, headers *Headers, r Request) (*Answer, error) {
-	c, err := p.get(ctx, r.Address, r.MaxConnections, r.Fresh)
+	c, err := p.get(ctx, &r)
 	if err != nil {
 		return nil, &Error{Cause: err, Refused: !errors.Is(err, ErrFull)}
 	}
+	c.carried = append(c.carried, r.ID)
 	p.begin(r.Server, c)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	if deadline, ok := ctx.Deadline(); ok {
@@ -98,7 +100,7 @@
 	a := &Answer{pool: p, request: r, conn: c, stop: stop, written: make(chan struct{})}
 	resp, err := a.exchange(headers)
 	if err != nil {
-		if c.uses > 0 && (isTimeout(err) || errors.Is(ctx.Err(), context.DeadlineExceeded)) {
+		if len(c.carried) > 1 && (isTimeout(err) || errors.Is(ctx.Err(), context.DeadlineExceeded)) {
 			// Kept connections may have gone silent together, while new ones work.
 			p.Forget(r.Address)
 		}
@@ -153,10 +155,15 @@
 			continue
 		}
 		id := resp.Header.Get(headers.RequestID)
-		if a.request.ID == "" || id == "" || id == a.request.ID {
+		if id == "" || a.request.ID == "" {
+			// Its late second answer could not be told from that to what comes next.
+			a.conn.single = true
 			return resp, nil
 		}
-		a.conn.uses = -1 // out of step: not kept
+		if id == a.request.ID {
+			return resp, nil
+		}
+		a.conn.single = true // out of step
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
 		}
@@ -229,7 +236,7 @@
 			sent = true
 		default:
 		}
-		if whole && undisturbed && sent && a.conn.uses >= 0 && a.conn.reader.Buffered() == 0 {
+		if whole && undisturbed && sent && !a.conn.single && a.conn.reader.Buffered() == 0 {
 			a.pool.put(a.request.Address, a.conn, a.keep)
 			return
 		}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,35 +29,49 @@
 // may have.
 var ErrFull = errors.New("backend: all connections to the server are in use")
 
-// get returns an idle connection or opens one. Fresh asks for a new one.
-func (p *Pool) get(ctx context.Context, address string, limit int, fresh bool) (*conn, error) {
-	if !fresh {
-		if c := p.takeIdle(address); c != nil {
+// get returns an idle connection that may carry a request, or opens one.
+func (p *Pool) get(ctx context.Context, r *Request) (*conn, error) {
+	if !r.Fresh {
+		if c := p.takeIdle(r.Address, r.ID); c != nil {
 			return c, nil
 		}
 	}
-	p.mu.Lock()
-	if limit > 0 && p.open[address] >= limit {
-		p.mu.Unlock()
-		if c := p.takeIdle(address); c != nil {
+	if !p.mayOpen(r) {
+		if c := p.takeIdle(r.Address, r.ID); c != nil {
 			return c, nil
 		}
 		return nil, ErrFull
 	}
-	p.open[address]++
-	p.mu.Unlock()
-	c, err := dial(ctx, address)
+	c, err := dial(ctx, r.Address)
 	if err != nil {
-		p.forget(address)
+		p.forget(r.Address)
 		return nil, err
 	}
-	if fresh && !c.taken() {
-		p.drop(address, c)
+	if r.Fresh && !c.taken() {
+		p.drop(r.Address, c)
 		return nil, errNotTaken
 	}
 	return c, nil
 }
 
+// mayOpen counts a connection more to a server, if there may be one. An idle one that may
+// not carry the request gives way.
+func (p *Pool) mayOpen(r *Request) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	full := r.MaxConnections > 0 && p.open[r.Address] >= r.MaxConnections
+	if idle := p.idle[r.Address]; full && len(idle) > 0 && !idle[0].mayCarry(r.ID) {
+		p.idle[r.Address] = idle[1:]
+		p.open[r.Address]--
+		_ = idle[0].Close()
+		full = false
+	}
+	if !full {
+		p.open[r.Address]++
+	}
+	return !full
+}
+
 // errNotTaken tells that a server closed a new connection before anything was
 // sent, as it does when it has too many.
 var errNotTaken = errors.New("backend: the server closed the new connection")
@@ -71,19 +86,15 @@
 	return c.Close()
 }
 
-// takeIdle returns the connection that was used last and is still good.
-func (p *Pool) takeIdle(address string) *conn {
+// takeIdle returns the connection that was used last, is still good and may carry a
+// request with an ID.
+func (p *Pool) takeIdle(address, id string) *conn {
 	now := clock.VM.Now()
 	for {
-		p.mu.Lock()
-		list := p.idle[address]
-		if len(list) == 0 {
-			p.mu.Unlock()
+		c := p.popIdle(address, id)
+		if c == nil {
 			return nil
 		}
-		c := list[len(list)-1]
-		p.idle[address] = list[:len(list)-1]
-		p.mu.Unlock()
 		if now.Before(c.idleUntil) && c.quiet() {
 			return c
 		}
@@ -91,13 +102,26 @@
 	}
 }
 
+// popIdle takes the connection that was used last and may carry a request with an ID.
+func (p *Pool) popIdle(address, id string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; c.mayCarry(id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // put keeps a connection for later requests.
 func (p *Pool) put(address string, c *conn, keep time.Duration) {
 	c.idleUntil = clock.VM.Now().Add(keep)
-	c.uses++
 	_ = c.SetDeadline(time.Time{})
 	p.mu.Lock()
-	if p.closed || keep <= 0 {
+	if p.closed || keep <= 0 || len(c.carried) >= maxCarried {
 		p.mu.Unlock()
 		p.drop(address, c)
 		return
