--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -68,6 +68,9 @@
 	Header http.Header
 	// Length is the length of the body; below zero if it is not told.
 	Length int64
+	// Framed tells that the body shows its own end, by a length or by chunks. The end
+	// of another one is that of its connection, whatever the reason.
+	Framed bool
 
 	pool    *Pool
 	request Request
@@ -108,6 +111,7 @@
 		return nil, &Error{Sent: true, Cause: err}
 	}
 	a.Status, a.Header, a.Length = resp.StatusCode, resp.Header, resp.ContentLength
+	a.Framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	a.body, a.keep = resp.Body, keepFor(resp)
 	return a, nil
 }
--- a/backend/names.go
+++ b/backend/names.go
@@ -70,6 +70,9 @@
 	return append(fieldNames(h.GatewayFields), fieldNames(h.ServerFields)...)
 }
 
+// ForServers returns the names of the fields of callers that servers read.
+func (h *Headers) ForServers() []string { return fieldNames(h.CallerFields) }
+
 // fieldNames returns the strings and the lists of strings of a struct.
 func fieldNames(fields any) []string {
 	var out []string
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -103,6 +103,11 @@
 	"A stream broke off and is asked for anew after the last event that its caller has. last is the ID of that event, resumed tells that the caller had a part of the answer before this request, and moved how often the run had gone on at another engine with its KV cache.",
 	"Many from one server: look at the server.")
 
+// EventOutOfOrder tells that an engine sent an event that is not the one due.
+var EventOutOfOrder = define("LP2022", warn, "event out of order",
+	"An engine sent an event that its caller has (repeated), or left events out before it (missing). The caller does not get it. After a missing one the stream is taken up again after the last event, or cut where its route does not allow that. due is the number that was due, came the ID that came, last the last event that the caller has. One line for each stream of an engine; a metric counts the events.",
+	"Many from one server: it continues streams at another event than it is asked for.")
+
 // PromptWasted is a prompt that was read and whose answer did not become whole.
 var PromptWasted = define("LP2015", info, "prompt read for nothing",
 	"An engine read a prompt, and the run that it was for did not end well; the cause tells why.",
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -125,7 +125,7 @@
 
 // resumeAt asks for the events after the last one that the caller has.
 func (n *generation) resumeAt(head http.Header) {
-	if n.stream.lastID != "" {
-		head.Set(n.g.cfg.Protocol.Headers.LastEventID, n.stream.lastID)
+	if last := n.stream.order.Last(); last != "" {
+		head.Set(n.g.cfg.Protocol.Headers.LastEventID, last)
 	}
 }
--- a/gateway/fields.go
+++ b/gateway/fields.go
@@ -12,17 +12,28 @@
 	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
 }
 
+// canonical returns a set of field names as they stand in an http.Header.
+func canonical(names []string) map[string]bool {
+	out := make(map[string]bool, len(names))
+	for _, name := range names {
+		out[textproto.CanonicalMIMEHeaderKey(name)] = true
+	}
+	return out
+}
+
 // forwarded returns the fields of a caller that go to a server: not those of
-// the connection, nor the private ones that are no caller's to set.
-func forwarded(private []string, in http.Header) http.Header {
+// the connection, nor the private ones that are no caller's to set. What servers read of
+// callers is meant for them, though the caller's Connection field may name it: without
+// its last event a caller would get all events again.
+func (g *Gateway) forwarded(in http.Header) http.Header {
 	out := make(http.Header, len(in)+4)
 	drop := perConnection(in)
 	for name, values := range in {
-		if !hopByHop[name] && !drop[name] {
+		if !hopByHop[name] && (!drop[name] || g.forServers[name]) {
 			out[name] = values
 		}
 	}
-	for _, name := range private {
+	for _, name := range g.private {
 		out.Del(name)
 	}
 	return out
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,7 +52,9 @@
 
 	// private are the header fields that no caller may set.
 	private []string
-	table   atomic.Pointer[route.Table]
+	// forServers are the fields of callers that servers read.
+	forServers map[string]bool
+	table      atomic.Pointer[route.Table]
 	// tabled is closed when the first table is in force.
 	tabled   chan struct{}
 	draining atomic.Bool
@@ -83,7 +85,7 @@
 	log := cfg.Log.With("role", "gateway", "name", cfg.Name)
 	g := &Gateway{
 		cfg: cfg, clock: cfg.Clock, log: log, ctx: ctx, cancel: cancel,
-		private: cfg.Protocol.Headers.Private(), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Clock, cfg.Name, cfg.Zone, cfg.Retry), kept: map[string]*keptPrompts{}, keptWait: keptTimeout,
+		private: cfg.Protocol.Headers.Private(), forServers: canonical(cfg.Protocol.Headers.ForServers()), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Clock, cfg.Name, cfg.Zone, cfg.Retry), kept: map[string]*keptPrompts{}, keptWait: keptTimeout,
 		limits: newLimits(cfg.Clock, cfg.Quota), contents: newContents(cfg.Clock, log), lookWait: lookWait,
 	}
 	g.links = newLinks(g)
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -67,7 +67,7 @@
 			q.work.Kept = g.findKept(q)
 		}
 		if n.stream.started {
-			event.StreamGoesOn.Log(g.log, "id", q.id, "last", n.stream.lastID, "resumed", q.resumed, "moved", n.mover.count, "error", last.err)
+			event.StreamGoesOn.Log(g.log, "id", q.id, "last", n.stream.order.Last(), "resumed", q.resumed, "moved", n.mover.count, "error", last.err)
 		}
 		if !n.place(ctx) {
 			if round == 0 {
@@ -87,6 +87,9 @@
 // mayGoOn tells whether a request that a round has not finished may have
 // another one.
 func (n *generation) mayGoOn(last result) bool {
+	if n.stream.started && !n.stream.canGoOn() {
+		return false
+	}
 	// The prompt is read once more, and a decode engine is asked once more, if
 	// either has been asked before.
 	sends := min(n.prefills, 1) + min(n.decodes, 1)
@@ -226,7 +229,7 @@
 	if n.stream.started {
 		if last.kind != answered {
 			event.RequestFailed.Log(g.log, "id", q.id, "reason", "stream broken", "error", last.err)
-			panic(http.ErrAbortHandler) // what ends early must not look whole
+			cut(w, q.chunks)
 		}
 		return
 	}
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -36,6 +36,8 @@
 	current   *migration
 	notBefore time.Time
 	count     int
+	// stopped tells that the run may have been stopped where it is.
+	stopped bool
 }
 
 // take returns the migration under way, if there is one, and forgets it.
@@ -57,10 +59,11 @@
 	// done is closed when the fields below are set.
 	done chan struct{}
 	// kv names the copy; stopped tells that the run has ended at the engine from,
-	// copied that the engine to has all of it.
-	kv              backend.KV
-	stopped, copied bool
-	err             error
+	// copied that the engine to has all of it, and stopping that it was asked to stop
+	// the run.
+	kv                        backend.KV
+	stopping, stopped, copied bool
+	err                       error
 }
 
 // checkMigration ends a migration that has failed before the run was stopped: the
@@ -79,6 +82,7 @@
 		return // its stream ends, and follow goes on
 	}
 	n.mover.current = nil
+	n.mover.stopped = n.mover.stopped || m.stopping
 	n.mover.notBefore = n.g.clock.Now().Add(moveAgain)
 	n.giveUp(m, m.err)
 }
@@ -87,7 +91,7 @@
 // before.
 func (n *generation) moveOn(ctx context.Context, reason dispatch.Reason) {
 	engine, now := n.q.service.Engine, n.g.clock.Now()
-	if n.g.cfg.Protocol.CopyRun == nil || !engine.Migrates || n.mover.current != nil || now.Before(n.mover.notBefore) {
+	if n.g.cfg.Protocol.CopyRun == nil || !engine.Migrates || !n.stream.canGoOn() || n.mover.current != nil || now.Before(n.mover.notBefore) {
 		return
 	}
 	n.mover.notBefore = now.Add(moveAgain)
@@ -111,7 +115,7 @@
 		m.err = err
 		return
 	}
-	m.kv = kv
+	m.kv, m.stopping = kv, true
 	status, kv, err := n.askCopy(ctx, m, true)
 	m.err = err
 	if kv.Handle == "" {
@@ -153,8 +157,15 @@
 // to. It returns the last of them.
 func (n *generation) relay(ctx context.Context, s *dispatch.Server, a *backend.Answer) (*dispatch.Server, *backend.Answer, error) {
 	for {
-		err := n.stream.copy(ctx, a)
+		err := n.stream.copy(a, s)
 		m := n.mover.take()
+		if m != nil {
+			<-m.done
+			n.mover.stopped = n.mover.stopped || m.stopping
+		}
+		if err == nil && n.mover.stopped && !a.Framed {
+			err = errNoRunLeft // the end of a stopped run looks like that of a whole one
+		}
 		if m == nil {
 			return s, a, err
 		}
@@ -163,6 +174,7 @@
 			return s, a, err
 		}
 		a.Close()
+		n.mover.stopped = false
 		s, a = n.pair.Decode, next
 	}
 }
@@ -170,10 +182,9 @@
 // follow continues a run that has moved, or that was to move and could not after
 // it had been stopped. It returns nil if its stream has ended, whole or not.
 func (n *generation) follow(ctx context.Context, m *migration, streamErr error) *backend.Answer {
-	<-m.done
 	var a *backend.Answer
 	err := m.err
-	if m.stopped && streamErr != nil && ctx.Err() == nil {
+	if m.stopped && streamErr != nil && n.stream.canGoOn() && ctx.Err() == nil {
 		a, err = n.continueRun(ctx, m)
 	}
 	if a == nil {
@@ -263,5 +274,5 @@
 func (n *generation) noteMigration(m *migration, outcome string, err error) {
 	metric.Migrations.WithLabelValues(n.q.service.Name, string(m.reason), outcome).Inc()
 	event.RunMigrated.Log(n.g.log, "id", n.q.id, "reason", string(m.reason), "from", m.from.Called(), "to", m.to.Called(), "outcome", outcome,
-		"stopped", m.stopped, "made", n.q.work.Made, "last", n.stream.lastID, "engine_made", m.kv.Made, "ms", n.g.clock.Since(m.started).Milliseconds(), "error", err)
+		"stopped", m.stopped, "made", n.q.work.Made, "last", n.stream.order.Last(), "engine_made", m.kv.Made, "ms", n.g.clock.Since(m.started).Milliseconds(), "error", err)
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -32,6 +32,8 @@
 	// the answer already.
 	parts   []route.PromptPart
 	resumed bool
+	// chunks tells that the caller reads answers in chunks, which show their end.
+	chunks bool
 	// mayHaveRun tells that a server may have worked on it.
 	mayHaveRun bool
 	// size is what it counts against the limit of its organisation, charged that it
@@ -94,7 +96,7 @@
 // read finds the route of a request and takes its body.
 func (g *Gateway) read(table *route.Table, r *http.Request) (*request, *refusal) {
 	h := &g.cfg.Protocol.Headers
-	q := &request{id: r.Header.Get(h.RequestID), clock: g.clock, arrived: g.clock.Now(), tried: dispatch.Avoid{}}
+	q := &request{id: r.Header.Get(h.RequestID), chunks: r.ProtoAtLeast(1, 1), clock: g.clock, arrived: g.clock.Now(), tried: dispatch.Avoid{}}
 	q.route = table.Lookup(r.Host, r.URL.Path)
 	if q.route == nil {
 		return q, &refusal{status: http.StatusNotFound, reason: "no route"}
@@ -118,7 +120,7 @@
 	}
 	q.deadline = q.arrived.Add(deadlineOf(r.Header.Get(h.Deadline), q.route.Timeout))
 	q.send = backend.Request{
-		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: forwarded(g.private, r.Header), Body: body, ID: q.id,
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: g.forwarded(r.Header), Body: body, ID: q.id,
 	}
 	g.name(table, q)
 	if q.service.Engine != nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,28 +1,40 @@
 package gateway
 
 import (
-	"bytes"
-	"context"
 	"errors"
+	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
 	"github.com/ledgepin/ledgepin/backend"
 	"github.com/ledgepin/ledgepin/clock"
+	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/eventstream"
+	"github.com/ledgepin/ledgepin/metric"
 )
 
-// streamWriter passes the events of a stream on.
+// streamWriter passes the events of one caller's answer on, whichever engines make
+// them: whole events only, each once and in order. What an engine sends is not
+// believed: by its own count, or by a late answer, it may go on at another event than
+// the one due.
 type streamWriter struct {
 	g       *Gateway
 	w       http.ResponseWriter
+	control *http.ResponseController
 	q       *request
 	started bool
-	// whole tells that only whole events are passed on, since the stream may go
-	// on at another engine; lastID is the last one that the caller has.
-	whole   bool
-	lastID  string
-	partial []byte
+	reader  eventstream.Reader
+	order   eventstream.Sequence
+	// plain tells that the answer is no event stream, and is passed on as it comes.
+	plain bool
+	// out are the blocks that are written together.
+	out []byte
+	// from is the engine that serves now, noted that it has sent an event out of order.
+	from  *dispatch.Server
+	noted bool
 	// firstAt is when the first part came, lastAt the newest, and gap the
 	// longest pause between two.
 	firstAt, lastAt time.Time
@@ -33,7 +45,9 @@
 }
 
 func newStreamWriter(g *Gateway, w http.ResponseWriter, q *request) *streamWriter {
-	return &streamWriter{g: g, w: w, q: q, whole: q.route.Resumable || q.service.Engine.Migrates}
+	s := &streamWriter{g: g, w: w, control: http.NewResponseController(w), q: q}
+	s.order.Resume(q.send.Header.Get(g.cfg.Protocol.Headers.LastEventID))
+	return s
 }
 
 const (
@@ -42,33 +56,33 @@
 	callerTimeout = 5 * time.Second
 )
 
-// copy passes a server's stream on until its end. It returns nil only if the
-// server ended it as whole.
-func (s *streamWriter) copy(ctx context.Context, a *backend.Answer) error {
-	if !s.started {
-		s.started = true
-		copyHead(s.w, a.Header)
-		s.w.WriteHeader(a.Status)
-	}
-	s.partial = s.partial[:0]
-	control := http.NewResponseController(s.w)
+// Errors of streams that are not whole.
+var (
+	errMissing   = errors.New("gateway: events of the stream are missing")
+	errCutEvent  = errors.New("gateway: the stream ended within an event")
+	errNoRunLeft = errors.New("gateway: the run may have been stopped, so that its stream is not whole")
+)
+
+// canGoOn tells whether the stream can go on at another engine after what the caller
+// has.
+func (s *streamWriter) canGoOn() bool { return !s.plain && s.order.Resumable() }
+
+// copy passes an engine's stream on until its end. It returns nil only if the
+// engine ended it as whole.
+func (s *streamWriter) copy(a *backend.Answer, from *dispatch.Server) error {
+	s.begin(a, from)
 	buf := make([]byte, streamBuffer)
 	for {
 		n, err := a.Read(buf)
 		if n > 0 {
 			s.pace(s.g.clock.Now())
-			_ = control.SetWriteDeadline(clock.Deadline(callerTimeout))
-			if werr := s.write(control, buf[:n]); werr != nil {
+			if werr := s.pass(buf[:n]); werr != nil {
 				return werr
 			}
 			s.made(s.events * s.q.service.Engine.EventTokens)
 		}
 		if errors.Is(err, io.EOF) {
-			if len(s.partial) > 0 {
-				_, err := s.w.Write(s.partial)
-				return err
-			}
-			return nil
+			return s.end(a)
 		}
 		if err != nil {
 			return err
@@ -76,6 +90,27 @@
 	}
 }
 
+// begin makes the writer ready for the stream of another engine.
+func (s *streamWriter) begin(a *backend.Answer, from *dispatch.Server) {
+	s.from, s.noted = from, false
+	s.reader.Reset()
+	s.order.Again()
+	if s.started {
+		return
+	}
+	s.started = true
+	s.plain = !isEventStream(a.Header.Get("Content-Type"))
+	copyHead(s.w, a.Header)
+	s.w.WriteHeader(a.Status)
+}
+
+// isEventStream tells whether an answer is one; engines that name no type send nothing
+// else.
+func isEventStream(contentType string) bool {
+	kind, _, err := mime.ParseMediaType(contentType)
+	return err != nil || kind == "text/event-stream"
+}
+
 // pace notes when a part of the stream came.
 func (s *streamWriter) pace(now time.Time) {
 	if s.firstAt.IsZero() {
@@ -86,39 +121,102 @@
 	s.lastAt = now
 }
 
-var eventEnd = []byte("\n\n")
+// pass passes on what a part of the stream makes whole.
+func (s *streamWriter) pass(part []byte) error {
+	if s.plain {
+		return s.write(part)
+	}
+	s.out = s.out[:0]
+	err := s.takeAll(part)
+	if werr := s.write(s.out); werr != nil {
+		return werr
+	}
+	return err
+}
 
-// write passes bytes on; of a stream that may go on at another engine only whole
-// events, so that that one can go on after the last.
-func (s *streamWriter) write(control *http.ResponseController, data []byte) error {
-	if !s.whole {
-		s.events += bytes.Count(data, eventEnd)
-		if _, err := s.w.Write(data); err != nil {
+// takeAll takes the blocks that end in a part of the stream.
+func (s *streamWriter) takeAll(part []byte) error {
+	for len(part) > 0 {
+		block, rest, err := s.reader.Next(part)
+		if err != nil {
+			return fmt.Errorf("gateway: stream: %w", err)
+		}
+		if block.Kind == eventstream.None {
+			return nil
+		}
+		if err := s.take(block, block.Raw); err != nil {
 			return err
 		}
-		return control.Flush()
+		part = rest
 	}
-	s.partial = append(s.partial, data...)
-	end := bytes.LastIndex(s.partial, eventEnd)
-	if end < 0 {
+	return nil
+}
+
+// take has the bytes of a block written if it is the caller's due.
+func (s *streamWriter) take(block eventstream.Block, raw []byte) error {
+	verdict := s.order.Take(block)
+	if !verdict.Passes() {
+		s.note(verdict)
+		if verdict.Kind == eventstream.Missing {
+			return fmt.Errorf("%w: %v", errMissing, verdict)
+		}
 		return nil
 	}
-	end += len(eventEnd)
-	if _, err := s.w.Write(s.partial[:end]); err != nil {
-		return err
+	s.out = append(s.out, raw...)
+	if block.Kind == eventstream.Event {
+		s.events++
 	}
-	s.events += bytes.Count(s.partial[:end], eventEnd)
-	s.note(s.partial[:end])
-	s.partial = append(s.partial[:0], s.partial[end:]...)
-	return control.Flush()
+	return nil
 }
 
-// note remembers the ID of the last event.
-func (s *streamWriter) note(events []byte) {
-	at := bytes.LastIndex(events, []byte("id:"))
-	if at < 0 {
+// note counts an event that is out of order, and logs the first one of each engine's
+// stream.
+func (s *streamWriter) note(v eventstream.Verdict) {
+	metric.EventsOutOfOrder.WithLabelValues(s.q.service.Name, v.Kind.String()).Inc()
+	if s.noted {
 		return
 	}
-	line, _, _ := bytes.Cut(events[at+len("id:"):], []byte("\n"))
-	s.lastID = string(bytes.TrimSpace(line))
+	s.noted = true
+	event.EventOutOfOrder.Log(s.g.log, "id", s.q.id, "server", s.from.Called(), "verdict", v.Kind.String(), "due", v.Due, "came", string(v.Came),
+		"last", s.order.Last(), "resumed", s.q.resumed, "events", s.events)
+}
+
+// write gives the caller bytes.
+func (s *streamWriter) write(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	s.awaitCaller()
+	if _, err := s.w.Write(data); err != nil {
+		return err
+	}
+	return s.control.Flush()
+}
+
+// awaitCaller bounds the time that the caller may take for what is written next.
+func (s *streamWriter) awaitCaller() {
+	_ = s.control.SetWriteDeadline(clock.Deadline(callerTimeout))
+}
+
+// end passes on what is left when an engine has ended its stream. An engine that tells
+// no length may end by closing its connection, and then a part of an event is what a
+// crash leaves.
+func (s *streamWriter) end(a *backend.Answer) error {
+	s.awaitCaller() // for the end of the answer, which may come long after its last event
+	rest := append([]byte(nil), s.reader.Rest()...)
+	if len(rest) == 0 {
+		return nil
+	}
+	if !a.Framed {
+		return errCutEvent
+	}
+	s.out = s.out[:0]
+	block, _, err := s.reader.Next([]byte("\n\n"))
+	if err == nil {
+		err = s.take(block, rest)
+	}
+	if werr := s.write(s.out); werr != nil {
+		return werr
+	}
+	return err
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -83,6 +83,7 @@
 		[]float64{.05, .1, .2, .3, .5, .9, 2}, "route")
 	Sends                = counter("ledgepin_sends_total", "Requests of a gateway to backend servers that did not end well, by kind.", "service", "kind")
 	Migrations           = counter("ledgepin_migrations_total", "Runs that were to go on at another engine with their KV cache, by reason and outcome.", "service", "reason", "outcome")
+	EventsOutOfOrder     = counter("ledgepin_stream_events_out_of_order_total", "Events of streams that engines sent out of order and that no caller got, by what was wrong: repeated or missing before it.", "service", "verdict")
 	WastedTokens         = counter("ledgepin_wasted_prompt_tokens_total", "Tokens of prompts that were read and whose answer did not become whole, by cause.", "service", "cause")
 	KeptTokens           = counter("ledgepin_kept_prompt_tokens_total", "Tokens of prompts that came again and were placed at an engine that keeps them.", "service")
 	OrganisationRequests = counter("ledgepin_organisation_requests_total",
