--- a/standin/orders.go
+++ b/standin/orders.go
@@ -51,7 +51,7 @@
 		if !isCopy(r.URL.Path) {
 			return false
 		}
-		b.serveCopy(w, body)
+		b.serveCopy(w, r, body)
 	}
 	return true
 }
--- /dev/null
+++ b/standin/unframed.go
@@ -0,0 +1,70 @@
+package standin
+
+import (
+	"net"
+	"net/http"
+)
+
+// unframed writes a stream that ends with its connection, so that one that is broken off
+// by a close looks whole.
+type unframed struct {
+	server *Backend
+	conn   net.Conn
+	closed chan struct{}
+}
+
+// unframe takes the connection of an answer and writes its head.
+func (b *Backend) unframe(w http.ResponseWriter) (*unframed, error) {
+	c, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return nil, err
+	}
+	u := &unframed{server: b, conn: c, closed: make(chan struct{})}
+	b.mu.Lock()
+	if b.unframed == nil {
+		b.unframed = map[*unframed]bool{}
+	}
+	b.unframed[u] = true
+	b.mu.Unlock()
+	_, _ = buf.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(buf)
+	_, _ = buf.WriteString("Connection: close\r\n\r\n")
+	_ = buf.Flush()
+	go func() {
+		var one [1]byte
+		_, _ = c.Read(one[:]) // nothing comes but the end
+		close(u.closed)
+	}()
+	return u, nil
+}
+
+// closeUnframed ends the connections that the server of package http does not know any
+// more.
+func (b *Backend) closeUnframed() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for u := range b.unframed {
+		u.close(b.manner.Reset)
+	}
+}
+
+func (u *unframed) write(p []byte) bool {
+	_, err := u.conn.Write(p)
+	return err == nil
+}
+
+func (u *unframed) gone() <-chan struct{} { return u.closed }
+
+func (u *unframed) end(whole, byReset bool) {
+	u.server.mu.Lock()
+	delete(u.server.unframed, u)
+	u.server.mu.Unlock()
+	u.close(!whole && byReset)
+}
+
+func (u *unframed) close(byReset bool) {
+	if tcp, ok := u.conn.(lingerer); ok && byReset {
+		_ = tcp.SetLinger(0)
+	}
+	_ = u.conn.Close()
+}
