--- /dev/null
+++ b/backend/review_foreign_test.go
@@ -0,0 +1,53 @@
+package backend_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/backend"
+)
+
+// reviewTwo serves one connection: the first request gets a whole answer with its ID, the
+// second one a text that belongs to no request, and then its own answer.
+func reviewTwo(t *testing.T, late string) *raw {
+	return newRaw(t, func(r *raw, _ int64, c net.Conn) {
+		defer c.Close()
+		br := bufio.NewReader(c)
+		for n := 1; ; n++ {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			if n == 2 {
+				_, _ = io.WriteString(c, late)
+			}
+			length := len(req.RequestURI)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\n%s: %s\r\nContent-Length: %d\r\n\r\n",
+				backend.DefaultHeaders.RequestID, req.Header.Get(backend.DefaultHeaders.RequestID), length)
+			if req.Method != http.MethodHead {
+				_, _ = io.WriteString(c, req.RequestURI)
+			}
+		}
+	})
+}
+
+// TestReviewLateAnswerWithoutItsID wants an answer without an ID not taken for that to a
+// request on a connection whose server has given an ID back before: it says "not run" of
+// another request.
+func TestReviewLateAnswerWithoutItsID(t *testing.T) {
+	r := reviewTwo(t, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nlate")
+	p := backend.NewPool()
+	defer p.Close()
+	got, err := r.ask(p, "one", "/first")
+	assert.NilError(t, err)
+	assert.Equal(t, got, "/first")
+	got, err = r.ask(p, "two", "/second")
+	assert.Check(t, err != nil || got == "/second", "the answer is %q", got)
+}
