--- a/backend/conn.go
+++ b/backend/conn.go
@@ -54,8 +54,8 @@
 const maxCarried = 64
 
 // mayCarry tells whether a request's answer can be told from those to all before it.
-func (c *conn) mayCarry(id string) bool {
-	return id != "" && len(c.carried) < maxCarried && !slices.Contains(c.carried, id)
+func (c *conn) mayCarry(r *Request) bool {
+	return !r.alone() && len(c.carried) < maxCarried && !slices.Contains(c.carried, r.ID)
 }
 
 var dialer = sock.Dialer(DialTimeout, userTimeout)
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -34,6 +34,11 @@
 	Fresh bool
 }
 
+// alone tells that a request has a connection to itself: an answer to a call without an ID
+// names nothing, and one to another request would be read by the rules of a HEAD, whose
+// answers have no body.
+func (r *Request) alone() bool { return r.ID == "" || r.Method == http.MethodHead }
+
 // Error is a request that got no answer.
 type Error struct {
 	// Sent tells whether the server may have seen the request.
@@ -128,6 +133,7 @@
 
 func (a *Answer) exchange(headers *Headers) (*http.Response, error) {
 	head := a.request.head()
+	a.conn.single = a.request.alone()
 	if len(a.request.Body) <= smallBody {
 		close(a.written)
 		if _, err := a.conn.Write(append(head, a.request.Body...)); err != nil {
@@ -146,6 +152,9 @@
 	return a.read(headers)
 }
 
+// errNameless tells that a server that gives IDs back sent an answer without one.
+var errNameless = errors.New("an answer that names no request")
+
 // read returns the answer to this request and passes over those to others that
 // a server sent in its place.
 func (a *Answer) read(headers *Headers) (*http.Response, error) {
@@ -159,10 +168,15 @@
 			continue
 		}
 		id := resp.Header.Get(headers.RequestID)
-		if id == "" || a.request.ID == "" {
+		switch {
+		case len(a.conn.carried) == 1 && (id == "" || a.request.ID == ""):
 			// Its late second answer could not be told from that to what comes next.
 			a.conn.single = true
 			return resp, nil
+		case id == "":
+			// All earlier answers on this connection named their requests. Whose this is
+			// can't be told: a "not run" that was another's had a request run twice.
+			return nil, errNameless
 		}
 		if id == a.request.ID {
 			return resp, nil
--- a/backend/names.go
+++ b/backend/names.go
@@ -112,6 +112,9 @@
 // Protocol is what a deployment's servers speak.
 type Protocol struct {
 	Headers Headers
+	// EventsByOne tells that engines give the events of a stream whole numbers that rise by
+	// one, so that a gateway sees what is missing. Otherwise their IDs are only names.
+	EventsByOne bool
 	// ParseKV reads the answer to a prefill.
 	ParseKV func(body []byte) (KV, error)
 	// FreeKV returns the call that frees a KV cache.
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -32,12 +32,12 @@
 // get returns an idle connection that may carry a request, or opens one.
 func (p *Pool) get(ctx context.Context, r *Request) (*conn, error) {
 	if !r.Fresh {
-		if c := p.takeIdle(r.Address, r.ID); c != nil {
+		if c := p.takeIdle(r); c != nil {
 			return c, nil
 		}
 	}
 	if !p.mayOpen(r) {
-		if c := p.takeIdle(r.Address, r.ID); c != nil {
+		if c := p.takeIdle(r); c != nil {
 			return c, nil
 		}
 		return nil, ErrFull
@@ -60,7 +60,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	full := r.MaxConnections > 0 && p.open[r.Address] >= r.MaxConnections
-	if idle := p.idle[r.Address]; full && len(idle) > 0 && !idle[0].mayCarry(r.ID) {
+	if idle := p.idle[r.Address]; full && len(idle) > 0 && (r.Fresh || !idle[0].mayCarry(r)) {
 		p.idle[r.Address] = idle[1:]
 		p.open[r.Address]--
 		_ = idle[0].Close()
@@ -87,29 +87,29 @@
 }
 
 // takeIdle returns the connection that was used last, is still good and may carry a
-// request with an ID.
-func (p *Pool) takeIdle(address, id string) *conn {
+// request.
+func (p *Pool) takeIdle(r *Request) *conn {
 	now := clock.VM.Now()
 	for {
-		c := p.popIdle(address, id)
+		c := p.popIdle(r)
 		if c == nil {
 			return nil
 		}
 		if now.Before(c.idleUntil) && c.quiet() {
 			return c
 		}
-		p.drop(address, c)
+		p.drop(r.Address, c)
 	}
 }
 
-// popIdle takes the connection that was used last and may carry a request with an ID.
-func (p *Pool) popIdle(address, id string) *conn {
+// popIdle takes the connection that was used last and may carry a request.
+func (p *Pool) popIdle(r *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
+	list := p.idle[r.Address]
 	for i := len(list) - 1; i >= 0; i-- {
-		if c := list[i]; c.mayCarry(id) {
-			p.idle[address] = slices.Delete(list, i, i+1)
+		if c := list[i]; c.mayCarry(r) {
+			p.idle[r.Address] = slices.Delete(list, i, i+1)
 			return c
 		}
 	}
