--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -3,11 +3,10 @@
 import "fmt"
 
 // MaxBlock is the most bytes that a block may have, and what a Reader holds at
-// most. An event of some tokens has a few hundred bytes; 256 KiB is chosen four
-// times above what readers of lines take by default (bufio.MaxScanTokenSize), so
-// that an event with probabilities of many tokens still passes, and a thousand
-// streams that never end an event stay bounded. The choice is not measured.
-const MaxBlock = 256 << 10
+// most. An event of some tokens has a few hundred bytes; the bound only keeps a
+// stream that never ends an event from taking a process's memory. It is a quarter
+// of the longest plain answer that a gateway holds.
+const MaxBlock = 4 << 20
 
 // TooLongError tells that a block had more than Limit bytes and no end. Nothing of
 // it was given back. The stream can't be read on.
--- a/eventstream/sequence.go
+++ b/eventstream/sequence.go
@@ -1,5 +1,7 @@
 package eventstream
 
+import "bytes"
+
 // Sequence decides on the events of one caller's answer, over all engines and
 // tries that serve it. The zero value knows nothing. Not to be copied after its
 // first use, nor for use by several goroutines at once.
@@ -31,9 +33,10 @@
 	// extra tells that events without a number were passed after number, and
 	// nameless that the last event passed had no ID.
 	extra, nameless bool
-	// begun tells that the answer has a block.
-	begun bool
-	place place
+	// begun tells that the answer has a block, joined that the run has passed no event
+	// yet.
+	begun, joined bool
+	place         place
 }
 
 // place is where in the stream the run is that serves now.
@@ -55,14 +58,14 @@
 // `Last-Event-ID`; an empty one means that it has none. All else is forgotten: a
 // new answer begins.
 func (s *Sequence) Resume(last string) {
-	*s = Sequence{last: append(s.last[:0], last...)}
+	*s = Sequence{last: append(s.last[:0], last...), joined: true}
 	s.number, s.known = number(last)
 	s.quiet = s.number
 }
 
 // Again tells that another run serves from here, asked for what follows Last.
 func (s *Sequence) Again() {
-	s.quiet, s.place = s.number, follows
+	s.quiet, s.place, s.joined = s.number, follows, true
 }
 
 // Last returns the ID to ask the next engine with, as it came; empty if the caller
@@ -149,7 +152,10 @@
 	case ahead, unsure:
 		return Missing
 	}
-	s.extra, s.nameless = true, len(id) == 0
+	if s.joined && len(id) > 0 && bytes.Equal(id, s.last) {
+		return Repeated
+	}
+	s.extra, s.nameless, s.joined = true, len(id) == 0, false
 	if len(id) > 0 {
 		s.last = append(s.last[:0], id...)
 	}
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -78,6 +78,7 @@
 	if !g.isStream(a) {
 		return n.failedAnswer(s, a)
 	}
+	n.mover.stopped = false
 	s, a, err = n.relay(ctx, s, a)
 	if err == nil {
 		g.fleet.note(s.ID, dispatch.Good, g.clock.Since(started))
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -59,11 +59,11 @@
 	// done is closed when the fields below are set.
 	done chan struct{}
 	// kv names the copy; stopped tells that the run has ended at the engine from,
-	// copied that the engine to has all of it, and stopping that it was asked to stop
-	// the run.
-	kv                        backend.KV
-	stopping, stopped, copied bool
-	err                       error
+	// copied that the engine to has all of it, and unsure that the run may have stopped,
+	// since the answer to that is lost.
+	kv                      backend.KV
+	unsure, stopped, copied bool
+	err                     error
 }
 
 // checkMigration ends a migration that has failed before the run was stopped: the
@@ -82,7 +82,7 @@
 		return // its stream ends, and follow goes on
 	}
 	n.mover.current = nil
-	n.mover.stopped = n.mover.stopped || m.stopping
+	n.mover.stopped = n.mover.stopped || m.unsure || m.stopped
 	n.mover.notBefore = n.g.clock.Now().Add(moveAgain)
 	n.giveUp(m, m.err)
 }
@@ -91,7 +91,7 @@
 // before.
 func (n *generation) moveOn(ctx context.Context, reason dispatch.Reason) {
 	engine, now := n.q.service.Engine, n.g.clock.Now()
-	if n.g.cfg.Protocol.CopyRun == nil || !engine.Migrates || !n.stream.canGoOn() || n.mover.current != nil || now.Before(n.mover.notBefore) {
+	if n.g.cfg.Protocol.CopyRun == nil || !engine.Migrates || !n.stream.canMove() || n.mover.current != nil || now.Before(n.mover.notBefore) {
 		return
 	}
 	n.mover.notBefore = now.Add(moveAgain)
@@ -115,11 +115,12 @@
 		m.err = err
 		return
 	}
-	m.kv, m.stopping = kv, true
+	m.kv = kv
 	status, kv, err := n.askCopy(ctx, m, true)
 	m.err = err
 	if kv.Handle == "" {
-		return // what is known of the run is that it may go on
+		m.unsure = status == 0 && backend.WasSent(err) || status == http.StatusOK
+		return
 	}
 	m.kv, m.stopped = kv, true
 	m.copied = status == http.StatusOK
@@ -161,7 +162,7 @@
 		m := n.mover.take()
 		if m != nil {
 			<-m.done
-			n.mover.stopped = n.mover.stopped || m.stopping
+			n.mover.stopped = n.mover.stopped || m.unsure || m.stopped
 		}
 		if err == nil && n.mover.stopped && !a.Framed {
 			err = errNoRunLeft // the end of a stopped run looks like that of a whole one
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -25,7 +25,8 @@
 )
 
 var protocol = backend.Protocol{
-	Headers: backend.DefaultHeaders,
+	Headers:     backend.DefaultHeaders,
+	EventsByOne: true,
 	ParseKV: func(body []byte) (backend.KV, error) {
 		var in struct {
 			Handle string
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -4,8 +4,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"mime"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/ledgepin/ledgepin/backend"
@@ -27,9 +27,12 @@
 	q       *request
 	started bool
 	reader  eventstream.Reader
-	order   eventstream.Sequence
+	order   eventstream.Order
 	// plain tells that the answer is no event stream, and is passed on as it comes.
 	plain bool
+	// untyped tells that the engine does not say what it is, and blocks that it has had
+	// whole ones.
+	untyped, blocks bool
 	// out are the blocks that are written together.
 	out []byte
 	// from is the engine that serves now, noted that it has sent an event out of order.
@@ -45,8 +48,14 @@
 }
 
 func newStreamWriter(g *Gateway, w http.ResponseWriter, q *request) *streamWriter {
-	s := &streamWriter{g: g, w: w, control: http.NewResponseController(w), q: q}
-	s.order.Resume(q.send.Header.Get(g.cfg.Protocol.Headers.LastEventID))
+	s := &streamWriter{g: g, w: w, control: http.NewResponseController(w), q: q, order: &eventstream.Names{}}
+	if g.cfg.Protocol.EventsByOne {
+		s.order = &eventstream.Sequence{}
+	}
+	// On another route a run begins anew, whatever its caller has of an earlier one.
+	if q.route.Resumable {
+		s.order.Resume(q.send.Header.Get(g.cfg.Protocol.Headers.LastEventID))
+	}
 	return s
 }
 
@@ -67,6 +76,10 @@
 // has.
 func (s *streamWriter) canGoOn() bool { return !s.plain && s.order.Resumable() }
 
+// canMove tells whether its run can: an engine that continues a copy is told the last event,
+// and without one may begin after all that the run had made.
+func (s *streamWriter) canMove() bool { return s.canGoOn() && s.order.Last() != "" }
+
 // copy passes an engine's stream on until its end. It returns nil only if the
 // engine ended it as whole.
 func (s *streamWriter) copy(a *backend.Answer, from *dispatch.Server) error {
@@ -99,16 +112,17 @@
 		return
 	}
 	s.started = true
-	s.plain = !isEventStream(a.Header.Get("Content-Type"))
+	s.untyped = a.Header.Get("Content-Type") == ""
+	s.plain = !s.untyped && !isEventStream(a.Header)
 	copyHead(s.w, a.Header)
 	s.w.WriteHeader(a.Status)
 }
 
-// isEventStream tells whether an answer is one; engines that name no type send nothing
-// else.
-func isEventStream(contentType string) bool {
-	kind, _, err := mime.ParseMediaType(contentType)
-	return err != nil || kind == "text/event-stream"
+// isEventStream tells whether an answer is one that can be read.
+func isEventStream(head http.Header) bool {
+	kind, _, _ := strings.Cut(head.Get("Content-Type"), ";")
+	encoding := head.Get("Content-Encoding")
+	return strings.EqualFold(strings.TrimSpace(kind), "text/event-stream") && (encoding == "" || strings.EqualFold(encoding, "identity"))
 }
 
 // pace notes when a part of the stream came.
@@ -144,6 +158,7 @@
 		if block.Kind == eventstream.None {
 			return nil
 		}
+		s.blocks = true
 		if err := s.take(block, block.Raw); err != nil {
 			return err
 		}
@@ -169,6 +184,9 @@
 	return nil
 }
 
+// maxLogged bounds what a log line shows of an engine's ID, in bytes.
+const maxLogged = 64
+
 // note counts an event that is out of order, and logs the first one of each engine's
 // stream.
 func (s *streamWriter) note(v eventstream.Verdict) {
@@ -177,7 +195,7 @@
 		return
 	}
 	s.noted = true
-	event.EventOutOfOrder.Log(s.g.log, "id", s.q.id, "server", s.from.Called(), "verdict", v.Kind.String(), "due", v.Due, "came", string(v.Came),
+	event.EventOutOfOrder.Log(s.g.log, "id", s.q.id, "server", s.from.Called(), "verdict", v.Kind.String(), "due", v.Due, "came", string(v.Came[:min(len(v.Came), maxLogged)]),
 		"last", s.order.Last(), "resumed", s.q.resumed, "events", s.events)
 }
 
@@ -207,6 +225,9 @@
 	if len(rest) == 0 {
 		return nil
 	}
+	if s.untyped && !s.blocks {
+		return s.write(rest) // no event stream at all
+	}
 	if !a.Framed {
 		return errCutEvent
 	}
