--- /dev/null
+++ b/service/late_test.go
@@ -0,0 +1,47 @@
+package service_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/internal/late"
+	"github.com/ledgepin/ledgepin/service"
+)
+
+// TestLateAnswer wants each call to get its own answer, not the one to the call before it.
+func TestLateAnswer(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		t.Run(method, func(t *testing.T) {
+			srv := late.New(t, func(_, target, _ string) late.Answer {
+				return late.Answer{Status: http.StatusOK, Type: "text/plain", Body: target}
+			})
+			c := service.NewClient(srv.Addr())
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			for _, path := range []string{"/first", "/second", "/third"} {
+				a, sent, err := c.Do(ctx, service.Call{Method: method, Path: path, Body: []byte("x")})
+				assert.NilError(t, err)
+				assert.Assert(t, sent)
+				assert.Equal(t, string(a.Body), path)
+			}
+		})
+	}
+}
+
+// BenchmarkDo makes small calls, one after the other; the service's work is in the figures.
+func BenchmarkDo(b *testing.B) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) }))
+	defer srv.Close()
+	c := service.NewClient(srv.Listener.Addr().String())
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, err := c.Do(b.Context(), service.Call{Method: http.MethodPost, Path: "/", Body: []byte("x")}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/vmlist/platform_test.go
@@ -0,0 +1,30 @@
+package vmlist_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/internal/late"
+	"github.com/ledgepin/ledgepin/vmlist"
+)
+
+// TestLateAnswer wants the list that was asked for, not the one before it.
+func TestLateAnswer(t *testing.T) {
+	lists := make(chan string, 2)
+	srv := late.New(t, func(string, string, string) late.Answer {
+		return late.Answer{Status: http.StatusOK, Type: "application/json", Body: <-lists}
+	})
+	c := vmlist.NewClient(srv.Addr())
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	for _, want := range []vmlist.State{vmlist.Live, vmlist.Leaving} {
+		lists <- `[{"name":"a","address":"127.0.0.1","state":"` + string(want) + `"}]`
+		vms, err := c.List(ctx)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, vms, []vmlist.VM{{Name: "a", Address: "127.0.0.1", State: want}})
+	}
+}
