--- a/agent/agent.go
+++ b/agent/agent.go
@@ -179,9 +179,6 @@
 	}
 	a.mu.Unlock()
 	a.wg.Wait()
-	if c, ok := a.engine.(*engine.Client); ok {
-		c.Close()
-	}
 	if a.svc != nil {
 		a.svc.Close()
 	}
--- a/engine/client.go
+++ b/engine/client.go
@@ -31,13 +31,12 @@
 
 // NewClient returns a client of the engine at addr, an IP number and port.
 func NewClient(addr string) *Client {
-	t := &http.Transport{MaxIdleConnsPerHost: 64}
+	// Answers do not name their request: on a kept connection, a late second answer to the
+	// one before would be taken for the next one's.
+	t := &http.Transport{DisableKeepAlives: true}
 	return &Client{addr: addr, http: &http.Client{Transport: t}}
 }
 
-// Close drops idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
-
 // transfer is the KV-transfer object of a request.
 type transfer struct {
 	Export bool `json:"export,omitempty"`
