--- a/agent/agent.go
+++ b/agent/agent.go
@@ -179,9 +179,6 @@
 	}
 	a.mu.Unlock()
 	a.wg.Wait()
-	if a.svc != nil {
-		a.svc.Close()
-	}
 }
 
 func (a *Agent) tickLoop() {
--- a/agent/call.go
+++ b/agent/call.go
@@ -41,7 +41,7 @@
 func (a *Agent) runCall(l *wire.Link, m *wire.Call) {
 	ctx, cancel := context.WithTimeout(a.ctx, m.Limit)
 	defer cancel()
-	res, sent, err := a.svc.Do(ctx, service.Call{Method: m.Method, Path: m.Path, Type: m.Type, Body: m.Body, Once: m.Once})
+	res, sent, err := a.svc.Do(ctx, service.Call{Method: m.Method, Path: m.Path, Type: m.Type, Body: m.Body})
 	out := &wire.Answer{ID: m.ID, Sent: sent, Status: res.Status, Type: res.Type, Body: res.Body}
 	if err != nil {
 		out.Detail = fault.From(err).Detail
--- a/service/service.go
+++ b/service/service.go
@@ -20,8 +20,6 @@
 type Call struct {
 	Method, Path, Type string
 	Body               []byte
-	// Once tells that the call may not be repeated.
-	Once bool
 }
 
 // Answer is the service's answer.
@@ -35,25 +33,18 @@
 type Client struct {
 	addr string
 	http *http.Client
-	// single opens a connection for each call. The usual transport may send a
-	// call again if it finds that a kept connection has gone stale.
-	single *http.Client
 }
 
 // NewClient returns a client of the service at addr, an IP number and port.
 func NewClient(addr string) *Client {
-	t := &http.Transport{MaxIdleConnsPerHost: 64}
-	single := &http.Transport{DisableKeepAlives: true}
+	// A connection for each call: on a kept one, a late second answer would be taken for the
+	// next call's, and a call could be sent again when the connection has gone stale.
+	t := &http.Transport{DisableKeepAlives: true}
 	// A redirect is the caller's to follow: followed here, one call would be two.
 	stay := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Client{
-		addr: addr, http: &http.Client{Transport: t, CheckRedirect: stay}, single: &http.Client{Transport: single, CheckRedirect: stay},
-	}
+	return &Client{addr: addr, http: &http.Client{Transport: t, CheckRedirect: stay}}
 }
 
-// Close drops idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
-
 // Do calls the service once. Sent tells whether the service may have seen the
 // call; it is false only if no connection could be opened.
 func (c *Client) Do(ctx context.Context, call Call) (a Answer, sent bool, err error) {
@@ -64,11 +55,7 @@
 	if call.Type != "" {
 		req.Header.Set("Content-Type", call.Type)
 	}
-	client := c.http
-	if call.Once {
-		client = c.single
-	}
-	resp, err := client.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return Answer{}, !refused(err), fault.Wrap(err, fault.ServiceFailed, fault.StepCall, c.addr)
 	}
