--- a/entry/leaving.go
+++ b/entry/leaving.go
@@ -17,7 +17,6 @@
 
 func (e *Entry) platformLoop() {
 	c := vmlist.NewClient(e.cfg.Platform)
-	defer c.Close()
 	lost := false
 	for e.ctx.Err() == nil {
 		vms, err := e.listVMs(c)
--- a/vmlist/platform.go
+++ b/vmlist/platform.go
@@ -46,12 +46,11 @@
 
 // NewClient returns a client of the platform at addr, an IP number and port.
 func NewClient(addr string) *Client {
-	return &Client{addr: addr, http: &http.Client{Transport: &http.Transport{}}}
+	// A list does not name its request: on a kept connection, a late second list would be
+	// taken for the next one.
+	return &Client{addr: addr, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
-// Close drops idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
-
 // List returns the VMs as the platform knows them now.
 func (c *Client) List(ctx context.Context) ([]VM, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.addr+Path, nil)
