--- /dev/null
+++ b/standin/around.go
@@ -0,0 +1,57 @@
+package standin
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+)
+
+// SetAround puts a handler around the server's own, which sees each request first and may
+// answer it in another way; nil for none.
+func (b *Backend) SetAround(around func(own http.Handler) http.Handler) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.around = around
+}
+
+// front hands a request to the handler around the server's own, if there is one.
+func (b *Backend) front(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	around := b.around
+	b.mu.Unlock()
+	own := http.Handler(http.HandlerFunc(b.serve))
+	if around != nil {
+		own = around(own)
+	}
+	own.ServeHTTP(w, r)
+}
+
+// SetText sets what the n-th event of a run holds that a body asks for; nil for its number
+// alone.
+func (b *Backend) SetText(text func(body string, n int) string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.text = text
+}
+
+// eventOf returns an event as it goes to the gateway. Each line of its text is a field.
+func (b *Backend) eventOf(r *http.Request, n int) string {
+	b.mu.Lock()
+	text := b.text
+	b.mu.Unlock()
+	if text == nil {
+		return fmt.Sprintf("id: %d\ndata: event %d\n\n", n, n)
+	}
+	return WriteEvent(n, text(BodyOf(r), n))
+}
+
+// WriteEvent returns an event with a number and a text of any lines.
+func WriteEvent(n int, text string) string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "id: %d\n", n)
+	for line := range strings.SplitSeq(text, "\n") {
+		out.WriteString("data: " + line + "\n")
+	}
+	out.WriteString("\n")
+	return out.String()
+}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -72,6 +72,9 @@
 	mu       sync.Mutex
 	arrivals []Arrival
 	fault    func(r *http.Request) Fault
+	// around is put around the server's handler, text makes the texts of events.
+	around func(own http.Handler) http.Handler
+	text   func(body string, n int) string
 	// deadly is the body of a request that ends the server, crashed is told of that.
 	deadly  string
 	crashed func()
@@ -106,7 +109,7 @@
 		return nil, fmt.Errorf("standin: backend: %w", err)
 	}
 	b := &Backend{ID: id, Role: role, addr: ln.Addr().String(), headers: headers, group: g, events: 5, event: 2 * time.Millisecond}
-	b.srv = &http.Server{Handler: http.HandlerFunc(b.serve), ReadHeaderTimeout: 5 * time.Second}
+	b.srv = &http.Server{Handler: http.HandlerFunc(b.front), ReadHeaderTimeout: 5 * time.Second}
 	b.wg.Go(func() { _ = b.srv.Serve(ln) })
 	return b, nil
 }
@@ -201,7 +204,8 @@
 		return
 	}
 	at := b.arrive(r, id, string(body))
-	fault := b.faultOf(r.WithContext(context.WithValue(r.Context(), bodyKey{}, string(body))))
+	r = r.WithContext(context.WithValue(r.Context(), bodyKey{}, string(body)))
+	fault := b.faultOf(r)
 	if fault == Refuse || role != "" && !b.fits(r, role) {
 		w.Header().Set(b.headers.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -364,7 +368,7 @@
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", n, n)
+		_, _ = io.WriteString(w, b.eventOf(r, n))
 		_ = control.Flush()
 		select {
 		case <-time.After(pace):
