--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -20,15 +20,17 @@
 )
 
 type options struct {
-	Binary   string        `required:"" type:"existingfile" help:"The ledgepin binary to run."`
-	From     uint64        `default:"1" help:"The first seed."`
-	Seeds    int           `default:"1" help:"How many seeds to play, one after the other."`
-	Length   time.Duration `default:"30s" help:"How long callers send requests in each run."`
-	Controls int           `default:"3" help:"Replicas of control."`
-	Gateways int           `default:"3" help:"Gateways."`
-	Keep     string        `default:"soak-finds" help:"The folder that keeps history and logs of runs that break a rule."`
-	Report   string        `help:"Write a page with plots of the last run to this file."`
-	Plan     bool          `help:"Print the plan of the first seed and end."`
+	Binary     string        `required:"" type:"existingfile" help:"The ledgepin binary to run."`
+	From       uint64        `default:"1" help:"The first seed."`
+	Seeds      int           `default:"1" help:"How many seeds to play, one after the other."`
+	Length     time.Duration `default:"30s" help:"How long callers send requests in each run."`
+	Controls   int           `default:"3" help:"Replicas of control."`
+	Gateways   int           `default:"3" help:"Gateways."`
+	Keep       string        `default:"soak-finds" help:"The folder that keeps history and logs of runs that break a rule."`
+	Report     string        `help:"Write a page with plots of the last run to this file."`
+	KeepAll    bool          `help:"Keep history and logs of all runs."`
+	PlainTexts bool          `help:"Events of streams hold plain words only."`
+	Plan       bool          `help:"Print the plan of the first seed and end."`
 }
 
 func main() {
@@ -94,12 +96,12 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	h, err := soak.Run(ctx, soak.Options{Binary: binary, Dir: dir, Seed: seed, Length: o.Length, Shape: shape})
+	h, err := soak.Run(ctx, soak.Options{Binary: binary, Dir: dir, Seed: seed, Length: o.Length, Shape: shape, PlainTexts: o.PlainTexts})
 	if err != nil {
 		return nil, nil, err
 	}
 	violations := soak.Check(h)
-	if len(violations) > 0 {
+	if len(violations) > 0 || o.KeepAll {
 		if err := soak.Keep(filepath.Join(o.Keep, fmt.Sprint("seed-", seed)), dir, h, violations); err != nil {
 			return nil, nil, err
 		}
--- a/soak/check.go
+++ b/soak/check.go
@@ -60,6 +60,8 @@
 	check func(h *History) []string
 }{
 	{"whole and own answer", checkWhole},
+	{"each event once and in order over all tries", checkEvents},
+	{"a run goes on from its own memory", checkMemory},
 	{"at most once", checkOnce},
 	{"a run is at one engine at a time", checkOneEngine},
 	{"not run is true", checkNotRun},
@@ -78,26 +80,16 @@
 	{"no process ends by itself", checkExits},
 }
 
-// streamEvents is the number of events of a stream of the run's engines.
-const streamEvents = 24
-
-// wholeStream is the body of a stream that nothing is missing of.
-func wholeStream() string {
-	var b strings.Builder
-	for n := 1; n <= streamEvents; n++ {
-		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", n, n)
-	}
-	return b.String()
-}
-
 func checkWhole(h *History) []string {
 	var out []string
-	whole := wholeStream()
 	for _, q := range h.Requests {
-		if q.Status != http.StatusOK || q.LeftAt > 0 {
+		if q.Status != http.StatusOK || q.LeftAt > 0 || q.Kind == Desk { // for Desk see checkEvents
 			continue
 		}
-		stream := q.Kind == Review || q.Kind == Desk
+		stream, whole := q.Kind == Review, ""
+		if stream {
+			whole = streamFrom(q.Content, 0)
+		}
 		switch {
 		case stream && !strings.HasPrefix(whole, q.Body):
 			out = append(out, fmt.Sprintf("%s got other events: %.80q", q.ID, q.Body))
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -194,6 +194,17 @@
 		})
 		sleep(ctx, step.For)
 		b.SetFault(nil)
+	case TroubleCalls, BreakStreams, CloseStreams:
+		v.mu.Lock()
+		t := v.trouble
+		v.mu.Unlock()
+		t.set(step.Kind, 1)
+		sleep(ctx, step.For)
+		t.set(step.Kind, -1)
+	case SecondAnswers:
+		p.second(true)
+		sleep(ctx, step.For)
+		p.second(false)
 	case Reset:
 		p.reset()
 	case Silence, SilenceBack, Delay:
--- a/soak/history.go
+++ b/soak/history.go
@@ -23,6 +23,13 @@
 	ID      string
 	Kind    RequestKind
 	Gateway int
+	// Caller is who sends it, if that one may come back; Try counts its tries from 1 on,
+	// and LastID is the last event that it had when it came.
+	Caller string
+	Try    int
+	LastID string
+	// Events are those that came, of a caller that may come back.
+	Events []Event
 	// Organisation is whose key the request names.
 	Organisation string
 	// Content is the body that it sends.
@@ -136,6 +143,9 @@
 	// and HeldRoom is the number of holds.
 	HeldKV   []HeldKV
 	HeldRoom int
+	// Troubles counts what went wrong at servers by intent: calls, streams, answers that
+	// came again.
+	Troubles map[string]int
 	// Exits are the processes that ended by themselves.
 	Exits []string
 }
@@ -155,3 +165,13 @@
 	defer r.mu.Unlock()
 	change(&r.h)
 }
+
+// count counts what went wrong by intent.
+func (r *recorder) count(what string) {
+	r.add(func(h *History) {
+		if h.Troubles == nil {
+			h.Troubles = map[string]int{}
+		}
+		h.Troubles[what]++
+	})
+}
--- a/soak/load.go
+++ b/soak/load.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +40,7 @@
 // a second it asks for some 2.5 times its limit.
 const (
 	requestTokens = 1100
+	promptTokens  = 300
 	hotRate       = 5500
 )
 
@@ -58,10 +58,15 @@
 	clients []*http.Client
 	wg      sync.WaitGroup
 	next    int
+	seed    uint64
+	// texts says what the events of streams hold.
+	texts string
+	// ended tells that no more requests come.
+	ended atomic.Bool
 }
 
 func newLoad(s *site, rec *recorder, seed uint64) *load {
-	l := &load{site: s, rec: rec, rng: rand.New(rand.NewPCG(seed, 2)), out: make([]atomic.Bool, s.shape.Gateways)}
+	l := &load{site: s, rec: rec, seed: seed, rng: rand.New(rand.NewPCG(seed, 2)), out: make([]atomic.Bool, s.shape.Gateways)}
 	l.faster.Store(1)
 	for range s.shape.Gateways {
 		l.clients = append(l.clients, &http.Client{Transport: &http.Transport{
@@ -82,13 +87,14 @@
 			l.one()
 		}
 	}
+	l.ended.Store(true)
 	l.wg.Wait()
 }
 
 // one sends one request.
 func (l *load) one() {
 	l.next++
-	kinds := []RequestKind{Checkout, Checkout, Rates, Review, Desk}
+	kinds := []RequestKind{Checkout, Checkout, Rates, Review, Desk, Desk}
 	organisation := organisations[l.rng.IntN(len(organisations))]
 	q := Request{ID: fmt.Sprintf("q%d", l.next), Kind: kinds[l.rng.IntN(len(kinds))], Gateway: l.rng.IntN(l.site.shape.Gateways), Organisation: organisation, Content: usualContent}
 	if l.out[q.Gateway].Load() {
@@ -96,6 +102,14 @@
 	}
 	leaves := l.rng.Float64() < leaveShare
 	after := time.Duration(l.rng.Float64() * float64(300*time.Millisecond))
+	if q.Kind == Desk {
+		seed := l.seed<<32 + uint64(l.next)
+		l.wg.Go(func() { l.desk(q, seed) })
+		return
+	}
+	if q.Kind == Review {
+		q.Content = "review " + q.ID + " " + l.texts
+	}
 	l.wg.Go(func() {
 		l.send(&q, leaves, after)
 		l.rec.add(func(h *History) { h.Requests = append(h.Requests, q) })
@@ -123,20 +137,10 @@
 }
 
 func (l *load) ask(ctx context.Context, q *Request, deadline time.Duration) (int, string, error) {
-	url := "http://" + l.site.front[q.Gateway] + "/" + string(q.Kind) + "/x"
-	// A reader of its own keeps the standard client from sending again.
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(strings.NewReader(q.Content)))
+	req, err := l.request(ctx, q, deadline)
 	if err != nil {
 		return 0, "", err
 	}
-	req.ContentLength = int64(len(q.Content))
-	req.Host = "h"
-	req.Header.Set(headers.RequestID, q.ID)
-	req.Header.Set(headers.Deadline, fmt.Sprint(deadline.Milliseconds()))
-	req.Header.Set("Authorization", "Bearer key-"+q.Organisation)
-	req.Header.Set(headers.Organisation, "forged")
-	req.Header.Set(headers.Tokens, fmt.Sprintf("%d,%d", requestTokens-100, 100))
-	req.Header.Set(headers.LengthHint, fmt.Sprint(streamEvents))
 	resp, err := l.clients[q.Gateway].Do(req)
 	if err != nil {
 		return 0, "", err
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -20,15 +20,20 @@
  {"name":"desk","host":"h","pathPrefix":"/desk/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":900,"gapTargetMs":500,"service":"llm","maxAttempts":3,"resumable":true},
  {"name":"version","host":"h","pathPrefix":"/version-VERSION/","kind":"idempotent","timeoutMs":1000,"targetLatencyMs":300,"service":"SERVICE","maxAttempts":1}],
  "services":[{"name":"app","healthCheck":"/health","maxConnections":200},
- {"name":"llm","healthCheck":"/health","maxConnections":200,"engine":{"slots":16,"kvTokens":100000,"kvHoldS":2,"roleSwitchS":0.5,"stride":1,"holdMs":2000,"moves":true}}],
+ {"name":"llm","healthCheck":"/health","maxConnections":200,"engine":{"slots":16,"kvTokens":KVTOKENS,"kvHoldS":2,"roleSwitchS":0.5,"stride":STRIDE,"holdMs":2000,"moves":true}}],
  "tenants":[
  {"name":"one","apiKeys":["key-one","key-VERSION"],"unit":"token_stream","plainTokens":200},
  {"name":"two","apiKeys":["key-two"],"priority":0,"unit":"token_stream","plainTokens":200,"ratePerS":10000000,"burst":10000000},
  {"name":"hot","apiKeys":["key-hot"],"unit":"token_stream","plainTokens":200,"ratePerS":HOT,"burst":HOT}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
 
+// engineMemory is the memory of an engine in tokens: some six runs, so that engines fill and
+// runs move.
+const engineMemory = 3600
+
 func tableText(version int, service string) string {
-	return strings.NewReplacer("VERSION", fmt.Sprint(version), "SERVICE", service, "HOT", fmt.Sprint(hotRate)).Replace(document)
+	return strings.NewReplacer("VERSION", fmt.Sprint(version), "SERVICE", service, "HOT", fmt.Sprint(hotRate),
+		"KVTOKENS", fmt.Sprint(engineMemory), "STRIDE", fmt.Sprint(eventTokens)).Replace(document)
 }
 
 // operators change the table, read it, and look which one gateways show.
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -34,6 +34,10 @@
 	RaceTables     Kind = "race tables"   // planned
 	BadTable       Kind = "invalid table" // planned
 	Burst          Kind = "burst"
+	TroubleCalls   Kind = "trouble calls"
+	BreakStreams   Kind = "break streams"
+	CloseStreams   Kind = "close streams"
+	SecondAnswers  Kind = "second answers"
 )
 
 // Planned tells whether a kind is planned work.
@@ -104,6 +108,25 @@
 		}
 		out = append(out, s)
 	}
+	out = append(out, streamSteps(seed, length, shape)...)
+	slices.SortStableFunc(out, func(a, b Step) int { return int(a.At - b.At) })
+	return out
+}
+
+// streamKinds are drawn from for the engines alone, by a draw of their own.
+var streamKinds = []Kind{TroubleCalls, TroubleCalls, BreakStreams, BreakStreams, CloseStreams, SecondAnswers, SecondAnswers, Reset, DrainServer}
+
+// streamSteps draws what befalls the engines' streams, and the calls about them: about one
+// step each second.
+func streamSteps(seed uint64, length time.Duration, shape Shape) []Step {
+	r := rand.New(rand.NewPCG(seed, 5))
+	var out []Step
+	for at := calmStart; at < length-calmEnd; at += time.Duration(float64(2*time.Second) * r.Float64()) {
+		out = append(out, Step{
+			At: at, Kind: streamKinds[r.IntN(len(streamKinds))], For: time.Duration((0.5 + 2*r.Float64()) * float64(time.Second)),
+			Target: r.IntN(shape.Prefills + shape.Decodes),
+		})
+	}
 	return out
 }
 
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -17,18 +19,21 @@
 	// way back.
 	silent, silentBack bool
 	delay              time.Duration
-	conns              map[net.Conn]bool
-	closed             bool
-	wake               *sync.Cond
+	// surplus has an answer come again in the place of the next one.
+	surplus bool
+	count   func(what string)
+	conns   map[net.Conn]bool
+	closed  bool
+	wake    *sync.Cond
 }
 
 // newProxy forwards to target.
-func newProxy(target string) (*proxy, error) {
+func newProxy(target string, count func(what string)) (*proxy, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{ln: ln, target: target, conns: map[net.Conn]bool{}}
+	p := &proxy{ln: ln, target: target, count: count, conns: map[net.Conn]bool{}}
 	p.wake = sync.NewCond(&p.mu)
 	go p.accept()
 	return p, nil
@@ -49,9 +54,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		setReset(c)
 		_ = c.Close()
 	}
 	clear(p.conns)
@@ -80,17 +83,22 @@
 	out, err := net.DialTimeout("tcp", p.target, time.Second)
 	if err != nil {
 		// A server that is dead resets.
-		if tcp, ok := in.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		setReset(in)
 		_ = in.Close()
 		return
 	}
 	p.mu.Lock()
 	p.conns[in], p.conns[out] = true, true
 	p.mu.Unlock()
-	go p.copy(in, out, true)
-	p.copy(out, in, false)
+	a := &answers{}
+	go p.copy(in, out, func(data []byte) []byte { a.note(data); return data }, true)
+	p.copy(out, in, func(data []byte) []byte {
+		if again := a.again(); len(again) > 0 && p.sendsAgain() {
+			p.count("answer that came again")
+			_, _ = in.Write(again)
+		}
+		return data
+	}, false)
 }
 
 // pass waits while a direction is silent, and for the delay.
@@ -107,7 +115,7 @@
 	return !closed
 }
 
-func (p *proxy) copy(to, from net.Conn, back bool) {
+func (p *proxy) copy(to, from net.Conn, passing func([]byte) []byte, back bool) {
 	defer p.drop(to, from)
 	buf := make([]byte, 16<<10)
 	for {
@@ -116,16 +124,26 @@
 			if !p.pass(back) {
 				return
 			}
-			if _, err := to.Write(buf[:n]); err != nil {
+			if _, err := to.Write(passing(buf[:n])); err != nil {
 				return
 			}
 		}
 		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				setReset(to)
+			}
 			return
 		}
 	}
 }
 
+// setReset has the close of a connection be a reset, as the other side saw one.
+func setReset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 func (p *proxy) drop(conns ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -20,6 +20,8 @@
 	Shape       Shape
 	// Plan overrides the plan that is drawn from the seed.
 	Plan []Step
+	// PlainTexts has the events of streams hold nothing but plain words.
+	PlainTexts bool
 }
 
 // Run plays one run and returns what was seen. An error means that the run
@@ -53,6 +55,9 @@
 	loaded, endLoad := context.WithTimeout(ctx, o.Length)
 	defer endLoad()
 	l := newLoad(s, rec, o.Seed)
+	if !o.PlainTexts {
+		l.texts = oddTexts
+	}
 	wg.Go(func() { ops.reads(background) })
 	wg.Go(func() { ops.probe(background) })
 	wg.Go(func() { s.words(loaded, o.Seed) })
--- a/soak/site.go
+++ b/soak/site.go
@@ -51,6 +51,7 @@
 	mu      sync.Mutex
 	backend *standin.Backend
 	proxy   *proxy
+	trouble *trouble
 	leaving bool
 	// born is when its present start was, in Unix milliseconds.
 	born int64
@@ -212,10 +213,13 @@
 		return err
 	}
 	b.SetPace(prefillTime, eventTime, streamEvents)
+	b.SetText(textOf)
+	tr := newTrouble(v.name, s.incarnations.Load(), s.rec.count)
+	b.SetAround(tr.around)
 	if v.role == "decode" {
 		b.SetSlots(engineSlots)
 	}
-	p, err := newProxy(b.Addr())
+	p, err := newProxy(b.Addr(), s.rec.count)
 	if err != nil {
 		return err
 	}
@@ -226,7 +230,7 @@
 	s.past = append(s.past, b)
 	s.pastMu.Unlock()
 	v.mu.Lock()
-	v.backend, v.proxy, v.leaving = b, p, false
+	v.backend, v.proxy, v.trouble, v.leaving = b, p, tr, false
 	v.born = max(time.Now().UnixMilli(), v.born+1)
 	v.mu.Unlock()
 	return nil
--- a/soak/summary.go
+++ b/soak/summary.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -16,15 +17,28 @@
 	Steps, Requests, Served, Refused, Failed     int
 	Left, Tables, Reads, Probes, Drains, Arrived int
 	Processes                                    int
+	// Returns are the tries of callers that came back with a last event, Moves the runs
+	// that went on elsewhere.
+	Returns, Moves int
+	// Troubles counts what went wrong at servers by intent.
+	Troubles map[string]int
 }
 
 // Summarize counts a history.
 func Summarize(h *History) Summary {
 	s := Summary{
 		Length: h.Length, Steps: len(h.Plan), Requests: len(h.Requests), Tables: len(h.Puts), Reads: len(h.Reads),
-		Probes: len(h.Probes), Drains: len(h.Drains), Arrived: len(h.Arrivals), Processes: h.Shape.Processes(),
+		Probes: len(h.Probes), Drains: len(h.Drains), Arrived: len(h.Arrivals), Processes: h.Shape.Processes(), Troubles: maps.Clone(h.Troubles),
+	}
+	for _, a := range h.Arrivals {
+		if a.Continues {
+			s.Moves++
+		}
 	}
 	for _, q := range h.Requests {
+		if q.LastID != "" {
+			s.Returns++
+		}
 		switch {
 		case q.LeftAt > 0:
 			s.Left++
@@ -53,13 +67,21 @@
 	s.Probes += o.Probes
 	s.Drains += o.Drains
 	s.Arrived += o.Arrived
+	s.Returns += o.Returns
+	s.Moves += o.Moves
+	for what, n := range o.Troubles {
+		if s.Troubles == nil {
+			s.Troubles = map[string]int{}
+		}
+		s.Troubles[what] += n
+	}
 	s.Processes = max(s.Processes, o.Processes)
 }
 
 // String describes the counts for people.
 func (s Summary) String() string {
-	return fmt.Sprintf("%s, %d processes, %d steps, %d requests (%d served, %d refused, %d failed, %d left), %d arrivals, %d tables, %d reads, %d probes, %d drains",
-		s.Length, s.Processes, s.Steps, s.Requests, s.Served, s.Refused, s.Failed, s.Left, s.Arrived, s.Tables, s.Reads, s.Probes, s.Drains)
+	return fmt.Sprintf("%s, %d processes, %d steps, %d requests (%d served, %d refused, %d failed, %d left, %d came back), %d arrivals, %d of them moves, %d tables, %d reads, %d probes, %d drains, %v",
+		s.Length, s.Processes, s.Steps, s.Requests, s.Served, s.Refused, s.Failed, s.Left, s.Returns, s.Arrived, s.Moves, s.Tables, s.Reads, s.Probes, s.Drains, s.Troubles)
 }
 
 // Keep copies the logs of a run, its history and the rules that it broke into a
