--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -63,3 +63,33 @@
 	}
 	return h, broken, o.Dir
 }
+
+// overAllEngines has kinds of trouble at all engines of a short run.
+func overAllEngines(kinds ...Kind) []Step {
+	var out []Step
+	for n := range DefaultShape.Prefills + DefaultShape.Decodes {
+		for _, k := range kinds {
+			out = append(out, Step{At: second, Kind: k, Target: n, For: 5 * second})
+		}
+	}
+	return out
+}
+
+// TestTextsWithFields wants streams to go on after the right event though their texts look
+// like fields of events.
+func TestTextsWithFields(t *testing.T) {
+	playShort(t, Options{Length: 8 * time.Second, Plan: overAllEngines(BreakStreams)})
+}
+
+// TestStreamsClosedEarly wants no stream to end as whole that its engine closes in the middle
+// of an event, where the end of the connection is that of the answer.
+func TestStreamsClosedEarly(t *testing.T) {
+	playShort(t, Options{Length: 8 * time.Second, Plan: overAllEngines(CloseStreams), PlainTexts: true})
+}
+
+// TestAnswersThatComeAgain wants an answer that comes once more, in the place of the next
+// one, to be taken for no other request's.
+func TestAnswersThatComeAgain(t *testing.T) {
+	plan := append(overAllEngines(SecondAnswers), Step{At: second, Kind: Burst, For: 5 * second})
+	playShort(t, Options{Length: 8 * time.Second, Plan: plan, PlainTexts: true})
+}
