--- a/soak/site.go
+++ b/soak/site.go
@@ -181,7 +181,9 @@
 func (s *site) startServers() error {
 	start := func(n int, service, role string) error {
 		for range n {
-			v := &server{service: service, role: role, name: fmt.Sprintf("%s-s%d", service, len(s.servers))}
+			// Soaks beside this one may get the address of a server that has ended: no name of
+			// theirs is like one of its own.
+			v := &server{service: service, role: role, name: fmt.Sprintf("%s-s%d-%d", service, len(s.servers), os.Getpid())}
 			s.servers = append(s.servers, v)
 			if err := s.raise(v); err != nil {
 				return err
