--- a/standin/backend.go
+++ b/standin/backend.go
@@ -74,6 +74,9 @@
 	mu       sync.Mutex
 	arrivals []Arrival
 	fault    func(r *http.Request) Fault
+	// around is put around the server's handler, text makes the texts of events.
+	around func(own http.Handler) http.Handler
+	text   func(body string, n int) string
 	// deadly is the body of a request that ends the server, crashed is told of that.
 	deadly  string
 	crashed func()
@@ -113,7 +116,7 @@
 		return nil, fmt.Errorf("standin: backend: %w", err)
 	}
 	b := &Backend{ID: id, Role: role, addr: ln.Addr().String(), headers: headers, group: g, events: 5, event: 2 * time.Millisecond}
-	b.srv = &http.Server{Handler: http.HandlerFunc(b.serve), ReadHeaderTimeout: 5 * time.Second, ConnContext: withConn}
+	b.srv = &http.Server{Handler: http.HandlerFunc(b.front), ReadHeaderTimeout: 5 * time.Second, ConnContext: withConn}
 	b.wg.Go(func() { _ = b.srv.Serve(surplusListener{ln}) })
 	return b, nil
 }
--- a/standin/manner.go
+++ b/standin/manner.go
@@ -87,6 +87,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	m := b.manner
+	if text := b.text; m.Event == nil && text != nil {
+		m.Event = func(body string, n int) string { return WriteEvent(n, text(body, n)) }
+	}
 	if m.Event == nil {
 		m.Event = func(_ string, n int) string { return PlainEvent(n) }
 	}
