--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -139,8 +139,8 @@
 
 // setReset has the close of a connection be a reset, as the other side saw one.
 func setReset(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		_ = l.SetLinger(0)
 	}
 }
 
