--- a/gateway/late_answer_test.go
+++ b/gateway/late_answer_test.go
@@ -234,6 +234,14 @@
 	}
 }
 
+// A caller of a stream got events again that it had: after 101 came 14. Its run was to move to
+// an engine that refused it, and went on where it was. The refusal came a second time, late, and
+// the next try of the move, over the same connection and under the same ID, took it for its own
+// while the engine queued that try. The third try then read the answer to the second, which
+// began after event 13. "after event 101 comes "id: 14"; the engines were asked for what is
+// after "", 2 and 13 (d1), and 2, 13 and 101 (d2)" settled it: the run asked for what follows
+// 101 never began.
+
 // TestLateRefusalOfAMove wants a caller to get each event once though an engine's refusal of
 // its run comes a second time, in the place where the answer to the next try of a move there
 // is due, while the engine has that try in its queue.
