--- /dev/null
+++ b/control/golden_test.go
@@ -0,0 +1,54 @@
+package control
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/clock"
+	"github.com/ledgepin/ledgepin/poison"
+	"github.com/ledgepin/ledgepin/quota"
+	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// TestGoldenKnown wants a replica to know what one of build 55b4ff8 has kept beside its log.
+func TestGoldenKnown(t *testing.T) {
+	h := newHub(nil, "z1", quota.Bounds{})
+	now := clock.VM.Now()
+	read := func(name string) *wire.Message {
+		data, err := os.ReadFile("testdata/55b4ff8/whole/" + name)
+		assert.NilError(t, err)
+		m, err := wire.Unmarshal(data, name)
+		assert.NilError(t, err)
+		return m
+	}
+	n, ok := h.restoreServers(now, read("control.servers"))
+	assert.Assert(t, ok && n == 2)
+	one, ok := h.servers.Get("s1#1700000000000")
+	assert.Assert(t, ok)
+	one.Age = 0
+	assert.DeepEqual(t, one, registry.Server{
+		ID: "s1#1700000000000", Service: "small", Address: "10.0.0.1:9000", Zone: "z1", Slots: 8, State: registry.Ready,
+		Role: registry.Prefill, Sequence: 12, Name: "s1", Born: 1700000000000,
+	})
+	assert.Equal(t, h.away["s2#1700000000001"].role, registry.Prefill)
+	n, ok = h.restoreContents(now, read("control.contents"))
+	assert.Assert(t, ok && n == 1)
+	list, _ := h.contents.table.Since(now, 0, 1)
+	assert.Equal(t, list[0].Content, poison.Digest{1, 2, 3})
+	assert.Assert(t, list[0].Endings[0].Age > time.Second)
+	list[0].Endings[0].Age = 0
+	assert.DeepEqual(t, list[0].Endings[0], poison.Ending{Server: "s1#1", Ran: time.Second})
+	assert.Equal(t, len(list[0].Endings), 2)
+}
+
+// TestGoldenIdentity wants a replica to go on under the identity that build 55b4ff8 gave it.
+func TestGoldenIdentity(t *testing.T) {
+	c := &Control{cfg: Config{Name: "other", Dir: "testdata/55b4ff8/whole"}}
+	id, err := c.identity(false)
+	assert.NilError(t, err)
+	assert.Equal(t, id, "a")
+}
--- /dev/null
+++ b/fleet/golden_test.go
@@ -0,0 +1,76 @@
+package fleet_test
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/fleet"
+	"github.com/ledgepin/ledgepin/route"
+	"github.com/ledgepin/ledgepin/wal"
+)
+
+// known is the state that build 55b4ff8 had after all entries.
+type known struct {
+	Revision uint64         `json:"revision"`
+	Text     string         `json:"text"`
+	Table    *route.Table   `json:"table"`
+	History  []fleet.Past   `json:"history"`
+	Results  []fleet.Result `json:"results"`
+}
+
+func wantState(t *testing.T, s *fleet.State) {
+	t.Helper()
+	data, err := os.ReadFile("../control/testdata/55b4ff8/state.json")
+	assert.NilError(t, err)
+	var want known
+	assert.NilError(t, json.Unmarshal(data, &want))
+	got := known{Revision: s.Revision(), Text: string(s.Text()), Table: s.Table(), History: s.History(0)}
+	for _, w := range want.Results {
+		r, ok := s.Result(w.ID)
+		assert.Assert(t, ok, w.ID)
+		got.Results = append(got.Results, r)
+	}
+	words := func(k known) string {
+		for i := range k.History {
+			k.History[i].When = k.History[i].When.UTC()
+		}
+		text, err := json.MarshalIndent(k, "", " ")
+		assert.NilError(t, err)
+		return string(text)
+	}
+	assert.Equal(t, words(got), words(want))
+}
+
+// TestGoldenSnapshot wants the state of a snapshot of build 55b4ff8, and the same bytes again:
+// that build reads what this one writes while nothing that it does not know is in force.
+func TestGoldenSnapshot(t *testing.T) {
+	data, err := os.ReadFile("testdata/55b4ff8/fleet.snapshot")
+	assert.NilError(t, err)
+	s, err := fleet.Restore(data)
+	assert.NilError(t, err)
+	wantState(t, s)
+	again, err := s.Snapshot()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, data)
+}
+
+// TestGoldenCommands wants the commands that build 55b4ff8 has written to have the effect that
+// they had there.
+func TestGoldenCommands(t *testing.T) {
+	dir := t.TempDir()
+	assert.NilError(t, os.CopyFS(dir, os.DirFS("../control/testdata/55b4ff8/whole")))
+	j, o, err := wal.Open(dir)
+	assert.NilError(t, err)
+	assert.NilError(t, j.Close())
+	s, err := fleet.Restore(o.Restored.Snapshot.Data)
+	assert.NilError(t, err)
+	for _, e := range o.Restored.Entries {
+		if len(e.Data) > 0 {
+			apply(t, s, e.Data)
+		}
+	}
+	wantState(t, s)
+}
