--- /dev/null
+++ b/control/newer_test.go
@@ -0,0 +1,175 @@
+package control_test
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/control"
+	"github.com/ledgepin/ledgepin/fleet"
+	"github.com/ledgepin/ledgepin/settings"
+	"github.com/ledgepin/ledgepin/wal"
+)
+
+// lines keeps what a replica logs.
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(b)
+}
+
+func (l *lines) count(what string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.buf.String(), what)
+}
+
+// alone starts the only replica of a group, named by the settings or found by seeds.
+func alone(t *testing.T, dir string, byMembers bool, log *lines) (*control.Control, error) {
+	t.Helper()
+	const addr = "127.0.0.1:1"
+	conf := control.Config{Name: addr, Zone: "z", Dir: dir, Log: slog.New(slog.NewTextHandler(log, nil)), ElectionMin: electionMin, HeartbeatEvery: 50 * time.Millisecond}
+	if byMembers {
+		conf.Members = map[string]string{addr: addr}
+	} else {
+		conf.Discovery = &control.Discovery{Seeds: []string{addr}, Found: true, Voters: 1}
+	}
+	p, err := control.Start(conf)
+	if err == nil {
+		t.Cleanup(p.Close)
+	}
+	return p, err
+}
+
+// folder is the data folder of an only replica, with commands in its log.
+func folder(t *testing.T, commands ...[]byte) string {
+	t.Helper()
+	dir := t.TempDir()
+	j, _, err := wal.Open(dir)
+	assert.NilError(t, err)
+	boot := consensus.Bootstrap(consensus.Members{Voters: []string{"127.0.0.1:1"}})
+	assert.NilError(t, j.Snapshot(boot.Snapshot, boot.Hard, nil))
+	for i, c := range commands {
+		assert.NilError(t, j.Append(nil, []consensus.Entry{{Index: uint64(i) + 2, Term: 1, Data: c}}))
+	}
+	assert.NilError(t, j.Close())
+	assert.NilError(t, os.WriteFile(filepath.Join(dir, "control.identity"), []byte("127.0.0.1:1"), 0o600))
+	return dir
+}
+
+// limit is the command that changes the settings to a number.
+func limit(t *testing.T, n int) []byte {
+	t.Helper()
+	text := func(n int) []byte { return fmt.Appendf(nil, "fleet:\n  queue_limit: %d\n", n) }
+	var from []byte
+	if n > 1 {
+		from = text(n - 1)
+	}
+	data, err := fleet.Encode(fleet.Change{
+		ID: fmt.Sprint(n), Base: uint64(n - 1), Delta: settings.MakeDelta(from, text(n)), Sum: sha256.Sum256(text(n)), Who: "op", When: 1e9,
+	})
+	assert.NilError(t, err)
+	return data
+}
+
+// dumped returns a value of the dump, by its names.
+func dumped(t *testing.T, p *control.Control, path ...string) any {
+	t.Helper()
+	data, err := json.Marshal(p.Dump())
+	assert.NilError(t, err)
+	var v any
+	assert.NilError(t, json.Unmarshal(data, &v))
+	for _, name := range path {
+		v = v.(map[string]any)[name]
+	}
+	return v
+}
+
+func newerCommand(t *testing.T) []byte {
+	t.Helper()
+	data, err := cbor.Marshal(map[int]any{1: "newer", 99: "x"})
+	assert.NilError(t, err)
+	return data
+}
+
+// TestNewerCommandStopsTheReplica wants a replica to stop at a committed command that it can't
+// read: what comes after it is not applied, it has no vote, and it says so once.
+func TestNewerCommandStopsTheReplica(t *testing.T) {
+	for name, byMembers := range map[string]bool{"members": true, "seeds": false} {
+		t.Run(name, func(t *testing.T) {
+			dir := folder(t, limit(t, 1), newerCommand(t), limit(t, 2))
+			log := &lines{}
+			p, err := alone(t, dir, byMembers, log)
+			assert.NilError(t, err)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if s := p.Status(); s.Failed {
+					return poll.Success()
+				}
+				return poll.Continue("it goes on")
+			}, poll.WithTimeout(5*time.Second))
+			time.Sleep(1500 * time.Millisecond) // some tries of a disk that has failed
+			assert.Assert(t, p.Status().Failed, "it has come back, and stands before the same entry")
+			assert.Equal(t, dumped(t, p, "log", "applied"), float64(2))
+			assert.Equal(t, dumped(t, p, "settings_revision"), float64(1), "what comes after the command was applied")
+			assert.Equal(t, log.count("LP6015"), 1)
+			ok, why := p.Ready()
+			assert.Assert(t, !ok && strings.Contains(why, "newer"), why)
+		})
+	}
+}
+
+// TestNewerJournalStopsTheReplica wants a replica to leave a folder of a newer build as it is,
+// and to say so without a line at each try.
+func TestNewerJournalStopsTheReplica(t *testing.T) {
+	body, err := cbor.Marshal(map[int]any{2: []map[int]any{{1: 3, 2: 1, 99: "x"}}})
+	assert.NilError(t, err)
+	record := binary.LittleEndian.AppendUint32(nil, 0x4c504a31)
+	record = binary.LittleEndian.AppendUint32(record, uint32(len(body)))
+	record = binary.LittleEndian.AppendUint32(record, crc32.Checksum(body, crc32.MakeTable(crc32.Castagnoli)))
+	record = append(record, body...)
+	for name, byMembers := range map[string]bool{"members": true, "seeds": false} {
+		t.Run(name, func(t *testing.T) {
+			dir := folder(t, limit(t, 1))
+			path := filepath.Join(dir, "control.log")
+			data, err := os.ReadFile(path)
+			assert.NilError(t, err)
+			data = append(data, record...)
+			assert.NilError(t, os.WriteFile(path, data, 0o600))
+			log := &lines{}
+			p, err := alone(t, dir, byMembers, log)
+			if byMembers {
+				assert.ErrorContains(t, err, "journal_newer")
+			} else {
+				assert.NilError(t, err)
+				time.Sleep(1500 * time.Millisecond)
+				assert.Equal(t, log.count("LP6015"), 1)
+				assert.Equal(t, log.count("level=ERROR"), 1)
+				ok, why := p.Ready()
+				assert.Assert(t, !ok && strings.Contains(why, "newer"), why)
+			}
+			after, err := os.ReadFile(path)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, after, data)
+		})
+	}
+}
