--- a/wire/golden_test.go
+++ b/wire/golden_test.go
@@ -199,3 +199,19 @@
 	}
 	return out
 }
+
+// TestHelloBytes bounds what a hello costs beside the same of a kept build.
+func TestHelloBytes(t *testing.T) {
+	for name, frame := range frames(t, kept[0]) {
+		if !strings.HasPrefix(name, "hello-") {
+			continue
+		}
+		m, err := wire.Unmarshal(frame, name)
+		assert.NilError(t, err)
+		m.Hello.Least, m.Hello.Most, m.Hello.Build = wire.Versions.Least, wire.Versions.Most, "v0.0.0-20261203041951-c3ef3be0123a"
+		now, err := wire.Marshal(m)
+		assert.NilError(t, err)
+		t.Logf("%s: %d bytes, %d before", name, len(now), len(frame))
+		assert.Assert(t, len(now) <= len(frame)+48, "a range takes 4 bytes, a build's name two more than it has")
+	}
+}
--- /dev/null
+++ b/wire/hello_test.go
@@ -0,0 +1,87 @@
+package wire_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/compat"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// TestSpeaks wants two ends to speak the highest version that both know, or to be refused
+// at both ends with a fault that names both ranges.
+func TestSpeaks(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		dials, takes compat.Range
+		speaks       int
+	}{
+		{"the same build", wire.Versions, wire.Versions, 4},
+		{"one version of ours", compat.Only(3), wire.Versions, 3},
+		{"one version of theirs", wire.Versions, compat.Only(3), 3},
+		{"a later build", compat.Range{Least: 4, Most: 7}, wire.Versions, 4},
+		{"a build that is too new", compat.Range{Least: 5, Most: 7}, wire.Versions, 0},
+		{"a build that is too old", wire.Versions, compat.Range{Least: 5, Most: 7}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			accepted := make(chan *wire.Link, 1)
+			addr := serveWith(t, wire.Options{Hello: hello, Versions: c.takes}, func(l *wire.Link) { accepted <- l })
+			l, err := wire.Dial(t.Context(), addr, wire.Options{Hello: hello, Versions: c.dials})
+			if c.speaks == 0 {
+				assert.Assert(t, fault.Is(err, fault.VersionsApart), "%v", err)
+				assert.ErrorContains(t, err, "version "+c.takes.String())
+				assert.ErrorContains(t, err, "this process "+c.dials.String())
+				assert.ErrorContains(t, err, addr)
+				assert.Equal(t, len(accepted), 0)
+				return
+			}
+			assert.NilError(t, err)
+			defer l.Close()
+			assert.Equal(t, l.Speaks(), c.speaks)
+			assert.Equal(t, l.Peer.Range(), c.takes)
+			assert.Equal(t, l.Peer.Build, wire.Build())
+			other := <-accepted
+			assert.Equal(t, other.Speaks(), c.speaks)
+			assert.Equal(t, other.Peer.Range(), c.dials)
+		})
+	}
+}
+
+// TestBadHellos wants a hello that makes no sense to be refused as a bad peer, at either
+// end, with words that say why.
+func TestBadHellos(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		hello wire.Hello
+		code  *fault.Code
+		says  string
+	}{
+		{"2^53", wire.Hello{Version: 3, Least: 3, Most: 1 << 53}, fault.BadPeer, "from 3 to 9007199254740992"},
+		{"2^53 at both ends", wire.Hello{Version: 3, Least: 1 << 53, Most: 1 << 53}, fault.BadPeer, "want 1 to 65535"},
+		{"one above the highest", wire.Hello{Version: 3, Least: 3, Most: 65536}, fault.BadPeer, "want 1 to 65535"},
+		{"negative", wire.Hello{Version: 3, Least: -1, Most: 4}, fault.BadPeer, "from -1 to 4"},
+		{"reversed", wire.Hello{Version: 3, Least: 4, Most: 3}, fault.BadPeer, "from 4 to 3"},
+		{"no least", wire.Hello{Version: 3, Most: 4}, fault.BadPeer, "from 0 to 4"},
+		{"no most", wire.Hello{Version: 3, Least: 3}, fault.BadPeer, "from 3 to 0"},
+		{"nothing", wire.Hello{}, fault.BadPeer, "from 0 to 0"},
+		{"a negative version", wire.Hello{Version: -3}, fault.BadPeer, "from -3 to -3"},
+		{"a version of 2^53", wire.Hello{Version: 1 << 53}, fault.BadPeer, "want 1 to 65535"},
+		{"a version that tells ranges, and none", wire.Hello{Version: 4}, fault.BadPeer, "no range"},
+		{"a build of 1 MB", wire.Hello{Version: 3, Least: 3, Most: 4, Build: strings.Repeat("b", 1<<20)}, fault.BadPeer, ""},
+		{"a build of 65 bytes", wire.Hello{Version: 3, Least: 3, Most: 4, Build: strings.Repeat("b", 65)}, fault.BadPeer, "65 bytes"},
+		{"a build with a NUL", wire.Hello{Version: 3, Least: 3, Most: 4, Build: "v1\x00"}, fault.BadPeer, "plain text"},
+		{"a build with a line end", wire.Hello{Version: 3, Least: 3, Most: 4, Build: "v1\nfake"}, fault.BadPeer, "plain text"},
+		{"protocol 2", wire.Hello{Version: 2}, fault.VersionsApart, "speaks version 2, this process 3 to 4"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			frame, err := wire.Marshal(&wire.Message{Hello: &c.hello})
+			assert.NilError(t, err)
+			err = dialStub(t, frame)
+			assert.Assert(t, fault.Is(err, c.code), "%v", err)
+			assert.ErrorContains(t, err, c.says)
+		})
+	}
+}
--- a/wire/link.go
+++ b/wire/link.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"crypto/tls"
-	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -12,6 +11,7 @@
 
 	"github.com/coder/websocket"
 
+	"github.com/ledgepin/ledgepin/compat"
 	"github.com/ledgepin/ledgepin/fault"
 	"github.com/ledgepin/ledgepin/internal/sock"
 )
@@ -38,6 +38,8 @@
 	TLS *tls.Config
 	// Idle is the silence after which a link is given up; the usual if zero.
 	Idle time.Duration
+	// Versions are those that this end speaks; those of the build if zero.
+	Versions compat.Range
 }
 
 // Link is one connection to a peer process.
@@ -45,6 +47,8 @@
 	// Peer is the Hello of the other side.
 	Peer Hello
 
+	speaks int
+
 	conn *websocket.Conn
 	idle time.Duration
 	out  chan []byte
@@ -102,39 +106,40 @@
 func open(ctx context.Context, conn *websocket.Conn, addr string, o Options) (*Link, error) {
 	conn.SetReadLimit(MaxFrame)
 	l := &Link{conn: conn, idle: cmp.Or(o.Idle, idleTimeout), out: make(chan []byte, sendQueue), done: make(chan struct{})}
-	peer, err := l.handshake(ctx, addr, o.Hello())
-	if err != nil {
+	if err := l.handshake(ctx, addr, o); err != nil {
 		_ = conn.Close(websocket.StatusPolicyViolation, "bad hello")
 		_ = conn.CloseNow()
 		return nil, err
 	}
-	l.Peer = *peer
 	return l, nil
 }
 
-func (l *Link) handshake(ctx context.Context, addr string, hello Hello) (*Hello, error) {
-	hello.Version = Version
+func (l *Link) handshake(ctx context.Context, addr string, o Options) error {
+	ours := cmp.Or(o.Versions, Versions)
+	hello := o.Hello()
+	hello.Version, hello.Least, hello.Most, hello.Build = BaseVersion, ours.Least, ours.Most, Build()
 	frame, err := Marshal(&Message{Hello: &hello})
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Internal, fault.StepLink, addr)
+		return fault.Wrap(err, fault.Internal, fault.StepLink, addr)
 	}
 	if err := l.conn.Write(ctx, websocket.MessageBinary, frame); err != nil {
-		return nil, fault.Wrap(err, fault.LinkLost, fault.StepLink, addr)
+		return fault.Wrap(err, fault.LinkLost, fault.StepLink, addr)
 	}
 	m, err := l.read(ctx, addr)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if m.Hello == nil {
-		return nil, fault.New(fault.BadPeer, fault.StepLink, addr, "the first frame is not a hello")
+		return fault.New(fault.BadPeer, fault.StepLink, addr, "the first frame is not a hello")
 	}
-	if m.Hello.Version != Version {
-		return nil, fault.New(fault.BadPeer, fault.StepLink, addr,
-			fmt.Sprintf("protocol version %d, want %d", m.Hello.Version, Version))
-	}
-	return m.Hello, nil
+	l.Peer = *m.Hello
+	l.speaks, err = l.Peer.agree(ours, addr)
+	return err
 }
 
+// Speaks returns the version that both ends speak, the highest that both know.
+func (l *Link) Speaks() int { return l.speaks }
+
 func (l *Link) read(ctx context.Context, peer string) (*Message, error) {
 	kind, frame, err := l.conn.Read(ctx)
 	if err != nil {
--- a/wire/message.go
+++ b/wire/message.go
@@ -16,9 +16,6 @@
 	"github.com/ledgepin/ledgepin/settings"
 )
 
-// Version is the protocol version; peers must have the same.
-const Version = 3
-
 // Message is one frame. Exactly one field is set.
 type Message struct {
 	Hello     *Hello     `cbor:"1,keyasint,omitempty"`
@@ -69,34 +66,6 @@
 	Contents []poison.Record `cbor:"39,keyasint,omitempty"`
 }
 
-// Roles that a Hello may name.
-const (
-	RoleEntry   = "entry"
-	RoleAgent   = "agent"
-	RoleControl = "control"
-	// RoleGateway is an entry that serves the routes of a routing table.
-	RoleGateway = "gateway"
-	// RoleAsker is a process that starts and asks for settings only.
-	RoleAsker = "asker"
-	// RoleFounder is a control replica with an empty disk that asks whether the
-	// group has been founded.
-	RoleFounder = "founder"
-)
-
-// Hello opens a link.
-type Hello struct {
-	Version int    `cbor:"1,keyasint"`
-	Name    string `cbor:"2,keyasint"`
-	Role    string `cbor:"3,keyasint"`
-	Zone    string `cbor:"4,keyasint"`
-	// Epoch is the start of the process, so that a restart is seen.
-	Epoch int64 `cbor:"5,keyasint"`
-	// Revision is the settings revision that the process holds.
-	Revision uint64 `cbor:"6,keyasint"`
-	// Commit is the commit index of a control replica; zero while it is empty.
-	Commit uint64 `cbor:"7,keyasint,omitempty"`
-}
-
 // Heartbeat shows life and renews the leases of the link's owner.
 type Heartbeat struct {
 	Revision uint64          `cbor:"1,keyasint"`
