--- a/consensus/message.go
+++ b/consensus/message.go
@@ -54,6 +54,8 @@
 	Data []byte `cbor:"3,keyasint,omitempty"`
 	// Members is the new membership, in the entries that change it.
 	Members *Members `cbor:"4,keyasint,omitempty"`
+	// Unread tells why the entry could not be read; it has nothing else then.
+	Unread error `cbor:"-"`
 }
 
 // Members is the membership of the group.
@@ -68,4 +70,6 @@
 	Term    uint64  `cbor:"2,keyasint"`
 	Members Members `cbor:"3,keyasint"`
 	Data    []byte  `cbor:"4,keyasint"`
+	// Unread tells why the snapshot could not be read; it has nothing else then.
+	Unread error `cbor:"-"`
 }
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -299,6 +299,7 @@
 	Term    uint64  `json:"term"`
 	Leader  string  `json:"leader"`
 	Commit  uint64  `json:"commit"`
+	Applied uint64  `json:"applied"`
 	Last    uint64  `json:"last"`
 	First   uint64  `json:"first"`
 	Members Members `json:"members"`
@@ -314,7 +315,7 @@
 // Status returns the state of the replica.
 func (n *Node) Status(now time.Time) Status {
 	return Status{
-		ID: n.cfg.ID, Role: n.role.String(), Term: n.hard.Term, Leader: n.leader, Commit: n.commit,
+		ID: n.cfg.ID, Role: n.role.String(), Term: n.hard.Term, Leader: n.leader, Commit: n.commit, Applied: n.applied,
 		Last: n.log.last(), First: n.log.snap.Index + 1, Members: n.members, Pending: n.membersIndex > n.commit,
 		Lease: n.Lead(now), Failed: n.failed, Lost: slices.Sorted(maps.Keys(n.lost)),
 	}
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -17,7 +17,7 @@
 
 // Step takes a packet from another replica.
 func (n *Node) Step(now time.Time, p Packet) {
-	if n.failed || p.To != n.cfg.ID {
+	if n.failed || p.To != n.cfg.ID || p.Unread() != nil {
 		return
 	}
 	switch p.Kind {
--- a/control/apply.go
+++ b/control/apply.go
@@ -53,34 +53,38 @@
 
 func (c *Control) applyAll(now time.Time, entries []consensus.Entry) {
 	before := c.state.Revision()
+	stopped := false
 	for _, e := range entries {
 		if e.Members != nil {
 			event.MembersChanged.Log(c.log, "voters", e.Members.Voters, "learners", e.Members.Learners)
 			c.membersChanged()
 		}
-		if len(e.Data) > 0 {
-			c.apply(e)
+		if len(e.Data) > 0 && !c.apply(e) {
+			stopped = true
+			break
 		}
 	}
 	if c.state.Revision() > before {
 		c.publish(now)
 	}
 	c.hub.setTable(c.state.Table(), c.node.Fresh(now))
-	if len(entries) > 0 {
+	if len(entries) > 0 && !stopped {
 		c.compact(entries[len(entries)-1].Index)
 	}
 }
 
-func (c *Control) apply(e consensus.Entry) {
+// apply takes one committed command; false if it can't be read.
+func (c *Control) apply(e consensus.Entry) bool {
 	res, err := c.state.Apply(e.Data)
 	if err != nil {
-		event.SettingsBad.Log(c.log, "error", err)
-		return
+		c.stopAt(e.Index, err)
+		return false
 	}
 	for _, w := range c.waiters[res.ID] {
 		w <- res
 	}
 	delete(c.waiters, res.ID)
+	return true
 }
 
 // compact takes a snapshot once the log has grown enough.
--- a/control/control.go
+++ b/control/control.go
@@ -107,8 +107,10 @@
 	zonesAt  time.Time
 	planAt   time.Time
 	floorAt  time.Time
-	// refused bounds the lines about words of servers that are not used.
+	// refused bounds the lines about words of servers and of replicas that are not used.
 	refused event.Limiter
+	// unread tells why the replica has stopped for good: it holds what it can't read.
+	unread string
 }
 
 // Lines about refused words of servers: one a minute for each server and reason, and for no
@@ -136,6 +138,7 @@
 	}
 	disk, restored, fresh, err := c.openDisk()
 	if err != nil {
+		c.cantRead(err)
 		cancel()
 		return nil, err
 	}
@@ -169,14 +172,11 @@
 	if c.cfg.Dir == "" {
 		return nil, consensus.Restored{}, true, nil
 	}
-	var o wal.Opened
-	if c.cfg.OpenFile == nil {
-		j, o, err = wal.Open(c.cfg.Dir)
-	} else {
-		j, o, err = wal.OpenWith(c.cfg.Dir, c.cfg.OpenFile)
-	}
+	j, o, err := wal.OpenChecked(c.cfg.Dir, c.cfg.OpenFile, fleet.ReadableSnapshot)
 	if err != nil {
-		event.JournalBroken.Log(c.log, "error", fault.From(err))
+		if !fault.Is(err, fault.JournalNewer) {
+			event.JournalBroken.Log(c.log, "error", fault.From(err))
+		}
 		return nil, consensus.Restored{}, false, err
 	}
 	if o.Cut > 0 {
@@ -294,7 +294,7 @@
 func (c *Control) tick(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.cfg.Discovery != nil && !now.Before(c.reviveAt) && c.node.Failed() {
+	if c.cfg.Discovery != nil && !now.Before(c.reviveAt) && c.node.Failed() && c.unread == "" {
 		c.revive(now)
 	}
 	c.node.Tick(now)
--- a/control/disk.go
+++ b/control/disk.go
@@ -25,6 +25,9 @@
 		if err == nil {
 			break
 		}
+		if c.cantRead(err) {
+			return
+		}
 		event.JournalFailed.Log(c.log, "error", fault.From(err))
 		if disk != nil {
 			_ = disk.Close()
--- a/control/dump.go
+++ b/control/dump.go
@@ -27,6 +27,9 @@
 func (c *Control) Ready() (bool, string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.unread != "" {
+		return false, c.unread
+	}
 	if c.node == nil || !c.node.Fresh(c.clock.Now()) {
 		return false, "no leader with a live lease is in reach"
 	}
--- a/control/links.go
+++ b/control/links.go
@@ -148,6 +148,10 @@
 	now := c.clock.Now()
 	switch {
 	case m.Raft != nil:
+		if err := c.readable(m.Raft); err != nil {
+			c.refusePacket(now, l, err)
+			return
+		}
 		c.node.Step(now, *m.Raft)
 		c.flush(now)
 	case m.Pull != nil:
--- a/control/newer_test.go
+++ b/control/newer_test.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"hash/crc32"
 	"log/slog"
+	"maps"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -24,6 +26,7 @@
 	"github.com/ledgepin/ledgepin/fleet"
 	"github.com/ledgepin/ledgepin/settings"
 	"github.com/ledgepin/ledgepin/wal"
+	"github.com/ledgepin/ledgepin/wire"
 )
 
 // lines keeps what a replica logs.
@@ -173,3 +176,56 @@
 		})
 	}
 }
+
+// TestNewerPacketIsRefused wants a replica to take nothing of a packet with an entry, a command
+// or a snapshot that it can't read, not even its term, and to keep the link.
+func TestNewerPacketIsRefused(t *testing.T) {
+	log := &lines{}
+	p, err := alone(t, folder(t, limit(t, 1)), false, log)
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok, why := p.Ready(); !ok {
+			return poll.Continue("%s", why)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+	srv := httptest.NewServer(p.Handler())
+	t.Cleanup(srv.Close)
+	l, err := wire.Dial(t.Context(), srv.Listener.Addr().String(), wire.Options{Hello: func() wire.Hello {
+		return wire.Hello{Name: "127.0.0.1:2", Role: wire.RoleControl}
+	}})
+	assert.NilError(t, err)
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(t.Context(), func(*wire.Message) {}) }()
+	type fields map[int]any
+	packet := func(term int, more fields) {
+		raft := fields{1: consensus.Append, 2: "127.0.0.1:2", 3: "127.0.0.1:1", 4: term, 5: 1, 6: 1}
+		maps.Copy(raft, more)
+		frame, err := cbor.Marshal(fields{23: raft})
+		assert.NilError(t, err)
+		assert.NilError(t, l.SendFrame(frame))
+	}
+	before := p.Status()
+	packet(1000, fields{7: []fields{{1: 2, 2: 1000, 3: limit(t, 5), 99: "x"}}})
+	packet(1001, fields{7: []fields{{1: 2, 2: 1001, 3: newerCommand(t)}}})
+	packet(1002, fields{1: consensus.Install, 12: fields{1: 99, 2: 1002, 3: fields{1: []string{"x"}}, 4: []byte{}, 99: "x"}})
+	state, err := cbor.Marshal(fields{1: 5, 99: "x"})
+	assert.NilError(t, err)
+	packet(1003, fields{1: consensus.Install, 12: fields{1: 99, 2: 1003, 3: fields{1: []string{"x"}}, 4: state}})
+	select {
+	case err := <-ended:
+		t.Fatalf("the link ended: %v", err)
+	case <-time.After(300 * time.Millisecond):
+	}
+	after := p.Status()
+	assert.Equal(t, after.Term, before.Term)
+	assert.Assert(t, after.Lease && !after.Failed)
+	assert.Equal(t, log.count("LP6016"), 1)
+	packet(2000, nil)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if p.Status().Term != 2000 {
+			return poll.Continue("a packet that can be read is not taken")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -213,6 +213,12 @@
 		"The disk refused a write or a sync; the replica gave up its vote.", "Replace the disk or make room, then restart.")
 	JournalBack = define("LP6012", info, "journal back",
 		"The disk takes writes again; the replica takes part with what the disk holds.", nothing)
+	DataNewer = define("LP6015", fail, "written by a newer build",
+		"The replica holds what this build can't read. It has stopped and gave up its vote, and has changed nothing; it does not come back by itself.",
+		"Run the newer build on this data. To go back for good, see OPERATIONS.md, Upgrading.")
+	PacketNewer = define("LP6016", warn, "packet of a newer build refused",
+		"Another replica sent an entry or a snapshot that this build can't read; nothing of it was taken. One line a minute for each sender.",
+		"Run the newer build here too.")
 	KnownRead = define("LP6013", info, "known before",
 		"The replica starts with what it knew before, of the file that is named: servers count as there for some seconds, unless they say otherwise.", nothing)
 	KnownFailed = define("LP6014", warn, "not kept beside the log",
--- a/fault/catalogue.go
+++ b/fault/catalogue.go
@@ -72,6 +72,7 @@
 	ChangeUnknown   = code("change_outcome_unknown", http.StatusGatewayTimeout, false, "The change was proposed but not confirmed in time; send it again with the same change ID.")
 	NotFound        = code("not_found", http.StatusNotFound, true, "There is no such thing here.")
 	JournalBroken   = code("journal_broken", http.StatusInternalServerError, true, "The journal is damaged before its end; the replica does not start.")
+	JournalNewer    = code("journal_newer", http.StatusInternalServerError, true, "The data was written by a newer build; the replica does not start, and changes nothing.")
 	JournalFailed   = code("journal_failed", http.StatusInternalServerError, false, "The disk refused a write or a sync; the replica gave up its vote.")
 	LinkLost        = code("link_lost", http.StatusBadGateway, false, "The link to the peer closed.")
 	SettingsInvalid = code("invalid_config", http.StatusUnprocessableEntity, true, "The settings file of the process does not pass the checks.")
--- /dev/null
+++ b/fleet/read.go
@@ -0,0 +1,38 @@
+package fleet
+
+import (
+	"fmt"
+
+	"github.com/ledgepin/ledgepin/internal/exact"
+)
+
+func decode(data []byte, c *Change) error {
+	if err := exact.Unmarshal(data, c); err != nil {
+		return fmt.Errorf("fleet: bad command: %w", err)
+	}
+	return nil
+}
+
+func decodeSnapshot(data []byte) (snapshot, error) {
+	var in snapshot
+	if len(data) == 0 {
+		return in, nil
+	}
+	if err := exact.Unmarshal(data, &in); err != nil {
+		return in, fmt.Errorf("fleet: bad snapshot: %w", err)
+	}
+	return in, nil
+}
+
+// Readable tells whether this build reads a command, so that one that it doesn't is refused
+// before it is kept.
+func Readable(data []byte) error {
+	var c Change
+	return decode(data, &c)
+}
+
+// ReadableSnapshot tells whether this build reads a snapshot.
+func ReadableSnapshot(data []byte) error {
+	_, err := decodeSnapshot(data)
+	return err
+}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -68,6 +68,7 @@
 	Degraded  = gauge("ledgepin_settings_degraded", "1 while the settings are not vouched for by control.", "name")
 	Leader    = gauge("ledgepin_control_leader", "1 if this control replica leads with a live lease.", "name")
 	Term      = gauge("ledgepin_control_term", "Term of this control replica.", "name")
+	Unread    = counter("ledgepin_unread_total", "What a control replica met of a newer build and could not read: its journal, a committed command, a packet.", "what")
 	LinkBytes = gauge("ledgepin_link_bytes", "Payload bytes on the open links of a process.", "name", "direction")
 )
 
--- /dev/null
+++ b/wal/newer.go
@@ -0,0 +1,45 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/ledgepin/ledgepin/compat"
+)
+
+// Newer tells that a record is whole and that this build can't read it: a newer one wrote it.
+// It is no torn tail, since it was synced and may have been acknowledged.
+type Newer struct {
+	// Version is the fleet's version under which it was written; zero if it does not tell.
+	Version int
+	// Why is what can't be read.
+	Why error
+}
+
+// Error tells the version, or what can't be read.
+func (n *Newer) Error() string {
+	if n.Version > compat.Newest {
+		return fmt.Sprintf("written by version %d, and this build reads up to %d", n.Version, compat.Newest)
+	}
+	return fmt.Sprintf("written by a newer build: %v", n.Why)
+}
+
+// Unwrap returns what can't be read.
+func (n *Newer) Unwrap() error { return n.Why }
+
+// newer returns the error for the content of a record that can't be read.
+func newer(body []byte, why error) error {
+	var r struct {
+		Version int `cbor:"4,keyasint"`
+	}
+	_ = cbor.Unmarshal(body, &r) // what can't be read at all tells no version
+	return &Newer{Version: r.Version, Why: why}
+}
+
+// asNewer tells whether an error is that of a newer build's record.
+func asNewer(err error) bool {
+	var n *Newer
+	return errors.As(err, &n)
+}
--- a/wal/record.go
+++ b/wal/record.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"hash/crc32"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/internal/exact"
 )
 
 // record is one append, or the content of the snapshot file.
@@ -19,6 +21,8 @@
 
 const (
 	magic = 0x4c504a31 // "LPJ1"
+	// family is the part of the head that records of all builds share.
+	family = magic &^ 0xff
 	// headSize is the magic, the length and the checksum of the payload.
 	headSize  = 12
 	maxRecord = 256 << 20
@@ -38,24 +42,55 @@
 	return append(out, body...), nil
 }
 
-// readRecord reads the record at the start of data and returns its length.
-func readRecord(data []byte) (record, int, bool) {
-	var r record
-	if len(data) < headSize || binary.LittleEndian.Uint32(data) != magic {
-		return r, 0, false
+// errTorn tells that there is no whole record.
+var errTorn = errors.New("journal: no whole record")
+
+// readRecord reads the record at the start of data and returns its length. The error is
+// errTorn, or a Newer for a whole record that this build can't read.
+func readRecord(data []byte) (record, int, error) {
+	head, body, err := split(data)
+	if err != nil {
+		return record{}, 0, err
+	}
+	r, err := decode(head, body)
+	return r, headSize + len(body), err
+}
+
+// split returns the head and the content of the whole record at the start of data.
+func split(data []byte) (head uint32, body []byte, err error) {
+	if len(data) < headSize {
+		return 0, nil, errTorn
 	}
+	head = binary.LittleEndian.Uint32(data)
 	size := int(binary.LittleEndian.Uint32(data[4:]))
-	if size > maxRecord || size > len(data)-headSize {
-		return r, 0, false
+	if head&^0xff != family || size > maxRecord || size > len(data)-headSize {
+		return 0, nil, errTorn
 	}
-	body := data[headSize : headSize+size]
+	body = data[headSize : headSize+size]
 	if crc32.Checksum(body, castagnoli) != binary.LittleEndian.Uint32(data[8:]) {
-		return r, 0, false
+		return 0, nil, errTorn
 	}
-	if cbor.Unmarshal(body, &r) != nil {
-		return r, 0, false
+	return head, body, nil
+}
+
+// decode reads the content of a record: all of it or nothing.
+func decode(head uint32, body []byte) (record, error) {
+	if head != magic {
+		return record{}, newer(body, fmt.Errorf("the head %08x is not known", head))
 	}
-	return r, headSize + size, true
+	var r record
+	if err := exact.Unmarshal(body, &r); err != nil {
+		return record{}, newer(body, err)
+	}
+	for i := range r.Entries {
+		if err := r.Entries[i].Unread; err != nil {
+			return record{}, newer(body, err)
+		}
+	}
+	if r.Snapshot != nil && r.Snapshot.Unread != nil {
+		return record{}, newer(body, r.Snapshot.Unread)
+	}
+	return r, nil
 }
 
 // ErrBroken tells that a record is damaged though a whole one follows it.
@@ -65,15 +100,18 @@
 var ErrGap = errors.New("journal: entries are missing")
 
 // Replay reads all records into r and returns the length of the part that is
-// whole; the rest is a torn tail.
+// whole; the rest is a torn tail. A whole record that can't be read is an error of type Newer.
 func Replay(data []byte, r *consensus.Restored) (int, error) {
 	good := 0
 	for good < len(data) {
-		rec, n, ok := readRecord(data[good:])
-		if !ok {
-			if wholeAfter(data[good+1:]) {
-				return 0, ErrBroken
-			}
+		rec, n, err := readRecord(data[good:])
+		switch {
+		case err == nil:
+		case asNewer(err):
+			return 0, err
+		case wholeAfter(data[good+1:]):
+			return 0, ErrBroken
+		default:
 			return good, nil
 		}
 		if rec.Hard != nil {
@@ -105,10 +143,7 @@
 // wholeAfter looks for a whole record anywhere in data.
 func wholeAfter(data []byte) bool {
 	for i := 0; i+headSize <= len(data); i++ {
-		if binary.LittleEndian.Uint32(data[i:]) != magic {
-			continue
-		}
-		if _, _, ok := readRecord(data[i:]); ok {
+		if _, _, err := split(data[i:]); err == nil {
 			return true
 		}
 	}
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -49,12 +49,21 @@
 }
 
 // Open reads the journal in a folder, which must exist.
-func Open(dir string) (*Journal, Opened, error) { return OpenWith(dir, openFile) }
+func Open(dir string) (*Journal, Opened, error) { return OpenWith(dir, nil) }
 
 // OpenWith is Open with another way to open the log file.
 func OpenWith(dir string, open OpenFile) (*Journal, Opened, error) {
+	return OpenChecked(dir, open, func([]byte) error { return nil })
+}
+
+// OpenChecked is OpenWith for whoever can tell whether the data of the snapshot can be read:
+// a folder that can't be is left as it is.
+func OpenChecked(dir string, open OpenFile, readable func(data []byte) error) (*Journal, Opened, error) {
+	if open == nil {
+		open = openFile
+	}
 	j := &Journal{dir: dir, open: open}
-	snap, err := j.readSnapshot()
+	snap, err := j.readSnapshot(readable)
 	if err != nil {
 		return nil, Opened{}, err
 	}
@@ -67,7 +76,7 @@
 	}
 	good, err := Replay(data, &out.Restored)
 	if err != nil {
-		return nil, Opened{}, fault.Wrap(err, fault.JournalBroken, fault.StepJournal, j.logPath())
+		return nil, Opened{}, j.unread(err, j.logPath())
 	}
 	out.Cut = int64(len(data) - good)
 	if err := j.start(int64(good), out.Cut > 0); err != nil {
@@ -99,8 +108,16 @@
 	return nil
 }
 
+// unread returns the error for a file that can't be read.
+func (j *Journal) unread(err error, path string) error {
+	if asNewer(err) {
+		return fault.Wrap(err, fault.JournalNewer, fault.StepJournal, path)
+	}
+	return fault.Wrap(err, fault.JournalBroken, fault.StepJournal, path)
+}
+
 // readSnapshot returns the snapshot, or an empty one.
-func (j *Journal) readSnapshot() (consensus.Snapshot, error) {
+func (j *Journal) readSnapshot(readable func(data []byte) error) (consensus.Snapshot, error) {
 	data, err := os.ReadFile(j.snapshotPath())
 	if errors.Is(err, fs.ErrNotExist) {
 		return consensus.Snapshot{}, nil
@@ -108,10 +125,15 @@
 	if err != nil {
 		return consensus.Snapshot{}, fault.Wrap(err, fault.JournalFailed, fault.StepJournal, j.snapshotPath())
 	}
-	rec, n, ok := readRecord(data)
-	if !ok || n != len(data) || rec.Snapshot == nil {
-		err := errors.New("the snapshot is damaged")
-		return consensus.Snapshot{}, fault.Wrap(err, fault.JournalBroken, fault.StepJournal, j.snapshotPath())
+	rec, n, err := readRecord(data)
+	switch {
+	case asNewer(err):
+		return consensus.Snapshot{}, j.unread(err, j.snapshotPath())
+	case err != nil || n != len(data) || rec.Snapshot == nil:
+		return consensus.Snapshot{}, j.unread(errors.New("the snapshot is damaged"), j.snapshotPath())
+	}
+	if err := readable(rec.Snapshot.Data); err != nil {
+		return consensus.Snapshot{}, j.unread(&Newer{Why: err}, j.snapshotPath())
 	}
 	return *rec.Snapshot, nil
 }
