--- /dev/null
+++ b/compat/gate.go
@@ -0,0 +1,130 @@
+package compat
+
+import (
+	"slices"
+	"time"
+)
+
+// Member is a voter or learner as the leader knows it.
+type Member struct {
+	ID string
+	// Told is the range that it told last; the zero range if it told none to this leader.
+	Told Range
+	// Silent tells that it is out of touch: another build may run there by now.
+	Silent bool
+}
+
+// Cause tells what holds the fleet's version back.
+type Cause string
+
+// The causes. The last two hold back only the rise that comes by itself.
+const (
+	// Known tells that the leader's own build knows no higher version.
+	Known Cause = "newest"
+	// Proposed tells that the next version was proposed and is not yet in force.
+	Proposed Cause = "proposed"
+	// NeverTold tells that a member has told no range since this replica started.
+	NeverTold Cause = "never_told"
+	// Unable tells that a member's range does not hold the next version.
+	Unable Cause = "unable"
+	// Silent tells that a member is out of touch.
+	Silent Cause = "silent"
+	// Settling tells that all can read the next version, but not for long enough.
+	Settling Cause = "settling"
+	// Asked tells that the version rises only when an operator asks.
+	Asked Cause = "asked"
+)
+
+// Hold is one thing that holds the version back.
+type Hold struct {
+	Cause Cause `json:"cause"`
+	// Member is who does, if it is a member.
+	Member string `json:"member,omitempty"`
+	// Told is the range that the member told last.
+	Told *Range `json:"told,omitempty"`
+	// Left is the time that is left, of Settling.
+	Left time.Duration `json:"left,omitempty"`
+}
+
+// Gate decides when the fleet's version rises. It is the leader's, and starts anew with each
+// leader: what a leader before it had seen is not known to this one. It is not safe for
+// concurrent use.
+type Gate struct {
+	ranges map[string]Range
+	// since is the moment from which on all members have told a range that holds the next
+	// version; zero while one has not.
+	since    time.Time
+	next     int
+	proposed int
+}
+
+// Since returns the moment from which on all members could read the next version; zero while
+// one can't.
+func (g *Gate) Since() time.Time { return g.since }
+
+// Propose takes that a version has been proposed.
+func (g *Gate) Propose(version int) { g.proposed = version }
+
+// Look takes what the leader knows, and returns what keeps an operator from raising the
+// version by one; nothing if it may be proposed.
+func (g *Gate) Look(now time.Time, version int, own Range, members []Member) []Hold {
+	next := version + 1
+	if !own.Holds(next) {
+		return []Hold{{Cause: Known}}
+	}
+	if g.proposed >= next {
+		return []Hold{{Cause: Proposed}}
+	}
+	holds, able := look(next, members)
+	switch {
+	case !able:
+		g.since = time.Time{}
+	case g.since.IsZero() || g.next != next || g.changed(members):
+		g.since = now
+	}
+	g.next = next
+	g.ranges = map[string]Range{}
+	for _, m := range members {
+		g.ranges[m.ID] = m.Told
+	}
+	return holds
+}
+
+// look returns what holds the next version back, and whether all members have told that they
+// can read it. One that is silent could before, so it does not begin the settling time anew.
+func look(next int, members []Member) (holds []Hold, able bool) {
+	able = true
+	for _, m := range members {
+		switch {
+		case m.Told == Range{}:
+			holds = append(holds, Hold{Cause: NeverTold, Member: m.ID})
+			able = false
+		case !m.Told.Valid() || !m.Told.Holds(next):
+			holds = append(holds, Hold{Cause: Unable, Member: m.ID, Told: &m.Told})
+			able = false
+		case m.Silent:
+			holds = append(holds, Hold{Cause: Silent, Member: m.ID, Told: &m.Told})
+		}
+	}
+	return holds, able
+}
+
+// changed tells whether a member has joined, or reads less than before.
+func (g *Gate) changed(members []Member) bool {
+	return slices.ContainsFunc(members, func(m Member) bool {
+		before, ok := g.ranges[m.ID]
+		return !ok || m.Told.Least > before.Least || m.Told.Most < before.Most
+	})
+}
+
+// Settle returns what keeps the version from rising by itself, though an operator could raise
+// it: the settling time, or that there is none.
+func (g *Gate) Settle(now time.Time, after time.Duration) []Hold {
+	if after <= 0 {
+		return []Hold{{Cause: Asked}}
+	}
+	if left := after - now.Sub(g.since); left > 0 {
+		return []Hold{{Cause: Settling, Left: left}}
+	}
+	return nil
+}
--- /dev/null
+++ b/compat/gate_test.go
@@ -0,0 +1,86 @@
+package compat_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/compat"
+)
+
+var (
+	oldBuild = compat.Only(3)
+	newBuild = compat.Range{Least: 3, Most: 4}
+	start    = time.Unix(1000, 0)
+)
+
+const settle = time.Minute
+
+func TestLook(t *testing.T) {
+	leader := compat.Member{ID: "a", Told: newBuild}
+	for _, c := range []struct {
+		name    string
+		version int
+		others  []compat.Member
+		want    []compat.Hold
+	}{
+		{"all read it", 3, []compat.Member{{ID: "b", Told: newBuild}}, nil},
+		{"no higher one is known", 4, nil, []compat.Hold{{Cause: compat.Known}}},
+		{"one never told", 3, []compat.Member{{ID: "b"}}, []compat.Hold{{Cause: compat.NeverTold, Member: "b"}}},
+		{"one is old", 3, []compat.Member{{ID: "b", Told: oldBuild}}, []compat.Hold{{Cause: compat.Unable, Member: "b", Told: &oldBuild}}},
+		{"one is silent", 3, []compat.Member{{ID: "b", Told: newBuild, Silent: true}}, []compat.Hold{{Cause: compat.Silent, Member: "b", Told: &newBuild}}},
+		{"an old one is silent", 3, []compat.Member{{ID: "b", Told: oldBuild, Silent: true}}, []compat.Hold{{Cause: compat.Unable, Member: "b", Told: &oldBuild}}},
+		{"a range makes no sense", 3, []compat.Member{{ID: "b", Told: compat.Range{Most: 9}}},
+			[]compat.Hold{{Cause: compat.Unable, Member: "b", Told: &compat.Range{Most: 9}}}},
+		{"all are named", 3, []compat.Member{{ID: "b"}, {ID: "c", Told: oldBuild}},
+			[]compat.Hold{{Cause: compat.NeverTold, Member: "b"}, {Cause: compat.Unable, Member: "c", Told: &oldBuild}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var g compat.Gate
+			assert.DeepEqual(t, g.Look(start, c.version, newBuild, append([]compat.Member{leader}, c.others...)), c.want)
+		})
+	}
+	var g compat.Gate
+	g.Propose(4)
+	assert.DeepEqual(t, g.Look(start, 3, newBuild, nil), []compat.Hold{{Cause: compat.Proposed}})
+}
+
+// TestSettle goes through a row of changes, one every ten seconds, and wants the time that is
+// left at each.
+func TestSettle(t *testing.T) {
+	a, b := compat.Member{ID: "a", Told: newBuild}, compat.Member{ID: "b", Told: newBuild}
+	silent := compat.Member{ID: "b", Told: newBuild, Silent: true}
+	less := compat.Member{ID: "b", Told: compat.Only(4)}
+	c := compat.Member{ID: "c", Told: newBuild}
+	const none = -1
+	var g compat.Gate
+	for i, step := range []struct {
+		name    string
+		members []compat.Member
+		left    time.Duration
+	}{
+		{"it begins", []compat.Member{a, b}, 60},
+		{"it goes on", []compat.Member{a, b}, 50},
+		{"one is silent: it goes on", []compat.Member{a, silent}, 40},
+		{"one joins", []compat.Member{a, b, c}, 60},
+		{"one leaves: it goes on", []compat.Member{a, b}, 50},
+		{"one goes back", []compat.Member{a, {ID: "b", Told: oldBuild}}, none},
+		{"and forth", []compat.Member{a, b}, 60},
+		{"one reads less", []compat.Member{a, less}, 60},
+		{"it reads more again: it goes on", []compat.Member{a, b}, 50},
+		{"one is replaced", []compat.Member{a, c}, 60},
+		{"one never told", []compat.Member{a, c, {ID: "d"}}, none},
+	} {
+		now := start.Add(time.Duration(i) * 10 * time.Second)
+		g.Look(now, 3, newBuild, step.members)
+		assert.Equal(t, g.Since().IsZero(), step.left == none, step.name)
+		if step.left != none {
+			assert.DeepEqual(t, g.Settle(now, settle), []compat.Hold{{Cause: compat.Settling, Left: step.left * time.Second}})
+		}
+	}
+	g = compat.Gate{}
+	g.Look(start, 3, newBuild, []compat.Member{a, b})
+	assert.Equal(t, len(g.Settle(start.Add(settle), settle)), 0)
+	assert.DeepEqual(t, g.Settle(start.Add(settle), 0), []compat.Hold{{Cause: compat.Asked}})
+}
--- a/compat/range.go
+++ b/compat/range.go
@@ -8,7 +8,8 @@
 
 // Range is the versions that a build speaks, both ends included.
 type Range struct {
-	Least, Most int
+	Least int `json:"least"`
+	Most  int `json:"most"`
 }
 
 // Only is the range of a build that speaks one version.
