--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -29,6 +29,8 @@
 	Edits []string `cbor:"8,keyasint,omitempty"`
 	// Table is a whole routing table; the other fields but ID are empty then.
 	Table *route.Table `cbor:"9,keyasint,omitempty"`
+	// Version raises the fleet's version; the other fields but ID are empty then.
+	Version int `cbor:"10,keyasint,omitempty"`
 }
 
 // Result is the answer to a change.
@@ -69,6 +71,7 @@
 	order    []string // change IDs, the oldest first
 	history  []Past
 	table    *route.Table // nil before the first
+	version  int          // zero while it is the base version
 }
 
 // New returns the state before any change: revision zero, no settings.
@@ -111,6 +114,9 @@
 	if c.Table != nil {
 		return s.applyTable(c), nil
 	}
+	if c.Version != 0 {
+		return s.applyVersion(c), nil
+	}
 	if r, ok := s.results[c.ID]; ok {
 		return r, nil
 	}
@@ -168,11 +174,14 @@
 	History  []Past   `cbor:"4,keyasint"`
 	// Table is the routing table; nil before the first.
 	Table *route.Table `cbor:"5,keyasint,omitempty"`
+	// Version is the fleet's version; missing while it is the base version, so that builds
+	// of that version read the snapshot.
+	Version int `cbor:"6,keyasint,omitempty"`
 }
 
 // Snapshot returns the whole state as bytes.
 func (s *State) Snapshot() ([]byte, error) {
-	out := snapshot{Revision: s.revision, Text: s.text, History: s.history, Table: s.table, Results: make([]Result, 0, len(s.order))}
+	out := snapshot{Revision: s.revision, Text: s.text, History: s.history, Table: s.table, Version: s.version, Results: make([]Result, 0, len(s.order))}
 	for _, id := range s.order {
 		out.Results = append(out.Results, s.results[id])
 	}
@@ -189,7 +198,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.revision, s.text, s.history, s.table = in.Revision, in.Text, in.History, in.Table
+	s.revision, s.text, s.history, s.table, s.version = in.Revision, in.Text, in.History, in.Table, in.Version
 	for _, r := range in.Results {
 		s.remember(r)
 	}
--- a/fleet/read.go
+++ b/fleet/read.go
@@ -10,7 +10,7 @@
 	if err := exact.Unmarshal(data, c); err != nil {
 		return fmt.Errorf("fleet: bad command: %w", err)
 	}
-	return nil
+	return readVersion(c.Version)
 }
 
 func decodeSnapshot(data []byte) (snapshot, error) {
@@ -21,7 +21,7 @@
 	if err := exact.Unmarshal(data, &in); err != nil {
 		return in, fmt.Errorf("fleet: bad snapshot: %w", err)
 	}
-	return in, nil
+	return in, readVersion(in.Version)
 }
 
 // Readable tells whether this build reads a command, so that one that it doesn't is refused
--- /dev/null
+++ b/fleet/version_test.go
@@ -0,0 +1,99 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/compat"
+	"github.com/ledgepin/ledgepin/fleet"
+)
+
+func raise(t testing.TB, version int) []byte {
+	t.Helper()
+	data, err := fleet.Encode(fleet.Change{ID: "version", Version: version})
+	assert.NilError(t, err)
+	return data
+}
+
+// TestVersion wants the fleet's version to rise by commands alone, never to fall, and to be in
+// the snapshot only once it has risen.
+func TestVersion(t *testing.T) {
+	s := fleet.New()
+	apply(t, s, command(t, "a", 0, nil, text(1)))
+	base, err := s.Snapshot()
+	assert.NilError(t, err)
+	assert.Equal(t, s.Version(), compat.Base)
+	assert.DeepEqual(t, apply(t, s, raise(t, compat.Newest)), fleet.Result{ID: "version", Revision: uint64(compat.Newest), OK: true})
+	assert.Equal(t, s.Version(), compat.Newest)
+	for _, lower := range []int{1, compat.Base, compat.Newest} {
+		apply(t, s, raise(t, lower))
+		assert.Equal(t, s.Version(), compat.Newest)
+	}
+	assert.Equal(t, s.Revision(), uint64(1), "the settings stay")
+	risen, err := s.Snapshot()
+	assert.NilError(t, err)
+	assert.Assert(t, len(risen) > len(base))
+	again, err := fleet.Restore(risen)
+	assert.NilError(t, err)
+	assert.Equal(t, again.Version(), compat.Newest)
+	first, err := fleet.Restore(base)
+	assert.NilError(t, err)
+	assert.Equal(t, first.Version(), compat.Base)
+}
+
+// TestVersionOfALaterBuild wants a version that this build does not know to be refused: what
+// was written under it may not be known either.
+func TestVersionOfALaterBuild(t *testing.T) {
+	s := fleet.New()
+	for _, version := range []int{compat.Newest + 1, -1} {
+		_, err := s.Apply(raise(t, version))
+		assert.ErrorContains(t, err, "reads up to")
+		assert.ErrorContains(t, fleet.Readable(raise(t, version)), "reads up to")
+	}
+	assert.Equal(t, s.Version(), compat.Base)
+	data, err := s.Snapshot()
+	assert.NilError(t, err)
+	assert.ErrorContains(t, fleet.ReadableSnapshot(with(t, data, 6, compat.Newest+1)), "reads up to")
+}
+
+func TestVersionOf(t *testing.T) {
+	assert.Equal(t, fleet.VersionOf(raise(t, compat.Newest)), compat.Newest)
+	assert.Equal(t, fleet.VersionOf(command(t, "a", 0, nil, text(1))), 0)
+	assert.Equal(t, fleet.VersionOf([]byte("\xff")), 0)
+}
+
+// FuzzApply wants any command and any snapshot to be taken whole or to change nothing.
+func FuzzApply(f *testing.F) {
+	f.Add(command(f, "a", 0, nil, text(1)), []byte{})
+	f.Add(raise(f, compat.Newest), []byte{})
+	f.Add(with(f, command(f, "b", 0, nil, text(2)), 99, "x"), []byte("\xa1\x06\x04"))
+	table, err := fleet.Encode(fleet.Change{ID: "t", Table: largeTable(2)})
+	assert.NilError(f, err)
+	s := fleet.New()
+	apply(f, s, raise(f, compat.Newest))
+	apply(f, s, table)
+	state, err := s.Snapshot()
+	assert.NilError(f, err)
+	f.Add(table, state)
+	f.Fuzz(func(t *testing.T, data, state []byte) {
+		s, err := fleet.Restore(state)
+		assert.Equal(t, err == nil, fleet.ReadableSnapshot(state) == nil)
+		if err != nil {
+			s = fleet.New()
+		}
+		before, err := s.Snapshot()
+		assert.NilError(t, err)
+		version := s.Version()
+		_, err = s.Apply(data)
+		assert.Equal(t, err == nil, fleet.Readable(data) == nil)
+		after, serr := s.Snapshot()
+		assert.NilError(t, serr)
+		if err != nil {
+			assert.DeepEqual(t, after, before)
+		}
+		assert.Assert(t, s.Version() >= version && s.Version() <= compat.Newest)
+		_, err = fleet.Restore(after)
+		assert.NilError(t, err)
+	})
+}
