--- /dev/null
+++ b/wal/fence.go
@@ -0,0 +1,45 @@
+package wal
+
+import (
+	"os"
+
+	"github.com/ledgepin/ledgepin/compat"
+	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/spread"
+)
+
+// Version returns the fleet's version that the folder was written under.
+func (j *Journal) Version() int { return max(j.version, compat.Base) }
+
+// Fence makes builds that don't read a version refuse the folder: the snapshot is written anew
+// under that version's head, and comes before the log when the folder is read. It is called
+// before the first record that needs the version is appended, since a build that does not read
+// that record would pass it over.
+func (j *Journal) Fence(version int) error {
+	if j.broken != nil || version <= j.Version() {
+		return j.broken
+	}
+	if err := j.fence(version); err != nil {
+		j.broken = fault.Wrap(err, fault.JournalFailed, fault.StepJournal, j.snapshotPath())
+	}
+	return j.broken
+}
+
+func (j *Journal) fence(version int) error {
+	var snap consensus.Snapshot
+	if _, err := os.Stat(j.snapshotPath()); err == nil {
+		if snap, err = j.readSnapshot(func([]byte) error { return nil }); err != nil {
+			return err
+		}
+	}
+	data, err := writeRecord(record{Snapshot: &snap, Version: version})
+	if err != nil {
+		return err
+	}
+	if err := spread.WriteSynced(j.snapshotPath(), data); err != nil {
+		return err
+	}
+	j.version = version
+	return nil
+}
--- /dev/null
+++ b/wal/fence_test.go
@@ -0,0 +1,101 @@
+package wal_test
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/compat"
+	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/wal"
+)
+
+// readsAtBase tells whether a build of the base version takes the file's bytes for a whole
+// record: its rule, word for word.
+func readsAtBase(data []byte) bool {
+	const magic = 0x4c504a31
+	if len(data) < 12 || binary.LittleEndian.Uint32(data) != magic {
+		return false
+	}
+	size := int(binary.LittleEndian.Uint32(data[4:]))
+	if size > 256<<20 || size > len(data)-12 {
+		return false
+	}
+	body := data[12 : 12+size]
+	return crc32.Checksum(body, crc32.MakeTable(crc32.Castagnoli)) == binary.LittleEndian.Uint32(data[8:])
+}
+
+func snapshotOf(t *testing.T, dir string) []byte {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join(dir, "control.snapshot"))
+	assert.NilError(t, err)
+	return data
+}
+
+// TestFence wants a folder to be refused by builds of the base version from the fence on, and
+// to hold the same for this build.
+func TestFence(t *testing.T) {
+	for _, name := range []string{"whole", "torn"} {
+		t.Run(name, func(t *testing.T) {
+			dir := golden(t, name)
+			j, o, err := wal.Open(dir)
+			assert.NilError(t, err)
+			assert.Equal(t, j.Version(), compat.Base)
+			assert.Assert(t, readsAtBase(snapshotOf(t, dir)))
+			log, err := os.ReadFile(logPath(dir))
+			assert.NilError(t, err)
+			assert.NilError(t, j.Fence(compat.Newest))
+			assert.Equal(t, j.Version(), compat.Newest)
+			assert.Assert(t, !readsAtBase(snapshotOf(t, dir)))
+			again, err := os.ReadFile(logPath(dir))
+			assert.NilError(t, err)
+			assert.DeepEqual(t, again, log)
+			assert.Assert(t, readsAtBase(again), "the log keeps its head")
+			assert.NilError(t, j.Close())
+			j, fenced, err := wal.Open(dir)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, fenced.Restored, o.Restored)
+			assert.Equal(t, j.Version(), compat.Newest)
+			assert.NilError(t, j.Fence(compat.Base), "it never falls")
+			assert.NilError(t, j.Snapshot(consensus.Snapshot{Index: 14, Term: 3}, consensus.Hard{Term: 4}, nil))
+			assert.Assert(t, !readsAtBase(snapshotOf(t, dir)), "a later snapshot keeps the fence")
+			assert.NilError(t, j.Close())
+		})
+	}
+}
+
+// TestFenceWithoutASnapshot wants an empty folder to have a fence too.
+func TestFenceWithoutASnapshot(t *testing.T) {
+	dir := fill(t)
+	j, _, err := wal.Open(dir)
+	assert.NilError(t, err)
+	assert.NilError(t, j.Fence(compat.Newest))
+	assert.NilError(t, j.Close())
+	assert.Assert(t, !readsAtBase(snapshotOf(t, dir)))
+	_, o, err := wal.Open(dir)
+	assert.NilError(t, err)
+	assert.Equal(t, len(o.Restored.Entries), 3)
+	assert.Equal(t, o.Restored.Snapshot.Index, uint64(0))
+}
+
+// TestSnapshotOfALaterVersionNamesIt wants the refusal of a folder to name the version that
+// it was written under.
+func TestSnapshotOfALaterVersionNamesIt(t *testing.T) {
+	whole := fields{1: 2, 2: 1, 3: fields{1: []string{"a"}}, 4: []byte{}}
+	for name, content := range map[string]any{
+		"no other change": fields{3: whole, 4: compat.Newest + 5},
+		"with new fields": fields{3: whole, 4: compat.Newest + 5, 9: "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := fill(t)
+			assert.NilError(t, os.WriteFile(filepath.Join(dir, "control.snapshot"), sealed(t, "LPJ2", content), 0o600))
+			refused(t, dir)
+			_, _, err := wal.Open(dir)
+			assert.ErrorContains(t, err, "written by version 9, and this build reads up to 4")
+		})
+	}
+}
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -34,6 +34,8 @@
 	open OpenFile
 	file File
 	size int64
+	// version is that of the snapshot file.
+	version int
 	// broken is set by the first failed write or sync: what the disk holds is
 	// not known any more, so nothing is written again.
 	broken error
@@ -133,8 +135,9 @@
 		return consensus.Snapshot{}, j.unread(errors.New("the snapshot is damaged"), j.snapshotPath())
 	}
 	if err := readable(rec.Snapshot.Data); err != nil {
-		return consensus.Snapshot{}, j.unread(&Newer{Why: err}, j.snapshotPath())
+		return consensus.Snapshot{}, j.unread(&Newer{Version: rec.Version, Why: err}, j.snapshotPath())
 	}
+	j.version = rec.Version
 	return *rec.Snapshot, nil
 }
 
@@ -172,7 +175,7 @@
 }
 
 func (j *Journal) replace(s consensus.Snapshot, hard consensus.Hard, entries []consensus.Entry) error {
-	snap, err := writeRecord(record{Snapshot: &s})
+	snap, err := writeRecord(record{Snapshot: &s, Version: j.version})
 	if err != nil {
 		return err
 	}
