--- a/config/config.go
+++ b/config/config.go
@@ -105,6 +105,7 @@
 	// roles.
 	Engines Engines `yaml:"engines,omitempty"`
 	Quota   Quota   `yaml:"quota,omitempty"`
+	Upgrade Upgrade `yaml:"upgrade,omitempty"`
 }
 
 // Engines is how engines get their roles.
@@ -118,6 +119,26 @@
 // DefaultEngines is used where the file says nothing.
 var DefaultEngines = Engines{PrefillShare: 0.33, OrderLease: strict.Duration(3 * time.Second)}
 
+// Upgrade is how the fleet's version rises.
+type Upgrade struct {
+	// After is the time for which all members of control must have told that they read the
+	// next version before it rises by itself; zero leaves it to operators.
+	After *strict.Duration `yaml:"after,omitempty" check:"min=0,max=604800000000000"`
+}
+
+// DefaultUpgradeAfter is used where the file says nothing. It is DefaultDrain: the last process
+// of the old build may still be ending its streams for as long, and until then nobody has seen
+// the new build do all of the work. Going back is no more than the old build again until then.
+const DefaultUpgradeAfter = DefaultDrain
+
+// Wait returns the time, or the default.
+func (u Upgrade) Wait() time.Duration {
+	if u.After == nil {
+		return DefaultUpgradeAfter
+	}
+	return u.After.D()
+}
+
 // Discovery is how control replicas find each other.
 type Discovery struct {
 	// Seeds are addresses of some replicas. Only the IP numbers count: links
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -1,10 +1,12 @@
 package config_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
@@ -40,6 +42,28 @@
 	}
 }
 
+// TestUpgradeAfter wants the time after which the fleet's version rises to be optional, and
+// zero to be another thing than none.
+func TestUpgradeAfter(t *testing.T) {
+	const file = "name: a\nzone: z\noperators: 127.0.0.1:8081\ndata: d\nroles: [control]\n" +
+		"control: {links: \"127.0.0.1:1\", members: {a: \"127.0.0.1:1\"}%s}\n"
+	for _, c := range []struct {
+		part string
+		want time.Duration
+	}{
+		{"", config.DefaultUpgradeAfter},
+		{", upgrade: {}", config.DefaultUpgradeAfter},
+		{", upgrade: {after: 0s}", 0},
+		{", upgrade: {after: 90s}", 90 * time.Second},
+	} {
+		f, err := config.Parse("ledgepin.yaml", fmt.Appendf(nil, file, c.part))
+		assert.NilError(t, err)
+		assert.Equal(t, f.Control.Upgrade.Wait(), c.want, c.part)
+	}
+	_, err := config.Parse("ledgepin.yaml", fmt.Appendf(nil, file, ", upgrade: {after: -1s}"))
+	assert.ErrorContains(t, err, "control.upgrade.after")
+}
+
 func TestToken(t *testing.T) {
 	dir := t.TempDir()
 	write := func(name, text string) string {
