--- a/control/apply.go
+++ b/control/apply.go
@@ -39,6 +39,9 @@
 		c.hub.setTable(state.Table(), false)
 		c.membersChanged()
 	}
+	if err := c.guard(r); err != nil {
+		return err
+	}
 	if c.disk == nil {
 		return nil
 	}
@@ -52,7 +55,7 @@
 }
 
 func (c *Control) applyAll(now time.Time, entries []consensus.Entry) {
-	before := c.state.Revision()
+	before, version := c.state.Revision(), c.state.Version()
 	stopped := false
 	for _, e := range entries {
 		if e.Members != nil {
@@ -64,6 +67,9 @@
 			break
 		}
 	}
+	if v := c.state.Version(); v > version {
+		event.VersionRaised.Log(c.log, "version", v)
+	}
 	if c.state.Revision() > before {
 		c.publish(now)
 	}
--- a/control/change.go
+++ b/control/change.go
@@ -193,13 +193,8 @@
 	if !c.node.Lead(now) || c.store.Tree() == nil || len(c.store.Tree().Fleet.Control) == 0 {
 		return
 	}
-	var seen []string
-	for id := range c.seen {
-		seen = append(seen, id)
-	}
-	slices.Sort(seen)
 	members := c.node.Status(now).Members
-	step := nextStep(members, wanted(c.store.Tree()), seen, c.node.Caught)
+	step := nextStep(members, wanted(c.store.Tree()), c.joinable(), c.node.Caught)
 	if step == (consensus.Change{}) {
 		return
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/clock"
+	"github.com/ledgepin/ledgepin/compat"
 	"github.com/ledgepin/ledgepin/consensus"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
@@ -53,6 +54,11 @@
 	// ElectionMin is the least silence of a leader before an election, and
 	// HeartbeatEvery the time between a leader's heartbeats; the usual if zero.
 	ElectionMin, HeartbeatEvery time.Duration
+	// UpgradeAfter is the time for which all members must have told that they read the next
+	// version of the fleet before it rises by itself; it does not if it is zero.
+	UpgradeAfter time.Duration
+	// Versions are those that the replica reads and writes; those of the build if zero.
+	Versions compat.Range
 	// SnapshotEvery is the number of entries after which the log is cut.
 	SnapshotEvery int
 }
@@ -109,6 +115,15 @@
 	floorAt  time.Time
 	// refused bounds the lines about words of servers and of replicas that are not used.
 	refused event.Limiter
+	// gate decides when the fleet's version rises, while this replica leads.
+	gate     compat.Gate
+	gateTerm uint64
+	// replicas are the open links to other replicas, both ways, and lastTold what each
+	// identity told last.
+	replicas map[*wire.Link]bool
+	lastTold map[string]wire.Hello
+	// holds is the highest version that an entry of the log or the snapshot needs.
+	holds int
 	// unread tells why the replica has stopped for good: it holds what it can't read.
 	unread string
 }
@@ -129,7 +144,7 @@
 	c := &Control{
 		cfg: cfg, clock: cfg.Clock, log: cfg.Log.With("role", "control", "name", cfg.Name), epoch: clock.Day().UnixNano(),
 		ctx: ctx, cancel: cancel, state: fleet.New(), waiters: map[string][]chan fleet.Result{},
-		out: map[string]*peerLink{}, down: map[*wire.Link]bool{}, seen: map[string]int{}, asked: map[string]bool{}, zones: map[string]*wire.Summary{},
+		out: map[string]*peerLink{}, down: map[*wire.Link]bool{}, seen: map[string]int{}, replicas: map[*wire.Link]bool{}, lastTold: map[string]wire.Hello{}, holds: compat.Base, asked: map[string]bool{}, zones: map[string]*wire.Summary{},
 		broker: quota.NewBroker(), hub: newHub(cfg.Clock, cfg.Zone, cfg.Quota), refused: event.Limiter{Every: refusedEvery, Most: mostRefused},
 	}
 	if cfg.Discovery != nil {
@@ -217,6 +232,12 @@
 		return fault.Wrap(err, fault.JournalBroken, fault.StepJournal, c.cfg.Dir)
 	}
 	c.state = state
+	if c.disk != nil {
+		c.holds = max(c.holds, c.disk.Version())
+	}
+	if err := c.guardFrom(state.Version()); err != nil {
+		return err
+	}
 	rng := rand.New(rand.NewPCG(uint64(c.epoch), uint64(clock.Day().UnixNano())))
 	c.node = consensus.New(c.times(c.id), r, r.Snapshot.Members, c.clock.Now(), rng)
 	for id := range c.seen {
@@ -254,7 +275,7 @@
 }
 
 func (c *Control) options() wire.Options {
-	o := wire.Options{Hello: c.hello, Token: c.cfg.Token, TLS: c.cfg.TLS}
+	o := wire.Options{Hello: c.hello, Token: c.cfg.Token, TLS: c.cfg.TLS, Versions: c.cfg.Versions}
 	if c.cfg.Discovery != nil {
 		o.Idle = discoveredIdle
 	}
@@ -308,6 +329,7 @@
 		c.planAt = now
 		c.reconcile(now)
 		c.orders(now)
+		c.raise(now)
 	}
 	if c.cfg.Discovery != nil && now.Sub(c.joinAt) >= joinEvery {
 		c.joinAt = now
--- a/control/discovery.go
+++ b/control/discovery.go
@@ -102,10 +102,7 @@
 		members: c.node.Status(now).Members, voters: c.cfg.Discovery.Voters, caught: c.node.Caught,
 		silence: func(id string) time.Duration { return c.node.Silence(now, id) },
 	}
-	for id := range c.seen {
-		m.seen = append(m.seen, id)
-	}
-	slices.Sort(m.seen)
+	m.seen = c.joinable()
 	step := m.step()
 	if step == (consensus.Change{}) {
 		return
--- a/control/dump.go
+++ b/control/dump.go
@@ -42,6 +42,7 @@
 	ID       string           `json:"id"`
 	Log      consensus.Status `json:"log"`
 	Revision uint64           `json:"settings_revision"`
+	Version  int              `json:"fleet_version"`
 	Journal  int64            `json:"journal_bytes"`
 	Peers    []string         `json:"peers"`
 	Seen     []string         `json:"seen"`
@@ -52,7 +53,7 @@
 func (c *Control) Dump() any {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d := Dump{Name: c.cfg.Name, ID: c.id, Revision: c.state.Revision()}
+	d := Dump{Name: c.cfg.Name, ID: c.id, Revision: c.state.Revision(), Version: c.state.Version()}
 	if c.node != nil {
 		d.Log = c.node.Status(c.clock.Now())
 	}
@@ -84,5 +85,6 @@
 	metric.Term.WithLabelValues(c.cfg.Name).Set(float64(st.Term))
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	metric.FleetVersion.WithLabelValues(c.cfg.Name).Set(float64(c.state.Version()))
 	metric.Revision.WithLabelValues(c.cfg.Name).Set(float64(c.state.Revision()))
 }
--- a/control/links.go
+++ b/control/links.go
@@ -47,19 +47,32 @@
 	for ctx.Err() == nil {
 		l, err := wire.Dial(ctx, p.addr, c.options())
 		if err == nil {
-			c.mu.Lock()
-			p.link = l
-			c.mu.Unlock()
-			_ = l.Run(ctx, func(m *wire.Message) { c.learn(l, m) })
-			c.hub.losePeer(l)
-			c.mu.Lock()
-			p.link = nil
-			c.mu.Unlock()
+			c.runPeer(ctx, p, l)
 		}
 		wait.For(ctx, redial)
 	}
 }
 
+// runPeer runs a link that this replica opened.
+func (c *Control) runPeer(ctx context.Context, p *peerLink, l *wire.Link) {
+	c.mu.Lock()
+	ok := c.addReplica(l)
+	if ok {
+		p.link = l
+	}
+	c.mu.Unlock()
+	if !ok {
+		c.refuseReplica(ctx, l)
+		return
+	}
+	_ = l.Run(ctx, func(m *wire.Message) { c.learn(l, m) })
+	c.hub.losePeer(l)
+	c.mu.Lock()
+	p.link = nil
+	c.removeReplica(l)
+	c.mu.Unlock()
+}
+
 // sendPacket sends to a replica; callers hold the lock.
 func (c *Control) sendPacket(p consensus.Packet) {
 	if peer := c.out[baseName(p.To)]; peer != nil && peer.link != nil {
@@ -86,6 +99,10 @@
 	c.mu.Lock()
 	if below {
 		c.down[l] = true
+	} else if !c.addReplica(l) {
+		c.mu.Unlock()
+		c.refuseReplica(c.ctx, l)
+		return
 	} else {
 		c.seen[l.Peer.Name]++
 		c.noteSuccessor(l.Peer.Name)
@@ -104,6 +121,7 @@
 	if below {
 		delete(c.down, l)
 	} else {
+		c.removeReplica(l)
 		// A new link of the same replica may be open already.
 		if c.seen[l.Peer.Name]--; c.seen[l.Peer.Name] <= 0 {
 			delete(c.seen, l.Peer.Name)
--- /dev/null
+++ b/control/upgrade.go
@@ -0,0 +1,174 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/ledgepin/ledgepin/clock"
+	"github.com/ledgepin/ledgepin/compat"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/fleet"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// Upgrade is what operators see of the fleet's version.
+type Upgrade struct {
+	// Version is in force; Next is what it would rise to, zero if this build knows none.
+	Version int `json:"version"`
+	Next    int `json:"next,omitempty"`
+	// Since is the moment from which on all members could read the next one; nil while one
+	// can't.
+	Since *time.Time `json:"since,omitempty"`
+	// After is the time for which they must, zero if only an operator raises the version.
+	After time.Duration `json:"after"`
+	// Holds are what keeps it from rising, Waits what keeps it from rising by itself.
+	Holds   []compat.Hold   `json:"holds"`
+	Waits   []compat.Hold   `json:"waits,omitempty"`
+	Members []UpgradeMember `json:"members"`
+}
+
+// UpgradeMember is a voter or learner with the build that it runs.
+type UpgradeMember struct {
+	ID     string `json:"id"`
+	Voter  bool   `json:"voter"`
+	Leader bool   `json:"leader,omitempty"`
+	// Build and Told are what it told last; nil if it told nothing to this leader.
+	Build string        `json:"build,omitempty"`
+	Told  *compat.Range `json:"told,omitempty"`
+	// Silent tells that it is out of touch.
+	Silent bool `json:"silent,omitempty"`
+}
+
+// silentAfter is the time without an answer after which a member counts as out of touch: some
+// heartbeats, and no longer than the restart of a process takes.
+const silentAfter = time.Second
+
+// Upgrade returns the state of the fleet's version, as the leader sees it.
+func (c *Control) Upgrade() (Upgrade, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	if c.node == nil || !c.node.Lead(now) {
+		return Upgrade{}, c.notLeader()
+	}
+	return c.upgrade(now), nil
+}
+
+// upgrade looks at the members. Callers hold the lock.
+func (c *Control) upgrade(now time.Time) Upgrade {
+	if term := c.node.Term(); term != c.gateTerm {
+		c.gate, c.gateTerm = compat.Gate{}, term
+	}
+	out := Upgrade{Version: c.state.Version(), After: c.cfg.UpgradeAfter, Members: c.upgradeMembers(now)}
+	members := make([]compat.Member, len(out.Members))
+	for i, m := range out.Members {
+		members[i] = compat.Member{ID: m.ID, Silent: m.Silent}
+		if m.Told != nil {
+			members[i].Told = *m.Told
+		}
+	}
+	out.Holds = c.gate.Look(now, out.Version, c.versions(), members)
+	if c.versions().Holds(out.Version + 1) {
+		out.Next = out.Version + 1
+	}
+	if since := c.gate.Since(); !since.IsZero() {
+		day := clock.Day().Add(since.Sub(now)).UTC()
+		out.Since = &day
+		out.Waits = c.gate.Settle(now, out.After)
+	}
+	return out
+}
+
+func (c *Control) upgradeMembers(now time.Time) []UpgradeMember {
+	m := c.node.Status(now).Members
+	var out []UpgradeMember
+	for _, id := range append(slices.Clone(m.Voters), m.Learners...) {
+		one := UpgradeMember{ID: id, Voter: slices.Contains(m.Voters, id)}
+		if id == c.id {
+			own := c.versions()
+			one.Leader, one.Told, one.Build = true, &own, wire.Build()
+		} else if told, ok := c.told(id); ok {
+			versions := told.Range()
+			one.Told, one.Build = &versions, told.Build
+		}
+		one.Silent = id != c.id && (!c.linked(id) || c.node.Silence(now, id) > silentAfter)
+		out = append(out, one)
+	}
+	return out
+}
+
+// raise proposes the next version once nothing holds it back any more. Callers hold the lock.
+func (c *Control) raise(now time.Time) {
+	c.forgetTold(now)
+	if !c.node.Lead(now) {
+		return
+	}
+	u := c.upgrade(now)
+	if u.Next == 0 || len(u.Holds)+len(u.Waits) > 0 || u.Since == nil {
+		return
+	}
+	_, _ = c.proposeVersion(now, u.Next)
+}
+
+func (c *Control) proposeVersion(now time.Time, version int) (string, error) {
+	id := fmt.Sprint("version ", version)
+	data, err := fleet.Encode(fleet.Change{ID: id, Version: version})
+	if err != nil {
+		return id, fault.Wrap(err, fault.Internal, fault.StepSettings, c.id)
+	}
+	if _, err := c.node.Propose(now, data); err != nil {
+		return id, c.notLeader()
+	}
+	c.gate.Propose(version)
+	c.flush(now)
+	return id, nil
+}
+
+// Raise raises the fleet's version by one, unless something holds it back: Holds say what then.
+// An error of code change_outcome_unknown means that it may still rise.
+func (c *Control) Raise(ctx context.Context, who string) (Upgrade, error) {
+	u, w, err := c.startRaise()
+	if err != nil || w == nil {
+		return u, err
+	}
+	id := fmt.Sprint("version ", u.Next)
+	defer c.forgetWaiter(id, w)
+	t := time.NewTimer(commitTimeout)
+	defer t.Stop()
+	select {
+	case <-w:
+		event.SettingChanged.Log(c.log, "version", u.Next, "who", who)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.upgrade(c.clock.Now()), nil
+	case <-t.C:
+	case <-ctx.Done():
+	case <-c.ctx.Done():
+	}
+	return u, fault.New(fault.ChangeUnknown, fault.StepSettings, c.id, "not confirmed in time; look at the status")
+}
+
+// startRaise proposes the next version; the channel is nil if something holds it back.
+func (c *Control) startRaise() (Upgrade, chan fleet.Result, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	if c.node == nil || !c.node.Lead(now) {
+		return Upgrade{}, nil, c.notLeader()
+	}
+	u := c.upgrade(now)
+	if len(u.Holds) > 0 {
+		return u, nil, nil
+	}
+	w := make(chan fleet.Result, 1)
+	id := fmt.Sprint("version ", u.Next)
+	c.waiters[id] = append(c.waiters[id], w)
+	if _, err := c.proposeVersion(now, u.Next); err != nil {
+		delete(c.waiters, id)
+		return u, nil, err
+	}
+	return u, w, nil
+}
--- /dev/null
+++ b/control/upgrade_test.go
@@ -0,0 +1,205 @@
+package control_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/compat"
+	"github.com/ledgepin/ledgepin/control"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// before is the range of a build that knows no versions.
+var before = compat.Only(compat.Base)
+
+// leads returns the replica that leads and its word on the fleet's version.
+func (c *cell) leads() (*node, control.Upgrade) {
+	c.t.Helper()
+	var out *node
+	var state control.Upgrade
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		for _, n := range c.nodes {
+			if n.proc == nil {
+				continue
+			}
+			if u, err := n.proc.Upgrade(); err == nil {
+				out, state = n, u
+				return poll.Success()
+			}
+		}
+		return poll.Continue("nobody leads")
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(10*time.Millisecond))
+	return out, state
+}
+
+// version waits until all replicas that run are at a version.
+func (c *cell) version(want int) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		for _, n := range c.nodes {
+			if n.proc != nil && n.proc.Dump().(control.Dump).Version != want {
+				return poll.Continue("%s is not at version %d", n.addr, want)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+// held waits until the leader names a cause.
+func (c *cell) held(cause compat.Cause, member string) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		_, u := c.leads()
+		for _, h := range u.Holds {
+			if h.Cause == cause && h.Member == member {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("%+v", u)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+func (c *cell) heads() []string {
+	c.t.Helper()
+	var out []string
+	for _, n := range c.nodes {
+		data, err := os.ReadFile(filepath.Join(n.dir, "control.snapshot"))
+		assert.NilError(c.t, err)
+		out = append(out, string(data[:4]))
+	}
+	return out
+}
+
+const (
+	oldHead = "1JPL"
+	newHead = "2JPL"
+)
+
+// TestVersionRises replaces the replicas of a group one after the other, goes back, and wants
+// the version to rise once all are of the new build, and not before.
+func TestVersionRises(t *testing.T) {
+	c := &cell{t: t, after: 300 * time.Millisecond}
+	for range 3 {
+		c.prepare(true).versions = before
+	}
+	for _, n := range c.nodes {
+		c.seeds = append(c.seeds, n.addr)
+	}
+	for _, n := range c.nodes {
+		c.start(n)
+		t.Cleanup(n.stop)
+	}
+	replace := func(n *node, versions compat.Range) {
+		n.stop()
+		n.versions = versions
+		c.start(n)
+		c.put(uint64(time.Now().UnixNano()))
+	}
+	c.put(1)
+	_, u := c.leads()
+	assert.Equal(t, u.Next, 0)
+	replace(c.nodes[0], wire.Versions)
+	replace(c.nodes[1], wire.Versions)
+	replace(c.nodes[1], before)
+	replace(c.nodes[1], wire.Versions)
+	time.Sleep(time.Second) // more than the settling time
+	c.version(compat.Base)
+	assert.DeepEqual(t, c.heads(), []string{oldHead, oldHead, oldHead})
+	if n, _ := c.leads(); n != c.nodes[2] {
+		c.held(compat.Unable, c.nodes[2].addr)
+	}
+	replace(c.nodes[2], wire.Versions)
+	c.version(compat.Newest)
+	assert.DeepEqual(t, c.heads(), []string{newHead, newHead, newHead})
+	c.put(uint64(time.Now().UnixNano()))
+	for _, n := range c.nodes {
+		replace(n, wire.Versions)
+	}
+	c.version(compat.Newest)
+	assert.DeepEqual(t, c.heads(), []string{newHead, newHead, newHead})
+	c.held(compat.Known, "")
+}
+
+// TestReplicaOfAnOlderBuildIsRefused wants a group at a version to have nothing to do with a
+// replica that does not read it, whoever it was before, and to go on.
+func TestReplicaOfAnOlderBuildIsRefused(t *testing.T) {
+	c := newCell(t, 3)
+	c.put(1)
+	n, u := c.leads()
+	assert.Equal(t, u.Version, compat.Base)
+	assert.Equal(t, u.Next, compat.Newest)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		n, _ = c.leads()
+		if u, err := n.proc.Raise(t.Context(), "op"); err != nil || u.Version != compat.Newest {
+			return poll.Continue("%v %+v", err, u)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+	c.version(compat.Newest)
+	old := c.nodes[0]
+	old.stop()
+	old.versions = before
+	for _, n := range c.nodes[1:] {
+		n.stop()
+		n.log = &lines{}
+		c.start(n)
+	}
+	c.put(2)
+	c.start(old)
+	stranger := c.prepare(false)
+	stranger.versions = before
+	c.start(stranger)
+	time.Sleep(2 * time.Second)
+	c.put(3)
+	for _, n := range c.nodes[1:3] {
+		assert.Equal(t, n.log.count("LP6018"), 2, "one line for each of the two")
+		assert.Assert(t, !bytes.Contains([]byte(n.proc.Status().Leader), []byte(old.addr)))
+		members := n.proc.Status().Members
+		assert.Equal(t, len(members.Voters)+len(members.Learners), 3, "%v", members)
+	}
+	assert.Assert(t, old.proc.Status().Commit < c.nodes[1].proc.Status().Commit)
+	stranger.stop()
+	old.stop()
+	old.versions = compat.Range{}
+	c.start(old)
+	c.put(4)
+	c.version(compat.Newest)
+}
+
+// TestVersionWaits wants the causes that hold a version back to be named, and an operator's
+// wish to be refused for them.
+func TestVersionWaits(t *testing.T) {
+	c := newCell(t, 3)
+	c.put(1)
+	n, _ := c.leads()
+	gone := c.nodes[0]
+	if gone == n {
+		gone = c.nodes[1]
+	}
+	gone.stop()
+	c.held(compat.Silent, gone.addr)
+	n, _ = c.leads()
+	u, err := n.proc.Raise(t.Context(), "op")
+	assert.NilError(t, err)
+	assert.Equal(t, u.Version, compat.Base)
+	assert.Equal(t, u.Holds[0].Cause, compat.Silent)
+	gone.versions = before
+	c.start(gone)
+	c.held(compat.Unable, gone.addr)
+	// A leader that has just started has heard nothing from a member that is down.
+	gone.stop()
+	for _, n := range c.nodes {
+		if n != gone {
+			n.stop()
+			c.start(n)
+		}
+	}
+	c.held(compat.NeverTold, gone.addr)
+	c.version(compat.Base)
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -216,6 +216,12 @@
 	DataNewer = define("LP6015", fail, "written by a newer build",
 		"The replica holds what this build can't read. It has stopped and gave up its vote, and has changed nothing; it does not come back by itself.",
 		"Run the newer build on this data. To go back for good, see OPERATIONS.md, Upgrading.")
+	VersionRaised = define("LP6017", info, "the fleet's version has risen",
+		"All members of control read the new version, and what came with it may be written from now on. Builds that do not read it are refused from now on, and refuse this replica's data.",
+		nothing)
+	ReplicaApart = define("LP6018", warn, "replica of another version refused",
+		"A replica does not read what this one holds, so it gets nothing and is not heard. One line a minute for each replica.",
+		"Run a build there that reads the fleet's version: ledgepin upgrade status.")
 	PacketNewer = define("LP6016", warn, "packet of a newer build refused",
 		"Another replica sent an entry or a snapshot that this build can't read; nothing of it was taken. One line a minute for each sender.",
 		"Run the newer build here too.")
