--- a/cli/cli.go
+++ b/cli/cli.go
@@ -39,6 +39,7 @@
 	Run      runCmd      `cmd:"" help:"Run the roles of a settings file."`
 	Check    checkCmd    `cmd:"" help:"Check a settings file of a process or a settings tree."`
 	Settings settingsCmd `cmd:"" help:"Read or change the settings tree."`
+	Upgrade  upgradeCmd  `cmd:"" help:"Show or raise the fleet's version."`
 	Dump     dumpCmd     `cmd:"" help:"Print the state of a process."`
 	Explain  explainCmd  `cmd:"" help:"Tell the story of a request."`
 	Events   eventsCmd   `cmd:"" help:"Print the catalogue of events."`
--- /dev/null
+++ b/cli/upgrade.go
@@ -0,0 +1,134 @@
+package cli
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/ledgepin/ledgepin/compat"
+	"github.com/ledgepin/ledgepin/control"
+	"github.com/ledgepin/ledgepin/operator"
+)
+
+type upgradeCmd struct {
+	Status upgradeStatusCmd `cmd:"" help:"Show the fleet's version, the builds of control, and what holds the next version back."`
+	Raise  upgradeRaiseCmd  `cmd:"" help:"Raise the fleet's version now. Older builds can't be gone back to after that."`
+}
+
+type upgradeStatusCmd struct {
+	target
+	JSON bool `name:"json" help:"Print JSON."`
+}
+
+// Run implements the upgrade status command.
+func (c *upgradeStatusCmd) Run(s *streams) error {
+	var u control.Upgrade
+	if err := c.first(s.ctx, http.MethodGet, "/v1/upgrade", nil, &u); err != nil {
+		return err
+	}
+	return printUpgrade(s.out, u, c.JSON)
+}
+
+type upgradeRaiseCmd struct {
+	target
+	JSON bool `name:"json" help:"Print JSON."`
+}
+
+// Run implements the upgrade raise command. Not to have raised the version is an error, since
+// whoever asked for it may want to go on with what needs it.
+func (c *upgradeRaiseCmd) Run(s *streams) error {
+	var u control.Upgrade
+	if err := c.first(s.ctx, http.MethodPost, "/v1/upgrade/raise", operator.Raise{Who: who()}, &u); err != nil {
+		return err
+	}
+	if err := printUpgrade(s.out, u, c.JSON); err != nil {
+		return err
+	}
+	if len(u.Holds) > 0 && u.Holds[0].Cause != compat.Known {
+		return errors.New("the version was not raised")
+	}
+	return nil
+}
+
+func printUpgrade(w io.Writer, u control.Upgrade, asJSON bool) error {
+	if asJSON {
+		data, err := json.MarshalIndent(u, "", "  ")
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintln(w, string(data))
+		return err
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "version %d is in force\n", u.Version)
+	for _, m := range u.Members {
+		fmt.Fprintf(&b, "  %-24s %-8s reads %-8s build %s%s\n", m.ID, memberKind(m), told(m.Told), orUnknown(m.Build), mark(m.Silent, ", silent"))
+	}
+	for _, h := range append(u.Holds, u.Waits...) {
+		if h.Cause != compat.Known {
+			fmt.Fprintf(&b, "version %d waits: %s\n", u.Next, holdText(h))
+		}
+	}
+	if u.Since != nil && u.Next != 0 {
+		fmt.Fprintf(&b, "all members read version %d since %s\n", u.Next, u.Since.Format(time.RFC3339))
+	}
+	if u.Next == 0 {
+		fmt.Fprintln(&b, "this build knows no higher version")
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func memberKind(m control.UpgradeMember) string {
+	switch {
+	case m.Leader:
+		return "leader"
+	case m.Voter:
+		return "voter"
+	}
+	return "learner"
+}
+
+func told(r *compat.Range) string {
+	if r == nil {
+		return "?"
+	}
+	return r.String()
+}
+
+func orUnknown(build string) string {
+	if build == "" {
+		return "unknown"
+	}
+	return build
+}
+
+func mark(set bool, text string) string {
+	if set {
+		return text
+	}
+	return ""
+}
+
+// holdText tells a cause in words.
+func holdText(h compat.Hold) string {
+	switch h.Cause {
+	case compat.Proposed:
+		return "it was proposed and is not yet in force"
+	case compat.NeverTold:
+		return h.Member + " has told the leader nothing yet"
+	case compat.Unable:
+		return fmt.Sprintf("%s reads %s", h.Member, told(h.Told))
+	case compat.Silent:
+		return h.Member + " is out of touch"
+	case compat.Settling:
+		return fmt.Sprintf("it rises by itself in %s, or with ledgepin upgrade raise", h.Left.Round(time.Second))
+	case compat.Asked:
+		return "it rises with ledgepin upgrade raise"
+	}
+	return string(h.Cause)
+}
--- /dev/null
+++ b/cli/upgrade_test.go
@@ -0,0 +1,88 @@
+package cli_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/cli"
+	"github.com/ledgepin/ledgepin/compat"
+	"github.com/ledgepin/ledgepin/control"
+	"github.com/ledgepin/ledgepin/operator"
+)
+
+// replica runs the first replica of a group of two, of which the other never comes, or the
+// only one, and returns its operators' address.
+func replica(t *testing.T, conf control.Config) string {
+	t.Helper()
+	conf.Name, conf.Zone = "a", "z"
+	conf.Log = slog.New(slog.NewTextHandler(io.Discard, nil))
+	conf.Members = map[string]string{"a": "127.0.0.1:1"}
+	p, err := control.Start(conf)
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	srv := httptest.NewServer(operator.Handler(operator.Options{Control: p, Log: conf.Log}))
+	t.Cleanup(srv.Close)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := p.Upgrade(); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	return srv.Listener.Addr().String()
+}
+
+func upgrade(t *testing.T, addr string, args ...string) (string, int) {
+	t.Helper()
+	var out bytes.Buffer
+	code := cli.Main(t.Context(), append(append([]string{"upgrade"}, args...), "--operator", addr), &out, &out)
+	return out.String(), code
+}
+
+func wants(t *testing.T, got string, parts ...string) {
+	t.Helper()
+	for _, p := range parts {
+		assert.Assert(t, strings.Contains(got, p), "want %q in\n%s", p, got)
+	}
+}
+
+func TestUpgradeCommands(t *testing.T) {
+	addr := replica(t, control.Config{UpgradeAfter: time.Hour})
+	got, code := upgrade(t, addr, "status")
+	assert.Equal(t, code, cli.ExitOK, got)
+	wants(t, got, "version 3 is in force", "leader   reads 3 to 4", "version 4 waits: it rises by itself in 1h0m0s", "all members read version 4 since ")
+	got, code = upgrade(t, addr, "status", "--json")
+	assert.Equal(t, code, cli.ExitOK, got)
+	var u control.Upgrade
+	assert.NilError(t, json.Unmarshal([]byte(got), &u))
+	assert.Equal(t, u.Version, compat.Base)
+	assert.Equal(t, u.Waits[0].Cause, compat.Settling)
+	assert.Equal(t, *u.Members[0].Told, compat.Range{Least: 3, Most: 4})
+	got, code = upgrade(t, addr, "raise")
+	assert.Equal(t, code, cli.ExitOK, got)
+	wants(t, got, "version 4 is in force", "knows no higher version")
+	got, code = upgrade(t, addr, "raise")
+	assert.Equal(t, code, cli.ExitOK, got)
+	wants(t, got, "version 4 is in force")
+}
+
+func TestUpgradeIsHeldBack(t *testing.T) {
+	addr := replica(t, control.Config{Versions: compat.Range{Least: 3, Most: 3}})
+	got, code := upgrade(t, addr, "raise")
+	assert.Equal(t, code, cli.ExitOK, got)
+	wants(t, got, "version 3 is in force", "this build knows no higher version")
+	got, code = upgrade(t, "127.0.0.1:1", "status")
+	assert.Equal(t, code, cli.ExitFailed)
+	wants(t, got, "link_lost")
+	addr = replica(t, control.Config{})
+	got, _ = upgrade(t, addr, "status")
+	wants(t, got, "version 4 waits: it rises with ledgepin upgrade raise")
+}
--- a/operator/server.go
+++ b/operator/server.go
@@ -74,6 +74,8 @@
 	g.GET("/v1/settings/effective", s.effective)
 	g.GET("/v1/settings/history", s.history)
 	g.POST("/v1/settings", s.apply)
+	g.GET("/v1/upgrade", s.upgrade)
+	g.POST("/v1/upgrade/raise", s.raise)
 	if o.Extra != nil {
 		o.Extra(r)
 	}
--- /dev/null
+++ b/operator/upgrade.go
@@ -0,0 +1,46 @@
+package operator
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/ledgepin/ledgepin/fault"
+)
+
+// Raise is the body of a POST to /v1/upgrade/raise.
+type Raise struct {
+	Who string `json:"who"`
+}
+
+func (s *server) upgrade(c echo.Context) error {
+	k, err := s.control()
+	if err != nil {
+		return err
+	}
+	u, err := k.Upgrade()
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, u)
+}
+
+// raise answers with the state after it: the version has risen, or Holds say why not.
+func (s *server) raise(c echo.Context) error {
+	k, err := s.control()
+	if err != nil {
+		return err
+	}
+	var in Raise
+	if err := c.Bind(&in); err != nil {
+		return fault.Wrap(err, fault.BadRequest, fault.StepParse, "operator")
+	}
+	if len(in.Who) > maxNote {
+		return fault.New(fault.BadRequest, fault.StepParse, "operator", "want a short value for who")
+	}
+	u, err := k.Raise(c.Request().Context(), in.Who)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, u)
+}
