--- a/cli/upgrade_test.go
+++ b/cli/upgrade_test.go
@@ -69,6 +69,7 @@
 	got, code = upgrade(t, addr, "raise")
 	assert.Equal(t, code, cli.ExitOK, got)
 	wants(t, got, "version 4 is in force", "knows no higher version")
+	assert.Assert(t, !strings.Contains(got, "waits"), got)
 	got, code = upgrade(t, addr, "raise")
 	assert.Equal(t, code, cli.ExitOK, got)
 	wants(t, got, "version 4 is in force")
--- a/control/upgrade.go
+++ b/control/upgrade.go
@@ -70,11 +70,11 @@
 			members[i].Told = *m.Told
 		}
 	}
-	out.Holds = c.gate.Look(now, out.Version, c.versions(), members)
+	out.Holds = append([]compat.Hold{}, c.gate.Look(now, out.Version, c.versions(), members)...)
 	if c.versions().Holds(out.Version + 1) {
 		out.Next = out.Version + 1
 	}
-	if since := c.gate.Since(); !since.IsZero() {
+	if since := c.gate.Since(); out.Next != 0 && !since.IsZero() {
 		day := clock.Day().Add(since.Sub(now)).UTC()
 		out.Since = &day
 		out.Waits = c.gate.Settle(now, out.After)
