--- a/compat/gate.go
+++ b/compat/gate.go
@@ -62,6 +62,17 @@
 // one can't.
 func (g *Gate) Since() time.Time { return g.since }
 
+// Told takes that a member has told another range than before, which may be over before the
+// next look: the settling time starts anew if it reads less.
+func (g *Gate) Told(before, after Range) {
+	if less(before, after) {
+		g.since = time.Time{}
+	}
+}
+
+// less tells whether a range misses a part of the one before it.
+func less(before, after Range) bool { return after.Least > before.Least || after.Most < before.Most }
+
 // Propose takes that a version has been proposed.
 func (g *Gate) Propose(version int) { g.proposed = version }
 
@@ -113,7 +124,7 @@
 func (g *Gate) changed(members []Member) bool {
 	return slices.ContainsFunc(members, func(m Member) bool {
 		before, ok := g.ranges[m.ID]
-		return !ok || m.Told.Least > before.Least || m.Told.Most < before.Most
+		return !ok || less(before, m.Told)
 	})
 }
 
--- /dev/null
+++ b/compat/gate_model_test.go
@@ -0,0 +1,251 @@
+package compat_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/ledgepin/ledgepin/compat"
+	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/fleet"
+)
+
+// look lets a leader of the new build ask the gate.
+func (m *model) look(r *modelReplica) {
+	if !r.knows() || !r.node.Lead(m.at()) {
+		return
+	}
+	if term := r.node.Term(); term != r.term {
+		r.gate, r.term, r.since = compat.Gate{}, term, map[string]time.Duration{}
+	}
+	var members []compat.Member
+	for _, id := range m.members(r) {
+		one := compat.Member{ID: id, Told: r.told[id], Silent: m.links[pair(r.id, id)] == nil}
+		if id == r.id {
+			one = compat.Member{ID: id, Told: r.build}
+		}
+		members = append(members, one)
+		if _, ok := r.since[id]; !ok {
+			r.since[id] = m.now
+		}
+	}
+	holds := r.gate.Look(m.at(), r.state.Version(), r.build, members)
+	holds = slices.DeleteFunc(holds, func(h compat.Hold) bool { return m.out[string(h.Cause)] })
+	if len(holds) > 0 || len(r.gate.Settle(m.at(), modelSettle)) > 0 {
+		return
+	}
+	m.checkRise(r, members)
+	data, err := fleet.Encode(fleet.Change{ID: "version", Version: r.state.Version() + 1})
+	if err != nil {
+		m.fail("%v", err)
+		return
+	}
+	if _, err := r.node.Propose(m.at(), data); err == nil {
+		m.rises++
+		r.gate.Propose(r.state.Version() + 1)
+		m.flush(r)
+		m.disturb(r)
+	}
+}
+
+// disturb lets things happen while the proposal is on its way: a cut between the leader and
+// another replica, an older build at a third, another leader.
+func (m *model) disturb(r *modelReplica) {
+	if m.calm {
+		return
+	}
+	others := slices.DeleteFunc(slices.Clone(m.order), func(id string) bool { return id == r.id })
+	m.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	if m.rng.IntN(2) == 0 {
+		k := pair(r.id, others[0])
+		m.cut[k] = true
+		m.closeLinks(func(l *modelLink) bool { return pair(l.a, l.b) == k })
+	}
+	if m.rng.IntN(2) == 0 {
+		back := m.reps[others[1]]
+		m.crash(back)
+		back.build = oldBuild
+		m.boot(back)
+	}
+}
+
+func (m *model) members(r *modelReplica) []string {
+	all := r.node.Status(m.at()).Members
+	return append(slices.Clone(all.Voters), all.Learners...)
+}
+
+// checkRise wants each voter and learner of the moment to read the next version, and each to
+// have told so for the settling time.
+func (m *model) checkRise(r *modelReplica, members []compat.Member) {
+	next := r.state.Version() + 1
+	if r.holds >= next && r.disk.fence >= next && needs(r.disk.entries) >= next && r.term == r.lastTerm() {
+		m.fail("%s proposes version %d twice", r.id, next)
+	}
+	for _, one := range members {
+		other := m.reps[one.ID]
+		if other.node != nil && !other.build.Holds(next) {
+			m.fail("version %d is proposed while %s of build %v is a member", next, other.id, other.build)
+		}
+		if other.node == nil {
+			m.fail("version %d is proposed while nobody knows what %s will run", next, other.id)
+		}
+		if m.now-r.since[one.ID] < modelSettle {
+			m.fail("version %d is proposed %s after %s joined or read less", next, m.now-r.since[one.ID], one.ID)
+		}
+	}
+}
+
+// lastTerm returns the term of the last entry on the disk that raises the version.
+func (r *modelReplica) lastTerm() uint64 {
+	for _, e := range slices.Backward(r.disk.entries) {
+		if fleet.VersionOf(e.Data) > 0 {
+			return e.Term
+		}
+	}
+	return 0
+}
+
+// change takes a step of membership, of replicas that the leader may take in.
+func (m *model) change(r *modelReplica) {
+	all := r.node.Status(m.at()).Members
+	var step consensus.Change
+	for _, id := range m.order {
+		switch {
+		case slices.Contains(all.Learners, id) && r.node.Caught(id):
+			step = consensus.Change{Promote: id}
+		case !slices.Contains(all.Voters, id) && !slices.Contains(all.Learners, id) && m.now-m.seen[pair(r.id, id)] < 100*time.Millisecond:
+			step = consensus.Change{Add: id}
+		}
+	}
+	if len(all.Voters) > 3 {
+		step = consensus.Change{Remove: all.Voters[m.rng.IntN(len(all.Voters))]}
+	}
+	if step.Add != "" && !m.out["join"] && r.knows() && !r.told[step.Add].Holds(r.holds) {
+		return
+	}
+	if _, err := r.node.ChangeMembers(m.at(), step); err == nil {
+		if step.Add != "" && r.knows() && !r.told[step.Add].Holds(r.holds) {
+			m.fail("%s joins a log of version %d, and reads %v", step.Add, r.holds, r.told[step.Add])
+		}
+		m.flush(r)
+	}
+}
+
+// play does some random steps: processes end and come back on the same or another build, links
+// are cut, members join and leave, an old log meets a new build and the other way round.
+func play(t *rapid.T, out ...string) *model {
+	m := newModel(rapid.Uint64().Draw(t, "seed"), out...)
+	m.run(time.Second)
+	newer := rapid.IntRange(1, 9).Draw(t, "newer of ten")
+	draw := func() compat.Range {
+		if rapid.IntRange(0, 9).Draw(t, "build") < newer {
+			return newBuild
+		}
+		return oldBuild
+	}
+	for range rapid.IntRange(10, 60).Draw(t, "steps") {
+		r := m.reps[rapid.SampledFrom(m.order).Draw(t, "one")]
+		k := pair(r.id, rapid.SampledFrom(m.order).Draw(t, "two"))
+		switch rapid.IntRange(0, 10).Draw(t, "what") {
+		case 0, 1, 2: // replaced or gone back to
+			m.crash(r)
+			r.build = draw()
+			m.boot(r)
+		case 3: // replaced, and down for a while
+			m.crash(r)
+			r.build = draw()
+		case 10: // gone back to, and not for long
+			for _, build := range []compat.Range{oldBuild, newBuild} {
+				m.crash(r)
+				r.build = build
+				m.boot(r)
+				m.run(time.Duration(rapid.IntRange(5, 40).Draw(t, "up")) * time.Millisecond)
+			}
+		case 4:
+			if r.node == nil {
+				m.boot(r)
+			}
+		case 5:
+			m.cut[k] = true
+			m.closeLinks(func(l *modelLink) bool { return pair(l.a, l.b) == k })
+		case 6:
+			m.cut = map[[2]string]bool{}
+		case 7:
+			if len(m.order) < 6 {
+				m.add(fmt.Sprint("n", len(m.order)), draw(), modelDisk{})
+			}
+		default:
+			if l := m.leader(); l != nil && rapid.Bool().Draw(t, "members") {
+				m.change(l)
+			} else if l != nil {
+				m.base(l)
+			}
+		}
+		m.run(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond)
+	}
+	return m
+}
+
+// settle brings all replicas to the new build and wants the version to rise.
+func (m *model) settle() {
+	m.calm = true
+	m.cut = map[[2]string]bool{}
+	for _, id := range m.order {
+		if r := m.reps[id]; r.node == nil || !r.knows() {
+			m.crash(r)
+			r.build = newBuild
+			m.boot(r)
+		}
+	}
+	for range 20 {
+		m.run(time.Second)
+		l := m.leader()
+		if l != nil && l.state.Version() == newBuild.Most {
+			return
+		}
+		for _, id := range m.order { // a crash in between
+			if m.reps[id].node == nil {
+				m.boot(m.reps[id])
+			}
+		}
+	}
+	m.fail("the version does not rise though all are of the new build")
+}
+
+// TestMixedBuilds wants no replica ever to be given, or to find on its disk, what its build
+// can't read; all states to be equal; and the version to rise in the end, and never to fall.
+func TestMixedBuilds(t *testing.T) {
+	rises := 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := play(t)
+		rises += m.rises
+		if m.broken == "" {
+			m.settle()
+		}
+		if m.broken != "" {
+			t.Fatal(m.broken)
+		}
+	})
+	assert.Assert(t, rises > 0, "no version rose while builds were mixed")
+}
+
+// TestEachGuardIsNeeded takes out the guards one by one, and wants the model to find out.
+func TestEachGuardIsNeeded(t *testing.T) {
+	for _, guard := range []string{
+		string(compat.NeverTold), string(compat.Unable), string(compat.Silent), string(compat.Proposed),
+		"told", "open", "close", "by log", "fence", "join",
+	} {
+		t.Run(guard, func(t *testing.T) {
+			found := ""
+			for seed := 0; found == "" && seed < 3000; seed++ {
+				found = rapid.Custom(func(t *rapid.T) string { return play(t, guard).broken }).Example(seed)
+			}
+			assert.Assert(t, found != "", "nothing is found without it")
+			t.Log(found)
+		})
+	}
+}
--- a/control/versions.go
+++ b/control/versions.go
@@ -32,6 +32,9 @@
 		return false
 	}
 	c.replicas[l] = true
+	if before, ok := c.lastTold[l.Peer.Name]; ok {
+		c.gate.Told(before.Range(), l.Peer.Range())
+	}
 	c.lastTold[l.Peer.Name] = l.Peer
 	return true
 }
--- /dev/null
+++ b/control/versions_test.go
@@ -0,0 +1,92 @@
+package control
+
+import (
+	"io"
+	"log/slog"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/compat"
+	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fleet"
+	"github.com/ledgepin/ledgepin/wal"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// linkOf opens a link on which the other end is a replica that speaks some versions.
+func linkOf(t *testing.T, id string, versions compat.Range) *wire.Link {
+	t.Helper()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	srv := httptest.NewServer(wire.Handler(log, wire.Options{Versions: versions, Hello: func() wire.Hello {
+		return wire.Hello{Name: id, Role: wire.RoleControl}
+	}}, func(l *wire.Link) { _ = l.Run(t.Context(), func(*wire.Message) {}) }))
+	t.Cleanup(srv.Close)
+	l, err := wire.Dial(t.Context(), srv.Listener.Addr().String(), wire.Options{Hello: func() wire.Hello { return wire.Hello{Name: "a"} }})
+	assert.NilError(t, err)
+	t.Cleanup(l.Close)
+	return l
+}
+
+// TestGuardComesBeforeTheEntry wants folder and links to be safe before an entry that raises
+// the version is written or sent, whether or not it is ever committed.
+func TestGuardComesBeforeTheEntry(t *testing.T) {
+	dir := t.TempDir()
+	disk, _, err := wal.Open(dir)
+	assert.NilError(t, err)
+	old, same := linkOf(t, "old", compat.Only(compat.Base)), linkOf(t, "same", wire.Versions)
+	c := &Control{
+		log: slog.New(slog.NewTextHandler(io.Discard, nil)), disk: disk, state: fleet.New(), holds: compat.Base,
+		replicas: map[*wire.Link]bool{}, lastTold: map[string]wire.Hello{}, seen: map[string]int{"old": 1, "same": 1},
+		out: map[string]*peerLink{"old": {link: old}, "same": {link: same}}, refused: event.Limiter{Every: time.Minute, Most: 9},
+	}
+	assert.Assert(t, c.addReplica(old) && c.addReplica(same))
+	assert.DeepEqual(t, c.joinable(), []string{"old", "same"})
+	command, err := fleet.Encode(fleet.Change{ID: "t"})
+	assert.NilError(t, err)
+	assert.NilError(t, c.guard(consensus.Ready{Entries: []consensus.Entry{{Index: 2, Data: command}}}))
+	assert.Equal(t, disk.Version(), compat.Base)
+
+	rise, err := fleet.Encode(fleet.Change{ID: "v", Version: compat.Newest})
+	assert.NilError(t, err)
+	assert.NilError(t, c.guard(consensus.Ready{Entries: []consensus.Entry{{Index: 3, Data: rise}}}))
+	assert.Equal(t, c.state.Version(), compat.Base, "it is not committed")
+	assert.Equal(t, disk.Version(), compat.Newest)
+	assert.Assert(t, c.out["old"].link == nil && c.out["same"].link == same)
+	assert.Assert(t, old.Send(&wire.Message{Heartbeat: &wire.Heartbeat{}}) != nil, "the link is open")
+	assert.NilError(t, same.Send(&wire.Message{Heartbeat: &wire.Heartbeat{}}))
+	assert.DeepEqual(t, c.joinable(), []string{"same"})
+	assert.Assert(t, !c.addReplica(linkOf(t, "old", compat.Only(compat.Base))))
+	assert.NilError(t, disk.Close())
+	_, o, err := wal.Open(dir)
+	assert.NilError(t, err)
+	assert.Assert(t, o.Restored.Snapshot.Index == 0 && len(o.Restored.Entries) == 0)
+}
+
+// TestToldIsTheLeastOfAllLinks wants a member that is spoken to by two builds at once to count
+// as the one that reads less, until its link has ended.
+func TestToldIsTheLeastOfAllLinks(t *testing.T) {
+	c := &Control{holds: compat.Base, replicas: map[*wire.Link]bool{}, lastTold: map[string]wire.Hello{}}
+	_, ok := c.told("b")
+	assert.Assert(t, !ok)
+	old, same := linkOf(t, "b", compat.Only(compat.Base)), linkOf(t, "b", wire.Versions)
+	c.addReplica(old)
+	c.addReplica(same)
+	h, ok := c.told("b")
+	assert.Assert(t, ok && h.Range() == compat.Only(compat.Base))
+	c.removeReplica(old)
+	h, _ = c.told("b")
+	assert.Equal(t, h.Range(), wire.Versions)
+	c.removeReplica(same)
+	h, ok = c.told("b")
+	assert.Assert(t, ok && h.Range() == wire.Versions, "what a silent member told last is kept")
+	assert.Assert(t, !c.linked("b"))
+}
+
+// TestVersionsGoTogether wants the fleet's newest version to be the newest of links.
+func TestVersionsGoTogether(t *testing.T) {
+	assert.Equal(t, wire.Versions, compat.Range{Least: compat.Base, Most: compat.Newest})
+}
