--- /dev/null
+++ b/retry/backoff.go
@@ -0,0 +1,25 @@
+package retry
+
+import "time"
+
+// Backoff spaces tries whose failure will not pass by itself soon: the most that a pause may
+// last doubles with each, and where in it the next try lies is left to chance, so that
+// processes that began together do not come together (full jitter, as in M. Brooker,
+// "Exponential Backoff And Jitter", 2015). First is the least pause, so that no draw gives
+// a burst.
+type Backoff struct {
+	First, Most time.Duration
+}
+
+// Pause returns how long to wait after some failures in a row, for a random number of
+// [0, 1).
+func (b Backoff) Pause(failures int, random float64) time.Duration {
+	most := b.First
+	for range failures {
+		if most = 2 * most; most >= b.Most {
+			most = b.Most
+			break
+		}
+	}
+	return b.First + time.Duration(random*float64(most-b.First))
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,5 +1,6 @@
 // Package retry bounds what failures may cost: a budget for retries that is a
-// share of live traffic, and the ejection of servers that keep failing.
+// share of live traffic, the ejection of servers that keep failing, and pauses
+// between tries that will fail again.
 //
 // A count of retries per request multiplies the load just when servers fail.
 // A shared budget keeps the extra load at a fixed share whatever happens.
