--- a/agent/agent.go
+++ b/agent/agent.go
@@ -65,6 +65,7 @@
 type Agent struct {
 	cfg    Config
 	log    *slog.Logger
+	dialer wire.Dialer
 	epoch  int64
 	engine engine.Engine
 	svc    *service.Client
@@ -112,6 +113,7 @@
 		jobs: map[lease.ID]*job{}, links: map[string]*wire.Link{}, orphans: map[lease.ID]time.Time{},
 		calls: map[lease.ID]time.Time{}, parted: map[string]time.Time{}, records: decision.NewRing(records), registry: newRegistry(),
 	}
+	a.dialer.Log = a.log
 	if cfg.Engine != "" {
 		a.engine = engine.NewClient(cfg.Engine)
 		a.work.SetRecovering(true)
--- a/agent/claims.go
+++ b/agent/claims.go
@@ -80,7 +80,7 @@
 func (a *Agent) copyFrom(v *claim.Voter, p settings.Placed) {
 	ctx, cancel := context.WithTimeout(a.ctx, copyTimeout)
 	defer cancel()
-	l, err := wire.Dial(ctx, p.Agent, wire.Options{Hello: a.hello, Token: a.cfg.Token, TLS: a.cfg.TLS})
+	l, err := a.dialer.Dial(ctx, p.Agent, wire.Options{Hello: a.hello, Token: a.cfg.Token, TLS: a.cfg.TLS})
 	if err != nil {
 		return
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -77,6 +77,7 @@
 	clock  *clock.Clock
 	id     string
 	log    *slog.Logger
+	dialer wire.Dialer
 	epoch  int64
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -130,6 +131,7 @@
 		out: map[string]*peerLink{}, down: map[*wire.Link]bool{}, seen: map[string]int{}, asked: map[string]bool{}, zones: map[string]*wire.Summary{},
 		broker: quota.NewBroker(), hub: newHub(cfg.Clock, cfg.Zone, cfg.Quota), refused: event.Limiter{Every: refusedEvery, Most: mostRefused},
 	}
+	c.dialer.Log = c.log
 	if cfg.Discovery != nil {
 		c.wg.Go(c.bootDiscovered)
 		return c, nil
--- a/control/identity.go
+++ b/control/identity.go
@@ -132,7 +132,7 @@
 func (c *Control) askEmpty(addr string) (uint64, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, time.Second)
 	defer cancel()
-	l, err := wire.Dial(ctx, addr, wire.Options{Token: c.cfg.Token, TLS: c.cfg.TLS, Hello: func() wire.Hello {
+	l, err := c.dialer.Dial(ctx, addr, wire.Options{Token: c.cfg.Token, TLS: c.cfg.TLS, Hello: func() wire.Hello {
 		return wire.Hello{Name: c.cfg.Name, Role: wire.RoleFounder}
 	}})
 	if err != nil {
--- a/control/links.go
+++ b/control/links.go
@@ -45,7 +45,7 @@
 
 func (c *Control) peerLoop(ctx context.Context, p *peerLink) {
 	for ctx.Err() == nil {
-		l, err := wire.Dial(ctx, p.addr, c.options())
+		l, err := c.dialer.Dial(ctx, p.addr, c.options())
 		if err == nil {
 			c.mu.Lock()
 			p.link = l
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -48,7 +48,7 @@
 func (e *Entry) agentLoop(ctx context.Context, a *agentLink) {
 	again := redial
 	for ctx.Err() == nil {
-		l, err := wire.Dial(ctx, a.addr, e.options())
+		l, err := e.dialer.Dial(ctx, a.addr, e.options())
 		if err == nil {
 			again = redial
 			e.runAgent(ctx, a, l)
@@ -91,7 +91,7 @@
 func (e *Entry) agentUp(a *agentLink, l *wire.Link) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	event.LinkUp.Log(e.log, "peer", a.name)
+	event.LinkUp.Log(e.log, "peer", a.name, "build", l.Peer.Build, "speaks", l.Speaks())
 	now := clock.VM.Now()
 	a.link, a.gone, a.leaving, a.reported, a.told = l, false, false, false, false
 	_ = l.Send(&wire.Message{Heartbeat: &wire.Heartbeat{Revision: e.inForce()}})
--- a/entry/boot.go
+++ b/entry/boot.go
@@ -61,7 +61,7 @@
 		h.Role = wire.RoleAsker
 		return h
 	}
-	l, err := wire.Dial(ctx, addr, o)
+	l, err := e.dialer.Dial(ctx, addr, o)
 	if err != nil {
 		return nil
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,6 +58,7 @@
 type Entry struct {
 	cfg    Config
 	log    *slog.Logger
+	dialer wire.Dialer
 	epoch  int64
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -110,6 +111,7 @@
 		borrowed: map[string]time.Time{}, short: map[string]time.Time{},
 		holder: quota.NewHolder(), broker: quota.NewBroker(), story: decision.NewRing(records), dirty: make(chan struct{}, 1),
 	}
+	e.dialer.Log = e.log
 	e.core = router.New(placement.NewView(cfg.Zone, rng), router.Options{
 		Policy: router.DefaultPolicy(), Records: records, Name: cfg.Name,
 		QueueLimit: 1, StallAfter: time.Second,
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -196,7 +196,7 @@
 	again := redial
 	for i := 0; e.ctx.Err() == nil && len(e.cfg.Upstream) > 0; i++ {
 		addr := e.cfg.Upstream[i%len(e.cfg.Upstream)]
-		l, err := wire.Dial(e.ctx, addr, e.options())
+		l, err := e.dialer.Dial(e.ctx, addr, e.options())
 		if err != nil {
 			wait.For(e.ctx, again)
 			again = min(2*again, maxRedial)
@@ -208,7 +208,7 @@
 }
 
 func (e *Entry) runUpstream(l *wire.Link) {
-	event.LinkUp.Log(e.log, "peer", l.Peer.Name)
+	event.LinkUp.Log(e.log, "peer", l.Peer.Name, "build", l.Peer.Build, "speaks", l.Speaks())
 	e.mu.Lock()
 	e.up = l
 	_ = l.Send(&wire.Message{Pull: &wire.Pull{Have: e.store.Revision()}})
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -148,10 +148,13 @@
 		"A link to a peer process closed; it is opened again by itself.",
 		"If it stays down, look at the peer's log and the network between the VMs.")
 	BadPeer = define("LP3003", warn, "bad peer",
-		"A peer sent a frame that breaks the protocol, or speaks another version.",
-		"Check that both run versions that go together, and that nothing else uses the address.")
+		"A peer sent a frame that breaks the protocol.",
+		"Check that nothing else uses the address.")
 	PeerRefused = define("LP3004", warn, "peer refused",
 		"A process without the peer token tried to open a link.", "Check the token files.")
+	VersionsApart = define("LP3005", warn, "versions apart",
+		"A peer speaks no version of the protocol that this process speaks, so there is no link. It is told once for each peer and range; the link is tried again with pauses of up to 5 s.",
+		"Replace the older of the two: builds go together with those of the two landings before them (docs/OPERATIONS.md, Upgrading).")
 )
 
 // Agents and engines.
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -27,8 +27,9 @@
 // links keeps a link to every control replica, so that a word that any of them
 // has taken reaches this gateway.
 type links struct {
-	g  *Gateway
-	mu sync.Mutex
+	g      *Gateway
+	mu     sync.Mutex
+	dialer wire.Dialer
 	// peers are the replicas by link address.
 	peers map[string]*peer
 	// seeds and members are the addresses that are wanted.
@@ -66,6 +67,7 @@
 
 func newLinks(g *Gateway) *links {
 	l := &links{g: g, peers: map[string]*peer{}, gateways: map[string]int{}, cut: map[string]bool{}, told: map[string]*registry.Roster{}, toldUse: make(chan struct{})}
+	l.dialer.Log = g.log
 	g.wg.Go(l.loop)
 	return l
 }
@@ -106,10 +108,10 @@
 // run keeps the link to one replica.
 func (l *links) run(ctx context.Context, address string, p *peer) {
 	for ctx.Err() == nil {
-		link, err := wire.Dial(ctx, address, l.options())
+		link, err := l.dialer.Dial(ctx, address, l.options())
 		if err == nil {
 			l.set(address, p, link)
-			event.LinkUp.Log(l.g.log, "peer", link.Peer.Name)
+			event.LinkUp.Log(l.g.log, "peer", link.Peer.Name, "build", link.Peer.Build, "speaks", link.Speaks())
 			err = link.Run(ctx, func(m *wire.Message) { l.handle(address, m) })
 			l.set(address, p, nil)
 			if ctx.Err() == nil {
--- /dev/null
+++ b/gateway/mixed_test.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/compat"
+	"github.com/ledgepin/ledgepin/quota"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// oldReplica is a replica of an older build: it says that build's hello and tells of the use
+// of limits until it is stopped.
+func oldReplica(t *testing.T) (at string, stop func()) {
+	t.Helper()
+	hello, err := os.ReadFile(filepath.Join("..", "wire", "testdata", "55b4ff8", "hello-control.cbor"))
+	assert.NilError(t, err)
+	use, err := wire.Marshal(&wire.Message{Use: &quota.Use{Whole: true, Together: 1, Alone: 0.1}})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.CloseNow() }()
+		go func() {
+			for frame := hello; conn.Write(ctx, websocket.MessageBinary, frame) == nil; frame = use {
+				time.Sleep(20 * time.Millisecond)
+			}
+		}()
+		for {
+			if _, _, err := conn.Read(ctx); err != nil {
+				return
+			}
+		}
+	}))
+	stop = func() {
+		cancel()
+		server.Close()
+	}
+	t.Cleanup(stop)
+	return address(server), stop
+}
+
+func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+
+// TestServesBesideOtherBuilds wants a gateway to serve, from what it knows, while a replica
+// of an older build and one whose versions are apart are all that it meets, and when only
+// the latter is left.
+func TestServesBesideOtherBuilds(t *testing.T) {
+	r := newRig(t)
+	r.withKeys(2, organisation("one", "key1"))
+	r.add("plain", "a", "")
+	apart := httptest.NewServer(wire.Handler(slog.New(slog.DiscardHandler), wire.Options{
+		Hello:    func() wire.Hello { return wire.Hello{Name: "apart", Role: wire.RoleControl} },
+		Versions: compat.Only(9),
+	}, func(*wire.Link) { t.Error("a link without a common version") }))
+	t.Cleanup(apart.Close)
+	old, stop := oldReplica(t)
+	r.gateway.SetSeeds([]string{address(apart), old})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if r.gateway.links.hasToldUse() && r.gateway.links.inTouch() {
+			return poll.Success()
+		}
+		return poll.Continue("not in touch with the older build")
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(5*time.Second))
+	serves := func(when string) {
+		t.Helper()
+		for n := range 5 {
+			ready, why := r.gateway.Ready()
+			assert.Assert(t, ready, "%s: %s", when, why)
+			answer := r.send("GET", "/rates/1", fmt.Sprint(when, n), "", map[string]string{"Authorization": "Bearer key1"})
+			assert.Equal(t, answer.status, 200, when)
+		}
+	}
+	serves("beside an older build")
+	assert.DeepEqual(t, r.gateway.links.open(), []string{old})
+	stop()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if open := r.gateway.links.open(); len(open) > 0 {
+			return poll.Continue("linked with %v", open)
+		}
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(5*time.Second))
+	serves("beside builds that are apart only")
+}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -89,6 +89,7 @@
 	OrganisationRequests = counter("ledgepin_organisation_requests_total",
 		"Requests of an organisation with a limit at a gateway, by what became of them there: taken, beyond its share while it waited for room, or over its limit.", "organisation", "outcome")
 	WordsRefused = counter("ledgepin_server_words_refused_total", "Words about servers that are not used: unreadable, of an earlier start, or of another server.", "reason")
+	LinksRefused = counter("ledgepin_links_refused_total", "Links that were not opened for what the peer said first, by who opened it (dialled, accepted) and reason (versions_apart, bad_peer).", "side", "reason")
 	LogDropped   = counter("ledgepin_log_lines_dropped_total", "Log lines left out because the output was not read fast enough.")
 )
 
--- a/wire/hello.go
+++ b/wire/hello.go
@@ -22,6 +22,10 @@
 // commit has some forty.
 const maxBuild = 64
 
+// maxHello bounds the frame of a hello in bytes, so that somebody who is not known yet can
+// have little kept: hellos have some hundred.
+const maxHello = 64 << 10
+
 // Roles that a Hello may name.
 const (
 	RoleEntry   = "entry"
--- a/wire/link.go
+++ b/wire/link.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"context"
 	"crypto/tls"
+	"errors"
+	"log/slog"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -38,6 +40,8 @@
 	TLS *tls.Config
 	// Idle is the silence after which a link is given up; the usual if zero.
 	Idle time.Duration
+	// Log takes what the link has to tell; nil if nobody reads it.
+	Log *slog.Logger
 	// Versions are those that this end speaks; those of the build if zero.
 	Versions compat.Range
 }
@@ -104,13 +108,14 @@
 
 // open exchanges the Hellos.
 func open(ctx context.Context, conn *websocket.Conn, addr string, o Options) (*Link, error) {
-	conn.SetReadLimit(MaxFrame)
+	conn.SetReadLimit(maxHello)
 	l := &Link{conn: conn, idle: cmp.Or(o.Idle, idleTimeout), out: make(chan []byte, sendQueue), done: make(chan struct{})}
 	if err := l.handshake(ctx, addr, o); err != nil {
 		_ = conn.Close(websocket.StatusPolicyViolation, "bad hello")
 		_ = conn.CloseNow()
 		return nil, err
 	}
+	conn.SetReadLimit(MaxFrame)
 	return l, nil
 }
 
@@ -142,6 +147,9 @@
 
 func (l *Link) read(ctx context.Context, peer string) (*Message, error) {
 	kind, frame, err := l.conn.Read(ctx)
+	if errors.Is(err, websocket.ErrMessageTooBig) {
+		return nil, fault.Wrap(err, fault.BadPeer, fault.StepLink, peer)
+	}
 	if err != nil {
 		return nil, fault.Wrap(err, fault.LinkLost, fault.StepLink, peer)
 	}
--- /dev/null
+++ b/wire/mixed_test.go
@@ -0,0 +1,68 @@
+package wire_test
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// TestOldPeers links this build with the hellos of kept builds, either end dialling, and
+// wants version 3 and each message of theirs to arrive.
+func TestOldPeers(t *testing.T) {
+	for _, build := range kept {
+		told := frames(t, build)
+		for name, hi := range told {
+			if !strings.HasPrefix(name, "hello-") {
+				continue
+			}
+			t.Run(build+" "+name+" dials", func(t *testing.T) {
+				got := make(chan *wire.Message, 64)
+				links := make(chan *wire.Link, 1)
+				addr := serve(t, "", func(l *wire.Link) {
+					links <- l
+					_ = l.Run(t.Context(), func(m *wire.Message) { got <- m })
+				})
+				conn := raw(t, addr)
+				assert.NilError(t, conn.Write(t.Context(), websocket.MessageBinary, hi))
+				l := <-links
+				assert.Equal(t, l.Speaks(), wire.BaseVersion)
+				assert.Equal(t, l.Peer.Range().String(), "3")
+				assert.Equal(t, l.Peer.Build, "")
+				for _, k := range kinds() {
+					if frame := told[k.name]; frame != nil && k.name != "Hello" {
+						assert.NilError(t, conn.Write(t.Context(), websocket.MessageBinary, frame))
+						want, err := wire.Unmarshal(frame, build)
+						assert.NilError(t, err)
+						assert.Assert(t, reflect.DeepEqual(<-got, want), k.name)
+					}
+				}
+				_ = conn.CloseNow()
+			})
+			t.Run(build+" "+name+" is dialled", func(t *testing.T) { assert.NilError(t, dialStub(t, hi)) })
+		}
+	}
+}
+
+// TestOldPeersReadTheHello wants field 1 to hold what builds without ranges ask for, and
+// nothing but numbers that they do not know beside the fields that they do.
+func TestOldPeersReadTheHello(t *testing.T) {
+	addr := serve(t, "", echo)
+	conn, _, err := websocket.Dial(t.Context(), "ws://"+addr+wire.Path, nil)
+	assert.NilError(t, err)
+	defer func() { _ = conn.CloseNow() }()
+	_, frame, err := conn.Read(t.Context())
+	assert.NilError(t, err)
+	var said map[int]map[int]any
+	assert.NilError(t, cbor.Unmarshal(frame, &said))
+	assert.Equal(t, len(said), 1)
+	assert.Equal(t, said[1][1], uint64(3))
+	assert.Equal(t, said[1][8], uint64(3))
+	assert.Equal(t, said[1][9], uint64(4))
+	t.Logf("a hello of %d bytes", len(frame))
+}
--- /dev/null
+++ b/wire/refusals_test.go
@@ -0,0 +1,254 @@
+package wire_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/compat"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/metric"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// logged collects what is logged.
+type logged struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *logged) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// of returns the lines of one event.
+func (l *logged) of(e *event.Event) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for line := range strings.Lines(l.text.String()) {
+		if strings.Contains(line, e.ID) {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
+func (l *logged) log() *slog.Logger { return slog.New(slog.NewTextHandler(l, nil)) }
+
+// loud runs a link server that logs.
+func loud(t *testing.T, out *logged, o wire.Options, serve func(*wire.Link)) string {
+	t.Helper()
+	srv := httptest.NewServer(wire.Handler(out.log(), o, serve))
+	t.Cleanup(srv.Close)
+	return srv.Listener.Addr().String()
+}
+
+// counted returns a counter's value.
+func counted(name string, labels ...string) float64 {
+	families, err := metric.Registry.Gather()
+	if err != nil {
+		panic(err)
+	}
+	for _, f := range families {
+		if f.GetName() != name {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			var have []string
+			for _, l := range m.GetLabel() {
+				have = append(have, l.GetValue())
+			}
+			if slices.Equal(have, labels) { // both by the names of the labels
+				return m.GetCounter().GetValue()
+			}
+		}
+	}
+	return 0
+}
+
+func refused(side, reason string) float64 {
+	return counted("ledgepin_links_refused_total", reason, side)
+}
+
+// TestApartIsToldOnce has a process dial one whose versions are apart for ten minutes, and wants
+// one line at each end, a count of each try, and pauses that grow.
+func TestApartIsToldOnce(t *testing.T) {
+	var there, here logged
+	addr := loud(t, &there, wire.Options{Hello: hello, Versions: compat.Only(9)}, func(*wire.Link) { t.Error("a link opened") })
+	now := time.Unix(1000, 0)
+	d := wire.Dialer{Log: here.log(), Now: func() time.Time { return now }, Random: func() float64 { return 1 }}
+	o := wire.Options{Hello: hello}
+	dialled, accepted := refused("dialled", "versions_apart"), refused("accepted", "versions_apart")
+	var tries []time.Duration
+	for range 10_000 { // ten minutes at a pace of 60 ms
+		before := refused("dialled", "versions_apart")
+		_, err := d.Dial(t.Context(), addr, o)
+		assert.Assert(t, fault.Is(err, fault.VersionsApart), "%v", err)
+		if refused("dialled", "versions_apart") > before {
+			tries = append(tries, now.Sub(time.Unix(1000, 0)))
+		}
+		now = now.Add(60 * time.Millisecond)
+	}
+	assert.Assert(t, len(tries) > 100 && len(tries) < 130, "%d tries in ten minutes", len(tries))
+	for i, at := range tries[1:] {
+		pause := at - tries[i]
+		assert.Assert(t, pause >= 60*time.Millisecond && pause <= 5*time.Second+60*time.Millisecond, "pause %d: %v", i, pause)
+	}
+	assert.Equal(t, int(refused("dialled", "versions_apart")-dialled), len(tries))
+	assert.Equal(t, int(refused("accepted", "versions_apart")-accepted), len(tries))
+	for end, out := range map[string]*logged{"dialled": &here, "accepted": &there} {
+		told := out.of(event.VersionsApart)
+		assert.Equal(t, len(told), 1, "%s: %v", end, told)
+		assert.Assert(t, strings.Contains(told[0], "speaks version"), "%s", told[0])
+		assert.Assert(t, strings.Contains(told[0], "level=WARN"), "%s", told[0])
+	}
+}
+
+// TestPauseBeginsAnew wants a peer whose range has changed, and one whose link has been open,
+// to be asked at the first pace again, and another peer at its own.
+func TestPauseBeginsAnew(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var out logged
+	d := wire.Dialer{Log: out.log(), Now: func() time.Time { return now }, Random: func() float64 { return 1 }}
+	versions := compat.Only(9)
+	var mu sync.Mutex
+	handler := func() wire.Options {
+		mu.Lock()
+		defer mu.Unlock()
+		return wire.Options{Hello: hello, Versions: versions}
+	}
+	addr := switching(t, handler)
+	other := serveWith(t, wire.Options{Hello: hello, Versions: compat.Only(9)}, func(*wire.Link) {})
+	tried := func(addr string) bool {
+		before := refused("dialled", "versions_apart")
+		l, err := d.Dial(t.Context(), addr, wire.Options{Hello: hello})
+		if err == nil {
+			l.Close()
+			return true
+		}
+		return refused("dialled", "versions_apart") > before
+	}
+	set := func(r compat.Range) {
+		mu.Lock()
+		defer mu.Unlock()
+		versions = r
+	}
+	for range 20 { // long pauses
+		assert.Assert(t, tried(addr))
+		assert.Assert(t, !tried(addr), "before the pause is over")
+		now = now.Add(5 * time.Second)
+	}
+	assert.Assert(t, tried(other), "a peer has a pause of its own")
+	set(compat.Only(8))
+	assert.Assert(t, tried(addr))
+	now = now.Add(60 * time.Millisecond)
+	assert.Assert(t, tried(addr), "another range: the first pause")
+	now = now.Add(5 * time.Second)
+	set(wire.Versions)
+	assert.Assert(t, tried(addr), "a link")
+	set(compat.Only(8))
+	assert.Assert(t, tried(addr))
+	now = now.Add(60 * time.Millisecond)
+	assert.Assert(t, tried(addr), "after a link: the first pause")
+	assert.Equal(t, len(out.of(event.VersionsApart)), 3, "two ranges of one peer, one of another")
+}
+
+func wireHandler(options func() wire.Options) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		wire.Handler(quiet, options(), func(*wire.Link) {}).ServeHTTP(w, r)
+	})
+}
+
+// switching runs a link server whose options may change.
+func switching(t *testing.T, options func() wire.Options) string {
+	t.Helper()
+	srv := httptest.NewServer(wireHandler(options))
+	t.Cleanup(srv.Close)
+	return srv.Listener.Addr().String()
+}
+
+// TestOtherFailuresHaveNoPause wants a peer that can't be reached to be dialled each time.
+func TestOtherFailuresHaveNoPause(t *testing.T) {
+	srv := httptest.NewServer(nil)
+	addr := srv.Listener.Addr().String()
+	srv.Close()
+	d := wire.Dialer{Now: func() time.Time { return time.Unix(1000, 0) }}
+	for range 2 {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		_, err := d.Dial(ctx, addr, wire.Options{Hello: hello})
+		cancel()
+		assert.Assert(t, fault.Is(err, fault.LinkLost), "%v", err)
+	}
+	srv = httptest.NewServer(wireHandler(func() wire.Options { return wire.Options{Hello: hello} }))
+	defer srv.Close()
+	l, err := d.Dial(t.Context(), srv.Listener.Addr().String(), wire.Options{Hello: hello})
+	assert.NilError(t, err)
+	l.Close()
+}
+
+// TestBadPeersCostLittle has a host send bad hellos, and wants few lines and other peers to
+// be served beside it.
+func TestBadPeersCostLittle(t *testing.T) {
+	var out logged
+	addr := loud(t, &out, wire.Options{Hello: hello}, echo)
+	l, err := wire.Dial(t.Context(), addr, wire.Options{Hello: hello})
+	assert.NilError(t, err)
+	defer l.Close()
+	before := refused("accepted", "bad_peer")
+	const bad = 100
+	for i := range bad {
+		frame, err := wire.Marshal(&wire.Message{Hello: &wire.Hello{Version: 3, Name: fmt.Sprint(i), Least: 1 << 53, Most: -i}})
+		assert.NilError(t, err)
+		conn := raw(t, addr)
+		assert.NilError(t, conn.Write(t.Context(), websocket.MessageBinary, frame))
+		_, _, err = conn.Read(t.Context())
+		assert.Assert(t, err != nil)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := refused("accepted", "bad_peer") - before; n < bad {
+			return poll.Continue("%v refusals are counted", n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+	assert.Equal(t, len(out.of(event.BadPeer)), 1)
+	again, err := wire.Dial(t.Context(), addr, wire.Options{Hello: hello})
+	assert.NilError(t, err)
+	again.Close()
+	got := make(chan *wire.Message, 1)
+	go func() { _ = l.Run(t.Context(), func(m *wire.Message) { got <- m }) }()
+	assert.NilError(t, l.Send(&wire.Message{Heartbeat: &wire.Heartbeat{Revision: 7}}))
+	select {
+	case m := <-got:
+		assert.Equal(t, m.Heartbeat.Revision, uint64(7))
+	case <-time.After(5 * time.Second):
+		t.Fatal("the link beside them is silent")
+	}
+}
+
+// TestManyRanges has one host come with ever new ranges, and wants a bounded number of lines.
+func TestManyRanges(t *testing.T) {
+	var out logged
+	addr := loud(t, &out, wire.Options{Hello: hello}, echo)
+	for i := range 200 {
+		_, err := wire.Dial(t.Context(), addr, wire.Options{Hello: hello, Versions: compat.Only(100 + i)})
+		assert.Assert(t, fault.Is(err, fault.VersionsApart), "%v", err)
+	}
+	n := len(out.of(event.VersionsApart))
+	assert.Assert(t, n > 0 && n <= 2*64, "%d lines", n)
+}
--- a/wire/serve.go
+++ b/wire/serve.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
@@ -13,15 +14,19 @@
 // Handler serves links: it checks the peer's token and its Hello, and calls
 // serve, which must run the link to its end.
 func Handler(log *slog.Logger, o Options, serve func(*Link)) http.Handler {
+	o.Log = log
+	refused, strangers := &refusals{}, &event.Limiter{Every: badEvery, Most: mostBad}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !TokenOK(r, o.Token) {
-			event.PeerRefused.Log(log, "peer", r.RemoteAddr)
+			if strangers.Allow(time.Now(), host(r.RemoteAddr)) {
+				event.PeerRefused.Log(log, "peer", r.RemoteAddr)
+			}
 			http.Error(w, fault.Unauthorized.ID, http.StatusUnauthorized)
 			return
 		}
 		l, err := Accept(w, r, o)
 		if err != nil {
-			event.BadPeer.Log(log, "peer", r.RemoteAddr, "error", fault.From(err))
+			refused.tell(log, time.Now(), accepted, r.RemoteAddr, err)
 			return
 		}
 		defer l.Close()
