--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -155,6 +155,8 @@
 	VersionsApart = define("LP3005", warn, "versions apart",
 		"A peer speaks no version of the protocol that this process speaks, so there is no link. It is told once for each peer and range; the link is tried again with pauses of up to 5 s.",
 		"Replace the older of the two: builds go together with those of the two landings before them (docs/OPERATIONS.md, Upgrading).")
+	UnknownWords = define("LP3006", info, "unknown words",
+		"A peer of a later build says a kind of message, or a field of one, that this build does not know. It was passed over; each link tells of each kind once.", nothing)
 )
 
 // Agents and engines.
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -90,6 +90,7 @@
 		"Requests of an organisation with a limit at a gateway, by what became of them there: taken, beyond its share while it waited for room, or over its limit.", "organisation", "outcome")
 	WordsRefused = counter("ledgepin_server_words_refused_total", "Words about servers that are not used: unreadable, of an earlier start, or of another server.", "reason")
 	LinksRefused = counter("ledgepin_links_refused_total", "Links that were not opened for what the peer said first, by who opened it (dialled, accepted) and reason (versions_apart, bad_peer).", "side", "reason")
+	UnknownWords = counter("ledgepin_unknown_words_total", "Kinds of messages in which a link met a word that this build does not know, by kind: its name, or its number if the kind itself is not known.", "kind")
 	LogDropped   = counter("ledgepin_log_lines_dropped_total", "Log lines left out because the output was not read fast enough.")
 )
 
--- /dev/null
+++ b/wire/export_test.go
@@ -0,0 +1,14 @@
+package wire
+
+// NewReader returns the decoder of one link, which also tells whether a frame shows the
+// first unknown word of its kind, and the kind's name.
+func NewReader() func(frame []byte) (m *Message, kind string, fresh bool, err error) {
+	r := &reader{}
+	return func(frame []byte) (*Message, string, bool, error) {
+		m, kind, fresh, err := r.read(frame, "peer")
+		return m, kindName(kind), fresh, err
+	}
+}
+
+// Open exchanges hellos over a connection that is open, as Dial does.
+var Open = open
--- a/wire/link.go
+++ b/wire/link.go
@@ -52,6 +52,8 @@
 	Peer Hello
 
 	speaks int
+	reader reader
+	log    *slog.Logger
 
 	conn *websocket.Conn
 	idle time.Duration
@@ -109,7 +111,7 @@
 // open exchanges the Hellos.
 func open(ctx context.Context, conn *websocket.Conn, addr string, o Options) (*Link, error) {
 	conn.SetReadLimit(maxHello)
-	l := &Link{conn: conn, idle: cmp.Or(o.Idle, idleTimeout), out: make(chan []byte, sendQueue), done: make(chan struct{})}
+	l := &Link{conn: conn, log: o.Log, idle: cmp.Or(o.Idle, idleTimeout), out: make(chan []byte, sendQueue), done: make(chan struct{})}
 	if err := l.handshake(ctx, addr, o); err != nil {
 		_ = conn.Close(websocket.StatusPolicyViolation, "bad hello")
 		_ = conn.CloseNow()
@@ -158,7 +160,7 @@
 	}
 	l.received.Add(int64(len(frame)))
 	l.messages.Add(1)
-	return Unmarshal(frame, peer)
+	return l.decode(frame, peer)
 }
 
 // Send queues m. It returns a LinkLost error if the link is closed, and
