--- a/wire/link.go
+++ b/wire/link.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"context"
 	"crypto/tls"
+	"errors"
+	"log/slog"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -38,6 +40,8 @@
 	TLS *tls.Config
 	// Idle is the silence after which a link is given up; the usual if zero.
 	Idle time.Duration
+	// Log takes what the link has to tell; nil if nobody reads it.
+	Log *slog.Logger
 	// Versions are those that this end speaks; those of the build if zero.
 	Versions compat.Range
 }
@@ -48,6 +52,8 @@
 	Peer Hello
 
 	speaks int
+	reader reader
+	log    *slog.Logger
 
 	conn *websocket.Conn
 	idle time.Duration
@@ -104,13 +110,14 @@
 
 // open exchanges the Hellos.
 func open(ctx context.Context, conn *websocket.Conn, addr string, o Options) (*Link, error) {
-	conn.SetReadLimit(MaxFrame)
-	l := &Link{conn: conn, idle: cmp.Or(o.Idle, idleTimeout), out: make(chan []byte, sendQueue), done: make(chan struct{})}
+	conn.SetReadLimit(maxHello)
+	l := &Link{conn: conn, log: o.Log, idle: cmp.Or(o.Idle, idleTimeout), out: make(chan []byte, sendQueue), done: make(chan struct{})}
 	if err := l.handshake(ctx, addr, o); err != nil {
 		_ = conn.Close(websocket.StatusPolicyViolation, "bad hello")
 		_ = conn.CloseNow()
 		return nil, err
 	}
+	conn.SetReadLimit(MaxFrame)
 	return l, nil
 }
 
@@ -142,6 +149,9 @@
 
 func (l *Link) read(ctx context.Context, peer string) (*Message, error) {
 	kind, frame, err := l.conn.Read(ctx)
+	if errors.Is(err, websocket.ErrMessageTooBig) {
+		return nil, fault.Wrap(err, fault.BadPeer, fault.StepLink, peer)
+	}
 	if err != nil {
 		return nil, fault.Wrap(err, fault.LinkLost, fault.StepLink, peer)
 	}
@@ -150,7 +160,7 @@
 	}
 	l.received.Add(int64(len(frame)))
 	l.messages.Add(1)
-	return Unmarshal(frame, peer)
+	return l.decode(frame, peer)
 }
 
 // Send queues m. It returns a LinkLost error if the link is closed, and
