--- a/wal/record.go
+++ b/wal/record.go
@@ -3,11 +3,14 @@
 import (
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"hash/crc32"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/ledgepin/ledgepin/compat"
 	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/internal/exact"
 )
 
 // record is one append, or the content of the snapshot file.
@@ -15,10 +18,19 @@
 	Hard     *consensus.Hard     `cbor:"1,keyasint,omitempty"`
 	Entries  []consensus.Entry   `cbor:"2,keyasint,omitempty"`
 	Snapshot *consensus.Snapshot `cbor:"3,keyasint,omitempty"`
+	// Version is the fleet's version under which the snapshot was written, or the version
+	// to which an entry after it raises the fleet's; missing for the base version.
+	Version int `cbor:"4,keyasint,omitempty"`
 }
 
 const (
 	magic = 0x4c504a31 // "LPJ1"
+	// fenced is the head of the snapshot file from the version after the base on. Builds of
+	// the base version take it for damage, and leave the whole folder as it is. Records of
+	// the log keep their head: those builds would cut a log with another one as torn.
+	fenced = 0x4c504a32 // "LPJ2"
+	// family is the part of the head that records of all builds share.
+	family = magic &^ 0xff
 	// headSize is the magic, the length and the checksum of the payload.
 	headSize  = 12
 	maxRecord = 256 << 20
@@ -26,36 +38,78 @@
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
+// head returns the head of a record.
+func (r *record) head() uint32 {
+	if r.Version > compat.Base {
+		return fenced
+	}
+	return magic
+}
+
 func writeRecord(r record) ([]byte, error) {
 	body, err := cbor.Marshal(r)
 	if err != nil {
 		return nil, err
 	}
 	out := make([]byte, headSize, headSize+len(body))
-	binary.LittleEndian.PutUint32(out, magic)
+	binary.LittleEndian.PutUint32(out, r.head())
 	binary.LittleEndian.PutUint32(out[4:], uint32(len(body)))
 	binary.LittleEndian.PutUint32(out[8:], crc32.Checksum(body, castagnoli))
 	return append(out, body...), nil
 }
 
-// readRecord reads the record at the start of data and returns its length.
-func readRecord(data []byte) (record, int, bool) {
-	var r record
-	if len(data) < headSize || binary.LittleEndian.Uint32(data) != magic {
-		return r, 0, false
+// errTorn tells that there is no whole record.
+var errTorn = errors.New("journal: no whole record")
+
+// readRecord reads the record at the start of data and returns its length. The error is
+// errTorn, or a Newer for a whole record that this build can't read.
+func readRecord(data []byte) (record, int, error) {
+	head, body, err := split(data)
+	if err != nil {
+		return record{}, 0, err
 	}
+	r, err := decode(head, body)
+	return r, headSize + len(body), err
+}
+
+// split returns the head and the content of the whole record at the start of data.
+func split(data []byte) (head uint32, body []byte, err error) {
+	if len(data) < headSize {
+		return 0, nil, errTorn
+	}
+	head = binary.LittleEndian.Uint32(data)
 	size := int(binary.LittleEndian.Uint32(data[4:]))
-	if size > maxRecord || size > len(data)-headSize {
-		return r, 0, false
+	if head&^0xff != family || size > maxRecord || size > len(data)-headSize {
+		return 0, nil, errTorn
 	}
-	body := data[headSize : headSize+size]
+	body = data[headSize : headSize+size]
 	if crc32.Checksum(body, castagnoli) != binary.LittleEndian.Uint32(data[8:]) {
-		return r, 0, false
+		return 0, nil, errTorn
 	}
-	if cbor.Unmarshal(body, &r) != nil {
-		return r, 0, false
+	return head, body, nil
+}
+
+// decode reads the content of a record: all of it or nothing.
+func decode(head uint32, body []byte) (record, error) {
+	var r record
+	if head != magic && head != fenced {
+		return r, newer(body, fmt.Errorf("the head %08x is not known", head))
+	}
+	if err := exact.Unmarshal(body, &r); err != nil {
+		return record{}, newer(body, err)
 	}
-	return r, headSize + size, true
+	if head != r.head() || r.Version > compat.Newest {
+		return record{}, newer(body, fmt.Errorf("the head %08x does not go with version %d", head, r.Version))
+	}
+	for i := range r.Entries {
+		if err := r.Entries[i].Unread; err != nil {
+			return record{}, newer(body, err)
+		}
+	}
+	if r.Snapshot != nil && r.Snapshot.Unread != nil {
+		return record{}, newer(body, r.Snapshot.Unread)
+	}
+	return r, nil
 }
 
 // ErrBroken tells that a record is damaged though a whole one follows it.
@@ -65,15 +119,18 @@
 var ErrGap = errors.New("journal: entries are missing")
 
 // Replay reads all records into r and returns the length of the part that is
-// whole; the rest is a torn tail.
+// whole; the rest is a torn tail. A whole record that can't be read is an error of type Newer.
 func Replay(data []byte, r *consensus.Restored) (int, error) {
 	good := 0
 	for good < len(data) {
-		rec, n, ok := readRecord(data[good:])
-		if !ok {
-			if wholeAfter(data[good+1:]) {
-				return 0, ErrBroken
-			}
+		rec, n, err := readRecord(data[good:])
+		switch {
+		case err == nil:
+		case asNewer(err):
+			return 0, err
+		case wholeAfter(data[good+1:]):
+			return 0, ErrBroken
+		default:
 			return good, nil
 		}
 		if rec.Hard != nil {
@@ -105,10 +162,7 @@
 // wholeAfter looks for a whole record anywhere in data.
 func wholeAfter(data []byte) bool {
 	for i := 0; i+headSize <= len(data); i++ {
-		if binary.LittleEndian.Uint32(data[i:]) != magic {
-			continue
-		}
-		if _, _, ok := readRecord(data[i:]); ok {
+		if _, _, err := split(data[i:]); err == nil {
 			return true
 		}
 	}
