--- /dev/null
+++ b/wire/fuzz_test.go
@@ -0,0 +1,200 @@
+package wire_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/compat"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/lease"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// addFrames seeds a fuzz target with the frames of the kept builds and of this one.
+func addFrames(f *testing.F) {
+	f.Helper()
+	for _, build := range kept {
+		for _, frame := range frames(f, build) {
+			f.Add(frame)
+		}
+	}
+	for _, k := range kinds() {
+		frame, err := wire.Marshal(full(k, nil))
+		assert.NilError(f, err)
+		f.Add(frame)
+	}
+	for _, m := range []*wire.Message{
+		{Hello: &wire.Hello{Version: 1, Name: "a"}},
+		{Reserve: &wire.Reserve{ID: lease.ID{Req: "r", Attempt: 1}, Model: "m"}},
+		{Chunk: &wire.Chunk{ID: lease.ID{Req: "r"}}},
+		{Settings: &wire.Settings{Revision: 4, Whole: []byte("fleet: {}")}},
+	} {
+		frame, err := wire.Marshal(m)
+		assert.NilError(f, err)
+		f.Add(frame)
+	}
+	f.Add(later(f, map[int]any{2: map[int]any{1: 7, 50: "x"}}))
+	f.Add(later(f, map[int]any{200: 1}))
+}
+
+// FuzzUnmarshal feeds the decoder any frame; what it takes must survive a round trip. The
+// decoder of a link, which looks for unknown words, must take the same and read the same,
+// the first time and when it has met one.
+func FuzzUnmarshal(f *testing.F) {
+	addFrames(f)
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		m, err := wire.Unmarshal(frame, "fuzz")
+		read := wire.NewReader()
+		for range 2 {
+			same, _, _, linkErr := read(frame)
+			assert.Equal(t, err == nil, linkErr == nil, "%v, on a link %v", err, linkErr)
+			if err == nil {
+				assert.Assert(t, equal(t, m, same), "on a link %+v", same)
+			}
+		}
+		if err != nil {
+			assert.Assert(t, fault.Is(err, fault.BadPeer))
+			return
+		}
+		again, err := wire.Marshal(m)
+		assert.NilError(t, err)
+		_, err = wire.Unmarshal(again, "fuzz")
+		assert.NilError(t, err)
+	})
+}
+
+// equal compares by what would be sent if a value is not equal to itself.
+func equal(t *testing.T, a, b *wire.Message) bool {
+	if reflect.DeepEqual(a, b) {
+		return true
+	}
+	x, err := wire.Marshal(a)
+	assert.NilError(t, err)
+	y, err := wire.Marshal(b)
+	assert.NilError(t, err)
+	return string(x) == string(y)
+}
+
+// FuzzHello sends any first frame to a process that accepts links, and to one that dials.
+// Both judge it alike, and a peer that comes after it is served.
+func FuzzHello(f *testing.F) {
+	addFrames(f)
+	for _, h := range []wire.Hello{
+		{Version: 3, Least: 3, Most: 4, Build: "b"}, {Version: 3, Least: 5, Most: 9}, {Version: 3, Least: 4, Most: 3},
+		{Version: 3, Most: 4}, {Version: 3, Least: 1 << 53, Most: 1 << 53}, {Version: 2}, {Version: 4}, {Version: -1},
+	} {
+		frame, err := wire.Marshal(&wire.Message{Hello: &h})
+		assert.NilError(f, err)
+		f.Add(frame)
+	}
+	ends := newEnds(f)
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		taken := ends.accepts(t, frame)
+		dialled, err := ends.dials(t, frame)
+		assert.Equal(t, taken != nil, err == nil, "accepted %t, dialled %v", taken != nil, err)
+		if err == nil {
+			assert.Assert(t, wire.Versions.Holds(dialled.Speaks()))
+			assert.Assert(t, dialled.Peer.Range().Holds(dialled.Speaks()))
+			assert.Equal(t, taken.Speaks(), dialled.Speaks())
+		} else {
+			assert.Assert(t, fault.Is(err, fault.BadPeer) || fault.Is(err, fault.VersionsApart), "%v", err)
+		}
+		if m, bad := wire.Unmarshal(frame, "fuzz"); bad == nil && m.Hello != nil {
+			_, common := compat.Common(m.Hello.Range(), wire.Versions)
+			assert.Assert(t, common || err != nil, "no version in common")
+		}
+		good, err := wire.Marshal(&wire.Message{Hello: &wire.Hello{Version: 3, Name: "good"}})
+		assert.NilError(t, err)
+		assert.Assert(t, ends.accepts(t, good) != nil, "the next peer")
+	})
+}
+
+// ends are a process that accepts links and a stub that a process dials, over sockets that
+// use up no ports.
+type ends struct {
+	accept, stub string
+	opened       chan *wire.Link
+	first        chan []byte
+}
+
+func newEnds(f *testing.F) *ends {
+	e := &ends{opened: make(chan *wire.Link, 1), first: make(chan []byte, 1)}
+	listen := func(name string, h http.Handler) string {
+		path := filepath.Join(f.TempDir(), name)
+		ln, err := net.Listen("unix", path)
+		assert.NilError(f, err)
+		srv := &http.Server{Handler: h}
+		go func() { _ = srv.Serve(ln) }()
+		f.Cleanup(func() { _ = srv.Close() })
+		return path
+	}
+	e.accept = listen("accept", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l, err := wire.Accept(w, r, wire.Options{Hello: hello})
+		if err != nil {
+			e.opened <- nil
+			return
+		}
+		defer l.Close()
+		e.opened <- l
+	}))
+	e.stub = listen("stub", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		sayAndRead(r.Context(), conn, <-e.first)
+	}))
+	return e
+}
+
+// sayAndRead sends one frame and reads until the other side closes.
+func sayAndRead(ctx context.Context, conn *websocket.Conn, frame []byte) {
+	defer func() { _ = conn.CloseNow() }()
+	conn.SetReadLimit(wire.MaxFrame)
+	_ = conn.Write(ctx, websocket.MessageBinary, frame)
+	for {
+		if _, _, err := conn.Read(ctx); err != nil {
+			return
+		}
+	}
+}
+
+func (e *ends) connect(t *testing.T, path string) (context.Context, *websocket.Conn) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	t.Cleanup(cancel)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "unix", path)
+	}}}
+	conn, _, err := websocket.Dial(ctx, "ws://peer"+wire.Path, &websocket.DialOptions{HTTPClient: client})
+	assert.NilError(t, err)
+	return ctx, conn
+}
+
+// accepts returns the link that the accepting process opens after a first frame, or nil.
+func (e *ends) accepts(t *testing.T, frame []byte) *wire.Link {
+	t.Helper()
+	ctx, conn := e.connect(t, e.accept)
+	sayAndRead(ctx, conn, frame)
+	return <-e.opened
+}
+
+// dials returns the link that a process opens to a peer with this first frame.
+func (e *ends) dials(t *testing.T, frame []byte) (*wire.Link, error) {
+	t.Helper()
+	e.first <- frame
+	ctx, conn := e.connect(t, e.stub)
+	l, err := wire.Open(ctx, conn, "peer", wire.Options{Hello: hello})
+	if err == nil {
+		l.Close()
+	}
+	return l, err
+}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -163,32 +163,6 @@
 	assert.Assert(t, fault.Is(err, fault.LinkLost), "%v", err)
 }
 
-// FuzzUnmarshal feeds the decoder any frame; what it takes must survive a
-// round trip.
-func FuzzUnmarshal(f *testing.F) {
-	for _, m := range []*wire.Message{
-		{Hello: &wire.Hello{Version: 1, Name: "a"}},
-		{Reserve: &wire.Reserve{ID: lease.ID{Req: "r", Attempt: 1}, Model: "m"}},
-		{Chunk: &wire.Chunk{ID: lease.ID{Req: "r"}}},
-		{Settings: &wire.Settings{Revision: 4, Whole: []byte("fleet: {}")}},
-	} {
-		frame, err := wire.Marshal(m)
-		assert.NilError(f, err)
-		f.Add(frame)
-	}
-	f.Fuzz(func(t *testing.T, frame []byte) {
-		m, err := wire.Unmarshal(frame, "fuzz")
-		if err != nil {
-			assert.Assert(t, fault.Is(err, fault.BadPeer))
-			return
-		}
-		again, err := wire.Marshal(m)
-		assert.NilError(t, err)
-		_, err = wire.Unmarshal(again, "fuzz")
-		assert.NilError(t, err)
-	})
-}
-
 func BenchmarkChunkFrame(b *testing.B) {
 	m := &wire.Message{Chunk: &wire.Chunk{ID: lease.ID{Req: "0123456789abcdef01234567", Attempt: 1}}}
 	m.Chunk.Index, m.Chunk.Text = 100, " token"
