--- a/wire/dialer.go
+++ b/wire/dialer.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/compat"
 	"github.com/ledgepin/ledgepin/retry"
 )
@@ -113,7 +114,7 @@
 	if d.Now != nil {
 		return d.Now()
 	}
-	return time.Now()
+	return clock.VM.Now()
 }
 
 func (d *Dialer) random() float64 {
--- a/wire/serve.go
+++ b/wire/serve.go
@@ -5,8 +5,8 @@
 	"log/slog"
 	"net/http"
 	"strings"
-	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
 )
@@ -18,7 +18,7 @@
 	refused, strangers := &refusals{}, &event.Limiter{Every: badEvery, Most: mostBad}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !TokenOK(r, o.Token) {
-			if strangers.Allow(time.Now(), host(r.RemoteAddr)) {
+			if strangers.Allow(clock.VM.Now(), host(r.RemoteAddr)) {
 				event.PeerRefused.Log(log, "peer", r.RemoteAddr)
 			}
 			http.Error(w, fault.Unauthorized.ID, http.StatusUnauthorized)
@@ -26,7 +26,7 @@
 		}
 		l, err := Accept(w, r, o)
 		if err != nil {
-			refused.tell(log, time.Now(), accepted, r.RemoteAddr, err)
+			refused.tell(log, clock.VM.Now(), accepted, r.RemoteAddr, err)
 			return
 		}
 		defer l.Close()
