--- a/gateway/restart_test.go
+++ b/gateway/restart_test.go
@@ -55,3 +55,31 @@
 		assert.Equal(t, ran(fresh), c.runs, c.path)
 	}
 }
+
+// TestFirstServersAreWaitedFor wants a request that comes between the first table and the
+// first word of servers, which control sends later, to be served and not sent away: all
+// gateways are in that state after an outage, and who is sent away comes back a second later.
+func TestFirstServersAreWaitedFor(t *testing.T) {
+	r := newRig(t)
+	done := make(chan reply, 2)
+	for _, path := range []string{"/rates/1", "/seats/1"} {
+		go func() { done <- r.send("POST", path, path, "x", nil) }()
+	}
+	time.Sleep(60 * time.Millisecond)
+	r.add("plain", "s", "")
+	for range 2 {
+		assert.Equal(t, (<-done).status, http.StatusOK)
+	}
+}
+
+// TestNoServerIsSaidAtOnceLater wants a request of a service without servers to be refused
+// in time while a gateway is new, and at once later on.
+func TestNoServerIsSaidAtOnceLater(t *testing.T) {
+	r := newRig(t)
+	begin := time.Now()
+	assert.Equal(t, r.send("POST", "/rates/1", "1", "x", nil).status, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(begin) < 900*time.Millisecond)
+	begin = time.Now()
+	assert.Equal(t, r.send("POST", "/rates/2", "2", "x", nil).status, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(begin) < 300*time.Millisecond)
+}
