--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -26,6 +26,8 @@
 	queue   dispatch.Queue
 	placed  map[*dispatch.Waiting]chan dispatch.Pair
 	telling telling
+	// told is closed by the next report of servers; nil if nobody waits for it.
+	told chan struct{}
 }
 
 func newFleet(c *clock.Clock, name, zone string, bounds dispatch.Budget) *fleet {
@@ -66,9 +68,23 @@
 		f.view.SetSize(g.Service, g.Role, g.Size)
 	}
 	f.serve()
+	if f.told != nil {
+		close(f.told)
+		f.told = nil
+	}
 	return ended
 }
 
+// news is closed by the next report of servers.
+func (f *fleet) news() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.told == nil {
+		f.told = make(chan struct{})
+	}
+	return f.told
+}
+
 // ended tells whether a start of a server has been replaced by a later one.
 func (f *fleet) ended(id string) bool {
 	f.mu.Lock()
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -52,12 +52,14 @@
 	var last result
 	unsent := 0
 	for {
-		s, ok := g.fleet.plain(q.service.Name, q.tried)
-		if !ok {
-			if len(q.tried) == 0 {
+		var s dispatch.Server
+		var ok bool
+		if len(q.tried) == 0 {
+			if s, ok = g.firstServer(ctx, q); !ok {
 				g.noServer(w, q)
 				return
 			}
+		} else if s, ok = g.fleet.plain(q.service.Name, q.tried); !ok {
 			break
 		}
 		started := g.clock.Now()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,8 +55,9 @@
 	// forServers are the fields of callers that servers read.
 	forServers map[string]bool
 	table      atomic.Pointer[route.Table]
-	// tabled is closed when the first table is in force.
+	// tabled is closed when the first table is in force, since tabledAt.
 	tabled   chan struct{}
+	tabledAt atomic.Pointer[time.Time]
 	draining atomic.Bool
 	active   atomic.Int64
 	// streams counts the streams under way. stopsAt is when a draining gateway
@@ -108,6 +109,8 @@
 		}
 		if g.table.CompareAndSwap(old, t) {
 			if old == nil {
+				now := g.clock.Now()
+				g.tabledAt.Store(&now)
 				close(g.tabled)
 			}
 			g.limits.setTable(&g.table)
@@ -150,6 +153,44 @@
 	return t
 }
 
+// firstServers is how long after the first table a request waits for a server of its
+// service to be known: the table comes with the link to control, the servers with a later
+// word of the replica that this gateway follows.
+const firstServers = 500 * time.Millisecond
+
+// firstServer chooses a server of a plain service for a request that was not sent yet.
+func (g *Gateway) firstServer(ctx context.Context, q *request) (dispatch.Server, bool) {
+	var over <-chan time.Time
+	for {
+		if s, ok := g.fleet.plain(q.service.Name, q.tried); ok {
+			return s, true
+		}
+		if over == nil {
+			left := firstServers
+			if at := g.tabledAt.Load(); at != nil {
+				left = g.clock.Until(at.Add(firstServers))
+			}
+			if left <= 0 {
+				return dispatch.Server{}, false
+			}
+			t := time.NewTimer(left)
+			defer t.Stop()
+			over = t.C
+		}
+		news := g.fleet.news()
+		if s, ok := g.fleet.plain(q.service.Name, q.tried); ok { // told just before
+			return s, true
+		}
+		select {
+		case <-news:
+		case <-over:
+			return dispatch.Server{}, false
+		case <-ctx.Done():
+			return dispatch.Server{}, false
+		}
+	}
+}
+
 const sweepEvery = 250 * time.Millisecond
 
 // sweep drops old connections and forgets old servers.
