--- /dev/null
+++ b/control/replaced_test.go
@@ -0,0 +1,87 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/clock"
+	"github.com/ledgepin/ledgepin/quota"
+	"github.com/ledgepin/ledgepin/registry"
+)
+
+// reportStarts reports decode engines by their starts.
+func reportStarts(t *testing.T, h *hub, from, to int, born int64) {
+	t.Helper()
+	for i := from; i < to; i++ {
+		name := fmt.Sprint("e", i)
+		_, err := h.report(registry.Server{
+			ID: registry.StartID(name, born), Name: name, Born: born, Service: "llm", Address: fmt.Sprint("10.0.0.1:", i),
+			State: registry.Ready, Role: registry.Decode, Sequence: 1,
+		})
+		assert.NilError(t, err)
+	}
+}
+
+// TestAllHearOfTheNextStart wants each gateway that has worked with a server to hear that a
+// later start has come, also if its part doesn't hold the server any more: what it has
+// under way there ends with the earlier start, which may never break it off.
+func TestAllHearOfTheNextStart(t *testing.T) {
+	const first, second = 1000, 2000
+	const few, engines, gateways = 60, 600, 30
+	for _, c := range []struct {
+		name   string
+		before func(h *hub, now time.Time)
+	}{
+		{"it is in its place", func(*hub, time.Time) {}},
+		{"it was silent for long", func(h *hub, now time.Time) {
+			soon := now.Add(serverKeep + aliveEvery)
+			h.mu.Lock()
+			for _, s := range h.servers.List(now) {
+				if s.Name != "e1" {
+					_, _ = h.servers.Report(soon, s)
+				}
+			}
+			h.mu.Unlock()
+			h.tick(soon, true)
+		}},
+		{"it said that it goes", func(h *hub, _ time.Time) {
+			_, _ = h.report(registry.Server{ID: registry.StartID("e1", first), Name: "e1", Born: first, State: registry.Gone})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHub(nil, "", quota.Bounds{})
+			list := listen(t, h, gateways)
+			reportStarts(t, h, 0, few, first)
+			now := clock.VM.Now()
+			h.tick(now, true)
+			old := registry.StartID("e1", first)
+			for _, g := range list {
+				g.wait(t, "all of a small group", func() bool { return g.listed[old] == registry.Ready })
+			}
+			reportStarts(t, h, few, engines, first)
+			now = now.Add(regroupEvery + aliveEvery)
+			h.tick(now, true)
+			c.before(h, now)
+			reportStarts(t, h, 1, 2, second)
+			h.tick(now.Add(serverKeep+2*aliveEvery), true)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				without := 0
+				for _, g := range list {
+					g.mu.Lock()
+					if !g.fleet.Ended(old) {
+						without++
+					}
+					g.mu.Unlock()
+				}
+				if without > 0 {
+					return poll.Continue("%d of %d gateways know nothing of the next start", without, gateways)
+				}
+				return poll.Success()
+			}, poll.WithTimeout(3*time.Second), poll.WithDelay(10*time.Millisecond))
+		})
+	}
+}
