--- a/control/hub_test.go
+++ b/control/hub_test.go
@@ -36,6 +36,8 @@
 	bytes  int
 	// version is the newest table that it was told of, table that which it was sent.
 	version, table uint64
+	// ending is the most bytes of a word that a later start has come.
+	ending int
 	// fleet is what a gateway makes of it.
 	fleet *dispatch.Fleet
 }
@@ -49,6 +51,10 @@
 		g.fleet.Update(clock.VM.Now(), m.Servers.List)
 		for _, s := range m.Servers.List {
 			g.listed[s.ID] = s.State
+			if s.Next != 0 {
+				word, _ := wire.Marshal(&wire.Message{Servers: &wire.Servers{List: []registry.Server{s}}})
+				g.ending = max(g.ending, len(word))
+			}
 		}
 		if m.Servers.Alive {
 			g.alive++
--- a/control/listing.go
+++ b/control/listing.go
@@ -123,15 +123,16 @@
 }
 
 // tellNews tells the gateways what is new of a server. That it leaves is told to all of
-// them at once: one may know it from another replica. All else is told at the next tick,
-// together: after an outage servers come by thousands.
+// them at once: one may know it from another replica. So is that a later start has come, by
+// the time of that start alone: most of them will not work with it. All else is told at the
+// next tick, together: after an outage servers come by thousands.
 func (h *hub) tellNews(s registry.Server) {
 	if s.State == registry.Ready {
 		h.news[s.ID] = true
 		return
 	}
 	delete(h.news, s.ID)
-	frame, err := wire.Marshal(&wire.Message{Servers: &wire.Servers{List: []registry.Server{s}}})
+	frame, err := wire.Marshal(&wire.Message{Servers: &wire.Servers{List: []registry.Server{s.Word()}}})
 	if err != nil {
 		return
 	}
@@ -206,7 +207,7 @@
 		wanted := c.server.State != registry.Ready || subset.Includes(g.key, c.key, c.size, len(h.gateways))
 		switch {
 		case wanted && !works:
-			news = append(news, c.server)
+			news = append(news, c.server.Word())
 			if c.server.State == registry.Ready {
 				h.assign(g, c.server)
 			}
--- a/control/replaced_test.go
+++ b/control/replaced_test.go
@@ -11,6 +11,7 @@
 	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/wire"
 )
 
 // reportStarts reports decode engines by their starts.
@@ -82,6 +83,30 @@
 				}
 				return poll.Success()
 			}, poll.WithTimeout(3*time.Second), poll.WithDelay(10*time.Millisecond))
+			for _, g := range list {
+				g.mu.Lock()
+				assert.Assert(t, g.ending < 60, "%d bytes", g.ending)
+				g.mu.Unlock()
+			}
 		})
 	}
 }
+
+// TestEndingIsShort wants the word that goes to all gateways for each restart to be shorter
+// than that of a server that leaves, which names its address and service too.
+func TestEndingIsShort(t *testing.T) {
+	s := registry.Server{
+		ID: registry.StartID("i-7f3a91c2", 1790000000000), Name: "i-7f3a91c2", Born: 1790000000000, Service: "llm-large", Address: "10.11.12.13:8080",
+		Zone: "north-1a", Slots: 8, State: registry.Gone, Role: registry.Decode, Sequence: 4000,
+	}
+	length := func(s registry.Server) int {
+		frame, err := wire.Marshal(&wire.Message{Servers: &wire.Servers{List: []registry.Server{s}}})
+		assert.NilError(t, err)
+		return len(frame)
+	}
+	leaving := length(s)
+	s.Next = 1790000060000
+	ending := length(s.Word())
+	t.Logf("%d bytes that it leaves, %d that a later start has come", leaving, ending)
+	assert.Assert(t, ending < leaving, "%d, %d", ending, leaving)
+}
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -10,20 +10,33 @@
 // what they had under way has ended.
 func (f *Fleet) Update(now time.Time, list []registry.Server) (ended []*Server) {
 	for _, r := range list {
-		replaced, err := f.starts.Take(now, r)
-		if err != nil {
-			continue
-		}
-		if old := f.servers[replaced]; old != nil && !old.ended {
-			old.State, old.ended = registry.Gone, true
-			f.Gone(replaced)
+		replaced, err := f.starts.Take(now, r.Newest())
+		if old := f.end(replaced.ID); old != nil {
 			ended = append(ended, old)
 		}
-		f.update(now, r)
+		switch {
+		case r.Next != 0:
+			if old := f.end(r.ID); old != nil {
+				ended = append(ended, old)
+			}
+		case err == nil:
+			f.update(now, r)
+		}
 	}
 	return ended
 }
 
+// end takes that a start has been replaced; nil if that is known, or the start is not.
+func (f *Fleet) end(id string) *Server {
+	s := f.servers[id]
+	if s == nil || s.ended {
+		return nil
+	}
+	s.State, s.ended = registry.Gone, true
+	f.Gone(id)
+	return s
+}
+
 // update takes the report of a server's newest start.
 func (f *Fleet) update(now time.Time, r registry.Server) {
 	heard := now.Add(-r.Age)
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -58,3 +58,40 @@
 		assert.Assert(t, f.Listed(now, registry.StartID(name, 2)), name)
 	}
 }
+
+// TestNextStartOfAServerOfOthers wants a start to end by the time of the next one alone, and
+// no word of the earlier one to be used afterwards, as long as that time is remembered.
+func TestNextStartOfAServerOfOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	word := func(born int64) registry.Server {
+		return registry.Server{ID: registry.StartID("e", born), Name: "e", Born: born, Service: "plain", Address: "10.0.0.1:80", State: registry.Ready, Sequence: 1}
+	}
+	next := word(1)
+	next.Next = 2
+	f := NewFleet("g", "z")
+	f.Update(now, []registry.Server{word(1)})
+	ended := f.Update(now, []registry.Server{next.Word()})
+	assert.Equal(t, len(ended), 1)
+	assert.Assert(t, f.Ended(word(1).ID) && !f.Listed(now, word(1).ID))
+	assert.Equal(t, len(f.Update(now, []registry.Server{next.Word()})), 0, "told once")
+	later := now.Add(2 * forgetAfter)
+	f.Sweep(later)
+	f.Update(later, []registry.Server{word(1)})
+	assert.Assert(t, f.Get(word(1).ID) == nil, "a word of the earlier start is used")
+	f.Update(later, []registry.Server{word(2)})
+	assert.Assert(t, f.Listed(later, word(2).ID))
+}
+
+// TestNextStartAfterLong wants a start to end when a later one comes also if nothing was new
+// of it for so long that its time is forgotten.
+func TestNextStartAfterLong(t *testing.T) {
+	now := time.Unix(1000, 0)
+	old := registry.Server{ID: registry.StartID("e", 1), Name: "e", Born: 1, Service: "plain", Address: "10.0.0.1:80", State: registry.Ready, Sequence: 1}
+	f := NewFleet("g", "z")
+	f.Update(now, []registry.Server{old})
+	now = now.Add(2 * time.Hour)
+	f.Heard(now, []string{old.ID})
+	f.Sweep(now)
+	old.Next = 2
+	assert.Equal(t, len(f.Update(now, []registry.Server{old.Word()})), 1)
+}
--- a/gateway/restart_test.go
+++ b/gateway/restart_test.go
@@ -55,3 +55,39 @@
 		assert.Equal(t, ran(fresh), c.runs, c.path)
 	}
 }
+
+// TestRequestsEndWithAServerOfOthers wants a request at a server that has gone silent to end
+// also at a gateway that hears only when the next start began, not where: what may be
+// repeated goes on at another server.
+func TestRequestsEndWithAServerOfOthers(t *testing.T) {
+	for _, c := range []struct {
+		path   string
+		status int
+		runs   int
+	}{
+		{"/rates/1", http.StatusOK, 1},
+		{"/seats/1", http.StatusBadGateway, 0},
+	} {
+		r := newRig(t)
+		old := r.start("plain", "s", "", 1000)
+		old.SetFault(func(*http.Request) standin.Fault { return standin.Hang })
+		done := make(chan reply, 1)
+		go func() { done <- r.send("POST", c.path, "1", "x", nil) }()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if old.Running() == 0 {
+				return poll.Continue("it has not come")
+			}
+			return poll.Success()
+		}, poll.WithDelay(time.Millisecond))
+		other := r.start("plain", "other", "", 1000)
+		word := registry.Server{ID: registry.StartID("s", 1000), Name: "s", Born: 1000, Next: 2000}
+		r.gateway.links.handle("replica", &wire.Message{Servers: &wire.Servers{List: []registry.Server{word.Word()}}})
+		select {
+		case got := <-done:
+			assert.Equal(t, got.status, c.status, c.path)
+		case <-time.After(time.Second):
+			t.Fatalf("%s still waits for the earlier start", c.path)
+		}
+		assert.Equal(t, ran(other), c.runs, c.path)
+	}
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -52,6 +52,26 @@
 	// Born is when it started, in Unix milliseconds by its own clock; zero if it does
 	// not tell.
 	Born int64 `cbor:"11,keyasint,omitempty" json:"born,omitempty"`
+	// Next is when the start began that has replaced this one; zero if none is known.
+	Next int64 `cbor:"12,keyasint,omitempty" json:"-"`
+}
+
+// Newest returns the newest start of a server that a word tells of: the one itself, or the
+// one that has replaced it, of which no more is known.
+func (s Server) Newest() Server {
+	if s.Next == 0 {
+		return s
+	}
+	return Server{ID: StartID(s.Called(), s.Next), Name: s.Called(), Born: s.Next}
+}
+
+// Word returns what is told of a server: all, or only when the next start began if one has
+// replaced this one, which makes the rest worthless.
+func (s Server) Word() Server {
+	if s.Next == 0 {
+		return s
+	}
+	return Server{ID: s.ID, Name: s.Name, Born: s.Born, State: Gone, Next: s.Next}
 }
 
 // Called returns what the server calls itself.
@@ -118,10 +138,8 @@
 		return nil, err
 	}
 	var out []News
-	if old := r.servers[replaced]; old != nil && old.server.State != Gone {
-		before := old.server
-		old.server.State = Gone
-		out = append(out, News{Server: old.server, Before: &before})
+	if replaced.ID != "" {
+		out = append(out, r.replace(replaced, s))
 	}
 	if n, ok := r.take(now, s); ok {
 		out = append(out, n)
@@ -129,6 +147,19 @@
 	return out, nil
 }
 
+// replace ends a start since a later one has come. It is news also if the earlier one has
+// gone or was forgotten before: who was told only that may still wait for its answers.
+func (r *Registry) replace(start, by Server) News {
+	start.State, start.Next = Gone, by.Born
+	old := r.servers[start.ID]
+	if old == nil {
+		return News{Server: start}
+	}
+	before := old.server
+	old.server.State, old.server.Next = Gone, by.Born
+	return News{Server: old.server, Before: &before}
+}
+
 // take puts a report in the place of the one before.
 func (r *Registry) take(now time.Time, s Server) (News, bool) {
 	heard := now.Add(-s.Age)
--- a/registry/start.go
+++ b/registry/start.go
@@ -69,15 +69,18 @@
 	return s
 }
 
-// Take notes a start. It returns the ID of the one that it replaces, empty if there is
+// Take notes a start. It returns what names the one that it replaces, nothing if there is
 // none, and ErrEarlier if a later one is known.
-func (st *Starts) Take(now time.Time, s Server) (replaced string, err error) {
+func (st *Starts) Take(now time.Time, s Server) (replaced Server, err error) {
 	n, known := st.newest[s.Called()]
 	switch {
 	case known && n.born > s.Born:
-		return "", ErrEarlier
+		return Server{}, ErrEarlier
 	case known && n.born < s.Born:
-		replaced = n.id
+		replaced = Server{ID: n.id, Born: n.born}
+		if n.born != 0 {
+			replaced.Name = s.Called()
+		}
 	}
 	st.newest[s.Called()] = start{id: s.ID, born: s.Born, at: now}
 	return replaced, nil
--- a/registry/start_test.go
+++ b/registry/start_test.go
@@ -101,3 +101,25 @@
 		}
 	}
 }
+
+// TestReplacedStartIsNews wants it told that a later start has come, whatever became of the
+// earlier one, and never twice.
+func TestReplacedStartIsNews(t *testing.T) {
+	for name, before := range map[string]func(r *registry.Registry) time.Time{
+		"ready": func(*registry.Registry) time.Time { return now },
+		"gone": func(r *registry.Registry) time.Time {
+			_, _ = r.Report(now, started(1000, registry.Gone, 2))
+			return now
+		},
+		"forgotten": func(r *registry.Registry) time.Time { r.Expire(now.Add(time.Minute)); return now.Add(time.Minute) },
+	} {
+		r := registry.New(time.Second)
+		news(t, r, now, started(1000, registry.Ready, 1))
+		at := before(r)
+		got := news(t, r, at, started(2000, registry.Ready, 1))
+		assert.Equal(t, len(got), 2, name)
+		assert.DeepEqual(t, got[0].Server.Word(), registry.Server{ID: registry.StartID("i", 1000), Name: "i", Born: 1000, State: registry.Gone, Next: 2000})
+		assert.Equal(t, got[0].Server.Newest().ID, registry.StartID("i", 2000), name)
+		assert.Equal(t, len(news(t, r, at, started(2000, registry.Ready, 2))), 0, name)
+	}
+}
