--- /dev/null
+++ b/gateway/fields_fuzz_test.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/backend"
+	"github.com/ledgepin/ledgepin/route"
+)
+
+// mostOf is more tokens than any request has that is meant.
+const mostOf = 1 << 31
+
+// wantFields wants what is read of a caller's fields to lie within bounds, whose sums can't
+// overflow.
+func wantFields(t *testing.T, tokens, hint, deadline string) {
+	t.Helper()
+	const timeout = 20 * time.Second
+	limit := deadlineOf(deadline, timeout)
+	assert.Assert(t, limit >= 0 && limit <= timeout, "deadline %q: %v", deadline, limit)
+	h := backend.DefaultHeaders
+	in := http.Header{}
+	in.Set(h.Tokens, tokens)
+	in.Set(h.LengthHint, hint)
+	w := workOf(&h, in, &route.Service{Name: "s"})
+	assert.Assert(t, w.Prompt >= 0 && w.Prompt < mostOf && w.Expected >= 0 && w.Expected < mostOf, "tokens %q, hint %q: %+v", tokens, hint, w)
+	prompt, most := tokensOf(tokens)
+	assert.Assert(t, prompt >= 0 && most >= 0 && prompt+most < 2*mostOf, "tokens %q: %d, %d", tokens, prompt, most)
+}
+
+// TestFieldsBeyondAllBounds wants numbers that no request means to be bounded: as they were
+// read, a hint booked less than nothing at an engine, the tokens of a request counted below
+// zero against its limit, and a long deadline had passed at once.
+func TestFieldsBeyondAllBounds(t *testing.T) {
+	for _, number := range []string{"NaN", "Inf", "1e300", "1e19", "9223372036854775807", "99999999999999999999"} {
+		t.Run(number, func(t *testing.T) {
+			wantFields(t, "1,1", number, "1")
+			wantFields(t, number+",1", "1", "1")
+			wantFields(t, "1,"+number, "1", "1")
+			wantFields(t, number+","+number, "1", "1")
+			wantFields(t, "1,1", "1", number)
+			if number != "NaN" {
+				assert.Equal(t, deadlineOf(number, time.Minute), time.Minute)
+			}
+		})
+	}
+}
+
+// FuzzFields feeds what a gateway reads of a caller's fields any texts.
+func FuzzFields(f *testing.F) {
+	for _, seed := range [][3]string{{"1460,300", "120", "5000"}, {"NaN", "Inf", "1e300"}, {"-1,2,3", "-0", "0x1p-2"}, {" 7 , 8 ", "1_0", ""}} {
+		f.Add(seed[0], seed[1], seed[2], "close, x-a")
+	}
+	f.Fuzz(func(t *testing.T, tokens, hint, deadline, connection string) {
+		wantFields(t, tokens, hint, deadline)
+		for name := range perConnection(http.Header{"Connection": {connection}}) {
+			assert.Assert(t, !strings.Contains(name, ","), name)
+		}
+	})
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"context"
 	"net/http"
 	"strconv"
@@ -175,11 +176,14 @@
 // most what the operator allows.
 func deadlineOf(field string, timeout time.Duration) time.Duration {
 	out := min(defaultDeadline, timeout)
-	ms, err := strconv.ParseFloat(field, 64)
-	if err != nil || ms < 0 {
+	ms, ok := number(field)
+	switch {
+	case !ok:
 		return out
+	case ms >= float64(timeout)/float64(time.Millisecond):
+		return timeout // compared before the conversion, which turns what is too long into the past
 	}
-	return min(time.Duration(ms*float64(time.Millisecond)), timeout)
+	return time.Duration(ms * float64(time.Millisecond))
 }
 
 // Estimates of the length of answers.
@@ -188,14 +192,17 @@
 	hintFactor = 1.12
 	// unknownAnswer is the expected length without a hint, in tokens.
 	unknownAnswer = 1000
+	// mostTokens bounds the tokens that a caller names: more than any engine keeps, and so
+	// few that no sum of them overflows.
+	mostTokens = 1 << 30
 )
 
 // workOf reads what a request will need at an engine.
 func workOf(h *backend.Headers, in http.Header, s *route.Service) dispatch.Work {
 	prompt, most := tokensOf(in.Get(h.Tokens))
 	w := dispatch.Work{Service: s.Name, Expected: unknownAnswer, Prompt: prompt}
-	if hint, err := strconv.ParseFloat(in.Get(h.LengthHint), 64); err == nil && hint > 0 {
-		w.Expected = int(hint * hintFactor)
+	if hint, ok := number(in.Get(h.LengthHint)); ok && hint > 0 {
+		w.Expected = int(min(hint*hintFactor, mostTokens))
 	}
 	if most > 0 {
 		w.Expected = min(w.Expected, most)
@@ -210,12 +217,20 @@
 	return count(first), count(second)
 }
 
+// count reads a number of tokens. One that is too large is the most that there can be, and
+// not none: it counts against the limit of an organisation.
 func count(field string) int {
 	n, err := strconv.Atoi(strings.TrimSpace(field))
-	if err != nil || n < 0 {
+	if err != nil && !errors.Is(err, strconv.ErrRange) || n < 0 {
 		return 0
 	}
-	return n
+	return min(n, mostTokens)
+}
+
+// number reads a number from zero on, which may be infinite.
+func number(field string) (float64, bool) {
+	n, err := strconv.ParseFloat(field, 64)
+	return n, (err == nil || errors.Is(err, strconv.ErrRange)) && n >= 0
 }
 
 // left is the time that remains for a request.
