--- a/vmlist/platform.go
+++ b/vmlist/platform.go
@@ -66,6 +66,12 @@
 		return nil, fault.New(fault.LinkLost, fault.StepLink, c.addr, fmt.Sprintf("status %d", resp.StatusCode))
 	}
 	var out []VM
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxList)).Decode(&out)
-	return out, fault.Wrap(err, fault.LinkLost, fault.StepLink, c.addr)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	if err == nil {
+		err = json.Unmarshal(data, &out)
+	}
+	if err != nil {
+		return nil, fault.Wrap(err, fault.LinkLost, fault.StepLink, c.addr)
+	}
+	return out, nil
 }
--- a/vmlist/platform_test.go
+++ b/vmlist/platform_test.go
@@ -28,3 +28,14 @@
 		assert.DeepEqual(t, vms, []vmlist.VM{{Name: "a", Address: "127.0.0.1", State: want}})
 	}
 }
+
+// TestListThatCannotBeRead wants no part of a list to be used, nor one with more behind it.
+func TestListThatCannotBeRead(t *testing.T) {
+	for _, body := range []string{`[{"name":"a","address":"127.0.0.1","state":"live"},{"name":1}]`, `[]x`, `[{"name":"a"}`, ""} {
+		srv := late.New(t, func(string, string, string) late.Answer {
+			return late.Answer{Status: http.StatusOK, Type: "application/json", Body: body}
+		})
+		vms, err := vmlist.NewClient(srv.Addr()).List(t.Context())
+		assert.Assert(t, err != nil && len(vms) == 0, "%q: %v %v", body, vms, err)
+	}
+}
