--- /dev/null
+++ b/agent/id_fuzz_test.go
@@ -0,0 +1,26 @@
+package agent
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/lease"
+)
+
+// FuzzID feeds the reader of an engine's names of attempts any text, and wants each name
+// that is made to be read as what it was made of.
+func FuzzID(f *testing.F) {
+	for _, seed := range []string{"a.1", "a.b.4294967295", ".", "a.-1", "a.4294967296", ""} {
+		f.Add(seed, uint32(3))
+	}
+	f.Fuzz(func(t *testing.T, text string, attempt uint32) {
+		if id, ok := parseID(text); ok {
+			assert.Assert(t, strings.HasPrefix(text, id.Req+"."))
+		}
+		made := lease.ID{Req: text, Attempt: attempt}
+		id, ok := parseID(engineID(made))
+		assert.Assert(t, ok && id == made, "%+v", id)
+	})
+}
