--- a/dispatch/queue_test.go
+++ b/dispatch/queue_test.go
@@ -38,3 +38,39 @@
 	assert.Assert(t, len(served) == 3 && served[2] == late)
 	assert.Equal(t, q.Len(), 0)
 }
+
+// TestAvoidingRequestHoldsUpNobody wants a request that may not go to the only engines with
+// room, since it has been there, to wait without holding up those behind it, and one that
+// wants more than there is to hold them up all the same. One hold that came late from the only
+// decode engine had all requests of a gateway refused for 2 s.
+func TestAvoidingRequestHoldsUpNobody(t *testing.T) {
+	f := fleet(1, 1)
+	everywhere := dispatch.Avoid{"d0-0": true, "d1-0": true}
+	large := small
+	large.Prompt = 100 * engine.KVTokens
+	for _, c := range []struct {
+		name   string
+		first  *dispatch.Waiting
+		served int
+	}{
+		{"it has been at all engines", &dispatch.Waiting{Work: small, Engine: engine, Avoid: everywhere}, 2},
+		{"there is no room for it", &dispatch.Waiting{Work: large, Engine: engine, Avoid: dispatch.Avoid{}}, 0},
+		{"both", &dispatch.Waiting{Work: large, Engine: engine, Avoid: everywhere}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var q dispatch.Queue
+			q.Add(c.first)
+			for range 2 {
+				q.Add(&dispatch.Waiting{Work: small, Engine: engine, Avoid: dispatch.Avoid{}})
+			}
+			served := 0
+			f.Serve(now, &q, func(w *dispatch.Waiting, p dispatch.Pair) {
+				served++
+				f.EndRead(p.Reader().ID, w.Work)
+				f.Release(p.Decode.ID, w.Work)
+			})
+			assert.Equal(t, served, c.served)
+			assert.Equal(t, q.Len(), 3-c.served, "it goes on waiting")
+		})
+	}
+}
