--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -47,15 +47,23 @@
 
 // Serve books engines for requests that wait, as long as the first of the queue finds
 // room: one that does not holds up those behind it, so that a large prompt is not passed
-// over for ever. It calls placed for each.
+// over for ever. One for which there is room, but only where it has been before, holds up
+// nobody: what it waits for is another engine. It calls placed for each.
 func (f *Fleet) Serve(now time.Time, q *Queue, placed func(w *Waiting, p Pair)) {
-	for len(q.list) > 0 {
-		w := q.list[0]
+	for at := 0; at < len(q.list); {
+		w := q.list[at]
 		p, ok := f.Pair(now, w.Work, w.Engine, w.Avoid)
 		if !ok {
-			return
+			if len(w.Avoid) == 0 {
+				return
+			}
+			if _, room := f.Pair(now, w.Work, w.Engine, nil); !room {
+				return
+			}
+			at++
+			continue
 		}
-		q.list = q.list[1:]
+		q.list = slices.Delete(q.list, at, at+1)
 		f.Reserve(p.Decode.ID, w.Work)
 		f.StartRead(p.Reader().ID, w.Work)
 		placed(w, p)
