--- /dev/null
+++ b/fleet/fuzz_test.go
@@ -0,0 +1,43 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/fleet"
+	"github.com/ledgepin/ledgepin/route"
+)
+
+// FuzzState feeds the readers of the state that is kept, and of commands, any bytes. What is
+// taken can be kept again, and a command that can't be read changes nothing.
+func FuzzState(f *testing.F) {
+	s := fleet.New()
+	command, err := fleet.Encode(fleet.Change{ID: "t", Table: &route.Table{Version: 3}})
+	assert.NilError(f, err)
+	_, err = s.Apply(command)
+	assert.NilError(f, err)
+	kept, err := s.Snapshot()
+	assert.NilError(f, err)
+	empty, err := fleet.Encode(fleet.Change{ID: "c", Base: 0})
+	assert.NilError(f, err)
+	f.Add(kept, command)
+	f.Add(kept[:len(kept)/2], empty)
+	f.Add([]byte{}, empty)
+	f.Fuzz(func(t *testing.T, kept, command []byte) {
+		s, err := fleet.Restore(kept)
+		if err != nil {
+			return
+		}
+		before, err := s.Snapshot()
+		assert.NilError(t, err)
+		if _, err := s.Apply(command); err == nil {
+			_, err = s.Snapshot()
+			assert.NilError(t, err)
+			return
+		}
+		after, err := s.Snapshot()
+		assert.NilError(t, err)
+		assert.DeepEqual(t, after, before)
+	})
+}
