--- a/engine/client.go
+++ b/engine/client.go
@@ -60,10 +60,8 @@
 
 // Prefill implements Engine.
 func (c *Client) Prefill(ctx context.Context, r Request) (Prefilled, error) {
-	var out Prefilled
 	in := body{Request: r, Transfer: &transfer{Export: true}}
-	err := c.call(ctx, fault.StepPrefill, http.MethodPost, r.path(), in, &out)
-	return out, err
+	return ask[Prefilled](ctx, c, fault.StepPrefill, http.MethodPost, r.path(), in)
 }
 
 // Decode implements Engine.
@@ -84,24 +82,18 @@
 
 // Running implements Engine.
 func (c *Client) Running(ctx context.Context) ([]string, error) {
-	var out []string
-	err := c.call(ctx, fault.StepCancel, http.MethodGet, "/v1/requests", nil, &out)
-	return out, err
+	return ask[[]string](ctx, c, fault.StepCancel, http.MethodGet, "/v1/requests", nil)
 }
 
 // Load implements Engine.
 func (c *Client) Load(ctx context.Context) (Load, error) {
-	var out Load
-	err := c.call(ctx, fault.StepLink, http.MethodGet, "/v1/load", nil, &out)
-	return out, err
+	return ask[Load](ctx, c, fault.StepLink, http.MethodGet, "/v1/load", nil)
 }
 
 // CacheEvents implements Engine.
 func (c *Client) CacheEvents(ctx context.Context, after uint64) ([]CacheEvent, error) {
-	var out []CacheEvent
 	path := "/v1/cache_events?after=" + strconv.FormatUint(after, 10)
-	err := c.call(ctx, fault.StepLink, http.MethodGet, path, nil, &out)
-	return out, err
+	return ask[[]CacheEvent](ctx, c, fault.StepLink, http.MethodGet, path, nil)
 }
 
 // Order implements Engine.
@@ -109,6 +101,16 @@
 	return c.call(ctx, fault.StepOrder, http.MethodPost, "/v1/orders", o, nil)
 }
 
+// ask returns an answer that can be read whole: what stands before the place that can't be
+// read is no answer.
+func ask[T any](ctx context.Context, c *Client, step fault.Step, method, path string, in any) (T, error) {
+	var out, none T
+	if err := c.call(ctx, step, method, path, in, &out); err != nil {
+		return none, err
+	}
+	return out, nil
+}
+
 func (c *Client) call(ctx context.Context, step fault.Step, method, path string, in, out any) error {
 	resp, err := c.send(ctx, step, method, path, in)
 	if err != nil {
