--- a/gateway/request.go
+++ b/gateway/request.go
@@ -1,8 +1,8 @@
 package gateway
 
 import (
-	"errors"
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
