--- a/operator/server.go
+++ b/operator/server.go
@@ -245,19 +245,28 @@
 
 const maxNote = 1000
 
-func (s *server) apply(c echo.Context) error {
-	k, err := s.control()
-	if err != nil {
-		return err
-	}
+// readChange reads a change of the settings.
+func readChange(body io.Reader) (Change, error) {
 	var in Change
-	dec := json.NewDecoder(io.LimitReader(c.Request().Body, 2*settings.MaxBytes))
+	dec := json.NewDecoder(io.LimitReader(body, 2*settings.MaxBytes))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&in); err != nil {
-		return fault.Wrap(err, fault.BadRequest, fault.StepParse, "operator")
+		return Change{}, fault.Wrap(err, fault.BadRequest, fault.StepParse, "operator")
 	}
 	if in.ID == "" || len(in.ID) > maxNote || len(in.Who)+len(in.Note) > maxNote {
-		return fault.New(fault.BadRequest, fault.StepParse, "operator", "want a change ID, and short values for id, who and note")
+		return Change{}, fault.New(fault.BadRequest, fault.StepParse, "operator", "want a change ID, and short values for id, who and note")
+	}
+	return in, nil
+}
+
+func (s *server) apply(c echo.Context) error {
+	k, err := s.control()
+	if err != nil {
+		return err
+	}
+	in, err := readChange(c.Request().Body)
+	if err != nil {
+		return err
 	}
 	out, err := k.Change(c.Request().Context(), control.Proposal{
 		ID: in.ID, Base: in.Base, Text: []byte(in.Text), Who: in.Who, Note: in.Note, Dry: in.Dry,
