--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -148,10 +148,15 @@
 		"A link to a peer process closed; it is opened again by itself.",
 		"If it stays down, look at the peer's log and the network between the VMs.")
 	BadPeer = define("LP3003", warn, "bad peer",
-		"A peer sent a frame that breaks the protocol, or speaks another version.",
-		"Check that both run versions that go together, and that nothing else uses the address.")
+		"A peer sent a frame that breaks the protocol.",
+		"Check that nothing else uses the address.")
 	PeerRefused = define("LP3004", warn, "peer refused",
 		"A process without the peer token tried to open a link.", "Check the token files.")
+	VersionsApart = define("LP3005", warn, "versions apart",
+		"A peer speaks no version of the protocol that this process speaks, so there is no link. It is told once for each peer and range; the link is tried again with pauses of up to 5 s.",
+		"Replace the older of the two: builds go together with those of the two landings before them (docs/OPERATIONS.md, Upgrading).")
+	UnknownWords = define("LP3006", info, "unknown words",
+		"A peer of a later build says a kind of message, or a field of one, that this build does not know. It was passed over; each link tells of each kind once.", nothing)
 )
 
 // Agents and engines.
@@ -213,6 +218,18 @@
 		"The disk refused a write or a sync; the replica gave up its vote.", "Replace the disk or make room, then restart.")
 	JournalBack = define("LP6012", info, "journal back",
 		"The disk takes writes again; the replica takes part with what the disk holds.", nothing)
+	DataNewer = define("LP6015", fail, "written by a newer build",
+		"The replica holds what this build can't read. It has stopped and gave up its vote, and has changed nothing; it does not come back by itself.",
+		"Run the newer build on this data. To go back for good, see OPERATIONS.md, Upgrading.")
+	VersionRaised = define("LP6017", info, "the fleet's version has risen",
+		"All members of control read the new version, and what came with it may be written from now on. Builds that do not read it are refused from now on, and refuse this replica's data.",
+		nothing)
+	ReplicaApart = define("LP6018", warn, "replica of another version refused",
+		"A replica does not read what this one holds, so it gets nothing and is not heard. One line a minute for each replica.",
+		"Run a build there that reads the fleet's version: ledgepin upgrade status.")
+	PacketNewer = define("LP6016", warn, "packet of a newer build refused",
+		"Another replica sent an entry or a snapshot that this build can't read; nothing of it was taken. One line a minute for each sender.",
+		"Run the newer build here too.")
 	KnownRead = define("LP6013", info, "known before",
 		"The replica starts with what it knew before, of the file that is named: servers count as there for some seconds, unless they say otherwise.", nothing)
 	KnownFailed = define("LP6014", warn, "not kept beside the log",
