--- a/soak/check.go
+++ b/soak/check.go
@@ -77,6 +77,9 @@
 	{"limits are kept", checkLimits},
 	{"words that can't be read are not used", checkWords},
 	{"a content that ends servers is left alone", checkDeadly},
+	{"links between builds are not refused", checkRefusals},
+	{"each gateway in touch has a table all the time", checkTableHeld},
+	{"there is a leader", checkLeader},
 	{"no process ends by itself", checkExits},
 }
 
@@ -232,41 +235,6 @@
 	return ""
 }
 
-// checkPlannedStop looks at requests under way at a gateway that was told to
-// stop: none may be cut unless a fault came beside.
-func checkPlannedStop(h *History) []string {
-	var out []string
-	reached := map[string]bool{}
-	for _, a := range h.Arrivals {
-		reached[a.ID] = true
-	}
-	for _, o := range h.Outages {
-		if o.Kind != StopGateway {
-			continue
-		}
-		for _, q := range h.Requests {
-			if gatewayName(q.Gateway) != o.Process || q.Ended < o.From || q.Sent > o.To || !q.Cut || q.Unconnected || q.LeftAt > 0 {
-				continue
-			}
-			if !reached[q.ID] || h.unplanned(q.Sent-touchTime, q.Ended+time.Second) {
-				continue // one that crosses the close of its connection is sent elsewhere
-			}
-			out = append(out, fmt.Sprintf("%s (%s) sent at %v was cut at %v, %s was told to stop at %v", q.ID, q.Kind, q.Sent, q.Ended, o.Process, o.From))
-		}
-	}
-	return out
-}
-
-// unplanned tells whether a fault came in a span of time.
-func (h *History) unplanned(from, to time.Duration) bool {
-	for _, o := range h.Outages {
-		if !o.Kind.Planned() && o.From <= to && o.To >= from {
-			return true
-		}
-	}
-	return false
-}
-
 // checkBudget counts what arrived at each service beyond the first of each
 // request, in each window.
 func checkBudget(h *History) []string {
--- a/soak/check_tables.go
+++ b/soak/check_tables.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -50,10 +51,11 @@
 	return acknowledged
 }
 
-// controlDisturbed tells whether control was disturbed shortly before a moment.
+// controlDisturbed tells whether a fault came to control shortly before a moment. That a
+// replica is replaced in order excuses nothing.
 func (h *History) controlDisturbed(at time.Duration) bool {
-	for n := range h.Shape.Controls {
-		if h.disturbed(controlName(n), at, touchTime) {
+	for _, o := range h.Outages {
+		if !o.Kind.Replaces() && strings.HasPrefix(o.Process, controlPrefix) && o.From <= at+goneBound && at-touchTime <= o.To {
 			return true
 		}
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -17,11 +17,23 @@
 	load *load
 	ops  *operators
 	wg   sync.WaitGroup
+	// disk is held while a replica of control has lost its disk and is no voter again.
+	disk sync.Mutex
 }
 
 // play makes each step at its time; steps overlap.
 func (f *faults) play(ctx context.Context, plan []Step) {
+	var replaced []Step
 	for _, step := range plan {
+		if step.Kind.Replaces() {
+			replaced = append(replaced, step)
+		}
+	}
+	f.wg.Go(func() { f.replaceAll(ctx, replaced) })
+	for _, step := range plan {
+		if step.Kind.Replaces() {
+			continue
+		}
 		sleep(ctx, step.At-f.rec.now())
 		if ctx.Err() != nil {
 			return
@@ -118,16 +130,22 @@
 		p.signal(syscall.SIGHUP)
 		sleep(ctx, time.Second)
 	case StopGateway:
-		notice := time.AfterFunc(platformNotice, func() { f.load.out[step.Target].Store(true) })
-		p.end(syscall.SIGTERM)
-		notice.Stop()
-		f.load.out[step.Target].Store(true)
-		_ = p.start()
-		sleep(ctx, time.Second)
-		f.load.out[step.Target].Store(false)
+		f.restartGateway(ctx, step.Target, func() { _ = p.start() })
 	}
 }
 
+// restartGateway stops a gateway in order and has it started again, as the platform sends
+// callers meanwhile.
+func (f *faults) restartGateway(ctx context.Context, n int, start func()) {
+	notice := time.AfterFunc(platformNotice, func() { f.load.out[n].Store(true) })
+	f.site.processes[gatewayName(n)].end(syscall.SIGTERM)
+	notice.Stop()
+	f.load.out[n].Store(true)
+	start()
+	sleep(ctx, time.Second)
+	f.load.out[n].Store(false)
+}
+
 func (f *faults) control(ctx context.Context, step Step) {
 	name := controlName(step.Target)
 	p := f.site.processes[name]
@@ -135,6 +153,10 @@
 		f.killAllControl()
 		return
 	}
+	if step.Kind == WipeControl {
+		f.disk.Lock()
+		defer f.whenMember(ctx, name, f.disk.Unlock)
+	}
 	p.life.Lock()
 	defer p.life.Unlock()
 	switch step.Kind {
--- a/soak/history.go
+++ b/soak/history.go
@@ -124,6 +124,23 @@
 	MadeAt  time.Duration
 }
 
+// Gap is a time in which a process, or all of control, lacked something.
+type Gap struct {
+	Process     string
+	Incarnation int
+	// First tells that the process had not had it since its start.
+	First    bool
+	From, To time.Duration
+}
+
+// Refusal is how often a process has told that a link was refused.
+type Refusal struct {
+	Process string
+	Count   int
+	// First is the line of the log that told it first.
+	First string
+}
+
 // History is all that was seen in a run.
 type History struct {
 	Seed     uint64
@@ -146,6 +163,14 @@
 	// Troubles counts what went wrong at servers by intent: calls, streams, answers that
 	// came again.
 	Troubles map[string]int
+	// Order and Path say how builds were replaced, Skipped is the number of those steps for
+	// which no time was left.
+	Order, Path string
+	Skipped     int
+	// NoTable are the times in which a gateway that ran had no table, NoLeader those in
+	// which no replica of control led.
+	NoTable, NoLeader []Gap
+	Refusals          []Refusal
 	// Exits are the processes that ended by themselves.
 	Exits []string
 }
@@ -159,6 +184,9 @@
 
 func (r *recorder) now() time.Duration { return time.Since(r.start) }
 
+// length is how long callers send requests.
+func (r *recorder) length() time.Duration { return r.h.Length }
+
 // add changes the history under its lock.
 func (r *recorder) add(change func(h *History)) {
 	r.mu.Lock()
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -38,13 +38,18 @@
 	BreakStreams   Kind = "break streams"
 	CloseStreams   Kind = "close streams"
 	SecondAnswers  Kind = "second answers"
+	Upgrade        Kind = "upgrade" // planned
+	GoBack         Kind = "go back" // planned
 )
 
 // Planned tells whether a kind is planned work.
 func (k Kind) Planned() bool {
-	return slices.Contains([]Kind{StopGateway, Reload, DrainServer, ChangeTable, RaceTables, BadTable}, k)
+	return slices.Contains([]Kind{StopGateway, Reload, DrainServer, ChangeTable, RaceTables, BadTable, Upgrade, GoBack}, k)
 }
 
+// Replaces tells whether a kind replaces a process by one of the other build.
+func (k Kind) Replaces() bool { return k == Upgrade || k == GoBack }
+
 // Step is one fault, or one piece of planned work, of a plan.
 type Step struct {
 	At   time.Duration `json:"at"`
@@ -52,10 +57,23 @@
 	Kind Kind          `json:"kind"`
 	// Target is the number of the process or server that is meant.
 	Target int `json:"target"`
+	// Process is what a step replaces: the name of a process, or which replica of control
+	// is meant, if that is known only when it is played.
+	Process string `json:"process,omitempty"`
+	// Wave orders the steps that replace: those of a wave are made beside each other, and
+	// waves one after the other.
+	Wave int `json:"wave,omitempty"`
+	// Empty tells that the process starts on an empty disk, as on a new VM.
+	Empty bool `json:"empty,omitempty"`
+	// Hit is how long after its begin the step is hit by a kill; zero if it is not.
+	Hit time.Duration `json:"hit,omitempty"`
 }
 
 // String describes a step for people.
 func (s Step) String() string {
+	if s.Kind.Replaces() {
+		return fmt.Sprintf("wave %2d  %s %s after %.2f s, empty disk %t, killed after %.2f s", s.Wave, s.Kind, s.Process, s.For.Seconds(), s.Empty, s.Hit.Seconds())
+	}
 	return fmt.Sprintf("%6.2f s  %s %d for %.2f s", s.At.Seconds(), s.Kind, s.Target, s.For.Seconds())
 }
 
--- a/soak/process.go
+++ b/soak/process.go
@@ -7,15 +7,29 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+	"time"
 )
 
+// build says which of two builds a process runs.
+type build int
+
+const (
+	production build = iota
+	tree
+)
+
+// program is a binary with a file of settings for it.
+type program struct{ binary, settings string }
+
 // process is one process of the system. It is started, signalled and ended by
 // its own ID only.
 type process struct {
-	name     string
-	binary   string
-	settings string
-	logPath  string
+	name string
+	// builds are the production build and the tree's, each with settings that it can read.
+	builds  [2]program
+	logPath string
+	// operators is the address of its operators' listener.
+	operators string
 
 	// life is held by the step of a plan that ends and starts the process.
 	life sync.Mutex
@@ -27,6 +41,8 @@
 	// wanted tells that the end of the process is asked for.
 	wanted      bool
 	incarnation int
+	build       build
+	started     time.Time
 	// onExit is told when a process ends that was not asked to.
 	onExit func(name string, err error)
 }
@@ -39,7 +55,8 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(p.binary, "run", "--config", p.settings)
+	run := p.builds[p.build]
+	cmd := exec.Command(run.binary, "run", "--config", run.settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	// The process ends with this one, however that ends.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -49,6 +66,7 @@
 	}
 	p.cmd, p.wanted, p.ended = cmd, false, make(chan struct{})
 	p.incarnation++
+	p.started = time.Now()
 	go p.wait(cmd, log, p.ended)
 	return nil
 }
@@ -87,6 +105,16 @@
 	<-ended
 }
 
+// kill kills the process and does not wait; it returns how often it had been started.
+func (p *process) kill() int {
+	p.mu.Lock()
+	p.wanted = true
+	n := p.incarnation
+	p.mu.Unlock()
+	p.signal(syscall.SIGKILL)
+	return n
+}
+
 // number returns how often the process has been started.
 func (p *process) number() int {
 	p.mu.Lock()
@@ -94,8 +122,42 @@
 	return p.incarnation
 }
 
-// newProcess writes the settings of a process into a folder.
-func newProcess(binary, dir, name, settings string) (*process, error) {
-	p := &process{name: name, binary: binary, settings: filepath.Join(dir, name+".yaml"), logPath: filepath.Join(dir, name+".log")}
-	return p, os.WriteFile(p.settings, []byte(settings), 0o600)
+// state returns the number of the present start, its time, and whether the process runs.
+func (p *process) state() (incarnation int, started time.Time, runs bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended != nil {
+		select {
+		case <-p.ended:
+		default:
+			runs = true
+		}
+	}
+	return p.incarnation, p.started, runs
+}
+
+// use has the next start be of a build.
+func (p *process) use(b build) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.build = b
+}
+
+// runsOn returns the build of the process.
+func (p *process) runsOn() build {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.build
+}
+
+// newProcess writes the settings of a process into a folder, for each build its own.
+func newProcess(binaries [2]string, dir, name string, settings [2]string) (*process, error) {
+	p := &process{name: name, logPath: filepath.Join(dir, name+".log")}
+	for b, file := range []string{name + ".production.yaml", name + ".yaml"} {
+		p.builds[b] = program{binaries[b], filepath.Join(dir, file)}
+		if err := os.WriteFile(p.builds[b].settings, []byte(settings[b]), 0o600); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
 }
--- a/soak/report.go
+++ b/soak/report.go
@@ -26,11 +26,11 @@
 var reportPage = template.Must(template.New("report").Parse(`<!DOCTYPE html>
 <html lang="en"><head><meta charset="utf-8"><title>Soak, seed {{.Seed}}</title>
 <style>body{font-family:sans-serif;max-width:1100px;margin:2em auto}img{width:100%}td,th{text-align:left;padding:0 1em 0 0}.broken{color:#a00}</style></head>
-<body><h1>Soak, seed {{.Seed}}</h1><p>{{.Summary}}</p>
+<body><h1>Soak, seed {{.Seed}}</h1><p>{{.Summary}}</p><p>{{.Upgrade}}</p>
 {{if .Violations}}<h2 class="broken">Broken</h2><ul class="broken">{{range .Violations}}<li>{{.}}</li>{{end}}</ul>{{else}}<p>No rule broken.</p>{{end}}
 {{range .Plots}}<h2>{{.Title}}</h2><img alt="{{.Title}}" src="data:image/png;base64,{{.PNG}}">{{end}}
 <h2>Plan</h2><table><tr><th>at</th><th>for</th><th>kind</th><th>target</th></tr>
-{{range .Plan}}<tr><td>{{.At}}</td><td>{{.For}}</td><td>{{.Kind}}</td><td>{{.Target}}</td></tr>{{end}}</table>
+{{range .Plan}}<tr><td>{{.At}}</td><td>{{.For}}</td><td>{{.Kind}}</td><td>{{if .Process}}{{.Process}}{{else}}{{.Target}}{{end}}</td></tr>{{end}}</table>
 </body></html>
 `))
 
@@ -60,10 +60,11 @@
 	err := reportPage.Execute(&page, struct {
 		Seed       uint64
 		Summary    Summary
+		Upgrade    UpgradeSummary
 		Violations []Violation
 		Plots      []picture
 		Plan       []Step
-	}{h.Seed, Summarize(h), violations, pictures, h.Plan})
+	}{h.Seed, Summarize(h), SummarizeUpgrade(h), violations, pictures, h.Plan})
 	if err != nil {
 		return err
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,14 @@
 	Shape       Shape
 	// Plan overrides the plan that is drawn from the seed.
 	Plan []Step
+	// Production is the path of another build's binary, on which all processes start; they
+	// are replaced by those of Binary, unless Stay is set.
+	Production string
+	Stay       bool
+	// Calm leaves out all that is no planned work.
+	Calm bool
+	// Without are kinds of steps that are left out.
+	Without []Kind
 	// PlainTexts has the events of streams hold nothing but plain words.
 	PlainTexts bool
 }
@@ -27,13 +36,10 @@
 // Run plays one run and returns what was seen. An error means that the run
 // could not be played, not that a rule was broken.
 func Run(ctx context.Context, o Options) (*History, error) {
-	plan := o.Plan
-	if plan == nil {
-		plan = NewPlan(o.Seed, o.Length, o.Shape)
-	}
+	plan, order, path := o.plan()
 	rec := &recorder{start: time.Now()}
-	rec.h = History{Seed: o.Seed, Length: o.Length, Shape: o.Shape, Plan: plan}
-	s, err := newSite(o.Binary, o.Dir, o.Shape, rec)
+	rec.h = History{Seed: o.Seed, Length: o.Length, Shape: o.Shape, Plan: plan, Order: order, Path: path}
+	s, err := newSite(o, rec)
 	if err != nil {
 		return nil, err
 	}
@@ -60,6 +66,7 @@
 	}
 	wg.Go(func() { ops.reads(background) })
 	wg.Go(func() { ops.probe(background) })
+	wg.Go(func() { s.watch(background) })
 	wg.Go(func() { s.words(loaded, o.Seed) })
 	l.wg.Go(func() { l.deadly(loaded, o.Seed) })
 	f := &faults{site: s, rec: rec, load: l, ops: ops}
@@ -71,9 +78,33 @@
 	stop()
 	wg.Wait()
 	s.collect()
+	if err := s.countRefusals(); err != nil {
+		return nil, err
+	}
 	return &rec.h, ctx.Err()
 }
 
+// plan returns the plan of a run, and how builds are replaced in it.
+func (o Options) plan() (plan []Step, order, path string) {
+	if o.Plan != nil {
+		return o.Plan, "fixed", "fixed"
+	}
+	plan = NewPlan(o.Seed, o.Length, o.Shape)
+	if o.Production != "" && !o.Stay {
+		var steps []Step
+		order, path, steps = NewUpgrade(o.Seed, o.Shape)
+		plan = append(plan, steps...)
+	}
+	plan = slices.DeleteFunc(plan, func(s Step) bool { return slices.Contains(o.Without, s.Kind) })
+	if o.Calm {
+		plan = slices.DeleteFunc(plan, func(s Step) bool { return !s.Kind.Planned() })
+		for i := range plan {
+			plan[i].Hit = 0
+		}
+	}
+	return plan, order, path
+}
+
 // startTime is how long a deployment may take to serve.
 const startTime = 20 * time.Second
 
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -41,6 +41,9 @@
 	assert.Equal(t, strings.Count(string(page), "<img"), 3)
 }
 
+// sameBuild stands for the tree's own binary as the production build.
+const sameBuild = "the tree's own"
+
 // playShort plays a short run with a fixed plan and wants no rule broken.
 func playShort(t *testing.T, o Options) (h *History, broken []Violation, dir string) {
 	t.Helper()
@@ -48,6 +51,9 @@
 	o.Binary = filepath.Join(o.Dir, "ledgepin")
 	out, err := exec.Command("go", "build", "-o", o.Binary, "../cmd/ledgepin").CombinedOutput()
 	assert.NilError(t, err, string(out))
+	if o.Production == sameBuild {
+		o.Production = o.Binary
+	}
 	h, err = Run(t.Context(), o)
 	assert.NilError(t, err)
 	broken = Check(h)
--- a/soak/site.go
+++ b/soak/site.go
@@ -36,8 +36,14 @@
 	return appService
 }
 
-func gatewayName(n int) string { return fmt.Sprint("gateway-", n) }
-func controlName(n int) string { return fmt.Sprint("control-", n) }
+func gatewayName(n int) string { return fmt.Sprint(gatewayPrefix, n) }
+func controlName(n int) string { return fmt.Sprint(controlPrefix, n) }
+
+// What the names of processes begin with.
+const (
+	gatewayPrefix = "gateway-"
+	controlPrefix = "control-"
+)
 
 // server is a stand-in backend server behind a proxy. A server that was killed
 // comes back as another incarnation.
@@ -66,9 +72,12 @@
 // site is a deployment: real processes of the system, stand-in servers, and what
 // was seen of them.
 type site struct {
-	rec       *recorder
-	shape     Shape
-	dir       string
+	rec      *recorder
+	shape    Shape
+	dir      string
+	binaries [2]string
+	// first is the build that all processes start on.
+	first     build
 	processes map[string]*process
 	// front, ready and api are the addresses of callers, readiness and control.
 	front, ready, api []string
@@ -114,11 +123,15 @@
 }
 
 // newSite writes the settings of all processes and starts everything.
-func newSite(binary, dir string, shape Shape, rec *recorder) (*site, error) {
+func newSite(o Options, rec *recorder) (*site, error) {
+	shape := o.Shape
 	s := &site{
-		rec: rec, shape: shape, dir: dir, processes: map[string]*process{}, group: standin.NewBackendGroup(),
+		rec: rec, shape: shape, dir: o.Dir, binaries: [2]string{o.Production, o.Binary}, first: tree, processes: map[string]*process{}, group: standin.NewBackendGroup(),
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
+	if o.Production != "" {
+		s.first = production
+	}
 	ports := make([]string, 5)
 	for i := range ports {
 		p, err := freePort(shape.Processes())
@@ -140,7 +153,7 @@
 		name := controlName(n)
 		part := fmt.Sprintf("roles: [control]\ndata: %q\ncontrol:\n  links: %q\n  api: %q\n  discovery: {seeds: [%s], found: true, tolerate: %d}\n  engines: {prefill_share: 0.33, order_lease: 3s}\n  "+quotaSettings+"\n",
 			s.data(name), net.JoinHostPort(host(n), links), s.api[n], list, (shape.Controls-1)/2)
-		if err := s.add(binary, name, net.JoinHostPort(host(n), operators), part); err != nil {
+		if err := s.add(name, net.JoinHostPort(host(n), operators), part, treeControl); err != nil {
 			return nil, err
 		}
 	}
@@ -150,7 +163,7 @@
 		s.ready = append(s.ready, net.JoinHostPort(h, ready))
 		part := fmt.Sprintf("roles: [gateway]\ndrain: 8s\ngateway: {callers: %q, ready: %q, seeds: [%s], links_port: %s, retry: {ratio: %g, slack: %d, window: %s}, "+quotaSettings+"}\n",
 			s.front[n], s.ready[n], list, links, budgetRatio, budgetSlack, budgetWindow)
-		if err := s.add(binary, gatewayName(n), net.JoinHostPort(h, operators), part); err != nil {
+		if err := s.add(gatewayName(n), net.JoinHostPort(h, operators), part, ""); err != nil {
 			return nil, err
 		}
 	}
@@ -165,12 +178,19 @@
 
 func (s *site) data(name string) string { return filepath.Join(s.dir, name+".data") }
 
-func (s *site) add(binary, name, operators, part string) error {
+// treeControl are settings of control that the production build may not know: the fleet's
+// version rises only when it is asked for, so that going back stays possible.
+const treeControl = "  upgrade: {after: 0s}\n"
+
+// add makes a process; treePart are settings for the tree's build alone.
+func (s *site) add(name, operators, part, treePart string) error {
 	text := fmt.Sprintf("name: %s\nzone: z\noperators: %q\nlog: {level: info, format: json}\ntokens: {trusted_network: true}\n%s", name, operators, part)
-	p, err := newProcess(binary, s.dir, name, text)
+	p, err := newProcess(s.binaries, s.dir, name, [2]string{text, text + treePart})
 	if err != nil {
 		return err
 	}
+	p.operators = operators
+	p.use(s.first)
 	p.onExit = func(name string, err error) {
 		s.rec.add(func(h *History) { h.Exits = append(h.Exits, fmt.Sprintf("%s: %v", name, err)) })
 	}
@@ -353,10 +373,14 @@
 	if err := os.RemoveAll(s.data(name)); err != nil {
 		return err
 	}
-	p := s.processes[name]
-	text, err := os.ReadFile(p.settings)
-	if err != nil {
-		return err
+	for _, b := range s.processes[name].builds {
+		text, err := os.ReadFile(b.settings)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(b.settings, []byte(strings.Replace(string(text), "found: true", "found: false", 1)), 0o600); err != nil {
+			return err
+		}
 	}
-	return os.WriteFile(p.settings, []byte(strings.Replace(string(text), "found: true", "found: false", 1)), 0o600)
+	return nil
 }
--- /dev/null
+++ b/soak/upgrade_plan_test.go
@@ -0,0 +1,109 @@
+package soak
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestUpgradePlan wants the same steps from the same seed, all orders and paths in a row of
+// seeds, each process at most once in a leg, and what an order says.
+func TestUpgradePlan(t *testing.T) {
+	type drawn struct{ order, path string }
+	seen := map[drawn]bool{}
+	empty, hit := 0, 0
+	for seed := range uint64(20) {
+		order, path, steps := NewUpgrade(seed, DefaultShape)
+		_, _, again := NewUpgrade(seed, DefaultShape)
+		assert.DeepEqual(t, steps, again)
+		seen[drawn{order, path}] = true
+		legs := legsOf(steps)
+		assert.Equal(t, len(legs), map[string]int{wholePath: 1, halfPath: 1, backPath: 2, againPath: 3}[path])
+		for i, leg := range legs {
+			names := map[string]bool{}
+			for _, s := range leg {
+				assert.Assert(t, !names[s.Process] || !strings.Contains(s.Process, "-"), "%s twice", s.Process)
+				names[s.Process] = true
+				if s.Empty {
+					empty++
+				}
+				if s.Hit > 0 {
+					hit++
+				}
+			}
+			if i == 0 {
+				wantOrder(t, order, leg)
+			}
+		}
+		whole := len(legs[len(legs)-1]) == DefaultShape.Processes()
+		assert.Assert(t, whole == (path == wholePath || path == againPath) || path == backPath, path)
+	}
+	assert.Equal(t, len(seen), len(Orders)*len(Paths))
+	assert.Assert(t, empty > 0 && hit > 0)
+}
+
+// legsOf parts steps where their kind changes.
+func legsOf(steps []Step) [][]Step {
+	var out [][]Step
+	for i, s := range steps {
+		if i == 0 || s.Kind != steps[i-1].Kind {
+			out = append(out, nil)
+		}
+		out[len(out)-1] = append(out[len(out)-1], s)
+	}
+	return out
+}
+
+func wantOrder(t *testing.T, order string, leg []Step) {
+	t.Helper()
+	isGateway := func(s Step) bool { return strings.HasPrefix(s.Process, gatewayPrefix) }
+	lastGateway, lastControl, firstGateway, firstControl := -1, -1, len(leg), len(leg)
+	for i, s := range leg {
+		if isGateway(s) {
+			lastGateway, firstGateway = i, min(firstGateway, i)
+		} else {
+			lastControl, firstControl = i, min(firstControl, i)
+		}
+	}
+	switch order {
+	case gatewaysFirst:
+		assert.Assert(t, lastGateway < firstControl)
+		assert.Assert(t, lastGateway < 0 || firstControl == len(leg) || leg[lastGateway].Wave < leg[firstControl].Wave)
+	case controlFirst:
+		assert.Assert(t, lastControl < firstGateway)
+		assert.Assert(t, lastControl < 0 || firstGateway == len(leg) || leg[lastControl].Wave < leg[firstGateway].Wave)
+	case leaderFirst, leaderLast:
+		want := map[string]string{leaderFirst: leaderName, leaderLast: followerName}[order]
+		assert.Assert(t, !slices.ContainsFunc(leg, func(s Step) bool { return !isGateway(s) && s.Process != want }))
+	}
+}
+
+// TestUpgradeThereAndBack replaces processes by those of the other build under load, and back
+// again, in waves that overlap with faults. Both builds are the tree's here.
+func TestUpgradeThereAndBack(t *testing.T) {
+	plan := []Step{
+		{At: second, Kind: Upgrade, Process: gatewayName(0), Wave: 1},
+		{At: second, Kind: Upgrade, Process: leaderName, Wave: 1, For: 300 * time.Millisecond},
+		{At: second, Kind: Upgrade, Process: leaderName, Wave: 1, Hit: 50 * time.Millisecond},
+		{At: second, Kind: Upgrade, Process: followerName, Wave: 1, Empty: true},
+		{At: second, Kind: GoBack, Process: gatewayName(0), Wave: 2},
+		{At: second, Kind: GoBack, Process: followerName, Wave: 2},
+		{At: second, Kind: GoBack, Process: followerName, Wave: 2},
+		{At: second, Kind: GoBack, Process: leaderName, Wave: 2},
+		{At: 1500 * time.Millisecond, Kind: ChangeTable},
+		{At: 2500 * time.Millisecond, Kind: KillServer, Target: 3, For: second},
+		{At: 4 * second, Kind: ChangeTable},
+		{At: 6 * second, Kind: RaceTables},
+		{At: 8 * second, Kind: ChangeTable},
+	}
+	h, _, _ := playShort(t, Options{Length: 13 * time.Second, Plan: plan, PlainTexts: true, Production: sameBuild})
+	u := SummarizeUpgrade(h)
+	t.Log(u)
+	assert.Assert(t, u.Replaced == 4 && u.Back == 4 && u.Skipped == 0, u.String())
+	share, requests := Share(h, u.From, u.To)
+	assert.Assert(t, requests > 100 && share > 0.5, "%.2f of %d", share, requests)
+	assert.Assert(t, len(h.NoTable) > 0 && len(h.NoLeader) > 0, "the watch saw nothing")
+}
--- /dev/null
+++ b/soak/watch_test.go
@@ -0,0 +1,31 @@
+package soak
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestRefusalsAreCounted counts lines of refused links by process, as either build writes
+// them, and no line of a link that was lost.
+func TestRefusalsAreCounted(t *testing.T) {
+	dir := t.TempDir()
+	s := &site{rec: &recorder{}, processes: map[string]*process{}}
+	const first = `{"event":"LP3003","error":{"code":"bad_peer","detail":"protocol version 2, want 3"}}`
+	for name, text := range map[string]string{
+		"gateway-0": `{"event":"LP3001"}` + "\n" + first + "\n" + `{"event":"LP3005","error":{"code":"versions_apart"}}` + "\n",
+		"control-0": `{"event":"LP3003","error":"a replica without identity"}` + "\n",
+		"control-1": `{"event":"LP3003","error":{"code":"link_lost"}}` + "\n" + `{"event":"LP3002","error":{"code":"link_lost"}}` + "\n",
+	} {
+		path := filepath.Join(dir, name)
+		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+		s.processes[name] = &process{name: name, logPath: path}
+	}
+	assert.NilError(t, s.countRefusals())
+	got := s.rec.h.Refusals
+	assert.Equal(t, len(got), 2)
+	assert.Equal(t, got[0].Process, "control-0")
+	assert.DeepEqual(t, got[1], Refusal{"gateway-0", 2, first})
+}
