--- /dev/null
+++ b/cmd/soak/build.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+)
+
+// buildCommit builds ledgepin as it was at a commit of the repository that a folder stands
+// in. What it returns last removes the binary. The history is cloned to a scratch folder, so
+// that the folder's own tree and its list of worktrees stay as they are.
+func buildCommit(ctx context.Context, folder, commit string) (binary string, remove func(), err error) {
+	scratch, err := os.MkdirTemp("", "soak-production-")
+	if err != nil {
+		return "", nil, err
+	}
+	clean := func() { _ = os.RemoveAll(scratch) }
+	defer func() {
+		if err != nil {
+			clean()
+		}
+	}()
+	top, err := output(ctx, folder, "git", "rev-parse", "--show-toplevel")
+	if err != nil {
+		return "", nil, fmt.Errorf("--production wants to stand in a repository: %w", err)
+	}
+	rev, err := output(ctx, folder, "git", "rev-parse", "--verify", "--end-of-options", commit+"^{commit}")
+	if err != nil {
+		return "", nil, fmt.Errorf("the repository has no commit %q: %w", commit, err)
+	}
+	source := filepath.Join(scratch, "source")
+	if _, err := output(ctx, folder, "git", "clone", "--quiet", "--shared", "--no-checkout", top, source); err != nil {
+		return "", nil, err
+	}
+	if _, err := output(ctx, source, "git", "checkout", "--quiet", "--detach", rev); err != nil {
+		return "", nil, err
+	}
+	binary = filepath.Join(scratch, "ledgepin")
+	if _, err := output(ctx, source, "go", "build", "-o", binary, "./cmd/ledgepin"); err != nil {
+		return "", nil, fmt.Errorf("commit %s does not build: %w", commit, err)
+	}
+	return binary, clean, os.RemoveAll(source)
+}
+
+// output runs a command in a folder and returns what it wrote, or says in its error what it
+// complained of.
+func output(ctx context.Context, folder, name string, args ...string) (string, error) {
+	cmd := exec.CommandContext(ctx, name, args...)
+	cmd.Dir = folder
+	var complaint bytes.Buffer
+	cmd.Stderr = &complaint
+	out, err := cmd.Output()
+	if err != nil {
+		return "", fmt.Errorf("%s %s: %w: %s", name, args[0], err, strings.TrimSpace(complaint.String()))
+	}
+	return strings.TrimSpace(string(out)), nil
+}
--- /dev/null
+++ b/cmd/soak/build_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// repository makes a repository with two commits, of which the second one does not build, and
+// returns its folder.
+func repository(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	command := filepath.Join(dir, "cmd", "ledgepin")
+	assert.NilError(t, os.MkdirAll(command, 0o750))
+	write := func(name, text string) { assert.NilError(t, os.WriteFile(name, []byte(text), 0o600)) }
+	git := func(args ...string) {
+		cmd := exec.Command("git", append([]string{"-c", "user.name=n", "-c", "user.email=n@example.com", "-c", "commit.gpgsign=false"}, args...)...)
+		cmd.Dir = dir
+		out, err := cmd.CombinedOutput()
+		assert.NilError(t, err, string(out))
+	}
+	write(filepath.Join(dir, "go.mod"), "module example.com/ledgepin\n\ngo 1.21\n")
+	write(filepath.Join(command, "main.go"), "package main\n\nfunc main() { println(\"the first\") }\n")
+	git("init", "--quiet")
+	git("add", ".")
+	git("commit", "--quiet", "-m", "first")
+	write(filepath.Join(command, "main.go"), "package main\n\nfunc main() { wrong }\n")
+	git("commit", "--quiet", "-a", "-m", "second")
+	return dir
+}
+
+// TestBuildCommit builds a commit that is not the newest one, and leaves nothing behind.
+func TestBuildCommit(t *testing.T) {
+	dir, scratch := repository(t), t.TempDir()
+	t.Setenv("TMPDIR", scratch)
+	binary, remove, err := buildCommit(t.Context(), filepath.Join(dir, "cmd"), "HEAD~1")
+	assert.NilError(t, err)
+	out, err := exec.Command(binary).CombinedOutput()
+	assert.NilError(t, err)
+	assert.Equal(t, string(out), "the first\n")
+	remove()
+	nothingLeft(t, scratch)
+}
+
+// TestBuildCommitErrors wants plain errors, and nothing left behind.
+func TestBuildCommitErrors(t *testing.T) {
+	dir, scratch := repository(t), t.TempDir()
+	t.Setenv("TMPDIR", scratch)
+	for _, c := range []struct{ folder, commit, want string }{
+		{dir, "HEAD", "does not build"},
+		{dir, "0123456789abcdef", `has no commit "0123456789abcdef"`},
+		{dir, "--help", `has no commit "--help"`},
+		{scratch, "HEAD", "stand in a repository"},
+	} {
+		_, _, err := buildCommit(t.Context(), c.folder, c.commit)
+		assert.ErrorContains(t, err, c.want)
+		assert.Assert(t, !strings.Contains(err.Error(), "panic"))
+		nothingLeft(t, scratch)
+	}
+}
+
+// nothingLeft wants no scratch folder of a build.
+func nothingLeft(t *testing.T, dir string) {
+	t.Helper()
+	left, err := filepath.Glob(filepath.Join(dir, "soak-production-*"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(left), 0, "%v", left)
+}
