--- a/soak/desk.go
+++ b/soak/desk.go
@@ -213,6 +213,11 @@
 		q.Ended, q.Cut = d.load.rec.now(), err != nil
 		var op *net.OpError
 		q.Unconnected = errors.As(err, &op) && op.Op == "dial"
+		// One that reads slowly may not be through at its deadline, and leaves with its answer
+		// whole on the way.
+		if d.slow > 0 && q.LeftAt == 0 && errors.Is(err, context.DeadlineExceeded) {
+			q.LeftAt = q.Ended
+		}
 		h.Requests = append(h.Requests, *q)
 	})
 }
