--- a/soak/upgrade_plan_test.go
+++ b/soak/upgrade_plan_test.go
@@ -107,3 +107,19 @@
 	assert.Assert(t, requests > 100 && share > 0.5, "%.2f of %d", share, requests)
 	assert.Assert(t, len(h.NoTable) > 0 && len(h.NoLeader) > 0, "the watch saw nothing")
 }
+
+// TestShare counts what was served of what callers waited for in a span of time.
+func TestShare(t *testing.T) {
+	h := &History{}
+	for i, q := range []Request{
+		{Organisation: "one", Status: 200}, {Organisation: "two", Status: 200, Cut: true}, {Organisation: "one", Status: 503}, {Organisation: "two", Status: 200},
+		{Organisation: "one", Cut: true, LeftAt: second}, {Organisation: "hot", Status: 429}, {Organisation: unknown, Status: 401},
+		{Organisation: "one", Sent: 9 * second, Status: 503},
+	} {
+		q.Sent += time.Duration(i+1) * time.Millisecond
+		h.Requests = append(h.Requests, q)
+	}
+	share, n := Share(h, time.Millisecond, second)
+	assert.Equal(t, n, 4)
+	assert.Equal(t, share, 0.5)
+}
--- a/soak/upgrade_summary.go
+++ b/soak/upgrade_summary.go
@@ -57,11 +57,13 @@
 }
 
 // Share is the part of the requests sent in a span of time that were served, of those whose
-// callers waited; and their number.
+// callers waited; and their number. Those of an organisation that asks for more than its limit
+// or has no key are left out: most are refused by intent, and how many depends on how many
+// gateways take callers.
 func Share(h *History, from, to time.Duration) (share float64, requests int) {
 	served := 0
 	for _, q := range h.Requests {
-		if q.Sent < from || q.Sent > to || q.LeftAt > 0 {
+		if q.Sent < from || q.Sent > to || q.LeftAt > 0 || q.Organisation == "hot" || q.Organisation == unknown {
 			continue
 		}
 		requests++
