--- a/app/run.go
+++ b/app/run.go
@@ -86,7 +86,7 @@
 	}
 	c.Name, c.Zone, c.Log = p.file.Name, p.file.Zone, p.log
 	c.Members, c.Dir, c.Quota = part.Members, p.file.Data, quotaOf(part.Quota)
-	c.UpgradeAfter = part.Upgrade.Wait()
+	c.UpgradeAfter, c.Zones = part.Upgrade.Wait(), p.file.Zones
 	if part.Discovery != nil {
 		discovered(&c, part)
 	}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -40,6 +40,7 @@
 	Check    checkCmd    `cmd:"" help:"Check a settings file of a process or a settings tree."`
 	Settings settingsCmd `cmd:"" help:"Read or change the settings tree."`
 	Upgrade  upgradeCmd  `cmd:"" help:"Show or raise the fleet's version."`
+	Evacuate evacuateCmd `cmd:"" help:"Keep new work from an availability zone, or give it back."`
 	Dump     dumpCmd     `cmd:"" help:"Print the state of a process."`
 	Explain  explainCmd  `cmd:"" help:"Tell the story of a request."`
 	Events   eventsCmd   `cmd:"" help:"Print the catalogue of events."`
--- a/compat/version.go
+++ b/compat/version.go
@@ -5,6 +5,8 @@
 const (
 	// Base is the version where nothing is written: that of builds that know no versions.
 	Base = 3
+	// Evacuations is the version from which on evacuations of availability zones are kept.
+	Evacuations = 5
 	// Newest is the highest version that this build reads and writes.
-	Newest = 4
+	Newest = Evacuations
 )
--- a/config/config.go
+++ b/config/config.go
@@ -17,6 +17,8 @@
 	Name string `yaml:"name" check:"required"`
 	// Zone is its availability zone.
 	Zone string `yaml:"zone" check:"required"`
+	// Zones are the availability zones of the deployment with the region of each.
+	Zones map[string]string `yaml:"zones,omitempty"`
 	// Roles are entry, agent, control and gateway; an agent stands alone.
 	Roles []string `yaml:"roles" check:"required"`
 	// Operators is the address of the operators' listener.
--- a/control/apply.go
+++ b/control/apply.go
@@ -36,7 +36,7 @@
 		}
 		c.state = state
 		c.publish(c.clock.Now())
-		c.hub.setTable(state.Table(), false)
+		c.tellHub(false)
 		c.membersChanged()
 	}
 	if err := c.guard(r); err != nil {
@@ -73,12 +73,19 @@
 	if c.state.Revision() > before {
 		c.publish(now)
 	}
-	c.hub.setTable(c.state.Table(), c.node.Fresh(now))
+	c.tellHub(c.node.Fresh(now))
 	if len(entries) > 0 && !stopped {
 		c.compact(entries[len(entries)-1].Index)
 	}
 }
 
+// tellHub passes on what gateways follow. What is evacuated goes before the table: a gateway
+// that gets its first table serves.
+func (c *Control) tellHub(fresh bool) {
+	c.hub.setEvacuated(c.state.Evacuations(), c.state.Evacuated())
+	c.hub.setTable(c.state.Table(), fresh)
+}
+
 // apply takes one committed command; false if it can't be read.
 func (c *Control) apply(e consensus.Entry) bool {
 	res, err := c.state.Apply(e.Data)
--- a/control/control.go
+++ b/control/control.go
@@ -49,6 +49,9 @@
 	Roles RoleConfig
 	// Quota tells how the use of limits is judged.
 	Quota quota.Bounds
+	// Zones are the availability zones of the deployment with the region of each; empty if
+	// the process is not told.
+	Zones map[string]string
 	// Clock is that of the VM if it is nil.
 	Clock *clock.Clock
 	// ElectionMin is the least silence of a leader before an election, and
@@ -148,7 +151,7 @@
 		out: map[string]*peerLink{}, down: map[*wire.Link]bool{}, seen: map[string]int{}, replicas: map[*wire.Link]bool{}, lastTold: map[string]wire.Hello{}, holds: compat.Base, asked: map[string]bool{}, zones: map[string]*wire.Summary{},
 		broker: quota.NewBroker(), hub: newHub(cfg.Clock, cfg.Zone, cfg.Quota), refused: event.Limiter{Every: refusedEvery, Most: mostRefused},
 	}
-	c.dialer.Log = c.log
+	c.dialer.Log, c.hub.log = c.log, c.log
 	if cfg.Discovery != nil {
 		c.wg.Go(c.bootDiscovered)
 		return c, nil
--- a/control/disk.go
+++ b/control/disk.go
@@ -44,7 +44,7 @@
 		c.meet([]string{baseName(id)})
 	}
 	c.membersChanged()
-	c.hub.setTable(c.state.Table(), false)
+	c.tellHub(false)
 	c.mu.Unlock()
 	c.loadKnown()
 	c.wg.Go(c.hubLoop)
--- a/control/dump.go
+++ b/control/dump.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/fleet"
 	"github.com/ledgepin/ledgepin/metric"
 	"github.com/ledgepin/ledgepin/settings"
 )
@@ -43,17 +44,19 @@
 	Log      consensus.Status `json:"log"`
 	Revision uint64           `json:"settings_revision"`
 	Version  int              `json:"fleet_version"`
-	Journal  int64            `json:"journal_bytes"`
-	Peers    []string         `json:"peers"`
-	Seen     []string         `json:"seen"`
-	Relays   []string         `json:"relays"`
+	// Evacuated are the availability zones that get no new work.
+	Evacuated []fleet.EvacuatedZone `json:"evacuated,omitempty"`
+	Journal   int64                 `json:"journal_bytes"`
+	Peers     []string              `json:"peers"`
+	Seen      []string              `json:"seen"`
+	Relays    []string              `json:"relays"`
 }
 
 // Dump returns the state of the replica.
 func (c *Control) Dump() any {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d := Dump{Name: c.cfg.Name, ID: c.id, Revision: c.state.Revision(), Version: c.state.Version()}
+	d := Dump{Name: c.cfg.Name, ID: c.id, Revision: c.state.Revision(), Version: c.state.Version(), Evacuated: c.state.Evacuated()}
 	if c.node != nil {
 		d.Log = c.node.Status(c.clock.Now())
 	}
@@ -87,4 +90,5 @@
 	defer c.mu.Unlock()
 	metric.FleetVersion.WithLabelValues(c.cfg.Name).Set(float64(c.state.Version()))
 	metric.Revision.WithLabelValues(c.cfg.Name).Set(float64(c.state.Revision()))
+	metric.Evacuated.WithLabelValues(c.cfg.Name).Set(float64(len(c.state.Evacuated())))
 }
--- /dev/null
+++ b/control/evacuation.go
@@ -0,0 +1,216 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/ledgepin/ledgepin/clock"
+	"github.com/ledgepin/ledgepin/compat"
+	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/fleet"
+	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// Evacuate has the servers of an availability zone get no new work, or get it again if the
+// evacuation is finished. An order that changes nothing is acknowledged too. An error of code
+// change_outcome_unknown means that it may still take effect; it can be sent again.
+func (c *Control) Evacuate(ctx context.Context, zone string, finished bool) error {
+	if !c.knowsZone(zone) {
+		return fault.New(fault.UnknownZone, fault.StepSettings, "operator", fmt.Sprintf("no availability zone %q", zone))
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := c.raiseTo(ctx, compat.Evacuations); err != nil {
+		return err
+	}
+	id, w, err := c.proposeEvacuation(ctx, zone, finished)
+	if err != nil {
+		return err
+	}
+	return c.confirmed(ctx, id, w)
+}
+
+func (c *Control) proposeEvacuation(ctx context.Context, zone string, finished bool) (string, chan fleet.Result, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	if c.node == nil || !c.node.Lead(now) {
+		return "", nil, c.notLeader()
+	}
+	if err := ctx.Err(); err != nil { // who sent it may have sent the opposite elsewhere since
+		return "", nil, fault.Wrap(err, fault.ChangeUnknown, fault.StepSettings, "operator")
+	}
+	return c.proposeOnce(now, "evacuation of "+zone, fleet.Change{
+		When: clock.Day().UnixNano(), Evacuation: &fleet.Evacuation{Zone: zone, Finished: finished},
+	})
+}
+
+// raiseTo raises the fleet's version to the one that an order of an operator needs, unless a
+// member of control does not read it.
+func (c *Control) raiseTo(ctx context.Context, version int) error {
+	if c.fleetVersion() >= version {
+		return nil
+	}
+	u, err := c.Upgrade()
+	if err != nil {
+		return err
+	}
+	for _, m := range u.Members {
+		if m.Told == nil || !m.Told.Holds(version) {
+			return heldBack(version, m.ID, compat.Unable)
+		}
+	}
+	for c.fleetVersion() < version {
+		if u, err = c.Raise(ctx, "operator"); err != nil {
+			return err
+		}
+		if u.Version < version && len(u.Holds) > 0 {
+			return heldBack(version, u.Holds[0].Member, u.Holds[0].Cause)
+		}
+	}
+	return nil
+}
+
+func heldBack(version int, member string, cause compat.Cause) error {
+	return fault.New(fault.NotReady, fault.StepSettings, member,
+		fmt.Sprintf("the order needs version %d of the fleet, which is held back: %s", version, cause))
+}
+
+func (c *Control) fleetVersion() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Version()
+}
+
+// Evacuated returns the availability zones that are being evacuated. Only a replica that is
+// sure of the newest answers.
+func (c *Control) Evacuated() ([]fleet.EvacuatedZone, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.node == nil || !c.node.Fresh(c.clock.Now()) {
+		return nil, c.notLeader()
+	}
+	return c.state.Evacuated(), nil
+}
+
+// knowsZone tells whether the deployment has an availability zone: by the settings of the
+// process, or else by who has told where it is.
+func (c *Control) knowsZone(zone string) bool {
+	if zone == "" {
+		return false
+	}
+	if len(c.cfg.Zones) > 0 {
+		_, ok := c.cfg.Zones[zone]
+		return ok
+	}
+	return zone == c.cfg.Zone || c.hub.knowsZone(zone)
+}
+
+func (h *hub) knowsZone(zone string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for l := range h.gateways {
+		if l.Peer.Zone == zone {
+			return true
+		}
+	}
+	return h.isEvacuated(zone) ||
+		slices.ContainsFunc(h.servers.List(h.clock.Now()), func(s registry.Server) bool { return s.Zone == zone })
+}
+
+// setEvacuated takes which zones are being evacuated, and tells the gateways what is new.
+func (h *hub) setEvacuated(number uint64, zones []fleet.EvacuatedZone) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if number <= h.evacuated.Number {
+		return
+	}
+	before := h.evacuated.Zones
+	h.evacuated = wire.Evacuated{Number: number, Zones: zones}
+	for _, z := range zones {
+		if !hasZone(before, z.Zone) {
+			event.ZoneEvacuated.Log(h.log, "zone", z.Zone)
+		}
+	}
+	for _, z := range before {
+		if !hasZone(zones, z.Zone) {
+			event.ZoneEvacuated.Log(h.log, "zone", z.Zone, "finished", true)
+			h.releaseOlder(z.Zone)
+		}
+	}
+	for l := range h.gateways {
+		h.tellEvacuated(l)
+	}
+}
+
+func hasZone(list []fleet.EvacuatedZone, zone string) bool {
+	return slices.ContainsFunc(list, func(z fleet.EvacuatedZone) bool { return z.Zone == zone })
+}
+
+// isEvacuated tells whether a zone gets no new work. Callers hold the lock.
+func (h *hub) isEvacuated(zone string) bool { return hasZone(h.evacuated.Zones, zone) }
+
+// tellEvacuated tells a gateway which zones are being evacuated. Callers hold the lock.
+func (h *hub) tellEvacuated(l *wire.Link) {
+	switch {
+	case h.evacuated.Number == 0:
+	case l.Speaks() >= wire.KnowsEvacuations:
+		_ = l.Send(&wire.Message{Evacuated: &h.evacuated})
+	default:
+		_ = l.Send(&wire.Message{Servers: &wire.Servers{Away: h.keptFromOlder()}})
+	}
+}
+
+// Gateways of builds that know no evacuations leave a server alone while it changes its role.
+// So they are told that those of the zone change to one that no server ever has, again and
+// again, since servers may come and a change is believed for some seconds only.
+
+const (
+	noRole       = "evacuated"
+	keptFromFor  = time.Hour
+	releasedFrom = 0
+)
+
+// keptFromOlder returns what older gateways are told of the servers that get no new work.
+// Callers hold the lock.
+func (h *hub) keptFromOlder() []wire.Away {
+	var out []wire.Away
+	for _, s := range h.servers.List(h.clock.Now()) {
+		if s.State == registry.Ready && h.isEvacuated(s.Zone) {
+			out = append(out, wire.Away{Server: s.ID, Role: noRole, For: keptFromFor})
+		}
+	}
+	return out
+}
+
+// remindOlder tells older gateways of the servers that get no new work. Callers hold the lock.
+func (h *hub) remindOlder() {
+	if len(h.evacuated.Zones) == 0 {
+		return
+	}
+	h.toOlder(h.keptFromOlder())
+}
+
+// releaseOlder has older gateways use the servers of a zone again: they come back from the
+// change with the role that they have. Callers hold the lock.
+func (h *hub) releaseOlder(zone string) {
+	var out []wire.Away
+	for _, s := range h.servers.List(h.clock.Now()) {
+		if s.Zone == zone {
+			out = append(out, wire.Away{Server: s.ID, Role: s.Role, For: releasedFrom})
+		}
+	}
+	h.toOlder(out)
+}
+
+func (h *hub) toOlder(list []wire.Away) {
+	for l := range h.gateways {
+		if l.Speaks() < wire.KnowsEvacuations && len(list) > 0 {
+			_ = l.Send(&wire.Message{Servers: &wire.Servers{Away: list}})
+		}
+	}
+}
--- /dev/null
+++ b/control/evacuation_test.go
@@ -0,0 +1,177 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/compat"
+	"github.com/ledgepin/ledgepin/control"
+	"github.com/ledgepin/ledgepin/fault"
+)
+
+// evacuate gives an order to any replica until one has taken it.
+func (c *cell) evacuate(zone string, finished bool) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		var last error
+		for _, n := range c.nodes {
+			if n.proc == nil {
+				continue
+			}
+			if last = n.proc.Evacuate(context.Background(), zone, finished); last == nil {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("%v", last)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+// evacuated wants every replica that is sure of it to name just these zones, and one at least to
+// be sure.
+func (c *cell) evacuated(want ...string) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		answered := 0
+		for _, n := range c.nodes {
+			if n.proc == nil {
+				continue
+			}
+			zones, err := n.proc.Evacuated()
+			if err != nil {
+				continue
+			}
+			var got []string
+			for _, z := range zones {
+				got = append(got, z.Zone)
+			}
+			if fmt.Sprint(got) != fmt.Sprint(want) {
+				return poll.Continue("%s names %v, want %v", n.addr, got, want)
+			}
+			answered++
+		}
+		if answered == 0 {
+			return poll.Continue("nobody is sure")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+// evacuable starts a group of three whose processes are told the zones of the deployment.
+func evacuable(t *testing.T) *cell {
+	t.Helper()
+	c := newCell(t, 3)
+	c.put(1)
+	return c
+}
+
+// TestEvacuationOutlivesPowerAndDisks gives orders in several orders, twice, then ends all
+// replicas at once, one of them with its disk, and wants what was acknowledged to hold, in a
+// snapshot too.
+func TestEvacuationOutlivesPowerAndDisks(t *testing.T) {
+	c := evacuable(t)
+	c.evacuate("z", true) // never begun
+	c.evacuated()
+	c.evacuate("z", false)
+	c.evacuate("z", false)
+	c.evacuated("z")
+	c.version(compat.Newest)
+	for _, n := range c.nodes {
+		n.stop()
+	}
+	assert.NilError(t, os.RemoveAll(c.nodes[0].dir))
+	assert.NilError(t, os.MkdirAll(c.nodes[0].dir, 0o700))
+	c.nodes[0].found = false
+	for _, n := range c.nodes {
+		c.start(n)
+	}
+	c.evacuated("z")
+	for v := range uint64(30) { // past a snapshot
+		c.put(v + 2)
+	}
+	for _, n := range c.nodes {
+		n.stop()
+		c.start(n)
+	}
+	c.evacuated("z")
+	c.evacuate("z", true)
+	c.evacuate("z", true)
+	c.evacuated()
+}
+
+// TestEvacuationOfAnUnknownZone wants an order about a zone that the deployment does not have to
+// be refused, at any replica, and to change nothing.
+func TestEvacuationOfAnUnknownZone(t *testing.T) {
+	c := evacuable(t)
+	for _, n := range c.nodes {
+		for _, zone := range []string{"nowhere", "", "Z", "z "} {
+			for _, finished := range []bool{false, true} {
+				err := n.proc.Evacuate(t.Context(), zone, finished)
+				assert.Assert(t, fault.Is(err, fault.UnknownZone), "%q: %v", zone, err)
+			}
+		}
+	}
+	c.evacuated()
+	c.version(compat.Base) // nothing was needed
+}
+
+// TestEvacuationWaitsForAnOlderBuild wants an order to be left without effect while a replica
+// runs a build that could not read it, and to be taken once that is replaced.
+func TestEvacuationWaitsForAnOlderBuild(t *testing.T) {
+	c := &cell{t: t}
+	for range 3 {
+		c.prepare(true)
+	}
+	old := c.nodes[2]
+	old.versions = compat.Range{Least: compat.Base, Most: compat.Evacuations - 1}
+	for _, n := range c.nodes {
+		c.seeds = append(c.seeds, n.addr)
+	}
+	for _, n := range c.nodes {
+		c.start(n)
+		t.Cleanup(n.stop)
+	}
+	c.put(1)
+	leader, _ := c.leads()
+	if leader == old { // it has no such order to give
+		old.stop()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if leader, _ = c.leads(); leader == old {
+				return poll.Continue("it leads still")
+			}
+			return poll.Success()
+		}, poll.WithTimeout(20*time.Second))
+		c.start(old)
+	}
+	err := leader.proc.Evacuate(t.Context(), "z", false)
+	assert.Assert(t, fault.Is(err, fault.NotReady), "%v", err)
+	assert.ErrorContains(t, err, "unable")
+	c.evacuated()
+	c.version(compat.Base)
+	old.stop()
+	old.versions = compat.Range{}
+	c.start(old)
+	c.evacuate("z", false)
+	c.evacuated("z")
+	c.version(compat.Newest)
+}
+
+// TestAbandonedOrderIsNotGiven wants an order whose sender has given it up to have no effect: it
+// may have sent the opposite to another replica since.
+func TestAbandonedOrderIsNotGiven(t *testing.T) {
+	c := evacuable(t)
+	c.evacuate("z", false)
+	c.evacuate("z", true)
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	n, _ := c.leads()
+	err := n.proc.Evacuate(gone, "z", false)
+	assert.Assert(t, fault.Is(err, fault.ChangeUnknown), "%v", err)
+	c.evacuated()
+	assert.Equal(t, len(n.proc.Dump().(control.Dump).Evacuated), 0)
+}
--- a/control/hub.go
+++ b/control/hub.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"log/slog"
 	"sync"
 	"time"
 
@@ -31,6 +32,7 @@
 // the word of a leaving server nor a table that is committed.
 type hub struct {
 	clock *clock.Clock
+	log   *slog.Logger // nil in tests
 	mu    sync.Mutex
 	// zone is this replica's availability zone.
 	zone     string
@@ -84,6 +86,8 @@
 	// ledger is what organisations have used of their limits.
 	ledger   *quota.Ledger[*wire.Link]
 	contents contents
+	// evacuated are the zones that are being evacuated; its number is zero before the first.
+	evacuated wire.Evacuated
 }
 
 // gatewayState is what the hub knows of one gateway.
@@ -139,6 +143,7 @@
 	h.joined = append(h.joined, l)
 	h.contents.tell(h.clock.Now(), l, suspectAt) // before the table, with which it serves
 	_ = l.Send(&wire.Message{Servers: &wire.Servers{Away: h.awayList(h.clock.Now())}})
+	h.tellEvacuated(l)
 	h.tellTable(l, h.gateways[l], fresh)
 	h.counted = false
 }
--- a/control/table.go
+++ b/control/table.go
@@ -28,12 +28,25 @@
 	if err != nil || done {
 		return err
 	}
-	defer c.forgetWaiter(id, w)
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	if err := c.confirmed(ctx, id, w); err != nil {
+		return err
+	}
+	event.SettingChanged.Log(c.log, "version", t.Version, "who", "operator")
+	return nil
+}
+
+// callTimeout is how long an operator's call waits to be committed: operators move on to
+// another replica after a second.
+const callTimeout = 900 * time.Millisecond
+
+// confirmed waits until a proposal has taken effect. An error of code change_outcome_unknown
+// means that it may still.
+func (c *Control) confirmed(ctx context.Context, id string, w chan fleet.Result) error {
+	defer c.forgetWaiter(id, w)
 	select {
 	case <-w:
-		event.SettingChanged.Log(c.log, "version", t.Version, "who", "operator")
 		return nil
 	case <-ctx.Done():
 	case <-c.ctx.Done():
@@ -41,10 +54,6 @@
 	return fault.New(fault.ChangeUnknown, fault.StepSettings, c.cfg.Name, "not confirmed in time; send it again")
 }
 
-// tableTimeout is how long a table waits to be committed: operators move on to
-// another replica after a second.
-const tableTimeout = 900 * time.Millisecond
-
 func (c *Control) proposeTable(t *route.Table) (string, chan fleet.Result, bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -55,20 +64,27 @@
 	if c.node == nil || !c.node.Lead(now) {
 		return "", nil, false, c.notLeader()
 	}
+	id, w, err := c.proposeOnce(now, fmt.Sprint("table ", t.Version), fleet.Change{Table: t})
+	return id, w, false, err
+}
+
+// proposeOnce puts a change into the log under an ID that no other proposal has, and returns
+// what tells that it has taken effect. Callers hold the lock.
+func (c *Control) proposeOnce(now time.Time, what string, change fleet.Change) (string, chan fleet.Result, error) {
 	c.proposals++
-	id := fmt.Sprintf("table %d %s %d", t.Version, c.id, c.proposals)
-	data, err := fleet.Encode(fleet.Change{ID: id, Table: t})
+	change.ID = fmt.Sprintf("%s %s %d", what, c.id, c.proposals)
+	data, err := fleet.Encode(change)
 	if err != nil {
-		return "", nil, false, fault.Wrap(err, fault.Internal, fault.StepSettings, c.id)
+		return "", nil, fault.Wrap(err, fault.Internal, fault.StepSettings, c.id)
 	}
 	w := make(chan fleet.Result, 1)
-	c.waiters[id] = append(c.waiters[id], w)
+	c.waiters[change.ID] = append(c.waiters[change.ID], w)
 	if _, err := c.node.Propose(now, data); err != nil {
-		delete(c.waiters, id)
-		return "", nil, false, c.notLeader()
+		delete(c.waiters, change.ID)
+		return "", nil, c.notLeader()
 	}
 	c.flush(now)
-	return id, w, false, nil
+	return change.ID, w, nil
 }
 
 // Table returns the routing table in force; nil before the first. A replica
--- a/control/upgrade.go
+++ b/control/upgrade.go
@@ -77,11 +77,25 @@
 	if since := c.gate.Since(); out.Next != 0 && !since.IsZero() {
 		day := clock.Day().Add(since.Sub(now)).UTC()
 		out.Since = &day
-		out.Waits = c.gate.Settle(now, out.After)
+		out.Waits = c.gate.Settle(now, c.settling())
 	}
 	return out
 }
 
+// foundingSettle is the settling time of a group that is being founded: until its first
+// members have found each other.
+const foundingSettle = time.Second
+
+// settling is the time for which all members must have told that they read the next version.
+// While the first leader of a group leads that found itself by seeds, there is no older build
+// to go back to. Callers hold the lock.
+func (c *Control) settling() time.Duration {
+	if c.cfg.Discovery != nil && c.node.Term() <= firstTerm {
+		return min(c.cfg.UpgradeAfter, foundingSettle)
+	}
+	return c.cfg.UpgradeAfter
+}
+
 func (c *Control) upgradeMembers(now time.Time) []UpgradeMember {
 	m := c.node.Status(now).Members
 	var out []UpgradeMember
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -68,6 +68,8 @@
 	gone      bool
 	// ended tells that a later start of the server has replaced this one.
 	ended bool
+	// evacuated tells that its availability zone gets no new work.
+	evacuated bool
 	// rival is another incarnation at the same address, which counts in its place.
 	rival *Server
 	// away is the role that an engine is changing to, if it is; it is back no
@@ -86,6 +88,9 @@
 	// goes or changes its role; cursor is where the next choice starts to look.
 	groups map[group][]*Server
 	cursor int
+	// hidden are the numbers of servers of each group that get no new work since their
+	// availability zone is being evacuated.
+	hidden map[group]int
 	// Zone is the gateway's own availability zone.
 	Zone string
 	// Others is what is known of the other gateways.
@@ -93,6 +98,8 @@
 	// sizes are the numbers of servers of all groups, also of those that this
 	// gateway does not work with.
 	sizes map[group]int
+	// evacuated are the availability zones that get no new work.
+	evacuated map[string]bool
 	// readRates are the paces at which prefill engines read, by service.
 	readRates map[string]float64
 }
@@ -156,9 +163,12 @@
 // control may have given them to other gateways, and a choice that looked at
 // them only would find none.
 func (f *Fleet) regroup(now time.Time) {
-	f.groups = map[group][]*Server{}
+	f.groups, f.hidden = map[group][]*Server{}, map[group]int{}
 	for _, s := range f.servers {
-		if !s.gone && s.rival == nil && s.State == registry.Ready && s.alive(now) {
+		if s.evacuated && !s.gone {
+			f.hidden[group{s.Service, s.Role}]++
+		}
+		if !s.gone && !s.evacuated && s.rival == nil && s.State == registry.Ready && s.alive(now) {
 			k := group{s.Service, s.Role}
 			f.groups[k] = append(f.groups[k], s)
 		}
--- /dev/null
+++ b/dispatch/evacuate.go
@@ -0,0 +1,14 @@
+package dispatch
+
+// Evacuate takes which availability zones get no new work. Requests under way there end as
+// usual; everything that is chosen from now on is chosen among the other zones.
+func (f *Fleet) Evacuate(zones []string) {
+	f.evacuated = map[string]bool{}
+	for _, zone := range zones {
+		f.evacuated[zone] = true
+	}
+	for _, s := range f.servers {
+		s.evacuated = f.evacuated[s.Zone]
+	}
+	f.groups = nil
+}
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -44,6 +44,7 @@
 	if s == nil {
 		s = &Server{Server: r, heardAt: heard, rank: f.rank(r.ID), Others: f.Others.Loads[r.ID], OthersSeen: f.Others.Seen[r.ID]}
 		s.gone = r.State == registry.Gone
+		s.evacuated = f.evacuated[r.Zone]
 		f.servers[r.ID] = s
 		f.retire(s)
 		f.groups = nil
@@ -64,10 +65,10 @@
 	if s.State != r.State && r.State == registry.Draining {
 		s.leavingAt = now
 	}
-	if s.State != r.State || s.Role != r.Role || s.Service != r.Service {
+	if s.State != r.State || s.Role != r.Role || s.Service != r.Service || s.Zone != r.Zone {
 		f.groups = nil
 	}
-	s.Server = r
+	s.Server, s.evacuated = r, f.evacuated[r.Zone]
 }
 
 // Ended tells whether a start has been replaced by a later one of its server.
@@ -156,7 +157,7 @@
 
 // listed tells whether a server may get new work.
 func (s *Server) listed(now time.Time) bool {
-	if s.gone || s.rival != nil || s.State != registry.Ready || s.isAway(now) {
+	if s.gone || s.evacuated || s.rival != nil || s.State != registry.Ready || s.isAway(now) {
 		return false
 	}
 	return s.alive(now)
--- a/dispatch/patience.go
+++ b/dispatch/patience.go
@@ -79,15 +79,16 @@
 	if r.Whole <= 0 {
 		return 0
 	}
-	runs, known := 0, 0
-	for _, s := range f.groups[group{service, registry.Decode}] {
+	decode := group{service, registry.Decode}
+	runs := 0
+	for _, s := range f.groups[decode] {
 		runs += s.Own.Runs + s.Others.Runs
-		known++
 	}
 	if runs == 0 {
 		return 0
 	}
 	// Of a large group this gateway knows a part.
-	all := float64(runs) * float64(max(f.sizes[group{service, registry.Decode}], known)) / float64(known)
+	known := len(f.groups[decode]) + f.hidden[decode]
+	all := float64(runs) * float64(max(f.sizes[decode], known)) / float64(known)
 	return time.Duration(float64(waiting+1) / all * float64(r.Whole))
 }
--- a/dispatch/ruled.go
+++ b/dispatch/ruled.go
@@ -14,6 +14,8 @@
 const (
 	// RuleNoEngine: no decode engine is known.
 	RuleNoEngine Rule = "no engine"
+	// RuleEvacuated: its availability zone gets no new work.
+	RuleEvacuated Rule = "zone evacuated"
 	// RuleLeaving: it takes no new work, or changes its role.
 	RuleLeaving Rule = "leaving"
 	// RuleBlocked: it failed lately and is left alone.
@@ -59,7 +61,12 @@
 		out.Engines++
 		out.Count[f.rule(now, s, w, e)]++
 	})
-	for _, r := range []Rule{RuleLeaving, RuleBlocked, RuleSlots, RuleMemoryNow, RuleMemory, RuleTurn, RuleLateRead} {
+	for _, s := range f.servers {
+		if s.evacuated && s.Service == w.Service && s.Role == registry.Decode {
+			out.Count[RuleEvacuated]++
+		}
+	}
+	for _, r := range []Rule{RuleEvacuated, RuleLeaving, RuleBlocked, RuleSlots, RuleMemoryNow, RuleMemory, RuleTurn, RuleLateRead} {
 		if out.Count[r] > 0 {
 			out.Rule = r
 		}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -227,6 +227,12 @@
 	ReplicaApart = define("LP6018", warn, "replica of another version refused",
 		"A replica does not read what this one holds, so it gets nothing and is not heard. One line a minute for each replica.",
 		"Run a build there that reads the fleet's version: ledgepin upgrade status.")
+	ZoneEvacuated = define("LP6019", info, "evacuation of an availability zone",
+		"An operator's order is in force here: the servers of the zone get no new work, or may get it again if finished is true. Requests under way there end as usual.",
+		"Once the zone's requests have ended, ledgepin dump at its gateways shows none open; then it may be switched off.")
+	StoodStill = define("LP6020", warn, "the process stood still",
+		"The process did nothing for ms milliseconds, as when its VM is suspended. It opens its links to control anew, and new requests wait for a moment until it has heard the newest settings and evacuations.",
+		"Look at the VM if it was not suspended on purpose.")
 	PacketNewer = define("LP6016", warn, "packet of a newer build refused",
 		"Another replica sent an entry or a snapshot that this build can't read; nothing of it was taken. One line a minute for each sender.",
 		"Run the newer build here too.")
--- a/fault/catalogue.go
+++ b/fault/catalogue.go
@@ -44,6 +44,7 @@
 	BadRequest      = code("bad_request", http.StatusBadRequest, true, "The request is not well-formed, or a value is out of range.")
 	Unsupported     = code("unsupported_parameter", http.StatusBadRequest, true, "The request uses a parameter that ledgepin does not carry.")
 	UnknownModel    = code("unknown_model", http.StatusNotFound, true, "No pool serves the model for this customer.")
+	UnknownZone     = code("unknown_zone", http.StatusNotFound, true, "The deployment has no availability zone of that name.")
 	UnknownService  = code("unknown_service", http.StatusNotFound, true, "The settings have no service of that name.")
 	PromptTooLong   = code("prompt_too_long", http.StatusRequestEntityTooLarge, true, "The prompt or body is over the limit in force.")
 	KeyRequired     = code("idempotency_key_required", http.StatusBadRequest, true, "The call may not be repeated, so it needs an Idempotency-Key.")
--- /dev/null
+++ b/fleet/evacuation_test.go
@@ -0,0 +1,56 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/ledgepin/ledgepin/fleet"
+)
+
+func evacuation(t testing.TB, zone string, finished bool, at int64) []byte {
+	t.Helper()
+	data, err := fleet.Encode(fleet.Change{ID: fmt.Sprint("e", at), When: at * int64(time.Second), Evacuation: &fleet.Evacuation{Zone: zone, Finished: finished}})
+	assert.NilError(t, err)
+	return data
+}
+
+// TestEvacuations gives orders in any order, twice and for several zones: the newest order about
+// a zone holds, one that changes nothing is taken without effect, and a snapshot has it all.
+func TestEvacuations(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := fleet.New()
+		since := map[string]int64{}
+		number := uint64(0)
+		for at := range rapid.Int64Range(1, 20).Draw(r, "orders") {
+			zone := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "zone")
+			finished := rapid.Bool().Draw(r, "finished")
+			res := apply(t, s, evacuation(t, zone, finished, at+1))
+			_, out := since[zone]
+			if out == finished {
+				number++
+			}
+			switch {
+			case finished:
+				delete(since, zone)
+			case !out:
+				since[zone] = at + 1
+			}
+			assert.Assert(t, res.OK)
+			assert.Equal(t, s.Evacuations(), number)
+			kept, err := s.Snapshot()
+			assert.NilError(t, err)
+			s, err = fleet.Restore(kept)
+			assert.NilError(t, err)
+			got := map[string]int64{}
+			for _, z := range s.Evacuated() {
+				got[z.Zone] = z.Since
+			}
+			assert.DeepEqual(t, got, since)
+			assert.Equal(t, s.Evacuations(), number)
+		}
+	})
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -31,6 +31,9 @@
 	Table *route.Table `cbor:"9,keyasint,omitempty"`
 	// Version raises the fleet's version; the other fields but ID are empty then.
 	Version int `cbor:"10,keyasint,omitempty"`
+	// Evacuation begins or ends that of an availability zone; the other fields but ID and
+	// When are empty then.
+	Evacuation *Evacuation `cbor:"11,keyasint,omitempty"`
 }
 
 // Result is the answer to a change.
@@ -72,10 +75,14 @@
 	history  []Past
 	table    *route.Table // nil before the first
 	version  int          // zero while it is the base version
+	// evacuated are the zones that are being evacuated, and evacuations counts the changes
+	// of that.
+	evacuated   map[string]time.Time
+	evacuations uint64
 }
 
 // New returns the state before any change: revision zero, no settings.
-func New() *State { return &State{results: map[string]Result{}} }
+func New() *State { return &State{results: map[string]Result{}, evacuated: map[string]time.Time{}} }
 
 // Revision returns the newest revision.
 func (s *State) Revision() uint64 { return s.revision }
@@ -117,6 +124,9 @@
 	if c.Version != 0 {
 		return s.applyVersion(c), nil
 	}
+	if c.Evacuation != nil {
+		return s.applyEvacuation(c), nil
+	}
 	if r, ok := s.results[c.ID]; ok {
 		return r, nil
 	}
@@ -177,11 +187,15 @@
 	// Version is the fleet's version; missing while it is the base version, so that builds
 	// of that version read the snapshot.
 	Version int `cbor:"6,keyasint,omitempty"`
+	// Evacuated are the zones that are being evacuated, by name, and Evacuations counts the
+	// changes of that.
+	Evacuated   []EvacuatedZone `cbor:"7,keyasint,omitempty"`
+	Evacuations uint64          `cbor:"8,keyasint,omitempty"`
 }
 
 // Snapshot returns the whole state as bytes.
 func (s *State) Snapshot() ([]byte, error) {
-	out := snapshot{Revision: s.revision, Text: s.text, History: s.history, Table: s.table, Version: s.version, Results: make([]Result, 0, len(s.order))}
+	out := snapshot{Revision: s.revision, Text: s.text, History: s.history, Table: s.table, Version: s.version, Evacuated: s.Evacuated(), Evacuations: s.evacuations, Results: make([]Result, 0, len(s.order))}
 	for _, id := range s.order {
 		out.Results = append(out.Results, s.results[id])
 	}
@@ -202,5 +216,9 @@
 	for _, r := range in.Results {
 		s.remember(r)
 	}
+	s.evacuations = in.Evacuations
+	for _, z := range in.Evacuated {
+		s.evacuated[z.Zone] = time.Unix(z.Since, 0).UTC()
+	}
 	return s, nil
 }
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -51,8 +51,14 @@
 const giveBackTime = 300 * time.Millisecond
 
 // giveBack sends a call that frees something at an engine. It outlives the
-// request that it belongs to, whose caller may have left.
-func (g *Gateway) giveBack(r backend.Request) {
+// request that it belongs to, whose caller may have left. Where nothing more is sent, what is
+// not used lapses by itself.
+func (n *generation) giveBack(s *dispatch.Server, c backend.Call) {
+	g := n.g
+	if g.evacuated.has(s.Zone) {
+		return
+	}
+	r := n.callTo(s, c)
 	g.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(g.ctx, giveBackTime)
 		defer cancel()
--- /dev/null
+++ b/gateway/evacuated_test.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/backend"
+	fleetstate "github.com/ledgepin/ledgepin/fleet"
+	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/standin"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// addIn starts a server in an availability zone and registers it.
+func (r *rig) addIn(zone, service, id, role string) *standin.Backend {
+	r.t.Helper()
+	b, err := r.group.StartBackend("127.0.0.1:0", id, role, backend.DefaultHeaders)
+	assert.NilError(r.t, err)
+	r.t.Cleanup(b.Kill)
+	r.servers[id] = b
+	r.sequence++
+	r.gateway.fleet.update(&wire.Servers{List: []registry.Server{{
+		ID: id, Service: service, Address: b.Addr(), Zone: zone, State: registry.Ready, Role: role, Sequence: r.sequence,
+	}}}, nil)
+	return b
+}
+
+func (r *rig) evacuate(number uint64, zones ...string) {
+	m := &wire.Evacuated{Number: number}
+	for _, z := range zones {
+		m.Zones = append(m.Zones, fleetstate.EvacuatedZone{Zone: z, Since: 1})
+	}
+	r.gateway.takeEvacuated(m)
+}
+
+// TestEvacuatedZone evacuates the gateway's own zone while a stream runs there: the stream ends
+// whole, nothing else reaches its servers (no request, no read, no hold, no question), a late
+// word of an earlier state changes nothing, and afterwards the zone serves again.
+func TestEvacuatedZone(t *testing.T) {
+	r := newRig(t)
+	own := []*standin.Backend{r.addIn("z", "plain", "a", ""), r.addIn("z", "llm", "p", registry.Prefill), r.addIn("z", "llm", "d", registry.Decode)}
+	r.addIn("y", "plain", "b", "")
+	r.addIn("y", "llm", "q", registry.Prefill)
+	r.addIn("y", "llm", "e", registry.Decode)
+	begun := make(chan struct{})
+	own[2].SetFault(func(req *http.Request) standin.Fault {
+		if isDecode(req) && strings.HasPrefix(req.URL.Path, "/desk/") {
+			close(begun)
+			time.Sleep(100 * time.Millisecond)
+		}
+		return standin.NoFault
+	})
+	done := make(chan reply)
+	go func() { done <- r.send(http.MethodPost, "/desk/1", "first", "x", work) }()
+	<-begun
+	arrivals := func() int {
+		n := 0
+		for _, b := range own {
+			n += len(b.Arrivals())
+		}
+		return n
+	}
+	before := arrivals()
+	r.evacuate(2, "z")
+	for i := range 10 {
+		assert.Equal(t, r.send(http.MethodGet, "/rates/1", fmt.Sprint("rate-", i), "", nil).status, http.StatusOK)
+		got := r.send(http.MethodPost, "/desk/2", fmt.Sprint("desk-", i), "x", work)
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Equal(t, got.body, wholeStream())
+	}
+	got := <-done
+	assert.Equal(t, got.body, wholeStream())
+	r.evacuate(1) // told late
+	assert.Equal(t, r.send(http.MethodGet, "/rates/1", "late", "", nil).status, http.StatusOK)
+	assert.Equal(t, arrivals(), before)
+	r.evacuate(3)
+	assert.Equal(t, r.send(http.MethodGet, "/rates/1", "again", "", nil).status, http.StatusOK)
+	assert.Assert(t, arrivals() > before)
+}
+
+// TestAllZonesEvacuated wants a request to be refused at once as not run if no zone is left.
+func TestAllZonesEvacuated(t *testing.T) {
+	r := newRig(t)
+	b := r.addIn("z", "plain", "a", "")
+	r.evacuate(1, "z")
+	past := time.Now().Add(-time.Minute)
+	r.gateway.tabledAt.Store(&past)
+	got := r.send(http.MethodGet, "/rates/1", "id", "", nil)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(b.Arrivals()), 0)
+}
+
+// standStill has the gateway find that it did nothing for a while.
+func (r *rig) standStill() {
+	l := r.gateway.links
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tickedAt = r.gateway.clock.Now().Add(-stillFor)
+	l.notice(r.gateway.clock.Now())
+}
+
+// TestStoodStill has a gateway stand still for a while in which a zone is evacuated. It asks
+// before it sends: its first request afterwards goes to the other zone.
+func TestStoodStill(t *testing.T) {
+	r := newRig(t)
+	told := make(chan *wire.Link, 10)
+	server := httptest.NewServer(wire.Handler(slog.New(slog.DiscardHandler), wire.Options{Hello: func() wire.Hello { return wire.Hello{Name: "control", Role: wire.RoleControl} }}, func(l *wire.Link) {
+		told <- l
+		_ = l.Run(t.Context(), func(*wire.Message) {})
+	}))
+	t.Cleanup(server.Close)
+	a := r.addIn("z", "plain", "a", "")
+	r.addIn("y", "plain", "b", "")
+	r.gateway.SetSeeds([]string{strings.TrimPrefix(server.URL, "http://")})
+	first := <-told
+	assert.NilError(t, first.Send(&wire.Message{Routes: &wire.Routes{Version: 1, Confirmed: true}}))
+	assert.Equal(t, r.send(http.MethodGet, "/rates/1", "before", "", nil).status, http.StatusOK)
+	r.standStill()
+	before := len(a.Arrivals())
+	go func() {
+		again := <-told
+		time.Sleep(50 * time.Millisecond)
+		_ = again.Send(&wire.Message{Evacuated: &wire.Evacuated{Number: 1, Zones: []fleetstate.EvacuatedZone{{Zone: "z"}}}})
+		_ = again.Send(&wire.Message{Routes: &wire.Routes{Version: 1, Confirmed: true}})
+	}()
+	for i := range 10 {
+		assert.Equal(t, r.send(http.MethodGet, "/rates/1", fmt.Sprint("after-", i), "", nil).status, http.StatusOK)
+	}
+	assert.Equal(t, len(a.Arrivals()), before)
+}
+
+// TestStoodStillOutOfTouch wants a gateway that has stood still and reaches no replica to go on
+// with what it has.
+func TestStoodStillOutOfTouch(t *testing.T) {
+	r := newRig(t)
+	r.addIn("z", "plain", "a", "")
+	r.standStill()
+	assert.Equal(t, r.send(http.MethodGet, "/rates/1", "id", "", nil).status, http.StatusOK)
+}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -104,6 +104,14 @@
 	}
 }
 
+// evacuate takes which availability zones get no new work.
+func (f *fleet) evacuate(zones []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.Evacuate(zones)
+	f.serve()
+}
+
 func (f *fleet) sweep(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/event"
+	fleetstate "github.com/ledgepin/ledgepin/fleet"
 	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/route"
 )
@@ -69,6 +70,7 @@
 	fleet           *fleet
 	limits          *limits
 	contents        *contents
+	evacuated       evacuated
 	// lookWait is how long a request waits for a look at the server before it: the
 	// constant of that name, but in tests.
 	lookWait time.Duration
@@ -134,6 +136,7 @@
 
 // awaitTable returns the table in force; nil if there is none in time.
 func (g *Gateway) awaitTable(ctx context.Context) *route.Table {
+	g.links.awaitCurrent(ctx)
 	if t := g.table.Load(); t != nil && (!t.Keyed || g.links.hasToldUse()) {
 		return t
 	}
@@ -272,13 +275,15 @@
 	Active   int64    `json:"active"`
 	Control  []string `json:"control"`
 	// Blocked is how many contents are refused since servers ended under them.
-	Blocked int                `json:"blocked_contents"`
-	Servers []*dispatch.Server `json:"servers"`
+	Blocked int `json:"blocked_contents"`
+	// Evacuated are the availability zones that get no new work.
+	Evacuated []fleetstate.EvacuatedZone `json:"evacuated,omitempty"`
+	Servers   []*dispatch.Server         `json:"servers"`
 }
 
 // Dump returns the state of the gateway.
 func (g *Gateway) Dump() any {
-	d := Dump{Name: g.cfg.Name, Zone: g.cfg.Zone, Draining: g.draining.Load(), Active: g.active.Load(), Control: g.links.open(), Blocked: g.contents.count()}
+	d := Dump{Name: g.cfg.Name, Zone: g.cfg.Zone, Draining: g.draining.Load(), Active: g.active.Load(), Control: g.links.open(), Blocked: g.contents.count(), Evacuated: g.evacuated.list()}
 	if t := g.table.Load(); t != nil {
 		d.Version = t.Version
 	}
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -59,7 +59,7 @@
 	}
 	s, hold := n.pair.Decode, n.hold
 	n.hold = ""
-	n.g.giveBack(n.callTo(s, n.g.cfg.Protocol.DropHold(hold)))
+	n.giveBack(s, n.g.cfg.Protocol.DropHold(hold))
 }
 
 // dropKV frees a KV cache that no decode engine has taken.
@@ -69,5 +69,5 @@
 	}
 	s, handle := &n.kvFrom, n.kv.Handle
 	n.kv.Handle = ""
-	n.g.giveBack(n.callTo(s, n.g.cfg.Protocol.FreeKV(handle)))
+	n.giveBack(s, n.g.cfg.Protocol.FreeKV(handle))
 }
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -56,6 +56,11 @@
 	toldUse chan struct{}
 	// waiting is a table that no replica has vouched for yet.
 	waiting *route.Table
+	// tickedAt is when this process did its part for the links last, wokeAt when it was
+	// found to have stood still, and current is closed once a replica has told the newest
+	// since then; nil if it did not stand still.
+	tickedAt, wokeAt time.Time
+	current          chan struct{}
 }
 
 type peer struct {
@@ -137,12 +142,17 @@
 
 func (l *links) handle(address string, m *wire.Message) {
 	l.hear(address)
+	if m.Routes != nil {
+		defer l.upToDate(address)
+	}
 	switch {
 	case m.Servers != nil:
 		for _, s := range l.g.fleet.update(m.Servers, l.alive(address, m.Servers)) {
 			l.g.restarted(s)
 		}
 		l.g.fleet.away(m.Servers.Away)
+	case m.Evacuated != nil:
+		l.g.takeEvacuated(m.Evacuated)
 	case m.Routes != nil:
 		l.routes(address, m.Routes)
 	case m.Replicas != nil:
@@ -281,6 +291,8 @@
 	var beatAt time.Time
 	wait.Each(l.g.ctx, l.g.clock, loadsEvery, func(now time.Time) {
 		l.mu.Lock()
+		l.notice(now)
+		l.tickedAt = now
 		if now.Sub(beatAt) >= beatEvery {
 			beatAt = now
 			l.beat()
--- a/gateway/look.go
+++ b/gateway/look.go
@@ -47,6 +47,9 @@
 	if g.fleet.ended(s.ID) {
 		return errRestarted
 	}
+	if g.evacuated.has(s.Zone) {
+		return nil // it gets nothing more, not even a question
+	}
 	err := g.askState(q, s)
 	if backend.WasSent(err) {
 		wait.For(g.ctx, lookAgain)
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -269,7 +269,7 @@
 	if m.kv.Handle == "" {
 		return
 	}
-	n.g.giveBack(n.callTo(&m.from, n.g.cfg.Protocol.FreeKV(m.kv.Handle)))
+	n.giveBack(&m.from, n.g.cfg.Protocol.FreeKV(m.kv.Handle))
 }
 
 func (n *generation) noteMigration(m *migration, outcome string, err error) {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -49,7 +49,8 @@
 
 // The metrics.
 var (
-	Requests = counter("ledgepin_requests_total",
+	Evacuated = gauge("ledgepin_evacuated_zones", "Availability zones whose servers get no new work.", "name")
+	Requests  = counter("ledgepin_requests_total",
 		"Requests by class and outcome: met (whole answer within both targets), late, or the code of the error.", "class", "outcome")
 	FirstToken = histogram("ledgepin_first_token_seconds", "Time from arrival to the first token.",
 		[]float64{.05, .1, .2, .33, .5, 1, 2, 5, 10, 30}, "class")
--- /dev/null
+++ b/operator/evacuate.go
@@ -0,0 +1,37 @@
+package operator
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/ledgepin/ledgepin/fleet"
+)
+
+func (s *server) evacuated(c echo.Context) error {
+	k, err := s.control()
+	if err != nil {
+		return err
+	}
+	zones, err := k.Evacuated()
+	if err != nil {
+		return err
+	}
+	if zones == nil {
+		zones = []fleet.EvacuatedZone{}
+	}
+	return c.JSON(http.StatusOK, zones)
+}
+
+// evacuate begins or finishes the evacuation of a zone, and answers with what is evacuated then
+// as far as this replica knows.
+func (s *server) evacuate(c echo.Context, finished bool) error {
+	k, err := s.control()
+	if err != nil {
+		return err
+	}
+	if err := k.Evacuate(c.Request().Context(), c.Param("zone"), finished); err != nil {
+		return err
+	}
+	return s.evacuated(c)
+}
--- a/operator/server.go
+++ b/operator/server.go
@@ -76,6 +76,9 @@
 	g.POST("/v1/settings", s.apply)
 	g.GET("/v1/upgrade", s.upgrade)
 	g.POST("/v1/upgrade/raise", s.raise)
+	g.GET("/v1/evacuations", s.evacuated)
+	g.POST("/v1/evacuations/:zone/start", func(c echo.Context) error { return s.evacuate(c, false) })
+	g.POST("/v1/evacuations/:zone/finish", func(c echo.Context) error { return s.evacuate(c, true) })
 	if o.Extra != nil {
 		o.Extra(r)
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -54,6 +54,9 @@
 	Born int64 `cbor:"11,keyasint,omitempty" json:"born,omitempty"`
 	// Next is when the start began that has replaced this one; zero if none is known.
 	Next int64 `cbor:"12,keyasint,omitempty" json:"-"`
+	// Cold is how much longer it bears fewer requests than usual, from the time of the
+	// report on (Age); zero if it is warm.
+	Cold time.Duration `cbor:"13,keyasint,omitempty" json:"cold,omitempty"`
 }
 
 // Newest returns the newest start of a server that a word tells of: the one itself, or the
--- a/route/organisation.go
+++ b/route/organisation.go
@@ -40,6 +40,9 @@
 	Burst float64 `cbor:"6,keyasint,omitempty" json:"burst,omitempty"`
 	// PlainTokens is what a request counts that names no tokens.
 	PlainTokens int `cbor:"7,keyasint,omitempty" json:"plain_tokens,omitempty"`
+	// Regions are those in which its requests may be served and kept, in which they must be
+	// for a route's too; empty for all.
+	Regions []string `cbor:"8,keyasint,omitempty" json:"regions,omitempty"`
 }
 
 // Size returns what a request counts, which names so many tokens; zero if it names
--- a/route/route.go
+++ b/route/route.go
@@ -47,6 +47,8 @@
 	Resumable bool     `cbor:"12,keyasint,omitempty" json:"resumable"`
 	// Public routes want no key.
 	Public bool `cbor:"13,keyasint,omitempty" json:"public,omitempty"`
+	// Regions are those in which its requests may be served and kept; empty for all.
+	Regions []string `cbor:"14,keyasint,omitempty" json:"regions,omitempty"`
 }
 
 // Weight is the share of a service in a route.
@@ -66,6 +68,9 @@
 	HealthPath     string  `cbor:"2,keyasint,omitempty" json:"health_path"`
 	MaxConnections int     `cbor:"3,keyasint,omitempty" json:"max_connections"`
 	Engine         *Engine `cbor:"4,keyasint,omitempty" json:"engine,omitempty"`
+	// ColdRate is how many requests a second a server bears while it is cold, as after its
+	// start; zero if it makes no difference.
+	ColdRate float64 `cbor:"5,keyasint,omitempty" json:"cold_rate,omitempty"`
 }
 
 // Engine tells what the model engines of a service can do.
--- a/wire/hello.go
+++ b/wire/hello.go
@@ -13,10 +13,13 @@
 	BaseVersion = 3
 	// TellsRanges is the first version whose builds tell the range that they speak.
 	TellsRanges = 4
+	// KnowsEvacuations is the first version whose gateways keep work from availability zones
+	// that are being evacuated, and bound what they send to servers that are cold.
+	KnowsEvacuations = 5
 )
 
 // Versions are those that this build speaks.
-var Versions = compat.Range{Least: BaseVersion, Most: TellsRanges}
+var Versions = compat.Range{Least: BaseVersion, Most: KnowsEvacuations}
 
 // maxBuild bounds the name of a build in bytes: a module's version with its time and
 // commit has some forty.
--- a/wire/message.go
+++ b/wire/message.go
@@ -6,6 +6,7 @@
 	"github.com/ledgepin/ledgepin/claim"
 	"github.com/ledgepin/ledgepin/consensus"
 	"github.com/ledgepin/ledgepin/engine"
+	"github.com/ledgepin/ledgepin/fleet"
 	"github.com/ledgepin/ledgepin/lease"
 	"github.com/ledgepin/ledgepin/order"
 	"github.com/ledgepin/ledgepin/placement"
@@ -64,6 +65,9 @@
 	Use      *quota.Use `cbor:"38,keyasint,omitempty"`
 	// Contents are those under which servers have ended.
 	Contents []poison.Record `cbor:"39,keyasint,omitempty"`
+
+	Evacuated *Evacuated  `cbor:"40,keyasint,omitempty"`
+	Cold      []ColdLease `cbor:"41,keyasint,omitempty"`
 }
 
 // Heartbeat shows life and renews the leases of the link's owner.
@@ -351,3 +355,20 @@
 	Bad       int `cbor:"7,keyasint,omitempty"`
 	Witnesses int `cbor:"8,keyasint,omitempty"`
 }
+
+// Evacuated tells which availability zones get no new work.
+type Evacuated struct {
+	// Number rises with each change, so that an earlier word never undoes a later one.
+	Number uint64                `cbor:"1,keyasint,omitempty"`
+	Zones  []fleet.EvacuatedZone `cbor:"2,keyasint,omitempty"`
+}
+
+// ColdLease lets a gateway send requests to a server that is cold; nobody else with a lease
+// of the same replica does.
+type ColdLease struct {
+	Server string `cbor:"1,keyasint,omitempty"`
+	// Most is how many requests it may send in any second.
+	Most int `cbor:"2,keyasint,omitempty"`
+	// For is how long the lease holds from its arrival on.
+	For time.Duration `cbor:"3,keyasint,omitempty"`
+}
