--- a/app/gateway.go
+++ b/app/gateway.go
@@ -85,7 +85,7 @@
 		return nil
 	}
 	p.gateway = gateway.Start(gateway.Config{
-		Name: p.file.Name, Zone: p.file.Zone, Token: token, Protocol: platform.Protocol, Log: p.log,
+		Name: p.file.Name, Zone: p.file.Zone, Zones: p.file.Zones, Token: token, Protocol: platform.Protocol, Log: p.log,
 		Seeds: withPort(part.Seeds, strconv.Itoa(part.LinksPort)),
 		Retry: dispatch.Budget{Ratio: part.Retry.Ratio, Slack: part.Retry.Slack, Window: part.Retry.Window.D()},
 		Quota: quotaOf(part.Quota),
--- a/app/run.go
+++ b/app/run.go
@@ -16,6 +16,7 @@
 	"github.com/ledgepin/ledgepin/operator"
 	"github.com/ledgepin/ledgepin/platform"
 	"github.com/ledgepin/ledgepin/spread"
+	"github.com/ledgepin/ledgepin/warmup"
 )
 
 // Process is a running process with the roles of its settings file.
@@ -87,6 +88,8 @@
 	c.Name, c.Zone, c.Log = p.file.Name, p.file.Zone, p.log
 	c.Members, c.Dir, c.Quota = part.Members, p.file.Data, quotaOf(part.Quota)
 	c.UpgradeAfter, c.Zones = part.Upgrade.Wait(), p.file.Zones
+	c.Cold = warmup.Bounds{Overshoot: part.Cold.Overshoot, Slack: part.Cold.Slack}
+	c.ReadTable = platform.ParseTable
 	if part.Discovery != nil {
 		discovered(&c, part)
 	}
--- a/backend/names.go
+++ b/backend/names.go
@@ -62,6 +62,8 @@
 	Signature string
 	// NotRun tells that the server did not run the request.
 	NotRun string
+	// Cold tells how much longer the server bears fewer requests than usual.
+	Cold string
 }
 
 // Private returns the names of the fields that are no caller's to set. It goes
@@ -95,7 +97,7 @@
 		LastEventID: "Last-Event-Id", PromptParts: "X-Prompt-Parts",
 	},
 	GatewayFields{ExpectInstance: "X-Expect-Instance", Role: "X-Engine-Role", KVSource: "X-KV-Source", Hold: "X-Hold", Organisation: "X-Organisation"},
-	ServerFields{Signature: "X-Answer-Signature", NotRun: "X-Not-Run"},
+	ServerFields{Signature: "X-Answer-Signature", NotRun: "X-Not-Run", Cold: "X-Cold-Ms"},
 }
 
 // KV is the result of a prefill, or the copy of a run.
@@ -142,6 +144,9 @@
 	RoleOrder   func(o RoleOrder) Call
 	Report      func() Call
 	ParseReport func(body []byte) (Report, error)
+	// ParseCold reads the field Cold of a server; false if it can't be read. Nil if servers
+	// do not tell.
+	ParseCold func(field string) (time.Duration, bool)
 }
 
 // Call is a call to a server that is not a caller's request.
--- a/config/config.go
+++ b/config/config.go
@@ -108,6 +108,15 @@
 	Engines Engines `yaml:"engines,omitempty"`
 	Quota   Quota   `yaml:"quota,omitempty"`
 	Upgrade Upgrade `yaml:"upgrade,omitempty"`
+	Cold    Cold    `yaml:"cold,omitempty"`
+}
+
+// Cold tells how what cold servers get is judged, which is by the rate of their service: in no
+// second may all gateways together send one of them more than the rate times Overshoot and
+// Slack requests.
+type Cold struct {
+	Overshoot float64 `yaml:"overshoot,omitempty" check:"min=0,max=100"`
+	Slack     float64 `yaml:"slack,omitempty" check:"min=0,max=100000"`
 }
 
 // Engines is how engines get their roles.
--- /dev/null
+++ b/control/cold_test.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/clock"
+	"github.com/ledgepin/ledgepin/fleet"
+	"github.com/ledgepin/ledgepin/quota"
+	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/route"
+	"github.com/ledgepin/ledgepin/warmup"
+)
+
+// newColdHub is a hub that may lend, with a cold server, a warm one and one that bears as much as
+// ever, and the gateways that share with it.
+func newColdHub(t *testing.T, gateways int) (*hub, []*listener) {
+	t.Helper()
+	h := newHub(nil, "", quota.Bounds{})
+	h.name, h.coldBounds = "10.0.0.1:7000", warmup.Bounds{Overshoot: 1.5, Slack: 5}
+	h.tellReplicas([]string{"10.0.0.3:7000", "10.0.0.1:7000", "10.0.0.2:7000"})
+	h.broker = warmup.NewBroker(clock.VM.Now().Add(-time.Minute))
+	list := listen(t, h, gateways)
+	h.mu.Lock()
+	for _, g := range h.gateways {
+		g.sharing = true
+	}
+	h.mu.Unlock()
+	h.setTable(&route.Table{Version: 1, Services: []route.Service{{Name: "s", ColdRate: 7.3, ColdStart: 3 * time.Second}, {Name: "free"}}}, true)
+	for _, s := range []registry.Server{{ID: "cold", Service: "s", Cold: time.Minute}, {ID: "warm", Service: "s"}, {ID: "free", Service: "free", Cold: time.Minute}} {
+		s.State, s.Address, s.Sequence, s.Zone = registry.Ready, s.ID+":1", 1, "z"
+		_, err := h.report(s)
+		assert.NilError(t, err)
+	}
+	return h, list
+}
+
+// TestColdServerIsLentToOneGateway wants one gateway of a replica to get the replica's part of a
+// cold server, again and again, and no lease of servers that are warm or bear as much as ever.
+func TestColdServerIsLentToOneGateway(t *testing.T) {
+	h, gateways := newColdHub(t, 4)
+	leases := map[string]int{}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		h.tick(clock.VM.Now(), true)
+		most := 0
+		clear(leases)
+		for i, g := range gateways {
+			g.mu.Lock()
+			for lease, n := range g.leases {
+				leases[fmt.Sprint(lease, " ", i)] = n
+				most = max(most, n)
+			}
+			g.mu.Unlock()
+		}
+		if most < 3 {
+			return poll.Continue("%v", leases)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+	assert.Equal(t, len(leases), 1, "%v", leases)
+	for lease := range leases {
+		assert.Assert(t, strings.HasPrefix(lease, "cold 2 1s "), lease)
+	}
+}
+
+// TestZoneGivenBackIsLent wants the servers of a zone that was given back to be lent until they
+// have reported themselves, since nobody knows what they still have.
+func TestZoneGivenBackIsLent(t *testing.T) {
+	h, _ := newColdHub(t, 1)
+	lent := func(id string) bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for _, s := range h.servers.List(h.clock.Now()) {
+			if s.ID == id {
+				return h.isCold(h.clock.Now(), s)
+			}
+		}
+		return false
+	}
+	assert.Assert(t, !lent("warm"))
+	h.setEvacuated(1, []fleet.EvacuatedZone{{Zone: "z"}})
+	h.setEvacuated(2, nil)
+	assert.Assert(t, lent("warm"))
+	assert.Assert(t, !lent("free"))
+	_, err := h.report(registry.Server{ID: "warm", Service: "s", Address: "warm:1", Zone: "z", State: registry.Ready, Sequence: 2})
+	assert.NilError(t, err)
+	assert.Assert(t, !lent("warm"))
+}
--- a/control/control.go
+++ b/control/control.go
@@ -22,8 +22,10 @@
 	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/order"
 	"github.com/ledgepin/ledgepin/quota"
+	"github.com/ledgepin/ledgepin/route"
 	"github.com/ledgepin/ledgepin/spread"
 	"github.com/ledgepin/ledgepin/wal"
+	"github.com/ledgepin/ledgepin/warmup"
 	"github.com/ledgepin/ledgepin/wire"
 )
 
@@ -49,6 +51,10 @@
 	Roles RoleConfig
 	// Quota tells how the use of limits is judged.
 	Quota quota.Bounds
+	// Cold tells how what cold servers get is judged.
+	Cold warmup.Bounds
+	// ReadTable reads the document of an operator's table; nil if there are none.
+	ReadTable func(document []byte) (*route.Table, error)
 	// Zones are the availability zones of the deployment with the region of each; empty if
 	// the process is not told.
 	Zones map[string]string
@@ -152,6 +158,7 @@
 		broker: quota.NewBroker(), hub: newHub(cfg.Clock, cfg.Zone, cfg.Quota), refused: event.Limiter{Every: refusedEvery, Most: mostRefused},
 	}
 	c.dialer.Log, c.hub.log = c.log, c.log
+	c.hub.name, c.hub.coldBounds, c.hub.read = cfg.Name, cfg.Cold, cfg.ReadTable
 	if cfg.Discovery != nil {
 		c.wg.Go(c.bootDiscovered)
 		return c, nil
--- a/control/evacuation.go
+++ b/control/evacuation.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"time"
 
 	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/compat"
@@ -139,12 +138,13 @@
 	for _, z := range before {
 		if !hasZone(zones, z.Zone) {
 			event.ZoneEvacuated.Log(h.log, "zone", z.Zone, "finished", true)
-			h.releaseOlder(z.Zone)
+			h.givenBack[z.Zone] = h.clock.Now()
 		}
 	}
 	for l := range h.gateways {
 		h.tellEvacuated(l)
 	}
+	h.keepOlder(h.clock.Now())
 }
 
 func hasZone(list []fleet.EvacuatedZone, zone string) bool {
@@ -156,61 +156,7 @@
 
 // tellEvacuated tells a gateway which zones are being evacuated. Callers hold the lock.
 func (h *hub) tellEvacuated(l *wire.Link) {
-	switch {
-	case h.evacuated.Number == 0:
-	case l.Speaks() >= wire.KnowsEvacuations:
+	if h.evacuated.Number > 0 && l.Speaks() >= wire.KnowsEvacuations {
 		_ = l.Send(&wire.Message{Evacuated: &h.evacuated})
-	default:
-		_ = l.Send(&wire.Message{Servers: &wire.Servers{Away: h.keptFromOlder()}})
-	}
-}
-
-// Gateways of builds that know no evacuations leave a server alone while it changes its role.
-// So they are told that those of the zone change to one that no server ever has, again and
-// again, since servers may come and a change is believed for some seconds only.
-
-const (
-	noRole       = "evacuated"
-	keptFromFor  = time.Hour
-	releasedFrom = 0
-)
-
-// keptFromOlder returns what older gateways are told of the servers that get no new work.
-// Callers hold the lock.
-func (h *hub) keptFromOlder() []wire.Away {
-	var out []wire.Away
-	for _, s := range h.servers.List(h.clock.Now()) {
-		if s.State == registry.Ready && h.isEvacuated(s.Zone) {
-			out = append(out, wire.Away{Server: s.ID, Role: noRole, For: keptFromFor})
-		}
-	}
-	return out
-}
-
-// remindOlder tells older gateways of the servers that get no new work. Callers hold the lock.
-func (h *hub) remindOlder() {
-	if len(h.evacuated.Zones) == 0 {
-		return
-	}
-	h.toOlder(h.keptFromOlder())
-}
-
-// releaseOlder has older gateways use the servers of a zone again: they come back from the
-// change with the role that they have. Callers hold the lock.
-func (h *hub) releaseOlder(zone string) {
-	var out []wire.Away
-	for _, s := range h.servers.List(h.clock.Now()) {
-		if s.Zone == zone {
-			out = append(out, wire.Away{Server: s.ID, Role: s.Role, For: releasedFrom})
-		}
-	}
-	h.toOlder(out)
-}
-
-func (h *hub) toOlder(list []wire.Away) {
-	for l := range h.gateways {
-		if l.Speaks() < wire.KnowsEvacuations && len(list) > 0 {
-			_ = l.Send(&wire.Message{Servers: &wire.Servers{Away: list}})
-		}
 	}
 }
--- a/control/hub.go
+++ b/control/hub.go
@@ -1,15 +1,18 @@
 package control
 
 import (
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/ledgepin/ledgepin/clock"
+	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/route"
 	"github.com/ledgepin/ledgepin/subset"
+	"github.com/ledgepin/ledgepin/warmup"
 	"github.com/ledgepin/ledgepin/wire"
 )
 
@@ -46,6 +49,8 @@
 	aliveAt  time.Time
 	loadsAt  time.Time
 	passAt   time.Time
+	// welcomed counts the links of gateways so far.
+	welcomed int
 	// joined are gateways that have not been told their part of the servers;
 	// counted tells that all have been told how many gateways there are.
 	joined  []*wire.Link
@@ -87,13 +92,25 @@
 	ledger   *quota.Ledger[*wire.Link]
 	contents contents
 	// evacuated are the zones that are being evacuated; its number is zero before the first.
+	// givenBack is when the evacuation of a zone was finished.
 	evacuated wire.Evacuated
+	givenBack map[string]time.Time
+	// name is this replica's link address. broker lends its parts of cold servers, within
+	// coldBounds; coldAt is when it looked at them last.
+	name       string
+	broker     *warmup.Broker
+	coldBounds warmup.Bounds
+	coldAt     time.Time
+	// read reads the document that a table was made from; nil to go by what the log has.
+	read func(document []byte) (*route.Table, error)
 }
 
 // gatewayState is what the hub knows of one gateway.
 type gatewayState struct {
 	link *wire.Link
-	key  subset.Key
+	// id names the link: a gateway that starts again knows nothing of what it has sent.
+	id  string
+	key subset.Key
 	// near tells that the gateway is in the replica's availability zone.
 	near bool
 	// told is the version of the newest table that the gateway was told of, has that
@@ -110,6 +127,8 @@
 	others         share
 	// heard is when it has said something last.
 	heard time.Time
+	// keptFrom is when a gateway of an older build was told to keep away from a server.
+	keptFrom map[string]time.Time
 	// queued are the gateway's requests that wait for room.
 	queued int
 }
@@ -127,7 +146,7 @@
 		groups: map[group]int{}, own: newShare(), others: map[*wire.Link]*share{}, sum: map[string]wire.EngineLoad{}, moved: map[string]bool{},
 		toldPeers: newShare(), movedOwn: map[string]bool{}, home: map[string]time.Time{}, news: map[string]bool{}, rosters: map[*wire.Link]*registry.Roster{},
 		peerHeard: map[*wire.Link]time.Time{}, ledger: quota.NewLedger[*wire.Link](c.Now(), bounds),
-		contents: newContents(),
+		contents: newContents(), givenBack: map[string]time.Time{}, broker: warmup.NewBroker(c.Now()),
 	}
 }
 
@@ -137,8 +156,9 @@
 func (h *hub) addGateway(l *wire.Link, fresh bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.welcomed++
 	h.gateways[l] = &gatewayState{
-		link: l, heard: h.clock.Now(), key: subset.KeyOf(l.Peer.Name), near: l.Peer.Zone == h.zone, servers: map[string]registry.Server{}, own: map[string]wire.EngineLoad{}, others: newShare(),
+		link: l, id: fmt.Sprint(l.Peer.Name, "#", h.welcomed), heard: h.clock.Now(), key: subset.KeyOf(l.Peer.Name), near: l.Peer.Zone == h.zone, servers: map[string]registry.Server{}, own: map[string]wire.EngineLoad{}, others: newShare(), keptFrom: map[string]time.Time{},
 	}
 	h.joined = append(h.joined, l)
 	h.contents.tell(h.clock.Now(), l, suspectAt) // before the table, with which it serves
@@ -209,7 +229,7 @@
 	if t == nil || h.table != nil && t.Version <= h.table.Version {
 		return
 	}
-	lean := *t
+	lean := h.whole(t)
 	lean.Source = nil
 	lean.Index()
 	h.table = &lean
@@ -233,6 +253,20 @@
 	}
 }
 
+// whole returns a table as the document has it that it was made from: the log keeps only what
+// builds of the base version read.
+func (h *hub) whole(t *route.Table) route.Table {
+	if h.read == nil || len(t.Source) == 0 {
+		return *t
+	}
+	read, err := h.read(t.Source)
+	if err != nil || read.Check() != nil || read.Version != t.Version {
+		event.TableReadAnew.Log(h.log, "version", t.Version, "error", err)
+		return *t
+	}
+	return *read
+}
+
 // wantTable takes that a gateway has a table of a version and asks for a newer one.
 func (h *hub) wantTable(l *wire.Link, have uint64) {
 	h.mu.Lock()
@@ -318,6 +352,7 @@
 	h.tellPeers()
 	h.tellPeersUse(now)
 	h.tellContents(now)
+	h.tellCold(now)
 	if now.Sub(h.loadsAt) >= loadsEvery {
 		h.loadsAt = now
 		h.tellLoads()
--- a/control/listing.go
+++ b/control/listing.go
@@ -270,7 +270,6 @@
 func (h *hub) tellAlive(now time.Time) {
 	expired := h.expire(now)
 	h.regroup(now)
-	h.remindOlder()
 	var sizes []wire.GroupSize
 	for k, n := range h.groups {
 		sizes = append(sizes, wire.GroupSize{Service: k.service, Role: k.role, Size: n})
--- /dev/null
+++ b/control/older.go
@@ -0,0 +1,54 @@
+package control
+
+import (
+	"time"
+
+	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// Gateways of builds that know neither evacuations nor cold servers leave a server alone while
+// it changes its role. So they are told that a server which they should keep away from changes
+// to a role that none ever has, again and again, since a change is believed for some seconds
+// only; and in the end that it has the role that it had.
+
+const (
+	noRole    = "kept"
+	keptFor   = 5 * time.Second
+	keepAgain = time.Second
+)
+
+// keepOlder tells older gateways which servers they should keep away from. Callers hold the
+// lock.
+func (h *hub) keepOlder(now time.Time) {
+	var list []registry.Server
+	for l, g := range h.gateways {
+		if l.Speaks() >= wire.KnowsEvacuations {
+			continue
+		}
+		if list == nil {
+			list = h.servers.List(now)
+		}
+		if away := h.keptFrom(now, g, list); len(away) > 0 {
+			_ = l.Send(&wire.Message{Servers: &wire.Servers{Away: away}})
+		}
+	}
+}
+
+// keptFrom returns what a gateway is told now of the servers of a list.
+func (h *hub) keptFrom(now time.Time, g *gatewayState, list []registry.Server) []wire.Away {
+	var out []wire.Away
+	for _, s := range list {
+		told, kept := g.keptFrom[s.ID]
+		keep := s.State == registry.Ready && (h.isEvacuated(s.Zone) || h.isCold(now, s))
+		switch {
+		case keep && (!kept || now.Sub(told) >= keepAgain):
+			g.keptFrom[s.ID] = now
+			out = append(out, wire.Away{Server: s.ID, Role: noRole, For: keptFor})
+		case !keep && kept:
+			delete(g.keptFrom, s.ID)
+			out = append(out, wire.Away{Server: s.ID, Role: s.Role})
+		}
+	}
+	return out
+}
--- a/control/table.go
+++ b/control/table.go
@@ -64,7 +64,7 @@
 	if c.node == nil || !c.node.Lead(now) {
 		return "", nil, false, c.notLeader()
 	}
-	id, w, err := c.proposeOnce(now, fmt.Sprint("table ", t.Version), fleet.Change{Table: t})
+	id, w, err := c.proposeOnce(now, fmt.Sprint("table ", t.Version), fleet.Change{Table: t.Kept()})
 	return id, w, false, err
 }
 
--- /dev/null
+++ b/dispatch/cold_test.go
@@ -0,0 +1,98 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/warmup"
+)
+
+// coldFleet is a fleet whose services bound what cold servers get, with a cold server among
+// those of each kind.
+func coldFleet() *dispatch.Fleet {
+	f := fleet(1, 1)
+	f.SetCold(map[string]dispatch.ColdServers{"llm": {Bounded: true, For: 3 * time.Second}, "plain": {Bounded: true, For: 3 * time.Second}})
+	f.Update(now, []registry.Server{
+		{ID: "cold-d", Service: "llm", Zone: "z0", Role: registry.Decode, State: registry.Ready, Address: "cd:1", Sequence: 1, Cold: 3 * time.Second, Age: time.Second},
+		{ID: "cold-p", Service: "llm", Zone: "z0", Role: registry.Prefill, State: registry.Ready, Address: "cp:1", Sequence: 1, Cold: 3 * time.Second, Age: time.Second},
+		{ID: "cold", Service: "plain", Zone: "z0", State: registry.Ready, Address: "c:1", Sequence: 1, Cold: 3 * time.Second, Age: time.Second},
+	})
+	return f
+}
+
+// serve places one request as a gateway does.
+func serve(f *dispatch.Fleet, at time.Time) (dispatch.Pair, bool) {
+	var q dispatch.Queue
+	var out dispatch.Pair
+	ok := false
+	q.Add(&dispatch.Waiting{Work: small, Engine: engine})
+	f.Serve(at, &q, func(_ *dispatch.Waiting, p dispatch.Pair) { out, ok = p, true })
+	return out, ok
+}
+
+// TestColdServersGetWhatIsLent fills a fleet in which cold servers are the emptiest: without a
+// lease they get nothing, with one what it allows in each second, and as much as others once
+// they are warm, which is counted from their report on.
+func TestColdServersGetWhatIsLent(t *testing.T) {
+	f := coldFleet()
+	f.Reserve("d0-0", small) // the cold one is emptier
+	got := func(at time.Time) (n int) {
+		for range 6 {
+			p, ok := serve(f, at)
+			if !ok {
+				continue
+			}
+			if p.Decode.ID == "cold-d" {
+				n++
+			}
+			f.Release(p.Decode.ID, small)
+			f.EndRead(p.Reader().ID, small)
+		}
+		return n
+	}
+	assert.Equal(t, got(now), 0)
+	assert.Equal(t, f.Plain(now, plain, dispatch.Avoid{"a": true, "b": true}), (*dispatch.Server)(nil))
+	f.Lease(now, "cold-d", 2, warmup.LeaseFor)
+	assert.Equal(t, got(now), 2)
+	assert.Equal(t, got(now.Add(500*time.Millisecond)), 0)
+	f.Lease(now.Add(900*time.Millisecond), "cold-d", 2, warmup.LeaseFor)
+	assert.Equal(t, got(now.Add(1100*time.Millisecond)), 2)
+	assert.Equal(t, got(now.Add(1999*time.Millisecond)), 0)
+	assert.Assert(t, got(now.Add(2*time.Second)) > 2, "it is warm")
+	assert.Equal(t, f.Ruled(now, small, engine).Count[dispatch.RuleCold], 1)
+}
+
+// TestUnsureAfterAnEvacuation gives a zone back whose servers told nothing meanwhile: they count
+// as cold until they have reported themselves since, or until a start would be warm.
+func TestUnsureAfterAnEvacuation(t *testing.T) {
+	f := coldFleet()
+	at := now.Add(10 * time.Second)
+	alive := []string{"d0-0", "d1-0", "p0-0", "p1-0", "a", "b"}
+	f.Heard(at, alive)
+	f.Evacuate(at, []string{"z0"})
+	f.Evacuate(at.Add(time.Second), nil)
+	at = at.Add(time.Second)
+	cold := func(at time.Time, id string) bool { return f.IsCold(at, f.Get(id)) }
+	assert.Assert(t, cold(at, "d0-0") && cold(at, "a"))
+	assert.Assert(t, !cold(at, "d1-0"), "its zone was not evacuated")
+	f.Heard(at.Add(time.Millisecond), []string{"d0-0"})
+	assert.Assert(t, !cold(at.Add(time.Millisecond), "d0-0"))
+	assert.Assert(t, cold(at.Add(2900*time.Millisecond), "a"))
+	assert.Assert(t, !cold(at.Add(3*time.Second), "a"))
+}
+
+// TestColdByItsAnswer wants a server's own answer to count, and a service without a bound to have
+// no cold servers.
+func TestColdByItsAnswer(t *testing.T) {
+	f := coldFleet()
+	f.NoteCold(now, "a", time.Second)
+	assert.Assert(t, f.IsCold(now, f.Get("a")))
+	f.NoteCold(now, "a", 0)
+	assert.Assert(t, !f.IsCold(now, f.Get("a")))
+	f.SetCold(nil)
+	assert.Assert(t, !f.IsCold(now, f.Get("cold")))
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -70,6 +70,9 @@
 	ended bool
 	// evacuated tells that its availability zone gets no new work.
 	evacuated bool
+	cold      cold
+	// region is that of its availability zone; empty if that is not known.
+	region string
 	// rival is another incarnation at the same address, which counts in its place.
 	rival *Server
 	// away is the role that an engine is changing to, if it is; it is back no
@@ -93,6 +96,8 @@
 	hidden map[group]int
 	// Zone is the gateway's own availability zone.
 	Zone string
+	// regions are those of the availability zones.
+	regions map[string]string
 	// Others is what is known of the other gateways.
 	Others Others
 	// sizes are the numbers of servers of all groups, also of those that this
@@ -100,6 +105,8 @@
 	sizes map[group]int
 	// evacuated are the availability zones that get no new work.
 	evacuated map[string]bool
+	// coldServers is what services say of their cold servers.
+	coldServers map[string]ColdServers
 	// readRates are the paces at which prefill engines read, by service.
 	readRates map[string]float64
 }
@@ -205,11 +212,11 @@
 // Plain chooses a server of a plain service: the one with the least expected
 // time, by what this gateway has open there and how the last requests went. It
 // returns nil if there is none.
-func (f *Fleet) Plain(now time.Time, service string, avoid Avoid) *Server {
+func (f *Fleet) Plain(now time.Time, w Work, avoid Avoid) *Server {
 	var best *Server
 	bestScore := 0.0
-	f.search(now, service, "", func(s *Server) bool {
-		if avoid[s.ID] || !s.listed(now) {
+	f.search(now, w.Service, "", func(s *Server) bool {
+		if avoid[s.ID] || !s.listed(now) || !f.bears(now, s) || !w.permits(s) {
 			return false
 		}
 		score := f.score(now, s)
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -19,6 +19,8 @@
 	Kept map[string]int
 	// Within is the time in which the prompt should be read; zero for no bound.
 	Within time.Duration
+	// Regions are those in which it may be served and its prompt kept; empty for all.
+	Regions []string
 	// Beyond tells that its organisation uses more than its share of late: it waits behind
 	// the others, and leaves some room to them.
 	Beyond bool
@@ -53,7 +55,7 @@
 func (f *Fleet) Decode(now time.Time, w Work, e *route.Engine, zone string, avoid Avoid) *Server {
 	var best candidate
 	f.search(now, w.Service, registry.Decode, func(s *Server) bool {
-		if !s.open(now, avoid) || !f.fits(s, w, e) {
+		if !f.mayTake(now, s, w, avoid) || !f.fits(s, w, e) {
 			return false
 		}
 		cost := f.decodeCost(s, e) + f.streamCost(s)
@@ -68,9 +70,14 @@
 	return best.server
 }
 
+// mayTake tells whether an engine may be chosen for a request.
+func (f *Fleet) mayTake(now time.Time, s *Server, w Work, avoid Avoid) bool {
+	return f.open(now, s, avoid) && w.permits(s)
+}
+
 // open tells whether an engine may be chosen.
-func (s *Server) open(now time.Time, avoid Avoid) bool {
-	return !avoid[s.ID] && s.listed(now) && !s.blocked(now)
+func (f *Fleet) open(now time.Time, s *Server, avoid Avoid) bool {
+	return !avoid[s.ID] && s.listed(now) && !s.blocked(now) && f.bears(now, s)
 }
 
 type candidate struct {
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -1,13 +1,18 @@
 package dispatch
 
+import "time"
+
 // Evacuate takes which availability zones get no new work. Requests under way there end as
 // usual; everything that is chosen from now on is chosen among the other zones.
-func (f *Fleet) Evacuate(zones []string) {
+func (f *Fleet) Evacuate(now time.Time, zones []string) {
 	f.evacuated = map[string]bool{}
 	for _, zone := range zones {
 		f.evacuated[zone] = true
 	}
 	for _, s := range f.servers {
+		if s.evacuated && !f.evacuated[s.Zone] {
+			s.cold.unsure = now
+		}
 		s.evacuated = f.evacuated[s.Zone]
 	}
 	f.groups = nil
--- a/dispatch/kept.go
+++ b/dispatch/kept.go
@@ -78,7 +78,7 @@
 func (f *Fleet) Usable(now time.Time, service string) []*Server {
 	var out []*Server
 	for _, s := range f.servers {
-		if s.Service == service && s.open(now, nil) {
+		if s.Service == service && f.open(now, s, nil) {
 			out = append(out, s)
 		}
 	}
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -44,7 +44,8 @@
 	if s == nil {
 		s = &Server{Server: r, heardAt: heard, rank: f.rank(r.ID), Others: f.Others.Loads[r.ID], OthersSeen: f.Others.Seen[r.ID]}
 		s.gone = r.State == registry.Gone
-		s.evacuated = f.evacuated[r.Zone]
+		s.evacuated, s.region = f.evacuated[r.Zone], f.regions[r.Zone]
+		s.heardCold(heard, r.Cold)
 		f.servers[r.ID] = s
 		f.retire(s)
 		f.groups = nil
@@ -68,7 +69,8 @@
 	if s.State != r.State || s.Role != r.Role || s.Service != r.Service || s.Zone != r.Zone {
 		f.groups = nil
 	}
-	s.Server, s.evacuated = r, f.evacuated[r.Zone]
+	s.Server, s.evacuated, s.region = r, f.evacuated[r.Zone], f.regions[r.Zone]
+	s.heardCold(heard, r.Cold)
 }
 
 // Ended tells whether a start has been replaced by a later one of its server.
--- a/dispatch/migrate.go
+++ b/dispatch/migrate.go
@@ -71,10 +71,10 @@
 	if s == nil {
 		return nil
 	}
-	rest := Work{Service: w.Service, Prompt: w.held(), Expected: max(w.Expected-w.Made, 0)}
+	rest := Work{Service: w.Service, Regions: w.Regions, Prompt: w.held(), Expected: max(w.Expected-w.Made, 0)}
 	var near, far []*Server
 	f.search(now, w.Service, registry.Decode, func(to *Server) bool {
-		if to.ID == from || !to.open(now, nil) || !f.fits(to, rest, e) || !f.roomNow(to, rest, e, roomMark) {
+		if to.ID == from || !f.mayTake(now, to, rest, nil) || !f.fits(to, rest, e) || !f.roomNow(to, rest, e, roomMark) {
 			return false
 		}
 		if to.Zone == s.Zone {
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -66,6 +66,10 @@
 		q.list = slices.Delete(q.list, at, at+1)
 		f.Reserve(p.Decode.ID, w.Work)
 		f.StartRead(p.Reader().ID, w.Work)
+		f.Sent(now, p.Decode.ID)
+		if p.Prefill != nil {
+			f.Sent(now, p.Prefill.ID)
+		}
 		placed(w, p)
 	}
 }
--- a/dispatch/read.go
+++ b/dispatch/read.go
@@ -60,14 +60,14 @@
 	decode := map[string]candidate{}
 	var alone candidate
 	f.searchKept(now, w, registry.Prefill, func(s *Server) bool {
-		if !s.open(now, avoid) {
+		if !f.mayTake(now, s, w, avoid) {
 			return false
 		}
 		keepBest(prefill, s, f.readCost(now, s, w))
 		return true
 	})
 	f.searchKept(now, w, registry.Decode, func(s *Server) bool {
-		if !s.open(now, avoid) || !f.fits(s, w, e) || !f.turn(now, s, w, e) {
+		if !f.mayTake(now, s, w, avoid) || !f.fits(s, w, e) || !f.turn(now, s, w, e) {
 			return false
 		}
 		cost := f.decodeCost(s, e)
@@ -144,7 +144,7 @@
 func (f *Fleet) leastRead(now time.Time, w Work) time.Duration {
 	least := math.Inf(1)
 	f.visit(f.group(now, w.Service, registry.Prefill), mostChoices, func(s *Server) {
-		if s.open(now, nil) {
+		if f.mayTake(now, s, w, nil) {
 			least = min(least, f.readTime(now, s, w))
 		}
 	})
--- a/dispatch/ruled.go
+++ b/dispatch/ruled.go
@@ -18,6 +18,10 @@
 	RuleEvacuated Rule = "zone evacuated"
 	// RuleLeaving: it takes no new work, or changes its role.
 	RuleLeaving Rule = "leaving"
+	// RuleRegion: it is in a region in which the request may not be served.
+	RuleRegion Rule = "region"
+	// RuleCold: it has just started, and bears no more requests than others send it.
+	RuleCold Rule = "cold"
 	// RuleBlocked: it failed lately and is left alone.
 	RuleBlocked Rule = "blocked"
 	// RuleSlots: as many requests run there as it has slots.
@@ -62,11 +66,11 @@
 		out.Count[f.rule(now, s, w, e)]++
 	})
 	for _, s := range f.servers {
-		if s.evacuated && s.Service == w.Service && s.Role == registry.Decode {
+		if s.evacuated && s.Service == w.Service && s.Role == registry.Decode && w.permits(s) {
 			out.Count[RuleEvacuated]++
 		}
 	}
-	for _, r := range []Rule{RuleEvacuated, RuleLeaving, RuleBlocked, RuleSlots, RuleMemoryNow, RuleMemory, RuleTurn, RuleLateRead} {
+	for _, r := range []Rule{RuleRegion, RuleEvacuated, RuleLeaving, RuleCold, RuleBlocked, RuleSlots, RuleMemoryNow, RuleMemory, RuleTurn, RuleLateRead} {
 		if out.Count[r] > 0 {
 			out.Rule = r
 		}
@@ -78,10 +82,14 @@
 // gateway's turn, can only be out of reach for a prompt that is read too late.
 func (f *Fleet) rule(now time.Time, s *Server, w Work, e *route.Engine) Rule {
 	switch {
+	case !w.permits(s):
+		return RuleRegion
 	case !s.listed(now):
 		return RuleLeaving
 	case s.blocked(now):
 		return RuleBlocked
+	case !f.bears(now, s):
+		return RuleCold
 	}
 	if lacks := f.lacks(s, w, e); lacks != "" {
 		return lacks
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -230,6 +230,9 @@
 	ZoneEvacuated = define("LP6019", info, "evacuation of an availability zone",
 		"An operator's order is in force here: the servers of the zone get no new work, or may get it again if finished is true. Requests under way there end as usual.",
 		"Once the zone's requests have ended, ledgepin dump at its gateways shows none open; then it may be switched off.")
+	TableReadAnew = define("LP6021", warn, "document of a table not readable",
+		"The replica can't read the document that the newest table was made from, as when a newer build has taken it. Gateways get what the log has of it: regions and cold servers may be missing.",
+		"Run the newer build here too.")
 	StoodStill = define("LP6020", warn, "the process stood still",
 		"The process did nothing for ms milliseconds, as when its VM is suspended. It opens its links to control anew, and new requests wait for a moment until it has heard the newest settings and evacuations.",
 		"Look at the VM if it was not suspended on purpose.")
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return result{kind: broken, err: err}, nil
 	}
-	return result{kind: answered, status: a.Status}, body
+	return result{kind: answered, status: a.Status, header: a.Header}, body
 }
 
 // giveBackTime is how long an engine may take to free what nobody uses.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -30,11 +30,13 @@
 	told chan struct{}
 }
 
-func newFleet(c *clock.Clock, name, zone string, bounds dispatch.Budget) *fleet {
+func newFleet(c *clock.Clock, name, zone string, regions map[string]string, bounds dispatch.Budget) *fleet {
 	if bounds.Since.IsZero() {
 		bounds.Since = c.Now()
 	}
-	return &fleet{clock: c, view: dispatch.NewFleet(name, zone), bounds: bounds, budgets: map[string]*dispatch.Budget{}, runTimes: map[string]dispatch.RunTimes{}, placed: map[*dispatch.Waiting]chan dispatch.Pair{}}
+	view := dispatch.NewFleet(name, zone)
+	view.SetRegions(regions)
+	return &fleet{clock: c, view: view, bounds: bounds, budgets: map[string]*dispatch.Budget{}, runTimes: map[string]dispatch.RunTimes{}, placed: map[*dispatch.Waiting]chan dispatch.Pair{}}
 }
 
 // budget returns the retry budget of a service. Callers hold the lock.
@@ -108,7 +110,7 @@
 func (f *fleet) evacuate(zones []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view.Evacuate(zones)
+	f.view.Evacuate(f.clock.Now(), zones)
 	f.serve()
 }
 
@@ -157,14 +159,15 @@
 }
 
 // plain chooses a server of a plain service and counts the request there.
-func (f *fleet) plain(service string, avoid dispatch.Avoid) (dispatch.Server, bool) {
+func (f *fleet) plain(w dispatch.Work, avoid dispatch.Avoid) (dispatch.Server, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.view.Plain(f.clock.Now(), service, avoid)
+	s := f.view.Plain(f.clock.Now(), w, avoid)
 	if s == nil {
 		return dispatch.Server{}, false
 	}
 	s.Open++
+	f.view.Sent(f.clock.Now(), s.ID)
 	return *s, true
 }
 
@@ -293,10 +296,47 @@
 		return dispatch.Server{}, false
 	}
 	f.view.Reserve(s.ID, w)
+	f.view.Sent(f.clock.Now(), s.ID)
 	f.telling.changed = true
 	return *s, true
 }
 
+// lease takes which cold servers this gateway may send requests to.
+func (f *fleet) lease(list []wire.ColdLease) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, l := range list {
+		f.view.Lease(f.clock.Now(), l.Server, l.Most, l.For)
+	}
+	f.serve()
+}
+
+// setCold takes what the services of a table say of their cold servers.
+func (f *fleet) setCold(services []route.Service) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[string]dispatch.ColdServers{}
+	for _, s := range services {
+		out[s.Name] = dispatch.ColdServers{Bounded: s.ColdRate > 0, For: s.ColdStart}
+	}
+	f.view.SetCold(out)
+}
+
+// isCold tells whether a server bears fewer requests than usual now.
+func (f *fleet) isCold(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.view.Get(id)
+	return s != nil && f.view.IsCold(f.clock.Now(), s)
+}
+
+// noteCold takes how long a server is cold, by its own word.
+func (f *fleet) noteCold(id string, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.NoteCold(f.clock.Now(), id, d)
+}
+
 // noteRun takes how long a request took, how long it took from room to its first event,
 // and how long the tokens of its answer.
 func (f *fleet) noteRun(service string, whole, first, answer time.Duration, tokens int) {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -59,7 +59,7 @@
 				g.noServer(w, q)
 				return
 			}
-		} else if s, ok = g.fleet.plain(q.service.Name, q.tried); !ok {
+		} else if s, ok = g.nextServer(q); !ok {
 			break
 		}
 		started := g.clock.Now()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,8 @@
 // Config is what a gateway needs to know of itself.
 type Config struct {
 	Name, Zone string
+	// Zones are the availability zones of the deployment with the region of each.
+	Zones map[string]string
 	// Seeds are link addresses of some control replicas.
 	Seeds []string
 	Token string
@@ -88,7 +90,7 @@
 	log := cfg.Log.With("role", "gateway", "name", cfg.Name)
 	g := &Gateway{
 		cfg: cfg, clock: cfg.Clock, log: log, ctx: ctx, cancel: cancel,
-		private: cfg.Protocol.Headers.Private(), forServers: canonical(cfg.Protocol.Headers.ForServers()), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Clock, cfg.Name, cfg.Zone, cfg.Retry), kept: map[string]*keptPrompts{}, keptWait: keptTimeout,
+		private: cfg.Protocol.Headers.Private(), forServers: canonical(cfg.Protocol.Headers.ForServers()), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Clock, cfg.Name, cfg.Zone, cfg.Zones, cfg.Retry), kept: map[string]*keptPrompts{}, keptWait: keptTimeout,
 		limits: newLimits(cfg.Clock, cfg.Quota), contents: newContents(cfg.Clock, log), lookWait: lookWait,
 	}
 	g.links = newLinks(g)
@@ -116,6 +118,7 @@
 				close(g.tabled)
 			}
 			g.limits.setTable(&g.table)
+			g.fleet.setCold(g.table.Load().Services)
 			event.SettingsInForce.Log(g.log, "version", t.Version, "routes", len(t.Routes))
 			return
 		}
@@ -165,7 +168,7 @@
 func (g *Gateway) firstServer(ctx context.Context, q *request) (dispatch.Server, bool) {
 	var over <-chan time.Time
 	for {
-		if s, ok := g.fleet.plain(q.service.Name, q.tried); ok {
+		if s, ok := g.fleet.plain(q.work, q.tried); ok {
 			return s, true
 		}
 		if over == nil {
@@ -181,7 +184,7 @@
 			over = t.C
 		}
 		news := g.fleet.news()
-		if s, ok := g.fleet.plain(q.service.Name, q.tried); ok { // told just before
+		if s, ok := g.fleet.plain(q.work, q.tried); ok { // told just before
 			return s, true
 		}
 		select {
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -69,7 +69,7 @@
 		if n.stream.started {
 			event.StreamGoesOn.Log(g.log, "id", q.id, "last", n.stream.order.Last(), "resumed", q.resumed, "moved", n.mover.count, "error", last.err)
 		}
-		if !n.place(ctx) {
+		if round > 0 && !g.keepToRegions(q) || !n.place(ctx) {
 			if round == 0 {
 				last = result{kind: notRun}
 			}
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -28,6 +28,9 @@
 		return true
 	}
 	s := n.pair.Decode
+	if n.g.fleet.isCold(s.ID) {
+		return true // it bears few calls, and has room
+	}
 	hctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
 	started := n.g.clock.Now()
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -151,6 +151,8 @@
 			l.g.restarted(s)
 		}
 		l.g.fleet.away(m.Servers.Away)
+	case m.Cold != nil:
+		l.g.fleet.lease(m.Cold)
 	case m.Evacuated != nil:
 		l.g.takeEvacuated(m.Evacuated)
 	case m.Routes != nil:
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -98,6 +98,9 @@
 	if n.q.work.Expected-n.q.work.Made < leastRest*engine.EventTokens {
 		return
 	}
+	if !n.g.keepToRegions(n.q) {
+		return
+	}
 	to, ok := n.g.fleet.migrationTarget(n.booked, n.q.work, engine)
 	if !ok {
 		return
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -18,6 +18,7 @@
 // request is one request of a caller on its way.
 type request struct {
 	id      string
+	path    string
 	route   *route.Route
 	service *route.Service
 	// organisation is whose request it is; nil where no key is wanted.
@@ -97,7 +98,7 @@
 // read finds the route of a request and takes its body.
 func (g *Gateway) read(table *route.Table, r *http.Request) (*request, *refusal) {
 	h := &g.cfg.Protocol.Headers
-	q := &request{id: r.Header.Get(h.RequestID), chunks: r.ProtoAtLeast(1, 1), clock: g.clock, arrived: g.clock.Now(), tried: dispatch.Avoid{}}
+	q := &request{id: r.Header.Get(h.RequestID), path: r.URL.Path, chunks: r.ProtoAtLeast(1, 1), clock: g.clock, arrived: g.clock.Now(), tried: dispatch.Avoid{}}
 	q.route = table.Lookup(r.Host, r.URL.Path)
 	if q.route == nil {
 		return q, &refusal{status: http.StatusNotFound, reason: "no route"}
@@ -110,6 +111,10 @@
 		return q, &notReady
 	}
 	prompt, most := tokensOf(r.Header.Get(h.Tokens))
+	regions, ok := q.route.RegionsFor(q.organisation)
+	if !ok {
+		return q, &refusal{route: q.route.Name, status: http.StatusForbidden, reason: "no region is allowed to both the route and the organisation"}
+	}
 	if ref := g.charge(q, prompt+most); ref != nil {
 		return q, ref
 	}
@@ -124,8 +129,10 @@
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: g.forwarded(r.Header), Body: body, ID: q.id,
 	}
 	g.name(table, q)
+	q.work = dispatch.Work{Service: q.service.Name, Regions: regions}
 	if q.service.Engine != nil {
 		q.work = workOf(h, r.Header, q.service)
+		q.work.Regions = regions
 		q.resumed = r.Header.Get(h.LastEventID) != ""
 		if parse := g.cfg.Protocol.ParseParts; parse != nil {
 			q.parts = parse(r.Header.Get(h.PromptParts))
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -87,15 +87,32 @@
 
 // same tells whether two reports differ only in their number.
 func same(a, b Server) bool {
-	a.Sequence, a.Age = b.Sequence, b.Age
+	a.Sequence, a.Age, a.Cold = b.Sequence, b.Age, b.Cold
 	return a == b
 }
 
 type entry struct {
 	server  Server
 	heardAt time.Time
+	// coldUntil is when it is warm, by its newest report.
+	coldUntil time.Time
 }
 
+// coldNews is the difference from which on another end of a cold span is news: reports come
+// some tenths of a second late.
+const coldNews = 400 * time.Millisecond
+
+// newlyCold tells whether a server is cold until another time than was known.
+func (e *entry) newlyCold(now, until time.Time) bool {
+	if !e.coldUntil.After(now) && !until.After(now) {
+		return false
+	}
+	return until.Sub(e.coldUntil).Abs() >= coldNews
+}
+
+// coldFor returns how much longer a server is cold, from a time on.
+func (e *entry) coldFor(from time.Time) time.Duration { return max(e.coldUntil.Sub(from), 0) }
+
 // Registry is the set of known servers. It is not safe for concurrent use.
 type Registry struct {
 	servers map[string]*entry
@@ -166,10 +183,11 @@
 // take puts a report in the place of the one before.
 func (r *Registry) take(now time.Time, s Server) (News, bool) {
 	heard := now.Add(-s.Age)
-	s.Age = 0
+	coldUntil := heard.Add(s.Cold)
+	s.Age, s.Cold = 0, max(coldUntil.Sub(now), 0)
 	old := r.servers[s.ID]
 	if old == nil {
-		r.servers[s.ID] = &entry{server: s, heardAt: heard}
+		r.servers[s.ID] = &entry{server: s, heardAt: heard, coldUntil: coldUntil}
 		return News{Server: s}, true
 	}
 	if heard.After(old.heardAt) {
@@ -182,7 +200,11 @@
 		s = old.server
 		s.State = Gone
 	}
-	if same(old.server, s) {
+	cold := s.State == Ready && old.newlyCold(now, coldUntil)
+	if s.State == Ready {
+		old.coldUntil = coldUntil
+	}
+	if same(old.server, s) && !cold {
 		old.server = s
 		return News{}, false
 	}
@@ -246,7 +268,7 @@
 	out := make([]Server, 0, len(r.servers))
 	for _, e := range r.servers {
 		s := e.server
-		s.Age = now.Sub(e.heardAt)
+		s.Age, s.Cold = now.Sub(e.heardAt), e.coldFor(e.heardAt)
 		out = append(out, s)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
--- a/route/organisation.go
+++ b/route/organisation.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"fmt"
 	"math"
+	"slices"
 
 	"github.com/ledgepin/ledgepin/quota"
 )
@@ -66,6 +67,25 @@
 	return *o.Priority
 }
 
+// RegionsFor returns those in which a request of an organisation on a route may be served and kept:
+// where both name some, those that both name. Empty stands for all; false tells that there is
+// none.
+func (r *Route) RegionsFor(o *Organisation) ([]string, bool) {
+	if o == nil || len(o.Regions) == 0 {
+		return r.Regions, true
+	}
+	if len(r.Regions) == 0 {
+		return o.Regions, true
+	}
+	var both []string
+	for _, region := range r.Regions {
+		if slices.Contains(o.Regions, region) {
+			both = append(both, region)
+		}
+	}
+	return both, len(both) > 0
+}
+
 func (o *Organisation) check() error {
 	if o.Unit != Requests && o.Unit != Tokens {
 		return fmt.Errorf("unknown unit %q", o.Unit)
@@ -112,6 +132,16 @@
 // Holder returns the organisation that holds a key, or nil.
 func (t *Table) Holder(key string) *Organisation { return t.holders[DigestOf(key)] }
 
+// Organisation returns an organisation by name, or nil.
+func (t *Table) Organisation(name string) *Organisation {
+	for i := range t.Organisations {
+		if t.Organisations[i].Name == name {
+			return &t.Organisations[i]
+		}
+	}
+	return nil
+}
+
 // Quotas returns the limits of the organisations that have one, by name.
 func (t *Table) Quotas() map[string]quota.Limit {
 	out := map[string]quota.Limit{}
--- a/route/route.go
+++ b/route/route.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -71,6 +72,8 @@
 	// ColdRate is how many requests a second a server bears while it is cold, as after its
 	// start; zero if it makes no difference.
 	ColdRate float64 `cbor:"5,keyasint,omitempty" json:"cold_rate,omitempty"`
+	// ColdStart is how long a server is cold that has just started.
+	ColdStart time.Duration `cbor:"6,keyasint,omitempty" json:"cold_start,omitempty"`
 }
 
 // Engine tells what the model engines of a service can do.
@@ -135,6 +138,9 @@
 			return fmt.Errorf("services[%d]: the name %q is empty or stands twice", i, s.Name)
 		}
 		known[s.Name] = true
+		if s.ColdRate < 0 || s.ColdStart < 0 {
+			return fmt.Errorf("services[%d] (%s): want a rate and a time of cold servers of 0 or more", i, s.Name)
+		}
 	}
 	places := map[string]int{}
 	for i := range t.Routes {
@@ -216,6 +222,22 @@
 	return nil
 }
 
+// Kept returns the table as the log keeps it: without what builds of the base version do not
+// read. That stands in Source.
+func (t *Table) Kept() *Table {
+	out := Table{Version: t.Version, Limits: t.Limits, Source: t.Source, Keyed: t.Keyed, Routes: slices.Clone(t.Routes), Services: slices.Clone(t.Services), Organisations: slices.Clone(t.Organisations)}
+	for i := range out.Routes {
+		out.Routes[i].Regions = nil
+	}
+	for i := range out.Services {
+		out.Services[i].ColdRate, out.Services[i].ColdStart = 0, 0
+	}
+	for i := range out.Organisations {
+		out.Organisations[i].Regions = nil
+	}
+	return &out
+}
+
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- /dev/null
+++ b/warmup/lease.go
@@ -0,0 +1,35 @@
+package warmup
+
+import (
+	"slices"
+	"time"
+)
+
+// Lease is what a gateway may send to one cold server. The zero lease allows nothing.
+type Lease struct {
+	most  int
+	until time.Time
+	sent  []time.Time
+}
+
+// Renew takes a lease that has just come.
+func (l *Lease) Renew(now time.Time, most int, d time.Duration) {
+	l.most, l.until = most, now.Add(min(d, LeaseFor))
+}
+
+// Allows tells whether one more request may be sent now.
+func (l *Lease) Allows(now time.Time) bool {
+	return now.Before(l.until) && l.recent(now) < l.most
+}
+
+// Sent counts a request.
+func (l *Lease) Sent(now time.Time) {
+	l.recent(now)
+	l.sent = append(l.sent, now)
+}
+
+// recent returns how many requests were sent in the last second, and forgets the others.
+func (l *Lease) recent(now time.Time) int {
+	l.sent = slices.DeleteFunc(l.sent, func(at time.Time) bool { return now.Sub(at) >= time.Second })
+	return len(l.sent)
+}
--- /dev/null
+++ b/warmup/sim_test.go
@@ -0,0 +1,224 @@
+package warmup_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/internal/mix"
+	"github.com/ledgepin/ledgepin/warmup"
+)
+
+// The simulated fleet: a cold server that is the emptiest of all, so that each gateway would send
+// it all of its requests, replicas and gateways that end and start again, gateways that move to
+// another replica, and words that are held up on their way.
+type sim struct {
+	rng       *rand.Rand
+	now       time.Time
+	gateways  []*simGateway
+	brokers   []*warmup.Broker
+	bounds    warmup.Bounds
+	rate      float64
+	perSecond float64 // requests of one gateway
+	// hash has gateways choose for themselves whether they may send, the way that was weighed
+	// against leases: some of them by their name.
+	hash bool
+	// known is how many gateways the others know of, which after the end of all starts anew.
+	known     int
+	sent      []time.Time
+	most      int
+	total     int
+	words     []word
+	lastLends time.Time
+	server    string
+}
+
+type simGateway struct {
+	name    string
+	starts  int // a start knows nothing of what the one before has sent
+	replica int
+	lease   warmup.Lease
+	upAt    time.Time
+}
+
+type word struct {
+	at      time.Time
+	gateway int
+	most    int
+}
+
+const (
+	simStep    = 10 * time.Millisecond
+	lendEvery  = 100 * time.Millisecond
+	hashOwners = 4.0 // on average, of the way that was weighed against leases
+)
+
+func newSim(seed uint64, gateways, replicas int, hash bool) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), hash: hash, known: gateways, server: fmt.Sprint("server-", seed),
+		bounds: warmup.Bounds{Overshoot: 1.5, Slack: 5}, rate: 7.3, perSecond: 30 / float64(gateways) * 4,
+	}
+	for range replicas {
+		s.brokers = append(s.brokers, warmup.NewBroker(s.now))
+	}
+	for i := range gateways {
+		s.gateways = append(s.gateways, &simGateway{name: fmt.Sprint("g", i), replica: s.rng.IntN(replicas), upAt: s.now})
+	}
+	return s
+}
+
+// faults ends processes and moves gateways, each now and then.
+func (s *sim) faults() {
+	chance := func(each time.Duration) bool { return s.rng.Float64() < float64(simStep)/float64(each) }
+	for i := range s.brokers {
+		if chance(8 * time.Second) {
+			s.brokers[i] = warmup.NewBroker(s.now)
+		}
+	}
+	for _, g := range s.gateways {
+		if chance(10 * time.Second) {
+			g.replica = s.rng.IntN(len(s.brokers))
+		}
+		if chance(20 * time.Second) {
+			g.starts, g.lease, g.upAt = g.starts+1, warmup.Lease{}, s.now.Add(300*time.Millisecond)
+		}
+	}
+	if chance(20 * time.Second) { // all end at once
+		s.known = 3
+		for i := range s.brokers {
+			s.brokers[i] = warmup.NewBroker(s.now)
+		}
+		for _, g := range s.gateways {
+			g.starts, g.lease, g.upAt = g.starts+1, warmup.Lease{}, s.now.Add(time.Duration(s.rng.Int64N(int64(300*time.Millisecond))))
+		}
+	}
+	s.known = min(s.known+1, len(s.gateways)) // they find each other again
+}
+
+func (s *sim) lend() {
+	if s.now.Sub(s.lastLends) < lendEvery {
+		return
+	}
+	s.lastLends = s.now
+	for i, b := range s.brokers {
+		var here []string
+		index := map[string]int{}
+		for n, g := range s.gateways {
+			if g.replica == i && !s.now.Before(g.upAt) {
+				link := fmt.Sprint(g.name, ".", g.starts)
+				here, index[link] = append(here, link), n
+			}
+		}
+		for _, grant := range b.Lend(s.now, []warmup.Cold{{Server: "s", Gateways: here}}) {
+			delay := time.Duration(s.rng.Int64N(int64(5 * time.Millisecond)))
+			if s.rng.IntN(20) == 0 {
+				delay = 200 * time.Millisecond // a packet was lost
+			}
+			s.words = append(s.words, word{s.now.Add(delay), index[grant.Gateway], s.bounds.Share(s.rate, len(s.brokers), i)})
+		}
+	}
+}
+
+func (s *sim) hear() {
+	var later []word
+	for _, w := range s.words {
+		if s.now.Before(w.at) {
+			later = append(later, w)
+			continue
+		}
+		s.gateways[w.gateway].lease.Renew(s.now, w.most, warmup.LeaseFor)
+	}
+	s.words = later
+}
+
+// owns tells whether a gateway may send by the way that was weighed against leases: by a number
+// of its own, so that hashOwners of those that it knows of do, once a second.
+func (s *sim) owns(g *simGateway) bool {
+	draw := float64(mix.Pair(mix.Name(g.name), mix.Name(s.server))) / math.MaxUint64
+	return draw < hashOwners/float64(s.known)
+}
+
+func (s *sim) step() {
+	s.now = s.now.Add(simStep)
+	s.faults()
+	s.lend()
+	s.hear()
+	for _, g := range s.gateways {
+		if s.now.Before(g.upAt) || s.rng.Float64() >= s.perSecond*simStep.Seconds() {
+			continue
+		}
+		if s.hash && s.owns(g) {
+			g.lease.Renew(s.now, 1, simStep)
+		}
+		if g.lease.Allows(s.now) {
+			g.lease.Sent(s.now)
+			s.sent = append(s.sent, s.now)
+			s.total++
+		}
+	}
+	for len(s.sent) > 0 && s.now.Sub(s.sent[0]) >= time.Second {
+		s.sent = s.sent[1:]
+	}
+	s.most = max(s.most, len(s.sent))
+}
+
+// TestLeasesStayWithinTheBound ends and moves everything again and again, and wants the sum of
+// what all gateways send in a second to stay within the part of the bound that leases may give.
+func TestLeasesStayWithinTheBound(t *testing.T) {
+	for _, gateways := range []int{4, 21, 103, 608} {
+		for _, replicas := range []int{1, 3, 5, 10} {
+			s := newSim(uint64(gateways*100+replicas), gateways, replicas, false)
+			bound := (s.rate*s.bounds.Overshoot + s.bounds.Slack) / 2
+			for range int(2 * time.Minute / simStep) {
+				s.step()
+			}
+			t.Logf("%3d gateways, %2d replicas: at most %d in a second, %.1f on average", gateways, replicas, s.most, float64(s.total)/120)
+			assert.Assert(t, float64(s.most) <= bound, "%d gateways, %d replicas: %d", gateways, replicas, s.most)
+			assert.Assert(t, s.total > 0)
+		}
+	}
+}
+
+// TestChoiceByNameExceedsTheBound shows why there are leases: gateways that choose for themselves
+// by name are too many at some server sooner or later, the more so after all have ended and do
+// not know how many they are.
+func TestChoiceByNameExceedsTheBound(t *testing.T) {
+	worst := 0
+	for _, gateways := range []int{4, 21, 103, 608} {
+		most, total := 0, 0
+		for server := range uint64(30) {
+			s := newSim(server, gateways, 5, true)
+			for range int(20 * time.Second / simStep) {
+				s.step()
+			}
+			most, total = max(most, s.most), total+s.total
+		}
+		t.Logf("%3d gateways: at most %d in a second, %.1f on average", gateways, most, float64(total)/600)
+		worst = max(worst, most)
+	}
+	assert.Assert(t, float64(worst) > (7.3*1.5+5)/2, "%d", worst)
+}
+
+// TestShares wants the parts of all replicas together to be within the bound, whatever it is, and
+// as much of it to be used as whole requests allow.
+func TestShares(t *testing.T) {
+	for _, rate := range []float64{0.1, 1, 2.5, 7.3, 40, 1000} {
+		for _, replicas := range []int{1, 3, 5, 10, 40} {
+			b := warmup.Bounds{Overshoot: 1.5, Slack: 5}
+			sum := 0
+			for i := range replicas {
+				sum += b.Share(rate, replicas, i)
+			}
+			half := (rate*b.Overshoot + b.Slack) / 2
+			assert.Assert(t, float64(sum) <= half)
+			assert.Assert(t, sum >= min(int(half), replicas) && sum > 0, "%v, %d replicas: %d", rate, replicas, sum)
+			assert.Equal(t, b.Share(rate, replicas, -1), 0)
+			assert.Equal(t, b.Share(rate, replicas, replicas), 0)
+		}
+	}
+	assert.Equal(t, warmup.Bounds{}.Share(1, 3, 0), 0)
+}
