--- a/backend/pool.go
+++ b/backend/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/clock"
+	"github.com/ledgepin/ledgepin/metric"
 )
 
 // Pool keeps the connections of one gateway, by server address.
@@ -29,6 +30,34 @@
 // may have.
 var ErrFull = errors.New("backend: all connections to the server are in use")
 
+// Causes of new connections.
+const (
+	// causeOnce: the request may run once, and a kept connection may break in a way that
+	// leaves it open whether it has.
+	causeOnce = "once"
+	// causeNoID: the call has no ID, so it has a connection to itself.
+	causeNoID = "no_id"
+	// causeSameID: each idle connection has carried a request with the same ID.
+	causeSameID = "same_id"
+	// causeNoneIdle: no connection was idle.
+	causeNoneIdle = "none_idle"
+)
+
+// cause returns why a request gets no kept connection.
+func (p *Pool) cause(r *Request) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case r.Fresh:
+		return causeOnce
+	case r.alone():
+		return causeNoID
+	case len(p.idle[r.Address]) > 0:
+		return causeSameID
+	}
+	return causeNoneIdle
+}
+
 // get returns an idle connection that may carry a request, or opens one.
 func (p *Pool) get(ctx context.Context, r *Request) (*conn, error) {
 	if !r.Fresh {
@@ -36,6 +65,7 @@
 			return c, nil
 		}
 	}
+	cause := p.cause(r)
 	if !p.mayOpen(r) {
 		if c := p.takeIdle(r); c != nil {
 			return c, nil
@@ -47,6 +77,7 @@
 		p.forget(r.Address)
 		return nil, err
 	}
+	metric.Connections.WithLabelValues(cause).Inc()
 	if r.Fresh && !c.taken() {
 		p.drop(r.Address, c)
 		return nil, errNotTaken
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -49,6 +49,8 @@
 
 // The metrics.
 var (
+	Connections = counter("ledgepin_server_connections_total",
+		"Connections that were opened to backend servers, by cause: once (a request that may run once), no_id (a call without an ID), same_id (the idle ones have carried the ID), none_idle.", "cause")
 	Evacuated = gauge("ledgepin_evacuated_zones", "Availability zones whose servers get no new work.", "name")
 	Requests  = counter("ledgepin_requests_total",
 		"Requests by class and outcome: met (whole answer within both targets), late, or the code of the error.", "class", "outcome")
