--- a/backend/conn.go
+++ b/backend/conn.go
@@ -47,6 +47,9 @@
 	carried []string
 	// single tells that the connection is not kept.
 	single bool
+	// called tells that it has carried a call without an ID, whose late second answer names
+	// nothing either. Only requests with IDs follow, so that it can be told and passed over.
+	called bool
 }
 
 // maxCarried bounds the IDs that a connection remembers; after as many requests another
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -22,8 +22,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// ID is the request ID that the answer carries back. A call without one has a
-	// connection to itself.
+	// ID is the request ID that the answer carries back. A call without one is the first on
+	// its connection, and the only one of its kind.
 	ID string
 	// MaxConnections bounds the connections of this pool to the server.
 	MaxConnections int
@@ -34,9 +34,9 @@
 	Fresh bool
 }
 
-// alone tells that a request has a connection to itself: an answer to a call without an ID
-// names nothing, and one to another request would be read by the rules of a HEAD, whose
-// answers have no body.
+// alone tells that a request has no connection that was used before: an answer to a call
+// without an ID names nothing, and one to another request would be read by the rules of a HEAD,
+// whose answers have no body.
 func (r *Request) alone() bool { return r.ID == "" || r.Method == http.MethodHead }
 
 // Error is a request that got no answer.
@@ -133,7 +133,7 @@
 
 func (a *Answer) exchange(headers *Headers) (*http.Response, error) {
 	head := a.request.head()
-	a.conn.single = a.request.alone()
+	a.conn.single = a.request.Method == http.MethodHead
 	if len(a.request.Body) <= smallBody {
 		close(a.written)
 		if _, err := a.conn.Write(append(head, a.request.Body...)); err != nil {
@@ -169,16 +169,25 @@
 		}
 		id := resp.Header.Get(headers.RequestID)
 		switch {
-		case len(a.conn.carried) == 1 && (id == "" || a.request.ID == ""):
+		case len(a.conn.carried) == 1 && a.request.ID == "":
+			// What comes next must be told from its late second answer.
+			a.conn.called = true
+			a.conn.single = a.conn.single || id != "" || !a.pool.names(a.request.Server)
+			return resp, nil
+		case len(a.conn.carried) == 1 && id == "":
 			// Its late second answer could not be told from that to what comes next.
 			a.conn.single = true
 			return resp, nil
+		case id == "" && a.conn.called:
+			// The server names what it answers, but for the call.
+			a.conn.called = false
 		case id == "":
 			// All earlier answers on this connection named their requests. Whose this is
 			// can't be told: a "not run" that was another's had a request run twice.
 			return nil, errNameless
 		}
-		if id == a.request.ID {
+		if id != "" && id == a.request.ID {
+			a.pool.named(a.request.Server)
 			return resp, nil
 		}
 		a.conn.single = true // out of step
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -17,13 +17,18 @@
 	idle map[string][]*conn
 	open map[string]int
 	// busy are the connections with a request, by the start of their server.
-	busy   map[string]map[*conn]bool
+	busy map[string]map[*conn]bool
+	// naming is when each start of a server has given an ID back last.
+	naming map[string]time.Time
 	closed bool
+	// OnConnect, if set, is told how long the opening of a connection to a start of a server
+	// took.
+	OnConnect func(server string, took time.Duration)
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{idle: map[string][]*conn{}, open: map[string]int{}, busy: map[string]map[*conn]bool{}}
+	return &Pool{idle: map[string][]*conn{}, open: map[string]int{}, busy: map[string]map[*conn]bool{}, naming: map[string]time.Time{}}
 }
 
 // ErrFull tells that the gateway has as many connections to the server as it
@@ -72,11 +77,15 @@
 		}
 		return nil, ErrFull
 	}
+	started := clock.VM.Now()
 	c, err := dial(ctx, r.Address)
 	if err != nil {
 		p.forget(r.Address)
 		return nil, err
 	}
+	if p.OnConnect != nil {
+		p.OnConnect(r.Server, clock.VM.Now().Sub(started))
+	}
 	metric.Connections.WithLabelValues(cause).Inc()
 	if r.Fresh && !c.taken() {
 		p.drop(r.Address, c)
@@ -107,6 +116,26 @@
 // sent, as it does when it has too many.
 var errNotTaken = errors.New("backend: the server closed the new connection")
 
+// namingFor is how long it counts that a server has given an ID back.
+const namingFor = 10 * time.Minute
+
+// named notes that a start of a server has given an ID back, names tells whether it has.
+func (p *Pool) named(server string) {
+	if server == "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.naming[server] = clock.VM.Now()
+}
+
+func (p *Pool) names(server string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, ok := p.naming[server]
+	return ok && clock.VM.Now().Sub(at) < namingFor
+}
+
 // Reach opens a connection to a server and closes it again, which tells whether the server
 // is there.
 func Reach(ctx context.Context, address string) error {
@@ -178,6 +207,11 @@
 // Sweep closes idle connections whose time is over.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
+	for server, at := range p.naming {
+		if now.Sub(at) >= namingFor {
+			delete(p.naming, server)
+		}
+	}
 	var old []*conn
 	var from []string
 	for address, list := range p.idle {
