--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -96,8 +96,9 @@
 	hidden map[group]int
 	// Zone is the gateway's own availability zone.
 	Zone string
-	// regions are those of the availability zones.
+	// regions are those of the availability zones, and trips the times of a round trip to each.
 	regions map[string]string
+	trips   map[string]time.Duration
 	// Others is what is known of the other gateways.
 	Others Others
 	// sizes are the numbers of servers of all groups, also of those that this
@@ -190,7 +191,7 @@
 
 // NewFleet returns a fleet without servers.
 func NewFleet(name, zone string) *Fleet {
-	return &Fleet{key: mix.Name(name), servers: map[string]*Server{}, starts: registry.NewStarts(), sizes: map[group]int{}, readRates: map[string]float64{}, Zone: zone, Others: Others{Gateways: 1, Known: 1}}
+	return &Fleet{key: mix.Name(name), servers: map[string]*Server{}, starts: registry.NewStarts(), sizes: map[group]int{}, readRates: map[string]float64{}, trips: map[string]time.Duration{}, Zone: zone, Others: Others{Gateways: 1, Known: 1}}
 }
 
 // SetOthers takes what is known of the other gateways.
--- /dev/null
+++ b/dispatch/distance_test.go
@@ -0,0 +1,128 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/registry"
+)
+
+// farApart is fleet(p, d) whose second zone is in another region, 60 ms away and back.
+func farApart(p, d int) *dispatch.Fleet {
+	f := fleet(p, d)
+	f.SetRegions(map[string]string{"z0": "north", "z1": "south"})
+	for _, id := range []string{"d1-0", "p1-0", "b"} {
+		for range 50 {
+			f.NoteConnect(id, 60*time.Millisecond)
+		}
+	}
+	return f
+}
+
+// TestWorkStaysInTheRegionWhileThereIsRoom fills a fleet of two regions under a load that the own
+// region can bear, and then one that it can't: it is read and run at home until no engine there
+// has room, goes over then as a whole, and comes back as soon as there is room again.
+func TestWorkStaysInTheRegionWhileThereIsRoom(t *testing.T) {
+	f := farApart(2, 2)
+	var own, far int
+	for {
+		p, ok := f.Pair(now, small, engine, nil)
+		if !ok {
+			break
+		}
+		if p.Decode.Zone == "z0" {
+			assert.Equal(t, far, 0, "it went over though there was room")
+			assert.Equal(t, p.Reader().Zone, "z0")
+			own++
+		} else {
+			assert.Equal(t, p.Reader().Zone, "z1", "no KV cache crosses regions")
+			far++
+		}
+		f.Reserve(p.Decode.ID, small)
+	}
+	assert.Equal(t, own, 8)
+	assert.Equal(t, far, 8)
+	f.Release("d0-0", small)
+	p, ok := f.Pair(now, small, engine, nil)
+	assert.Assert(t, ok)
+	assert.Equal(t, p.Decode.ID, "d0-0")
+}
+
+// TestLongQueueGoesOver wants a prompt to be read in another region once the queue at home takes
+// longer than the ways there.
+func TestLongQueueGoesOver(t *testing.T) {
+	f := farApart(1, 2)
+	long := dispatch.Work{Service: "llm", Prompt: 100_000}
+	f.StartRead("p0-0", long)
+	p, ok := f.Pair(now, small, engine, nil)
+	assert.Assert(t, ok)
+	assert.Equal(t, p.Reader().Zone, "z1")
+	f.EndRead("p0-0", long)
+	p, ok = f.Pair(now, small, engine, nil)
+	assert.Assert(t, ok)
+	assert.Equal(t, p.Reader().Zone, "z0")
+}
+
+// TestRunsMoveWithinTheRegion wants a run that has to leave its engine to go to the same zone, or
+// else the same region, and to another one only if there is no other way.
+func TestRunsMoveWithinTheRegion(t *testing.T) {
+	f := farApart(0, 2)
+	f.Update(now, []registry.Server{{ID: "near", Service: "llm", Zone: "z2", Role: registry.Decode, State: registry.Ready, Address: "near:1", Sequence: 1}})
+	f.SetRegions(map[string]string{"z0": "north", "z1": "south", "z2": "north"})
+	f.Gone("d1-1") // so few that each choice looks at all
+	target := func() string { return f.MigrationTarget(now, "d0-0", small, engine, 0.9).ID }
+	assert.Equal(t, target(), "d0-1")
+	f.Gone("d0-1")
+	assert.Equal(t, target(), "near")
+	f.Gone("near")
+	assert.Equal(t, f.Get(target()).Zone, "z1")
+}
+
+// TestTripsAreMeasured wants round trips to follow what connections take, and to be guessed from
+// the topology before.
+func TestTripsAreMeasured(t *testing.T) {
+	f := fleet(1, 1)
+	assert.Assert(t, f.Trip("z1") < 10*time.Millisecond)
+	f.SetRegions(map[string]string{"z0": "north", "z1": "south"})
+	assert.Assert(t, f.Trip("z1") > 10*time.Millisecond)
+	for range 50 {
+		f.NoteConnect("d1-0", 60*time.Millisecond)
+	}
+	assert.Assert(t, (f.Trip("z1")-60*time.Millisecond).Abs() < time.Millisecond)
+	assert.Assert(t, f.Trip("z0") < 10*time.Millisecond)
+}
+
+// TestOneRegionIsAsWithout wants a fleet to choose the same whether it knows that its zones are
+// of one region or knows of no regions, whatever its connections take.
+func TestOneRegionIsAsWithout(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		with, without := fleet(2, 3), fleet(2, 3)
+		with.SetRegions(map[string]string{"z0": "north", "z1": "north"})
+		for step := range rapid.IntRange(1, 30).Draw(r, "steps") {
+			id := rapid.SampledFrom([]string{"d0-0", "d1-0", "p1-1", "a", "b"}).Draw(r, "server")
+			took := time.Duration(rapid.IntRange(0, 100).Draw(r, "ms")) * time.Millisecond
+			w := dispatch.Work{Service: "llm", Prompt: rapid.IntRange(1, 3000).Draw(r, "prompt"), Expected: 500}
+			var got [2]string
+			for i, f := range []*dispatch.Fleet{with, without} {
+				f.NoteConnect(id, took)
+				if p, ok := f.Pair(now, w, engine, nil); ok {
+					got[i] = fmt.Sprint(p.Reader().ID, p.Decode.ID)
+					f.Reserve(p.Decode.ID, w)
+					f.StartRead(p.Reader().ID, w)
+				}
+				if s := f.Plain(now, plain, nil); s != nil {
+					got[i] += s.ID
+				}
+				if s := f.MigrationTarget(now, "d0-0", w, engine, 0.5); s != nil {
+					got[i] += s.ID
+				}
+			}
+			assert.Equal(r, got[0], got[1], "step %d", step)
+		}
+	})
+}
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -41,11 +41,6 @@
 	// blindShare is the part of the average that a gateway that is not heard is
 	// taken to have reserved.
 	blindShare = 0.7
-	// crossZone is the time that a move to another zone counts as, in
-	// milliseconds, and a stream that comes from another zone: their links are slower
-	// and their bytes are dear. For streams it takes a fifth of all bytes between zones
-	// away.
-	crossZone = 60.0
 	// fullCost is the time in milliseconds that a full engine counts as:
 	// tokens come slower as more requests run.
 	fullCost = 250.0
@@ -58,10 +53,7 @@
 		if !f.mayTake(now, s, w, avoid) || !f.fits(s, w, e) {
 			return false
 		}
-		cost := f.decodeCost(s, e) + f.streamCost(s)
-		if s.Zone != zone {
-			cost += crossZone
-		}
+		cost := f.decodeCost(s, e) + f.streamCost(s) + f.moveCost(zone, s.Zone)
 		if best.server == nil || cost < best.cost {
 			best = candidate{s, cost}
 		}
@@ -96,14 +88,6 @@
 	return fullCost*used + 200*s.health.failing
 }
 
-// streamCost is what the way of a stream from an engine to this gateway counts as.
-func (f *Fleet) streamCost(s *Server) float64 {
-	if s.Zone == f.Zone {
-		return 0
-	}
-	return crossZone
-}
-
 // used returns the reserved tokens of an engine. Gateways that are not heard
 // are taken to have reserved as much as the others on average, less a part,
 // since their requests may well come to this one.
--- a/dispatch/migrate.go
+++ b/dispatch/migrate.go
@@ -72,25 +72,21 @@
 		return nil
 	}
 	rest := Work{Service: w.Service, Regions: w.Regions, Prompt: w.held(), Expected: max(w.Expected-w.Made, 0)}
-	var near, far []*Server
+	byWay := map[Proximity][]*Server{}
 	f.search(now, w.Service, registry.Decode, func(to *Server) bool {
 		if to.ID == from || !f.mayTake(now, to, rest, nil) || !f.fits(to, rest, e) || !f.roomNow(to, rest, e, roomMark) {
 			return false
 		}
-		if to.Zone == s.Zone {
-			near = append(near, to)
-		} else {
-			far = append(far, to)
-		}
+		way := f.proximity(s.Zone, to.Zone)
+		byWay[way] = append(byWay[way], to)
 		return true
 	})
-	if len(near) == 0 {
-		near = far
-	}
-	if len(near) == 0 {
-		return nil
+	for way := SameZone; way <= OtherRegion; way++ {
+		if list := byWay[way]; len(list) > 0 {
+			return list[int(pick*float64(len(list)))]
+		}
 	}
-	return near[int(pick*float64(len(near)))]
+	return nil
 }
 
 // roomNow tells whether a request's tokens would fill less than a part of an
--- a/dispatch/read.go
+++ b/dispatch/read.go
@@ -63,7 +63,7 @@
 		if !f.mayTake(now, s, w, avoid) {
 			return false
 		}
-		keepBest(prefill, s, f.readCost(now, s, w))
+		keepBest(prefill, s, f.readCost(now, s, w)+f.wayCost(s.Zone, readTrips))
 		return true
 	})
 	f.searchKept(now, w, registry.Decode, func(s *Server) bool {
@@ -97,10 +97,7 @@
 	best := 0.0
 	for pz, p := range prefill {
 		for dz, d := range decode {
-			cost := handoverCost + p.cost + d.cost
-			if pz != dz {
-				cost += crossZone
-			}
+			cost := handoverCost + p.cost + d.cost + f.moveCost(pz, dz)
 			if out.Decode == nil || cost < best {
 				best = cost
 				out = Pair{Prefill: p.server, Decode: d.server}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -147,13 +147,16 @@
 	return out
 }
 
-// usable returns the servers of a service that may get new work.
+// usable returns the servers of a service that may get new work, and are near enough to be
+// asked for something before a request goes out.
 func (f *fleet) usable(service string) []dispatch.Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []dispatch.Server
 	for _, s := range f.view.Usable(f.clock.Now(), service) {
-		out = append(out, *s)
+		if f.view.Near(s) {
+			out = append(out, *s)
+		}
 	}
 	return out
 }
@@ -322,6 +325,20 @@
 	f.view.SetCold(out)
 }
 
+// noteConnect takes how long a connection to a server took to open.
+func (f *fleet) noteConnect(id string, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.NoteConnect(id, took)
+}
+
+// trip returns the time of a round trip to a zone.
+func (f *fleet) trip(zone string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Trip(zone)
+}
+
 // isCold tells whether a server bears fewer requests than usual now.
 func (f *fleet) isCold(id string) bool {
 	f.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,7 @@
 		private: cfg.Protocol.Headers.Private(), forServers: canonical(cfg.Protocol.Headers.ForServers()), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Clock, cfg.Name, cfg.Zone, cfg.Zones, cfg.Retry), kept: map[string]*keptPrompts{}, keptWait: keptTimeout,
 		limits: newLimits(cfg.Clock, cfg.Quota), contents: newContents(cfg.Clock, log), lookWait: lookWait,
 	}
+	g.pool.OnConnect = g.fleet.noteConnect
 	g.links = newLinks(g)
 	g.links.meet(cfg.Seeds)
 	g.wg.Go(g.sweep)
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -12,8 +12,11 @@
 
 // Times of holds.
 const (
-	// holdTimeout is how long an engine may take to set room aside.
+	// holdTimeout is how long an engine may take to set room aside, beside the way there and
+	// back and the opening of a connection: holdTrips round trips. What is given up may be
+	// set aside all the same, for nobody.
 	holdTimeout = 120 * time.Millisecond
+	holdTrips   = 2
 	// holdMargin is added to the expected time until the prompt has been read.
 	holdMargin = 600 * time.Millisecond
 )
@@ -31,7 +34,7 @@
 	if n.g.fleet.isCold(s.ID) {
 		return true // it bears few calls, and has room
 	}
-	hctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	hctx, cancel := context.WithTimeout(ctx, holdTimeout+holdTrips*n.g.fleet.trip(s.Zone))
 	defer cancel()
 	started := n.g.clock.Now()
 	r := n.callTo(s, p.TakeHold(n.q.work.Prompt, min(n.pair.Wait+holdMargin, engine.HoldMost)))
