--- a/dispatch/read.go
+++ b/dispatch/read.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/ledgepin/ledgepin/registry"
@@ -91,12 +93,14 @@
 	return out, w.Within <= 0 || out.Wait <= w.Within
 }
 
-// together chooses the prefill and the decode engine that cost least.
+// together chooses the prefill and the decode engine that cost least; of several the first by
+// zone, so that the same view always chooses the same.
 func (f *Fleet) together(prefill, decode map[string]candidate) (Pair, float64) {
 	var out Pair
 	best := 0.0
-	for pz, p := range prefill {
-		for dz, d := range decode {
+	for _, pz := range slices.Sorted(maps.Keys(prefill)) {
+		for _, dz := range slices.Sorted(maps.Keys(decode)) {
+			p, d := prefill[pz], decode[dz]
 			cost := handoverCost + p.cost + d.cost + f.moveCost(pz, dz)
 			if out.Decode == nil || cost < best {
 				best = cost
