--- /dev/null
+++ b/gateway/slow_answer_test.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// The answer of a plain service is held whole until its caller has taken it. A caller that took
+// nothing any more kept it for as long as its connection was there: nothing bounded the time of
+// the write, as it does for streams.
+
+// slowAsk asks for a plain answer by hand, over a connection of its own with a small window.
+func (r *rig) slowAsk(id string) net.Conn {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.front.Listener.Addr().String())
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() { _ = c.Close() })
+	_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+	_, err = fmt.Fprintf(c, "GET /rates/1 HTTP/1.1\r\nHost: h\r\n%s: %s\r\n\r\n", protocol.Headers.RequestID, id)
+	assert.NilError(r.t, err)
+	return c
+}
+
+const largeAnswer = 12 << 20
+
+// largeAnswers has a plain server answer with more than any window takes.
+func largeAnswers(t *testing.T) *rig {
+	t.Helper()
+	s := &scripted{rig: newRig(t)}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(protocol.Headers.RequestID, r.Header.Get(protocol.Headers.RequestID))
+		w.Header().Set(protocol.Headers.Signature, "s")
+		_, _ = io.WriteString(w, strings.Repeat("x", largeAnswer))
+	}))
+	t.Cleanup(server.Close)
+	s.tell("plain", "a", strings.TrimPrefix(server.URL, "http://"), "")
+	return s.rig
+}
+
+// TestCallerThatTakesNoAnswer wants a caller that takes nothing of a plain answer any more to be
+// let go, with what is held for it.
+func TestCallerThatTakesNoAnswer(t *testing.T) {
+	t.Parallel()
+	r := largeAnswers(t)
+	r.slowAsk("q")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if r.gateway.Active() == 0 {
+			return poll.Continue("it has not come")
+		}
+		return poll.Success()
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := r.gateway.Active(); n > 0 {
+			return poll.Continue("%d answers are held", n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(callerTimeout+10*time.Second))
+}
+
+// TestCallerThatReadsSlowly wants a caller that goes on reading to get all of its answer, though
+// that takes longer than a caller may take nothing.
+func TestCallerThatReadsSlowly(t *testing.T) {
+	t.Parallel()
+	r := largeAnswers(t)
+	br := bufio.NewReaderSize(r.slowAsk("q"), 4<<10)
+	resp, err := http.ReadResponse(br, nil)
+	assert.NilError(t, err)
+	const parts = 12
+	for range parts {
+		time.Sleep((callerTimeout + 2*time.Second) / parts)
+		n, err := io.CopyN(io.Discard, resp.Body, largeAnswer/parts)
+		assert.NilError(t, err)
+		assert.Equal(t, n, int64(largeAnswer/parts))
+	}
+}
