--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/backend"
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/metric"
@@ -239,12 +240,34 @@
 		w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
 	}
 	w.WriteHeader(r.status)
-	_, _ = w.Write(r.body)
+	if err := writeParts(w, r.body); err != nil {
+		event.CallerSlow.Log(g.log, "id", q.id, "bytes", len(r.body), "error", err)
+		panic(http.ErrAbortHandler)
+	}
 	metric.RouteRequests.WithLabelValues(q.route.Name, strconv.Itoa(r.status)).Inc()
 	metric.RouteFirst.WithLabelValues(q.route.Name).Observe(g.clock.Since(q.arrived).Seconds())
 	event.RequestDone.Log(g.log, "id", q.id, "route", q.route.Name, "status", r.status, "ms", g.clock.Since(q.arrived).Milliseconds())
 }
 
+// answerPart is how much of an answer its caller must take in callerTimeout, so that nothing is
+// held for one that has stopped reading, and one that reads slowly gets all of it.
+const answerPart = 16 << 10
+
+// writeParts writes a whole answer.
+func writeParts(w http.ResponseWriter, body []byte) error {
+	control := http.NewResponseController(w)
+	for {
+		_ = control.SetWriteDeadline(clock.Deadline(callerTimeout))
+		part := body[:min(len(body), answerPart)]
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
+		if body = body[len(part):]; len(body) == 0 {
+			return nil
+		}
+	}
+}
+
 func bodyAllowed(method string, status int) bool {
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
