--- a/soak/check.go
+++ b/soak/check.go
@@ -67,6 +67,7 @@
 	{"not run is true", checkNotRun},
 	{"nothing held for a caller gone", checkGone},
 	{"no new work for a leaving server", checkDrain},
+	{"no new work for an evacuated zone", checkEvacuations},
 	{"a planned stop cuts no request", checkPlannedStop},
 	{"tables are in force in time and never back", checkInForce},
 	{"an acknowledged table is never lost", checkTables},
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -61,6 +61,8 @@
 			wg.Go(func() { f.ops.change(ctx, appService) })
 		}
 		wg.Wait()
+	case EvacuateZone:
+		f.ops.evacuate(ctx, step)
 	case Burst:
 		f.load.faster.Add(2)
 		sleep(ctx, step.For)
@@ -83,7 +85,7 @@
 			out = append(out, controlName(n))
 		}
 		return out
-	case ChangeTable, RaceTables, BadTable, Burst:
+	case ChangeTable, RaceTables, BadTable, EvacuateZone, Burst:
 		return []string{string(step.Kind)}
 	}
 	b, _ := f.site.servers[step.Target].now()
--- a/soak/history.go
+++ b/soak/history.go
@@ -52,6 +52,7 @@
 	standin.Arrival
 	Server  string
 	Service string
+	Zone    string
 	At      time.Duration
 	// Ended is when the server stopped working on it; zero if it never did, or
 	// did not work on it.
@@ -101,6 +102,13 @@
 	At     time.Duration
 }
 
+// Evacuation is an order that a zone gets no new work, from its acknowledgement to the time at
+// which the order was withdrawn.
+type Evacuation struct {
+	Zone            string
+	Acked, Finished time.Duration
+}
+
 // Word is a word about a server that can't be read, or that another server must have said,
 // and how control answered it.
 type Word struct {
@@ -155,7 +163,9 @@
 	Words    []Word
 	Probes   []Probe
 	Drains   []Drain
-	Orders   []RoleOrder
+	// Evacuations are those that control has acknowledged.
+	Evacuations []Evacuation
+	Orders      []RoleOrder
 	// HeldKV are the KV caches that engines still held for nobody after the end,
 	// and HeldRoom is the number of holds.
 	HeldKV   []HeldKV
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -38,13 +38,14 @@
 	BreakStreams   Kind = "break streams"
 	CloseStreams   Kind = "close streams"
 	SecondAnswers  Kind = "second answers"
-	Upgrade        Kind = "upgrade" // planned
-	GoBack         Kind = "go back" // planned
+	Upgrade        Kind = "upgrade"       // planned
+	GoBack         Kind = "go back"       // planned
+	EvacuateZone   Kind = "evacuate zone" // planned
 )
 
 // Planned tells whether a kind is planned work.
 func (k Kind) Planned() bool {
-	return slices.Contains([]Kind{StopGateway, Reload, DrainServer, ChangeTable, RaceTables, BadTable, Upgrade, GoBack}, k)
+	return slices.Contains([]Kind{StopGateway, Reload, DrainServer, ChangeTable, RaceTables, BadTable, Upgrade, GoBack, EvacuateZone}, k)
 }
 
 // Replaces tells whether a kind replaces a process by one of the other build.
@@ -127,6 +128,7 @@
 		out = append(out, s)
 	}
 	out = append(out, streamSteps(seed, length, shape)...)
+	out = append(out, evacuations(seed, length)...)
 	slices.SortStableFunc(out, func(a, b Step) int { return int(a.At - b.At) })
 	return out
 }
@@ -148,5 +150,21 @@
 	return out
 }
 
+// evacuations draws when the far zone is evacuated, one time after the other, by a draw of its
+// own.
+func evacuations(seed uint64, length time.Duration) []Step {
+	r := rand.New(rand.NewPCG(seed, 7))
+	var out []Step
+	for at := calmStart; ; {
+		at += time.Duration(float64(3*time.Second) * r.Float64())
+		s := Step{At: at, Kind: EvacuateZone, For: evacuationBound + time.Duration(float64(3*time.Second)*r.Float64())}
+		if s.At+s.For >= length-calmEnd {
+			return out
+		}
+		out = append(out, s)
+		at += s.For + time.Second
+	}
+}
+
 // controlRecovery is how long a replica of control may take to be a voter again.
 const controlRecovery = 5 * time.Second
--- a/soak/run.go
+++ b/soak/run.go
@@ -95,7 +95,10 @@
 		order, path, steps = NewUpgrade(o.Seed, o.Shape)
 		plan = append(plan, steps...)
 	}
-	plan = slices.DeleteFunc(plan, func(s Step) bool { return slices.Contains(o.Without, s.Kind) })
+	plan = slices.DeleteFunc(plan, func(s Step) bool {
+		// Builds that are replaced may know no evacuations.
+		return slices.Contains(o.Without, s.Kind) || o.Production != "" && s.Kind == EvacuateZone
+	})
 	if o.Calm {
 		plan = slices.DeleteFunc(plan, func(s Step) bool { return !s.Kind.Planned() })
 		for i := range plan {
@@ -189,7 +192,7 @@
 }
 
 func (s *site) arrival(b *standin.Backend, service string, a standin.Arrival) Arrival {
-	out := Arrival{Arrival: a, Server: b.ID, Service: service, At: a.At.Sub(s.rec.start)}
+	out := Arrival{Arrival: a, Server: b.ID, Service: service, Zone: s.zoneOf[b.ID], At: a.At.Sub(s.rec.start)}
 	if !a.Ended.IsZero() {
 		out.Ended = a.Ended.Sub(s.rec.start)
 	}
--- a/soak/site.go
+++ b/soak/site.go
@@ -29,6 +29,13 @@
 	appService    = "app"
 )
 
+// The availability zones of a run: that of all processes and most servers, and that of the last
+// server of each kind.
+const (
+	nearZone = "z"
+	farZone  = "y"
+)
+
 func serviceOf(k RequestKind) string {
 	if k == Review || k == Desk {
 		return engineService
@@ -51,6 +58,8 @@
 	service, role string
 	// name is what the server calls itself in all its starts.
 	name string
+	// zone is its availability zone.
+	zone string
 	// life is held by the step of a plan that ends and starts the server.
 	life sync.Mutex
 
@@ -85,6 +94,7 @@
 	servers           []*server
 	past              []*standin.Backend
 	pastMu            sync.Mutex
+	zoneOf            map[string]string // of each start of a server, under pastMu
 	incarnations      atomic.Int64
 	sequence          atomic.Int64
 	client            *http.Client
@@ -126,7 +136,7 @@
 func newSite(o Options, rec *recorder) (*site, error) {
 	shape := o.Shape
 	s := &site{
-		rec: rec, shape: shape, dir: o.Dir, binaries: [2]string{o.Production, o.Binary}, first: tree, processes: map[string]*process{}, group: standin.NewBackendGroup(),
+		rec: rec, shape: shape, dir: o.Dir, binaries: [2]string{o.Production, o.Binary}, first: tree, processes: map[string]*process{}, group: standin.NewBackendGroup(), zoneOf: map[string]string{},
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	if o.Production != "" {
@@ -200,10 +210,13 @@
 
 func (s *site) startServers() error {
 	start := func(n int, service, role string) error {
-		for range n {
+		for i := range n {
 			// Soaks beside this one may get the address of a server that has ended: no name of
 			// theirs is like one of its own.
-			v := &server{service: service, role: role, name: fmt.Sprintf("%s-s%d-%d", service, len(s.servers), os.Getpid())}
+			v := &server{service: service, role: role, name: fmt.Sprintf("%s-s%d-%d", service, len(s.servers), os.Getpid()), zone: nearZone}
+			if i > 0 && i == n-1 {
+				v.zone = farZone
+			}
 			s.servers = append(s.servers, v)
 			if err := s.raise(v); err != nil {
 				return err
@@ -250,6 +263,7 @@
 	s.group.Alias(p.addr(), b)
 	s.pastMu.Lock()
 	s.past = append(s.past, b)
+	s.zoneOf[b.ID] = v.zone
 	s.pastMu.Unlock()
 	v.mu.Lock()
 	v.backend, v.proxy, v.trouble, v.leaving = b, p, tr, false
@@ -327,8 +341,8 @@
 	v.mu.Lock()
 	born := v.born
 	v.mu.Unlock()
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","coldRemainingMs":0,"slots":%d,"state":%q,"stage":%q,"sequence":%d,"born":%d}`,
-		v.service, p.addr(), engineSlots, state, b.CurrentRole(), s.sequence.Add(1), born)
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","coldRemainingMs":0,"slots":%d,"state":%q,"stage":%q,"sequence":%d,"born":%d}`,
+		v.service, p.addr(), v.zone, engineSlots, state, b.CurrentRole(), s.sequence.Add(1), born)
 }
 
 // say sends a word about a server to a replica, and returns the status of the answer; zero
--- a/soak/words.go
+++ b/soak/words.go
@@ -14,7 +14,7 @@
 // spoilt are ways in which a word about a server can't be read, or is another server's:
 // what stands in the place of what.
 var spoilt = [][2]string{
-	{`"state":"ready"`, `"state":"odd"`}, {`"slots":16`, `"slots":"many"`}, {`"slots":16`, `"slots":1e300`}, {`"zone":"z",`, ``}, {`"version":"v1",`, ``},
+	{`"state":"ready"`, `"state":"odd"`}, {`"slots":16`, `"slots":"many"`}, {`"slots":16`, `"slots":1e300`}, {`"zone":`, `"place":`}, {`"version":"v1",`, ``},
 	{`"service":`, "\"serv\xff\":"}, {`"sequence":`, `"sequence":-`}, {`"born":`, `"born":-`}, {`"born":`, `"born":1.`}, {`"address":"127`, `"address":"nowhere-127`},
 	{`}`, ``}, {`{`, `[{`}, {`"coldRemainingMs":0`, `"coldRemainingMs":null`},
 }
