--- a/control/cold.go
+++ b/control/cold.go
@@ -45,6 +45,9 @@
 	}
 	h.coldAt = now
 	h.keepOlder(now)
+	if !h.bounded {
+		return
+	}
 	var cold []warmup.Cold
 	shares := map[string]int{}
 	for _, s := range h.servers.List(now) {
--- a/control/evacuation.go
+++ b/control/evacuation.go
@@ -138,7 +138,7 @@
 	for _, z := range before {
 		if !hasZone(zones, z.Zone) {
 			event.ZoneEvacuated.Log(h.log, "zone", z.Zone, "finished", true)
-			h.givenBack[z.Zone] = h.clock.Now()
+			h.giveBack(z.Zone)
 		}
 	}
 	for l := range h.gateways {
@@ -147,6 +147,31 @@
 	h.keepOlder(h.clock.Now())
 }
 
+// giveBack notes that the servers of a zone get work again. Callers hold the lock.
+func (h *hub) giveBack(zone string) {
+	now := h.clock.Now()
+	h.givenBack[zone] = now
+	for _, s := range h.servers.List(now) {
+		if s.Zone == zone && s.State == registry.Ready {
+			h.unsure[s.ID] = true
+		}
+	}
+}
+
+// sure takes that a server has reported itself. The first report after its zone was given back
+// is news to everybody, whatever it says: until then the server counts as cold. Callers hold the
+// lock.
+func (h *hub) sure(s registry.Server) bool {
+	if !h.unsure[s.ID] {
+		return false
+	}
+	delete(h.unsure, s.ID)
+	if s.State == registry.Ready {
+		h.tellNews(s)
+	}
+	return true
+}
+
 func hasZone(list []fleet.EvacuatedZone, zone string) bool {
 	return slices.ContainsFunc(list, func(z fleet.EvacuatedZone) bool { return z.Zone == zone })
 }
--- a/control/hub.go
+++ b/control/hub.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -101,6 +102,10 @@
 	broker     *warmup.Broker
 	coldBounds warmup.Bounds
 	coldAt     time.Time
+	// bounded tells that some service of the table bounds what its cold servers get, unsure
+	// are the servers of zones that were given back and have not reported themselves since.
+	bounded bool
+	unsure  map[string]bool
 	// read reads the document that a table was made from; nil to go by what the log has.
 	read func(document []byte) (*route.Table, error)
 }
@@ -146,7 +151,7 @@
 		groups: map[group]int{}, own: newShare(), others: map[*wire.Link]*share{}, sum: map[string]wire.EngineLoad{}, moved: map[string]bool{},
 		toldPeers: newShare(), movedOwn: map[string]bool{}, home: map[string]time.Time{}, news: map[string]bool{}, rosters: map[*wire.Link]*registry.Roster{},
 		peerHeard: map[*wire.Link]time.Time{}, ledger: quota.NewLedger[*wire.Link](c.Now(), bounds),
-		contents: newContents(), givenBack: map[string]time.Time{}, broker: warmup.NewBroker(c.Now()),
+		contents: newContents(), givenBack: map[string]time.Time{}, unsure: map[string]bool{}, broker: warmup.NewBroker(c.Now()),
 	}
 }
 
@@ -234,6 +239,7 @@
 	lean.Index()
 	h.table = &lean
 	h.ledger.SetLimits(h.clock.Now(), lean.Quotas())
+	h.bounded = slices.ContainsFunc(lean.Services, func(s route.Service) bool { return s.ColdRate > 0 })
 	whole, err := wire.Marshal(&wire.Message{Routes: &wire.Routes{Table: h.table, Version: lean.Version, Confirmed: fresh}})
 	if err != nil {
 		return
--- a/control/listing.go
+++ b/control/listing.go
@@ -29,6 +29,7 @@
 	if err != nil {
 		return heard, err
 	}
+	news = h.sure(s) || news
 	_, known := h.home[s.ID]
 	if s.State == registry.Ready {
 		h.home[s.ID] = now
@@ -53,7 +54,9 @@
 	defer h.mu.Unlock()
 	now := h.clock.Now()
 	for _, s := range m.List {
-		_, _ = h.note(now, s) // the replica that the server told has told of a refusal
+		if _, err := h.note(now, s); err == nil { // the replica that the server told has told of a refusal
+			h.sure(s)
+		}
 	}
 	roster := h.rosters[l]
 	if roster == nil {
@@ -81,6 +84,7 @@
 		if n.Server.State == registry.Gone {
 			delete(h.home, n.Server.ID)
 			delete(h.away, n.Server.ID)
+			delete(h.unsure, n.Server.ID)
 		}
 		h.tellNews(n.Server)
 	}
@@ -308,6 +312,7 @@
 		if gone.State == registry.Ready {
 			h.groups[groupOf(gone)]--
 		}
+		delete(h.unsure, gone.ID)
 		out = append(out, gone.ID)
 	}
 	return out
