--- a/backend/pool.go
+++ b/backend/pool.go
@@ -40,7 +40,7 @@
 	// causeOnce: the request may run once, and a kept connection may break in a way that
 	// leaves it open whether it has.
 	causeOnce = "once"
-	// causeNoID: the call has no ID, so it has a connection to itself.
+	// causeNoID: the call has no ID, so it is the first on its connection.
 	causeNoID = "no_id"
 	// causeSameID: each idle connection has carried a request with the same ID.
 	causeSameID = "same_id"
--- a/control/cold.go
+++ b/control/cold.go
@@ -82,8 +82,8 @@
 	return slices.Index(sorted, h.name)
 }
 
-// workWith returns the IDs of the gateways that share with this replica and work with a server. Callers
-// hold the lock.
+// workWith returns the IDs of the gateways that share with this replica and work with a server.
+// Callers hold the lock.
 func (h *hub) workWith(server string) []string {
 	var out []string
 	for l, g := range h.gateways {
