--- a/gateway/evacuated_test.go
+++ b/gateway/evacuated_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -136,6 +137,50 @@
 	assert.Equal(t, len(a.Arrivals()), before)
 }
 
+// A gateway stood still just after a replica had accepted its link, before it knew of that itself.
+// What the replica had told by then came after the gateway was awake, and counted as the newest:
+// its requests did not wait, and 10 of 10 went to the zone that was evacuated meanwhile.
+
+// TestStoodStillWhileALinkOpened wants a link that began to open before the process stood still to
+// be given up, and what came over it not to count as the newest.
+func TestStoodStillWhileALinkOpened(t *testing.T) {
+	r := newRig(t)
+	l := r.gateway.links
+	link, other := pipe(t)
+	began := r.gateway.clock.Now()
+	time.Sleep(time.Millisecond)
+	r.standStill()
+	p := &peer{stop: func() {}}
+	l.mu.Lock()
+	l.peers["a"] = p
+	l.mu.Unlock()
+	l.set("a", p, link, began)
+	l.upToDate("a")
+	l.mu.Lock()
+	waits := l.current != nil
+	l.mu.Unlock()
+	assert.Assert(t, waits, "an old word counts as the newest")
+	select {
+	case <-other:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the link is still open")
+	}
+}
+
+// pipe returns a link, and what is closed when it ends.
+func pipe(t *testing.T) (*wire.Link, <-chan struct{}) {
+	t.Helper()
+	ended := make(chan struct{})
+	server := httptest.NewServer(wire.Handler(slog.New(slog.DiscardHandler), wire.Options{Hello: func() wire.Hello { return wire.Hello{Name: "control", Role: wire.RoleControl} }}, func(l *wire.Link) {
+		_ = l.Run(context.Background(), func(*wire.Message) {})
+		close(ended)
+	}))
+	t.Cleanup(server.Close)
+	link, err := wire.Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), wire.Options{Hello: func() wire.Hello { return wire.Hello{Name: "g", Role: wire.RoleGateway} }})
+	assert.NilError(t, err)
+	return link, ended
+}
+
 // TestStoodStillOutOfTouch wants a gateway that has stood still and reaches no replica to go on
 // with what it has.
 func TestStoodStillOutOfTouch(t *testing.T) {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -113,12 +113,13 @@
 // run keeps the link to one replica.
 func (l *links) run(ctx context.Context, address string, p *peer) {
 	for ctx.Err() == nil {
+		began := l.g.clock.Now()
 		link, err := l.dialer.Dial(ctx, address, l.options())
 		if err == nil {
-			l.set(address, p, link)
+			l.set(address, p, link, began)
 			event.LinkUp.Log(l.g.log, "peer", link.Peer.Name, "build", link.Peer.Build, "speaks", link.Speaks())
 			err = link.Run(ctx, func(m *wire.Message) { l.handle(address, m) })
-			l.set(address, p, nil)
+			l.set(address, p, nil, began)
 			if ctx.Err() == nil {
 				event.LinkDown.Log(l.g.log, "peer", link.Peer.Name, "why", err)
 			}
@@ -127,7 +128,8 @@
 	}
 }
 
-func (l *links) set(address string, p *peer, link *wire.Link) {
+// set takes that the link to a replica, which began to open at a time, is open, or has ended.
+func (l *links) set(address string, p *peer, link *wire.Link, began time.Time) {
 	l.mu.Lock()
 	p.link, p.since = link, l.g.clock.Now()
 	p.heard = p.since
