--- a/gateway/awake.go
+++ b/gateway/awake.go
@@ -38,7 +38,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.peers[address]
-	if l.current == nil || p == nil || p.since.Before(l.wokeAt) {
+	if l.current == nil || p == nil || p.began.Before(l.wokeAt) {
 		return
 	}
 	close(l.current)
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -66,8 +66,9 @@
 type peer struct {
 	stop context.CancelFunc
 	link *wire.Link
-	// since is when the link was opened, heard when the replica last said something.
-	since, heard time.Time
+	// began is when the link began to open, since when it was open, and heard when the replica
+	// last said something.
+	began, since, heard time.Time
 }
 
 func newLinks(g *Gateway) *links {
@@ -132,7 +133,10 @@
 func (l *links) set(address string, p *peer, link *wire.Link, began time.Time) {
 	l.mu.Lock()
 	p.link, p.since = link, l.g.clock.Now()
-	p.heard = p.since
+	p.began, p.heard = began, p.since
+	if link != nil && l.current != nil && began.Before(l.wokeAt) {
+		link.Close() // what came over it may be older than the stop
+	}
 	if link == nil {
 		delete(l.gateways, address)
 		delete(l.told, address)
