--- a/gateway/region_test.go
+++ b/gateway/region_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/route"
 	"github.com/ledgepin/ledgepin/standin"
@@ -84,3 +85,23 @@
 	got := r.send(http.MethodGet, "/rates/1", "id", "", map[string]string{"Authorization": "Bearer k"})
 	assert.Equal(t, got.status, http.StatusForbidden)
 }
+
+// A stream was bound to one region when it came and its route to another one since. With nothing in
+// common its own regions were emptied, which stands for all, so its next move went by the newest
+// table alone, to where the table of its arrival did not allow it.
+
+// TestNothingInCommonStaysNowhere wants a request that may go nowhere further to stay so, however
+// often it asks, and its regions to stay what they were.
+func TestNothingInCommonStaysNowhere(t *testing.T) {
+	r := newRig(t)
+	q := &request{path: "/desk/1", work: dispatch.Work{Regions: []string{"north"}}}
+	q.send.Host = "h"
+	r.bind("south")
+	for range 3 {
+		assert.Assert(t, !r.gateway.keepToRegions(q))
+		assert.DeepEqual(t, q.work.Regions, []string{"north"})
+	}
+	r.bind("south", "north")
+	assert.Assert(t, r.gateway.keepToRegions(q))
+	assert.DeepEqual(t, q.work.Regions, []string{"north"})
+}
