--- a/gateway/region.go
+++ b/gateway/region.go
@@ -1,9 +1,8 @@
 package gateway
 
 import (
-	"slices"
-
 	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/route"
 )
 
 // nextServer chooses another plain server for a request that was sent before.
@@ -31,19 +30,9 @@
 	if !ok {
 		return false
 	}
-	if len(now) == 0 || slices.Equal(now, q.work.Regions) {
-		return true
-	}
-	if len(q.work.Regions) == 0 {
-		q.work.Regions = now
-		return true
-	}
-	var both []string
-	for _, region := range q.work.Regions {
-		if slices.Contains(now, region) {
-			both = append(both, region)
-		}
+	both, ok := route.CommonRegions(q.work.Regions, now)
+	if ok { // else they stay: none would stand for all
+		q.work.Regions = both
 	}
-	q.work.Regions = both
-	return len(both) > 0
+	return ok
 }
--- a/route/organisation.go
+++ b/route/organisation.go
@@ -67,19 +67,27 @@
 	return *o.Priority
 }
 
-// RegionsFor returns those in which a request of an organisation on a route may be served and kept:
-// where both name some, those that both name. Empty stands for all; false tells that there is
-// none.
+// RegionsFor returns those in which a request of an organisation on a route may be served and
+// kept, as CommonRegions does.
 func (r *Route) RegionsFor(o *Organisation) ([]string, bool) {
-	if o == nil || len(o.Regions) == 0 {
+	if o == nil {
 		return r.Regions, true
 	}
-	if len(r.Regions) == 0 {
-		return o.Regions, true
+	return CommonRegions(r.Regions, o.Regions)
+}
+
+// CommonRegions returns the regions that two lists allow: where both name some, those that both
+// name. Empty stands for all; false tells that there is none.
+func CommonRegions(a, b []string) ([]string, bool) {
+	switch {
+	case len(b) == 0:
+		return a, true
+	case len(a) == 0:
+		return b, true
 	}
 	var both []string
-	for _, region := range r.Regions {
-		if slices.Contains(o.Regions, region) {
+	for _, region := range a {
+		if slices.Contains(b, region) {
 			both = append(both, region)
 		}
 	}
