--- a/gateway/slow_answer_test.go
+++ b/gateway/slow_answer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -30,6 +31,20 @@
 	return c
 }
 
+// allowTime gives the requests of a route a time in which they are answered.
+func (r *rig) allowTime(name string, d time.Duration) {
+	table := *r.gateway.table.Load()
+	table.Version++
+	table.Routes = slices.Clone(table.Routes)
+	for i := range table.Routes {
+		if table.Routes[i].Name == name {
+			table.Routes[i].Timeout, table.Routes[i].Target = d, d
+		}
+	}
+	table.Index()
+	r.gateway.takeTable(&table)
+}
+
 const largeAnswer = 12 << 20
 
 // largeAnswers has a plain server answer with more than any window takes.
@@ -43,6 +58,7 @@
 	}))
 	t.Cleanup(server.Close)
 	s.tell("plain", "a", strings.TrimPrefix(server.URL, "http://"), "")
+	s.allowTime("rates", time.Minute) // a busy machine is slow to hand over so large an answer
 	return s.rig
 }
 
