--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -11,6 +11,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/ledgepin/ledgepin/clock"
 )
 
 // Request is one request to one server.
@@ -106,6 +108,10 @@
 		_ = c.SetDeadline(deadline)
 	}
 	a := &Answer{pool: p, request: r, conn: c, stop: stop, written: make(chan struct{})}
+	if p.OnSend != nil {
+		p.OnSend(r.Server)
+	}
+	sent := clock.VM.Now()
 	resp, err := a.exchange(headers)
 	if err != nil {
 		if len(c.carried) > 1 && (isTimeout(err) || errors.Is(ctx.Err(), context.DeadlineExceeded)) {
@@ -115,6 +121,9 @@
 		a.finish(false)
 		return nil, &Error{Sent: true, Cause: err}
 	}
+	if p.OnAnswer != nil {
+		p.OnAnswer(r.Server, clock.VM.Since(sent), resp.Header)
+	}
 	a.Status, a.Header, a.Length = resp.StatusCode, resp.Header, resp.ContentLength
 	a.Framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	a.body, a.keep = resp.Body, keepFor(resp)
--- a/backend/names.go
+++ b/backend/names.go
@@ -64,6 +64,9 @@
 	NotRun string
 	// Cold tells how much longer the server bears fewer requests than usual.
 	Cold string
+	// Limit names the requests a second that the server takes from all gateways together,
+	// for as long as its answers say so.
+	Limit string
 }
 
 // Private returns the names of the fields that are no caller's to set. It goes
@@ -97,7 +100,7 @@
 		LastEventID: "Last-Event-Id", PromptParts: "X-Prompt-Parts",
 	},
 	GatewayFields{ExpectInstance: "X-Expect-Instance", Role: "X-Engine-Role", KVSource: "X-KV-Source", Hold: "X-Hold", Organisation: "X-Organisation"},
-	ServerFields{Signature: "X-Answer-Signature", NotRun: "X-Not-Run", Cold: "X-Cold-Ms"},
+	ServerFields{Signature: "X-Answer-Signature", NotRun: "X-Not-Run", Cold: "X-Cold-Ms", Limit: "X-Server-Limit"},
 }
 
 // KV is the result of a prefill, or the copy of a run.
@@ -147,6 +150,9 @@
 	// ParseCold reads the field Cold of a server; false if it can't be read. Nil if servers
 	// do not tell.
 	ParseCold func(field string) (time.Duration, bool)
+	// ParseLimit reads the values of the field Limit in requests a second; false if they can't
+	// be read. Nil if servers do not name limits.
+	ParseLimit func(values []string) (float64, bool)
 }
 
 // Call is a call to a server that is not a caller's request.
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -24,6 +25,11 @@
 	// OnConnect, if set, is told how long the opening of a connection to a start of a server
 	// took.
 	OnConnect func(server string, took time.Duration)
+	// OnSend, if set, is told of each request before it goes to a start of a server.
+	OnSend func(server string)
+	// OnAnswer, if set, is given the head of each answer of a start of a server, and how long
+	// ago its request was sent.
+	OnAnswer func(server string, ago time.Duration, head http.Header)
 }
 
 // NewPool returns an empty pool.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -71,6 +71,7 @@
 	// evacuated tells that its availability zone gets no new work.
 	evacuated bool
 	cold      cold
+	limit     limit
 	// region is that of its availability zone; empty if that is not known.
 	region string
 	// rival is another incarnation at the same address, which counts in its place.
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -141,6 +141,16 @@
 var ServerRestarted = define("LP2020", info, "server started again",
 	"A later start of a server has reported itself, so the earlier one has ended with all that it had: its requests broke off, and its connections were closed.", nothing)
 
+// ServerLimit tells what a server says of the requests that it takes.
+var ServerLimit = define("LP2023", warn, "limit of a server",
+	"A server names in its answers the requests a second that it takes from all gateways together (rate), or has ended that (ended). by tells whether this gateway was told by the server itself or by another process, sent is how many requests went from this gateway to the server while the limit held.",
+	"A server in need: look at it. Many of one service: it needs more servers.")
+
+// ServerLimitUnread tells that what a server says of its limit can't be read.
+var ServerLimitUnread = define("LP2024", warn, "limit of a server can't be read",
+	"A server names a limit that is no number of requests a second, or two that differ. What was known before holds. One line a minute for each server; a metric counts the answers.",
+	"Look at the server.")
+
 // Links between processes.
 var (
 	LinkUp   = define("LP3001", info, "link up", "A link to a peer process is open.", nothing)
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ledgepin/ledgepin/clock"
@@ -26,6 +27,8 @@
 	queue   dispatch.Queue
 	placed  map[*dispatch.Waiting]chan dispatch.Pair
 	telling telling
+	// limited tells that some server names a limit.
+	limited atomic.Bool
 	// told is closed by the next report of servers; nil if nobody waits for it.
 	told chan struct{}
 }
@@ -118,6 +121,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.view.Sweep(now)
+	f.limited.Store(f.view.Limited() > 0)
 	f.serve()
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,6 +73,8 @@
 	limits          *limits
 	contents        *contents
 	evacuated       evacuated
+	// unreadLimits bounds the log lines about limits that can't be read.
+	unreadLimits event.Limiter
 	// lookWait is how long a request waits for a look at the server before it: the
 	// constant of that name, but in tests.
 	lookWait time.Duration
@@ -92,8 +94,11 @@
 		cfg: cfg, clock: cfg.Clock, log: log, ctx: ctx, cancel: cancel,
 		private: cfg.Protocol.Headers.Private(), forServers: canonical(cfg.Protocol.Headers.ForServers()), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Clock, cfg.Name, cfg.Zone, cfg.Zones, cfg.Retry), kept: map[string]*keptPrompts{}, keptWait: keptTimeout,
 		limits: newLimits(cfg.Clock, cfg.Quota), contents: newContents(cfg.Clock, log), lookWait: lookWait,
+		unreadLimits: event.Limiter{Every: time.Minute, Most: mostUnreadLimits},
 	}
 	g.pool.OnConnect = g.fleet.noteConnect
+	g.pool.OnSend = g.fleet.sending
+	g.pool.OnAnswer = g.answered
 	g.links = newLinks(g)
 	g.links.meet(cfg.Seeds)
 	g.wg.Go(g.sweep)
--- /dev/null
+++ b/ratelimit/limit_test.go
@@ -0,0 +1,74 @@
+package ratelimit_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/ratelimit"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// word is what an answer says that was asked for and came at some times after the start.
+func word(sent, heard time.Duration) ratelimit.Word {
+	return ratelimit.Word{Sent: at(sent), Heard: at(heard)}
+}
+
+func named(rate float64, sent, heard time.Duration) ratelimit.Word {
+	w := word(sent, heard)
+	w.Named, w.Rate = true, rate
+	return w
+}
+
+const ms = time.Millisecond
+
+// TestOrderOfWords wants answers that overtake each other to leave the word that is newest for
+// sure, and of those of which that is not known the one that allows less.
+func TestOrderOfWords(t *testing.T) {
+	second := time.Second
+	for name, c := range map[string]struct {
+		words []ratelimit.Word
+		rate  float64 // below zero for no limit
+	}{
+		"named":                                 {[]ratelimit.Word{named(4.1, 0, 10*ms)}, 4.1},
+		"answer asked for before":               {[]ratelimit.Word{named(4.1, 0, 10*ms), word(5*ms, 2*second)}, 4.1},
+		"answer asked for just after":           {[]ratelimit.Word{named(4.1, 0, 10*ms), word(100*ms, 110*ms)}, 4.1},
+		"later answer without":                  {[]ratelimit.Word{named(4.1, 0, 10*ms), word(second, second+10*ms)}, -1},
+		"named between":                         {[]ratelimit.Word{named(4.1, 0, 10*ms), named(4.1, 700*ms, 800*ms), word(second, second+10*ms)}, 4.1},
+		"held up and older than the end":        {[]ratelimit.Word{named(4.1, 0, 10*ms), word(second, second+10*ms), named(4.1, 0, 900*ms)}, -1},
+		"held up, perhaps newer":                {[]ratelimit.Word{named(4.1, 0, 10*ms), word(second, second+10*ms), named(4.1, 0, 1100*ms)}, 4.1},
+		"lower at once":                         {[]ratelimit.Word{named(4.1, 0, 10*ms), named(2, 0, 10*ms)}, 2},
+		"higher asked for before":               {[]ratelimit.Word{named(2, 0, 10*ms), named(4.1, 5*ms, 20*ms)}, 2},
+		"higher later":                          {[]ratelimit.Word{named(2, 0, 10*ms), named(4.1, second, second)}, 4.1},
+		"zero sends what shows that it is over": {[]ratelimit.Word{named(0, 0, 10*ms)}, 0.5},
+	} {
+		var l ratelimit.Limit
+		for _, w := range c.words {
+			l.Take(w.Heard, w)
+		}
+		rate, limited := l.Rate(at(5 * second))
+		assert.Equal(t, limited, c.rate >= 0, name)
+		if limited {
+			assert.Equal(t, rate, c.rate, name)
+		}
+	}
+}
+
+// TestEndOfALimit wants the rate to rise from that of the limit, and to end.
+func TestEndOfALimit(t *testing.T) {
+	var l ratelimit.Limit
+	l.Take(at(0), named(4, -ms, 0))
+	assert.Assert(t, l.Take(at(time.Second), word(time.Second-ms, time.Second)))
+	before := 4.0
+	for d := time.Duration(0); d < 2*time.Second; d += 100 * ms {
+		rate, limited := l.Rate(at(time.Second + d))
+		assert.Assert(t, limited && rate >= before && rate <= 1.4*before, "%v at %v", rate, d)
+		before = rate
+	}
+	_, limited := l.Rate(at(3 * time.Second))
+	assert.Assert(t, !limited)
+}
