--- /dev/null
+++ b/cmd/ledgepin/limit_test.go
@@ -0,0 +1,120 @@
+package main_test
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/standin"
+)
+
+// limitedRate is a limit that a server names, in requests a second, and mostLimited the requests
+// that it may get in limitWindow then.
+const (
+	limitedRate = 4.1
+	limitWindow = 4 * time.Second
+	mostLimited = 1.5*limitedRate*4 + 5
+)
+
+// limitOf returns a limit for a stand-in to name.
+func limitOf(rate float64) func() []string {
+	return func() []string { return []string{fmt.Sprint(rate)} }
+}
+
+// most returns the highest number of requests that a server got in limitWindow, from a time on.
+func most(b *standin.Backend, from time.Time) int {
+	var at []time.Time
+	for _, a := range b.Arrivals() {
+		if a.At.After(from) {
+			at = append(at, a.At)
+		}
+	}
+	out := 0
+	for i, first := range at {
+		n, _ := slices.BinarySearchFunc(at[i:], first.Add(limitWindow), time.Time.Compare)
+		out = max(out, n)
+	}
+	return out
+}
+
+// slowServer starts a plain server that takes so long that all servers of the service are needed.
+func (s *site) slowServer(id string) *standin.Backend {
+	b := s.server("app", id, "")
+	b.SetAround(func(own http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(80 * time.Millisecond)
+			own.ServeHTTP(w, r)
+		})
+	})
+	return b
+}
+
+// asks has all gateways of the site be asked, many times a second, for as long as do runs. It
+// returns how many requests ended with each status.
+func (s *site) asks(path string, do func()) map[int]int {
+	const every = 20 * time.Millisecond
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	out, over := map[int]int{}, make(chan struct{})
+	names := slices.Sorted(maps.Keys(s.front))
+	wg.Go(func() {
+		t := time.NewTicker(every)
+		defer t.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-over:
+				return
+			case <-t.C:
+			}
+			wg.Go(func() {
+				status, _, _ := s.ask(names[n%len(names)], path, fmt.Sprintf("asked-%d-%d", time.Now().UnixNano(), n))
+				mu.Lock()
+				defer mu.Unlock()
+				out[status]++
+			})
+		}
+	})
+	do()
+	close(over)
+	wg.Wait()
+	return out
+}
+
+// TestServerIsSentMoreThanItNames has one server of three name a limit that two gateways together
+// would exceed many times: it gets no more than that, all callers are served, and when the limit
+// ends the server gets its part again.
+func TestServerIsSentMoreThanItNames(t *testing.T) {
+	s := newSite(t)
+	limited := s.slowServer("a1")
+	s.slowServer("a2")
+	s.slowServer("a3")
+	s.put(table(1, ""))
+	for name := range s.front {
+		s.isReady(name, true)
+		s.serves(name, "/rates/0", 200)
+	}
+	got := s.asks("/rates/x", func() {
+		time.Sleep(time.Second)
+		limited.SetLimit(limitOf(limitedRate))
+		from := time.Now().Add(time.Second)
+		time.Sleep(time.Second + limitWindow + 2*time.Second)
+		n := most(limited, from)
+		assert.Check(t, float64(n) <= mostLimited, "%d requests in %v, at most %.1f allowed", n, limitWindow, mostLimited)
+		before := len(limited.Arrivals())
+		limited.SetLimit(nil)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if n := len(limited.Arrivals()) - before; n < 100 {
+				return poll.Continue("%d requests since the limit has ended", n)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(30*time.Second))
+	})
+	assert.DeepEqual(t, got, map[int]int{200: got[200]})
+}
--- a/standin/around.go
+++ b/standin/around.go
@@ -17,8 +17,11 @@
 // front hands a request to the handler around the server's own, if there is one.
 func (b *Backend) front(w http.ResponseWriter, r *http.Request) {
 	b.mu.Lock()
-	around := b.around
+	around, limit := b.around, b.limit
 	b.mu.Unlock()
+	if limit != nil {
+		w.Header()[http.CanonicalHeaderKey(b.headers.Limit)] = limit()
+	}
 	own := http.Handler(http.HandlerFunc(b.serve))
 	if around != nil {
 		own = around(own)
@@ -26,6 +29,13 @@
 	own.ServeHTTP(w, r)
 }
 
+// SetLimit has each answer name a limit: the values that limit returns, none for no limit.
+func (b *Backend) SetLimit(limit func() []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = limit
+}
+
 // SetText sets what the n-th event of a run holds that a body asks for; nil for its number
 // alone.
 func (b *Backend) SetText(text func(body string, n int) string) {
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -77,6 +77,8 @@
 	// around is put around the server's handler, text makes the texts of events.
 	around func(own http.Handler) http.Handler
 	text   func(body string, n int) string
+	// limit returns the limits that an answer names; nil for none.
+	limit func() []string
 	// deadly is the body of a request that ends the server, crashed is told of that.
 	deadly  string
 	crashed func()
