--- /dev/null
+++ b/ratelimit/tokens.go
@@ -0,0 +1,134 @@
+package ratelimit
+
+import "time"
+
+// TokenFor is how long a token holds from its issue on: one that comes late holds for less.
+const TokenFor = 600 * time.Millisecond
+
+// Token is what a token is told with.
+type Token struct {
+	// Owner is the replica that issued it, which gets it back if there is no use for it.
+	Owner string
+	// Spare tells that nobody waits for it, so that it is not given back.
+	Spare bool
+}
+
+// batch is some tokens that end together.
+type batch struct {
+	Token
+	tokens int
+	until  time.Time
+}
+
+// batches are tokens, in the order in which they came.
+type batches []batch
+
+// live drops what has ended and returns the number of the others.
+func (b *batches) live(now time.Time) int {
+	n, kept := 0, (*b)[:0]
+	for _, t := range *b {
+		if t.tokens > 0 && now.Before(t.until) {
+			kept = append(kept, t)
+			n += t.tokens
+		}
+	}
+	*b = kept
+	return n
+}
+
+// take takes the token that ends first; false if there is none.
+func (b *batches) take(now time.Time) (batch, bool) {
+	if b.live(now) == 0 {
+		return batch{}, false
+	}
+	first := 0
+	for i, t := range *b {
+		if t.until.Before((*b)[first].until) {
+			first = i
+		}
+	}
+	(*b)[first].tokens--
+	out := (*b)[first]
+	out.tokens = 1
+	return out, true
+}
+
+// Allowance is what one gateway may send to one limited server. The zero value allows nothing.
+type Allowance struct {
+	tokens batches
+	// alone is the part of the rate that the gateway may use by itself while it gets no
+	// tokens, level what has come of that since levelAt.
+	alone, level float64
+	levelAt      time.Time
+}
+
+// Grant adds tokens that hold for a time.
+func (a *Allowance) Grant(now time.Time, t Token, tokens int, d time.Duration) {
+	a.tokens.live(now)
+	a.tokens = append(a.tokens, batch{t, tokens, now.Add(min(d, TokenFor))})
+}
+
+// Surplus takes back the tokens that are not spare and for which no requests are expected, where
+// so many come a second.
+func (a *Allowance) Surplus(now time.Time, rate float64) []Back {
+	surplus := a.tokens.live(now) - expected(rate)
+	var out []Back
+	for i := range a.tokens {
+		t := &a.tokens[i]
+		if n := min(surplus, t.tokens); n > 0 && !t.Spare {
+			t.tokens -= n
+			surplus -= n
+			out = append(out, Back{Owner: t.Owner, Tokens: n, For: t.until.Sub(now)})
+		}
+	}
+	return out
+}
+
+// expected is how many requests are sure to come while a token holds, where so many come a
+// second.
+func expected(rate float64) int { return int(rate * TokenFor.Seconds()) }
+
+// Back is tokens that are given back.
+type Back struct {
+	Owner, Server string
+	Tokens        int
+	// For is how long they would have held.
+	For time.Duration
+}
+
+// SetAlone takes the requests a second that the gateway may send without tokens: zero while
+// somebody issues them.
+func (a *Allowance) SetAlone(now time.Time, rate float64) {
+	a.settle(now)
+	if rate <= 0 {
+		a.level = 0
+	}
+	a.alone = rate
+}
+
+// settle counts what has come of the gateway's own part, which is one request at most.
+func (a *Allowance) settle(now time.Time) {
+	if a.alone > 0 {
+		a.level = min(a.level+a.alone*now.Sub(a.levelAt).Seconds(), 1)
+	}
+	a.levelAt = now
+}
+
+// Allows tells whether one more request may be sent now.
+func (a *Allowance) Allows(now time.Time) bool {
+	a.settle(now)
+	return a.tokens.live(now) > 0 || a.level >= 1
+}
+
+// Take counts a request; false if none may be sent.
+func (a *Allowance) Take(now time.Time) bool {
+	if _, ok := a.tokens.take(now); ok {
+		return true
+	}
+	a.settle(now)
+	if a.level < 1 {
+		return false
+	}
+	a.level--
+	return true
+}
