--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -31,6 +31,8 @@
 	MaxConnections int
 	// Server names the start of the server; its requests end with it (Pool.End).
 	Server string
+	// Admitted tells that the request was counted against the server's limit.
+	Admitted bool
 	// Fresh asks for a new connection, since a kept one may break in a way
 	// that leaves it open whether the server has seen the request.
 	Fresh bool
@@ -68,6 +70,10 @@
 	return errors.As(err, &e) && e.Sent
 }
 
+// TellsNothing tells whether an error says nothing of the server: the gateway itself has kept the
+// request back.
+func TellsNothing(err error) bool { return errors.Is(err, ErrFull) || errors.Is(err, ErrLimited) }
+
 // Answer is the answer of a server. Its body must be read to the end or
 // closed.
 type Answer struct {
@@ -97,6 +103,9 @@
 // Do sends a request once and returns the head of its answer. The context
 // bounds the whole exchange, the body included.
 func (p *Pool) Do(ctx context.Context, headers *Headers, r Request) (*Answer, error) {
+	if p.Admit != nil && !r.Admitted && !p.Admit(r.Server) {
+		return nil, &Error{Cause: ErrLimited}
+	}
 	c, err := p.get(ctx, &r)
 	if err != nil {
 		return nil, &Error{Cause: err, Refused: !errors.Is(err, ErrFull)}
@@ -108,9 +117,6 @@
 		_ = c.SetDeadline(deadline)
 	}
 	a := &Answer{pool: p, request: r, conn: c, stop: stop, written: make(chan struct{})}
-	if p.OnSend != nil {
-		p.OnSend(r.Server)
-	}
 	sent := clock.VM.Now()
 	resp, err := a.exchange(headers)
 	if err != nil {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -25,8 +25,9 @@
 	// OnConnect, if set, is told how long the opening of a connection to a start of a server
 	// took.
 	OnConnect func(server string, took time.Duration)
-	// OnSend, if set, is told of each request before it goes to a start of a server.
-	OnSend func(server string)
+	// Admit, if set, tells whether a start of a server takes one more request, and counts it;
+	// those that are admitted already are not asked for.
+	Admit func(server string) bool
 	// OnAnswer, if set, is given the head of each answer of a start of a server, and how long
 	// ago its request was sent.
 	OnAnswer func(server string, ago time.Duration, head http.Header)
@@ -41,6 +42,9 @@
 // may have.
 var ErrFull = errors.New("backend: all connections to the server are in use")
 
+// ErrLimited tells that the server takes no more requests now, by its own word.
+var ErrLimited = errors.New("backend: the server takes no more requests now")
+
 // Causes of new connections.
 const (
 	// causeOnce: the request may run once, and a kept connection may break in a way that
--- a/compat/version.go
+++ b/compat/version.go
@@ -7,6 +7,11 @@
 	Base = 3
 	// Evacuations is the version from which on evacuations of availability zones are kept.
 	Evacuations = 5
+	// Limits is the version of links that tell of the limits of servers. It keeps nothing more.
+	Limits = 6
 	// Newest is the highest version that this build reads and writes.
-	Newest = Evacuations
+	Newest = Limits
+	// Needed is the highest version from which on anything more is kept. This build raises the
+	// fleet's version no further, so that the build before can be gone back to.
+	Needed = Evacuations
 )
--- a/control/control.go
+++ b/control/control.go
@@ -159,6 +159,7 @@
 	}
 	c.dialer.Log, c.hub.log = c.log, c.log
 	c.hub.name, c.hub.coldBounds, c.hub.read = cfg.Name, cfg.Cold, cfg.ReadTable
+	c.hub.limits = newLimits(cfg.Clock.Now(), cfg.Name)
 	if cfg.Discovery != nil {
 		c.wg.Go(c.bootDiscovered)
 		return c, nil
--- a/control/discovery.go
+++ b/control/discovery.go
@@ -193,6 +193,9 @@
 	if m.Contents != nil {
 		c.hub.takeContents(m.Contents)
 	}
+	if m.Limits != nil {
+		c.hub.takePeerLimits(l, m.Limits)
+	}
 	if m.Replicas != nil && c.cfg.Discovery != nil {
 		c.mu.Lock()
 		c.meet(m.Replicas.Addresses)
--- a/control/hub.go
+++ b/control/hub.go
@@ -10,6 +10,7 @@
 	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/quota"
+	"github.com/ledgepin/ledgepin/ratelimit"
 	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/route"
 	"github.com/ledgepin/ledgepin/subset"
@@ -42,6 +43,8 @@
 	zone     string
 	servers  *registry.Registry
 	gateways map[*wire.Link]*gatewayState
+	// named are the gateways by ID.
+	named    map[string]*gatewayState
 	peers    map[*wire.Link]bool // links that other replicas have opened
 	table    *route.Table
 	replicas []string
@@ -106,6 +109,8 @@
 	// are the servers of zones that were given back and have not reported themselves since.
 	bounded bool
 	unsure  map[string]bool
+	// limits is about servers that name a limit of requests a second.
+	limits limits
 	// read reads the document that a table was made from; nil to go by what the log has.
 	read func(document []byte) (*route.Table, error)
 }
@@ -136,6 +141,9 @@
 	keptFrom map[string]time.Time
 	// queued are the gateway's requests that wait for room.
 	queued int
+	// limitsTold tells that the gateway was told which servers name limits, and hears what
+	// changes of that.
+	limitsTold bool
 }
 
 // follows tells whether the gateway gets its servers and tables from this replica:
@@ -147,11 +155,12 @@
 func newHub(c *clock.Clock, zone string, bounds quota.Bounds) *hub {
 	return &hub{
 		clock: c, zone: zone,
-		servers: registry.New(serverKeep), gateways: map[*wire.Link]*gatewayState{}, peers: map[*wire.Link]bool{}, away: map[string]awayEngine{},
+		servers: registry.New(serverKeep), gateways: map[*wire.Link]*gatewayState{}, named: map[string]*gatewayState{}, peers: map[*wire.Link]bool{}, away: map[string]awayEngine{},
 		groups: map[group]int{}, own: newShare(), others: map[*wire.Link]*share{}, sum: map[string]wire.EngineLoad{}, moved: map[string]bool{},
 		toldPeers: newShare(), movedOwn: map[string]bool{}, home: map[string]time.Time{}, news: map[string]bool{}, rosters: map[*wire.Link]*registry.Roster{},
 		peerHeard: map[*wire.Link]time.Time{}, ledger: quota.NewLedger[*wire.Link](c.Now(), bounds),
 		contents: newContents(), givenBack: map[string]time.Time{}, unsure: map[string]bool{}, broker: warmup.NewBroker(c.Now()),
+		limits: newLimits(c.Now(), ""),
 	}
 }
 
@@ -162,14 +171,15 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.welcomed++
-	h.gateways[l] = &gatewayState{
+	g := &gatewayState{
 		link: l, id: fmt.Sprint(l.Peer.Name, "#", h.welcomed), heard: h.clock.Now(), key: subset.KeyOf(l.Peer.Name), near: l.Peer.Zone == h.zone, servers: map[string]registry.Server{}, own: map[string]wire.EngineLoad{}, others: newShare(), keptFrom: map[string]time.Time{},
 	}
+	h.gateways[l], h.named[g.id] = g, g
 	h.joined = append(h.joined, l)
 	h.contents.tell(h.clock.Now(), l, suspectAt) // before the table, with which it serves
 	_ = l.Send(&wire.Message{Servers: &wire.Servers{Away: h.awayList(h.clock.Now())}})
 	h.tellEvacuated(l)
-	h.tellTable(l, h.gateways[l], fresh)
+	h.tellTable(l, g, fresh)
 	h.counted = false
 }
 
@@ -193,6 +203,8 @@
 	if g := h.gateways[l]; g != nil {
 		h.reserve(g, nil, false)
 		h.queue(g, 0)
+		h.limits.broker.Leave(ratelimit.Asker{Name: g.id})
+		delete(h.named, g.id)
 	}
 	delete(h.gateways, l)
 	delete(h.contents.told, l)
@@ -208,6 +220,9 @@
 	_ = l.Send(&wire.Message{Servers: h.allServers(h.clock.Now())})
 	_ = l.Send(&wire.Message{Loads: h.toldPeers.message()})
 	_ = l.Send(&wire.Message{Use: h.ledger.Whole(h.clock.Now())})
+	if words := h.limitWords(h.clock.Now()); len(words) > 0 && l.Speaks() >= wire.KnowsLimits {
+		_ = l.Send(&wire.Message{Limits: &wire.Limits{Words: words}})
+	}
 }
 
 func (h *hub) removePeer(l *wire.Link) {
@@ -359,6 +374,7 @@
 	h.tellPeersUse(now)
 	h.tellContents(now)
 	h.tellCold(now)
+	h.tellLimits(now)
 	if now.Sub(h.loadsAt) >= loadsEvery {
 		h.loadsAt = now
 		h.tellLoads()
--- a/control/links.go
+++ b/control/links.go
@@ -145,6 +145,8 @@
 			c.hub.setLoads(l, m.Loads)
 		case m.Use != nil:
 			c.hub.setUse(l, m.Use)
+		case m.Limits != nil:
+			c.hub.takeLimits(l, m.Limits)
 		case m.Contents != nil:
 			c.hub.takeContents(m.Contents)
 		case m.Routes != nil:
--- a/control/loads.go
+++ b/control/loads.go
@@ -1,6 +1,9 @@
 package control
 
-import "github.com/ledgepin/ledgepin/wire"
+import (
+	"github.com/ledgepin/ledgepin/ratelimit"
+	"github.com/ledgepin/ledgepin/wire"
+)
 
 // Each gateway tells one replica what it has reserved, that of its own availability
 // zone if there is one. Replicas tell each other the sums of their own gateways, and
@@ -69,6 +72,8 @@
 			h.ledger.Join(g.link)
 		} else {
 			h.ledger.Leave(g.link)
+			h.limits.broker.Leave(ratelimit.Asker{Name: g.id})
+			g.limitsTold = false
 		}
 	}
 	now := make(map[string]wire.EngineLoad, len(list))
--- a/control/upgrade.go
+++ b/control/upgrade.go
@@ -70,8 +70,8 @@
 			members[i].Told = *m.Told
 		}
 	}
-	out.Holds = append([]compat.Hold{}, c.gate.Look(now, out.Version, c.versions(), members)...)
-	if c.versions().Holds(out.Version + 1) {
+	out.Holds = append([]compat.Hold{}, c.gate.Look(now, out.Version, c.raises(), members)...)
+	if c.raises().Holds(out.Version + 1) {
 		out.Next = out.Version + 1
 	}
 	if since := c.gate.Since(); out.Next != 0 && !since.IsZero() {
--- a/control/versions.go
+++ b/control/versions.go
@@ -22,6 +22,14 @@
 // versions are those that this replica reads and writes.
 func (c *Control) versions() compat.Range { return cmp.Or(c.cfg.Versions, wire.Versions) }
 
+// raises are the versions of the fleet that this replica proposes: none above the one from which
+// on anything more is kept.
+func (c *Control) raises() compat.Range {
+	out := c.versions()
+	out.Most = min(out.Most, compat.Needed)
+	return out
+}
+
 // addReplica takes that a link to a replica is open; false if that replica can't read what
 // this one holds. Callers hold the lock.
 func (c *Control) addReplica(l *wire.Link) bool {
--- a/dispatch/cold.go
+++ b/dispatch/cold.go
@@ -52,6 +52,7 @@
 	if s := f.servers[id]; s != nil && f.IsCold(now, s) {
 		s.cold.lease.Sent(now)
 	}
+	f.Admit(now, id)
 }
 
 // Lease takes that this gateway may send a number of requests a second to a cold server.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/internal/mix"
+	"github.com/ledgepin/ledgepin/ratelimit"
 	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/subset"
 )
@@ -109,6 +110,9 @@
 	evacuated map[string]bool
 	// coldServers is what services say of their cold servers.
 	coldServers map[string]ColdServers
+	// meters count the requests to each service; alone tells that nobody issues tokens.
+	meters map[string]*ratelimit.Meter
+	alone  bool
 	// readRates are the paces at which prefill engines read, by service.
 	readRates map[string]float64
 }
@@ -144,10 +148,21 @@
 	visit := func(s *Server) { found = fits(s) || found }
 	f.visit(list, looked, visit)
 	if !found && looked < len(list) {
-		f.visit(list, mostChoices, visit)
+		f.visit(list, f.mostLooked(now, list), visit)
 	}
 }
 
+// mostLooked is how many servers of a group a choice looks at if it finds none: all of them where
+// some name limits, since a token is for one server.
+func (f *Fleet) mostLooked(now time.Time, list []*Server) int {
+	for _, s := range list {
+		if f.IsLimited(now, s) {
+			return len(list)
+		}
+	}
+	return mostChoices
+}
+
 func (f *Fleet) group(now time.Time, service, role string) []*Server {
 	if f.groups == nil {
 		f.regroup(now)
@@ -192,7 +207,7 @@
 
 // NewFleet returns a fleet without servers.
 func NewFleet(name, zone string) *Fleet {
-	return &Fleet{key: mix.Name(name), servers: map[string]*Server{}, starts: registry.NewStarts(), sizes: map[group]int{}, readRates: map[string]float64{}, trips: map[string]time.Duration{}, Zone: zone, Others: Others{Gateways: 1, Known: 1}}
+	return &Fleet{key: mix.Name(name), servers: map[string]*Server{}, starts: registry.NewStarts(), sizes: map[group]int{}, readRates: map[string]float64{}, meters: map[string]*ratelimit.Meter{}, trips: map[string]time.Duration{}, Zone: zone, Others: Others{Gateways: 1, Known: 1}}
 }
 
 // SetOthers takes what is known of the other gateways.
@@ -218,7 +233,7 @@
 	var best *Server
 	bestScore := 0.0
 	f.search(now, w.Service, "", func(s *Server) bool {
-		if avoid[s.ID] || !s.listed(now) || !f.bears(now, s) || !w.permits(s) {
+		if avoid[s.ID] || !s.listed(now) || !f.bears(now, s) || !f.admits(now, s) || !w.permits(s) {
 			return false
 		}
 		score := f.score(now, s)
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -6,13 +6,26 @@
 	"github.com/ledgepin/ledgepin/ratelimit"
 )
 
+// A server in need names in its answers the requests a second that it takes from all gateways
+// together. From then on a gateway sends it requests under tokens of control alone (package
+// ratelimit): the others take the rest at once, since a server without a token is not chosen.
+
 // limit is what a gateway knows of the limit that a server names.
 type limit struct {
 	ratelimit.Limit
+	allowance ratelimit.Allowance
 	// sent counts the requests of this gateway that went to the server while it held.
 	sent int
+	// untold is the newest word that control has not been told, toldAt when it was told of
+	// this server last.
+	untold *ratelimit.Word
+	toldAt time.Time
 }
 
+// limitAgain is the time after which control is told again that a server goes on naming its
+// limit.
+const limitAgain = 400 * time.Millisecond
+
 // LimitChange is a change of what a server takes.
 type LimitChange struct {
 	Server Server
@@ -21,10 +34,44 @@
 	Sent int
 }
 
-// NoteLimit takes what a server says of its limit. It returns false if that changes nothing.
+// NoteLimit takes what an answer of a server says of its limit. What allows more counts only by
+// the word of control, which knows the answers that other gateways had, unless this gateway is
+// alone. It returns false if nothing has changed.
 func (f *Fleet) NoteLimit(now time.Time, id string, w ratelimit.Word) (LimitChange, bool) {
 	s := f.servers[id]
-	if s == nil || !s.limit.Take(now, w) {
+	if s == nil {
+		return LimitChange{}, false
+	}
+	l := &s.limit
+	if l.Loosens(w) {
+		if !f.alone {
+			l.untold = &w
+			return LimitChange{}, false
+		}
+	}
+	change, changed := s.takeLimit(now, w)
+	if w.Named && (changed || now.Sub(l.toldAt) >= limitAgain) {
+		l.untold = &w
+	}
+	return change, changed
+}
+
+// TellLimit takes what control tells of a server's limit; false if nothing has changed. Control
+// may not know yet what this gateway has heard since, and is told then.
+func (f *Fleet) TellLimit(now time.Time, id string, w ratelimit.Word) (LimitChange, bool) {
+	s := f.servers[id]
+	if s == nil {
+		return LimitChange{}, false
+	}
+	change, changed := s.takeLimit(now, w)
+	if known := s.limit.Word(); !changed && !known.Same(w) {
+		s.limit.untold = &known
+	}
+	return change, changed
+}
+
+func (s *Server) takeLimit(now time.Time, w ratelimit.Word) (LimitChange, bool) {
+	if !s.limit.Take(now, w) {
 		return LimitChange{}, false
 	}
 	out := LimitChange{Server: *s, Word: s.limit.Word(), Sent: s.limit.sent}
@@ -32,26 +79,133 @@
 	return out, true
 }
 
+// ServerWord is what a server said of its limit.
+type ServerWord struct {
+	Server string
+	Word   ratelimit.Word
+}
+
+// UntoldLimits returns what control has to hear of limits; it counts as told.
+func (f *Fleet) UntoldLimits(now time.Time) []ServerWord {
+	var out []ServerWord
+	for id, s := range f.servers {
+		if w := s.limit.untold; w != nil {
+			out = append(out, ServerWord{id, *w})
+			s.limit.untold, s.limit.toldAt = nil, now
+		}
+	}
+	return out
+}
+
+// RetellLimits has control told of all limits again, as another replica that does not know them.
+func (f *Fleet) RetellLimits() {
+	for _, s := range f.servers {
+		if w := s.limit.Word(); w.Named {
+			s.limit.untold = &w
+		}
+	}
+}
+
 // IsLimited tells whether a server names a limit, or did until just before.
 func (f *Fleet) IsLimited(now time.Time, s *Server) bool {
 	_, limited := s.limit.Rate(now)
 	return limited
 }
 
-// CountLimited counts a request that goes to a server; false if that names no limit.
-func (f *Fleet) CountLimited(now time.Time, s *Server) bool {
-	if !f.IsLimited(now, s) {
+// admits tells whether this gateway may send a server one more request, as far as that hangs on
+// its limit.
+func (f *Fleet) admits(now time.Time, s *Server) bool {
+	return !f.IsLimited(now, s) || s.limit.allowance.Allows(now)
+}
+
+// Admit counts a request that is to go to a server; false if the server's limit forbids that.
+func (f *Fleet) Admit(now time.Time, id string) bool {
+	s := f.servers[id]
+	if s == nil || !f.IsLimited(now, s) {
+		return true
+	}
+	if !s.limit.allowance.Take(now) {
 		return false
 	}
 	s.limit.sent++
 	return true
 }
 
-// Limited returns the number of servers that name a limit.
-func (f *Fleet) Limited() int {
+// Grant takes tokens for a server. It returns the server's service; empty if it is not known.
+func (f *Fleet) Grant(now time.Time, id string, t ratelimit.Token, tokens int, d time.Duration) string {
+	s := f.servers[id]
+	if s == nil {
+		return ""
+	}
+	s.limit.allowance.Grant(now, t, tokens, d)
+	return s.Service
+}
+
+// Surplus takes back the tokens of a server for which no request is expected.
+func (f *Fleet) Surplus(now time.Time, id string) []ratelimit.Back {
+	s := f.servers[id]
+	if s == nil {
+		return nil
+	}
+	out := s.limit.allowance.Surplus(now, f.meter(s.Service).Rate(now))
+	for i := range out {
+		out[i].Server = id
+	}
+	return out
+}
+
+// SetAlone takes whether nobody issues tokens to this gateway: it may send its own part of each
+// limit then, one of so many.
+func (f *Fleet) SetAlone(now time.Time, alone bool, gateways int) {
+	f.alone = alone
+	for _, s := range f.servers {
+		rate, limited := s.limit.Rate(now)
+		if !limited || !alone {
+			rate = 0
+		}
+		s.limit.allowance.SetAlone(now, rate/float64(max(gateways, 1)))
+	}
+}
+
+// meter returns the meter of the requests to a service.
+func (f *Fleet) meter(service string) *ratelimit.Meter {
+	m := f.meters[service]
+	if m == nil {
+		m = &ratelimit.Meter{}
+		f.meters[service] = m
+	}
+	return m
+}
+
+// Request counts a request of a caller to a service.
+func (f *Fleet) Request(now time.Time, service string) { f.meter(service).Count(now) }
+
+// LimitedRates returns the requests a second that come for each service with a limited server.
+func (f *Fleet) LimitedRates(now time.Time) map[string]float64 {
+	out := map[string]float64{}
+	for _, s := range f.servers {
+		if _, known := out[s.Service]; !known && !s.gone && f.IsLimited(now, s) {
+			out[s.Service] = f.meter(s.Service).Rate(now)
+		}
+	}
+	return out
+}
+
+// OnlyTokensLack tells whether a request could go to some server if that took more.
+func (f *Fleet) OnlyTokensLack(now time.Time, w Work, avoid Avoid) bool {
+	for _, s := range f.servers {
+		if s.Service == w.Service && !avoid[s.ID] && s.listed(now) && w.permits(s) && !f.admits(now, s) {
+			return true
+		}
+	}
+	return false
+}
+
+// Limited returns the number of servers that name a limit, or did until just before.
+func (f *Fleet) Limited(now time.Time) int {
 	n := 0
 	for _, s := range f.servers {
-		if s.limit.Word().Named && !s.gone {
+		if !s.gone && f.IsLimited(now, s) {
 			n++
 		}
 	}
--- a/dispatch/ruled.go
+++ b/dispatch/ruled.go
@@ -22,6 +22,8 @@
 	RuleRegion Rule = "region"
 	// RuleCold: it has just started, and bears no more requests than others send it.
 	RuleCold Rule = "cold"
+	// RuleLimited: it names a limit of requests a second, and this gateway has no token.
+	RuleLimited Rule = "limited"
 	// RuleBlocked: it failed lately and is left alone.
 	RuleBlocked Rule = "blocked"
 	// RuleSlots: as many requests run there as it has slots.
@@ -70,7 +72,7 @@
 			out.Count[RuleEvacuated]++
 		}
 	}
-	for _, r := range []Rule{RuleRegion, RuleEvacuated, RuleLeaving, RuleCold, RuleBlocked, RuleSlots, RuleMemoryNow, RuleMemory, RuleTurn, RuleLateRead} {
+	for _, r := range []Rule{RuleRegion, RuleEvacuated, RuleLeaving, RuleCold, RuleLimited, RuleBlocked, RuleSlots, RuleMemoryNow, RuleMemory, RuleTurn, RuleLateRead} {
 		if out.Count[r] > 0 {
 			out.Rule = r
 		}
@@ -90,6 +92,8 @@
 		return RuleBlocked
 	case !f.bears(now, s):
 		return RuleCold
+	case !f.admits(now, s):
+		return RuleLimited
 	}
 	if lacks := f.lacks(s, w, e); lacks != "" {
 		return lacks
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/ledgepin/ledgepin/clock"
@@ -27,8 +26,7 @@
 	queue   dispatch.Queue
 	placed  map[*dispatch.Waiting]chan dispatch.Pair
 	telling telling
-	// limited tells that some server names a limit.
-	limited atomic.Bool
+	limits  limitState
 	// told is closed by the next report of servers; nil if nobody waits for it.
 	told chan struct{}
 }
@@ -121,7 +119,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.view.Sweep(now)
-	f.limited.Store(f.view.Limited() > 0)
+	f.limits.some.Store(f.view.Limited(now) > 0)
 	f.serve()
 }
 
@@ -138,6 +136,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.telling.changed = true
+	f.limits.retell(f.view)
 }
 
 func (f *fleet) list() []*dispatch.Server {
@@ -157,8 +156,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []dispatch.Server
-	for _, s := range f.view.Usable(f.clock.Now(), service) {
-		if f.view.Near(s) {
+	now := f.clock.Now()
+	for _, s := range f.view.Usable(now, service) {
+		if f.view.Near(s) && !f.view.IsLimited(now, s) {
 			out = append(out, *s)
 		}
 	}
@@ -173,9 +173,7 @@
 	if s == nil {
 		return dispatch.Server{}, false
 	}
-	s.Open++
-	f.view.Sent(f.clock.Now(), s.ID)
-	return *s, true
+	return f.begin(f.clock.Now(), s), true
 }
 
 // listed tells whether a server may get new work now.
@@ -229,7 +227,9 @@
 func (f *fleet) request(service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.budget(service).Request(f.clock.Now())
+	now := f.clock.Now()
+	f.budget(service).Request(now)
+	f.view.Request(now, service)
 }
 
 // retry takes further sends from the budget of a service.
@@ -343,12 +343,12 @@
 	return f.view.Trip(zone)
 }
 
-// isCold tells whether a server bears fewer requests than usual now.
-func (f *fleet) isCold(id string) bool {
+// bearsLittle tells whether a server bears fewer requests than usual now.
+func (f *fleet) bearsLittle(id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.view.Get(id)
-	return s != nil && f.view.IsCold(f.clock.Now(), s)
+	s, now := f.view.Get(id), f.clock.Now()
+	return s != nil && (f.view.IsCold(now, s) || f.view.IsLimited(now, s))
 }
 
 // noteCold takes how long a server is cold, by its own word.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -192,7 +192,7 @@
 	case notRun:
 		return dispatch.Busy
 	case notSent:
-		if errors.Is(r.err, backend.ErrFull) {
+		if backend.TellsNothing(r.err) {
 			return dispatch.Neutral
 		}
 		return dispatch.Unreached
@@ -213,6 +213,10 @@
 // noServer answers a request of a service that has no server, as in the second
 // after a restart.
 func (g *Gateway) noServer(w http.ResponseWriter, q *request) {
+	if g.fleet.onlyTokensLack(q) {
+		g.refuseLimited(w, q)
+		return
+	}
 	event.NoServer.Log(g.log, "id", q.id, "service", q.service.Name, "known", len(g.fleet.list()))
 	g.refuse(w, q.id, refusal{
 		route: q.route.Name, status: http.StatusServiceUnavailable, reason: "no server of the service is known", retryAfter: reportRetry,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,7 +97,7 @@
 		unreadLimits: event.Limiter{Every: time.Minute, Most: mostUnreadLimits},
 	}
 	g.pool.OnConnect = g.fleet.noteConnect
-	g.pool.OnSend = g.fleet.sending
+	g.pool.Admit = g.fleet.admit
 	g.pool.OnAnswer = g.answered
 	g.links = newLinks(g)
 	g.links.meet(cfg.Seeds)
@@ -177,6 +177,9 @@
 		if s, ok := g.fleet.plain(q.work, q.tried); ok {
 			return s, true
 		}
+		if g.fleet.onlyTokensLack(q) {
+			return g.awaitToken(ctx, q)
+		}
 		if over == nil {
 			left := firstServers
 			if at := g.tabledAt.Load(); at != nil {
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -31,7 +31,7 @@
 		return true
 	}
 	s := n.pair.Decode
-	if n.g.fleet.isCold(s.ID) {
+	if n.g.fleet.bearsLittle(s.ID) {
 		return true // it bears few calls, and has room
 	}
 	hctx, cancel := context.WithTimeout(ctx, holdTimeout+holdTrips*n.g.fleet.trip(s.Zone))
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -180,6 +180,8 @@
 		l.use(address, m.Use)
 	case m.Contents != nil:
 		l.g.contents.take(m.Contents)
+	case m.Limits != nil:
+		l.limits(address, m.Limits)
 	case m.Loads != nil:
 		l.mu.Lock()
 		l.takeLoads(address, m.Loads)
@@ -307,6 +309,7 @@
 		}
 		hub := l.hubLink(now)
 		l.mu.Unlock()
+		l.tellLimits(now, hub)
 		if hub == nil {
 			return
 		}
--- a/gateway/look.go
+++ b/gateway/look.go
@@ -87,7 +87,7 @@
 	switch {
 	case res.kind == misdirected:
 		return errRestarted
-	case res.kind == notSent && !errors.Is(res.err, backend.ErrFull):
+	case res.kind == notSent && !backend.TellsNothing(res.err):
 		return res.err
 	case res.kind == broken && backend.WasSent(res.err) && ctx.Err() == nil && !errors.Is(res.err, os.ErrDeadlineExceeded):
 		return res.err // what is slow, or begins to answer, is there
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -39,6 +39,7 @@
 
 // serve books engines for the requests that wait and find room. Callers hold the lock.
 func (f *fleet) serve() {
+	f.serveLimited()
 	f.view.Serve(f.clock.Now(), &f.queue, func(w *dispatch.Waiting, p dispatch.Pair) {
 		decode := *p.Decode
 		out := dispatch.Pair{Decode: &decode, Wait: p.Wait, Ahead: p.Ahead}
--- a/ratelimit/broker.go
+++ b/ratelimit/broker.go
@@ -103,9 +103,10 @@
 	at     time.Time
 	// out are the tokens that were issued to it and have not ended, by service, and issued
 	// counts all of them; credit is how far it is behind the others.
-	out    map[string]*batches
-	issued map[string]int
-	credit map[string]float64
+	out      map[string]*batches
+	issued   map[string]int
+	issuedAt time.Time
+	credit   map[string]float64
 }
 
 // NewBroker returns the broker of a replica that starts now.
@@ -159,6 +160,12 @@
 		b.askers[from] = a
 	}
 	a.demand, a.at = demand, now
+	for service, d := range demand {
+		// Those that have not come by now are lost, and what came before a restart is not known.
+		if d.Got > a.issued[service] || now.Sub(a.issuedAt) >= TokenFor {
+			a.issued[service] = d.Got
+		}
+	}
 }
 
 // lacks returns the requests of an asker that wait and for which no token is on its way.
@@ -334,11 +341,6 @@
 // Issue returns the tokens that are to be told now, and those that other replicas get back. May
 // tells whether a gateway of this replica works with a server.
 func (b *Broker) Issue(now time.Time, may func(gateway, server string) bool) ([]Grant, []Back) {
-	for from, a := range b.askers {
-		if now.Sub(a.at) >= askFor {
-			delete(b.askers, from)
-		}
-	}
 	var out []Grant
 	var back []Back
 	for _, server := range sortedKeys(b.limits) {
@@ -380,6 +382,7 @@
 	}
 	*a.out[service] = append(*a.out[service], t)
 	a.issued[service]++
+	a.issuedAt = now
 	next := Grant{To: to, Server: server, Token: t.Token, Tokens: 1, For: t.until.Sub(now)}
 	if n := len(out); n > 0 {
 		last := out[n-1]
@@ -419,7 +422,7 @@
 	var list []candidate
 	for to, a := range b.askers {
 		d, ok := a.demand[how.service]
-		if !ok || to.Replica && !how.replicas || !to.Replica && !how.may(to.Name) {
+		if !ok || now.Sub(a.at) >= askFor || to.Replica && !how.replicas || !to.Replica && !how.may(to.Name) {
 			continue
 		}
 		out := 0
--- a/ratelimit/limit.go
+++ b/ratelimit/limit.go
@@ -60,7 +60,7 @@
 		if !l.word.Sent.IsZero() && !w.Heard.After(l.word.Sent) {
 			return false
 		}
-	} else if !w.Sent.After(l.word.Heard.Add(settle)) {
+	} else if !l.Loosens(w) {
 		return false
 	}
 	if !w.Named {
@@ -70,6 +70,11 @@
 	return true
 }
 
+// Loosens tells whether a word would allow more than what is known, and is newer.
+func (l *Limit) Loosens(w Word) bool {
+	return !w.Same(l.word) && !w.tighter(l.word) && w.Sent.After(l.word.Heard.Add(settle))
+}
+
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/wire/hello.go
+++ b/wire/hello.go
@@ -16,10 +16,13 @@
 	// KnowsEvacuations is the first version whose gateways keep work from availability zones
 	// that are being evacuated, and bound what they send to servers that are cold.
 	KnowsEvacuations = 5
+	// KnowsLimits is the first version whose gateways send to servers that name a limit only
+	// under tokens of control.
+	KnowsLimits = 6
 )
 
 // Versions are those that this build speaks.
-var Versions = compat.Range{Least: BaseVersion, Most: KnowsEvacuations}
+var Versions = compat.Range{Least: BaseVersion, Most: KnowsLimits}
 
 // maxBuild bounds the name of a build in bytes: a module's version with its time and
 // commit has some forty.
--- a/wire/message.go
+++ b/wire/message.go
@@ -68,6 +68,7 @@
 
 	Evacuated *Evacuated  `cbor:"40,keyasint,omitempty"`
 	Cold      []ColdLease `cbor:"41,keyasint,omitempty"`
+	Limits    *Limits     `cbor:"42,keyasint,omitempty"`
 }
 
 // Heartbeat shows life and renews the leases of the link's owner.
