--- a/soak/check.go
+++ b/soak/check.go
@@ -76,6 +76,7 @@
 	{"one holder of orders", checkOrders},
 	{"keys and organisations are told apart", checkKeys},
 	{"limits are kept", checkLimits},
+	{"no server gets more than it names", checkServerLimits},
 	{"words that can't be read are not used", checkWords},
 	{"a content that ends servers is left alone", checkDeadly},
 	{"links between builds are not refused", checkRefusals},
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -63,6 +63,8 @@
 		wg.Wait()
 	case EvacuateZone:
 		f.ops.evacuate(ctx, step)
+	case NameLimit:
+		f.nameLimit(ctx, step)
 	case Burst:
 		f.load.faster.Add(2)
 		sleep(ctx, step.For)
@@ -85,7 +87,7 @@
 			out = append(out, controlName(n))
 		}
 		return out
-	case ChangeTable, RaceTables, BadTable, EvacuateZone, Burst:
+	case ChangeTable, RaceTables, BadTable, EvacuateZone, Burst, NameLimit:
 		return []string{string(step.Kind)}
 	}
 	b, _ := f.site.servers[step.Target].now()
--- a/soak/history.go
+++ b/soak/history.go
@@ -166,6 +166,9 @@
 	// Evacuations are those that control has acknowledged.
 	Evacuations []Evacuation
 	Orders      []RoleOrder
+	// Limits are the limits that servers named, Limited what came to these servers.
+	Limits  []ServerLimit
+	Limited []LimitedArrival
 	// HeldKV are the KV caches that engines still held for nobody after the end,
 	// and HeldRoom is the number of holds.
 	HeldKV   []HeldKV
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -41,6 +41,7 @@
 	Upgrade        Kind = "upgrade"       // planned
 	GoBack         Kind = "go back"       // planned
 	EvacuateZone   Kind = "evacuate zone" // planned
+	NameLimit      Kind = "name limit"
 )
 
 // Planned tells whether a kind is planned work.
@@ -64,6 +65,8 @@
 	// Wave orders the steps that replace: those of a wave are made beside each other, and
 	// waves one after the other.
 	Wave int `json:"wave,omitempty"`
+	// Draw decides what a server names, of a step that has it name limits.
+	Draw uint64 `json:"draw,omitempty"`
 	// Empty tells that the process starts on an empty disk, as on a new VM.
 	Empty bool `json:"empty,omitempty"`
 	// Hit is how long after its begin the step is hit by a kill; zero if it is not.
@@ -129,6 +132,7 @@
 	}
 	out = append(out, streamSteps(seed, length, shape)...)
 	out = append(out, evacuations(seed, length)...)
+	out = append(out, limitSteps(seed, length, shape)...)
 	slices.SortStableFunc(out, func(a, b Step) int { return int(a.At - b.At) })
 	return out
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -97,7 +97,7 @@
 	}
 	plan = slices.DeleteFunc(plan, func(s Step) bool {
 		// Builds that are replaced may know no evacuations.
-		return slices.Contains(o.Without, s.Kind) || o.Production != "" && s.Kind == EvacuateZone
+		return slices.Contains(o.Without, s.Kind) || o.Production != "" && (s.Kind == EvacuateZone || s.Kind == NameLimit)
 	})
 	if o.Calm {
 		plan = slices.DeleteFunc(plan, func(s Step) bool { return !s.Kind.Planned() })
@@ -184,6 +184,9 @@
 			for _, a := range b.Arrivals() {
 				h.Arrivals = append(h.Arrivals, s.arrival(b, service, a))
 			}
+			for _, l := range b.Limited() {
+				h.Limited = append(h.Limited, LimitedArrival{Server: b.ID, ID: l.ID, Path: l.Path, Named: len(l.Named) > 0, At: l.At.Sub(s.rec.start)})
+			}
 			for _, o := range b.Orders() {
 				h.Orders = append(h.Orders, RoleOrder{Server: b.ID, Holder: o.Holder, Fence: o.Fence, At: o.At.Sub(s.rec.start)})
 			}
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -41,6 +42,26 @@
 	assert.Equal(t, strings.Count(string(page), "<img"), 3)
 }
 
+// TestLimitedServers has all servers of the plain service, and an engine, name limits in all ways,
+// while a gateway and a replica of control are killed and the table changes.
+func TestLimitedServers(t *testing.T) {
+	plan := []Step{
+		{At: 5 * second, Kind: KillGateway, Target: 1, For: second},
+		{At: 6 * second, Kind: KillControl, Target: 0, For: second},
+		{At: 7 * second, Kind: ChangeTable},
+	}
+	for i := range DefaultShape.Apps {
+		for _, at := range []time.Duration{second, 8 * second} {
+			plan = append(plan, Step{At: at, For: 6 * second, Kind: NameLimit, Target: 6 + i, Draw: uint64(i) + uint64(at)})
+		}
+	}
+	plan = append(plan, Step{At: 2 * second, For: 8 * second, Kind: NameLimit, Target: 3, Draw: 5})
+	slices.SortFunc(plan, func(a, b Step) int { return int(a.At - b.At) })
+	h, _, _ := playShort(t, Options{Length: 15 * time.Second, Plan: plan, PlainTexts: true})
+	assert.Assert(t, len(h.Limited) > 20 && len(h.Limits) > 0, "%d arrivals, %d limits", len(h.Limited), len(h.Limits))
+	assert.Equal(t, h.Troubles["named limit"], 7)
+}
+
 // sameBuild stands for the tree's own binary as the production build.
 const sameBuild = "the tree's own"
 
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -78,7 +78,8 @@
 	around func(own http.Handler) http.Handler
 	text   func(body string, n int) string
 	// limit returns the limits that an answer names; nil for none.
-	limit func() []string
+	limit   func() []string
+	limited []Limited
 	// deadly is the body of a request that ends the server, crashed is told of that.
 	deadly  string
 	crashed func()
