--- a/metric/metric.go
+++ b/metric/metric.go
@@ -96,10 +96,10 @@
 	LimitedServers = gauge("ledgepin_limited_servers", "Servers that name a limit of requests a second, as this process knows.", "name")
 	LimitedSends   = counter("ledgepin_limited_sends_total", "Requests of a gateway to servers that name a limit of requests a second.", "service")
 	LimitsUnread   = counter("ledgepin_server_limits_unread_total", "Answers of servers that name a limit which can't be read.", "service")
-	WordsRefused = counter("ledgepin_server_words_refused_total", "Words about servers that are not used: unreadable, of an earlier start, or of another server.", "reason")
-	LinksRefused = counter("ledgepin_links_refused_total", "Links that were not opened for what the peer said first, by who opened it (dialled, accepted) and reason (versions_apart, bad_peer).", "side", "reason")
-	UnknownWords = counter("ledgepin_unknown_words_total", "Kinds of messages in which a link met a word that this build does not know, by kind: its name, or its number if the kind itself is not known.", "kind")
-	LogDropped   = counter("ledgepin_log_lines_dropped_total", "Log lines left out because the output was not read fast enough.")
+	WordsRefused   = counter("ledgepin_server_words_refused_total", "Words about servers that are not used: unreadable, of an earlier start, or of another server.", "reason")
+	LinksRefused   = counter("ledgepin_links_refused_total", "Links that were not opened for what the peer said first, by who opened it (dialled, accepted) and reason (versions_apart, bad_peer).", "side", "reason")
+	UnknownWords   = counter("ledgepin_unknown_words_total", "Kinds of messages in which a link met a word that this build does not know, by kind: its name, or its number if the kind itself is not known.", "kind")
+	LogDropped     = counter("ledgepin_log_lines_dropped_total", "Log lines left out because the output was not read fast enough.")
 )
 
 // WriteMarkdown writes the catalogue as the page docs/METRICS.md.
