--- a/soak/limits.go
+++ b/soak/limits.go
@@ -61,6 +61,7 @@
 	r := rand.New(rand.NewPCG(seed, 9))
 	var out []Step
 	apps := shape.Prefills + shape.Decodes
+	free := map[int]time.Duration{} // when each server names none any more
 	for at := time.Duration(float64(calmStart) * (0.5 + r.Float64())); at < length-calmEnd; at += time.Duration(float64(6*time.Second) * r.Float64()) {
 		d := limitContact + time.Duration((2+6*r.Float64())*float64(time.Second))
 		first, n := apps+r.IntN(shape.Apps), 1+r.IntN(shape.Apps)
@@ -72,6 +73,10 @@
 			if first >= apps {
 				target = apps + (first-apps+i)%shape.Apps
 			}
+			if at < free[target] {
+				continue
+			}
+			free[target] = at + d + 2*time.Second // it ends late if it names none at times
 			out = append(out, Step{At: at, For: min(d, length-at), Kind: NameLimit, Target: target, Draw: r.Uint64()})
 		}
 	}
