--- a/cmd/ledgepin/limit_test.go
+++ b/cmd/ledgepin/limit_test.go
@@ -118,3 +118,35 @@
 	})
 	assert.DeepEqual(t, got, map[int]int{200: got[200]})
 }
+
+// TestAllServersNameLimits has all servers of a service name limits, far below what is asked: each
+// gets no more than that, and every request that no server got is refused as not run.
+func TestAllServersNameLimits(t *testing.T) {
+	s := newSite(t)
+	var servers []*standin.Backend
+	for _, id := range []string{"a1", "a2", "a3"} {
+		servers = append(servers, s.slowServer(id))
+	}
+	s.put(table(1, ""))
+	for name := range s.front {
+		s.isReady(name, true)
+		s.serves(name, "/rates/0", 200)
+	}
+	for _, b := range servers {
+		b.SetLimit(limitOf(limitedRate))
+	}
+	before := 0
+	got := s.asks("/checkout/x", func() {
+		from := time.Now().Add(time.Second)
+		time.Sleep(time.Second + limitWindow + 2*time.Second)
+		for _, b := range servers {
+			n := most(b, from)
+			t.Logf("%d requests in %v, %.1f are allowed, the limit is %.1f", n, limitWindow, mostLimited, limitedRate*limitWindow.Seconds())
+			assert.Check(t, float64(n) <= mostLimited)
+			before += n
+		}
+	})
+	t.Logf("answers by status: %v", got)
+	assert.Assert(t, before > 0 && got[503] > 0)
+	assert.DeepEqual(t, got, map[int]int{200: got[200], 503: got[503]})
+}
--- a/control/engines.go
+++ b/control/engines.go
@@ -56,7 +56,7 @@
 	h.awayList(now)
 	out := map[string][]roles.Engine{}
 	for _, s := range h.servers.List(now) {
-		if s.Role == "" || s.State != registry.Ready || h.isEvacuated(s.Zone) {
+		if s.Role == "" || s.State != registry.Ready || h.isEvacuated(s.Zone) || h.isLimited(now, s.ID) {
 			continue
 		}
 		e := roles.Engine{ID: s.ID, Zone: s.Zone, Role: s.Role, Busy: h.sum[s.ID].Prefill > 0, Used: h.used(s.Service, h.sum[s.ID])}
--- a/control/limits.go
+++ b/control/limits.go
@@ -115,6 +115,7 @@
 			_ = l.Send(m)
 		}
 	}
+	h.welcomeLimits(now)
 	h.passLimits(now, m, k)
 }
 
@@ -158,6 +159,17 @@
 	h.limits.broker.SetLimit(now, id, s.Service, rate)
 }
 
+// isLimited tells whether a server names a limit, so that it gets no orders and the others have to
+// do its work. Callers hold the lock.
+func (h *hub) isLimited(now time.Time, id string) bool {
+	k := h.limits.known[id]
+	if k == nil {
+		return false
+	}
+	_, limited := k.Rate(now)
+	return limited
+}
+
 // tellLimits does what is due by time for the servers that name a limit; nothing if there are
 // none. Callers hold the lock.
 func (h *hub) tellLimits(now time.Time) {
--- /dev/null
+++ b/control/limits_test.go
@@ -0,0 +1,160 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/clock"
+	"github.com/ledgepin/ledgepin/quota"
+	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// newLimitHub is a hub alone in its group, with engines of one service, and the gateways that share
+// with it.
+func newLimitHub(t *testing.T, gateways, engines int) (*hub, []*listener) {
+	t.Helper()
+	h := newHub(nil, "", quota.Bounds{})
+	h.name = "10.0.0.1:7000"
+	h.limits = newLimits(clock.VM.Now().Add(-time.Minute), h.name)
+	h.tellReplicas([]string{h.name})
+	reportEngines(h, engines, 1)
+	list := listen(t, h, gateways)
+	for _, g := range list {
+		assert.NilError(t, g.link.Send(&wire.Message{Loads: &wire.Loads{}}))
+	}
+	h.awaitSharing(t, gateways)
+	return h, list
+}
+
+func (h *hub) awaitSharing(t *testing.T, gateways int) {
+	t.Helper()
+	for sharing := 0; sharing < gateways; time.Sleep(time.Millisecond) {
+		sharing = 0
+		h.tick(clock.VM.Now(), true)
+		h.mu.Lock()
+		for _, g := range h.gateways {
+			if g.sharing && len(g.servers) > 0 {
+				sharing++
+			}
+		}
+		h.mu.Unlock()
+	}
+}
+
+// names has a gateway tell that servers name a limit.
+func (g *listener) names(t *testing.T, rate float64, servers ...string) {
+	t.Helper()
+	m := &wire.Limits{}
+	for _, id := range servers {
+		m.Words = append(m.Words, wire.LimitWord{Server: id, Named: true, Rate: rate, Sent: 20 * time.Millisecond, Heard: 10 * time.Millisecond})
+	}
+	assert.NilError(t, g.link.Send(&wire.Message{Limits: m}))
+}
+
+func (g *listener) asks(t *testing.T, service string, rate float64) {
+	t.Helper()
+	assert.NilError(t, g.link.Send(&wire.Message{Limits: &wire.Limits{Asks: []wire.LimitAsk{{Service: service, Rate: rate}}}}))
+}
+
+// TestLimitReachesAllGateways wants what one gateway was told by a server to reach all others at
+// once, one that comes later too; the planner of roles to leave the server out; and tokens to go
+// to the gateway that has requests.
+func TestLimitReachesAllGateways(t *testing.T) {
+	h, list := newLimitHub(t, 20, 6)
+	id, service := anEngine(h)
+	before := len(h.engines(clock.VM.Now())[service])
+	list[0].names(t, 4.1, id)
+	for _, g := range list {
+		g.wait(t, "the limit", func() bool { return g.limits[id].Rate == 4.1 })
+	}
+	assert.Equal(t, len(h.engines(clock.VM.Now())[service]), before-1)
+	late := listen(t, h, 21)[20]
+	assert.NilError(t, late.link.Send(&wire.Message{Loads: &wire.Loads{}}))
+	h.awaitSharing(t, 21)
+	list[3].asks(t, service, 50)
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		h.tick(clock.VM.Now(), true)
+		late.mu.Lock()
+		known := late.limits[id].Named
+		late.mu.Unlock()
+		list[3].mu.Lock()
+		tokens := list[3].tokens[id]
+		list[3].mu.Unlock()
+		if known && tokens > 0 {
+			break
+		}
+		assert.Assert(t, time.Now().Before(end), "known %t, %d tokens", known, tokens)
+	}
+	for i, g := range list {
+		g.mu.Lock()
+		assert.Equal(t, g.tokens[id] > 0, i == 3, "gateway %d", i)
+		g.mu.Unlock()
+	}
+}
+
+// anEngine returns an engine of a hub, and its service.
+func anEngine(h *hub) (id, service string) {
+	s := h.list()[0]
+	return s.ID, s.Service
+}
+
+// TestBytesOfLimits plays the gateways of one of ten replicas of 608 gateways, with fifty servers
+// that name limits and requests everywhere, and wants the words about that to stay a small part of
+// the 10 KB a second that control may cost a node.
+func TestBytesOfLimits(t *testing.T) {
+	const gateways, limited, seconds, mostBytes = 61, 50, 2, 5000
+	h, list := newLimitHub(t, gateways, 60)
+	var ids []string
+	for _, s := range h.list()[:limited] {
+		ids = append(ids, s.ID)
+	}
+	_, service := anEngine(h)
+	list[0].names(t, 4.1, ids...)
+	list[1].wait(t, "the limits", func() bool { return len(list[1].limits) == limited })
+	begin := make([]int, gateways)
+	for i, g := range list {
+		g.mu.Lock()
+		begin[i] = g.limitBytes
+		g.mu.Unlock()
+	}
+	ask, err := wire.Marshal(&wire.Message{Limits: &wire.Limits{Asks: []wire.LimitAsk{{Service: service, Rate: 4.3, Waiting: 1, Got: 17}}}})
+	assert.NilError(t, err)
+	said := 0
+	for end := time.Now().Add(seconds * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, g := range list {
+			g.asks(t, service, 4.3)
+			said += len(ask)
+		}
+		h.tick(clock.VM.Now(), true)
+	}
+	most, sum := 0, 0
+	for i, g := range list {
+		g.mu.Lock()
+		n := g.limitBytes - begin[i]
+		g.mu.Unlock()
+		most, sum = max(most, n), sum+n
+	}
+	t.Logf("a second: a gateway is told %d bytes at most and says %d; the replica tells %d and hears %d",
+		most/seconds, said/gateways/seconds, sum/seconds, said/seconds)
+	assert.Assert(t, most/seconds+said/gateways/seconds < mostBytes)
+}
+
+// TestLimitsCostNothingWhereNoneIsNamed wants no word about limits while no server names one.
+func TestLimitsCostNothingWhereNoneIsNamed(t *testing.T) {
+	h, list := newLimitHub(t, 3, 6)
+	for range 20 {
+		h.tick(clock.VM.Now(), true)
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, g := range list {
+		g.mu.Lock()
+		assert.Equal(t, g.limitBytes, 0, fmt.Sprint(g.limits))
+		g.mu.Unlock()
+	}
+	assert.Equal(t, len(h.list()), 6)
+	assert.Equal(t, h.list()[0].State, registry.Ready)
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -113,6 +113,8 @@
 	// meters count the requests to each service; alone tells that nobody issues tokens.
 	meters map[string]*ratelimit.Meter
 	alone  bool
+	// earlyLimits are limits of servers that are not known yet.
+	earlyLimits map[string]ratelimit.Word
 	// readRates are the paces at which prefill engines read, by service.
 	readRates map[string]float64
 }
@@ -207,7 +209,7 @@
 
 // NewFleet returns a fleet without servers.
 func NewFleet(name, zone string) *Fleet {
-	return &Fleet{key: mix.Name(name), servers: map[string]*Server{}, starts: registry.NewStarts(), sizes: map[group]int{}, readRates: map[string]float64{}, meters: map[string]*ratelimit.Meter{}, trips: map[string]time.Duration{}, Zone: zone, Others: Others{Gateways: 1, Known: 1}}
+	return &Fleet{key: mix.Name(name), servers: map[string]*Server{}, starts: registry.NewStarts(), sizes: map[group]int{}, readRates: map[string]float64{}, meters: map[string]*ratelimit.Meter{}, earlyLimits: map[string]ratelimit.Word{}, trips: map[string]time.Duration{}, Zone: zone, Others: Others{Gateways: 1, Known: 1}}
 }
 
 // SetOthers takes what is known of the other gateways.
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -22,9 +22,16 @@
 	toldAt time.Time
 }
 
-// limitAgain is the time after which control is told again that a server goes on naming its
-// limit.
-const limitAgain = 400 * time.Millisecond
+const (
+	// limitAgain is the time after which control is told again that a server goes on naming its
+	// limit.
+	limitAgain = 400 * time.Millisecond
+	// limitRetell is the time after which control is told of a limit again though nothing was
+	// heard: a replica that has started anew over the same link would issue no tokens.
+	limitRetell = 2 * time.Second
+	// mostEarly bounds the servers of which the limit is known before themselves.
+	mostEarly = 1000
+)
 
 // LimitChange is a change of what a server takes.
 type LimitChange struct {
@@ -61,6 +68,9 @@
 func (f *Fleet) TellLimit(now time.Time, id string, w ratelimit.Word) (LimitChange, bool) {
 	s := f.servers[id]
 	if s == nil {
+		if len(f.earlyLimits) < mostEarly {
+			f.earlyLimits[id] = w
+		}
 		return LimitChange{}, false
 	}
 	change, changed := s.takeLimit(now, w)
@@ -70,6 +80,14 @@
 	return change, changed
 }
 
+// learnLimit takes what control told of the limit of a server before the server.
+func (f *Fleet) learnLimit(now time.Time, s *Server) {
+	if w, ok := f.earlyLimits[s.ID]; ok {
+		delete(f.earlyLimits, s.ID)
+		s.limit.Take(now, w)
+	}
+}
+
 func (s *Server) takeLimit(now time.Time, w ratelimit.Word) (LimitChange, bool) {
 	if !s.limit.Take(now, w) {
 		return LimitChange{}, false
@@ -89,6 +107,9 @@
 func (f *Fleet) UntoldLimits(now time.Time) []ServerWord {
 	var out []ServerWord
 	for id, s := range f.servers {
+		if w := s.limit.Word(); w.Named && s.limit.untold == nil && now.Sub(s.limit.toldAt) >= limitRetell {
+			s.limit.untold = &w
+		}
 		if w := s.limit.untold; w != nil {
 			out = append(out, ServerWord{id, *w})
 			s.limit.untold, s.limit.toldAt = nil, now
--- /dev/null
+++ b/dispatch/limit_test.go
@@ -0,0 +1,116 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/ratelimit"
+	"github.com/ledgepin/ledgepin/registry"
+)
+
+// limitedFleet has plain servers, of which all but the last have named a limit.
+func limitedFleet(now time.Time, servers ...string) *Fleet {
+	f := NewFleet("g", "z")
+	var list []registry.Server
+	for _, id := range servers {
+		list = append(list, registry.Server{ID: id, Service: "plain", Zone: "z", State: registry.Ready, Address: id + ":1", Sequence: 1})
+	}
+	f.Update(now, list)
+	for _, id := range servers[:len(servers)-1] {
+		f.NoteLimit(now, id, ratelimit.Word{Named: true, Rate: 4, Sent: now, Heard: now})
+	}
+	return f
+}
+
+var plainWork = Work{Service: "plain"}
+
+// TestLimitedServersAreChosenUnderTokens wants servers that name limits to be chosen as often as
+// there are tokens for them, and the others to get the rest at once.
+func TestLimitedServersAreChosenUnderTokens(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := limitedFleet(now, "a", "b", "c")
+	got := map[string]int{}
+	choose := func() {
+		s := f.Plain(now, plainWork, nil)
+		assert.Assert(t, s != nil)
+		s.Open++
+		f.Sent(now, s.ID)
+		got[s.ID]++
+	}
+	for range 10 {
+		choose()
+	}
+	assert.DeepEqual(t, got, map[string]int{"c": 10})
+	f.Grant(now, "a", ratelimit.Token{Owner: "o"}, 2, time.Second)
+	for range 10 {
+		choose()
+	}
+	assert.DeepEqual(t, got, map[string]int{"a": 2, "c": 18})
+	assert.Assert(t, !f.OnlyTokensLack(now, plainWork, Avoid{"a": true, "b": true, "c": true}))
+	f.Gone("c")
+	assert.Assert(t, f.Plain(now, plainWork, nil) == nil)
+	assert.Assert(t, f.OnlyTokensLack(now, plainWork, nil))
+}
+
+// TestTokensAreFoundInALargeGroup wants a token for one server of many to be found.
+func TestTokensAreFoundInALargeGroup(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var ids []string
+	for i := range 96 {
+		ids = append(ids, string(rune('a'+i/26))+string(rune('a'+i%26)))
+	}
+	f := limitedFleet(now, append(ids, "last")...)
+	f.Gone("last")
+	for range 50 {
+		f.Grant(now, "bb", ratelimit.Token{}, 1, time.Second)
+		s := f.Plain(now, plainWork, nil)
+		assert.Assert(t, s != nil && s.ID == "bb")
+		f.Sent(now, s.ID)
+	}
+}
+
+// TestLimitKnownBeforeTheServer wants a limit to hold from the moment on at which a gateway begins
+// to work with the server.
+func TestLimitKnownBeforeTheServer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := NewFleet("g", "z")
+	f.TellLimit(now, "a", ratelimit.Word{Named: true, Rate: 4, Sent: now, Heard: now})
+	f.Update(now, []registry.Server{{ID: "a", Service: "plain", Zone: "z", State: registry.Ready, Address: "a:1", Sequence: 1}})
+	assert.Equal(t, f.Limited(now), 1)
+	assert.Assert(t, f.Plain(now, plainWork, nil) == nil)
+}
+
+// TestEndOfALimitIsControls wants a gateway in touch to leave it to control whether a limit has
+// ended, which knows the answers of the others; one that is alone goes by its own.
+func TestEndOfALimitIsControls(t *testing.T) {
+	now := time.Unix(1000, 0)
+	later := now.Add(2 * time.Second)
+	ended := ratelimit.Word{Sent: later, Heard: later}
+	f := limitedFleet(now, "a", "b")
+	f.UntoldLimits(now)
+	_, changed := f.NoteLimit(later, "a", ended)
+	assert.Assert(t, !changed)
+	assert.DeepEqual(t, f.UntoldLimits(later), []ServerWord{{"a", ended}})
+	_, changed = f.TellLimit(later, "a", ended)
+	assert.Assert(t, changed)
+
+	f = limitedFleet(now, "a", "b")
+	f.SetAlone(now, true, 10)
+	_, changed = f.NoteLimit(later, "a", ended)
+	assert.Assert(t, changed)
+}
+
+// TestControlIsToldWhatItMissed wants a gateway that has heard a limit later than control to say
+// so, and to tell a replica that may have started anew of its limits after a while.
+func TestControlIsToldWhatItMissed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := limitedFleet(now, "a", "b")
+	assert.Equal(t, len(f.UntoldLimits(now)), 1)
+	_, changed := f.TellLimit(now, "a", ratelimit.Word{Sent: now.Add(-time.Second), Heard: now})
+	assert.Assert(t, !changed)
+	assert.Equal(t, len(f.UntoldLimits(now)), 1)
+	assert.Equal(t, len(f.UntoldLimits(now.Add(limitRetell/2))), 0)
+	assert.Equal(t, len(f.UntoldLimits(now.Add(limitRetell))), 1)
+}
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -47,6 +47,7 @@
 		s.evacuated, s.region = f.evacuated[r.Zone], f.regions[r.Zone]
 		s.heardCold(heard, r.Cold)
 		f.servers[r.ID] = s
+		f.learnLimit(now, s)
 		f.retire(s)
 		f.groups = nil
 		return
@@ -202,6 +203,11 @@
 // anew.
 func (f *Fleet) Sweep(now time.Time) {
 	f.groups = nil
+	for id, w := range f.earlyLimits {
+		if now.Sub(w.Heard) > forgetAfter {
+			delete(f.earlyLimits, id)
+		}
+	}
 	for id, s := range f.servers {
 		if s.Open == 0 && s.Own == (Load{}) && now.Sub(s.heardAt) > forgetAfter {
 			delete(f.servers, id)
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -67,6 +67,7 @@
 	now := f.clock.Now()
 	ended := f.view.Update(now, m.List)
 	f.view.Heard(now.Add(-m.For), alive)
+	f.limits.some.Store(f.view.Limited(now) > 0)
 	for _, g := range m.Sizes {
 		f.view.SetSize(g.Service, g.Role, g.Size)
 	}
