--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -50,11 +50,9 @@
 		return LimitChange{}, false
 	}
 	l := &s.limit
-	if l.Loosens(w) {
-		if !f.alone {
-			l.untold = &w
-			return LimitChange{}, false
-		}
+	if l.Loosens(w) && !f.alone {
+		l.untold = &w
+		return LimitChange{}, false
 	}
 	change, changed := s.takeLimit(now, w)
 	if w.Named && (changed || now.Sub(l.toldAt) >= limitAgain) {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -26,7 +26,7 @@
 	queue   dispatch.Queue
 	placed  map[*dispatch.Waiting]chan dispatch.Pair
 	telling telling
-	limits  limitState
+	limited limitedServers
 	// told is closed by the next report of servers; nil if nobody waits for it.
 	told chan struct{}
 }
@@ -67,7 +67,7 @@
 	now := f.clock.Now()
 	ended := f.view.Update(now, m.List)
 	f.view.Heard(now.Add(-m.For), alive)
-	f.limits.some.Store(f.view.Limited(now) > 0)
+	f.limited.some.Store(f.view.Limited(now) > 0)
 	for _, g := range m.Sizes {
 		f.view.SetSize(g.Service, g.Role, g.Size)
 	}
@@ -120,7 +120,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.view.Sweep(now)
-	f.limits.some.Store(f.view.Limited(now) > 0)
+	f.limited.some.Store(f.view.Limited(now) > 0)
 	f.serve()
 }
 
@@ -137,7 +137,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.telling.changed = true
-	f.limits.retell(f.view)
+	f.limited.retell(f.view)
 }
 
 func (f *fleet) list() []*dispatch.Server {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -181,7 +181,7 @@
 	case m.Contents != nil:
 		l.g.contents.take(m.Contents)
 	case m.Limits != nil:
-		l.limits(address, m.Limits)
+		l.takeLimits(address, m.Limits)
 	case m.Loads != nil:
 		l.mu.Lock()
 		l.takeLoads(address, m.Loads)
--- /dev/null
+++ b/gateway/tokens.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"math"
+	"time"
+
+	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/ratelimit"
+	"github.com/ledgepin/ledgepin/wire"
+)
+
+// Times and bounds of asking for tokens.
+const (
+	// askAgain is the time after which control is asked again for tokens where nothing has
+	// changed, and askChange the part by which the rate of requests must have changed.
+	askAgain  = 400 * time.Millisecond
+	askChange = 0.25
+	// leastAsk is the rate of requests below which none is asked for.
+	leastAsk = 0.01
+	// aloneAfter is how long a gateway must have been out of touch before it sends its own part
+	// of each limit.
+	aloneAfter = time.Second
+)
+
+// takeLimits takes what a replica tells of limits; only the one that this gateway shares with tells
+// of tokens and supply.
+func (l *links) takeLimits(address string, m *wire.Limits) {
+	l.mu.Lock()
+	hub := address == l.hub
+	l.mu.Unlock()
+	f := l.g.fleet
+	f.mu.Lock()
+	now := f.clock.Now()
+	var changes []dispatch.LimitChange
+	for _, w := range m.Words {
+		word := ratelimit.Word{Named: w.Named, Rate: w.Rate, Sent: now.Add(-w.Sent), Heard: now.Add(-w.Heard)}
+		if change, ok := f.view.TellLimit(now, w.Server, word); ok {
+			changes = append(changes, change)
+		}
+	}
+	f.limited.some.Store(f.view.Limited(now) > 0)
+	var back []wire.LimitToken
+	if hub {
+		f.limited.setSupply(m.Supply)
+		back = f.takeTokens(now, m.Tokens)
+	}
+	f.mu.Unlock()
+	for _, c := range changes {
+		l.g.logLimit(c, byControl)
+	}
+	if len(back) > 0 {
+		l.send(address, &wire.Message{Limits: &wire.Limits{Back: back}})
+	}
+}
+
+// send sends to a replica, if its link is open.
+func (l *links) send(address string, m *wire.Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p := l.peers[address]; p != nil && p.link != nil {
+		_ = p.link.Send(m)
+	}
+}
+
+func (s *limitedServers) setSupply(list []wire.LimitSupply) {
+	if s.supply == nil {
+		s.supply = map[string]ratelimit.Supply{}
+	}
+	for _, one := range list {
+		s.supply[one.Service] = ratelimit.Supply{Rate: one.Rate, Waiting: one.Waiting}
+	}
+}
+
+// takeTokens places the requests that wait for tokens, and returns those that nobody here has use
+// for. Callers hold the lock.
+func (f *fleet) takeTokens(now time.Time, tokens []wire.LimitToken) []wire.LimitToken {
+	if len(tokens) == 0 {
+		return nil
+	}
+	if f.limited.got == nil {
+		f.limited.got = map[string]int{}
+	}
+	for _, t := range tokens {
+		if service := f.view.Grant(now, t.Server, ratelimit.Token{Owner: t.Owner, Spare: t.Spare}, t.Tokens, t.For); service != "" {
+			f.limited.got[service] += t.Tokens
+		}
+	}
+	f.serve()
+	var out []wire.LimitToken
+	for _, t := range tokens {
+		for _, b := range f.view.Surplus(now, t.Server) {
+			out = append(out, wire.LimitToken{Server: b.Server, Tokens: b.Tokens, For: b.For, Owner: b.Owner})
+		}
+	}
+	return out
+}
+
+// tellLimits tells the replica that this gateway shares with what servers say of their limits, and
+// asks it for tokens; hub is nil if there is none.
+func (l *links) tellLimits(now time.Time, hub *wire.Link) {
+	f := l.g.fleet
+	knows := hub != nil && hub.Speaks() >= wire.KnowsLimits && l.inTouch()
+	f.mu.Lock()
+	if knows || f.limited.touchAt.IsZero() {
+		f.limited.touchAt = now
+	}
+	if !f.limited.some.Load() {
+		f.mu.Unlock()
+		return
+	}
+	f.view.SetAlone(now, now.Sub(f.limited.touchAt) >= aloneAfter, f.view.Others.Gateways)
+	var m *wire.Limits
+	if knows {
+		m = f.untoldLimits(now)
+	}
+	f.serveLimited()
+	f.mu.Unlock()
+	if m != nil {
+		_ = hub.Send(&wire.Message{Limits: m})
+	}
+}
+
+// untoldLimits returns what control has to hear of limits; nil if nothing. Callers hold the lock.
+func (f *fleet) untoldLimits(now time.Time) *wire.Limits {
+	out := &wire.Limits{}
+	for _, w := range f.view.UntoldLimits(now) {
+		out.Words = append(out.Words, wire.LimitWord{
+			Server: w.Server, Named: w.Word.Named, Rate: w.Word.Rate, Sent: now.Sub(w.Word.Sent), Heard: now.Sub(w.Word.Heard),
+		})
+	}
+	asks := f.limitAsks(now)
+	if now.Sub(f.limited.askedAt) >= askAgain || f.limited.asksChanged(asks) {
+		f.limited.asked, f.limited.askedAt = asks, now
+		for _, a := range asks {
+			out.Asks = append(out.Asks, a)
+		}
+	}
+	if len(out.Words)+len(out.Asks) == 0 {
+		return nil
+	}
+	return out
+}
+
+// limitAsks returns what this gateway would send to the services that have limited servers.
+// Callers hold the lock.
+func (f *fleet) limitAsks(now time.Time) map[string]wire.LimitAsk {
+	out := map[string]wire.LimitAsk{}
+	for service, rate := range f.view.LimitedRates(now) {
+		a := wire.LimitAsk{Service: service, Rate: rate, Got: f.limited.got[service]}
+		for _, w := range f.limited.waiting {
+			if w.work.Service != service {
+				continue
+			}
+			if a.Waiting == 0 {
+				a.Priority = w.priority
+			}
+			a.Waiting++
+		}
+		if a.Rate >= leastAsk || a.Waiting > 0 {
+			out[service] = a
+		}
+	}
+	return out
+}
+
+// asksChanged tells whether what is wanted differs from what was told.
+func (s *limitedServers) asksChanged(asks map[string]wire.LimitAsk) bool {
+	if len(asks) != len(s.asked) {
+		return true
+	}
+	for service, a := range asks {
+		told, ok := s.asked[service]
+		if !ok || a.Waiting != told.Waiting || a.Priority != told.Priority || math.Abs(a.Rate-told.Rate) > askChange*told.Rate {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/ratelimit/demand.go
@@ -0,0 +1,169 @@
+package ratelimit
+
+import (
+	"slices"
+	"time"
+)
+
+// askFor is how long the word of what a gateway or a replica wants counts.
+const askFor = time.Second
+
+// Demand is what a gateway, or those of a replica together, would send to a service.
+type Demand struct {
+	// Rate is the requests a second that came of late.
+	Rate float64
+	// Waiting are the requests that wait for a token, Priority is the rank of the most urgent
+	// one; the lowest is first.
+	Waiting  int
+	Priority int
+	// Got counts the tokens that came from the replica that is asked, since it is: those that
+	// are on their way must not be issued once more.
+	Got int
+}
+
+// Add returns the demand of two together.
+func (d Demand) Add(o Demand) Demand {
+	out := Demand{Rate: d.Rate + o.Rate, Waiting: d.Waiting + o.Waiting, Priority: d.Priority}
+	if d.Waiting == 0 || o.Waiting > 0 && o.Priority < d.Priority {
+		out.Priority = o.Priority
+	}
+	return out
+}
+
+// Asker is who tokens are issued to: a gateway that shares with this replica, or another
+// replica, which hands them to its gateways.
+type Asker struct {
+	Name    string
+	Replica bool
+}
+
+// asker is what is known of an asker.
+type asker struct {
+	demand map[string]Demand
+	at     time.Time
+	// out are the tokens that were issued to it and have not ended, by service, and issued
+	// counts all of them; credit is how far it is behind the others.
+	out      map[string]*batches
+	issued   map[string]int
+	issuedAt time.Time
+	credit   map[string]float64
+}
+
+// Ask takes what an asker wants of all services.
+func (b *Broker) Ask(now time.Time, from Asker, demand map[string]Demand) {
+	a := b.askers[from]
+	if a == nil {
+		a = &asker{out: map[string]*batches{}, issued: map[string]int{}, credit: map[string]float64{}}
+		b.askers[from] = a
+	}
+	a.demand, a.at = demand, now
+	for service, d := range demand {
+		// Those that have not come by now are lost, and what came before a restart is not known.
+		if d.Got > a.issued[service] || now.Sub(a.issuedAt) >= TokenFor {
+			a.issued[service] = d.Got
+		}
+	}
+}
+
+// lacks returns the requests of an asker that wait and for which no token is on its way.
+func (a *asker) lacks(service string) int {
+	d := a.demand[service]
+	return d.Waiting - max(a.issued[service]-d.Got, 0)
+}
+
+// Leave forgets an asker.
+func (b *Broker) Leave(from Asker) { delete(b.askers, from) }
+
+// Demand returns what the gateways of this replica want together, by service with a limit; of
+// the requests that wait those for which there is no token yet.
+func (b *Broker) Demand(now time.Time) map[string]Demand {
+	out := map[string]Demand{}
+	for from, a := range b.askers {
+		if from.Replica || now.Sub(a.at) >= askFor {
+			continue
+		}
+		for service, d := range a.demand {
+			if d.Waiting = max(a.lacks(service), 0); d.Rate > 0 || d.Waiting > 0 {
+				out[service] = out[service].Add(d)
+			}
+		}
+	}
+	for _, l := range b.limits {
+		if d, ok := out[l.service]; ok {
+			d.Waiting = max(d.Waiting-l.handed.live(now), 0)
+			out[l.service] = d
+		}
+	}
+	return out
+}
+
+// Asks returns what the other replicas have to be asked for that own parts of limits, by replica.
+// Each request that waits is told to one of them, another one each time, so that it does not get
+// a token from several.
+func (b *Broker) Asks(now time.Time) map[string]map[string]Demand {
+	out := map[string]map[string]Demand{}
+	demand := b.Demand(now)
+	b.asked++
+	for service, owners := range b.owners() {
+		d, ok := demand[service]
+		if !ok {
+			continue
+		}
+		for i, o := range owners {
+			if o == b.self {
+				continue
+			}
+			one := d
+			one.Waiting, one.Got = (d.Waiting+(i+b.asked)%len(owners))/len(owners), b.got[o][service]
+			if out[o] == nil {
+				out[o] = map[string]Demand{}
+			}
+			out[o][service] = one
+		}
+	}
+	return out
+}
+
+// owners returns the replicas that own a part of some limit of each service, in order.
+func (b *Broker) owners() map[string][]string {
+	out := map[string][]string{}
+	for server, l := range b.limits {
+		for _, m := range b.present {
+			if b.part(m, server, l.rate) > 0 && !slices.Contains(out[l.service], m) {
+				out[l.service] = append(out[l.service], m)
+			}
+		}
+	}
+	for _, list := range out {
+		slices.Sort(list)
+	}
+	return out
+}
+
+// Supply is what the servers of a service that name limits take together, and what waits for it.
+type Supply struct {
+	Rate    float64
+	Waiting int
+}
+
+// Supply returns what is known of each service with a limit.
+func (b *Broker) Supply(now time.Time) map[string]Supply {
+	out := map[string]Supply{}
+	for _, l := range b.limits {
+		s := out[l.service]
+		s.Rate += l.rate
+		out[l.service] = s
+	}
+	for _, a := range b.askers {
+		if now.Sub(a.at) >= askFor {
+			continue
+		}
+		for service, d := range a.demand {
+			if s, ok := out[service]; ok {
+				s.Waiting += d.Waiting
+				out[service] = s
+			}
+		}
+	}
+	return out
+}
--- a/ratelimit/tokens.go
+++ b/ratelimit/tokens.go
@@ -36,6 +36,15 @@
 	return n
 }
 
+// add adds tokens to those that came before.
+func (b *batches) add(t batch) {
+	if n := len(*b); n > 0 && (*b)[n-1].Token == t.Token && (*b)[n-1].until.Equal(t.until) {
+		(*b)[n-1].tokens += t.tokens
+		return
+	}
+	*b = append(*b, t)
+}
+
 // take takes the token that ends first; false if there is none.
 func (b *batches) take(now time.Time) (batch, bool) {
 	if b.live(now) == 0 {
@@ -65,7 +74,7 @@
 // Grant adds tokens that hold for a time.
 func (a *Allowance) Grant(now time.Time, t Token, tokens int, d time.Duration) {
 	a.tokens.live(now)
-	a.tokens = append(a.tokens, batch{t, tokens, now.Add(min(d, TokenFor))})
+	a.tokens.add(batch{t, tokens, now.Add(min(d, TokenFor))})
 }
 
 // Surplus takes back the tokens that are not spare and for which no requests are expected, where
