--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -284,6 +284,11 @@
 			h.Limits[0].First = 11 * second
 			h.Limits[0].From = 11 * second
 		},
+		"told of a limit that had ended": func(h *History) {
+			h.limitedTo(4.1, 40)
+			h.Limited[0].At = 6 * second
+			h.Limited = slices.Insert(h.Limited, 1, LimitedArrival{Server: "app-1", ID: "q1", At: 7 * second})
+		},
 		"named at times only": func(h *History) { h.limitedTo(4.1, 40); h.Limits[0].To = 12 * second },
 	} {
 		h := calm()
--- a/soak/limits.go
+++ b/soak/limits.go
@@ -139,15 +139,18 @@
 		gateways[q.ID] = gatewayName(q.Gateway)
 	}
 	counted := map[string][]time.Duration{}
-	told := map[string]time.Duration{}
+	told := map[string]map[string]time.Duration{} // by server and gateway
 	for _, a := range h.Limited {
 		g := gateways[a.ID]
 		if a.Path == "/-/report" || a.Path == "/-/order" {
 			continue
 		}
-		at, known := told[a.Server+" "+g]
+		if told[a.Server] == nil || !a.Named { // it names none any more
+			told[a.Server] = map[string]time.Duration{}
+		}
+		at, known := told[a.Server][g]
 		if a.Named && !known {
-			told[a.Server+" "+g] = a.At
+			told[a.Server][g] = a.At
 		}
 		if a.ID == "" || known && a.At >= at+limitHeed && !h.disturbed(g, a.At, touchTime) {
 			counted[a.Server] = append(counted[a.Server], a.At)
