--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -26,6 +26,21 @@
 // Len returns the number of requests that wait.
 func (q *Queue) Len() int { return len(q.list) }
 
+// Waiting returns the number of requests to a service that wait, and the priority of the most
+// urgent one.
+func (q *Queue) Waiting(service string) (n, priority int) {
+	for _, w := range q.list {
+		if w.Work.Service != service {
+			continue
+		}
+		if n == 0 {
+			priority = w.Priority
+		}
+		n++
+	}
+	return n, priority
+}
+
 // Add puts a request into the queue.
 func (q *Queue) Add(w *Waiting) {
 	at, _ := slices.BinarySearchFunc(q.list, w, func(a, b *Waiting) int {
--- a/gateway/await_token.go
+++ b/gateway/await_token.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/dispatch"
-	"github.com/ledgepin/ledgepin/metric"
 )
 
 // tokenWaiter is a request to a plain service that waits for a token.
@@ -92,9 +91,6 @@
 func (f *fleet) begin(now time.Time, s *dispatch.Server) dispatch.Server {
 	s.Open++
 	f.view.Sent(now, s.ID)
-	if f.view.IsLimited(now, s) {
-		metric.LimitedSends.WithLabelValues(s.Service).Inc()
-	}
 	return *s
 }
 
--- a/gateway/limited.go
+++ b/gateway/limited.go
@@ -35,7 +35,7 @@
 
 // retell has another replica told of everything.
 func (s *limitedServers) retell(view *dispatch.Fleet) {
-	s.got, s.asked = nil, nil
+	s.got, s.asked, s.supply = nil, nil, nil
 	view.RetellLimits()
 }
 
@@ -59,6 +59,9 @@
 			return
 		}
 		w.Rate = rate
+		if s, ok := g.fleet.server(id); ok {
+			metric.LimitedAnswers.WithLabelValues(s.Service).Inc()
+		}
 	}
 	if change, ok := g.fleet.noteLimit(id, w); ok {
 		g.logLimit(change, byServer)
--- a/gateway/limited_test.go
+++ b/gateway/limited_test.go
@@ -195,6 +195,28 @@
 	}, poll.WithDelay(5*time.Millisecond))
 }
 
+// TestStreamsWaitForTokens has the only engine of a service name a limit: a stream that waits is told
+// to control as such, and is served once a token comes.
+func TestStreamsWaitForTokens(t *testing.T) {
+	r, _ := limited(t)
+	b := r.add("llm", "d", registry.Decode)
+	b.SetLimit(func() []string { return []string{"0.5"} })
+	assert.Equal(t, r.send(http.MethodPost, "/desk/1", "first", "x", work).status, http.StatusOK)
+	done := make(chan reply)
+	go func() { done <- r.send(http.MethodPost, "/desk/1", "waits", "x", work) }()
+	f := r.gateway.fleet
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if asks := f.limitAsks(f.clock.Now()); asks["llm"].Waiting != 1 {
+			return poll.Continue("%v", asks)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	assert.Equal(t, len(r.tokens("d", 1)), 0)
+	assert.Equal(t, (<-done).body, wholeStream())
+}
+
 // TestLimitedEnginesGetNothingBeside has an engine of each role name a limit: without tokens they
 // get no prompt, no run, and no call of the gateway's own, and streams go on at the others.
 func TestLimitedEnginesGetNothingBeside(t *testing.T) {
--- a/gateway/tokens.go
+++ b/gateway/tokens.go
@@ -147,6 +147,7 @@
 	out := map[string]wire.LimitAsk{}
 	for service, rate := range f.view.LimitedRates(now) {
 		a := wire.LimitAsk{Service: service, Rate: rate, Got: f.limited.got[service]}
+		a.Waiting, a.Priority = f.queue.Waiting(service) // of an engine's service
 		for _, w := range f.limited.waiting {
 			if w.work.Service != service {
 				continue
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -94,7 +94,7 @@
 	OrganisationRequests = counter("ledgepin_organisation_requests_total",
 		"Requests of an organisation with a limit at a gateway, by what became of them there: taken, beyond its share while it waited for room, or over its limit.", "organisation", "outcome")
 	LimitedServers = gauge("ledgepin_limited_servers", "Servers that name a limit of requests a second, as this process knows.", "name")
-	LimitedSends   = counter("ledgepin_limited_sends_total", "Requests of a gateway to servers that name a limit of requests a second.", "service")
+	LimitedAnswers = counter("ledgepin_limited_answers_total", "Answers to a gateway, of whatever kind, that name a limit of requests a second.", "service")
 	LimitsUnread   = counter("ledgepin_server_limits_unread_total", "Answers of servers that name a limit which can't be read.", "service")
 	WordsRefused   = counter("ledgepin_server_words_refused_total", "Words about servers that are not used: unreadable, of an earlier start, or of another server.", "reason")
 	LinksRefused   = counter("ledgepin_links_refused_total", "Links that were not opened for what the peer said first, by who opened it (dialled, accepted) and reason (versions_apart, bad_peer).", "side", "reason")
