--- a/soak/limits.go
+++ b/soak/limits.go
@@ -36,9 +36,9 @@
 )
 
 // limitRates are drawn from.
-var limitRates = []float64{0, 0.2, 1, 2.5, 4.1, 4.1, 6.1, 20}
+var limitRates = []float64{0, 0.2, 1, 1, 2.5, 2.5, 4.1, 20}
 
-// limitManners are how a server names its limits.
+// limitManner is how a server names its limits.
 type limitManner int
 
 const (
@@ -52,9 +52,11 @@
 	namesInSome
 	// namesBadly names what can't be read between.
 	namesBadly
-	mostManners
 )
 
+// limitManners are drawn from; what servers get is judged under the first two.
+var limitManners = []limitManner{namesAlways, namesAlways, namesAlways, namesChanging, namesChanging, namesAtTimes, namesInSome, namesBadly}
+
 // limitSteps draws when servers name limits, by a draw of its own: some of them at the same time,
 // and for so long that what they get is judged.
 func limitSteps(seed uint64, length time.Duration, shape Shape) []Step {
@@ -63,7 +65,7 @@
 	apps := shape.Prefills + shape.Decodes
 	free := map[int]time.Duration{} // when each server names none any more
 	for at := time.Duration(float64(calmStart) * (0.5 + r.Float64())); at < length-calmEnd; at += time.Duration(float64(6*time.Second) * r.Float64()) {
-		d := limitContact + time.Duration((2+6*r.Float64())*float64(time.Second))
+		d := limitContact + time.Duration((4+6*r.Float64())*float64(time.Second))
 		first, n := apps+r.IntN(shape.Apps), 1+r.IntN(shape.Apps)
 		if r.IntN(4) == 0 { // an engine
 			first, n = r.IntN(apps), 1
@@ -86,7 +88,7 @@
 // nameLimit has a server name limits for a time.
 func (f *faults) nameLimit(ctx context.Context, step Step) {
 	r := rand.New(rand.NewPCG(step.Draw, 10))
-	manner := limitManner(r.IntN(int(mostManners)))
+	manner := limitManners[r.IntN(len(limitManners))]
 	b, _ := f.site.servers[step.Target].now()
 	first, end := f.rec.now(), f.rec.now()+step.For
 	for ctx.Err() == nil && f.rec.now() < end {
