--- a/soak/evacuate.go
+++ b/soak/evacuate.go
@@ -13,7 +13,12 @@
 
 // evacuate evacuates the far zone for a time. The order that ends it is sent until it is taken,
 // also after the callers' time.
+//
+// One order at a time: an earlier one that ends the evacuation may be taken late, and would end the
+// next one too.
 func (o *operators) evacuate(ctx context.Context, step Step) {
+	o.evacuating.Lock()
+	defer o.evacuating.Unlock()
 	if !o.order(ctx, "start") {
 		return
 	}
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -38,8 +38,10 @@
 
 // operators change the table, read it, and look which one gateways show.
 type operators struct {
-	site *site
-	rec  *recorder
+	// evacuating is held while the far zone is being evacuated.
+	evacuating sync.Mutex
+	site       *site
+	rec        *recorder
 	// version is the newest that was given out, acked the newest that was
 	// acknowledged.
 	version atomic.Int64
