--- a/gateway/limited_test.go
+++ b/gateway/limited_test.go
@@ -250,3 +250,24 @@
 	}
 	assert.Equal(t, calls(), before)
 }
+
+// TestKVAtALimitedEngineIsFreed has the engine that read a prompt name a limit in its answer, and the
+// run be refused: the KV cache is freed though there is no token, and the next token pays for that.
+func TestKVAtALimitedEngineIsFreed(t *testing.T) {
+	r, _ := limited(t)
+	p, d := r.add("llm", "p", registry.Prefill), r.add("llm", "d", registry.Decode)
+	p.SetLimit(func() []string { return []string{"0.5"} })
+	d.SetFault(func(*http.Request) standin.Fault { return standin.Refuse })
+	assert.Equal(t, r.send(http.MethodPost, "/review/1", "refused", "x", work).status, http.StatusServiceUnavailable)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if held := r.group.HeldAt(p); len(held) > 0 {
+			return poll.Continue("%d KV caches are held", len(held))
+		}
+		return poll.Success()
+	}, poll.WithTimeout(3*time.Second), poll.WithDelay(5*time.Millisecond))
+	r.tokens("p", 1)
+	f := r.gateway.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assert.Assert(t, !f.view.Admit(f.clock.Now(), "p"))
+}
