--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -31,8 +31,9 @@
 	MaxConnections int
 	// Server names the start of the server; its requests end with it (Pool.End).
 	Server string
-	// Admitted tells that the request was counted against the server's limit.
-	Admitted bool
+	// Admitted tells that the request was counted against the server's limit, Frees that it frees
+	// what the server keeps for nobody: it goes out in any case, and is counted later.
+	Admitted, Frees bool
 	// Fresh asks for a new connection, since a kept one may break in a way
 	// that leaves it open whether the server has seen the request.
 	Fresh bool
@@ -103,7 +104,7 @@
 // Do sends a request once and returns the head of its answer. The context
 // bounds the whole exchange, the body included.
 func (p *Pool) Do(ctx context.Context, headers *Headers, r Request) (*Answer, error) {
-	if p.Admit != nil && !r.Admitted && !p.Admit(r.Server) {
+	if p.Admit != nil && !r.Admitted && !p.Admit(r.Server, r.Frees) {
 		return nil, &Error{Cause: ErrLimited}
 	}
 	c, err := p.get(ctx, &r)
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -26,8 +26,9 @@
 	// took.
 	OnConnect func(server string, took time.Duration)
 	// Admit, if set, tells whether a start of a server takes one more request, and counts it;
-	// those that are admitted already are not asked for.
-	Admit func(server string) bool
+	// those that are admitted already are not asked for. One that frees something is always
+	// taken.
+	Admit func(server string, frees bool) bool
 	// OnAnswer, if set, is given the head of each answer of a start of a server, and how long
 	// ago its request was sent.
 	OnAnswer func(server string, ago time.Duration, head http.Header)
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -150,6 +150,14 @@
 	return true
 }
 
+// Owe counts a request that went to a server in any case: the next token for it pays.
+func (f *Fleet) Owe(now time.Time, id string) {
+	if s := f.servers[id]; s != nil && f.IsLimited(now, s) {
+		s.limit.allowance.Owe(now)
+		s.limit.sent++
+	}
+}
+
 // Grant takes tokens for a server. It returns the server's service; empty if it is not known.
 func (f *Fleet) Grant(now time.Time, id string, t ratelimit.Token, tokens int, d time.Duration) string {
 	s := f.servers[id]
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -59,6 +59,7 @@
 		return
 	}
 	r := n.callTo(s, c)
+	r.Frees = true
 	g.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(g.ctx, giveBackTime)
 		defer cancel()
--- a/gateway/limited.go
+++ b/gateway/limited.go
@@ -122,13 +122,18 @@
 	return *s, true
 }
 
-// admit tells whether a server takes a request that was not placed there before, and counts it.
-func (f *fleet) admit(id string) bool {
+// admit tells whether a server takes a request that was not placed there before, and counts it. One
+// that frees something always goes: nothing may stay held for a request that has ended.
+func (f *fleet) admit(id string, frees bool) bool {
 	if id == "" || !f.limited.some.Load() {
 		return true
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if frees {
+		f.view.Owe(f.clock.Now(), id)
+		return true
+	}
 	return f.view.Admit(f.clock.Now(), id)
 }
 
--- a/ratelimit/tokens.go
+++ b/ratelimit/tokens.go
@@ -69,12 +69,23 @@
 	// tokens, level what has come of that since levelAt.
 	alone, level float64
 	levelAt      time.Time
+	// owed are requests that were sent without a token.
+	owed int
 }
 
 // Grant adds tokens that hold for a time.
 func (a *Allowance) Grant(now time.Time, t Token, tokens int, d time.Duration) {
 	a.tokens.live(now)
-	a.tokens.add(batch{t, tokens, now.Add(min(d, TokenFor))})
+	paid := min(a.owed, tokens)
+	a.owed -= paid
+	a.tokens.add(batch{t, tokens - paid, now.Add(min(d, TokenFor))})
+}
+
+// Owe counts a request that was sent without asking: a token pays for it, or the next one does.
+func (a *Allowance) Owe(now time.Time) {
+	if !a.Take(now) {
+		a.owed++
+	}
 }
 
 // Surplus takes back the tokens that are not spare and for which no requests are expected, where
