--- a/control/change.go
+++ b/control/change.go
@@ -65,6 +65,12 @@
 func (c *Control) forgetWaiter(id string, w chan fleet.Result) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.dropWaiter(id, w)
+}
+
+// dropWaiter ends the wait for a proposal; others may wait for the same one. Callers hold the
+// lock.
+func (c *Control) dropWaiter(id string, w chan fleet.Result) {
 	c.waiters[id] = slices.DeleteFunc(c.waiters[id], func(o chan fleet.Result) bool { return o == w })
 	if len(c.waiters[id]) == 0 {
 		delete(c.waiters, id)
@@ -76,7 +82,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	if c.node == nil || !c.node.Lead(now) {
+	if !c.leads(now) {
 		return Outcome{}, false, nil, c.notLeader()
 	}
 	if res, ok := c.state.Result(p.ID); ok && !p.Dry {
@@ -104,6 +110,7 @@
 	w := make(chan fleet.Result, 1)
 	c.waiters[p.ID] = append(c.waiters[p.ID], w)
 	if _, err := c.node.Propose(now, data); err != nil {
+		c.dropWaiter(p.ID, w)
 		return Outcome{}, false, nil, c.notLeader()
 	}
 	c.flush(now)
@@ -163,12 +170,24 @@
 	Current bool `json:"current"`
 }
 
+// leads tells whether this replica leads under its lease. One that was closed doesn't, however
+// long the lease lasts. Callers hold the lock.
+func (c *Control) leads(now time.Time) bool {
+	return c.node != nil && c.ctx.Err() == nil && c.node.Lead(now)
+}
+
+// fresh tells whether this replica is sure of the newest: it leads, or is in touch with who
+// does. Callers hold the lock.
+func (c *Control) fresh(now time.Time) bool {
+	return c.node != nil && c.ctx.Err() == nil && c.node.Fresh(now)
+}
+
 // Settings returns the newest settings of this replica. Only a leader under
 // its lease, or a replica in touch with one, answers.
 func (c *Control) Settings() (Current, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.node == nil || !c.node.Fresh(c.clock.Now()) {
+	if !c.fresh(c.clock.Now()) {
 		return Current{}, c.notLeader()
 	}
 	return Current{Revision: c.state.Revision(), Text: string(c.state.Text()), Current: true}, nil
@@ -178,7 +197,7 @@
 func (c *Control) History(after uint64) ([]fleet.Past, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.node == nil || !c.node.Fresh(c.clock.Now()) {
+	if !c.fresh(c.clock.Now()) {
 		return nil, c.notLeader()
 	}
 	return slices.Clone(c.state.History(after)), nil
--- a/control/dump.go
+++ b/control/dump.go
@@ -31,7 +31,7 @@
 	if c.unread != "" {
 		return false, c.unread
 	}
-	if c.node == nil || !c.node.Fresh(c.clock.Now()) {
+	if !c.fresh(c.clock.Now()) {
 		return false, "no leader with a live lease is in reach"
 	}
 	return true, ""
--- a/control/evacuation.go
+++ b/control/evacuation.go
@@ -37,7 +37,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	if c.node == nil || !c.node.Lead(now) {
+	if !c.leads(now) {
 		return "", nil, c.notLeader()
 	}
 	if err := ctx.Err(); err != nil { // who sent it may have sent the opposite elsewhere since
@@ -90,7 +90,7 @@
 func (c *Control) Evacuated() ([]fleet.EvacuatedZone, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.node == nil || !c.node.Fresh(c.clock.Now()) {
+	if !c.fresh(c.clock.Now()) {
 		return nil, c.notLeader()
 	}
 	return c.state.Evacuated(), nil
--- a/control/roles.go
+++ b/control/roles.go
@@ -92,7 +92,7 @@
 func (c *Control) fence(now time.Time) (uint64, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.node == nil || !c.node.Lead(now) {
+	if !c.leads(now) {
 		return 0, false
 	}
 	return c.node.Term(), true
--- a/control/table.go
+++ b/control/table.go
@@ -61,7 +61,7 @@
 		return "", nil, true, nil // what is applied here is committed
 	}
 	now := c.clock.Now()
-	if c.node == nil || !c.node.Lead(now) {
+	if !c.leads(now) {
 		return "", nil, false, c.notLeader()
 	}
 	id, w, err := c.proposeOnce(now, fmt.Sprint("table ", t.Version), fleet.Change{Table: t.Kept()})
@@ -80,7 +80,7 @@
 	w := make(chan fleet.Result, 1)
 	c.waiters[change.ID] = append(c.waiters[change.ID], w)
 	if _, err := c.node.Propose(now, data); err != nil {
-		delete(c.waiters, change.ID)
+		c.dropWaiter(change.ID, w)
 		return "", nil, c.notLeader()
 	}
 	c.flush(now)
@@ -92,7 +92,7 @@
 func (c *Control) Table() (*route.Table, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.node == nil || !c.node.Fresh(c.clock.Now()) {
+	if !c.fresh(c.clock.Now()) {
 		return nil, c.notLeader()
 	}
 	return c.state.Table(), nil
--- a/control/upgrade.go
+++ b/control/upgrade.go
@@ -51,7 +51,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	if c.node == nil || !c.node.Lead(now) {
+	if !c.leads(now) {
 		return Upgrade{}, c.notLeader()
 	}
 	return c.upgrade(now), nil
@@ -170,7 +170,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	if c.node == nil || !c.node.Lead(now) {
+	if !c.leads(now) {
 		return Upgrade{}, nil, c.notLeader()
 	}
 	u := c.upgrade(now)
@@ -181,7 +181,7 @@
 	id := fmt.Sprint("version ", u.Next)
 	c.waiters[id] = append(c.waiters[id], w)
 	if _, err := c.proposeVersion(now, u.Next); err != nil {
-		delete(c.waiters, id)
+		c.dropWaiter(id, w)
 		return u, nil, err
 	}
 	return u, w, nil
