--- a/gateway/slow_answer_test.go
+++ b/gateway/slow_answer_test.go
@@ -45,6 +45,20 @@
 	r.gateway.takeTable(&table)
 }
 
+// allowConnections gives a service as many connections.
+func (r *rig) allowConnections(service string, n int) {
+	table := *r.gateway.table.Load()
+	table.Version++
+	table.Services = slices.Clone(table.Services)
+	for i := range table.Services {
+		if table.Services[i].Name == service {
+			table.Services[i].MaxConnections = n
+		}
+	}
+	table.Index()
+	r.gateway.takeTable(&table)
+}
+
 const largeAnswer = 12 << 20
 
 // largeAnswers has a plain server answer with more than any window takes.
