--- a/app/gateway.go
+++ b/app/gateway.go
@@ -15,8 +15,10 @@
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/gateway"
 	"github.com/ledgepin/ledgepin/internal/wait"
+	"github.com/ledgepin/ledgepin/membudget"
 	"github.com/ledgepin/ledgepin/platform"
 	"github.com/ledgepin/ledgepin/quota"
+	"github.com/ledgepin/ledgepin/strict"
 )
 
 // Times of the listeners of a gateway and of control's API.
@@ -88,7 +90,7 @@
 		Name: p.file.Name, Zone: p.file.Zone, Zones: p.file.Zones, Token: token, Protocol: platform.Protocol, Log: p.log,
 		Seeds: withPort(part.Seeds, strconv.Itoa(part.LinksPort)),
 		Retry: dispatch.Budget{Ratio: part.Retry.Ratio, Slack: part.Retry.Slack, Window: part.Retry.Window.D()},
-		Quota: quotaOf(part.Quota),
+		Quota: quotaOf(part.Quota), Memory: heldOf(p.file.Memory, part.Held),
 	})
 	ready := http.NewServeMux()
 	ready.Handle("/", p.gateway.ReadyHandler())
@@ -98,10 +100,21 @@
 	var err error
 	p.Callers, err = p.ln.serve(part.Callers, &http.Server{
 		Handler: p.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeader,
+		ConnContext: gateway.ConnContext,
 	})
 	return err
 }
 
+// requestMemory bounds what is held for one request: a body and an answer, each of the greatest
+// size.
+const requestMemory = 32 << 20
+
+// heldOf returns the bounds of what is held for callers; none without a bound for the process.
+func heldOf(memory strict.Bytes, h config.Held) membudget.Limits {
+	total := int64(float64(memory) * h.Share)
+	return membudget.Limits{Total: total, Organisation: int64(float64(total) * h.Organisation), Request: requestMemory}
+}
+
 func quotaOf(q config.Quota) quota.Bounds {
 	return quota.Bounds{Window: q.Window.D(), Overshoot: q.Overshoot, Slack: q.Slack}
 }
--- a/config/config.go
+++ b/config/config.go
@@ -172,6 +172,30 @@
 	LinksPort int      `yaml:"links_port" check:"required,min=1,max=65535"`
 	Retry     Retry    `yaml:"retry,omitempty"`
 	Quota     Quota    `yaml:"quota,omitempty"`
+	Held      Held     `yaml:"held,omitempty"`
+}
+
+// Held bounds the memory that a gateway holds for callers: bodies, answers and streams. Without
+// a bound for the process there is none.
+type Held struct {
+	// Share is the part of the process's memory, Organisation the part of that which the
+	// requests of one organisation may have.
+	Share        float64 `yaml:"share,omitempty" check:"min=0,max=0.7"`
+	Organisation float64 `yaml:"organisation,omitempty" check:"min=0,max=1"`
+}
+
+// DefaultHeld is used where the file says nothing.
+var DefaultHeld = Held{Share: 0.4, Organisation: 0.5}
+
+// orDefault fills in what the file leaves out.
+func (h Held) orDefault() Held {
+	if h.Share == 0 {
+		h.Share = DefaultHeld.Share
+	}
+	if h.Organisation == 0 {
+		h.Organisation = DefaultHeld.Organisation
+	}
+	return h
 }
 
 // Quota tells how the use of the limits of organisations is judged; gateways and control
@@ -228,6 +252,9 @@
 	if f.Gateway != nil && f.Gateway.Retry.Window == 0 {
 		f.Gateway.Retry = DefaultRetry
 	}
+	if f.Gateway != nil {
+		f.Gateway.Held = f.Gateway.Held.orDefault()
+	}
 	if f.Control != nil && f.Control.Engines == (Engines{}) {
 		f.Control.Engines = DefaultEngines
 	}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -82,3 +82,20 @@
 	assert.NilError(t, err)
 	assert.Equal(t, got, "")
 }
+
+// TestHeld wants what a file leaves out of the bounds of what is held to be the default.
+func TestHeld(t *testing.T) {
+	const file = "name: a\nzone: z\noperators: 127.0.0.1:8081\nroles: [gateway]\n" +
+		"gateway: {callers: \"127.0.0.1:1\", ready: \"127.0.0.1:2\", seeds: [\"127.0.0.1:3\"], links_port: 4%s}\n"
+	for part, want := range map[string]config.Held{
+		"":                                         config.DefaultHeld,
+		", held: {share: 0.2}":                     {Share: 0.2, Organisation: config.DefaultHeld.Organisation},
+		", held: {share: 0.2, organisation: 0.25}": {Share: 0.2, Organisation: 0.25},
+	} {
+		f, err := config.Parse("ledgepin.yaml", fmt.Appendf(nil, file, part))
+		assert.NilError(t, err, part)
+		assert.Equal(t, f.Gateway.Held, want, part)
+	}
+	_, err := config.Parse("ledgepin.yaml", fmt.Appendf(nil, file, ", held: {share: 0.9}"))
+	assert.ErrorContains(t, err, "gateway.held.share")
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -146,6 +146,11 @@
 	"A server names in its answers the requests a second that it takes from all gateways together (rate), or has ended that (ended). by tells whether this gateway was told by the server itself or by another process, sent is how many requests went from this gateway to the server while the limit held.",
 	"A server in need: look at it. Many of one service: it needs more servers.")
 
+// MemoryFull tells that a request was refused for want of memory.
+var MemoryFull = define("LP2025", warn, "no memory for a request",
+	"A gateway holds as much for its callers as the settings allow, and refused a request; held is in bytes, waits how often an answer had to wait for memory since the start. At most one line in ten seconds; a metric counts the requests.",
+	"Look for callers who read slowly (LP2005). Else raise gateway.held, or give the gateway more memory.")
+
 // ServerLimitUnread tells that what a server says of its limit can't be read.
 var ServerLimitUnread = define("LP2024", warn, "limit of a server can't be read",
 	"A server names a limit that is no number of requests a second, or two that differ. What was known before holds. One line a minute for each server; a metric counts the answers.",
--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -46,6 +46,9 @@
 	return r.held
 }
 
+// Size returns the bytes of memory that the Reader has.
+func (r *Reader) Size() int { return cap(r.held) }
+
 // Next takes bytes of the piece up to the end of the first block, and returns that
 // block and the bytes not yet taken. If no block ends in the piece, all of it is
 // taken and the block is of kind None. A block that lies whole in the piece is not
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -4,28 +4,58 @@
 	"errors"
 	"io"
 	"net/http"
+
+	"github.com/ledgepin/ledgepin/membudget"
 )
 
-var errTooLarge = errors.New("gateway: the body is too large")
+// Errors of bodies that are not taken.
+var (
+	errTooLarge = errors.New("gateway: the body is too large")
+	errNoMemory = errors.New("gateway: no memory for the body")
+)
 
-// readBody reads a body of at most limit bytes; no limit if it is zero.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
+// readBody reads a body of at most limit bytes, no limit if it is zero, for which there must be
+// memory at once: a caller can come back, or go to another gateway.
+func readBody(r *http.Request, limit int64, memory *membudget.Account) ([]byte, error) {
 	if limit <= 0 {
 		limit = 1 << 30
 	}
 	if r.ContentLength > limit {
 		return nil, errTooLarge
 	}
-	if r.ContentLength > 0 {
+	if r.ContentLength >= 0 {
+		if !memory.Try(r.ContentLength) {
+			return nil, errNoMemory
+		}
 		body := make([]byte, r.ContentLength)
 		_, err := io.ReadFull(r.Body, body)
 		return body, err
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = errTooLarge
+	return readChunked(r.Body, limit, memory)
+}
+
+// readChunked reads a body whose length is not told.
+func readChunked(r io.Reader, limit int64, memory *membudget.Account) ([]byte, error) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			grown := max(int64(2*cap(body)), firstPart)
+			if !memory.Try(grown - int64(cap(body))) {
+				return nil, errNoMemory
+			}
+			body = append(make([]byte, 0, grown), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			return nil, errTooLarge
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return body, err
+		}
 	}
-	return body, err
 }
 
 func bodyRefusal(err error) *refusal {
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -76,7 +76,7 @@
 	q.sends++
 	g.ran(q)
 	if !g.isStream(a) {
-		return n.failedAnswer(s, a)
+		return n.failedAnswer(ctx, s, a)
 	}
 	n.mover.stopped = false
 	s, a, err = n.relay(ctx, s, a)
@@ -115,9 +115,9 @@
 }
 
 // failedAnswer takes an answer of an engine that is no stream.
-func (n *generation) failedAnswer(s *dispatch.Server, a *backend.Answer) result {
+func (n *generation) failedAnswer(ctx context.Context, s *dispatch.Server, a *backend.Answer) result {
 	n.g.fleet.note(s.ID, dispatch.Bad, 0)
-	body, err := a.ReadAll(maxAnswer)
+	body, err := readWhole(ctx, n.q.memory, a)
 	if err != nil || a.Status < http.StatusMultipleChoices || n.stream.started {
 		return result{kind: broken, err: err}
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -12,6 +12,7 @@
 	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/membudget"
 	"github.com/ledgepin/ledgepin/metric"
 	"github.com/ledgepin/ledgepin/route"
 )
@@ -21,7 +22,7 @@
 	kind   resultKind
 	status int
 	header http.Header
-	body   []byte
+	body   heldAnswer
 	err    error
 }
 
@@ -45,9 +46,6 @@
 // maxUnsent bounds the servers that are tried without a byte being sent.
 const maxUnsent = 4
 
-// maxAnswer bounds an answer that is held in memory.
-const maxAnswer = 16 << 20
-
 // forward serves a request of a plain service.
 func (g *Gateway) forward(ctx context.Context, w http.ResponseWriter, q *request) {
 	var last result
@@ -64,6 +62,7 @@
 			break
 		}
 		started := g.clock.Now()
+		last.body.drop(q.memory)
 		last = g.send(ctx, q, &s)
 		g.fleet.done(s.ID, outcomeOf(ctx, last), g.clock.Since(started))
 		g.noteSend(ctx, q, &s, last, g.clock.Since(started))
@@ -128,7 +127,7 @@
 		return res
 	}
 	g.ran(q)
-	body, err := a.ReadAll(maxAnswer)
+	body, err := readWhole(tryCtx, q.memory, a)
 	if err != nil {
 		return g.failed(tryCtx, q, &backend.Error{Sent: true, Cause: err})
 	}
@@ -241,11 +240,13 @@
 func (g *Gateway) pass(w http.ResponseWriter, q *request, r result) {
 	copyHead(w, r.header)
 	if bodyAllowed(q.send.Method, r.status) {
-		w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
+		w.Header().Set("Content-Length", strconv.FormatInt(r.body.size, 10))
 	}
 	w.WriteHeader(r.status)
-	if err := writeParts(w, r.body); err != nil {
-		event.CallerSlow.Log(g.log, "id", q.id, "bytes", len(r.body), "error", err)
+	size := r.body.size
+	q.memory.Writing()
+	if err := writeWhole(w, q.memory, &r.body); err != nil {
+		event.CallerSlow.Log(g.log, "id", q.id, "bytes", size, "error", err)
 		panic(http.ErrAbortHandler)
 	}
 	metric.RouteRequests.WithLabelValues(q.route.Name, strconv.Itoa(r.status)).Inc()
@@ -257,19 +258,32 @@
 // held for one that has stopped reading, and one that reads slowly gets all of it.
 const answerPart = 16 << 10
 
-// writeParts writes a whole answer.
-func writeParts(w http.ResponseWriter, body []byte) error {
+// writeWhole writes an answer and gives its memory back part by part.
+func writeWhole(w http.ResponseWriter, memory *membudget.Account, body *heldAnswer) error {
 	control := http.NewResponseController(w)
-	for {
+	_ = control.SetWriteDeadline(clock.Deadline(callerTimeout)) // for an answer without a body
+	for len(body.parts) > 0 {
+		if err := writePart(w, control, memory, body.parts[0]); err != nil {
+			return err
+		}
+		body.shift(memory)
+	}
+	return nil
+}
+
+func writePart(w http.ResponseWriter, control *http.ResponseController, memory *membudget.Account, part []byte) error {
+	for len(part) > 0 {
 		_ = control.SetWriteDeadline(clock.Deadline(callerTimeout))
-		part := body[:min(len(body), answerPart)]
-		if _, err := w.Write(part); err != nil {
+		if err := memory.Cut(); err != nil { // its deadline may have been the one before
 			return err
 		}
-		if body = body[len(part):]; len(body) == 0 {
-			return nil
+		n := min(len(part), answerPart)
+		if _, err := w.Write(part[:n]); err != nil {
+			return err
 		}
+		part = part[n:]
 	}
+	return nil
 }
 
 func bodyAllowed(method string, status int) bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,8 @@
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/event"
 	fleetstate "github.com/ledgepin/ledgepin/fleet"
+	"github.com/ledgepin/ledgepin/membudget"
+	"github.com/ledgepin/ledgepin/metric"
 	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/route"
 )
@@ -39,6 +41,8 @@
 	Retry dispatch.Budget
 	// Quota tells how the use of limits is judged.
 	Quota quota.Bounds
+	// Memory bounds what is held for callers.
+	Memory membudget.Limits
 	// Clock is that of the VM if it is nil.
 	Clock *clock.Clock
 	Log   *slog.Logger
@@ -73,6 +77,9 @@
 	limits          *limits
 	contents        *contents
 	evacuated       evacuated
+	memory          *membudget.Budget
+	// memoryFull bounds the log lines about requests for which there is no memory.
+	memoryFull event.Limiter
 	// unreadLimits bounds the log lines about limits that can't be read.
 	unreadLimits event.Limiter
 	// lookWait is how long a request waits for a look at the server before it: the
@@ -94,6 +101,8 @@
 		cfg: cfg, clock: cfg.Clock, log: log, ctx: ctx, cancel: cancel,
 		private: cfg.Protocol.Headers.Private(), forServers: canonical(cfg.Protocol.Headers.ForServers()), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Clock, cfg.Name, cfg.Zone, cfg.Zones, cfg.Retry), kept: map[string]*keptPrompts{}, keptWait: keptTimeout,
 		limits: newLimits(cfg.Clock, cfg.Quota), contents: newContents(cfg.Clock, log), lookWait: lookWait,
+		memory:       membudget.New(cfg.Memory, callerTimeout, cfg.Clock.Now),
+		memoryFull:   event.Limiter{Every: memoryFullEvery, Most: 1},
 		unreadLimits: event.Limiter{Every: time.Minute, Most: mostUnreadLimits},
 	}
 	g.pool.OnConnect = g.fleet.noteConnect
@@ -288,6 +297,8 @@
 	Control  []string `json:"control"`
 	// Blocked is how many contents are refused since servers ended under them.
 	Blocked int `json:"blocked_contents"`
+	// HeldBytes are held for callers.
+	HeldBytes int64 `json:"held_bytes"`
 	// Evacuated are the availability zones that get no new work.
 	Evacuated []fleetstate.EvacuatedZone `json:"evacuated,omitempty"`
 	Servers   []*dispatch.Server         `json:"servers"`
@@ -295,7 +306,7 @@
 
 // Dump returns the state of the gateway.
 func (g *Gateway) Dump() any {
-	d := Dump{Name: g.cfg.Name, Zone: g.cfg.Zone, Draining: g.draining.Load(), Active: g.active.Load(), Control: g.links.open(), Blocked: g.contents.count(), Evacuated: g.evacuated.list()}
+	d := Dump{Name: g.cfg.Name, Zone: g.cfg.Zone, Draining: g.draining.Load(), Active: g.active.Load(), Control: g.links.open(), Blocked: g.contents.count(), Evacuated: g.evacuated.list(), HeldBytes: g.memory.Held()}
 	if t := g.table.Load(); t != nil {
 		d.Version = t.Version
 	}
@@ -305,4 +316,6 @@
 
 // Collect implements the operator's process interface; the counters of a
 // gateway are kept as they arise.
-func (g *Gateway) Collect() {}
+func (g *Gateway) Collect() {
+	metric.HeldBytes.WithLabelValues(g.cfg.Name).Set(float64(g.memory.Held()))
+}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -57,6 +57,7 @@
 	defer g.streams.Add(-1)
 	n := &generation{g: g, q: q, stream: newStreamWriter(g, w, q)}
 	n.stream.made = func(tokens int) { n.grow(ctx, tokens) }
+	n.stream.memory = func(bytes int64) error { return q.memory.Take(ctx, bytes) }
 	defer n.unbook()
 	var last result
 	for round := range maxRounds {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -11,6 +11,7 @@
 	"github.com/ledgepin/ledgepin/backend"
 	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/membudget"
 	"github.com/ledgepin/ledgepin/poison"
 	"github.com/ledgepin/ledgepin/route"
 )
@@ -44,6 +45,8 @@
 	charged bool
 	tried   dispatch.Avoid
 	sends   int
+	// memory is what is held for it.
+	memory *membudget.Account
 	// digest names its content, once that was asked for.
 	digest poison.Digest
 	// looked is closed once it is known whether the server of the newest send has ended;
@@ -67,7 +70,8 @@
 		g.refuse(w, r.Header.Get(g.cfg.Protocol.Headers.RequestID), notReady)
 		return
 	}
-	q, ref := g.read(table, r)
+	q, ref := g.read(w, table, r)
+	defer q.memory.Close()
 	defer g.settle(q)
 	if ref != nil {
 		g.refuse(w, q.id, *ref)
@@ -96,7 +100,7 @@
 }
 
 // read finds the route of a request and takes its body.
-func (g *Gateway) read(table *route.Table, r *http.Request) (*request, *refusal) {
+func (g *Gateway) read(w http.ResponseWriter, table *route.Table, r *http.Request) (*request, *refusal) {
 	h := &g.cfg.Protocol.Headers
 	q := &request{id: r.Header.Get(h.RequestID), path: r.URL.Path, chunks: r.ProtoAtLeast(1, 1), clock: g.clock, arrived: g.clock.Now(), tried: dispatch.Avoid{}}
 	q.route = table.Lookup(r.Host, r.URL.Path)
@@ -118,7 +122,11 @@
 	if ref := g.charge(q, prompt+most); ref != nil {
 		return q, ref
 	}
-	body, err := readBody(r, table.Limits.BodyBytes)
+	q.memory = g.memory.Open(organisationName(q.organisation), func() { cutWrite(w) })
+	body, err := readBody(r, table.Limits.BodyBytes, q.memory)
+	if errors.Is(err, errNoMemory) {
+		return q, g.noMemory(q)
+	}
 	if err != nil {
 		refused := bodyRefusal(err)
 		refused.route = q.route.Name
@@ -130,6 +138,9 @@
 	}
 	g.name(table, q)
 	q.work = dispatch.Work{Service: q.service.Name, Regions: regions}
+	if q.route.Kind == route.Stream && !q.memory.Try(streamMemory) {
+		return q, g.noMemory(q)
+	}
 	if q.service.Engine != nil {
 		q.work = workOf(h, r.Header, q.service)
 		q.work.Regions = regions
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -43,8 +43,11 @@
 	firstAt, lastAt time.Time
 	gap             time.Duration
 	// made is told how many tokens the answer has so far.
-	made   func(tokens int)
-	events int
+	made func(tokens int)
+	// memory takes memory for the stream; counted is what it has beyond streamMemory.
+	memory  func(n int64) error
+	counted int64
+	events  int
 }
 
 func newStreamWriter(g *Gateway, w http.ResponseWriter, q *request) *streamWriter {
@@ -92,6 +95,9 @@
 			if werr := s.pass(buf[:n]); werr != nil {
 				return werr
 			}
+			if merr := s.count(); merr != nil {
+				return merr
+			}
 			s.made(s.events * s.q.service.Engine.EventTokens)
 		}
 		if errors.Is(err, io.EOF) {
@@ -103,6 +109,17 @@
 	}
 }
 
+// count takes the memory of events that are longer than those of most streams. Until there is
+// some, nothing more is read of the engine.
+func (s *streamWriter) count() error {
+	more := int64(s.reader.Size()+cap(s.out)) - streamMemory - s.counted
+	if more <= 0 {
+		return nil
+	}
+	s.counted += more
+	return s.memory(more)
+}
+
 // begin makes the writer ready for the stream of another engine.
 func (s *streamWriter) begin(a *backend.Answer, from *dispatch.Server) {
 	s.from, s.noted = from, false
--- /dev/null
+++ b/membudget/budget.go
@@ -0,0 +1,205 @@
+// Package membudget bounds the memory that a process holds for the requests of callers.
+//
+// What a request holds counts against its own bound, that of its organisation and that of the
+// process. Who lacks room waits, so that a server is read no faster than callers take what it
+// sends. A part of the memory is kept for one request at a time, the one that has waited for
+// longest: requests that hold a part of what they need never wait for each other for ever. While
+// one waits, the request whose caller has been reading for longest is given up.
+package membudget
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// Errors of accounts.
+var (
+	// ErrTooLarge tells that a request would hold more than one may.
+	ErrTooLarge = errors.New("membudget: the request needs more memory than one may have")
+	// ErrCut tells that a request was given up for one that waits.
+	ErrCut = errors.New("membudget: the request was given up for others that wait for memory")
+)
+
+// Budget is the memory of a process. Safe for use by several goroutines.
+type Budget struct {
+	now func() time.Time
+	// slow is how long a caller may read its answer while others wait.
+	slow time.Duration
+
+	mu       sync.Mutex
+	ledger   *ledger
+	accounts map[*entry]*Account
+	waits    int
+}
+
+// New returns an empty budget. While others wait for memory, callers may take slow to read their
+// answers.
+func New(l Limits, slow time.Duration, now func() time.Time) *Budget {
+	return &Budget{now: now, slow: slow, ledger: newLedger(l), accounts: map[*entry]*Account{}}
+}
+
+// Account is what one request holds. All methods of a nil Account do nothing.
+type Account struct {
+	budget *Budget
+	entry  entry
+	cut    func()
+	// granted is told once what it waited for is there.
+	granted chan struct{}
+	cutOff  bool
+}
+
+// Open opens the account of a request. cut ends the write of its answer, from another goroutine
+// and without waiting; it is not called once the account is closed.
+func (b *Budget) Open(organisation string, cut func()) *Account {
+	a := &Account{budget: b, entry: entry{organisation: organisation}, cut: cut, granted: make(chan struct{}, 1)}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.accounts[&a.entry] = a
+	return a
+}
+
+// Held returns the bytes that are held.
+func (b *Budget) Held() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ledger.total()
+}
+
+// Waits returns how often a request has had to wait since the start.
+func (b *Budget) Waits() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.waits
+}
+
+// Try takes bytes if there is room at once.
+func (a *Account) Try(n int64) bool {
+	if a == nil {
+		return true
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	return !a.budget.ledger.tooMuch(&a.entry, n) && a.budget.ledger.take(&a.entry, n)
+}
+
+// Take takes bytes, and waits until there is room.
+func (a *Account) Take(ctx context.Context, n int64) error {
+	if a == nil {
+		return nil
+	}
+	done, err := a.begin(n)
+	if done {
+		return err
+	}
+	t := time.NewTicker(a.budget.slow / 4)
+	defer t.Stop()
+	for {
+		select {
+		case <-a.granted:
+			return nil
+		case <-ctx.Done():
+			return a.leave(ctx.Err())
+		case <-t.C:
+			a.makeRoom()
+		}
+	}
+}
+
+// begin takes bytes, or begins to wait for them.
+func (a *Account) begin(n int64) (bool, error) {
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ledger.tooMuch(&a.entry, n) {
+		return true, ErrTooLarge
+	}
+	if b.ledger.take(&a.entry, n) {
+		return true, nil
+	}
+	b.waits++
+	b.tell(b.ledger.wait(&a.entry, n))
+	return false, nil
+}
+
+// leave ends a wait, unless what it was for has come meanwhile.
+func (a *Account) leave(err error) error {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	select {
+	case <-a.granted:
+		return nil
+	default:
+	}
+	a.budget.ledger.leave(&a.entry)
+	return err
+}
+
+// makeRoom gives up a request whose caller reads slowly.
+func (a *Account) makeRoom() {
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := make([]*entry, 0, len(b.accounts))
+	for e := range b.accounts {
+		all = append(all, e)
+	}
+	if e := b.ledger.slowest(&a.entry, all, b.now(), b.slow); e != nil && !b.accounts[e].cutOff {
+		b.accounts[e].cutOff = true
+		b.accounts[e].cut()
+	}
+}
+
+// Give gives bytes back.
+func (a *Account) Give(n int64) {
+	if a == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.budget.tell(a.budget.ledger.give(&a.entry, n))
+}
+
+// Writing notes that the caller is given its answer from now on.
+func (a *Account) Writing() {
+	if a == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if a.entry.writing.IsZero() {
+		a.entry.writing = a.budget.now()
+	}
+}
+
+// Cut returns ErrCut once the request was given up.
+func (a *Account) Cut() error {
+	if a == nil {
+		return nil
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if a.cutOff {
+		return ErrCut
+	}
+	return nil
+}
+
+// Close gives all back.
+func (a *Account) Close() {
+	if a == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	delete(a.budget.accounts, &a.entry)
+	a.budget.tell(a.budget.ledger.end(&a.entry))
+}
+
+// tell wakes those that have got what they waited for.
+func (b *Budget) tell(granted []*entry) {
+	for _, e := range granted {
+		b.accounts[e].granted <- struct{}{}
+	}
+}
--- /dev/null
+++ b/membudget/budget_test.go
@@ -0,0 +1,84 @@
+package membudget
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestRequestsShareTheMemory has many requests take their parts at the same time, with callers
+// who leave meanwhile, and wants all to end and nothing to stay held.
+func TestRequestsShareTheMemory(t *testing.T) {
+	b := New(Limits{Total: 400, Organisation: 200, Request: 100}, time.Minute, time.Now)
+	var wg sync.WaitGroup
+	for i := range 60 {
+		wg.Go(func() {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if i%7 == 0 {
+				time.AfterFunc(time.Millisecond, cancel)
+			}
+			a := b.Open([]string{"", "a", "b"}[i%3], func() {})
+			defer a.Close()
+			for range 10 {
+				if err := a.Take(ctx, 10); err != nil {
+					assert.Check(t, errors.Is(err, context.Canceled), "%v", err)
+					return
+				}
+				assert.Check(t, b.Held() <= 400)
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, b.Held(), int64(0))
+	assert.Equal(t, len(b.accounts), 0)
+}
+
+// TestSlowCallersGiveWay wants callers who read for long to be cut off while others wait, one at
+// a time, and none while nobody waits.
+func TestSlowCallersGiveWay(t *testing.T) {
+	const slow = 40 * time.Millisecond
+	b := New(Limits{Total: 300, Request: 100}, slow, time.Now)
+	var mu sync.Mutex
+	cuts := 0
+	for range 3 {
+		var a *Account
+		a = b.Open("", func() {
+			mu.Lock()
+			defer mu.Unlock()
+			cuts++
+			go a.Close()
+		})
+		assert.NilError(t, a.Take(t.Context(), 100))
+		a.Writing()
+	}
+	time.Sleep(3 * slow)
+	mu.Lock()
+	assert.Equal(t, cuts, 0, "nobody waits")
+	mu.Unlock()
+	a := b.Open("", func() {})
+	defer a.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	assert.NilError(t, a.Take(ctx, 100))
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Equal(t, cuts, 1)
+}
+
+// TestTooLarge wants what no request may hold refused at once.
+func TestTooLarge(t *testing.T) {
+	b := New(Limits{Total: 300, Request: 100}, time.Minute, time.Now)
+	a := b.Open("", func() {})
+	defer a.Close()
+	assert.Assert(t, errors.Is(a.Take(t.Context(), 101), ErrTooLarge))
+	assert.Assert(t, !a.Try(101))
+	var none *Account
+	assert.NilError(t, none.Take(t.Context(), 1<<40))
+	none.Close()
+}
--- /dev/null
+++ b/membudget/ledger_test.go
@@ -0,0 +1,134 @@
+package membudget
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// check wants the sums of a ledger to be those of its entries, and within their bounds.
+func check(t assert.TestingT, l *ledger, entries []*entry) {
+	var all, shared int64
+	byOrganisation := map[string]int64{}
+	for _, e := range entries {
+		all += e.held
+		assert.Assert(t, e.held >= 0 && e.held <= l.limits.Request, "one holds %d", e.held)
+		if e == l.favoured {
+			continue
+		}
+		shared += e.held
+		if e.organisation != "" && e.held > 0 {
+			byOrganisation[e.organisation] += e.held
+		}
+	}
+	assert.Equal(t, l.total(), all)
+	assert.Equal(t, l.shared, shared)
+	assert.DeepEqual(t, l.organisations, byOrganisation)
+	assert.Assert(t, all <= l.limits.Total, "%d are held of %d", all, l.limits.Total)
+	for name, n := range byOrganisation {
+		assert.Assert(t, n <= l.limits.Organisation, "%s holds %d", name, n)
+	}
+	if len(l.waiting) > 0 {
+		assert.Assert(t, l.favoured != nil, "requests wait, and the kept part is unused")
+		assert.Assert(t, !slices.Contains(l.waiting, l.favoured), "the favoured request waits")
+	}
+}
+
+// TestBounds wants no bound passed, whatever requests take, give back and leave, and never all
+// of them to wait.
+func TestBounds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l := newLedger(Limits{Total: rapid.Int64Range(2, 200).Draw(rt, "total"), Organisation: rapid.Int64Range(1, 200).Draw(rt, "organisation"), Request: rapid.Int64Range(1, 200).Draw(rt, "request")})
+		entries := make([]*entry, rapid.IntRange(1, 8).Draw(rt, "requests"))
+		for i := range entries {
+			entries[i] = &entry{organisation: rapid.SampledFrom([]string{"", "a", "b"}).Draw(rt, "of")}
+		}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			e := rapid.SampledFrom(entries).Draw(rt, "who")
+			n := rapid.Int64Range(1, 60).Draw(rt, "bytes")
+			switch waits := slices.Contains(l.waiting, e); {
+			case rapid.IntRange(0, 7).Draw(rt, "ends") == 0:
+				l.end(e)
+			case waits:
+				l.leave(e)
+			case rapid.Bool().Draw(rt, "gives"):
+				l.give(e, min(n, e.held))
+			case !l.tooMuch(e, n) && !l.take(e, n):
+				l.wait(e, n)
+			}
+			check(rt, l, entries)
+		}
+	})
+}
+
+// TestAllEnd plays requests that hold a part of their answers while they wait for the rest, and
+// wants each to end: without a kept part those that hold something wait for each other.
+func TestAllEnd(t *testing.T) {
+	for _, organisation := range []string{"", "a"} {
+		const part, parts, requests = 10, 6, 40
+		l := newLedger(Limits{Total: 3 * part * parts, Organisation: part * parts, Request: part * parts})
+		var entries []*entry
+		reading := map[*entry]int{}
+		for range requests {
+			e := &entry{organisation: organisation}
+			entries = append(entries, e)
+			reading[e] = 0
+		}
+		for round := 0; len(reading) > 0; round++ {
+			assert.Assert(t, round < requests*parts, "%d requests never end", len(reading))
+			for _, e := range entries {
+				got, open := reading[e]
+				switch {
+				case !open || slices.Contains(l.waiting, e):
+				case e.held == part*parts:
+					delete(reading, e)
+					l.end(e)
+				default:
+					reading[e] = got + 1
+					if !l.take(e, part) {
+						l.wait(e, part)
+					}
+				}
+				check(t, l, entries)
+			}
+		}
+	}
+}
+
+// TestSlowest wants the request given up whose caller has been reading for longest, and never
+// one of another organisation where that would give no room.
+func TestSlowest(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s int, organisation string, held int64) *entry {
+		return &entry{organisation: organisation, held: held, writing: start.Add(time.Duration(s) * time.Second)}
+	}
+	reading := []*entry{at(3, "a", 5), at(1, "b", 5), at(0, "a", 0), {organisation: "a", held: 5}}
+	for _, c := range []struct {
+		shared int64
+		after  time.Duration
+		want   *entry
+	}{
+		{60, 9 * time.Second, reading[1]}, // the total lacks room
+		{10, 9 * time.Second, reading[0]}, // the organisation does
+		{60, 4 * time.Second, nil},
+	} {
+		t.Run(fmt.Sprint(c.shared, c.after), func(t *testing.T) {
+			l := newLedger(Limits{Total: 100, Organisation: 30, Request: 40})
+			l.shared = c.shared
+			got := l.slowest(&entry{organisation: "a", wants: 10}, reading, start.Add(c.after), 5*time.Second)
+			assert.Assert(t, got == c.want, "%+v", got)
+		})
+	}
+}
+
+// TestNoBounds wants no request to wait where no bounds are set.
+func TestNoBounds(t *testing.T) {
+	l := newLedger(Limits{})
+	for range 10 {
+		assert.Assert(t, l.take(&entry{organisation: "a"}, 1<<40))
+	}
+}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -91,6 +91,8 @@
 	EventsOutOfOrder     = counter("ledgepin_stream_events_out_of_order_total", "Events of streams that engines sent out of order and that no caller got, by what was wrong: repeated or missing before it.", "service", "verdict")
 	WastedTokens         = counter("ledgepin_wasted_prompt_tokens_total", "Tokens of prompts that were read and whose answer did not become whole, by cause.", "service", "cause")
 	KeptTokens           = counter("ledgepin_kept_prompt_tokens_total", "Tokens of prompts that came again and were placed at an engine that keeps them.", "service")
+	HeldBytes            = gauge("ledgepin_held_bytes", "Bytes that a gateway holds for callers: bodies, answers and streams.", "name")
+	MemoryRefusals       = counter("ledgepin_memory_refusals_total", "Requests that a gateway refused since it holds as much for callers as it may.", "route")
 	OrganisationRequests = counter("ledgepin_organisation_requests_total",
 		"Requests of an organisation with a limit at a gateway, by what became of them there: taken, beyond its share while it waited for room, or over its limit.", "organisation", "outcome")
 	LimitedServers = gauge("ledgepin_limited_servers", "Servers that name a limit of requests a second, as this process knows.", "name")
