--- a/config/config_test.go
+++ b/config/config_test.go
@@ -88,8 +88,8 @@
 	const file = "name: a\nzone: z\noperators: 127.0.0.1:8081\nroles: [gateway]\n" +
 		"gateway: {callers: \"127.0.0.1:1\", ready: \"127.0.0.1:2\", seeds: [\"127.0.0.1:3\"], links_port: 4%s}\n"
 	for part, want := range map[string]config.Held{
-		"":                                         config.DefaultHeld,
-		", held: {share: 0.2}":                     {Share: 0.2, Organisation: config.DefaultHeld.Organisation},
+		"":                     config.DefaultHeld,
+		", held: {share: 0.2}": {Share: 0.2, Organisation: config.DefaultHeld.Organisation},
 		", held: {share: 0.2, organisation: 0.25}": {Share: 0.2, Organisation: 0.25},
 	} {
 		f, err := config.Parse("ledgepin.yaml", fmt.Appendf(nil, file, part))
--- a/soak/check.go
+++ b/soak/check.go
@@ -66,6 +66,7 @@
 	{"a run is at one engine at a time", checkOneEngine},
 	{"not run is true", checkNotRun},
 	{"nothing held for a caller gone", checkGone},
+	{"what is held for callers is bounded", checkHeld},
 	{"no new work for a leaving server", checkDrain},
 	{"no new work for an evacuated zone", checkEvacuations},
 	{"a planned stop cuts no request", checkPlannedStop},
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -65,6 +65,10 @@
 		f.ops.evacuate(ctx, step)
 	case NameLimit:
 		f.nameLimit(ctx, step)
+	case SlowReaders:
+		f.slowCallers(ctx, step)
+	case SlowServer:
+		f.slowServer(ctx, step)
 	case Burst:
 		f.load.faster.Add(2)
 		sleep(ctx, step.For)
@@ -87,7 +91,7 @@
 			out = append(out, controlName(n))
 		}
 		return out
-	case ChangeTable, RaceTables, BadTable, EvacuateZone, Burst, NameLimit:
+	case ChangeTable, RaceTables, BadTable, EvacuateZone, Burst, NameLimit, SlowReaders:
 		return []string{string(step.Kind)}
 	}
 	b, _ := f.site.servers[step.Target].now()
--- a/soak/history.go
+++ b/soak/history.go
@@ -173,6 +173,9 @@
 	// and HeldRoom is the number of holds.
 	HeldKV   []HeldKV
 	HeldRoom int
+	// MostHeld are the most bytes that each gateway has held for callers, LeftHeld those that
+	// it still holds after the end.
+	MostHeld, LeftHeld map[string]int64
 	// Troubles counts what went wrong at servers by intent: calls, streams, answers that
 	// came again.
 	Troubles map[string]int
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -42,6 +42,8 @@
 	GoBack         Kind = "go back"       // planned
 	EvacuateZone   Kind = "evacuate zone" // planned
 	NameLimit      Kind = "name limit"
+	SlowReaders    Kind = "slow readers"
+	SlowServer     Kind = "slow server"
 )
 
 // Planned tells whether a kind is planned work.
@@ -133,6 +135,7 @@
 	out = append(out, streamSteps(seed, length, shape)...)
 	out = append(out, evacuations(seed, length)...)
 	out = append(out, limitSteps(seed, length, shape)...)
+	out = append(out, slowSteps(seed, length, shape)...)
 	slices.SortStableFunc(out, func(a, b Step) int { return int(a.At - b.At) })
 	return out
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -38,7 +38,7 @@
 func Run(ctx context.Context, o Options) (*History, error) {
 	plan, order, path := o.plan()
 	rec := &recorder{start: time.Now()}
-	rec.h = History{Seed: o.Seed, Length: o.Length, Shape: o.Shape, Plan: plan, Order: order, Path: path}
+	rec.h = History{Seed: o.Seed, Length: o.Length, Shape: o.Shape, Plan: plan, Order: order, Path: path, MostHeld: map[string]int64{}, LeftHeld: map[string]int64{}}
 	s, err := newSite(o, rec)
 	if err != nil {
 		return nil, err
@@ -144,8 +144,11 @@
 // settleTime is how long engines may hold memory after the last request.
 const settleTime = 2 * time.Second
 
-// settle waits until engines hold nothing any more, and notes what they do.
+// settle waits until engines and gateways hold nothing any more, and notes what they do.
 func (s *site) settle(ctx context.Context) {
+	for n := range s.front {
+		s.settleGateway(ctx, n)
+	}
 	for end := time.Now().Add(settleTime); ctx.Err() == nil; sleep(ctx, 50*time.Millisecond) {
 		held, holds := s.held()
 		if len(held)+holds == 0 {
@@ -158,6 +161,19 @@
 	}
 }
 
+func (s *site) settleGateway(ctx context.Context, n int) {
+	for end := time.Now().Add(settleTime); ctx.Err() == nil; sleep(ctx, 50*time.Millisecond) {
+		held, ok := s.heldBytes(ctx, n)
+		if ok && held == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			s.rec.add(func(h *History) { h.LeftHeld[gatewayName(n)] = held })
+			return
+		}
+	}
+}
+
 // held returns the KV caches and holds at the servers that are there.
 func (s *site) held() (kv []HeldKV, holds int) {
 	for _, v := range s.servers {
--- a/soak/site.go
+++ b/soak/site.go
@@ -171,8 +171,8 @@
 		h := host(shape.Controls + n)
 		s.front = append(s.front, net.JoinHostPort(h, callers))
 		s.ready = append(s.ready, net.JoinHostPort(h, ready))
-		part := fmt.Sprintf("roles: [gateway]\ndrain: 8s\ngateway: {callers: %q, ready: %q, seeds: [%s], links_port: %s, retry: {ratio: %g, slack: %d, window: %s}, "+quotaSettings+"}\n",
-			s.front[n], s.ready[n], list, links, budgetRatio, budgetSlack, budgetWindow)
+		part := fmt.Sprintf("roles: [gateway]\ndrain: 8s\nmemory: %dMB\ngateway: {callers: %q, ready: %q, seeds: [%s], links_port: %s, retry: {ratio: %g, slack: %d, window: %s}, "+quotaSettings+"}\n",
+			gatewayMemory, s.front[n], s.ready[n], list, links, budgetRatio, budgetSlack, budgetWindow)
 		if err := s.add(gatewayName(n), net.JoinHostPort(h, operators), part, ""); err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/soak/slow.go
@@ -0,0 +1,156 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/ledgepin/ledgepin/standin"
+)
+
+// Callers who read large answers slowly, and what gateways may hold for callers.
+const (
+	slowReaders = 30
+	largeAnswer = 1 << 20
+	// gatewayMemory is that of a gateway's process in MB: less than the slow readers of two
+	// steps want.
+	gatewayMemory = 48
+	// heldMost is the part of it that is for callers, as the settings have it if they say
+	// nothing.
+	heldMost = gatewayMemory * 1000 * 1000 * 4 / 10
+	// slowestServer is the longest pause in the middle of a server's answers.
+	slowestServer = 1200 * time.Millisecond
+)
+
+// slowSteps draws when callers and servers are slow, by a draw of its own.
+func slowSteps(seed uint64, length time.Duration, shape Shape) []Step {
+	r := rand.New(rand.NewPCG(seed, 11))
+	var out []Step
+	for at := calmStart; at < length-calmEnd; at += time.Duration(float64(5*time.Second) * r.Float64()) {
+		s := Step{At: at, For: time.Duration((0.5 + 2*r.Float64()) * float64(time.Second)), Draw: r.Uint64()}
+		s.Kind, s.Target = SlowReaders, r.IntN(shape.Gateways)
+		if r.IntN(3) == 0 {
+			s.Kind, s.Target = SlowServer, shape.Prefills+shape.Decodes+r.IntN(shape.Apps)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// slowServer has a plain server pause in the middle of its answers for a time.
+func (f *faults) slowServer(ctx context.Context, step Step) {
+	b, _ := f.site.servers[step.Target].now()
+	r := rand.New(rand.NewPCG(step.Draw, 12))
+	b.SetSlow(time.Duration(r.Float64() * float64(slowestServer)))
+	sleep(ctx, step.For)
+	b.SetSlow(0)
+}
+
+// slowCallers has callers ask a gateway for large answers, read some of them or nothing, and
+// leave.
+func (f *faults) slowCallers(ctx context.Context, step Step) {
+	if f.load.out[step.Target].Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, step.For)
+	defer cancel()
+	r := rand.New(rand.NewPCG(step.Draw, 13))
+	for i := range slowReaders {
+		q := Request{ID: fmt.Sprintf("slow-%x-%d", step.Draw, i), Kind: Rates, Gateway: step.Target, Organisation: "one", Content: standin.Large(largeAnswer)}
+		pause := time.Duration(r.IntN(3)) * 50 * time.Millisecond // zero reads nothing
+		f.load.wg.Go(func() { f.load.slowly(ctx, q, pause) })
+	}
+	<-ctx.Done()
+}
+
+// slowly plays one caller who reads slowly until the context ends, and leaves then.
+func (l *load) slowly(ctx context.Context, q Request, pause time.Duration) {
+	q.Sent = l.rec.now()
+	status, body, err := l.askSlowly(ctx, &q, pause)
+	l.rec.add(func(h *History) {
+		q.Ended, q.Status, q.Body, q.Cut = l.rec.now(), status, body, err != nil
+		if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+			q.LeftAt = q.Ended
+		}
+		h.Requests = append(h.Requests, q)
+	})
+}
+
+func (l *load) askSlowly(ctx context.Context, q *Request, pause time.Duration) (int, string, error) {
+	req, err := l.request(ctx, q, deadlines[q.Kind])
+	if err != nil {
+		return 0, "", err
+	}
+	resp, err := newConnections(smallWindow).Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	if pause == 0 {
+		<-ctx.Done()
+		return resp.StatusCode, "", ctx.Err()
+	}
+	var body []byte
+	piece := make([]byte, 64<<10)
+	for {
+		n, err := resp.Body.Read(piece)
+		body = append(body, piece[:n]...)
+		if errors.Is(err, io.EOF) {
+			return resp.StatusCode, string(body), nil
+		}
+		if err != nil {
+			return resp.StatusCode, string(body), err
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// heldBytes returns what a gateway says that it holds for callers.
+func (s *site) heldBytes(ctx context.Context, n int) (int64, bool) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	status, body, err := s.call(ctx, http.MethodGet, "http://"+s.processes[gatewayName(n)].operators+"/v1/dump", "")
+	var roles map[string]struct {
+		Held int64 `json:"held_bytes"`
+	}
+	if err != nil || status != http.StatusOK || json.Unmarshal([]byte(body), &roles) != nil {
+		return 0, false
+	}
+	var held int64
+	for _, g := range roles {
+		held += g.Held
+	}
+	return held, true
+}
+
+// watchHeld notes the most that a gateway holds for callers, until the context ends.
+func (s *site) watchHeld(ctx context.Context, n int) {
+	name := gatewayName(n)
+	for ; ctx.Err() == nil; sleep(ctx, watchEvery) {
+		if held, ok := s.heldBytes(ctx, n); ok {
+			s.rec.add(func(h *History) { h.MostHeld[name] = max(h.MostHeld[name], held) })
+		}
+	}
+}
+
+// checkHeld wants gateways to hold no more for callers than they may, and nothing when all
+// requests have ended.
+func checkHeld(h *History) []string {
+	var out []string
+	for name, held := range h.MostHeld {
+		if held > heldMost {
+			out = append(out, fmt.Sprintf("%s held %d bytes for callers, allowed %d", name, held, heldMost))
+		}
+	}
+	for name, held := range h.LeftHeld {
+		if held > 0 {
+			out = append(out, fmt.Sprintf("%s holds %d bytes for nobody", name, held))
+		}
+	}
+	return out
+}
--- a/soak/summary.go
+++ b/soak/summary.go
@@ -20,6 +20,8 @@
 	// Returns are the tries of callers that came back with a last event, Moves the runs
 	// that went on elsewhere.
 	Returns, Moves int
+	// Held are the most bytes that a gateway held for callers.
+	Held int64
 	// Troubles counts what went wrong at servers by intent.
 	Troubles map[string]int
 }
@@ -35,6 +37,9 @@
 			s.Moves++
 		}
 	}
+	for _, held := range h.MostHeld {
+		s.Held = max(s.Held, held)
+	}
 	for _, q := range h.Requests {
 		if q.LastID != "" {
 			s.Returns++
@@ -75,13 +80,14 @@
 		}
 		s.Troubles[what] += n
 	}
+	s.Held = max(s.Held, o.Held)
 	s.Processes = max(s.Processes, o.Processes)
 }
 
 // String describes the counts for people.
 func (s Summary) String() string {
-	return fmt.Sprintf("%s, %d processes, %d steps, %d requests (%d served, %d refused, %d failed, %d left, %d came back), %d arrivals, %d of them moves, %d tables, %d reads, %d probes, %d drains, %v",
-		s.Length, s.Processes, s.Steps, s.Requests, s.Served, s.Refused, s.Failed, s.Left, s.Returns, s.Arrived, s.Moves, s.Tables, s.Reads, s.Probes, s.Drains, s.Troubles)
+	return fmt.Sprintf("%s, %d processes, %d steps, %d requests (%d served, %d refused, %d failed, %d left, %d came back), %d arrivals, %d of them moves, %d tables, %d reads, %d probes, %d drains, %.1f MB held, %v",
+		s.Length, s.Processes, s.Steps, s.Requests, s.Served, s.Refused, s.Failed, s.Left, s.Returns, s.Arrived, s.Moves, s.Tables, s.Reads, s.Probes, s.Drains, float64(s.Held)/1e6, s.Troubles)
 }
 
 // Keep copies the logs of a run, its history and the rules that it broke into a
--- a/soak/watch.go
+++ b/soak/watch.go
@@ -25,6 +25,7 @@
 	var wg sync.WaitGroup
 	for n := range s.front {
 		wg.Go(func() { s.watchTable(ctx, n) })
+		wg.Go(func() { s.watchHeld(ctx, n) })
 	}
 	wg.Go(func() { s.watchLeader(ctx) })
 	wg.Wait()
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -80,6 +80,8 @@
 	// limit returns the limits that an answer names; nil for none.
 	limit   func() []string
 	limited []Limited
+	// slow is how long answers of a plain service pause in their middle.
+	slow time.Duration
 	// deadly is the body of a request that ends the server, crashed is told of that.
 	deadly  string
 	crashed func()
@@ -354,7 +356,7 @@
 	case ForeignFirst:
 		b.foreign(w, id)
 	default:
-		fmt.Fprintf(w, "answer to %s by %s", id, b.ID)
+		b.plain(w, r, id)
 	}
 }
 
--- /dev/null
+++ b/standin/plain.go
@@ -0,0 +1,48 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// largeContent begins the body of a request that asks for a long answer of a plain service.
+const largeContent = "large "
+
+// Large is the body of a request whose answer has as many bytes.
+func Large(bytes int) string { return largeContent + strconv.Itoa(bytes) }
+
+// SetSlow has answers of a plain service pause in their middle; zero for no pause.
+func (b *Backend) SetSlow(pause time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slow = pause
+}
+
+// plain answers a request of a plain service.
+func (b *Backend) plain(w http.ResponseWriter, r *http.Request, id string) {
+	text := fmt.Sprintf("answer to %s by %s", id, b.ID)
+	if size, ok := strings.CutPrefix(BodyOf(r), largeContent); ok {
+		n, _ := strconv.Atoi(size) // no number asks for the usual answer
+		text += strings.Repeat(".", max(n-len(text), 0))
+	}
+	b.mu.Lock()
+	pause := b.slow
+	b.mu.Unlock()
+	if pause > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		half := len(text) / 2
+		_, _ = io.WriteString(w, text[:half])
+		_ = http.NewResponseController(w).Flush()
+		text = text[half:]
+		select {
+		case <-time.After(pause):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	_, _ = io.WriteString(w, text)
+}
