--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -283,3 +283,32 @@
 	}
 	assert.Equal(t, r.connections.Load(), int64(4))
 }
+
+// TestCallerGoneBeforeTheSend wants nothing sent for a caller who has left, on a kept connection
+// or a new one: what a server begins then holds its memory for nobody.
+func TestCallerGoneBeforeTheSend(t *testing.T) {
+	r := newRaw(t, func(r *raw, _ int64, c net.Conn) {
+		br := bufio.NewReader(c)
+		for {
+			id, ok := r.next(br)
+			if !ok {
+				return
+			}
+			_, _ = io.WriteString(c, whole(id, "", "body"))
+		}
+	})
+	p := backend.NewPool()
+	defer p.Close()
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	for n := range 100 {
+		_, err := r.send(p, fmt.Sprint("kept", n), nil)
+		assert.NilError(t, err)
+		req := backend.Request{Address: r.ln.Addr().String(), Method: "POST", Target: "/x", Host: "h", ID: fmt.Sprint("gone", n), Header: http.Header{}, Fresh: n%2 == 0}
+		_, err = p.Do(gone, &backend.DefaultHeaders, req)
+		assert.Assert(t, errors.Is(err, context.Canceled), "%v", err)
+		assert.Assert(t, !backend.WasSent(err))
+	}
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, r.requests.Load(), int64(100))
+}
