--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -308,6 +308,7 @@
 		_, err = p.Do(gone, &backend.DefaultHeaders, req)
 		assert.Assert(t, errors.Is(err, context.Canceled), "%v", err)
 		assert.Assert(t, !backend.WasSent(err))
+		assert.Assert(t, backend.TellsNothing(err), "it is held against the server: %v", err)
 	}
 	time.Sleep(50 * time.Millisecond)
 	assert.Equal(t, r.requests.Load(), int64(100))
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -73,7 +73,9 @@
 
 // TellsNothing tells whether an error says nothing of the server: the gateway itself has kept the
 // request back.
-func TellsNothing(err error) bool { return errors.Is(err, ErrFull) || errors.Is(err, ErrLimited) }
+func TellsNothing(err error) bool {
+	return errors.Is(err, ErrFull) || errors.Is(err, ErrLimited) || errors.Is(err, ErrEnded)
+}
 
 // Answer is the answer of a server. Its body must be read to the end or
 // closed.
@@ -104,6 +106,9 @@
 // Do sends a request once and returns the head of its answer. The context
 // bounds the whole exchange, the body included.
 func (p *Pool) Do(ctx context.Context, headers *Headers, r Request) (*Answer, error) {
+	if err := ctx.Err(); err != nil { // what is written for a caller who is gone runs for nobody
+		return nil, &Error{Cause: fmt.Errorf("%w: %w", ErrEnded, err)}
+	}
 	if p.Admit != nil && !r.Admitted && !p.Admit(r.Server, r.Frees) {
 		return nil, &Error{Cause: ErrLimited}
 	}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -46,6 +46,10 @@
 // ErrLimited tells that the server takes no more requests now, by its own word.
 var ErrLimited = errors.New("backend: the server takes no more requests now")
 
+// ErrEnded tells that the request had ended before it was sent: its caller has left, or its time
+// is over.
+var ErrEnded = errors.New("backend: the request ended before it was sent")
+
 // Causes of new connections.
 const (
 	// causeOnce: the request may run once, and a kept connection may break in a way that
