--- a/gateway/await_token.go
+++ b/gateway/await_token.go
@@ -35,23 +35,11 @@
 	f.limited.add(w)
 	f.serveLimited()
 	f.mu.Unlock()
-	t := time.NewTimer(limit)
-	defer t.Stop()
-	select {
-	case s := <-w.got:
-		return s, true
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.limited.remove(w)
-	select {
-	case s := <-w.got: // at the last moment
-		return s, true
-	default:
-		return dispatch.Server{}, false
-	}
+	return awaitPlace(ctx, w.got, limit, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.limited.remove(w)
+	})
 }
 
 // wait returns how long a request that comes now is likely to wait for a token.
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -17,23 +17,33 @@
 	f.queue.Add(w)
 	f.serve()
 	f.mu.Unlock()
+	return awaitPlace(ctx, placed, limit, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.queue.Remove(w)
+		delete(f.placed, w)
+	})
+}
+
+// awaitPlace returns what is found for a request until the context ends or the limit is over.
+// Leave takes the request from its queue; what was found for it until then counts too, since it
+// is booked.
+func awaitPlace[T any](ctx context.Context, found <-chan T, limit time.Duration, leave func()) (T, bool) {
 	t := time.NewTimer(limit)
 	defer t.Stop()
 	select {
-	case p := <-placed:
-		return p, true
+	case place := <-found:
+		return place, true
 	case <-t.C:
 	case <-ctx.Done():
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.queue.Remove(w)
-	delete(f.placed, w)
+	leave()
 	select {
-	case p := <-placed: // at the last moment
-		return p, true
+	case place := <-found:
+		return place, true
 	default:
-		return dispatch.Pair{}, false
+		var none T
+		return none, false
 	}
 }
 
