--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -110,9 +110,10 @@
 	evacuated map[string]bool
 	// coldServers is what services say of their cold servers.
 	coldServers map[string]ColdServers
-	// meters count the requests to each service; alone tells that nobody issues tokens.
+	// Alone tells that nobody issues tokens to this gateway.
+	Alone bool
+	// meters count the requests to each service.
 	meters map[string]*ratelimit.Meter
-	alone  bool
 	// earlyLimits are limits of servers that are not known yet.
 	earlyLimits map[string]ratelimit.Word
 	// readRates are the paces at which prefill engines read, by service.
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -50,7 +50,7 @@
 		return LimitChange{}, false
 	}
 	l := &s.limit
-	if l.Loosens(w) && !f.alone {
+	if l.Loosens(w) && !f.Alone {
 		l.untold = &w
 		return LimitChange{}, false
 	}
@@ -181,16 +181,15 @@
 	return out
 }
 
-// SetAlone takes whether nobody issues tokens to this gateway: it may send its own part of each
-// limit then, one of so many.
-func (f *Fleet) SetAlone(now time.Time, alone bool, gateways int) {
-	f.alone = alone
+// ShareLimits lets a gateway that is alone send its own part of each limit, one of as many as there
+// are gateways; else it needs tokens.
+func (f *Fleet) ShareLimits(now time.Time) {
 	for _, s := range f.servers {
 		rate, limited := s.limit.Rate(now)
-		if !limited || !alone {
+		if !limited || !f.Alone {
 			rate = 0
 		}
-		s.limit.allowance.SetAlone(now, rate/float64(max(gateways, 1)))
+		s.limit.allowance.SetAlone(now, rate/float64(max(f.Others.Gateways, 1)))
 	}
 }
 
--- a/gateway/limited_test.go
+++ b/gateway/limited_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/ratelimit"
 	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/standin"
 	"github.com/ledgepin/ledgepin/wire"
@@ -271,3 +272,28 @@
 	defer f.mu.Unlock()
 	assert.Assert(t, !f.view.Admit(f.clock.Now(), "p"))
 }
+
+// TestNoLongerAlone wants a gateway that was out of touch when the last limit ended, and is in touch
+// when a server names the next one, to leave what allows more to control from the first answer on.
+func TestNoLongerAlone(t *testing.T) {
+	r := newRig(t)
+	r.add("plain", "a", "")
+	f, l := r.gateway.fleet, r.gateway.links
+	now := f.clock.Now()
+	f.limited.some.Store(true)
+	f.limited.touchAt = now.Add(-2 * aloneAfter)
+	l.tellLimits(now, nil)
+	f.limited.some.Store(false)
+	f.limited.touchAt = now
+	l.tellLimits(now, nil)
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	say := func(rate float64, sent time.Duration) bool {
+		at := now.Add(sent)
+		_, changed := f.view.NoteLimit(at, "a", ratelimit.Word{Named: true, Rate: rate, Sent: at, Heard: at})
+		return changed
+	}
+	assert.Assert(t, say(2, 0))
+	assert.Assert(t, !say(5, time.Second), "it takes itself for alone")
+}
--- a/gateway/tokens.go
+++ b/gateway/tokens.go
@@ -104,11 +104,12 @@
 	if knows || f.limited.touchAt.IsZero() {
 		f.limited.touchAt = now
 	}
+	f.view.Alone = now.Sub(f.limited.touchAt) >= aloneAfter // also for the next limit that is named
 	if !f.limited.some.Load() {
 		f.mu.Unlock()
 		return
 	}
-	f.view.SetAlone(now, now.Sub(f.limited.touchAt) >= aloneAfter, f.view.Others.Gateways)
+	f.view.ShareLimits(now)
 	var m *wire.Limits
 	if knows {
 		m = f.untoldLimits(now)
