--- a/gateway/body.go
+++ b/gateway/body.go
@@ -8,10 +8,10 @@
 	"github.com/ledgepin/ledgepin/membudget"
 )
 
-// Errors of bodies that are not taken.
+// Errors of what is not held for a caller.
 var (
 	errTooLarge = errors.New("gateway: the body is too large")
-	errNoMemory = errors.New("gateway: no memory for the body")
+	errNoMemory = errors.New("gateway: no memory for what is to be held")
 )
 
 // readBody reads a body of at most limit bytes, no limit if it is zero, for which there must be
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -179,7 +179,7 @@
 }
 
 func outcomeOf(ctx context.Context, r result) dispatch.Outcome {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(ctx.Err(), context.Canceled) || errors.Is(r.err, errNoMemory) {
 		return dispatch.Neutral
 	}
 	switch r.kind {
@@ -239,8 +239,11 @@
 // pass gives the caller a server's whole answer, unchanged.
 func (g *Gateway) pass(w http.ResponseWriter, q *request, r result) {
 	copyHead(w, r.header)
-	if bodyAllowed(q.send.Method, r.status) {
+	switch {
+	case bodyAllowed(q.send.Method, r.status):
 		w.Header().Set("Content-Length", strconv.FormatInt(r.body.size, 10))
+	case q.send.Method == http.MethodHead && r.header.Get("Content-Length") != "":
+		w.Header().Set("Content-Length", r.header.Get("Content-Length")) // of what a GET would get
 	}
 	w.WriteHeader(r.status)
 	size := r.body.size
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -71,11 +72,11 @@
 func (h *heldAnswer) readPart(ctx context.Context, memory *membudget.Account, a *backend.Answer) error {
 	// A byte more than there may be tells whether an answer ends there.
 	size := min(h.next(a.Length), maxAnswer+1-h.size)
-	if size <= 0 || a.Length > maxAnswer {
+	if size <= 0 {
 		return errTooLong
 	}
 	if err := memory.Take(ctx, size); err != nil {
-		return err
+		return fmt.Errorf("%w: %w", errNoMemory, err)
 	}
 	part := make([]byte, size)
 	n, err := fill(a, part)
--- a/gateway/slow_readers_test.go
+++ b/gateway/slow_readers_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/ledgepin/ledgepin/clock"
+	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/membudget"
 )
 
@@ -199,3 +200,35 @@
 	}
 	assert.Equal(t, r.send("POST", "/rates/1", "then", "x", nil).status, 200)
 }
+
+// TestNoMemoryIsNotHeldAgainstServers wants a server whose answer found no memory in time to count
+// as sound, and a HEAD, whose answer has a length and no body, to need none.
+func TestNoMemoryIsNotHeldAgainstServers(t *testing.T) {
+	h := &heldAnswer{}
+	assert.Equal(t, h.next(maxAnswer*2), int64(heldPart))
+	for _, c := range []struct {
+		err  error
+		want dispatch.Outcome
+	}{
+		{errNoMemory, dispatch.Neutral}, {fmt.Errorf("%w: %w", errNoMemory, context.DeadlineExceeded), dispatch.Neutral}, {errTooLong, dispatch.Bad},
+	} {
+		assert.Equal(t, outcomeOf(t.Context(), result{kind: late, err: c.err}), c.want, "%v", c.err)
+	}
+}
+
+// TestHeadOfALargeAnswer wants the answer to a HEAD passed on that tells a length beyond what is
+// held.
+func TestHeadOfALargeAnswer(t *testing.T) {
+	r := newRig(t)
+	r.bounded(1 << 20)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(protocol.Headers.RequestID, r.Header.Get(protocol.Headers.RequestID))
+		w.Header().Set(protocol.Headers.Signature, "s")
+		w.Header().Set("Content-Length", strconv.Itoa(2*maxAnswer))
+	}))
+	t.Cleanup(server.Close)
+	r.tell("plain", "large", strings.TrimPrefix(server.URL, "http://"), "")
+	got := r.send("HEAD", "/rates/1", "q", "", nil)
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, got.header.Get("Content-Length"), strconv.Itoa(2*maxAnswer))
+}
