--- a/gateway/held.go
+++ b/gateway/held.go
@@ -130,7 +130,7 @@
 
 // cutWrite ends the write of an answer that is given up.
 func cutWrite(w http.ResponseWriter) {
-	_ = http.NewResponseController(w).SetWriteDeadline(clock.Deadline(0)) // no caller of ours is without
+	_ = http.NewResponseController(w).SetWriteDeadline(clock.Deadline(0)) // a connection that has ended needs none
 }
 
 func organisationName(o *route.Organisation) string {
--- a/soak/beats.go
+++ b/soak/beats.go
@@ -45,8 +45,8 @@
 	v.mu.Lock()
 	born := v.born
 	v.mu.Unlock()
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","coldRemainingMs":0,"slots":%d,"state":%q,"stage":%q,"sequence":%d,"born":%d}`,
-		v.service, p.addr(), v.zone, engineSlots, state, b.CurrentRole(), s.sequence.Add(1), born)
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","coldRemainingMs":%d,"slots":%d,"state":%q,"stage":%q,"sequence":%d,"born":%d}`,
+		v.service, p.addr(), v.zone, v.coldLeft(), engineSlots, state, b.CurrentRole(), s.sequence.Add(1), born)
 }
 
 // say sends a word about a server to a replica, and returns the status of the answer; zero
--- a/soak/check.go
+++ b/soak/check.go
@@ -67,6 +67,7 @@
 	{"not run is true", checkNotRun},
 	{"nothing held for a caller gone", checkGone},
 	{"what is held for callers is bounded", checkHeld},
+	{"no cold server gets more than it bears", checkCold},
 	{"no new work for a leaving server", checkDrain},
 	{"no new work for an evacuated zone", checkEvacuations},
 	{"a planned stop cuts no request", checkPlannedStop},
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -143,6 +143,12 @@
 			h.HeldKV = []HeldKV{{"q4", 2*second + 100*time.Millisecond}}
 		}},
 		{"what is held for callers is bounded", "held 20000000 bytes", func(h *History) { h.MostHeld = map[string]int64{"gateway-0": 20e6} }},
+		{"no cold server gets more than it bears", "got 12 requests", func(h *History) {
+			h.Cold = []ColdSpan{{Server: "app-9", From: second, To: 4 * second}}
+			for n := range time.Duration(12) {
+				h.Arrivals = append(h.Arrivals, Arrival{Server: "app-9", At: 2*second + n*80*time.Millisecond})
+			}
+		}},
 		{"what is held for callers is bounded", "for nobody", func(h *History) { h.LeftHeld = map[string]int64{"gateway-0": 1} }},
 		{"nothing held for a caller gone", "a hold", func(h *History) { h.HeldRoom = 1 }},
 		{"no new work for a leaving server", "late work", func(h *History) {
--- a/soak/history.go
+++ b/soak/history.go
@@ -173,6 +173,8 @@
 	// and HeldRoom is the number of holds.
 	HeldKV   []HeldKV
 	HeldRoom int
+	// Cold are the times in which servers were cold.
+	Cold []ColdSpan
 	// MostHeld are the most bytes that each gateway has held for callers, LeftHeld those that
 	// it still holds after the end.
 	MostHeld, LeftHeld map[string]int64
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -19,7 +19,7 @@
  {"name":"review","host":"h","pathPrefix":"/review/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":900,"gapTargetMs":500,"service":"llm","maxAttempts":1},
  {"name":"desk","host":"h","pathPrefix":"/desk/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":900,"gapTargetMs":500,"service":"llm","maxAttempts":3,"resumable":true},
  {"name":"version","host":"h","pathPrefix":"/version-VERSION/","kind":"idempotent","timeoutMs":1000,"targetLatencyMs":300,"service":"SERVICE","maxAttempts":1}],
- "services":[{"name":"app","healthCheck":"/health","maxConnections":200},
+ "services":[{"name":"app","healthCheck":"/health","maxConnections":200,"coldStartS":COLDSTART,"coldPerS":COLDRATE},
  {"name":"llm","healthCheck":"/health","maxConnections":200,"engine":{"slots":16,"kvTokens":KVTOKENS,"kvHoldS":2,"roleSwitchS":0.5,"stride":STRIDE,"holdMs":2000,"moves":true}}],
  "tenants":[
  {"name":"one","apiKeys":["key-one","key-VERSION"],"unit":"token_stream","plainTokens":200},
@@ -33,6 +33,7 @@
 
 func tableText(version int, service string) string {
 	return strings.NewReplacer("VERSION", fmt.Sprint(version), "SERVICE", service, "HOT", fmt.Sprint(hotRate),
+		"COLDSTART", fmt.Sprintf("%.1f", coldTime.Seconds()), "COLDRATE", fmt.Sprintf("%.1f", coldRate),
 		"KVTOKENS", fmt.Sprint(engineMemory), "STRIDE", fmt.Sprint(eventTokens)).Replace(document)
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -56,6 +56,7 @@
 		return nil, err
 	}
 	rec.add(func(*History) { rec.start = time.Now() })
+	s.started.Store(o.Production == "") // a build that is replaced may know no cold servers
 	rec.add(func(h *History) { h.Puts[0].Sent, h.Puts[0].Ended = 0, 0 })
 
 	loaded, endLoad := context.WithTimeout(ctx, o.Length)
--- a/soak/site.go
+++ b/soak/site.go
@@ -70,6 +70,8 @@
 	leaving bool
 	// born is when its present start was, in Unix milliseconds.
 	born int64
+	// coldUntil is when it is warm.
+	coldUntil time.Time
 }
 
 func (s *server) now() (*standin.Backend, *proxy) {
@@ -101,6 +103,8 @@
 	// wg are the servers that start again, closing ends that.
 	wg      sync.WaitGroup
 	closing atomic.Bool
+	// started tells that a run has begun in which servers that start again are cold.
+	started atomic.Bool
 }
 
 // host returns an address of the loopback range for the n-th process, so that
@@ -190,7 +194,7 @@
 
 // treeControl are settings of control that the production build may not know: the fleet's
 // version rises only when it is asked for, so that going back stays possible.
-const treeControl = "  upgrade: {after: 0s}\n"
+var treeControl = "  upgrade: {after: 0s}\n" + coldSettings
 
 // add makes a process; treePart are settings for the tree's build alone.
 func (s *site) add(name, operators, part, treePart string) error {
@@ -260,6 +264,7 @@
 	}
 	b.Name = v.name
 	b.SetDeadly(deadlyContent, func() { s.again(v, b) })
+	s.chill(v, b.ID)
 	s.group.Alias(p.addr(), b)
 	s.pastMu.Lock()
 	s.past = append(s.past, b)
--- a/soak/words.go
+++ b/soak/words.go
@@ -16,7 +16,7 @@
 var spoilt = [][2]string{
 	{`"state":"ready"`, `"state":"odd"`}, {`"slots":16`, `"slots":"many"`}, {`"slots":16`, `"slots":1e300`}, {`"zone":`, `"place":`}, {`"version":"v1",`, ``},
 	{`"service":`, "\"serv\xff\":"}, {`"sequence":`, `"sequence":-`}, {`"born":`, `"born":-`}, {`"born":`, `"born":1.`}, {`"address":"127`, `"address":"nowhere-127`},
-	{`}`, ``}, {`{`, `[{`}, {`"coldRemainingMs":0`, `"coldRemainingMs":null`},
+	{`}`, ``}, {`{`, `[{`}, {`"coldRemainingMs":`, `"coldRemainingMs":null,"was":`},
 }
 
 // foreign are ways in which a word can be read and is another server's. A replica that does
