--- a/gateway/migrate_test.go
+++ b/gateway/migrate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -189,3 +190,32 @@
 	m.nothingLeft()
 	m.wait("no run", func() bool { return m.from.Running()+m.to.Running() == 0 })
 }
+
+// TestCallerGoneDuringACopy wants the copy of a run to be freed whose caller leaves while an engine
+// makes it, and the run to end at once: nobody but the gateway hears the name of the copy.
+func TestCallerGoneDuringACopy(t *testing.T) {
+	ctx, leave := context.WithCancel(t.Context())
+	m := startRun(t, ctx)
+	begun := make(chan struct{})
+	asked := sync.OnceFunc(func() { close(begun) })
+	m.from.SetManner(standin.Manner{CopyTime: 700 * time.Millisecond, Copies: func(string, bool) standin.CopyFate {
+		asked()
+		return standin.CopyAnswered
+	}})
+	m.fill()
+	<-begun
+	leave()
+	m.wait("the run's end", func() bool { return m.from.Running() == 0 })
+	assert.Check(t, m.group.Held() == 0, "the run went on until the copy was made")
+	made := false
+	for range 500 { // less than the time after which a copy lapses
+		held := m.group.Held()
+		if made && held == 0 {
+			m.nothingLeft()
+			return
+		}
+		made = made || held > 0
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("copy made: %t, %d KV caches are held", made, m.group.Held())
+}
