--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -27,6 +27,17 @@
 	return r
 }
 
+// outlive returns a context for a call that makes something at an engine, which has to be freed if
+// the caller leaves meanwhile. It ends with the gateway, and after a time.
+func (g *Gateway) outlive(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	stop := context.AfterFunc(g.ctx, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // exchange sends to an engine, for a request, what is answered by a whole body.
 func (g *Gateway) exchange(ctx context.Context, q *request, s *dispatch.Server, r backend.Request) (result, []byte) {
 	a, err := g.pool.Do(ctx, &g.cfg.Protocol.Headers, r)
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -119,6 +119,9 @@
 		return
 	}
 	m.kv = kv
+	if m.err = ctx.Err(); m.err != nil {
+		return // nobody waits for the rest
+	}
 	status, kv, err := n.askCopy(ctx, m, true)
 	m.err = err
 	if kv.Handle == "" {
@@ -130,7 +133,8 @@
 }
 
 // askCopy has a run copied. An engine without room for it still names the copy
-// if the run was stopped, since it keeps the run's KV cache then.
+// if the run was stopped, since it keeps the run's KV cache then. The call outlives the caller:
+// an engine makes the copy all the same, and only who hears its name can free it.
 func (n *generation) askCopy(ctx context.Context, m *migration, stop bool) (int, backend.KV, error) {
 	limit := copyTimeout
 	switch {
@@ -139,7 +143,7 @@
 	case m.reason == dispatch.Leaving:
 		limit = leaveTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := n.g.outlive(ctx, limit)
 	defer cancel()
 	p := &n.g.cfg.Protocol
 	a, err := n.g.pool.Do(ctx, &p.Headers, n.callTo(&m.from, p.CopyRun(n.q.id, m.to.Address, stop)))
@@ -163,6 +167,13 @@
 	for {
 		err := n.stream.copy(a, s)
 		m := n.mover.take()
+		if m != nil && ctx.Err() != nil {
+			n.g.wg.Go(func() {
+				<-m.done
+				n.giveUp(m, m.err)
+			})
+			return s, a, err
+		}
 		if m != nil {
 			<-m.done
 			n.mover.stopped = n.mover.stopped || m.unsure || m.stopped
