--- a/gateway/hold_test.go
+++ b/gateway/hold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -159,3 +160,35 @@
 	assert.Assert(t, !n.takeHold(ctx))
 	assert.Equal(t, r.gateway.fleet.ruled(q.work, service.Engine).Count[dispatch.RuleBlocked], 0)
 }
+
+// TestCallerGoneDuringAHold wants room given back that an engine sets aside while the caller leaves,
+// and no other engine asked for room.
+func TestCallerGoneDuringAHold(t *testing.T) {
+	r := newRig(t)
+	r.add("llm", "p1", "prefill")
+	asked := make(chan struct{}, 2)
+	taken := make(chan struct{}, 2)
+	for _, id := range []string{"d1", "d2"} {
+		r.add("llm", id, "decode").SetAround(func(own http.Handler) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method != http.MethodPost || r.URL.Path != standin.HoldPath {
+					own.ServeHTTP(w, r)
+					return
+				}
+				asked <- struct{}{}
+				time.Sleep(holdTimeout / 2)
+				own.ServeHTTP(w, r)
+				taken <- struct{}{}
+			})
+		})
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	done := make(chan reply, 1)
+	go func() { done <- r.sendWith(ctx, "POST", "/review/1", "q1", "x", work) }()
+	<-asked
+	leave()
+	<-taken
+	r.nothingHeld()
+	<-done
+	assert.Equal(t, len(asked), 0, "another engine was asked")
+}
