--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -134,6 +134,9 @@
 		}
 		q.tried[pair.Decode.ID] = true
 		n.unbook()
+		if ctx.Err() != nil {
+			return false
+		}
 	}
 }
 
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -34,7 +34,11 @@
 	if n.g.fleet.bearsLittle(s.ID) {
 		return true // it bears few calls, and has room
 	}
-	hctx, cancel := context.WithTimeout(ctx, holdTimeout+holdTrips*n.g.fleet.trip(s.Zone))
+	if ctx.Err() != nil {
+		return false
+	}
+	// The answer is heard also if the caller leaves, so that the room is given back.
+	hctx, cancel := n.g.outlive(ctx, holdTimeout+holdTrips*n.g.fleet.trip(s.Zone))
 	defer cancel()
 	started := n.g.clock.Now()
 	r := n.callTo(s, p.TakeHold(n.q.work.Prompt, min(n.pair.Wait+holdMargin, engine.HoldMost)))
