--- /dev/null
+++ b/entry/settings_test.go
@@ -0,0 +1,107 @@
+package entry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/entry"
+	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/standin"
+)
+
+// TestServerTakenOutOfTheSettings removes a decode server while it streams, and
+// brings it back. The stream ends in peace, nothing new goes there until then.
+func TestServerTakenOutOfTheSettings(t *testing.T) {
+	t.Parallel()
+	c, addr := startControl(t)
+	p := startServer(t, "p1", "z1")
+	d1, one := startEngine(t, "d1", "z1", 10*time.Millisecond, 100)
+	d2, two := startEngine(t, "d2", "z1", time.Millisecond, 100)
+	tree := func(decode map[string]string) string {
+		return fmt.Sprintf(head, 10) + site("s1", "z1", map[string]string{"p1": p}, decode)
+	}
+	both := tree(map[string]string{"d1": d1, "d2": d2})
+	apply(t, c, 0, tree(map[string]string{"d1": d1}))
+	e := startEntry(t, entry.Config{Name: "e", Zone: "z1", Upstream: []string{addr}})
+	waitRevision(t, e, 1)
+	answer := standin.Answer("hello", 100)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if e.Reachable() < 2 {
+			return poll.Continue("no links")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	done := make(chan error, 1)
+	var got string
+	asks := 0
+	begin := func() {
+		asks++
+		go func() {
+			var err error
+			got, err = ask(t, e)
+			done <- err
+		}()
+	}
+	begin()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		select {
+		case err := <-done: // over before it was seen, as on a VM that stood still
+			assert.NilError(t, err)
+			begin()
+		default:
+		}
+		if len(one.Held()) == 0 {
+			return poll.Continue("not yet")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	apply(t, c, 1, tree(map[string]string{"d2": d2}))
+	waitRevision(t, e, 2)
+	assert.NilError(t, <-done)
+	assert.Equal(t, got, answer)
+	assert.Equal(t, two.Decodes(), 0, "it was not moved")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := ask(t, e); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	assert.Equal(t, one.Decodes(), asks)
+	assert.Assert(t, two.Decodes() >= 1)
+	apply(t, c, 2, both)
+	waitRevision(t, e, 3)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := ask(t, e); err != nil || one.Decodes() == asks {
+			return poll.Continue("d1 has no work again: %v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+}
+
+// TestSpill loses all servers of the entry's own zone in a large fleet.
+func TestSpill(t *testing.T) {
+	t.Parallel()
+	c, addr := startControl(t)
+	dead := map[string]string{}
+	for i := range 70 {
+		dead[fmt.Sprint("gone-", i)] = "127.0.0.1:1"
+	}
+	far := map[string]string{"fp": startServer(t, "fp", "z2")}
+	fard := map[string]string{"fd": startServer(t, "fd", "z2")}
+	apply(t, c, 0, fmt.Sprintf(head, 100)+site("s1", "z1", dead, map[string]string{"gone-d": "127.0.0.1:1"})+site("s2", "z2", far, fard))
+	near := startEntry(t, entry.Config{Name: "near", Zone: "z1", Upstream: []string{addr}})
+	startEntry(t, entry.Config{Name: "other", Zone: "z2", Upstream: []string{addr}})
+	waitRevision(t, near, 1)
+	_, err := ask(t, near)
+	assert.Assert(t, fault.Is(err, fault.NoServer), "%v", err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got, err := ask(t, near); err != nil || got != standin.Answer("hello", 8) {
+			return poll.Continue("%q %v", got, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(200*time.Millisecond))
+}
