--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -58,12 +57,7 @@
 	defer g.streams.Add(-1)
 	n := &generation{g: g, q: q, stream: newStreamWriter(g, w, q)}
 	n.stream.made = func(tokens int) { n.grow(ctx, tokens) }
-	n.stream.memory = func(bytes int64) error {
-		if err := q.memory.Take(ctx, bytes); err != nil {
-			return fmt.Errorf("%w: %w", errNoMemory, err)
-		}
-		return nil
-	}
+	n.stream.memory = func(bytes int64) error { return takeMemory(ctx, q.memory, bytes) }
 	defer n.unbook()
 	var last result
 	for round := range maxRounds {
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -75,8 +75,8 @@
 	if size <= 0 {
 		return errTooLong
 	}
-	if err := memory.Take(ctx, size); err != nil {
-		return fmt.Errorf("%w: %w", errNoMemory, err)
+	if err := takeMemory(ctx, memory, size); err != nil {
+		return err
 	}
 	part := make([]byte, size)
 	n, err := fill(a, part)
@@ -84,6 +84,14 @@
 	return err
 }
 
+// takeMemory waits until there is memory. Its error says that it is no server's fault.
+func takeMemory(ctx context.Context, memory *membudget.Account, n int64) error {
+	if err := memory.Take(ctx, n); err != nil {
+		return fmt.Errorf("%w: %w", errNoMemory, err)
+	}
+	return nil
+}
+
 // next returns how much is read next: the rest of an answer and its end, or a part.
 func (h *heldAnswer) next(length int64) int64 {
 	switch {
