--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -134,7 +134,7 @@
 		return nil, &Error{Sent: true, Cause: err}
 	}
 	if p.OnAnswer != nil {
-		p.OnAnswer(r.Server, clock.VM.Since(sent), resp.Header)
+		p.OnAnswer(r.Server, clock.VM.Since(sent), resp.StatusCode, resp.Header)
 	}
 	a.Status, a.Header, a.Length = resp.StatusCode, resp.Header, resp.ContentLength
 	a.Framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
--- a/backend/names.go
+++ b/backend/names.go
@@ -67,6 +67,8 @@
 	// Limit names the requests a second that the server takes from all gateways together,
 	// for as long as its answers say so.
 	Limit string
+	// Leaving tells that the server takes no new work.
+	Leaving string
 }
 
 // Private returns the names of the fields that are no caller's to set. It goes
@@ -100,7 +102,7 @@
 		LastEventID: "Last-Event-Id", PromptParts: "X-Prompt-Parts",
 	},
 	GatewayFields{ExpectInstance: "X-Expect-Instance", Role: "X-Engine-Role", KVSource: "X-KV-Source", Hold: "X-Hold", Organisation: "X-Organisation"},
-	ServerFields{Signature: "X-Answer-Signature", NotRun: "X-Not-Run", Cold: "X-Cold-Ms", Limit: "X-Server-Limit"},
+	ServerFields{Signature: "X-Answer-Signature", NotRun: "X-Not-Run", Cold: "X-Cold-Ms", Limit: "X-Server-Limit", Leaving: "X-Server-Leaving"},
 }
 
 // KV is the result of a prefill, or the copy of a run.
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -29,9 +29,9 @@
 	// those that are admitted already are not asked for. One that frees something is always
 	// taken.
 	Admit func(server string, frees bool) bool
-	// OnAnswer, if set, is given the head of each answer of a start of a server, and how long
-	// ago its request was sent.
-	OnAnswer func(server string, ago time.Duration, head http.Header)
+	// OnAnswer, if set, is given the status and the head of each answer of a start of a server,
+	// and how long ago its request was sent.
+	OnAnswer func(server string, ago time.Duration, status int, head http.Header)
 }
 
 // NewPool returns an empty pool.
--- /dev/null
+++ b/backend/selfreport.go
@@ -0,0 +1,137 @@
+package backend
+
+import (
+	"math"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ledgepin/ledgepin/selfreport"
+)
+
+// fieldReader reads one field of the head of an answer.
+type fieldReader struct {
+	field selfreport.Field
+	// name returns the field's name; empty if servers do not have it.
+	name func(p *Protocol) string
+	// on tells whether the field means anything in an answer with a status; nil for all.
+	on func(status int) bool
+	// read puts the values into the report; false if they can't be read.
+	read func(p *Protocol, values []string, head http.Header, to *selfreport.Report) bool
+}
+
+// fieldReaders are what gateways read of servers, each once for every answer.
+var fieldReaders = []fieldReader{
+	{field: selfreport.Limit, name: limitName, read: readLimit},
+	{field: selfreport.RetryAfter, name: retryAfterName, on: turnsAway, read: readRetryAfter},
+	{field: selfreport.Leaving, name: leavingName, read: readLeaving},
+	{field: selfreport.Cold, name: coldName, read: readCold},
+}
+
+// SelfReport reads what the head of an answer says of its server.
+func (p *Protocol) SelfReport(status int, head http.Header) selfreport.Report {
+	var out selfreport.Report
+	for i := range fieldReaders {
+		r := &fieldReaders[i]
+		name := r.name(p)
+		if name == "" || r.on != nil && !r.on(status) {
+			continue
+		}
+		values := head.Values(name)
+		if len(values) > 0 && !r.read(p, values, head, &out) {
+			out.Unread = append(out.Unread, selfreport.Unread{Field: r.field, Values: values})
+		}
+	}
+	return out
+}
+
+func limitName(p *Protocol) string {
+	if p.ParseLimit == nil {
+		return ""
+	}
+	return p.Headers.Limit
+}
+
+func readLimit(p *Protocol, values []string, _ http.Header, to *selfreport.Report) bool {
+	rate, ok := p.ParseLimit(values)
+	if ok {
+		to.Limit = &rate
+	}
+	return ok
+}
+
+// retryAfterName returns the name in RFC 9110, section 10.2.3.
+func retryAfterName(*Protocol) string { return "Retry-After" }
+
+// turnsAway tells whether an answer with a status turns a request away for the server's load.
+// Retry-After means something else in a redirect.
+func turnsAway(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
+func readRetryAfter(_ *Protocol, values []string, head http.Header, to *selfreport.Report) bool {
+	if !same(values) {
+		return false
+	}
+	text := strings.TrimSpace(values[0])
+	if seconds, ok := parseSeconds(text); ok {
+		to.RetryAfter = seconds
+		return true
+	}
+	// The server's own Date makes the difference independent of the two clocks.
+	at, err := http.ParseTime(text)
+	now, errNow := http.ParseTime(head.Get("Date"))
+	if err != nil || errNow != nil {
+		return false
+	}
+	to.RetryAfter = max(at.Sub(now), 0)
+	return true
+}
+
+// parseSeconds reads a decimal number of seconds. Of what strconv reads besides, as exponents,
+// hexadecimal numbers and infinity, nothing is one.
+func parseSeconds(text string) (time.Duration, bool) {
+	if strings.Trim(text, "0123456789.") != "" {
+		return 0, false
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 0, false
+	}
+	return time.Duration(min(seconds, math.MaxInt32) * float64(time.Second)), true
+}
+
+func leavingName(p *Protocol) string { return p.Headers.Leaving }
+
+// readLeaving reads 1 for a server that leaves, and 0 for one that does not.
+func readLeaving(_ *Protocol, values []string, _ http.Header, to *selfreport.Report) bool {
+	text := strings.TrimSpace(values[0])
+	if !same(values) || text != "0" && text != "1" {
+		return false
+	}
+	to.Leaving = text == "1"
+	return true
+}
+
+func coldName(p *Protocol) string {
+	if p.ParseCold == nil {
+		return ""
+	}
+	return p.Headers.Cold
+}
+
+func readCold(p *Protocol, values []string, _ http.Header, to *selfreport.Report) bool {
+	d, ok := p.ParseCold(values[0])
+	if !ok || !same(values) {
+		return false
+	}
+	to.Cold = &d
+	return true
+}
+
+// same tells whether all values of a field say the same.
+func same(values []string) bool {
+	return !slices.ContainsFunc(values, func(v string) bool { return strings.TrimSpace(v) != strings.TrimSpace(values[0]) })
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -151,11 +151,16 @@
 	"A gateway holds as much for its callers as the settings allow, and refused a request; held is in bytes, waits how often an answer had to wait for memory since the start. At most one line in ten seconds; a metric counts the requests.",
 	"Look for callers who read slowly (LP2005). Else raise gateway.held, or give the gateway more memory.")
 
-// ServerLimitUnread tells that what a server says of its limit can't be read.
-var ServerLimitUnread = define("LP2024", warn, "limit of a server can't be read",
-	"A server names a limit that is no number of requests a second, or two that differ. What was known before holds. One line a minute for each server; a metric counts the answers.",
+// ServerReportUnread tells that what a server says of itself can't be read.
+var ServerReportUnread = define("LP2024", warn, "report of a server can't be read",
+	"A field of an answer in which a server says something of itself has a value that can't be read, or two that differ: limit (requests a second), retry_after (seconds or a date), leaving (0 or 1), cold (milliseconds). What was known before holds. One line a minute for each server and field; a metric counts the answers.",
 	"Look at the server.")
 
+// ServerReport tells what a server says of itself in an answer.
+var ServerReport = define("LP2026", info, "report of a server",
+	"A server said in an answer that it wants no requests for a time (retry_after, with the time) or takes no new work (leaving). age_ms is how long before its request was sent: the server said it since then.",
+	"A server in need: look at it. Many of one service: it needs more servers.")
+
 // Links between processes.
 var (
 	LinkUp   = define("LP3001", info, "link up", "A link to a peer process is open.", nothing)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,8 +80,9 @@
 	memory          *membudget.Budget
 	// memoryFull bounds the log lines about requests for which there is no memory.
 	memoryFull event.Limiter
-	// unreadLimits bounds the log lines about limits that can't be read.
-	unreadLimits event.Limiter
+	// reportLines bounds the log lines about what servers say of themselves, unreadReports those
+	// about what can't be read of that.
+	reportLines, unreadReports event.Limiter
 	// lookWait is how long a request waits for a look at the server before it: the
 	// constant of that name, but in tests.
 	lookWait time.Duration
@@ -101,9 +102,10 @@
 		cfg: cfg, clock: cfg.Clock, log: log, ctx: ctx, cancel: cancel,
 		private: cfg.Protocol.Headers.Private(), forServers: canonical(cfg.Protocol.Headers.ForServers()), tabled: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Clock, cfg.Name, cfg.Zone, cfg.Zones, cfg.Retry), kept: map[string]*keptPrompts{}, keptWait: keptTimeout,
 		limits: newLimits(cfg.Clock, cfg.Quota), contents: newContents(cfg.Clock, log), lookWait: lookWait,
-		memory:       membudget.New(cfg.Memory, callerTimeout, cfg.Clock.Now),
-		memoryFull:   event.Limiter{Every: memoryFullEvery, Most: 1},
-		unreadLimits: event.Limiter{Every: time.Minute, Most: mostUnreadLimits},
+		memory:        membudget.New(cfg.Memory, callerTimeout, cfg.Clock.Now),
+		memoryFull:    event.Limiter{Every: memoryFullEvery, Most: 1},
+		reportLines:   event.Limiter{Every: time.Second, Most: mostReportLines},
+		unreadReports: event.Limiter{Every: time.Minute, Most: mostReportLines},
 	}
 	g.pool.OnConnect = g.fleet.noteConnect
 	g.pool.Admit = g.fleet.admit
--- a/gateway/limited.go
+++ b/gateway/limited.go
@@ -1,21 +1,15 @@
 package gateway
 
 import (
-	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/event"
-	"github.com/ledgepin/ledgepin/metric"
 	"github.com/ledgepin/ledgepin/ratelimit"
 	"github.com/ledgepin/ledgepin/wire"
 )
 
-// mostUnreadLimits bounds the servers of which a line a minute is written that their limit can't
-// be read.
-const mostUnreadLimits = 64
-
 // limitedServers is what a gateway knows of limits beside the servers. The fleet's lock guards it.
 type limitedServers struct {
 	// some tells that some server names a limit. It is read without the lock, by each answer.
@@ -39,35 +33,6 @@
 	view.RetellLimits()
 }
 
-// answered takes what the head of an answer says of the server's limit. The answer came to a
-// request that was sent some time ago.
-func (g *Gateway) answered(id string, ago time.Duration, head http.Header) {
-	p := &g.cfg.Protocol
-	if p.ParseLimit == nil || id == "" {
-		return
-	}
-	values := head.Values(p.Headers.Limit)
-	if len(values) == 0 && !g.fleet.limited.some.Load() {
-		return
-	}
-	now := g.clock.Now()
-	w := ratelimit.Word{Named: len(values) > 0, Sent: now.Add(-ago), Heard: now}
-	if w.Named {
-		rate, ok := p.ParseLimit(values)
-		if !ok {
-			g.unreadLimit(now, id, values)
-			return
-		}
-		w.Rate = rate
-		if s, ok := g.fleet.server(id); ok {
-			metric.LimitedAnswers.WithLabelValues(s.Service).Inc()
-		}
-	}
-	if change, ok := g.fleet.noteLimit(id, w); ok {
-		g.logLimit(change, byServer)
-	}
-}
-
 // By whom a gateway is told of a limit, for the log.
 const (
 	byServer  = "server"
@@ -78,27 +43,6 @@
 	event.ServerLimit.Log(g.log, "server", c.Server.Called(), "service", c.Server.Service, "rate", c.Word.Rate, "ended", !c.Word.Named, "by", by, "sent", c.Sent)
 }
 
-func (g *Gateway) unreadLimit(now time.Time, id string, values []string) {
-	s, ok := g.fleet.server(id)
-	if !ok {
-		return
-	}
-	metric.LimitsUnread.WithLabelValues(s.Service).Inc()
-	if g.unreadLimits.Allow(now, id) {
-		event.ServerLimitUnread.Log(g.log, "server", s.Called(), "service", s.Service, "values", clipped(values))
-	}
-}
-
-// clipped returns values that a server decides on, short enough for a log line.
-func clipped(values []string) []string {
-	const mostValues, mostBytes = 3, 40
-	out := make([]string, 0, mostValues)
-	for _, v := range values[:min(len(values), mostValues)] {
-		out = append(out, v[:min(len(v), mostBytes)])
-	}
-	return out
-}
-
 // noteLimit takes what a server says of its limit; false if that changes nothing.
 func (f *fleet) noteLimit(id string, w ratelimit.Word) (dispatch.LimitChange, bool) {
 	f.mu.Lock()
