--- /dev/null
+++ b/gateway/selfreport_test.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/standin"
+)
+
+// TestRequestsAreRefusedDuringRetryAfter has the only server of a service ask for a long pause: it
+// gets nothing more, and callers are refused at once, as not run, until it ends.
+func TestRequestsAreRefusedDuringRetryAfter(t *testing.T) {
+	r := newRig(t)
+	b := r.add("plain", "a", "")
+	b.SetSays(standin.TurnAway("30"))
+	for i := range 5 {
+		got := r.send(http.MethodPost, "/seats/1", fmt.Sprint("refused-", i), "x", nil)
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Check(t, after > 20 && after < 40, "%v", after)
+	}
+	assert.Equal(t, len(b.Asked()), 1)
+}
+
+// TestOtherServersServeDuringRetryAfter wants requests to go to the other servers of the service.
+func TestOtherServersServeDuringRetryAfter(t *testing.T) {
+	r := newRig(t)
+	a := r.add("plain", "a", "")
+	r.add("plain", "b", "")
+	a.SetSays(standin.TurnAway("30"))
+	for i := range 20 {
+		assert.Equal(t, r.send(http.MethodGet, "/rates/1", fmt.Sprint(i), "", nil).status, http.StatusOK)
+	}
+	assert.Equal(t, len(a.Asked()), 1)
+}
+
+// TestShorterRetryAfterEndsNoLongerOne has a server ask for a long pause and, in an answer that was
+// asked for before, for a short one.
+func TestShorterRetryAfterEndsNoLongerOne(t *testing.T) {
+	r := newRig(t)
+	b := r.add("plain", "a", "")
+	first, second := make(chan bool), make(chan bool)
+	b.SetSays(func(req *http.Request) standin.Says {
+		if req.Header.Get(protocol.Headers.RequestID) == "slow" {
+			close(first)
+			<-second
+			return standin.Says{RetryAfter: []string{"0.01"}}
+		}
+		return standin.Says{RetryAfter: []string{"30"}}
+	})
+	done := make(chan reply)
+	go func() { done <- r.send(http.MethodPost, "/seats/1", "slow", "x", nil) }()
+	<-first
+	assert.Equal(t, r.send(http.MethodPost, "/seats/1", "long", "x", nil).status, http.StatusServiceUnavailable)
+	close(second)
+	<-done
+	time.Sleep(20 * time.Millisecond) // the short one is over
+	assert.Equal(t, r.send(http.MethodPost, "/seats/1", "last", "x", nil).status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(b.Asked()), 2)
+}
+
+// TestEnginesGetNothingDuringRetryAfter has an engine of each role ask for a pause: no prompt, run
+// or call of the gateway's own reaches it, and streams are made at the others.
+func TestEnginesGetNothingDuringRetryAfter(t *testing.T) {
+	r := newRig(t)
+	engines := map[string]*standin.Backend{}
+	for _, id := range []string{"p1", "p2"} {
+		engines[id] = r.add("llm", id, registry.Prefill)
+	}
+	for _, id := range []string{"d1", "d2"} {
+		engines[id] = r.add("llm", id, registry.Decode)
+	}
+	engines["p1"].SetSays(standin.TurnAway("30"))
+	engines["d1"].SetSays(standin.TurnAway("30"))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		r.send(http.MethodPost, "/desk/1", "warm", "x", work)
+		if len(engines["p1"].Asked()) > 0 && len(engines["d1"].Asked()) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("not both were asked")
+	}, poll.WithDelay(time.Millisecond))
+	before := len(engines["p1"].Asked()) + len(engines["d1"].Asked())
+	for i := range 20 {
+		got := r.send(http.MethodPost, "/desk/1", fmt.Sprint("desk-", i), "x", work)
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Equal(t, got.body, wholeStream())
+	}
+	assert.Equal(t, len(engines["p1"].Asked())+len(engines["d1"].Asked()), before)
+}
+
+// TestStreamsAreRefusedDuringRetryAfter has the only engine ask for a pause that outlasts the target
+// of the route: its callers are refused at once.
+func TestStreamsAreRefusedDuringRetryAfter(t *testing.T) {
+	r := newRig(t)
+	b := r.add("llm", "d", registry.Decode)
+	b.SetSays(standin.TurnAway("30"))
+	for i := range 3 {
+		started := time.Now()
+		got := r.send(http.MethodPost, "/review/1", fmt.Sprint(i), "x", work)
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Check(t, after > 20, "%v", after)
+		assert.Check(t, i == 0 || time.Since(started) < 500*time.Millisecond, "%v", time.Since(started))
+	}
+	assert.Equal(t, len(b.Asked()), 1)
+}
+
+// TestLeavingServerGetsNothing has a server tell that it leaves while its heartbeats say that it is
+// ready, and then no more that it leaves.
+func TestLeavingServerGetsNothing(t *testing.T) {
+	r := newRig(t)
+	b := r.add("plain", "a", "")
+	b.SetSays(standin.Leaves)
+	assert.Equal(t, r.send(http.MethodGet, "/rates/1", "first", "", nil).status, http.StatusOK)
+	b.SetSays(nil)
+	r.report("plain", "a", registry.Ready)
+	assert.Equal(t, r.send(http.MethodGet, "/rates/1", "second", "", nil).status, http.StatusServiceUnavailable)
+	r.add("plain", "b", "")
+	for i := range 5 {
+		assert.Equal(t, r.send(http.MethodGet, "/rates/1", fmt.Sprint(i), "", nil).status, http.StatusOK)
+	}
+	assert.Equal(t, len(b.Asked()), 1)
+}
+
+// TestNextStartIsNotPaused wants the next start of a server to be bound by nothing that the one
+// before has said.
+func TestNextStartIsNotPaused(t *testing.T) {
+	r := newRig(t)
+	b := r.add("plain", "a", "")
+	b.SetSays(standin.TurnAway("30"))
+	assert.Equal(t, r.send(http.MethodGet, "/rates/1", "first", "", nil).status, http.StatusServiceUnavailable)
+	assert.Equal(t, r.send(http.MethodGet, "/rates/1", "paused", "", nil).status, http.StatusServiceUnavailable)
+	r.report("plain", "a", registry.Gone)
+	r.add("plain", "b", "")
+	assert.Equal(t, r.send(http.MethodGet, "/rates/1", "next", "", nil).status, http.StatusOK)
+	assert.Equal(t, len(b.Asked()), 1)
+}
--- a/standin/around.go
+++ b/standin/around.go
@@ -27,6 +27,9 @@
 		b.limited = append(b.limited, Limited{At: time.Now(), ID: r.Header.Get(b.headers.RequestID), Path: r.URL.Path, Named: values})
 		b.mu.Unlock()
 	}
+	if !b.say(w, r) {
+		return
+	}
 	own := http.Handler(http.HandlerFunc(b.serve))
 	if around != nil {
 		own = around(own)
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -80,6 +80,9 @@
 	// limit returns the limits that an answer names; nil for none.
 	limit   func() []string
 	limited []Limited
+	// says is what answers say of the server besides, asked what came since they do.
+	says  func(r *http.Request) Says
+	asked []Asked
 	// slow is how long answers of a plain service pause in their middle.
 	slow time.Duration
 	// deadly is the body of a request that ends the server, crashed is told of that.
--- /dev/null
+++ b/standin/reports.go
@@ -0,0 +1,75 @@
+package standin
+
+import (
+	"net/http"
+	"time"
+)
+
+// Says is what one answer of a server says of the server.
+type Says struct {
+	// RetryAfter turns the request away as not run, with these values of Retry-After; nil to
+	// serve it.
+	RetryAfter []string
+	// Leaving are the values of the field that tells that the server leaves; nil for none.
+	Leaving []string
+}
+
+// Asked is one request, of any kind, and what its answer said of the server.
+type Asked struct {
+	At time.Time
+	// ID is empty for a call of a process's own.
+	ID, Method, Path string
+	Says
+}
+
+// SetSays has answers say something of the server; nil for nothing. What comes is noted from then
+// on (Asked).
+func (b *Backend) SetSays(says func(r *http.Request) Says) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.says = says
+}
+
+// Asked returns what came since answers first said something of the server.
+func (b *Backend) Asked() []Asked {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Asked(nil), b.asked...)
+}
+
+// say sets what the answer says of the server; false if it turns the request away.
+func (b *Backend) say(w http.ResponseWriter, r *http.Request) bool {
+	b.mu.Lock()
+	says, noted := b.says, len(b.asked) > 0
+	b.mu.Unlock()
+	if says == nil && !noted {
+		return true
+	}
+	a := Asked{At: time.Now(), ID: r.Header.Get(b.headers.RequestID), Method: r.Method, Path: r.URL.Path}
+	if says != nil {
+		a.Says = says(r)
+	}
+	b.mu.Lock()
+	b.asked = append(b.asked, a)
+	b.mu.Unlock()
+	if a.Leaving != nil {
+		w.Header()[http.CanonicalHeaderKey(b.headers.Leaving)] = a.Leaving
+	}
+	if a.RetryAfter == nil {
+		return true
+	}
+	w.Header()["Retry-After"] = a.RetryAfter
+	if a.ID != "" {
+		w.Header().Set(b.headers.RequestID, a.ID)
+	}
+	b.refuse(w)
+	return false
+}
+
+// TurnAway has each answer turn its request away and ask to be left alone for some seconds.
+func TurnAway(seconds string) func(*http.Request) Says {
+	return func(*http.Request) Says { return Says{RetryAfter: []string{seconds}} }
+}
+
+// Leaves has each answer tell that the server leaves.
+func Leaves(*http.Request) Says { return Says{Leaving: []string{"1"}} }
