--- a/control/links.go
+++ b/control/links.go
@@ -147,6 +147,8 @@
 			c.hub.setUse(l, m.Use)
 		case m.Limits != nil:
 			c.hub.takeLimits(l, m.Limits)
+		case m.Servers != nil:
+			c.hub.takeLeaving(m.Servers.List)
 		case m.Contents != nil:
 			c.hub.takeContents(m.Contents)
 		case m.Routes != nil:
--- a/control/selfreport.go
+++ b/control/selfreport.go
@@ -7,9 +7,40 @@
 
 	"github.com/ledgepin/ledgepin/backend"
 	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/selfreport"
+	"github.com/ledgepin/ledgepin/wire"
 )
 
+// takeLeaving takes which servers have said to a gateway, in their answers, that they leave. From
+// then on they are as those whose heartbeats say so.
+func (h *hub) takeLeaving(list []registry.Server) {
+	for _, s := range list {
+		if s.State == registry.Draining {
+			h.drain(s.ID)
+		}
+	}
+}
+
+// drain takes that a server leaves, and tells gateways and replicas; nothing if that is known.
+func (h *hub) drain(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s, known := h.servers.Get(id)
+	if !known || s.State != registry.Ready {
+		return
+	}
+	s.State = registry.Draining
+	if news, err := h.note(h.clock.Now(), s); err != nil || !news {
+		return
+	}
+	delete(h.home, id)
+	m := &wire.Message{Servers: &wire.Servers{List: []registry.Server{s}}}
+	for l := range h.peers {
+		_ = l.Send(m)
+	}
+}
+
 // pausedEngines are the engines that want no calls of this replica for a time.
 type pausedEngines struct {
 	mu     sync.Mutex
@@ -52,6 +83,9 @@
 		if r.RetryAfter > 0 && paused.ask(c.clock.Now(), id, r.RetryAfter) {
 			c.logReport(id, selfreport.RetryAfter, r.RetryAfter, ago)
 		}
+		if r.Leaving {
+			c.hub.drain(id)
+		}
 	}
 	return pool
 }
--- a/control/selfreport_test.go
+++ b/control/selfreport_test.go
@@ -7,6 +7,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ledgepin/ledgepin/backend"
+	"github.com/ledgepin/ledgepin/clock"
+	"github.com/ledgepin/ledgepin/quota"
+	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/selfreport"
 )
 
@@ -24,3 +27,37 @@
 	p.ask(now.Add(4*time.Second), "b", time.Second)
 	assert.Equal(t, len(p.pauses), 1)
 }
+
+// TestAllHearOfALeavingServer has one gateway of 600 tell that a server leaves, while its heartbeats
+// say that it is ready: all hear of it once, and a heartbeat does not bring it back.
+func TestAllHearOfALeavingServer(t *testing.T) {
+	const gateways = 600
+	h := newHub(nil, "", quota.Bounds{})
+	list := listen(t, h, gateways)
+	reportEngines(h, 1, 1)
+	h.tick(clock.VM.Now(), true)
+	id := h.list()[0].ID
+	for _, g := range list {
+		g.wait(t, "ready", func() bool { return g.listed[id] == registry.Ready })
+	}
+	h.takeLeaving([]registry.Server{{ID: id, State: registry.Ready}})
+	h.takeLeaving([]registry.Server{{ID: "unknown", State: registry.Draining}})
+	assert.Equal(t, h.list()[0].State, registry.Ready)
+	before := list[0].told(id)
+	h.takeLeaving([]registry.Server{{ID: id, State: registry.Draining}})
+	h.takeLeaving([]registry.Server{{ID: id, State: registry.Draining}})
+	reportEngines(h, 1, 2)
+	h.tick(clock.VM.Now(), true)
+	for _, g := range list {
+		g.wait(t, "draining", func() bool { return g.listed[id] == registry.Draining })
+	}
+	assert.Equal(t, list[0].told(id), before+1)
+	assert.Equal(t, h.list()[0].State, registry.Draining)
+}
+
+// told returns how many reports of a server a gateway was told.
+func (g *listener) told(id string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.reports[id]
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -76,6 +76,9 @@
 	limit     limit
 	// pause is for how long the server wants no requests of this gateway.
 	pause selfreport.Pause
+	// saidLeaving tells that the server has said in an answer that it leaves, toldLeaving that
+	// control was told so.
+	saidLeaving, toldLeaving bool
 	// region is that of its availability zone; empty if that is not known.
 	region string
 	// rival is another incarnation at the same address, which counts in its place.
--- a/dispatch/selfreport.go
+++ b/dispatch/selfreport.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/ratelimit"
+	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/selfreport"
 )
 
@@ -38,6 +39,9 @@
 	if r.RetryAfter > 0 && f.notePause(s, r) {
 		out = append(out, Change{Server: *s, Field: selfreport.RetryAfter, Pause: r.RetryAfter})
 	}
+	if r.Leaving && f.noteLeaving(now, s) {
+		out = append(out, Change{Server: *s, Field: selfreport.Leaving})
+	}
 	if r.Cold != nil {
 		s.heardCold(now, *r.Cold)
 	}
@@ -53,6 +57,37 @@
 	return news
 }
 
+// noteLeaving takes that a server leaves, as a report that it drains; false if that is known.
+func (f *Fleet) noteLeaving(now time.Time, s *Server) bool {
+	if s.gone || s.State != registry.Ready {
+		return false
+	}
+	s.State, s.leavingAt = registry.Draining, now
+	s.saidLeaving, s.toldLeaving = true, false
+	f.groups = nil
+	return true
+}
+
+// UntoldLeaving returns the servers that control has to hear of, since they have said to this
+// gateway that they leave; they count as told.
+func (f *Fleet) UntoldLeaving() []registry.Server {
+	var out []registry.Server
+	for _, s := range f.servers {
+		if s.saidLeaving && !s.toldLeaving {
+			s.toldLeaving = true
+			out = append(out, registry.Server{ID: s.ID, State: registry.Draining})
+		}
+	}
+	return out
+}
+
+// RetellLeaving has another replica of control told of the servers that leave.
+func (f *Fleet) RetellLeaving() {
+	for _, s := range f.servers {
+		s.toldLeaving = false
+	}
+}
+
 // MaySend tells whether a request or call may go to a server, which may want none now. One that
 // frees something may sometimes.
 func (f *Fleet) MaySend(now time.Time, id string, frees bool) bool {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -141,6 +141,7 @@
 	defer f.mu.Unlock()
 	f.telling.changed = true
 	f.limited.retell(f.view)
+	f.view.RetellLeaving()
 }
 
 func (f *fleet) list() []*dispatch.Server {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -313,6 +313,7 @@
 		if hub == nil {
 			return
 		}
+		l.tellLeaving(hub)
 		if m := l.g.fleet.loads(now); m != nil {
 			_ = hub.Send(&wire.Message{Loads: m})
 		}
--- a/gateway/selfreport.go
+++ b/gateway/selfreport.go
@@ -10,6 +10,7 @@
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/metric"
 	"github.com/ledgepin/ledgepin/selfreport"
+	"github.com/ledgepin/ledgepin/wire"
 )
 
 // mostReportLines bounds the servers and fields of which lines are written in a while.
@@ -156,3 +157,17 @@
 	defer f.mu.Unlock()
 	return f.view.AwaitsPause(f.clock.Now(), w, role)
 }
+
+// tellLeaving tells a replica of control which servers have said that they leave.
+func (l *links) tellLeaving(hub *wire.Link) {
+	if hub.Speaks() < wire.KnowsLeaving {
+		return
+	}
+	f := l.g.fleet
+	f.mu.Lock()
+	list := f.view.UntoldLeaving()
+	f.mu.Unlock()
+	if len(list) > 0 {
+		_ = hub.Send(&wire.Message{Servers: &wire.Servers{List: list}})
+	}
+}
--- a/wire/hello.go
+++ b/wire/hello.go
@@ -19,10 +19,13 @@
 	// KnowsLimits is the first version whose gateways send to servers that name a limit only
 	// under tokens of control.
 	KnowsLimits = 6
+	// KnowsLeaving is the first version whose replicas take the word of a gateway that a server
+	// leaves.
+	KnowsLeaving = 7
 )
 
 // Versions are those that this build speaks.
-var Versions = compat.Range{Least: BaseVersion, Most: KnowsLimits}
+var Versions = compat.Range{Least: BaseVersion, Most: KnowsLeaving}
 
 // maxBuild bounds the name of a build in bytes: a module's version with its time and
 // commit has some forty.
