--- a/compat/version.go
+++ b/compat/version.go
@@ -9,8 +9,11 @@
 	Evacuations = 5
 	// Limits is the version of links that tell of the limits of servers. It keeps nothing more.
 	Limits = 6
+	// Leaving is the first version whose replicas take the word of a gateway that a server
+	// leaves; nothing of that is kept.
+	Leaving = 7
 	// Newest is the highest version that this build reads and writes.
-	Newest = Limits
+	Newest = Leaving
 	// Needed is the highest version from which on anything more is kept. This build raises the
 	// fleet's version no further, so that the build before can be gone back to.
 	Needed = Evacuations
