--- /dev/null
+++ b/dispatch/selfreport_test.go
@@ -0,0 +1,123 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/selfreport"
+)
+
+// spokenStart is one start of a server, and what it has said of itself.
+type spokenStart struct {
+	server  registry.Server
+	until   time.Duration // of its pauses
+	leaving bool
+	freed   bool
+}
+
+// TestReportsInAnyOrder has three servers ask for pauses, say that they leave, report themselves as
+// ready and start again, in any order. None is chosen or called in its pause, or chosen once it has said
+// that it leaves; each other one can be chosen again soon after its pause, and its next start at once.
+func TestReportsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1000, 0)
+		f := NewFleet("g", "z")
+		f.Others.Gateways = rapid.SampledFrom([]int{1, 5, 608}).Draw(t, "gateways")
+		now, sequence := time.Duration(0), uint64(0)
+		at := func() time.Time { return start.Add(now) }
+		var list []*spokenStart
+		begin := func(n int, born int64) *spokenStart {
+			sequence++
+			name := fmt.Sprint("s", n)
+			return &spokenStart{server: registry.Server{
+				ID: registry.StartID(name, born), Name: name, Born: born, Service: "plain", Zone: "z", Address: fmt.Sprint("10.0.0.1:", n+1), State: registry.Ready, Sequence: sequence,
+			}}
+		}
+		for n := range 3 {
+			s := begin(n, int64(n+1))
+			list = append(list, s)
+			f.Update(at(), []registry.Server{s.server})
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.Int64Range(0, int64(300*time.Millisecond)).Draw(t, "passes"))
+			for _, s := range list { // all report themselves as ready, whatever they said
+				sequence++
+				s.server.Sequence = sequence
+				f.Update(at(), []registry.Server{s.server})
+			}
+			n := rapid.IntRange(0, 2).Draw(t, "server")
+			s := list[n]
+			if now >= s.until {
+				s.freed = false
+			}
+			switch rapid.SampledFrom([]string{"pause", "leave", "served", "restart", "free", "call", "choose", "choose"}).Draw(t, "what") {
+			case "pause":
+				d := time.Duration(rapid.Int64Range(1, int64(3*time.Second)).Draw(t, "pause"))
+				f.Observe(at(), s.server.ID, selfreport.Report{Sent: at(), Heard: at(), RetryAfter: d})
+				s.until = max(s.until, now+d)
+			case "leave":
+				f.Observe(at(), s.server.ID, selfreport.Report{Sent: at(), Heard: at(), Leaving: true})
+				s.leaving = true
+			case "served": // an answer that says nothing ends nothing
+				f.Observe(at(), s.server.ID, selfreport.Report{Sent: at(), Heard: at()})
+				f.Note(at(), s.server.ID, Good, time.Millisecond)
+			case "restart":
+				list[n] = begin(n, s.server.Born+10)
+				f.Update(at(), []registry.Server{list[n].server})
+			case "call":
+				assert.Equal(t, f.MaySend(at(), s.server.ID, false), now >= s.until)
+			case "free":
+				sent := f.MaySend(at(), s.server.ID, true)
+				assert.Equal(t, sent, now >= s.until || !s.freed)
+				s.freed = true
+			case "choose":
+				chosen := f.Plain(at(), plainWork, nil)
+				if chosen == nil {
+					continue
+				}
+				for _, s := range list {
+					assert.Assert(t, s.server.ID != chosen.ID || now >= s.until && !s.leaving, "%s is chosen at %v: %+v", chosen.ID, now, s)
+				}
+			}
+		}
+		now += 3*time.Second + 2*time.Second
+		for _, s := range list {
+			sequence++
+			s.server.Sequence = sequence
+			f.Update(at(), []registry.Server{s.server})
+		}
+		f.Sweep(at())
+		for _, s := range list {
+			assert.Equal(t, f.Listed(at(), s.server.ID), !s.leaving)
+		}
+	})
+}
+
+// TestRoomReckonsWithoutPausedServers wants the wait for the first server back to be told where all
+// want pauses, and none where some server does not.
+func TestRoomReckonsWithoutPausedServers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := NewFleet("g", "z")
+	for i, id := range []string{"a", "b"} {
+		f.Update(now, []registry.Server{{ID: id, Service: "plain", Zone: "z", State: registry.Ready, Address: fmt.Sprint("10.0.0.1:", i+1), Sequence: 1}})
+	}
+	pause := func(id string, d time.Duration) {
+		f.Observe(now, id, selfreport.Report{Sent: now, Heard: now, RetryAfter: d})
+	}
+	pause("a", 4*time.Second)
+	_, awaits := f.AwaitsPause(now, plainWork, "")
+	assert.Assert(t, !awaits)
+	pause("b", 2*time.Second)
+	left, awaits := f.AwaitsPause(now, plainWork, "")
+	assert.Assert(t, awaits && left == 2*time.Second, "%v", left)
+	assert.Equal(t, f.Pauses(now), 2)
+	back := now.Add(2 * time.Second)
+	left, awaits = f.AwaitsPause(back, plainWork, "")
+	assert.Assert(t, awaits && left == 0)
+	assert.Assert(t, f.Plain(back, plainWork, nil).ID == "b")
+}
--- a/soak/check.go
+++ b/soak/check.go
@@ -79,6 +79,8 @@
 	{"keys and organisations are told apart", checkKeys},
 	{"limits are kept", checkLimits},
 	{"no server gets more than it names", checkServerLimits},
+	{"a server that asks for a pause is left alone", checkPauses},
+	{"no request for a server that says that it leaves", checkSaidLeaving},
 	{"words that can't be read are not used", checkWords},
 	{"a content that ends servers is left alone", checkDeadly},
 	{"links between builds are not refused", checkRefusals},
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -65,6 +65,10 @@
 		f.ops.evacuate(ctx, step)
 	case NameLimit:
 		f.nameLimit(ctx, step)
+	case AskPause:
+		f.askPause(ctx, step)
+	case SayLeaving:
+		f.sayLeaving(ctx, step)
 	case SlowReaders:
 		f.slowCallers(ctx, step)
 	case SlowServer:
@@ -91,7 +95,7 @@
 			out = append(out, controlName(n))
 		}
 		return out
-	case ChangeTable, RaceTables, BadTable, EvacuateZone, Burst, NameLimit, SlowReaders:
+	case ChangeTable, RaceTables, BadTable, EvacuateZone, Burst, NameLimit, AskPause, SlowReaders:
 		return []string{string(step.Kind)}
 	}
 	b, _ := f.site.servers[step.Target].now()
--- a/soak/history.go
+++ b/soak/history.go
@@ -169,6 +169,8 @@
 	// Limits are the limits that servers named, Limited what came to these servers.
 	Limits  []ServerLimit
 	Limited []LimitedArrival
+	// Asked is what came to servers that had said something of themselves.
+	Asked []AskedArrival
 	// HeldKV are the KV caches that engines still held for nobody after the end,
 	// and HeldRoom is the number of holds.
 	HeldKV   []HeldKV
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -44,6 +44,8 @@
 	NameLimit      Kind = "name limit"
 	SlowReaders    Kind = "slow readers"
 	SlowServer     Kind = "slow server"
+	AskPause       Kind = "ask for a pause"
+	SayLeaving     Kind = "say leaving"
 )
 
 // Planned tells whether a kind is planned work.
@@ -67,7 +69,7 @@
 	// Wave orders the steps that replace: those of a wave are made beside each other, and
 	// waves one after the other.
 	Wave int `json:"wave,omitempty"`
-	// Draw decides what a server names, of a step that has it name limits.
+	// Draw decides what a server says of itself, of a step that has it say something.
 	Draw uint64 `json:"draw,omitempty"`
 	// Empty tells that the process starts on an empty disk, as on a new VM.
 	Empty bool `json:"empty,omitempty"`
@@ -136,6 +138,7 @@
 	out = append(out, evacuations(seed, length)...)
 	out = append(out, limitSteps(seed, length, shape)...)
 	out = append(out, slowSteps(seed, length, shape)...)
+	out = append(out, pauseSteps(seed, length, shape)...)
 	slices.SortStableFunc(out, func(a, b Step) int { return int(a.At - b.At) })
 	return out
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -98,7 +98,7 @@
 	}
 	plan = slices.DeleteFunc(plan, func(s Step) bool {
 		// Builds that are replaced may know no evacuations.
-		return slices.Contains(o.Without, s.Kind) || o.Production != "" && (s.Kind == EvacuateZone || s.Kind == NameLimit)
+		return slices.Contains(o.Without, s.Kind) || o.Production != "" && slices.Contains([]Kind{EvacuateZone, NameLimit, AskPause, SayLeaving}, s.Kind)
 	})
 	if o.Calm {
 		plan = slices.DeleteFunc(plan, func(s Step) bool { return !s.Kind.Planned() })
@@ -204,6 +204,9 @@
 			for _, l := range b.Limited() {
 				h.Limited = append(h.Limited, LimitedArrival{Server: b.ID, ID: l.ID, Path: l.Path, Named: len(l.Named) > 0, At: l.At.Sub(s.rec.start)})
 			}
+			for _, a := range b.Asked() {
+				h.Asked = append(h.Asked, s.askedArrival(b, a))
+			}
 			for _, o := range b.Orders() {
 				h.Orders = append(h.Orders, RoleOrder{Server: b.ID, Holder: o.Holder, Fence: o.Fence, At: o.At.Sub(s.rec.start)})
 			}
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -62,6 +62,36 @@
 	assert.Equal(t, h.Troubles["named limit"], 7)
 }
 
+// TestPausesAndLeavingServers has all servers of the plain service, and engines, ask for pauses in all
+// ways and say that they leave, while a gateway and a replica of control are killed.
+func TestPausesAndLeavingServers(t *testing.T) {
+	plan := []Step{
+		{At: 5 * second, Kind: KillGateway, Target: 1, For: second},
+		{At: 6 * second, Kind: KillControl, Target: 0, For: second},
+		{At: 7 * second, Kind: SayLeaving, Target: 7, For: drainBound + 2*second, Draw: 1},
+		{At: 2 * second, Kind: SayLeaving, Target: 3, For: drainBound + 2*second, Draw: 2},
+	}
+	for i := range DefaultShape.Apps {
+		plan = append(plan, Step{At: second, For: 5 * second, Kind: AskPause, Target: 6 + i, Draw: uint64(i)})
+	}
+	for i, target := range []int{0, 2, 4} {
+		plan = append(plan, Step{At: 3 * second, For: 4 * second, Kind: AskPause, Target: target, Draw: uint64(10 + i)})
+	}
+	slices.SortStableFunc(plan, func(a, b Step) int { return int(a.At - b.At) })
+	h, _, _ := playShort(t, Options{Length: 15 * time.Second, Plan: plan, PlainTexts: true})
+	paused, leaving := 0, 0
+	for _, a := range h.Asked {
+		if a.Pause > 0 {
+			paused++
+		}
+		if a.Leaving {
+			leaving++
+		}
+	}
+	assert.Assert(t, paused > 10 && leaving > 0, "%d pauses, %d answers of servers that leave", paused, leaving)
+	assert.Equal(t, h.Troubles["asked for pauses"]+h.Troubles["said that it leaves"], 8)
+}
+
 // sameBuild stands for the tree's own binary as the production build.
 const sameBuild = "the tree's own"
 
--- a/standin/reports.go
+++ b/standin/reports.go
@@ -61,6 +61,7 @@
 	w.Header()["Retry-After"] = a.RetryAfter
 	if a.ID != "" {
 		w.Header().Set(b.headers.RequestID, a.ID)
+		b.arrive(r, a.ID, "")
 	}
 	b.refuse(w)
 	return false
