--- a/app/failure_test.go
+++ b/app/failure_test.go
@@ -123,7 +123,7 @@
 }
 
 // TestNoNewWorkForLeavingServers wants a leaving server idle within three
-// seconds of the platform's (late) word, and busy again after its return.
+// seconds of the platform's (late) report, and busy again after its return.
 func TestNoNewWorkForLeavingServers(t *testing.T) {
 	d := startDev(t, app.DevOptions{})
 	cl := client(d, app.DevDeskToken)
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -28,7 +28,7 @@
 	// defaultIdle is how long an idle connection is kept if the server does not
 	// say how long it keeps it.
 	defaultIdle = 800 * time.Millisecond
-	// idleMargin is taken off the server's word, so that the server never
+	// idleMargin is taken off the server's Keep-Alive, so that the server never
 	// closes a connection on which a request is on its way.
 	idleMargin = 700 * time.Millisecond
 	readBuffer = 8 << 10
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -42,10 +42,10 @@
 // may have.
 var ErrFull = errors.New("backend: all connections to the server are in use")
 
-// ErrLimited tells that the server takes no more requests now, by its own word.
+// ErrLimited tells that the server takes no more requests now, by its own report.
 var ErrLimited = errors.New("backend: the server takes no more requests now")
 
-// ErrPaused tells that the server wants no requests now, by its own word.
+// ErrPaused tells that the server wants no requests now, by its own report.
 var ErrPaused = errors.New("backend: the server wants no requests now")
 
 // ErrEnded tells that the request had ended before it was sent: its caller has left, or its time
--- a/claim/proposer.go
+++ b/claim/proposer.go
@@ -24,7 +24,7 @@
 	Misused
 )
 
-// String returns the verdict in words.
+// String returns the verdict in reports.
 func (v Verdict) String() string {
 	return [...]string{"waiting", "won", "not won", "voters out of reach", "held by another attempt", "answered before", "key used for another call"}[v]
 }
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -30,7 +30,7 @@
 	Keep       string        `default:"soak-finds" help:"The folder that keeps history and logs of runs that break a rule."`
 	Report     string        `help:"Write a page with plots of the last run to this file."`
 	KeepAll    bool          `help:"Keep history and logs of all runs."`
-	PlainTexts bool          `help:"Events of streams hold plain words only."`
+	PlainTexts bool          `help:"Events of streams hold plain text only."`
 	Production string        `help:"A commit of the repository: all processes start on its build, and are replaced by the binary's."`
 	Paired     bool          `help:"With production: play each seed once more without an upgrade."`
 	Calm       bool          `help:"Planned work only, no faults."`
--- a/compat/version.go
+++ b/compat/version.go
@@ -9,7 +9,7 @@
 	Evacuations = 5
 	// Limits is the version of links that tell of the limits of servers. It keeps nothing more.
 	Limits = 6
-	// Leaving is the first version whose replicas take the word of a gateway that a server
+	// Leaving is the first version whose replicas take the report of a gateway that a server
 	// leaves; nothing of that is kept.
 	Leaving = 7
 	// Newest is the highest version that this build reads and writes.
--- a/consensus/message.go
+++ b/consensus/message.go
@@ -21,7 +21,7 @@
 	Seq      uint64    `cbor:"11,keyasint,omitempty"`
 	Snapshot *Snapshot `cbor:"12,keyasint,omitempty"`
 	// Stamp is a follower's mark in an Appended, which the leader's next Append
-	// gives back: only an answer shows how old the leader's word is.
+	// gives back: only an answer shows how old the leader's report is.
 	Stamp uint64 `cbor:"13,keyasint,omitempty"`
 	// Idle tells in a PreVoted that the replica has heard no leader since its
 	// start, and in a Vote that all voters have said so; see boot.go.
--- a/control/control.go
+++ b/control/control.go
@@ -123,7 +123,7 @@
 	zonesAt  time.Time
 	planAt   time.Time
 	floorAt  time.Time
-	// refused bounds the lines about words of servers and of replicas that are not used.
+	// refused bounds the lines about reports of servers and of replicas that are not used.
 	refused event.Limiter
 	// gate decides when the fleet's version rises, while this replica leads.
 	gate     compat.Gate
@@ -138,7 +138,7 @@
 	unread string
 }
 
-// Lines about refused words of servers: one a minute for each server and reason, and for no
+// Lines about refused reports of servers: one a minute for each server and reason, and for no
 // more of them than a large fleet has servers.
 const (
 	refusedEvery = time.Minute
--- a/control/hub.go
+++ b/control/hub.go
@@ -32,7 +32,7 @@
 // hub holds the soft state that replicas give to gateways: which backend
 // servers are there, what other gateways have reserved, and the newest routing
 // table. It has a lock of its own, so that a disk that stalls holds up neither
-// the word of a leaving server nor a table that is committed.
+// the report of a leaving server nor a table that is committed.
 type hub struct {
 	clock *clock.Clock
 	log   *slog.Logger // nil in tests
@@ -146,7 +146,7 @@
 
 // follows tells whether the gateway gets its servers and tables from this replica:
 // those of its availability zone, and those that share with it. To the others it tells
-// only what must reach everybody at once, so that a word crosses zones once for each
+// only what must reach everybody at once, so that a report crosses zones once for each
 // replica and not once for each gateway.
 func (g *gatewayState) follows() bool { return g.near || g.sharing }
 
@@ -218,8 +218,8 @@
 	_ = l.Send(&wire.Message{Servers: h.allServers(h.clock.Now())})
 	_ = l.Send(&wire.Message{Loads: h.toldPeers.message()})
 	_ = l.Send(&wire.Message{Use: h.ledger.Whole(h.clock.Now())})
-	if words := h.limitWords(h.clock.Now()); len(words) > 0 && l.Speaks() >= wire.KnowsLimits {
-		_ = l.Send(&wire.Message{Limits: &wire.Limits{Words: words}})
+	if observations := h.limitObservations(h.clock.Now()); len(observations) > 0 && l.Speaks() >= wire.KnowsLimits {
+		_ = l.Send(&wire.Message{Limits: &wire.Limits{Observations: observations}})
 	}
 }
 
--- a/control/limits.go
+++ b/control/limits.go
@@ -17,7 +17,7 @@
 	// on naming its limit, so that an answer which was asked for before does not end it.
 	limitAgain = 400 * time.Millisecond
 	// limitKept is how long the end of a limit is remembered, so that an answer that was held
-	// up does not begin it again, and the word about a server that is not listed any more.
+	// up does not begin it again, and the observation about a server that is not listed any more.
 	limitKept = 10 * time.Second
 )
 
@@ -66,7 +66,7 @@
 // by that. Callers hold the lock.
 func (h *hub) takeLimitMessage(from ratelimit.Asker, m *wire.Limits) {
 	now := h.clock.Now()
-	for _, w := range m.Words {
+	for _, w := range m.Observations {
 		h.noteLimit(now, w)
 	}
 	if len(m.Asks) > 0 {
@@ -95,7 +95,7 @@
 
 // noteLimit takes what a server said in an answer, and tells it on if it changes what is allowed.
 // Callers hold the lock.
-func (h *hub) noteLimit(now time.Time, w wire.LimitWord) {
+func (h *hub) noteLimit(now time.Time, w wire.LimitObservation) {
 	k := h.limits.known[w.Server]
 	if k == nil {
 		if !w.Named {
@@ -104,12 +104,12 @@
 		k = &knownLimit{listedAt: now}
 		h.limits.known[w.Server] = k
 	}
-	word := ratelimit.Word{Named: w.Named, Rate: w.Rate, Sent: now.Add(-w.Sent), Heard: now.Add(-w.Heard)}
-	if !k.Take(now, word) {
+	observed := ratelimit.Observation{Named: w.Named, Rate: w.Rate, Sent: now.Add(-w.Sent), Heard: now.Add(-w.Heard)}
+	if !k.Take(now, observed) {
 		return
 	}
 	h.setLimit(now, w.Server, k)
-	m := &wire.Message{Limits: &wire.Limits{Words: []wire.LimitWord{limitWord(now, w.Server, k)}}}
+	m := &wire.Message{Limits: &wire.Limits{Observations: []wire.LimitObservation{limitObservation(now, w.Server, k)}}}
 	for l, g := range h.gateways {
 		if g.limitsTold {
 			_ = l.Send(m)
@@ -127,20 +127,20 @@
 		}
 	}
 	for _, k := range passed {
-		k.passedAt, k.passed = now, k.Word().Heard
+		k.passedAt, k.passed = now, k.Newest().Heard
 	}
 }
 
-func limitWord(now time.Time, server string, k *knownLimit) wire.LimitWord {
-	w := k.Word()
-	return wire.LimitWord{Server: server, Named: w.Named, Rate: w.Rate, Sent: now.Sub(w.Sent), Heard: now.Sub(w.Heard)}
+func limitObservation(now time.Time, server string, k *knownLimit) wire.LimitObservation {
+	w := k.Newest()
+	return wire.LimitObservation{Server: server, Named: w.Named, Rate: w.Rate, Sent: now.Sub(w.Sent), Heard: now.Sub(w.Heard)}
 }
 
-// limitWords returns all limits that are known. Callers hold the lock.
-func (h *hub) limitWords(now time.Time) []wire.LimitWord {
-	var out []wire.LimitWord
+// limitObservations returns all limits that are known. Callers hold the lock.
+func (h *hub) limitObservations(now time.Time) []wire.LimitObservation {
+	var out []wire.LimitObservation
 	for id, k := range h.limits.known {
-		out = append(out, limitWord(now, id, k))
+		out = append(out, limitObservation(now, id, k))
 	}
 	return out
 }
@@ -195,12 +195,12 @@
 // reviewLimits puts the limits in force as they are now, forgets those that are over, and tells
 // the other replicas of those that go on. Callers hold the lock.
 func (h *hub) reviewLimits(now time.Time) {
-	var again []wire.LimitWord
+	var again []wire.LimitObservation
 	var passed []*knownLimit
 	named := 0
 	for id, k := range h.limits.known {
 		h.setLimit(now, id, k)
-		w := k.Word()
+		w := k.Newest()
 		if !w.Named && now.Sub(w.Heard) >= limitKept || now.Sub(k.listedAt) >= limitKept {
 			delete(h.limits.known, id)
 			h.limits.broker.Drop(id)
@@ -210,11 +210,11 @@
 			named++
 		}
 		if w.Named && w.Heard.After(k.passed) && now.Sub(k.passedAt) >= limitAgain {
-			again, passed = append(again, limitWord(now, id, k)), append(passed, k)
+			again, passed = append(again, limitObservation(now, id, k)), append(passed, k)
 		}
 	}
 	if len(again) > 0 {
-		h.passLimits(now, &wire.Message{Limits: &wire.Limits{Words: again}}, passed...)
+		h.passLimits(now, &wire.Message{Limits: &wire.Limits{Observations: again}}, passed...)
 	}
 	metric.LimitedServers.WithLabelValues(h.name).Set(float64(named))
 }
@@ -225,7 +225,7 @@
 	for l, g := range h.gateways {
 		if g.sharing && !g.limitsTold && l.Speaks() >= wire.KnowsLimits {
 			g.limitsTold = true
-			_ = l.Send(&wire.Message{Limits: &wire.Limits{Words: h.limitWords(now), Supply: limitSupply(h.limits.supply)}})
+			_ = l.Send(&wire.Message{Limits: &wire.Limits{Observations: h.limitObservations(now), Supply: limitSupply(h.limits.supply)}})
 		}
 	}
 }
--- a/control/links.go
+++ b/control/links.go
@@ -191,7 +191,7 @@
 	}
 }
 
-// tell sends a peer what it lacks, with this replica's word for how current it
+// tell sends a peer what it lacks, with this replica's assurance of how current it
 // is.
 func (c *Control) tell(now time.Time, l *wire.Link, have uint64) {
 	if m := c.store.Push(have); m != nil {
--- a/control/listing.go
+++ b/control/listing.go
@@ -15,10 +15,10 @@
 
 func groupOf(s registry.Server) group { return group{s.Service, s.Role} }
 
-// report takes a server's own word, and passes it on at once if it is new. The
+// report takes a server's own report, and passes it on at once if it is new. The
 // other replicas get every report, so that each of them can tell a gateway that
 // starts; those with nothing new go together. It returns whether anybody is there to be
-// told, and an error if the word is not that of the server's newest start.
+// told, and an error if the report is not that of the server's newest start.
 func (h *hub) report(s registry.Server) (heard bool, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -136,7 +136,7 @@
 		return
 	}
 	delete(h.news, s.ID)
-	frame, err := wire.Marshal(&wire.Message{Servers: &wire.Servers{List: []registry.Server{s.Word()}}})
+	frame, err := wire.Marshal(&wire.Message{Servers: &wire.Servers{List: []registry.Server{s.Told()}}})
 	if err != nil {
 		return
 	}
@@ -211,7 +211,7 @@
 		wanted := c.server.State != registry.Ready || subset.Includes(g.key, c.key, c.size, len(h.gateways))
 		switch {
 		case wanted && !works:
-			news = append(news, c.server.Word())
+			news = append(news, c.server.Told())
 			if c.server.State == registry.Ready {
 				h.assign(g, c.server)
 			}
--- a/control/loads.go
+++ b/control/loads.go
@@ -50,7 +50,7 @@
 	h.reserve(g, m.List, !m.Ended)
 	h.queue(g, m.Queued)
 	if began {
-		// It may have left another replica, whose word of the servers ends with that.
+		// It may have left another replica, whose report of the servers ends with that.
 		clear(g.servers)
 		h.joined = append(h.joined, l)
 	}
--- a/control/table.go
+++ b/control/table.go
@@ -109,40 +109,40 @@
 	return baseName(c.node.Leader())
 }
 
-// Report takes a backend server's word about itself. It returns false if this
+// Report takes a backend server's report about itself. It returns false if this
 // replica is cut off, so that the server tells another one, and an error if another server
-// must have said it. The word of an earlier start counts as taken: that start gets nothing
+// must have said it. The report of an earlier start counts as taken: that start gets nothing
 // any more.
 func (c *Control) Report(s registry.Server) (heard bool, err error) {
 	heard, err = c.hub.report(s)
 	switch {
 	case errors.Is(err, registry.ErrEarlier):
-		c.refuseWord("earlier", s.Called(), s.Address, err)
+		c.refuseReport("earlier", s.Called(), s.Address, err)
 		err = nil
 	case err != nil:
-		c.refuseWord("another", s.Called(), s.Address, err)
+		c.refuseReport("another", s.Called(), s.Address, err)
 	case s.State != registry.Ready:
 		event.ServerLeaving.Log(c.log, "server", s.Called(), "service", s.Service, "state", string(s.State))
 	}
 	return heard, err
 }
 
-// Unreadable takes that a word about a server could not be read.
+// Unreadable takes that a report about a server could not be read.
 func (c *Control) Unreadable(name, from string, err error) {
-	c.refuseWord("unreadable", name, from, err)
+	c.refuseReport("unreadable", name, from, err)
 }
 
-// refuseWord tells of a word that is not used.
-func (c *Control) refuseWord(reason, name, from string, err error) {
-	metric.WordsRefused.WithLabelValues(reason).Inc()
+// refuseReport tells of a report that is not used.
+func (c *Control) refuseReport(reason, name, from string, err error) {
+	metric.ReportsRefused.WithLabelValues(reason).Inc()
 	if c.refused.Allow(c.clock.Now(), reason+" "+name) {
-		event.ServerWordRefused.Log(c.log, "server", name, "from", from, "error", err)
+		event.ServerReportRefused.Log(c.log, "server", name, "from", from, "error", err)
 	}
 }
 
 // Near returns the link address of a replica in an availability zone that this one has
 // a link to; empty if there is none, or if this one is in that zone. Servers report
-// themselves about once a second, and their word need not cross zones for it.
+// themselves about once a second, and their report need not cross zones for it.
 func (c *Control) Near(zone string) string {
 	if zone == "" || zone == c.cfg.Zone {
 		return ""
--- a/control/unread.go
+++ b/control/unread.go
@@ -49,7 +49,7 @@
 }
 
 // readable returns what of a packet this build can't read; nil if it can be taken. Commands
-// count too: one that is not kept is not acknowledged, so it is not committed by the word of a
+// count too: one that is not kept is not acknowledged, so it is not committed by the report of a
 // replica that can't carry it out.
 func (c *Control) readable(p *consensus.Packet) error {
 	if err := p.Unread(); err != nil {
--- a/control/upgrade_test.go
+++ b/control/upgrade_test.go
@@ -18,7 +18,7 @@
 // before is the range of a build that knows no versions.
 var before = compat.Only(compat.Base)
 
-// leads returns the replica that leads and its word on the fleet's version.
+// leads returns the replica that leads and its report on the fleet's version.
 func (c *cell) leads() (*node, control.Upgrade) {
 	c.t.Helper()
 	var out *node
--- a/control/use.go
+++ b/control/use.go
@@ -7,7 +7,7 @@
 	"github.com/ledgepin/ledgepin/wire"
 )
 
-// How long the word of others stands for what they use of the limits.
+// How long the report of others stands for what they use of the limits.
 const (
 	// gatewayHeardFor is for a gateway: it shows life every 0.4 s.
 	gatewayHeardFor = time.Second
--- a/control/versions.go
+++ b/control/versions.go
@@ -140,7 +140,7 @@
 	}
 }
 
-// refuseReplica keeps a link to a replica that is refused open for a while, without a word on
+// refuseReplica keeps a link to a replica that is refused open for a while, without a report on
 // it: an older build tries again as soon as one ends.
 func (c *Control) refuseReplica(ctx context.Context, l *wire.Link) {
 	ctx, cancel := context.WithTimeout(ctx, refusedFor)
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -47,7 +47,7 @@
 	Where string `json:"where,omitempty"`
 	// Server is the backend server that it is about.
 	Server string `json:"server,omitempty"`
-	// Detail says more, in words.
+	// Detail says more, in reports.
 	Detail string `json:"detail,omitempty"`
 	// Candidates are the servers that were looked at.
 	Candidates []placement.Candidate `json:"candidates,omitempty"`
--- a/dispatch/cold.go
+++ b/dispatch/cold.go
@@ -21,7 +21,7 @@
 
 // cold is what a gateway knows of a server that may be cold.
 type cold struct {
-	// until is when it is warm, by its own word.
+	// until is when it is warm, by its own report.
 	until time.Time
 	// unsure is when its availability zone was given back. Its caches may have been dropped
 	// meanwhile, until it has reported itself since.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -123,7 +123,7 @@
 	// meters count the requests to each service.
 	meters map[string]*ratelimit.Meter
 	// earlyLimits are limits of servers that are not known yet.
-	earlyLimits map[string]ratelimit.Word
+	earlyLimits map[string]ratelimit.Observation
 	// readRates are the paces at which prefill engines read, by service.
 	readRates map[string]float64
 }
@@ -222,7 +222,7 @@
 
 // NewFleet returns a fleet without servers.
 func NewFleet(name, zone string) *Fleet {
-	return &Fleet{key: mix.Name(name), servers: map[string]*Server{}, starts: registry.NewStarts(), sizes: map[group]int{}, readRates: map[string]float64{}, meters: map[string]*ratelimit.Meter{}, earlyLimits: map[string]ratelimit.Word{}, trips: map[string]time.Duration{}, Zone: zone, Others: Others{Gateways: 1, Known: 1}}
+	return &Fleet{key: mix.Name(name), servers: map[string]*Server{}, starts: registry.NewStarts(), sizes: map[group]int{}, readRates: map[string]float64{}, meters: map[string]*ratelimit.Meter{}, earlyLimits: map[string]ratelimit.Observation{}, trips: map[string]time.Duration{}, Zone: zone, Others: Others{Gateways: 1, Known: 1}}
 }
 
 // SetOthers takes what is known of the other gateways.
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -16,9 +16,9 @@
 	allowance ratelimit.Allowance
 	// sent counts the requests of this gateway that went to the server while it held.
 	sent int
-	// untold is the newest word that control has not been told, toldAt when it was told of
+	// untold is the newest observation that control has not been told, toldAt when it was told of
 	// this server last.
-	untold *ratelimit.Word
+	untold *ratelimit.Observation
 	toldAt time.Time
 }
 
@@ -35,16 +35,16 @@
 
 // LimitChange is a change of what a server takes.
 type LimitChange struct {
-	Server Server
-	Word   ratelimit.Word
+	Server      Server
+	Observation ratelimit.Observation
 	// Sent counts the requests that went there while the limit before it held.
 	Sent int
 }
 
 // NoteLimit takes what an answer of a server says of its limit. What allows more counts only by
-// the word of control, which knows the answers that other gateways had, unless this gateway is
+// the observation of control, which knows the answers that other gateways had, unless this gateway is
 // alone. It returns false if nothing has changed.
-func (f *Fleet) NoteLimit(now time.Time, id string, w ratelimit.Word) (LimitChange, bool) {
+func (f *Fleet) NoteLimit(now time.Time, id string, w ratelimit.Observation) (LimitChange, bool) {
 	s := f.servers[id]
 	if s == nil {
 		return LimitChange{}, false
@@ -63,7 +63,7 @@
 
 // TellLimit takes what control tells of a server's limit; false if nothing has changed. Control
 // may not know yet what this gateway has heard since, and is told then.
-func (f *Fleet) TellLimit(now time.Time, id string, w ratelimit.Word) (LimitChange, bool) {
+func (f *Fleet) TellLimit(now time.Time, id string, w ratelimit.Observation) (LimitChange, bool) {
 	s := f.servers[id]
 	if s == nil {
 		if len(f.earlyLimits) < mostEarly {
@@ -72,7 +72,7 @@
 		return LimitChange{}, false
 	}
 	change, changed := s.takeLimit(now, w)
-	if known := s.limit.Word(); !changed && !known.Same(w) {
+	if known := s.limit.Newest(); !changed && !known.Same(w) {
 		s.limit.untold = &known
 	}
 	return change, changed
@@ -86,30 +86,30 @@
 	}
 }
 
-func (s *Server) takeLimit(now time.Time, w ratelimit.Word) (LimitChange, bool) {
+func (s *Server) takeLimit(now time.Time, w ratelimit.Observation) (LimitChange, bool) {
 	if !s.limit.Take(now, w) {
 		return LimitChange{}, false
 	}
-	out := LimitChange{Server: *s, Word: s.limit.Word(), Sent: s.limit.sent}
+	out := LimitChange{Server: *s, Observation: s.limit.Newest(), Sent: s.limit.sent}
 	s.limit.sent = 0
 	return out, true
 }
 
-// ServerWord is what a server said of its limit.
-type ServerWord struct {
-	Server string
-	Word   ratelimit.Word
+// ServerObservation is what a server said of its limit.
+type ServerObservation struct {
+	Server      string
+	Observation ratelimit.Observation
 }
 
 // UntoldLimits returns what control has to hear of limits; it counts as told.
-func (f *Fleet) UntoldLimits(now time.Time) []ServerWord {
-	var out []ServerWord
+func (f *Fleet) UntoldLimits(now time.Time) []ServerObservation {
+	var out []ServerObservation
 	for id, s := range f.servers {
-		if w := s.limit.Word(); w.Named && s.limit.untold == nil && now.Sub(s.limit.toldAt) >= limitRetell {
+		if w := s.limit.Newest(); w.Named && s.limit.untold == nil && now.Sub(s.limit.toldAt) >= limitRetell {
 			s.limit.untold = &w
 		}
 		if w := s.limit.untold; w != nil {
-			out = append(out, ServerWord{id, *w})
+			out = append(out, ServerObservation{id, *w})
 			s.limit.untold, s.limit.toldAt = nil, now
 		}
 	}
@@ -119,7 +119,7 @@
 // RetellLimits has control told of all limits again, as another replica that does not know them.
 func (f *Fleet) RetellLimits() {
 	for _, s := range f.servers {
-		if w := s.limit.Word(); w.Named {
+		if w := s.limit.Newest(); w.Named {
 			s.limit.untold = &w
 		}
 	}
--- a/dispatch/selfreport.go
+++ b/dispatch/selfreport.go
@@ -28,7 +28,7 @@
 	}
 	var out []Change
 	if !r.Unreadable(selfreport.Limit) {
-		o := ratelimit.Word{Sent: r.Sent, Heard: r.Heard}
+		o := ratelimit.Observation{Sent: r.Sent, Heard: r.Heard}
 		if r.Limit != nil {
 			o.Named, o.Rate = true, *r.Limit
 		}
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -23,7 +23,7 @@
 	placed settings.Placed
 	stop   context.CancelFunc
 	link   *wire.Link // nil while it is down
-	// leaving is the agent's own word that its server takes no new work.
+	// leaving is the agent's own report that its server takes no new work.
 	leaving bool
 	// lost is when the link broke; zero if it never was up or is up.
 	lost time.Time
--- a/entry/boot.go
+++ b/entry/boot.go
@@ -76,7 +76,7 @@
 	return out
 }
 
-// adopt puts the site's settings in force without control's word.
+// adopt puts the site's settings in force without control's confirmation.
 func (e *Entry) adopt(m *wire.Settings) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -116,7 +116,7 @@
 	return w.done
 }
 
-// outcomeTaken takes a voter's word that it has an outcome. Callers hold the lock.
+// outcomeTaken takes a voter's report that it has an outcome. Callers hold the lock.
 func (e *Entry) outcomeTaken(attempt string) {
 	w := e.records[attempt]
 	if w == nil {
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -28,7 +28,7 @@
 
 // register tells the key's home agent of a request, and reports whether the
 // request starts once that has answered. Which of two attempts is the newer one
-// is decided by their order there: an attempt that ran before its word had come
+// is decided by their order there: an attempt that ran before its report had come
 // could be taken for newer than a retry that its caller sent later.
 func (e *Entry) register(f *Flow) bool {
 	if f.key == "" {
--- a/entry/keys_test.go
+++ b/entry/keys_test.go
@@ -56,7 +56,7 @@
 
 // TestRunsOnceRegistered wants a request with a key not to run before the key's
 // home agent knows of it: a retry through another entry would else be able to
-// overtake its word there, and be taken for the older one.
+// overtake its report there, and be taken for the older one.
 func TestRunsOnceRegistered(t *testing.T) {
 	t.Parallel()
 	c, addr := startControl(t)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -179,7 +179,7 @@
 	VersionsApart = define("LP3005", warn, "versions apart",
 		"A peer speaks no version of the protocol that this process speaks, so there is no link. It is told once for each peer and range; the link is tried again with pauses of up to 5 s.",
 		"Replace the older of the two: builds go together with those of the two landings before them (docs/OPERATIONS.md, Upgrading).")
-	UnknownWords = define("LP3006", info, "unknown words",
+	UnknownFields = define("LP3006", info, "unknown fields",
 		"A peer of a later build says a kind of message, or a field of one, that this build does not know. It was passed over; each link tells of each kind once.", nothing)
 )
 
@@ -197,8 +197,8 @@
 		"After a restart of the agent, the engine ran a request that no entry claimed.", nothing)
 	ServerEjected = define("LP4006", warn, "server ejected",
 		"A server failed several times in a row and gets only probes for a while.", "Look at the server.")
-	ServerWordRefused = define("LP4013", warn, "word about a server refused",
-		"What came as the word of a server is not used: it can't be read, is of an earlier start than the one that is known, or says of a start that is known what only another server can say. One line a minute for each server and reason.",
+	ServerReportRefused = define("LP4013", warn, "report of a server refused",
+		"What came as the report of a server is not used: it can't be read, is of an earlier start than the one that is known, or says of a start that is known what only another server can say. One line a minute for each server and reason.",
 		"Look at what writes at the address. An earlier start whose server is up: its clock was set back between two starts; set it right and start the server again.")
 	ServerLeaving = define("LP4007", info, "server leaving",
 		"A backend server is leaving and gets no new work.", nothing)
--- a/gateway/evacuated.go
+++ b/gateway/evacuated.go
@@ -17,7 +17,7 @@
 	zones  map[string]fleetstate.EvacuatedZone
 }
 
-// take takes what a replica tells, unless a later word is known. It returns the zones that
+// take takes what a replica tells, unless a later report is known. It returns the zones that
 // are evacuated now and were not, and those that may get work again.
 func (e *evacuated) take(m *wire.Evacuated) (begun, finished []string, news bool) {
 	e.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -176,7 +176,7 @@
 
 // firstServers is how long after the first table a request waits for a server of its
 // service to be known: the table comes with the link to control, the servers with a later
-// word of the replica that this gateway follows.
+// report of the replica that this gateway follows.
 const firstServers = 500 * time.Millisecond
 
 // firstServer chooses a server of a plain service for a request that was not sent yet.
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -24,7 +24,7 @@
 	loadsEvery = 40 * time.Millisecond
 )
 
-// links keeps a link to every control replica, so that a word that any of them
+// links keeps a link to every control replica, so that a report that any of them
 // has taken reaches this gateway.
 type links struct {
 	g      *Gateway
--- a/gateway/tokens.go
+++ b/gateway/tokens.go
@@ -32,9 +32,9 @@
 	f.mu.Lock()
 	now := f.clock.Now()
 	var changes []dispatch.LimitChange
-	for _, w := range m.Words {
-		word := ratelimit.Word{Named: w.Named, Rate: w.Rate, Sent: now.Add(-w.Sent), Heard: now.Add(-w.Heard)}
-		if change, ok := f.view.TellLimit(now, w.Server, word); ok {
+	for _, w := range m.Observations {
+		observed := ratelimit.Observation{Named: w.Named, Rate: w.Rate, Sent: now.Add(-w.Sent), Heard: now.Add(-w.Heard)}
+		if change, ok := f.view.TellLimit(now, w.Server, observed); ok {
 			changes = append(changes, change)
 		}
 	}
@@ -125,8 +125,8 @@
 func (f *fleet) untoldLimits(now time.Time) *wire.Limits {
 	out := &wire.Limits{}
 	for _, w := range f.view.UntoldLimits(now) {
-		out.Words = append(out.Words, wire.LimitWord{
-			Server: w.Server, Named: w.Word.Named, Rate: w.Word.Rate, Sent: now.Sub(w.Word.Sent), Heard: now.Sub(w.Word.Heard),
+		out.Observations = append(out.Observations, wire.LimitObservation{
+			Server: w.Server, Named: w.Observation.Named, Rate: w.Observation.Rate, Sent: now.Sub(w.Observation.Sent), Heard: now.Sub(w.Observation.Heard),
 		})
 	}
 	asks := f.limitAsks(now)
@@ -136,7 +136,7 @@
 			out.Asks = append(out.Asks, a)
 		}
 	}
-	if len(out.Words)+len(out.Asks) == 0 {
+	if len(out.Observations)+len(out.Asks) == 0 {
 		return nil
 	}
 	return out
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -98,9 +98,9 @@
 	LimitedServers      = gauge("ledgepin_limited_servers", "Servers that name a limit of requests a second, as this process knows.", "name")
 	ServerReports       = counter("ledgepin_server_reports_total", "Answers to a gateway, of whatever kind, in which a server says something of itself, by field: limit, retry_after, leaving, cold.", "service", "field")
 	ServerReportsUnread = counter("ledgepin_server_reports_unread_total", "Answers to a gateway in which a server says something of itself that can't be read, by field.", "service", "field")
-	WordsRefused        = counter("ledgepin_server_words_refused_total", "Words about servers that are not used: unreadable, of an earlier start, or of another server.", "reason")
+	ReportsRefused      = counter("ledgepin_server_words_refused_total", "Reports about servers that are not used: unreadable, of an earlier start, or of another server.", "reason")
 	LinksRefused        = counter("ledgepin_links_refused_total", "Links that were not opened for what the peer said first, by who opened it (dialled, accepted) and reason (versions_apart, bad_peer).", "side", "reason")
-	UnknownWords        = counter("ledgepin_unknown_words_total", "Kinds of messages in which a link met a word that this build does not know, by kind: its name, or its number if the kind itself is not known.", "kind")
+	UnknownFields       = counter("ledgepin_unknown_words_total", "Kinds of messages in which a link met a field that this build does not know, by kind: its name, or its number if the kind itself is not known.", "kind")
 	LogDropped          = counter("ledgepin_log_lines_dropped_total", "Log lines left out because the output was not read fast enough.")
 )
 
--- a/ratelimit/demand.go
+++ b/ratelimit/demand.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// askFor is how long the word of what a gateway or a replica wants counts.
+// askFor is how long the demand that a gateway or a replica has told counts.
 const askFor = time.Second
 
 // Demand is what a gateway, or those of a replica together, would send to a service.
--- a/ratelimit/limit.go
+++ b/ratelimit/limit.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Word is what one answer of a server says of its limit.
-type Word struct {
+// Observation is what one answer of a server says of its limit.
+type Observation struct {
 	// Named tells that the answer names a limit, which is Rate requests a second from all
 	// gateways together.
 	Named bool
@@ -16,16 +16,18 @@
 	Sent, Heard time.Time
 }
 
-// tighter tells whether a word allows less than another one.
-func (w Word) tighter(o Word) bool { return w.Named && (!o.Named || w.Rate < o.Rate) }
+// tighter tells whether an observation allows less than another one.
+func (w Observation) tighter(o Observation) bool { return w.Named && (!o.Named || w.Rate < o.Rate) }
 
-// Same tells whether two words allow as much.
-func (w Word) Same(o Word) bool { return w.Named == o.Named && (!w.Named || w.Rate == o.Rate) }
+// Same tells whether two observations allow as much.
+func (w Observation) Same(o Observation) bool {
+	return w.Named == o.Named && (!w.Named || w.Rate == o.Rate)
+}
 
 // Times of a limit.
 const (
-	// settle is how long after a word was heard the request must have been sent whose answer
-	// allows more. Words of other gateways are dated by how long they took to come, which is
+	// settle is how long after an observation was heard the request must have been sent whose answer
+	// allows more. Observations of other gateways are dated by how long they took to come, which is
 	// not known to some tenths of a second.
 	settle = 500 * time.Millisecond
 	// rampStep is the time in which the rate doubles after the end of a limit, and rampFor the
@@ -41,23 +43,23 @@
 
 // Limit is what is known of the limit of one start of a server. The zero value is no limit.
 type Limit struct {
-	word Word
+	observed Observation
 	// before is the rate of the limit that ended at endedAt.
 	before  float64
 	endedAt time.Time
 }
 
-// Take takes a word at a time. Answers on separate connections overtake each other, so a word
+// Take takes an observation at a time. Answers on separate connections overtake each other, so an observation
 // that allows more counts only if its request was sent after the limit was heard, and one that
-// allows less unless it was heard before the request of the newest word was sent. It returns
+// allows less unless it was heard before the request of the newest observation was sent. It returns
 // whether what is allowed has changed.
-func (l *Limit) Take(now time.Time, w Word) bool {
-	if w.Same(l.word) {
-		l.word.Sent, l.word.Heard = latest(l.word.Sent, w.Sent), latest(l.word.Heard, w.Heard)
+func (l *Limit) Take(now time.Time, w Observation) bool {
+	if w.Same(l.observed) {
+		l.observed.Sent, l.observed.Heard = latest(l.observed.Sent, w.Sent), latest(l.observed.Heard, w.Heard)
 		return false
 	}
-	if w.tighter(l.word) {
-		if !l.word.Sent.IsZero() && !w.Heard.After(l.word.Sent) {
+	if w.tighter(l.observed) {
+		if !l.observed.Sent.IsZero() && !w.Heard.After(l.observed.Sent) {
 			return false
 		}
 	} else if !l.Loosens(w) {
@@ -66,13 +68,13 @@
 	if !w.Named {
 		l.before, l.endedAt = l.rate(), now
 	}
-	l.word = w
+	l.observed = w
 	return true
 }
 
-// Loosens tells whether a word would allow more than what is known, and is newer.
-func (l *Limit) Loosens(w Word) bool {
-	return !w.Same(l.word) && !w.tighter(l.word) && w.Sent.After(l.word.Heard.Add(settle))
+// Loosens tells whether an observation would allow more than what is known, and is newer.
+func (l *Limit) Loosens(w Observation) bool {
+	return !w.Same(l.observed) && !w.tighter(l.observed) && w.Sent.After(l.observed.Heard.Add(settle))
 }
 
 func latest(a, b time.Time) time.Time {
@@ -82,16 +84,16 @@
 	return a
 }
 
-// Word returns the newest word.
-func (l *Limit) Word() Word { return l.word }
+// Newest returns the newest observation.
+func (l *Limit) Newest() Observation { return l.observed }
 
-// rate returns what the newest word allows, at least so much that the limit's end is noticed.
-func (l *Limit) rate() float64 { return max(l.word.Rate, leastRate) }
+// rate returns what the newest observation allows, at least so much that the limit's end is noticed.
+func (l *Limit) rate() float64 { return max(l.observed.Rate, leastRate) }
 
 // Rate returns how many requests a second all gateways together may send; false if there is no
 // limit. After its end the rate rises for a while.
 func (l *Limit) Rate(now time.Time) (float64, bool) {
-	if l.word.Named {
+	if l.observed.Named {
 		return l.rate(), true
 	}
 	since := now.Sub(l.endedAt)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -3,7 +3,7 @@
 //
 // It is soft state: servers repeat their reports, so that a process which has
 // just started knows all of them within one interval. A server that starts again under
-// its name is another one here: its later start replaces the earlier at once, and words of
+// its name is another one here: its later start replaces the earlier at once, and reports of
 // the earlier one never bring it back. Reports of one start carry rising sequence numbers;
 // a late one is known by its number.
 package registry
@@ -59,7 +59,7 @@
 	Cold time.Duration `cbor:"13,keyasint,omitempty" json:"cold,omitempty"`
 }
 
-// Newest returns the newest start of a server that a word tells of: the one itself, or the
+// Newest returns the newest start of a server that a report tells of: the one itself, or the
 // one that has replaced it, of which no more is known.
 func (s Server) Newest() Server {
 	if s.Next == 0 {
@@ -68,9 +68,9 @@
 	return Server{ID: StartID(s.Called(), s.Next), Name: s.Called(), Born: s.Next}
 }
 
-// Word returns what is told of a server: all, or only when the next start began if one has
+// Told returns what is told of a server: all, or only when the next start began if one has
 // replaced this one, which makes the rest worthless.
-func (s Server) Word() Server {
+func (s Server) Told() Server {
 	if s.Next == 0 {
 		return s
 	}
@@ -133,7 +133,7 @@
 	Before *Server
 }
 
-// Resolve returns a word about a server with the start that it is about.
+// Resolve returns a report about a server with the start that it is about.
 func (r *Registry) Resolve(s Server) Server { return r.starts.Resolve(s) }
 
 // contradicts tells whether a report says of a start that is known what only another server
@@ -145,7 +145,7 @@
 }
 
 // Report takes a report and returns the servers of which it tells something new: a new
-// one, other words of a known one, and first of all the earlier start that a new one
+// one, another report of a known one, and first of all the earlier start that a new one
 // replaces. A start that has said that it drains or is gone never becomes ready again. An
 // error tells why a report is not taken: ErrEarlier or ErrAnother. A late report is none.
 func (r *Registry) Report(now time.Time, s Server) ([]News, error) {
--- a/registry/start.go
+++ b/registry/start.go
@@ -35,8 +35,8 @@
 // that either does not tell is taken to be.
 func (s Server) BornAt(told int64) bool { return told == 0 || s.Born == 0 || told == s.Born }
 
-// startKeep is how long the newest start of a name is remembered after its last word: an
-// earlier one must not come back, however late its words are.
+// startKeep is how long the newest start of a name is remembered after its last report: an
+// earlier one must not come back, however late its reports are.
 const startKeep = time.Hour
 
 // Starts knows the newest start of each server.
@@ -51,7 +51,7 @@
 // NewStarts returns an empty set.
 func NewStarts() *Starts { return &Starts{newest: map[string]start{}} }
 
-// Errors of words about servers.
+// Errors of reports about servers.
 var (
 	// ErrEarlier tells that a later start of the server is known.
 	ErrEarlier = errors.New("registry: a later start of the server is known")
@@ -59,9 +59,9 @@
 	ErrAnother = errors.New("registry: the start is known with another service or address")
 )
 
-// Resolve returns a word about a server with the start that it is about. A word that tells
+// Resolve returns a report about a server with the start that it is about. A report that tells
 // no start is about the newest if it says that the server has gone, since some servers say
-// only that; else it is a word of an earlier start.
+// only that; else it is a report of an earlier start.
 func (st *Starts) Resolve(s Server) Server {
 	if n, known := st.newest[s.Called()]; known && s.Born == 0 && n.born > 0 && s.State == Gone {
 		s.ID, s.Name, s.Born = n.id, s.Called(), n.born
--- a/soak/words.go
+++ b/soak/bad_reports.go
@@ -8,10 +8,10 @@
 	"time"
 )
 
-// wordEvery is the time between two words that can't be read.
-const wordEvery = 150 * time.Millisecond
+// badReportEvery is the time between two reports that can't be read.
+const badReportEvery = 150 * time.Millisecond
 
-// spoilt are ways in which a word about a server can't be read, or is another server's:
+// spoilt are ways in which a report about a server can't be read, or is another server's:
 // what stands in the place of what.
 var spoilt = [][2]string{
 	{`"state":"ready"`, `"state":"odd"`}, {`"slots":16`, `"slots":"many"`}, {`"slots":16`, `"slots":1e300`}, {`"zone":`, `"place":`}, {`"version":"v1",`, ``},
@@ -19,24 +19,24 @@
 	{`}`, ``}, {`{`, `[{`}, {`"coldRemainingMs":`, `"coldRemainingMs":null,"was":`},
 }
 
-// foreign are ways in which a word can be read and is another server's. A replica that does
+// foreign are ways in which a report can be read and is another server's. A replica that does
 // not know the server yet can't tell.
 var foreign = [][2]string{{`"address":"127.0.0.1`, `"address":"127.0.0.9`}, {`"service":"`, `"service":"other-`}}
 
-// words sends words about the servers that can't be read, or that another writer must have
+// badReports sends reports about the servers that can't be read, or that another writer must have
 // written, until the context ends.
-func (s *site) words(ctx context.Context, seed uint64) {
+func (s *site) badReports(ctx context.Context, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 3))
-	for ; ctx.Err() == nil; sleep(ctx, wordEvery) {
+	for ; ctx.Err() == nil; sleep(ctx, badReportEvery) {
 		v := s.servers[r.IntN(len(s.servers))]
 		ways, another := spoilt, r.IntN(len(spoilt)+len(foreign)) >= len(spoilt)
 		if another {
 			ways = foreign
 		}
 		how := ways[r.IntN(len(ways))]
-		text := strings.Replace(s.word(v, "ready"), how[0], how[1], 1)
+		text := strings.Replace(s.heartbeatOf(v, "ready"), how[0], how[1], 1)
 		status := s.say(ctx, r.IntN(len(s.api)), v.name, text)
-		s.rec.add(func(h *History) { h.Words = append(h.Words, Word{text, status, another}) })
+		s.rec.add(func(h *History) { h.BadReports = append(h.BadReports, BadReport{text, status, another}) })
 	}
 }
 
--- a/soak/beats.go
+++ b/soak/beats.go
@@ -30,7 +30,7 @@
 
 // report tells control of a server, at any replica that takes it.
 func (s *site) report(ctx context.Context, v *server, state string) bool {
-	text := s.word(v, state)
+	text := s.heartbeatOf(v, state)
 	for n := range s.api {
 		if s.say(ctx, n, v.name, text) == http.StatusOK {
 			return true
@@ -39,8 +39,8 @@
 	return false
 }
 
-// word is what the present start of a server says of itself.
-func (s *site) word(v *server, state string) string {
+// heartbeatOf is what the present start of a server says of itself.
+func (s *site) heartbeatOf(v *server, state string) string {
 	b, p := v.now()
 	v.mu.Lock()
 	born := v.born
@@ -49,7 +49,7 @@
 		v.service, p.addr(), v.zone, v.coldLeft(), engineSlots, state, b.CurrentRole(), s.sequence.Add(1), born)
 }
 
-// say sends a word about a server to a replica, and returns the status of the answer; zero
+// say sends a report about a server to a replica, and returns the status of the answer; zero
 // if none came.
 func (s *site) say(ctx context.Context, replica int, name, text string) int {
 	status, _, err := s.call(ctx, http.MethodPost, "http://"+s.api[replica]+"/-/instances/"+name+"/heartbeat", text)
--- a/soak/check.go
+++ b/soak/check.go
@@ -11,7 +11,7 @@
 
 // Bounds of the rules. They leave room for a machine that is shared.
 const (
-	// drainBound is how long after its word a leaving server may get new work.
+	// drainBound is how long after its report a leaving server may get new work.
 	drainBound = 2500 * time.Millisecond
 	// goneBound is how long work may go on for a caller that has left.
 	goneBound = 1500 * time.Millisecond
@@ -81,7 +81,7 @@
 	{"no server gets more than it names", checkServerLimits},
 	{"a server that asks for a pause is left alone", checkPauses},
 	{"no request for a server that says that it leaves", checkSaidLeaving},
-	{"words that can't be read are not used", checkWords},
+	{"reports that can't be read are not used", checkBadReports},
 	{"a content that ends servers is left alone", checkDeadly},
 	{"links between builds are not refused", checkRefusals},
 	{"each gateway in touch has a table all the time", checkTableHeld},
@@ -226,7 +226,7 @@
 			if g := h.gatewayOf(a.ID); g != "" && h.disturbed(g, a.At, touchTime) {
 				continue
 			}
-			out = append(out, fmt.Sprintf("%s reached %s %v after its word", a.ID, d.Server, a.At-d.At))
+			out = append(out, fmt.Sprintf("%s reached %s %v after its report", a.ID, d.Server, a.At-d.At))
 		}
 	}
 	return out
--- a/soak/check_words.go
+++ b/soak/check_bad_reports.go
@@ -7,10 +7,10 @@
 	"time"
 )
 
-// checkWords wants no word to be taken that can't be read.
-func checkWords(h *History) []string {
+// checkBadReports wants no report to be taken that can't be read.
+func checkBadReports(h *History) []string {
 	var out []string
-	for _, w := range h.Words {
+	for _, w := range h.BadReports {
 		if w.Status == http.StatusOK && !w.Foreign {
 			out = append(out, "taken: "+w.Text)
 		}
--- a/soak/cold.go
+++ b/soak/cold.go
@@ -18,7 +18,7 @@
 // coldSettings tell how what cold servers get is judged, as checkCold does.
 var coldSettings = fmt.Sprintf("  cold: {overshoot: %g, slack: %d}\n", coldOvershoot, coldSlack)
 
-// ColdSpan is a time in which a server was cold, and had said so from its first word on.
+// ColdSpan is a time in which a server was cold, and had said so from its first report on.
 type ColdSpan struct {
 	Server   string
 	From, To time.Duration
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -265,13 +265,13 @@
 		}
 		sleep(ctx, drainBound+time.Second)
 	}
-	late := f.site.word(v, "ready")
+	late := f.site.heartbeatOf(v, "ready")
 	v.end()
 	if step.Kind == KillServer {
 		sleep(ctx, step.For)
 	}
 	_ = f.site.raise(v)
-	f.wg.Go(func() { // a word of the start before comes late
+	f.wg.Go(func() { // a report of the start before comes late
 		sleep(ctx, step.For)
 		f.site.say(ctx, step.Target%len(f.site.api), v.name, late)
 	})
--- a/soak/history.go
+++ b/soak/history.go
@@ -96,7 +96,7 @@
 	Status      int
 }
 
-// Drain is a server's word that it leaves, taken by control.
+// Drain is a server's report that it leaves, taken by control.
 type Drain struct {
 	Server string
 	At     time.Duration
@@ -109,9 +109,9 @@
 	Acked, Finished time.Duration
 }
 
-// Word is a word about a server that can't be read, or that another server must have said,
+// BadReport is a report about a server that can't be read, or that another server must have said,
 // and how control answered it.
-type Word struct {
+type BadReport struct {
 	Text   string
 	Status int
 	// Foreign tells that it can be read and is another server's.
@@ -151,18 +151,18 @@
 
 // History is all that was seen in a run.
 type History struct {
-	Seed     uint64
-	Length   time.Duration
-	Shape    Shape
-	Plan     []Step
-	Requests []Request
-	Arrivals []Arrival
-	Outages  []Outage
-	Puts     []Put
-	Reads    []Read
-	Words    []Word
-	Probes   []Probe
-	Drains   []Drain
+	Seed       uint64
+	Length     time.Duration
+	Shape      Shape
+	Plan       []Step
+	Requests   []Request
+	Arrivals   []Arrival
+	Outages    []Outage
+	Puts       []Put
+	Reads      []Read
+	BadReports []BadReport
+	Probes     []Probe
+	Drains     []Drain
 	// Evacuations are those that control has acknowledged.
 	Evacuations []Evacuation
 	Orders      []RoleOrder
--- a/soak/run.go
+++ b/soak/run.go
@@ -29,7 +29,7 @@
 	Calm bool
 	// Without are kinds of steps that are left out.
 	Without []Kind
-	// PlainTexts has the events of streams hold nothing but plain words.
+	// PlainTexts has the events of streams hold nothing but plain reports.
 	PlainTexts bool
 }
 
@@ -68,7 +68,7 @@
 	wg.Go(func() { ops.reads(background) })
 	wg.Go(func() { ops.probe(background) })
 	wg.Go(func() { s.watch(background) })
-	wg.Go(func() { s.words(loaded, o.Seed) })
+	wg.Go(func() { s.badReports(loaded, o.Seed) })
 	l.wg.Go(func() { l.deadly(loaded, o.Seed) })
 	f := &faults{site: s, rec: rec, load: l, ops: ops}
 	wg.Go(func() { f.play(loaded, plan) })
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -334,7 +334,7 @@
 	}
 	b.keepPrompt(r, false)
 	handle := b.group.keep(b.addr, "", KVCache{Request: r.Header.Get(b.headers.RequestID)})
-	// Once in ledgepin's own words, once in those of the users' platform.
+	// Once in ledgepin's own form, once in that of the users' platform.
 	fmt.Fprintf(w, `{"handle":%q,"kvHandle":%q,"tokens":1}`, handle, handle)
 }
 
--- a/standin/copies.go
+++ b/standin/copies.go
@@ -10,7 +10,7 @@
 )
 
 // Where an engine copies a run's KV cache to another engine, in ledgepin's own
-// words and in those of the users' platform.
+// reports and in that of the users' platform.
 const (
 	CopyPath         = "/copy"
 	platformCopyPath = "/-/kv-move"
@@ -25,7 +25,7 @@
 	return strings.HasPrefix(handle, copyPrefix)
 }
 
-// copyRequest asks for a copy in either words.
+// copyRequest asks for a copy in either form.
 type copyRequest struct {
 	ID            string `json:"id"`
 	Target        string `json:"target"`
--- a/standin/holds.go
+++ b/standin/holds.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// Where an engine sets room aside, in ledgepin's own words and in those of the
+// Where an engine sets room aside, in ledgepin's own form and in that of the
 // users' platform.
 const (
 	HoldPath         = "/hold"
--- a/standin/kept.go
+++ b/standin/kept.go
@@ -7,8 +7,8 @@
 	"strings"
 )
 
-// Where an engine tells which parts of prompts it keeps, in ledgepin's own words and
-// in those of the users' platform.
+// Where an engine tells which parts of prompts it keeps, in ledgepin's own form and
+// in that of the users' platform.
 const (
 	KeptPath         = "/kept"
 	platformKeptPath = "/-/kv-list"
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Where an engine tells its state and takes orders, in the words of the users'
+// Where an engine tells its state and takes orders, in the form of the users'
 // platform.
 const (
 	reportPath = "/-/report"
--- a/standin/run.go
+++ b/standin/run.go
@@ -14,7 +14,7 @@
 	key int
 	// from is the last event that was made before it, last the last that it will make.
 	from, last int
-	// wake holds a word when there is something new.
+	// wake holds a token when there is something new.
 	wake chan struct{}
 	// stopped, dropped and done are closed when it was stopped by a call, when nobody
 	// wants it any more, and when it has ended for any reason.
--- a/subset/subset.go
+++ b/subset/subset.go
@@ -4,7 +4,7 @@
 // one gets a part of a large group: a hundred servers, of which any two
 // gateways share few. Membership is decided for each pair by itself, by a number
 // that is the same in every process, so that replicas of control agree without
-// a word, and a server that comes or goes moves hardly any other.
+// a report, and a server that comes or goes moves hardly any other.
 package subset
 
 import (
--- a/wal/fence_test.go
+++ b/wal/fence_test.go
@@ -15,7 +15,7 @@
 )
 
 // readsAtBase tells whether a build of the base version takes the file's bytes for a whole
-// record: its rule, word for word.
+// record: its rule, report for report.
 func readsAtBase(data []byte) bool {
 	const magic = 0x4c504a31
 	if len(data) < 12 || binary.LittleEndian.Uint32(data) != magic {
--- a/warmup/broker.go
+++ b/warmup/broker.go
@@ -16,7 +16,7 @@
 	renewAfter = 300 * time.Millisecond
 	// gap is the time between the end of a lease, as its lender counts it, and the next one
 	// to somebody else: the second in which what was sent last still counts, and a margin
-	// for a word that was held up on its way.
+	// for a report that was held up on its way.
 	gap = time.Second + 500*time.Millisecond
 )
 
--- a/wire/bench_test.go
+++ b/wire/bench_test.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// BenchmarkRead decodes as a link does, which looks for unknown words.
+// BenchmarkRead decodes as a link does, which looks for unknown fields.
 func BenchmarkRead(b *testing.B) {
 	for name, m := range spoken() {
 		frame, err := wire.Marshal(m)
--- a/wire/export_test.go
+++ b/wire/export_test.go
@@ -1,7 +1,7 @@
 package wire
 
 // NewReader returns the decoder of one link, which also tells whether a frame shows the
-// first unknown word of its kind, and the kind's name.
+// first unknown field of its kind, and the kind's name.
 func NewReader() func(frame []byte) (m *Message, kind string, fresh bool, err error) {
 	r := &reader{}
 	return func(frame []byte) (*Message, string, bool, error) {
--- a/wire/fuzz_test.go
+++ b/wire/fuzz_test.go
@@ -46,7 +46,7 @@
 }
 
 // FuzzUnmarshal feeds the decoder any frame; what it takes must survive a round trip. The
-// decoder of a link, which looks for unknown words, must take the same and read the same,
+// decoder of a link, which looks for unknown fields, must take the same and read the same,
 // the first time and when it has met one.
 func FuzzUnmarshal(f *testing.F) {
 	addFrames(f)
--- a/wire/golden_test.go
+++ b/wire/golden_test.go
@@ -34,7 +34,7 @@
 }
 
 // TestWriteGolden writes a frame of each kind, and a hello of each role, with each field set.
-// It is run in the build whose words are to be kept; see testdata/README.md.
+// It is run in the build whose messages are to be kept; see testdata/README.md.
 func TestWriteGolden(t *testing.T) {
 	if *golden == "" {
 		t.Skip("writes only with -golden")
@@ -63,7 +63,7 @@
 	}
 }
 
-// kept lists the builds whose words have to be read: the two landings before this tree.
+// kept lists the builds whose messages have to be read: the two landings before this tree.
 var kept = []string{"55b4ff8", "b2d70d5"}
 
 // fieldsOf reads the list of fields of a build.
--- a/wire/hello.go
+++ b/wire/hello.go
@@ -19,7 +19,7 @@
 	// KnowsLimits is the first version whose gateways send to servers that name a limit only
 	// under tokens of control.
 	KnowsLimits = 6
-	// KnowsLeaving is the first version whose replicas take the word of a gateway that a server
+	// KnowsLeaving is the first version whose replicas take the report of a gateway that a server
 	// leaves.
 	KnowsLeaving = 7
 )
--- a/wire/limits.go
+++ b/wire/limits.go
@@ -5,7 +5,7 @@
 // Limits tells of servers that name a limit of requests a second, and of the tokens under which
 // such servers are sent requests. It is said from version KnowsLimits on.
 type Limits struct {
-	Words []LimitWord `cbor:"1,keyasint,omitempty"`
+	Observations []LimitObservation `cbor:"1,keyasint,omitempty"`
 	// Asks is what a gateway, or the gateways of a replica, would send; what is not listed is
 	// nothing.
 	Asks   []LimitAsk   `cbor:"2,keyasint,omitempty"`
@@ -16,8 +16,8 @@
 	Supply []LimitSupply `cbor:"5,keyasint,omitempty"`
 }
 
-// LimitWord is what a server said of its limit in an answer.
-type LimitWord struct {
+// LimitObservation is what a server said of its limit in an answer.
+type LimitObservation struct {
 	Server string `cbor:"1,keyasint,omitempty"`
 	// Named tells that it named a limit of Rate requests a second.
 	Named bool    `cbor:"2,keyasint,omitempty"`
--- a/wire/message.go
+++ b/wire/message.go
@@ -359,7 +359,7 @@
 
 // Evacuated tells which availability zones get no new work.
 type Evacuated struct {
-	// Number rises with each change, so that an earlier word never undoes a later one.
+	// Number rises with each change, so that an earlier report never undoes a later one.
 	Number uint64                `cbor:"1,keyasint,omitempty"`
 	Zones  []fleet.EvacuatedZone `cbor:"2,keyasint,omitempty"`
 }
--- a/wire/unknown.go
+++ b/wire/unknown.go
@@ -29,12 +29,12 @@
 
 // reader decodes the frames of one link. It is used by one goroutine at a time.
 type reader struct {
-	// passes are the kinds in which an unknown word has been met.
+	// passes are the kinds in which an unknown field has been met.
 	passes [mostKinds]bool
 }
 
 // read decodes a frame from peer; it reports the kind of the frame and whether that shows
-// its first unknown word.
+// its first unknown field.
 func (r *reader) read(frame []byte, peer string) (m *Message, kind int, fresh bool, err error) {
 	kind = kindOf(frame)
 	if !r.passes[kind] {
@@ -77,12 +77,12 @@
 	return strconv.Itoa(kind)
 }
 
-// decode reads a frame, and tells of an unknown word.
+// decode reads a frame, and tells of an unknown field.
 func (l *Link) decode(frame []byte, peer string) (*Message, error) {
 	m, kind, fresh, err := l.reader.read(frame, peer)
 	if fresh {
-		metric.UnknownWords.WithLabelValues(kindName(kind)).Inc()
-		event.UnknownWords.Log(l.log, "peer", peer, "build", l.Peer.Build, "kind", kindName(kind))
+		metric.UnknownFields.WithLabelValues(kindName(kind)).Inc()
+		event.UnknownFields.Log(l.log, "peer", peer, "build", l.Peer.Build, "kind", kindName(kind))
 	}
 	return m, err
 }
