--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -135,7 +135,7 @@
 		a.finish(false)
 		return nil, &Error{Sent: true, Cause: err}
 	}
-	if p.OnAnswer != nil {
+	if p.OnAnswer != nil && resp.StatusCode != http.StatusMisdirectedRequest { // that one is another server's
 		p.OnAnswer(r.Server, clock.VM.Since(sent), resp.StatusCode, resp.Header)
 	}
 	a.Status, a.Header, a.Length = resp.StatusCode, resp.Header, resp.ContentLength
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -303,7 +303,9 @@
 	HeldBytes int64 `json:"held_bytes"`
 	// Evacuated are the availability zones that get no new work.
 	Evacuated []fleetstate.EvacuatedZone `json:"evacuated,omitempty"`
-	Servers   []*dispatch.Server         `json:"servers"`
+	// PausedMs are the servers that want no requests of this gateway, with the time that is left.
+	PausedMs map[string]int64   `json:"paused_ms,omitempty"`
+	Servers  []*dispatch.Server `json:"servers"`
 }
 
 // Dump returns the state of the gateway.
@@ -313,6 +315,7 @@
 		d.Version = t.Version
 	}
 	d.Servers = g.fleet.list()
+	d.PausedMs = g.fleet.pauses()
 	return d
 }
 
--- a/gateway/selfreport.go
+++ b/gateway/selfreport.go
@@ -125,6 +125,20 @@
 	return out
 }
 
+// pauses returns how long this gateway still stays away from each server that wants that, in
+// milliseconds.
+func (f *fleet) pauses() map[string]int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[string]int64{}
+	for _, s := range f.view.List() {
+		if left := s.PauseLeft(f.clock.Now()); left > 0 {
+			out[s.Called()] = left.Milliseconds()
+		}
+	}
+	return out
+}
+
 // admit tells why a server takes no request or call now, or counts it. Those that were placed at
 // the server were counted against its limit then.
 func (f *fleet) admit(r *backend.Request) error {
--- a/gateway/selfreport_test.go
+++ b/gateway/selfreport_test.go
@@ -131,6 +131,41 @@
 	assert.Equal(t, len(b.Asked()), 1)
 }
 
+// TestRequestsWaitForTheEndOfAPause wants a request that has time to wait for the server to be back,
+// and the dump to show the pause.
+func TestRequestsWaitForTheEndOfAPause(t *testing.T) {
+	r := newRig(t)
+	r.allowTime("seats", time.Minute)
+	b := r.add("plain", "a", "")
+	b.SetSays(standin.TurnAway("0.3"))
+	assert.Equal(t, r.send(http.MethodPost, "/seats/1", "first", "x", nil).status, http.StatusServiceUnavailable)
+	b.SetSays(nil)
+	assert.Assert(t, r.gateway.Dump().(Dump).PausedMs["a"] > 0)
+	started := time.Now()
+	for i := range 4 {
+		assert.Equal(t, r.send(http.MethodPost, "/seats/1", fmt.Sprint("waits-", i), "x", nil).status, http.StatusOK)
+	}
+	assert.Assert(t, time.Since(started) > 100*time.Millisecond)
+	asked := b.Asked()
+	assert.Assert(t, asked[1].At.Sub(asked[0].At) >= 290*time.Millisecond, "%v", asked[1].At.Sub(asked[0].At))
+	assert.Equal(t, len(asked), 5)
+}
+
+// TestAnotherServersReport has the server at an address be another one than is meant: what it says of
+// itself is no report of the one that was meant.
+func TestAnotherServersReport(t *testing.T) {
+	r := newRig(t)
+	b := r.add("plain", "a", "")
+	b.Name = "another"
+	b.SetSays(standin.Leaves)
+	assert.Equal(t, r.send(http.MethodGet, "/rates/1", "first", "", nil).status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(b.Asked()), 1)
+	f := r.gateway.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assert.Equal(t, len(f.view.UntoldLeaving()), 0)
+}
+
 // TestNextStartIsNotPaused wants the next start of a server to be bound by nothing that the one
 // before has said.
 func TestNextStartIsNotPaused(t *testing.T) {
