--- a/control/selfreport.go
+++ b/control/selfreport.go
@@ -22,23 +22,25 @@
 	}
 }
 
-// drain takes that a server leaves, and tells gateways and replicas; nothing if that is known.
-func (h *hub) drain(id string) {
+// drain takes that a server leaves, and tells gateways and replicas; false if that is known, or the
+// start is not the server's newest.
+func (h *hub) drain(id string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s, known := h.servers.Get(id)
 	if !known || s.State != registry.Ready {
-		return
+		return false
 	}
 	s.State = registry.Draining
 	if news, err := h.note(h.clock.Now(), s); err != nil || !news {
-		return
+		return false
 	}
 	delete(h.home, id)
 	m := &wire.Message{Servers: &wire.Servers{List: []registry.Server{s}}}
 	for l := range h.peers {
 		_ = l.Send(m)
 	}
+	return true
 }
 
 // pausedEngines are the engines that want no calls of this replica for a time.
@@ -83,8 +85,8 @@
 		if r.RetryAfter > 0 && paused.ask(c.clock.Now(), id, r.RetryAfter) {
 			c.logReport(id, selfreport.RetryAfter, r.RetryAfter, ago)
 		}
-		if r.Leaving {
-			c.hub.drain(id)
+		if r.Leaving && c.hub.drain(id) {
+			c.logReport(id, selfreport.Leaving, 0, ago)
 		}
 	}
 	return pool
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -248,7 +248,7 @@
 	var best *Server
 	bestScore := 0.0
 	f.search(now, w.Service, "", func(s *Server) bool {
-		if avoid[s.ID] || !s.listed(now) || !s.pause.Allows(now, openAt(s)) || !f.bears(now, s) || !f.admits(now, s) || !w.permits(s) {
+		if avoid[s.ID] || !s.listed(now) || !s.pause.Allows(now) || !f.bears(now, s) || !f.admits(now, s) || !w.permits(s) {
 			return false
 		}
 		score := f.score(now, s)
--- a/dispatch/ruled.go
+++ b/dispatch/ruled.go
@@ -97,7 +97,7 @@
 		return RuleLeaving
 	case s.blocked(now):
 		return RuleBlocked
-	case !s.pause.Allows(now, openAt(s)):
+	case !s.pause.Allows(now):
 		return RulePause
 	case !f.bears(now, s):
 		return RuleCold
--- a/dispatch/selfreport.go
+++ b/dispatch/selfreport.go
@@ -141,12 +141,3 @@
 	}
 	return least, found
 }
-
-// openAt returns about how many requests of this gateway are open at a server.
-func openAt(s *Server) int {
-	n := s.Open + s.Own.Runs
-	if s.Own.Prefill > 0 {
-		n++
-	}
-	return n
-}
--- a/gateway/await_server.go
+++ b/gateway/await_server.go
@@ -62,7 +62,7 @@
 	w := &serverWaiter{work: q.work, avoid: q.tried, priority: q.organisation.Rank(q.route), due: q.arrived.Add(q.route.Target), got: make(chan dispatch.Server, 1)}
 	f.mu.Lock()
 	f.limited.add(w)
-	f.serveLimited()
+	f.servePlain()
 	f.mu.Unlock()
 	return awaitPlace(ctx, w.got, limit, func() {
 		f.mu.Lock()
@@ -91,8 +91,8 @@
 	s.waiting = slices.DeleteFunc(s.waiting, func(o *serverWaiter) bool { return o == w })
 }
 
-// serveLimited places the requests that wait for a server. Callers hold the lock.
-func (f *fleet) serveLimited() {
+// servePlain places the requests that wait for a server. Callers hold the lock.
+func (f *fleet) servePlain() {
 	now := f.clock.Now()
 	f.limited.waiting = slices.DeleteFunc(f.limited.waiting, func(w *serverWaiter) bool {
 		s := f.view.Plain(now, w.work, w.avoid)
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -197,7 +197,7 @@
 	}
 	f.noteLocked(id, o, took)
 	if len(f.limited.waiting) > 0 && f.paused.some.Load() {
-		f.serveLimited() // a server that is back takes more with each request that it has served
+		f.servePlain() // a server that is back takes more with each request that it has served
 	}
 }
 
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -49,7 +49,7 @@
 
 // serve books engines for the requests that wait and find room. Callers hold the lock.
 func (f *fleet) serve() {
-	f.serveLimited()
+	f.servePlain()
 	f.view.Serve(f.clock.Now(), &f.queue, func(w *dispatch.Waiting, p dispatch.Pair) {
 		decode := *p.Decode
 		out := dispatch.Pair{Decode: &decode, Wait: p.Wait, Ahead: p.Ahead}
--- a/gateway/tokens.go
+++ b/gateway/tokens.go
@@ -114,7 +114,7 @@
 	if knows {
 		m = f.untoldLimits(now)
 	}
-	f.serveLimited()
+	f.servePlain()
 	f.mu.Unlock()
 	if m != nil {
 		_ = hub.Send(&wire.Message{Limits: m})
--- a/selfreport/pause.go
+++ b/selfreport/pause.go
@@ -11,12 +11,12 @@
 	// that were under way together extend it by some milliseconds each.
 	pauseNews = 500 * time.Millisecond
 	// returnTime is the time after a pause in which a gateway raises the number of requests
-	// that it has open at the server.
+	// that it has under way at the server.
 	returnTime = 2 * time.Second
-	// firstOpen is the number of requests that it has open there until one is served, and
-	// mostOpen that from which on there is no bound.
-	firstOpen = 1
-	mostOpen  = 32
+	// firstRequests is the number of requests that it has under way there until one is served,
+	// and mostRequests that from which on there is no bound.
+	firstRequests = 1
+	mostRequests  = 32
 	// spreadEach is the time by which gateways come back one after the other, and
 	// longestSpread the most for all of them together.
 	spreadEach    = 10 * time.Millisecond
@@ -30,8 +30,9 @@
 	until, back time.Time
 	// freed tells that a call which frees something was sent in the pause.
 	freed bool
-	// open is the number of requests that may be open after the pause; zero for no bound.
-	open int
+	// allowed is the number of requests that may be under way of those that began after the
+	// pause, zero for no bound; begun is how many are.
+	allowed, begun int
 }
 
 // Spread returns the time over which gateways come back to a server after a pause.
@@ -50,7 +51,8 @@
 	begins := !heard.Before(p.until)
 	news := begins || until.Sub(p.until) >= pauseNews
 	p.freed = p.freed && !begins
-	p.until, p.back, p.open = until, until.Add(late), firstOpen
+	p.until, p.back = until, until.Add(late)
+	p.allowed, p.begun = firstRequests, 0
 	return news
 }
 
@@ -73,29 +75,30 @@
 	return true
 }
 
-// Allows tells whether the server may be chosen for one more request, where so many of this
-// gateway are open there.
-func (p *Pause) Allows(now time.Time, open int) bool {
-	if p.until.IsZero() {
-		return true
-	}
-	if p.Left(now) > 0 {
-		return false
-	}
-	return p.open == 0 || open < p.open || now.Sub(p.back) >= returnTime
+// Allows tells whether the server may be chosen for one more request.
+func (p *Pause) Allows(now time.Time) bool {
+	return p.Left(now) == 0 && (!p.Returns(now) || p.begun < p.allowed)
 }
 
-// Returns tells whether the number of open requests is bounded since a pause has ended.
+// Returns tells whether the number of requests is bounded since a pause has ended.
 func (p *Pause) Returns(now time.Time) bool {
-	return p.open > 0 && p.Left(now) == 0 && now.Sub(p.back) < returnTime
+	return p.allowed > 0 && p.Left(now) == 0 && now.Sub(p.back) < returnTime
+}
+
+// Begin counts a request for which the server was chosen.
+func (p *Pause) Begin(now time.Time) {
+	if p.Returns(now) {
+		p.begun++
+	}
 }
 
-// Served takes that the server has served a request after the pause.
+// Served takes that the server has served a request. One that fails leaves the bound as it is.
 func (p *Pause) Served(now time.Time) {
-	if p.open == 0 || p.Left(now) > 0 {
+	if !p.Returns(now) {
 		return
 	}
-	if p.open *= 2; p.open >= mostOpen {
-		p.open = 0
+	p.begun = max(p.begun-1, 0)
+	if p.allowed *= 2; p.allowed >= mostRequests {
+		p.allowed = 0
 	}
 }
