--- a/gateway/selfreport_test.go
+++ b/gateway/selfreport_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -96,6 +97,41 @@
 	assert.Equal(t, len(engines["p1"].Asked())+len(engines["d1"].Asked()), before)
 }
 
+// TestOneCallFreesDuringRetryAfter has an engine ask for a pause while it reads three prompts, which no
+// decode engine takes: one call frees what it keeps for nobody, and nothing else reaches it.
+func TestOneCallFreesDuringRetryAfter(t *testing.T) {
+	r := newRig(t)
+	p, d := r.add("llm", "p", registry.Prefill), r.add("llm", "d", registry.Decode)
+	d.SetFault(func(*http.Request) standin.Fault { return standin.Refuse })
+	reads, asked := make(chan bool, 3), make(chan bool)
+	p.SetSays(func(req *http.Request) standin.Says {
+		switch {
+		case req.Header.Get(protocol.Headers.RequestID) == "asks":
+			return standin.TurnAway("30")(req)
+		case req.Method == http.MethodPost:
+			reads <- true
+			<-asked
+		}
+		return standin.Says{}
+	})
+	var wg sync.WaitGroup
+	for i := range cap(reads) {
+		wg.Go(func() { r.send(http.MethodPost, "/review/1", fmt.Sprint("read-", i), "x", work) })
+	}
+	for range cap(reads) {
+		<-reads
+	}
+	r.send(http.MethodPost, "/review/1", "asks", "x", work)
+	close(asked)
+	wg.Wait()
+	time.Sleep(2 * giveBackTime) // calls that free run on after their requests
+	got := map[string]int{}
+	for _, a := range p.Asked() {
+		got[a.Method]++
+	}
+	assert.DeepEqual(t, got, map[string]int{http.MethodPost: 4, http.MethodDelete: 1})
+}
+
 // TestStreamsAreRefusedDuringRetryAfter has the only engine ask for a pause that outlasts the target
 // of the route: its callers are refused at once.
 func TestStreamsAreRefusedDuringRetryAfter(t *testing.T) {
