--- a/wire/message.go
+++ b/wire/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/ledgepin/ledgepin/claim"
 	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/demand"
 	"github.com/ledgepin/ledgepin/engine"
 	"github.com/ledgepin/ledgepin/fleet"
 	"github.com/ledgepin/ledgepin/lease"
@@ -336,6 +337,9 @@
 	Queued int `cbor:"4,keyasint,omitempty"`
 	// Whole reports that engines that are not listed have no reservations.
 	Whole bool `cbor:"5,keyasint,omitempty"`
+	// Demand is what waits and what has recently arrived, by service and urgency. The list is
+	// always complete and replaces the one sent before. Older builds send and read only Queued.
+	Demand []demand.Class `cbor:"6,keyasint,omitempty"`
 }
 
 // EngineLoad is what one or several gateways have reserved at one engine.
@@ -354,6 +358,9 @@
 	Good      int `cbor:"6,keyasint,omitempty"`
 	Bad       int `cbor:"7,keyasint,omitempty"`
 	Witnesses int `cbor:"8,keyasint,omitempty"`
+	// Lost is the number of recent answers that the server lost, because of its connection or
+	// its process.
+	Lost int `cbor:"9,keyasint,omitempty"`
 }
 
 // Evacuated lists the availability zones that get no new work.
