--- a/backend/conn.go
+++ b/backend/conn.go
@@ -47,10 +47,24 @@
 	requestIDs []string
 	// noReuse reports that the connection is not kept.
 	noReuse bool
-	// sentCall reports that the connection has carried a call without an ID. A late second
-	// answer to it carries no ID either. Only requests with IDs follow, so that such an answer
-	// can be recognised and skipped.
-	sentCall bool
+	// repeatable is the number of answers to calls without an ID that may still come a second
+	// time, late. Such an answer carries no ID either, so a request with an ID skips it.
+	repeatable int
+	// unidentified reports that the connection has carried a call whose answer had no identifier.
+	// Only requests with IDs follow, since the answer to another call can't be distinguished from
+	// a late second answer to that one.
+	unidentified bool
+	// calls are the calls whose answers had identifiers, by kind.
+	calls []carriedCalls
+}
+
+// carriedCalls are the calls of one kind that a connection has carried, with the requests that
+// they were sent for and the identifiers in their answers.
+type carriedCalls struct {
+	kind        string
+	parse       func(body []byte) string
+	requestIDs  []string
+	identifiers []string
 }
 
 // maxRequestIDs bounds the IDs that a connection remembers; after as many requests it is
@@ -59,7 +73,43 @@
 
 // canCarry reports whether the answer to r can be distinguished from all earlier ones.
 func (c *conn) canCarry(r *Request) bool {
-	return !r.needsUnused() && len(c.requestIDs) < maxRequestIDs && !slices.Contains(c.requestIDs, r.ID)
+	if r.needsUnused() || len(c.requestIDs) >= maxRequestIDs {
+		return false
+	}
+	if r.Identity == nil {
+		return !slices.Contains(c.requestIDs, r.ID)
+	}
+	calls := c.callsOf(r.Identity.Kind)
+	return !c.unidentified && (calls == nil || !slices.Contains(calls.requestIDs, r.Identity.RequestID))
+}
+
+// callsOf returns the calls of a kind that the connection has carried; nil if there are none.
+func (c *conn) callsOf(kind string) *carriedCalls {
+	for i := range c.calls {
+		if c.calls[i].kind == kind {
+			return &c.calls[i]
+		}
+	}
+	return nil
+}
+
+// recordCall records a call and the identifier in its answer.
+func (c *conn) recordCall(i *Identity, identifier string) {
+	calls := c.callsOf(i.Kind)
+	if calls == nil {
+		c.calls = append(c.calls, carriedCalls{kind: i.Kind, parse: i.Parse})
+		calls = &c.calls[len(c.calls)-1]
+	}
+	calls.requestIDs = append(calls.requestIDs, i.RequestID)
+	calls.identifiers = append(calls.identifiers, identifier)
+}
+
+// hasCarried reports whether the body of an answer has an identifier that the connection has
+// already carried, in an answer to a call of any kind.
+func (c *conn) hasCarried(body []byte) bool {
+	return slices.ContainsFunc(c.calls, func(calls carriedCalls) bool {
+		return slices.Contains(calls.identifiers, calls.parse(body))
+	})
 }
 
 var dialer = sock.Dialer(DialTimeout, userTimeout)
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/clock"
+	"github.com/ledgepin/ledgepin/metric"
 )
 
 // Request is one request to one server.
@@ -24,9 +25,12 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// ID is the request ID that the answer must carry. A call without an ID is always the first
-	// request on its connection.
+	// ID is the request ID that the answer must carry. A call without an ID and without an
+	// Identity is always the first request on its connection.
 	ID string
+	// Identity describes the identifier in the answer to a call without an ID; nil if the answer
+	// has none.
+	Identity *Identity
 	// MaxConnections bounds the connections of this pool to the server.
 	MaxConnections int
 	// Server is the incarnation of the server; its requests end with it (Pool.EndIncarnation).
@@ -40,10 +44,23 @@
 	NewConnection bool
 }
 
+// Identity describes how the answer to a call is distinguished from late second answers to
+// earlier calls on its connection: by an identifier that the server generates for each call.
+type Identity struct {
+	// Kind is the kind of the call, and RequestID the ID of the request that it is sent for. A
+	// server may answer a second call of a kind for the same request with the identifier of the
+	// first, so they use different connections.
+	Kind, RequestID string
+	// Parse returns the identifier in the body of an answer; empty if there is none.
+	Parse func(body []byte) string
+}
+
 // needsUnused reports whether a request needs a connection that was not used before. A late
 // answer to a call without an ID carries no ID. A late answer to another request would be
 // parsed as the answer to a HEAD, which has no body.
-func (r *Request) needsUnused() bool { return r.ID == "" || r.Method == http.MethodHead }
+func (r *Request) needsUnused() bool {
+	return r.ID == "" && r.Identity == nil || r.Method == http.MethodHead
+}
 
 // Error is the error of a request that got no answer.
 type Error struct {
@@ -88,6 +105,9 @@
 	// Framed reports that the body marks its own end, by a length or by chunks. Another body
 	// ends with its connection, whatever the reason.
 	Framed bool
+	// Unidentified reports that the answer to a call on a kept connection has no identifier, so
+	// that it is not certain that the server sent it for this call.
+	Unidentified bool
 
 	pool     *Pool
 	request  Request
@@ -98,6 +118,8 @@
 	written  chan struct{}
 	once     sync.Once
 	complete bool
+	// skipped is the number of skipped answers to other requests.
+	skipped int
 }
 
 // maxOtherAnswers bounds the skipped answers to other requests on one connection.
@@ -114,10 +136,18 @@
 			return nil, &Error{Cause: err}
 		}
 	}
+	if r.Identity != nil && !p.identifiesCalls(r.Server) {
+		r.Identity = nil
+	}
 	c, err := p.get(ctx, &r)
 	if err != nil {
 		return nil, &Error{Cause: err, Refused: !errors.Is(err, ErrFull)}
 	}
+	connection := "kept"
+	if len(c.requestIDs) == 0 {
+		connection = "new"
+	}
+	metric.ServerRequests.WithLabelValues(r.kind(), connection).Inc()
 	c.requestIDs = append(c.requestIDs, r.ID)
 	p.markBusy(r.Server, c)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
@@ -132,6 +162,10 @@
 			// All kept connections may be broken without a reset, while new ones work.
 			p.CloseIdle(r.Address)
 		}
+		if r.Identity != nil && a.skipped > 0 {
+			// The skipped answer may have been that to this call.
+			p.recordUnidentified(r.Server)
+		}
 		a.finish(false)
 		return nil, &Error{Sent: true, Cause: err}
 	}
@@ -191,27 +225,26 @@
 		}
 		id := resp.Header.Get(headers.RequestID)
 		switch {
-		case len(a.conn.requestIDs) == 1 && a.request.ID == "":
-			// The next answer must be distinguishable from a late second answer to the call.
-			a.conn.sentCall = true
-			a.conn.noReuse = a.conn.noReuse || id != "" || !a.pool.echoesIDs(a.request.Server)
-			return resp, nil
+		case a.request.ID == "":
+			if accepted, err := a.acceptCallAnswer(resp, id); accepted || err != nil {
+				return resp, err
+			}
 		case len(a.conn.requestIDs) == 1 && id == "":
 			// A late second answer would be indistinguishable from the next answer.
 			a.conn.noReuse = true
 			return resp, nil
-		case id == "" && a.conn.sentCall:
-			// A late second answer to the call: all others of this server carry IDs.
-			a.conn.sentCall = false
+		case id == "" && a.conn.repeatable > 0:
+			// A late second answer to a call: all others of this server carry IDs.
+			a.conn.repeatable--
 		case id == "":
 			// All earlier answers on this connection carried IDs, so the request of this one is
 			// unknown. A "not run" that belonged to another request made a request run twice.
 			return nil, errNoRequestID
-		}
-		if id != "" && id == a.request.ID {
+		case id == a.request.ID:
 			a.pool.recordEcho(a.request.Server)
 			return resp, nil
 		}
+		a.skipped++
 		a.conn.noReuse = true // answers are out of order
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
@@ -220,6 +253,44 @@
 	return nil, fmt.Errorf("received only answers to other requests")
 }
 
+// maxIdentifiedBytes bounds the answers that are searched for an identifier.
+const maxIdentifiedBytes = 1 << 20
+
+// acceptCallAnswer reports whether an answer with the given request ID is taken for that to the
+// call in progress.
+func (a *Answer) acceptCallAnswer(resp *http.Response, id string) (bool, error) {
+	c, identity := a.conn, a.request.Identity
+	first := len(c.requestIDs) == 1
+	if !first && id != "" {
+		return false, nil // a request with an ID was sent before, and this is the answer to it
+	}
+	identifier := ""
+	if identity != nil {
+		body, err := io.ReadAll(io.LimitReader(resp.Body, maxIdentifiedBytes+1))
+		switch {
+		case err != nil:
+			return false, err
+		case len(body) > maxIdentifiedBytes:
+			return false, fmt.Errorf("the answer to a call is longer than %d bytes", maxIdentifiedBytes)
+		case c.hasCarried(body):
+			return false, nil
+		}
+		resp.Body = io.NopCloser(bytes.NewReader(body))
+		identifier = identity.Parse(body)
+	}
+	// The next answer must be distinguishable from a late second answer to the call.
+	c.repeatable++
+	c.noReuse = c.noReuse || id != "" || !a.pool.echoesIDs(a.request.Server)
+	if identifier != "" {
+		c.recordCall(identity, identifier)
+		return true, nil
+	}
+	c.unidentified = true
+	c.noReuse = c.noReuse || !first
+	a.Unidentified = !first
+	return true, nil
+}
+
 // head returns the request line and the header fields.
 func (r *Request) head() []byte {
 	var b bytes.Buffer
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -21,7 +21,10 @@
 	busy map[string]map[*conn]bool
 	// lastEcho is when each incarnation last sent an answer with the ID of its request.
 	lastEcho map[string]time.Time
-	closed   bool
+	// unidentified is when the answer to a call of each incarnation was last skipped, perhaps
+	// wrongly, on a kept connection.
+	unidentified map[string]time.Time
+	closed       bool
 	// OnConnect, if set, receives the time that opening a connection to an incarnation took.
 	OnConnect func(server string, took time.Duration)
 	// Admit, if set, counts the request, or returns why the server accepts none now,
@@ -34,7 +37,7 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{idle: map[string][]*conn{}, open: map[string]int{}, busy: map[string]map[*conn]bool{}, lastEcho: map[string]time.Time{}}
+	return &Pool{idle: map[string][]*conn{}, open: map[string]int{}, busy: map[string]map[*conn]bool{}, lastEcho: map[string]time.Time{}, unidentified: map[string]time.Time{}}
 }
 
 // ErrFull is returned if the gateway has the maximum number of connections to the server.
@@ -57,7 +60,8 @@
 	causeOnce = "once"
 	// causeNoID: the call has no ID, so it is the first on its connection.
 	causeNoID = "no_id"
-	// causeSameID: each idle connection has carried a request with the same ID.
+	// causeSameID: each idle connection has carried a request with the same ID, or a call after
+	// which the answer to this one could not be distinguished.
 	causeSameID = "same_id"
 	// causeNoneIdle: no connection was idle.
 	causeNoneIdle = "none_idle"
@@ -78,6 +82,19 @@
 	return causeNoneIdle
 }
 
+// kind returns the kind of a request, as used in metrics.
+func (r *Request) kind() string {
+	switch {
+	case r.Identity != nil:
+		return r.Identity.Kind
+	case r.ID == "":
+		return "call"
+	case r.NewConnection:
+		return "once"
+	}
+	return "request"
+}
+
 // get returns an idle connection that may carry r, or opens one.
 func (p *Pool) get(ctx context.Context, r *Request) (*conn, error) {
 	if !r.NewConnection {
@@ -153,6 +170,22 @@
 	return ok && clock.VM.Now().Sub(at) < echoTTL
 }
 
+// recordUnidentified records that a call to an incarnation failed on a kept connection after an
+// answer was skipped: the server may generate the same identifier twice, or add request IDs of
+// its own to its answers. identifiesCalls reports whether none failed so within echoTTL.
+func (p *Pool) recordUnidentified(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unidentified[server] = clock.VM.Now()
+}
+
+func (p *Pool) identifiesCalls(server string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, ok := p.unidentified[server]
+	return !ok || clock.VM.Now().Sub(at) >= echoTTL
+}
+
 // Probe opens a connection to a server and closes it again, to check that the server is
 // reachable.
 func Probe(ctx context.Context, address string) error {
@@ -224,9 +257,11 @@
 // Sweep closes idle connections whose time has expired.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
-	for server, at := range p.lastEcho {
-		if now.Sub(at) >= echoTTL {
-			delete(p.lastEcho, server)
+	for _, times := range []map[string]time.Time{p.lastEcho, p.unidentified} {
+		for server, at := range times {
+			if now.Sub(at) >= echoTTL {
+				delete(times, server)
+			}
 		}
 	}
 	var old []*conn
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -27,6 +27,19 @@
 	return r
 }
 
+// Kinds of calls whose answers have identifiers.
+const (
+	holdCall = "hold"
+	copyCall = "copy"
+)
+
+// identifiedCallTo returns a call whose answer has an identifier that the engine generates for it.
+func (n *generation) identifiedCallTo(s *dispatch.Server, c backend.Call, kind string, parse func(body []byte) string) backend.Request {
+	r := n.callTo(s, c)
+	r.Identity = &backend.Identity{Kind: kind, RequestID: n.q.id, Parse: parse}
+	return r
+}
+
 // detachedContext returns a context for a call that allocates something at an engine, which has to
 // be freed even if the caller disconnects meanwhile. It ends with the gateway, or after limit.
 func (g *Gateway) detachedContext(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -41,7 +41,11 @@
 	hctx, cancel := n.g.detachedContext(ctx, holdTimeout+holdRoundTrips*n.g.fleet.roundTrip(s.Zone))
 	defer cancel()
 	started := n.g.clock.Now()
-	r := n.callTo(s, p.ReserveHold(n.q.work.Prompt, min(n.pair.PrefillTime+holdMargin, engine.HoldMost)))
+	call := p.ReserveHold(n.q.work.Prompt, min(n.pair.PrefillTime+holdMargin, engine.HoldMost))
+	r := n.identifiedCallTo(s, call, holdCall, func(body []byte) string {
+		hold, _ := p.ParseHold(body)
+		return hold
+	})
 	res, body := n.g.exchange(hctx, n.q, s, r)
 	if res.kind == answered && res.status == http.StatusOK {
 		hold, err := p.ParseHold(body)
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -123,7 +123,7 @@
 	status, kv, err := n.requestCopy(ctx, m, true)
 	m.err = err
 	if kv.Handle == "" {
-		m.maybeStopped = status == 0 && backend.WasSent(err) || status == http.StatusOK
+		m.maybeStopped = status == 0 && backend.WasSent(err) || status == http.StatusOK || errors.Is(err, errUnidentifiedCopy)
 		return
 	}
 	m.kv, m.stopped = kv, true
@@ -145,7 +145,10 @@
 	ctx, cancel := n.g.detachedContext(ctx, limit)
 	defer cancel()
 	p := &n.g.cfg.Protocol
-	a, err := n.g.pool.Do(ctx, &p.Headers, n.callTo(&m.from, p.CopyRun(n.q.id, m.to.Address, stop)))
+	a, err := n.g.pool.Do(ctx, &p.Headers, n.identifiedCallTo(&m.from, p.CopyRun(n.q.id, m.to.Address, stop), copyCall, func(body []byte) string {
+		kv, _ := p.ParseKV(body)
+		return kv.Handle
+	}))
 	if err != nil {
 		return 0, backend.KV{}, err
 	}
@@ -154,12 +157,19 @@
 		return a.Status, backend.KV{}, err
 	}
 	kv, err := p.ParseKV(body)
-	if a.Status != http.StatusOK {
+	switch {
+	case a.Unidentified:
+		err = fmt.Errorf("%w: status %d", errUnidentifiedCopy, a.Status)
+	case a.Status != http.StatusOK:
 		err = fmt.Errorf("gateway: copy of a run: status %d", a.Status)
 	}
 	return a.Status, kv, err
 }
 
+// errUnidentifiedCopy: an answer without a handle came over a kept connection. If it was not that
+// to the call, the run may have been stopped.
+var errUnidentifiedCopy = errors.New("gateway: copy of a run: an answer without a handle")
+
 // relay relays an engine's stream, and those of the engines to which its run migrates. It returns
 // the last engine and its answer.
 func (n *generation) relay(ctx context.Context, s *dispatch.Server, a *backend.Answer) (*dispatch.Server, *backend.Answer, error) {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -50,6 +50,8 @@
 var (
 	ServerConnections = counter("ledgepin_server_connections_total",
 		"Connections opened to backend servers, by cause: once (the request may run only once), no_id (the call has no ID), same_id (all idle connections have carried the ID), none_idle.", "cause")
+	ServerRequests = counter("ledgepin_server_requests_total",
+		"Requests and calls sent to backend servers, by kind (request, once, hold, copy, call) and connection: kept or new.", "kind", "connection")
 	EvacuatedZones = gauge("ledgepin_evacuated_zones", "Availability zones whose servers get no new work.", "name")
 	Requests       = counter("ledgepin_requests_total",
 		"Requests by class and outcome: met (complete answer within both targets), late, or the code of the error.", "class", "outcome")
