--- a/control/hub.go
+++ b/control/hub.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/clock"
+	"github.com/ledgepin/ledgepin/demand"
 	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/ratelimit"
 	"github.com/ledgepin/ledgepin/registry"
@@ -84,6 +85,10 @@
 	// the engines for which that may be outdated.
 	sentToPeers     loadSummary
 	changedOwnLoads map[string]bool
+	// demandChanged is set if the demand of a gateway has changed since it was added up, and
+	// lastTurn is the last rank that was given to a gateway (gatewayState.turns).
+	demandChanged bool
+	lastTurn      int
 	// partitioned reports that this replica has no link to the majority of the replicas.
 	partitioned bool
 	// serversChanged reports that servers have changed since they were saved.
@@ -143,6 +148,10 @@
 	excluded map[string]time.Time
 	// queued is the number of the gateway's requests that wait for capacity.
 	queued int
+	// demand is what the gateway's callers request, and turns its rank among the gateways of this
+	// replica for each class with waiting requests.
+	demand []demand.Class
+	turns  map[demand.Key]int
 	// limitsSent reports that the gateway has received all limits and gets changes of them.
 	limitsSent bool
 }
@@ -204,6 +213,7 @@
 	if g := h.gateways[l]; g != nil {
 		h.setReserved(g, nil, false)
 		h.setQueued(g, 0)
+		h.setDemand(g, nil)
 		h.limits.broker.Forget(ratelimit.Requester{Name: g.id})
 		delete(h.gatewaysByID, g.id)
 	}
--- a/control/loads.go
+++ b/control/loads.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"github.com/ledgepin/ledgepin/demand"
 	"github.com/ledgepin/ledgepin/ratelimit"
 	"github.com/ledgepin/ledgepin/wire"
 )
@@ -16,6 +17,8 @@
 	// gateways is the number of gateways, queued that of their requests that wait for
 	// capacity.
 	gateways, queued int
+	// demand is what their callers request, by service and urgency.
+	demand []demand.Class
 }
 
 func newLoadSummary() loadSummary { return loadSummary{loads: map[string]wire.EngineLoad{}} }
@@ -31,7 +34,7 @@
 
 // fullMessage returns the message with all loads.
 func (s *loadSummary) fullMessage() *wire.Loads {
-	out := &wire.Loads{Gateways: s.gateways, Queued: s.queued, Whole: true}
+	out := &wire.Loads{Gateways: s.gateways, Queued: s.queued, Demand: s.demand, Whole: true}
 	for _, e := range s.loads {
 		out.List = append(out.List, e)
 	}
@@ -49,6 +52,7 @@
 	started := !g.reportsLoads && !m.Ended
 	h.setReserved(g, m.List, !m.Ended)
 	h.setQueued(g, m.Queued)
+	h.setDemand(g, m.Demand)
 	if started {
 		// The gateway may have moved here from another replica, whose updates of its
 		// servers have ended, so it gets all of them again.
@@ -126,7 +130,7 @@
 		s = &fresh
 		h.peerLoads[l] = s
 	}
-	s.gateways, s.queued = m.Gateways, m.Queued
+	s.gateways, s.queued, s.demand = m.Gateways, m.Queued, m.Demand
 	for _, e := range m.List {
 		h.addTotalLoad(e.Server, addLoad(e, s.loads[e.Server], -1))
 		s.set(e)
@@ -157,7 +161,8 @@
 // sendLoadsToPeers sends the other replicas what the gateways of this one have reserved,
 // where it has changed. Callers hold h.mu.
 func (h *hub) sendLoadsToPeers() {
-	out := &wire.Loads{Gateways: h.ownLoads.gateways, Queued: h.ownLoads.queued}
+	h.sumDemand()
+	out := &wire.Loads{Gateways: h.ownLoads.gateways, Queued: h.ownLoads.queued, Demand: h.ownLoads.demand}
 	for id := range h.changedOwnLoads {
 		load := h.ownLoads.loads[id]
 		load.Server = id
@@ -167,10 +172,10 @@
 		}
 	}
 	clear(h.changedOwnLoads)
-	if len(out.List) == 0 && out.Gateways == h.sentToPeers.gateways && out.Queued == h.sentToPeers.queued {
+	if len(out.List) == 0 && out.Gateways == h.sentToPeers.gateways && out.Queued == h.sentToPeers.queued && demand.Compare(h.sentToPeers.demand, out.Demand) == demand.Same {
 		return
 	}
-	h.sentToPeers.gateways, h.sentToPeers.queued = out.Gateways, out.Queued
+	h.sentToPeers.gateways, h.sentToPeers.queued, h.sentToPeers.demand = out.Gateways, out.Queued, out.Demand
 	frame, err := wire.Marshal(&wire.Message{Loads: out})
 	if err != nil {
 		return
@@ -197,11 +202,12 @@
 // replicas and be in use. Callers hold h.mu.
 func (h *hub) sendLoads() {
 	gateways, queued := h.totals()
+	shares := h.demandShares()
 	for l, g := range h.gateways {
 		if !g.reportsLoads {
 			continue
 		}
-		out := &wire.Loads{Gateways: gateways - 1, Queued: queued - g.queued, Whole: g.needsAllLoads}
+		out := &wire.Loads{Gateways: gateways - 1, Queued: queued - g.queued, Demand: shares.others(g), Whole: g.needsAllLoads}
 		if g.needsAllLoads {
 			for id := range h.totalLoads {
 				h.appendLoadUpdate(g, id, out)
@@ -211,8 +217,8 @@
 				h.appendLoadUpdate(g, id, out)
 			}
 		}
-		if g.needsAllLoads || len(out.List) > 0 || out.Gateways != g.sentLoads.gateways || out.Queued != g.sentLoads.queued {
-			g.needsAllLoads, g.sentLoads.gateways, g.sentLoads.queued = false, out.Gateways, out.Queued
+		if g.needsAllLoads || len(out.List) > 0 || out.Gateways != g.sentLoads.gateways || out.Queued != g.sentLoads.queued || demand.Compare(g.sentLoads.demand, out.Demand) != demand.Same {
+			g.needsAllLoads, g.sentLoads.gateways, g.sentLoads.queued, g.sentLoads.demand = false, out.Gateways, out.Queued, out.Demand
 			_ = l.Send(&wire.Message{Loads: out})
 		}
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"sort"
 	"time"
 
+	"github.com/ledgepin/ledgepin/demand"
 	"github.com/ledgepin/ledgepin/internal/stablehash"
 	"github.com/ledgepin/ledgepin/ratelimit"
 	"github.com/ledgepin/ledgepin/registry"
@@ -42,6 +43,9 @@
 	Gateways, Known int
 	// Queued is the number of their requests that wait for capacity.
 	Queued int
+	// Demand is what waits there and what has recently arrived, by service and urgency. Requests
+	// that are counted in Queued and not in Demand are of gateways of an older build.
+	Demand []demand.Class
 	// Loads is what they have reserved, by engine.
 	Loads map[string]Load
 	// Evidence is the outcomes of their recent requests, by server, where some failed.
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -27,11 +27,16 @@
 	// OverShare means that the request's organisation has recently used more than its share.
 	// The request then waits behind the others, and leaves some capacity to them.
 	OverShare bool
+	// Urgency is the rank of the request among those that wait.
+	Urgency route.Urgency
 }
 
 // currentTokens returns the size of the KV cache that the request has now.
 func (w Work) currentTokens() int { return w.Prompt + w.Generated }
 
+// FinalTokens returns the expected size of the KV cache at the end of the request.
+func (w Work) FinalTokens() int { return w.finalTokens() }
+
 // finalTokens returns the expected size of the KV cache at the end of the request.
 func (w Work) finalTokens() int { return w.Prompt + w.Expected }
 
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -1,23 +1,22 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
+	"github.com/ledgepin/ledgepin/demand"
 	"github.com/ledgepin/ledgepin/route"
 )
 
 // QueuedRequest is a request that waits for an engine with capacity.
 type QueuedRequest struct {
-	Priority int
-	Work     Work
-	Engine   *route.Engine
-	Avoid    Avoid
+	Work   Work
+	Engine *route.Engine
+	Avoid  Avoid
 }
 
-// Queue holds the requests of one gateway that wait for capacity, in order of priority;
-// within a priority, requests of organisations within their share come first, and then the
+// Queue holds the requests of one gateway that wait for capacity, in order of urgency;
+// within an urgency, requests of organisations within their share come first, and then the
 // order of arrival counts.
 type Queue struct {
 	list []*QueuedRequest
@@ -27,26 +26,44 @@
 func (q *Queue) Len() int { return len(q.list) }
 
 // CountWaiting returns the number of requests to a service that wait, and the priority of the
-// most urgent one.
+// most urgent one, which is that of its organisation.
 func (q *Queue) CountWaiting(service string) (n, priority int) {
 	for _, r := range q.list {
 		if r.Work.Service != service {
 			continue
 		}
 		if n == 0 {
-			priority = r.Priority
+			priority = r.Work.Urgency.Organisation
 		}
 		n++
 	}
 	return n, priority
 }
 
+// Demand returns the requests that wait, by service and urgency.
+func (q *Queue) Demand() []demand.Class {
+	var out []demand.Class
+	for _, r := range q.list {
+		k := demand.Key{Service: r.Work.Service, Urgency: r.Work.Urgency}
+		c := demand.Class{Service: k.Service, Organisation: k.Urgency.Organisation, Route: k.Urgency.Route}
+		i := slices.IndexFunc(out, func(o demand.Class) bool { return o.Key() == k })
+		if i < 0 {
+			i = len(out)
+			out = append(out, c)
+		}
+		out[i].Waiting++
+		out[i].WaitingTokens += r.Work.finalTokens()
+	}
+	return out
+}
+
 // Add adds a request to the queue.
 func (q *Queue) Add(r *QueuedRequest) {
 	at, _ := slices.BinarySearchFunc(q.list, r, func(a, b *QueuedRequest) int {
+		urgency := a.Work.Urgency.Compare(b.Work.Urgency)
 		switch {
-		case a.Priority != b.Priority:
-			return cmp.Compare(a.Priority, b.Priority)
+		case urgency != 0:
+			return urgency
 		case a.Work.OverShare && !b.Work.OverShare:
 			return 1
 		}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/clock"
+	"github.com/ledgepin/ledgepin/demand"
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/route"
 	"github.com/ledgepin/ledgepin/wire"
@@ -27,8 +28,10 @@
 	queue   dispatch.Queue
 	placed  map[*dispatch.QueuedRequest]chan dispatch.Pair
 	pending pendingLoads
-	limited limitedServers
-	paused  pausedServers
+	// arrivals measures the new requests.
+	arrivals demand.Meter
+	limited  limitedServers
+	paused   pausedServers
 	// updated is closed by the next report of servers; nil if no request waits for it.
 	updated chan struct{}
 }
@@ -241,6 +244,18 @@
 	f.view.CountRequest(now, service)
 }
 
+// countArrival counts a request that needs an engine, for the demand that gateways share.
+func (f *fleet) countArrival(w dispatch.Work) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.arrivals.Add(f.clock.Now(), demand.Key{Service: w.Service, Urgency: w.Urgency}, w.Prompt, w.FinalTokens())
+}
+
+// demand returns what this gateway's callers request. The caller holds f.mu.
+func (f *fleet) demand(now time.Time) []demand.Class {
+	return demand.Add(f.arrivals.List(now), f.queue.Demand())
+}
+
 // reserveRetries takes further sends from the retry budget of a service, and reports whether the
 // budget allows them.
 func (f *fleet) reserveRetries(service string, sends int) bool {
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -57,6 +57,7 @@
 func (g *Gateway) generate(ctx context.Context, w http.ResponseWriter, q *request) {
 	g.streams.Add(1)
 	defer g.streams.Add(-1)
+	g.fleet.countArrival(q.work)
 	n := &generation{g: g, q: q, stream: newStreamWriter(g, w, q)}
 	n.stream.onTokens = func(tokens int) { n.growReservation(ctx, tokens) }
 	n.stream.reserve = func(bytes int64) error { return reserveMemory(ctx, q.memory, bytes) }
@@ -113,7 +114,7 @@
 		if remaining, ok := n.g.fleet.minPauseRemaining(q.work, registry.Decode); ok && remaining > n.g.clock.Until(until) {
 			return false
 		}
-		waiting := &dispatch.QueuedRequest{Priority: q.organisation.PriorityFor(q.route), Work: q.work, Engine: q.service.Engine, Avoid: q.tried}
+		waiting := &dispatch.QueuedRequest{Work: q.work, Engine: q.service.Engine, Avoid: q.tried}
 		waiting.Work.OverShare = n.g.limits.overFairShare(q)
 		if !n.stream.started && q.route.Target > 0 {
 			waiting.Work.MaxPrefillTime = time.Duration(prefillDeadlineRatio*float64(q.route.Target)) - n.g.clock.Since(q.arrived)
--- a/gateway/hub.go
+++ b/gateway/hub.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/ledgepin/ledgepin/demand"
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/wire"
 )
@@ -12,10 +13,14 @@
 type otherGateways struct {
 	// from is the address of the replica.
 	from string
+	// receivedAt is when its last report was received.
+	receivedAt time.Time
 	// gateways is the number of gateways that it has received reports from.
 	gateways int
 	// queued is the number of their requests that wait for capacity.
 	queued int
+	// demand is what waits there and what has recently arrived, by service and urgency.
+	demand []demand.Class
 	// loads are their reservations by engine, and seen the recent outcomes of their requests by
 	// server.
 	loads map[string]dispatch.Load
@@ -33,7 +38,8 @@
 		l.others = otherGateways{from: address, loads: map[string]dispatch.Load{}, seen: map[string]dispatch.Evidence{}}
 	}
 	s := &l.others
-	s.gateways, s.queued = m.Gateways, m.Queued
+	s.receivedAt = l.g.clock.Now()
+	s.gateways, s.queued, s.demand = m.Gateways, m.Queued, m.Demand
 	for _, e := range m.List {
 		load := dispatch.Load{Tokens: e.Tokens, Prefill: e.Prefill, Runs: e.Runs, Held: e.Held}
 		if load == (dispatch.Load{}) {
@@ -53,12 +59,27 @@
 // updateOthers passes the number of gateways and the reservations of the others to the fleet. The
 // caller holds l.mu.
 func (l *links) updateOthers() {
-	gateways := l.countGateways(l.g.clock.Now())
+	now := l.g.clock.Now()
+	gateways, queued, list := l.countGateways(now), l.others.queued, l.others.demand
+	if l.demandExpired = l.expired(now); l.demandExpired {
+		queued, list = 0, nil
+	}
 	l.g.fleet.setOthers(dispatch.OtherGateways{
-		Gateways: gateways, Known: min(1+l.others.gateways, gateways), Queued: l.others.queued, Loads: maps.Clone(l.others.loads), Evidence: maps.Clone(l.others.seen),
+		Gateways: gateways, Known: min(1+l.others.gateways, gateways), Queued: queued, Demand: list, Loads: maps.Clone(l.others.loads), Evidence: maps.Clone(l.others.seen),
 	})
 }
 
+// demandValidity is how long what a replica has reported about waiting requests is valid without a
+// further message of it. Requests wait for some hundred milliseconds.
+const demandValidity = time.Second
+
+// expired reports whether what is known about the requests that wait at other gateways is outdated:
+// the replica that has reported it is silent or gone, and no other has reported since. The caller
+// holds l.mu.
+func (l *links) expired(now time.Time) bool {
+	return now.Sub(l.others.receivedAt) > demandValidity && (l.peers[l.others.from] == nil || l.peers[l.others.from].link == nil || now.Sub(l.peers[l.others.from].lastReceived) > demandValidity)
+}
+
 // Bounds of the number of gateways.
 const (
 	// minGateways is assumed while not all gateways are known.
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -46,7 +46,9 @@
 	// about the other gateways.
 	hub    string
 	others otherGateways
-	leader string
+	// demandExpired is set while what others reports about waiting requests is outdated.
+	demandExpired bool
+	leader        string
 	// limitShares are the shares of the limits received from the replica limitSharesFrom.
 	limitShares     quota.Share
 	limitSharesFrom string
@@ -307,6 +309,9 @@
 			l.sendHeartbeats()
 		}
 		hub := l.hubLink(now)
+		if l.demandExpired != l.expired(now) {
+			l.updateOthers()
+		}
 		l.mu.Unlock()
 		l.sendLimits(now, hub)
 		if hub == nil {
--- a/gateway/load_updates.go
+++ b/gateway/load_updates.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/ledgepin/ledgepin/demand"
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/wire"
 )
@@ -13,6 +14,8 @@
 	progressInterval = 160 * time.Millisecond
 	// outcomeInterval applies to successful requests: a fraction of the time for which they count.
 	outcomeInterval = 500 * time.Millisecond
+	// rateInterval applies to the rates of arrivals, which are averages over two seconds.
+	rateInterval = 500 * time.Millisecond
 )
 
 // pendingLoads is what has happened since the last update to the other gateways.
@@ -20,18 +23,22 @@
 	// changed is set if reservations have changed or requests have failed, grown if runs have
 	// progressed, and ended if requests have ended.
 	changed, grown, ended bool
-	// sentAt is when the last update was sent and queued the number of waiting requests in it;
-	// failures is set if it reported some, which have to be retracted.
+	// sentAt is when the last update was sent, and queued the number of waiting requests and
+	// demand the demand in it; failures is set if it reported some, which have to be retracted.
 	sentAt   time.Time
 	queued   int
+	demand   []demand.Class
 	failures bool
 }
 
-// due reports whether an update has to be sent, given the number of requests that wait now.
-func (p *pendingLoads) due(now time.Time, queued int) bool {
-	passed := now.Sub(p.sentAt)
+// due reports whether an update has to be sent, given the number of requests that wait now and the
+// demand.
+func (p *pendingLoads) due(now time.Time, queued int, list []demand.Class) bool {
+	passed, change := now.Sub(p.sentAt), demand.Compare(p.demand, list)
 	switch {
-	case p.changed, queued != p.queued:
+	case p.changed, queued != p.queued, change == demand.Waits:
+		return true
+	case change == demand.Rates && passed >= rateInterval:
 		return true
 	case p.grown && passed >= progressInterval:
 		return true
@@ -40,15 +47,16 @@
 }
 
 // pendingUpdate returns the update for the other gateways: this gateway's reservations, the number
-// of its waiting requests, and the recent outcomes of its requests; nil if nothing has to be sent.
+// of its waiting requests, the demand, and the recent outcomes of its requests; nil if nothing has to be sent.
 func (f *fleet) pendingUpdate(now time.Time) *wire.Loads {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.pending.due(now, f.queue.Len()) {
+	list := f.demand(now)
+	if !f.pending.due(now, f.queue.Len(), list) {
 		return nil
 	}
-	f.pending = pendingLoads{sentAt: now, queued: f.queue.Len()}
-	out := &wire.Loads{Queued: f.queue.Len()}
+	f.pending = pendingLoads{sentAt: now, queued: f.queue.Len(), demand: list}
+	out := &wire.Loads{Queued: f.queue.Len(), Demand: list}
 	loads, seen := f.view.Loads(), f.view.Evidence(now)
 	for id, e := range seen {
 		f.pending.failures = f.pending.failures || e.Bad > 0
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -141,7 +141,7 @@
 	}
 	if q.service.Engine != nil {
 		q.work = parseWork(h, r.Header, q.service)
-		q.work.Regions = regions
+		q.work.Regions, q.work.Urgency = regions, q.organisation.UrgencyFor(q.route)
 		q.resumed = r.Header.Get(h.LastEventID) != ""
 		if parse := g.cfg.Protocol.ParseParts; parse != nil {
 			q.parts = parse(r.Header.Get(h.PromptParts))
