--- a/gateway/hub.go
+++ b/gateway/hub.go
@@ -77,7 +77,11 @@
 // the replica that has reported it is silent or gone, and no other has reported since. The caller
 // holds l.mu.
 func (l *links) expired(now time.Time) bool {
-	return now.Sub(l.others.receivedAt) > demandValidity && (l.peers[l.others.from] == nil || l.peers[l.others.from].link == nil || now.Sub(l.peers[l.others.from].lastReceived) > demandValidity)
+	if l.others.from == "" || now.Sub(l.others.receivedAt) <= demandValidity {
+		return false
+	}
+	p := l.peers[l.others.from]
+	return p == nil || p.link == nil || now.Sub(p.lastReceived) > demandValidity
 }
 
 // Bounds of the number of gateways.
