--- a/replay/pattern.go
+++ b/replay/pattern.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"time"
@@ -54,6 +55,10 @@
 	For time.Duration `yaml:"for"`
 	// Rate is the number of new requests per second of all callers.
 	Rate float64 `yaml:"rate"`
+	// Prompt and Answer are the mean numbers of tokens of the phase in a simulation of roles; zero
+	// for those of the pattern.
+	Prompt int `yaml:"prompt"`
+	Answer int `yaml:"answer"`
 }
 
 // Hot is a time in which one organisation sends a multiple of its usual load, in addition to the
@@ -100,14 +105,19 @@
 }
 
 // rate returns the number of arrivals per second at a time.
-func (p *Pattern) rate(at time.Duration) float64 {
+func (p *Pattern) rate(at time.Duration) float64 { return p.phase(at).Rate }
+
+// phase returns the phase at a time, with the numbers of tokens of its requests.
+func (p *Pattern) phase(at time.Duration) Phase {
+	out := Phase{Prompt: p.Prompt, Answer: p.Answer}
 	for _, phase := range p.Load {
 		if at < phase.For {
-			return phase.Rate
+			out.Rate, out.Prompt, out.Answer = phase.Rate, cmp.Or(phase.Prompt, p.Prompt), cmp.Or(phase.Answer, p.Answer)
+			return out
 		}
 		at -= phase.For
 	}
-	return 0
+	return out
 }
 
 // extraShare returns the additional load of the hot organisation at a time, as a share of the
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -37,6 +37,8 @@
 	PrefillUtilization float64
 	DecodeUtilization  float64
 	WantPrefill        float64
+	// Work is the average of the arriving work; zero if the utilization decided.
+	Work Work
 }
 
 // Parameters of the planner.
@@ -88,6 +90,7 @@
 	// loaded reports whether there has been load since the start. Before that, no
 	// engine is in use, and several may change their roles at once.
 	loaded bool
+	work   arrivingWork
 }
 
 // Resume returns the planner of a leader that follows another one: it treats the present
@@ -103,16 +106,24 @@
 	prefill, decode, switching := byRole(engines)
 	if len(engines) != p.engineCount {
 		p.engineCount, p.changedAt = len(engines), now
+		p.work.changedAt = time.Time{}
 	}
-	p.loaded = p.loaded || p.decodeUtilization >= minUtilization
+	byWork := p.work.decides(now, len(prefill), len(decode))
+	p.loaded = p.loaded || p.decodeUtilization >= minUtilization || byWork
+	want := math.Max(p.wantPrefill(now, byWork, len(prefill), len(decode)), p.minPrefill(len(engines)))
 	if now.Sub(p.changedAt) < settlingTime || p.loaded && (switching || now.Sub(p.plannedAt) < minChangeInterval) {
 		return nil
 	}
-	want := math.Max(p.wantPrefill(len(prefill), len(decode)), p.minPrefill(len(engines)))
 	changes := p.changes(prefill, decode, want)
 	if len(changes) > 0 {
 		p.plannedAt = now
 	}
+	for i := range changes {
+		p.work.grown, p.work.changedAt = changes[i].Role == registry.Prefill, now
+		if byWork {
+			changes[i].Work = p.work.mean
+		}
+	}
 	return changes
 }
 
@@ -196,13 +207,17 @@
 }
 
 // wantPrefill returns the number of prefill engines at which both roles would reach full
-// utilization at the same load: it divides the engines as the work is divided.
-func (p *Planner) wantPrefill(prefill, decode int) float64 {
+// utilization at the same load: it divides the engines as the work is divided. The utilization
+// stands for the work only if gateways don't report the work.
+func (p *Planner) wantPrefill(now time.Time, byWork bool, prefill, decode int) float64 {
 	total := prefill + decode
 	if prefill == 0 {
 		return 1
 	}
-	if p.decodeUtilization < minUtilization {
+	if byWork {
+		return float64(p.work.wantPrefill(now, prefill, decode, int(p.minPrefill(total))))
+	}
+	if p.decodeUtilization < minUtilization || p.work.known(now) {
 		if p.loaded {
 			return float64(prefill) // keep the roles that the last load required
 		}
