--- a/demand/demand.go
+++ b/demand/demand.go
@@ -28,4 +28,9 @@
 	// Returns is the number of rejected callers that were told to retry in each interval of
 	// 250 ms from now on.
 	Returns []int `cbor:"10,keyasint,omitempty"`
+	// PrefillTime is the time in microseconds that prefill engines take for the prompts of a
+	// second. KVTokens is the size of the KV caches in tokens that the runs of the requests use at
+	// a time. Both cover only gateways that know how long engines take.
+	PrefillTime int `cbor:"11,keyasint,omitempty"`
+	KVTokens    int `cbor:"12,keyasint,omitempty"`
 }
