--- a/metric/metric.go
+++ b/metric/metric.go
@@ -49,7 +49,7 @@
 // Metrics of entries, agents, control and all processes.
 var (
 	ServerConnections = counter("ledgepin_server_connections_total",
-		"Connections opened to backend servers, by cause: once (the request may run only once), no_id (the call has no ID), same_id (all idle connections have carried the ID), none_idle.", "cause")
+		"Connections opened to backend servers, by cause: once (the request may run only once), no_id (the call has no ID), same_id (all idle connections have carried the ID, or calls whose late answers could be taken for this one), none_idle.", "cause")
 	ServerRequests = counter("ledgepin_server_requests_total",
 		"Requests and calls sent to backend servers, by kind (request, once, hold, copy, call) and connection: kept or new.", "kind", "connection")
 	EvacuatedZones = gauge("ledgepin_evacuated_zones", "Availability zones whose servers get no new work.", "name")
