--- a/dispatch/cold.go
+++ b/dispatch/cold.go
@@ -52,6 +52,7 @@
 func (f *Fleet) NoteSent(now time.Time, id string) {
 	if s := f.servers[id]; s != nil {
 		s.pause.BeginRequest(now)
+		f.noteProbe(now, s)
 		if f.IsCold(now, s) {
 			s.cold.lease.CountSent(now)
 		}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -65,6 +65,9 @@
 	ownEvidence evidence
 	OthersSeen  Evidence
 	ejection    ejection
+	// losses is what is known about the answers that the server has lost, in all its
+	// incarnations; nil if it has lost none recently.
+	losses *losses
 	// rank is the server's position in this gateway's order of the servers.
 	rank       uint64
 	reportedAt time.Time
@@ -134,6 +137,10 @@
 	// prefillRates is the rate of the prefill engines of each service, in prompt tokens a
 	// millisecond.
 	prefillRates map[string]float64
+	// losses holds the engines that have recently lost answers, by their stable names.
+	// lossChanges are the changes of their use that were not logged yet.
+	losses      map[string]*losses
+	lossChanges []LossChange
 }
 
 // SetGroupSize sets the number of servers of a service and role.
@@ -230,18 +237,21 @@
 
 // NewFleet returns a fleet without servers, for the gateway with the given name in a zone.
 func NewFleet(name, zone string) *Fleet {
-	return &Fleet{gatewayKey: stablehash.Name(name), servers: map[string]*Server{}, incarnations: registry.NewIncarnations(), groupSizes: map[group]int{}, prefillRates: map[string]float64{}, meters: map[string]*ratelimit.Meter{}, pendingLimits: map[string]ratelimit.Observation{}, roundTrips: map[string]time.Duration{}, Zone: zone, Others: OtherGateways{Gateways: 1, Known: 1}}
+	return &Fleet{gatewayKey: stablehash.Name(name), servers: map[string]*Server{}, incarnations: registry.NewIncarnations(), groupSizes: map[group]int{}, prefillRates: map[string]float64{}, losses: map[string]*losses{}, meters: map[string]*ratelimit.Meter{}, pendingLimits: map[string]ratelimit.Observation{}, roundTrips: map[string]time.Duration{}, Zone: zone, Others: OtherGateways{Gateways: 1, Known: 1}}
 }
 
 // SetOthers sets what is known about the other gateways, and ejects servers that fail by all
 // evidence.
 func (f *Fleet) SetOthers(now time.Time, o OtherGateways) {
+	sameGateways := o.Known == f.Others.Known
 	f.Others = o
 	for id, s := range f.servers {
 		s.Others = o.Loads[id]
 		s.OthersSeen = o.Evidence[id]
 	}
 	f.ejectFailing(now)
+	f.setOthersLost()
+	f.updateLosses(now, sameGateways)
 }
 
 // Get returns a server, or nil if it is not known.
@@ -288,6 +298,7 @@
 			out[id] = e
 		}
 	}
+	f.ownLost(now, out)
 	return out
 }
 
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -73,7 +73,7 @@
 
 // eligible reports whether an engine may be chosen at all.
 func (f *Fleet) eligible(now time.Time, s *Server, avoid Avoid) bool {
-	return !avoid[s.ID] && s.available(now) && !s.blocked(now) && s.pause.MayChoose(now) && f.coldAllows(now, s) && f.limitAllows(now, s)
+	return !avoid[s.ID] && s.available(now) && !s.blocked(now) && f.lossAllows(now, s) && s.pause.MayChoose(now) && f.coldAllows(now, s) && f.limitAllows(now, s)
 }
 
 type candidate struct {
--- a/dispatch/evidence.go
+++ b/dispatch/evidence.go
@@ -22,11 +22,14 @@
 	// Good and Bad count the requests that succeeded and that failed, Gateways the gateways
 	// at which some failed.
 	Good, Bad, Gateways int
+	// Lost counts the answers that the server lost, in all its incarnations, because of its
+	// connection or its process. They count as failed too.
+	Lost int
 }
 
 // Add returns the sum of e and o.
 func (e Evidence) Add(o Evidence) Evidence {
-	return Evidence{Good: e.Good + o.Good, Bad: e.Bad + o.Bad, Gateways: e.Gateways + o.Gateways}
+	return Evidence{Good: e.Good + o.Good, Bad: e.Bad + o.Bad, Gateways: e.Gateways + o.Gateways, Lost: e.Lost + o.Lost}
 }
 
 // Constants of evidence and ejection.
--- a/dispatch/exclusion.go
+++ b/dispatch/exclusion.go
@@ -28,7 +28,7 @@
 	// RuleLimited: the engine reports a limit of requests a second, and this gateway has no
 	// token.
 	RuleLimited Rule = "limited"
-	// RuleBlocked: the engine failed recently and is blocked.
+	// RuleBlocked: the engine failed recently and is blocked, or has lost answers and is ejected.
 	RuleBlocked Rule = "blocked"
 	// RuleSlots: all slots of the engine are in use.
 	RuleSlots Rule = "slots"
@@ -99,7 +99,7 @@
 		return RuleRegion
 	case !s.available(now):
 		return RuleLeaving
-	case s.blocked(now):
+	case s.blocked(now) || !f.lossAllows(now, s):
 		return RuleBlocked
 	case !s.pause.MayChoose(now):
 		return RulePause
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -15,6 +15,9 @@
 	Failure
 	// Unreachable is a connection that could not be opened.
 	Unreachable
+	// Lost is a Failure by a server that had accepted the request and whose answer was cut off:
+	// by a reset, by a close, or by the end of its process.
+	Lost
 	// Neutral shows nothing about the server: the caller disconnected.
 	Neutral
 )
@@ -77,6 +80,10 @@
 	if o == Success && !s.alive(now) {
 		f.groups = nil // the groups left it out
 	}
+	if o == Lost {
+		f.noteLost(now, s)
+		o = Failure
+	}
 	if o == Busy && s.pause.Active(now) {
 		// The server asked for a pause itself. Other gateways receive the refusal as a
 		// failure.
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -46,6 +46,7 @@
 		s = &Server{Server: r, reportedAt: reportedAt, rank: f.rank(r.ID), Others: f.Others.Loads[r.ID], OthersSeen: f.Others.Evidence[r.ID]}
 		s.gone = r.State == registry.Gone
 		s.evacuated, s.region = f.evacuated[r.Zone], f.regions[r.Zone]
+		s.losses = f.losses[r.StableName()]
 		s.setCold(reportedAt, r.Cold)
 		f.servers[r.ID] = s
 		f.applyPendingLimit(now, s)
@@ -220,4 +221,5 @@
 		}
 	}
 	f.incarnations.Sweep(now)
+	f.sweepLosses(now)
 }
--- a/replay/callers.go
+++ b/replay/callers.go
@@ -85,7 +85,11 @@
 		r := g.requests[i]
 		g.requests = slices.Delete(g.requests, i, i+1)
 		r.pair, r.placedAt, r.reserved = pair, s.now, w.Work
-		if !s.engines[pair.Decode.ID].reserve(r) {
+		e := s.engines[pair.Decode.ID]
+		if e.down || e.id != pair.Decode.ID {
+			g.fleet.NoteOutcome(s.now, pair.Decode.ID, dispatch.Unreachable, 0)
+		}
+		if !e.reserve(r) {
 			g.fleet.Release(pair.Decode.ID, r.reserved)
 			g.fleet.EndPrefill(pair.PrefillServer().ID, r.reserved)
 			w.Avoid[pair.Decode.ID] = true
--- a/replay/engine.go
+++ b/replay/engine.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"slices"
 	"time"
 )
 
@@ -9,11 +10,15 @@
 	req *request
 	// memory is the KV memory that it uses, in tokens, generated the tokens of its answer so far.
 	memory, generated float64
+	// cutAt is the number of tokens after which the answer is lost; zero if it isn't.
+	cutAt float64
 }
 
 // engine is a simulated model engine.
 type engine struct {
+	// id is the ID of the incarnation in use; down is set while there is none.
 	id      string
+	down    bool
 	pattern *Pattern
 	// prompts are the queued prompts. The first is being prefilled, with remaining tokens.
 	prompts   []*request
@@ -37,7 +42,7 @@
 
 // reserve reserves memory for a prompt and reports whether a slot and enough memory were free.
 func (e *engine) reserve(r *request) bool {
-	if len(e.runs)+len(e.reserved) >= e.pattern.Slots || e.memory()+float64(r.work.Prompt) > float64(e.pattern.KVTokens) {
+	if e.down || len(e.runs)+len(e.reserved) >= e.pattern.Slots || e.memory()+float64(r.work.Prompt) > float64(e.pattern.KVTokens) {
 		return false
 	}
 	e.reserved[r] = float64(r.work.Prompt)
@@ -78,6 +83,19 @@
 	e.runs = append(e.runs, &run{req: r, memory: float64(r.work.Prompt)})
 }
 
+// takeLost removes and returns the runs whose answers are lost now.
+func (e *engine) takeLost() []*run {
+	var lost []*run
+	e.runs = slices.DeleteFunc(e.runs, func(r *run) bool {
+		if !e.down && (r.cutAt == 0 || r.generated < r.cutAt) {
+			return false
+		}
+		lost = append(lost, r)
+		return true
+	})
+	return lost
+}
+
 // stepRuns generates tokens for a time. It returns the runs that ended, and the runs that were
 // preempted because the memory was full, the newest first.
 func (e *engine) stepRuns(d time.Duration) (ended, preempted []*run) {
--- a/replay/pattern.go
+++ b/replay/pattern.go
@@ -64,13 +64,19 @@
 	Times float64       `yaml:"times"`
 }
 
-// Fault is a time in which some decode engines fail requests right after they start.
+// Fault is a time in which some decode engines, the first ones, fail requests right after they
+// start, lose answers in the middle, or restart again and again.
 type Fault struct {
 	From    time.Duration `yaml:"from"`
 	For     time.Duration `yaml:"for"`
 	Engines int           `yaml:"engines"`
-	// Share is the share of requests that fail.
+	// Share is the share of requests that fail. Lost is the share of answers that are cut off
+	// after half of their tokens.
 	Share float64 `yaml:"share"`
+	Lost  float64 `yaml:"lost"`
+	// Period, if set, is the time for which the engines are down and then up, by turns. An engine
+	// that goes down loses all its runs, and comes back as another incarnation.
+	Period time.Duration `yaml:"period"`
 }
 
 // Read reads a pattern from a YAML file.
@@ -119,12 +125,15 @@
 	return (p.Hot.Times - 1) / float64(p.Organisations)
 }
 
-// failing returns the share of requests that a decode engine fails at a time.
-func (p *Pattern) failing(at time.Duration, engine int) float64 {
+// fault returns the fault of a decode engine at a time; the zero Fault if it has none.
+func (p *Pattern) fault(at time.Duration, engine int) Fault {
 	for _, f := range p.Faults {
 		if at >= f.From && at < f.From+f.For && engine < f.Engines {
-			return f.Share
+			return f
 		}
 	}
-	return 0
+	return Fault{}
 }
+
+// down reports whether an engine with a fault is down at a time.
+func (f Fault) down(at time.Duration) bool { return f.Period > 0 && (at-f.From)/f.Period%2 == 0 }
--- a/replay/progress.go
+++ b/replay/progress.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/registry"
 )
 
 // stepPrefills continues the prefills, transfers the KV caches of completed ones, and starts the
@@ -32,8 +33,16 @@
 func (s *simulation) startRun(r *request) {
 	id := r.pair.Decode.ID
 	e := s.engines[id]
+	if e.down || e.id != id {
+		s.startElsewhere(r)
+		return
+	}
 	e.startRun(r)
-	if s.rng.Float64() < s.pattern.failing(s.elapsed(), slices.Index(s.decode, e)) {
+	fault := s.pattern.fault(s.elapsed(), slices.Index(s.decode, e))
+	if fault.Lost > 0 && s.rng.Float64() < fault.Lost {
+		e.runs[len(e.runs)-1].cutAt = float64(r.answer) / 2
+	}
+	if s.rng.Float64() < fault.Share {
 		e.runs = e.runs[:len(e.runs)-1]
 		s.result.Wasted += r.work.Prompt
 		r.gateway.fleet.Release(id, r.reserved)
@@ -46,9 +55,64 @@
 	}
 }
 
+// startElsewhere has another engine take over a KV cache after the engine that was chosen has gone
+// down.
+func (s *simulation) startElsewhere(r *request) {
+	fleet, id := r.gateway.fleet, r.pair.Decode.ID
+	delete(s.engines[id].reserved, r)
+	fleet.NoteOutcome(s.now, id, dispatch.Unreachable, 0)
+	fleet.Release(id, r.reserved)
+	r.queued.Avoid[id] = true
+	next := fleet.ChooseDecode(s.now, r.reserved, s.engineRoute, "z", r.queued.Avoid)
+	if next == nil || !s.engines[next.ID].reserve(r) {
+		s.result.Wasted += r.work.Prompt
+		s.refuse(r)
+		return
+	}
+	fleet.Reserve(next.ID, r.reserved)
+	fleet.NoteSent(s.now, next.ID)
+	r.pair.Decode = next
+	s.transfers = append(s.transfers, transfer{r, s.now.Add(transferTime)})
+}
+
+// stepFaults takes engines down, and starts them again as later incarnations.
+func (s *simulation) stepFaults() {
+	for i, e := range s.decode {
+		down := s.pattern.fault(s.elapsed(), i).down(s.elapsed())
+		if down == e.down {
+			continue
+		}
+		e.down = down
+		if down {
+			s.loseRuns(e)
+			continue
+		}
+		at := slices.IndexFunc(s.reports, func(r registry.Server) bool { return r.ID == e.id })
+		r := &s.reports[at]
+		r.Name, r.Born = r.StableName(), s.now.UnixMilli()
+		r.ID = registry.IncarnationID(r.Name, r.Born)
+		e.id, s.engines[r.ID] = r.ID, e
+		for _, g := range s.gateways {
+			g.fleet.Update(s.now, s.reports[at:at+1])
+		}
+	}
+}
+
+// loseRuns ends the runs whose answers an engine loses.
+func (s *simulation) loseRuns(e *engine) {
+	for _, lost := range e.takeLost() {
+		fleet := lost.req.gateway.fleet
+		fleet.NoteOutcome(s.now, e.id, s.options.lossOutcome(), 0)
+		fleet.Release(e.id, lost.req.reserved)
+		s.result.Lost++
+		s.result.Wasted += lost.req.work.Prompt
+	}
+}
+
 // stepDecodes generates the tokens of one step.
 func (s *simulation) stepDecodes() {
 	for _, e := range s.decode {
+		s.loseRuns(e)
 		ended, preempted := e.stepRuns(step)
 		for _, done := range ended {
 			s.finishRun(e, done.req)
--- a/replay/result.go
+++ b/replay/result.go
@@ -10,7 +10,8 @@
 type Result struct {
 	// Callers is the number of callers. InTime of their requests had their first token within the
 	// target, counted from the first try, Late had it later, and Failed were failed by an engine.
-	Callers, InTime, Late, Failed int
+	// Lost counts the answers that an engine lost in the middle.
+	Callers, InTime, Late, Failed, Lost int
 	// Refused counts the refused tries, Preempted the runs that an engine preempted because its
 	// memory was full.
 	Refused, Preempted int
@@ -59,7 +60,7 @@
 
 // String returns one line of a table.
 func (r Result) String() string {
-	return fmt.Sprintf("in time %.3f  late %.3f  failed %.3f  refused tries %5d (queued %3.0f ms)  preempted %4d  wasted %7d tokens  first token median %4.0f ms, p99 %5.0f ms",
+	return fmt.Sprintf("in time %.3f  late %.3f  failed %.3f  lost %4d  refused tries %5d (queued %3.0f ms)  preempted %4d  wasted %7d tokens  first token median %4.0f ms, p99 %5.0f ms",
 		r.InTimeShare(), float64(r.Late)/float64(max(r.Callers, 1)), float64(r.Failed)/float64(max(r.Callers, 1)),
-		r.Refused, milliseconds(r.RefusedWait), r.Preempted, r.Wasted, milliseconds(r.Median), milliseconds(r.P99))
+		r.Lost, r.Refused, milliseconds(r.RefusedWait), r.Preempted, r.Wasted, milliseconds(r.Median), milliseconds(r.P99))
 }
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -62,6 +62,8 @@
 	Policy Policy
 	// NoFailureSharing disables the exchange of failures between gateways.
 	NoFailureSharing bool
+	// NoLossEjection counts a lost answer like any other failure.
+	NoLossEjection bool
 	// NoFairShare serves queued requests in order of arrival, whichever organisation sends them.
 	NoFairShare bool
 	// QueueTimeout returns how long a request waits for capacity; nil selects ledgepin's queue
@@ -69,6 +71,14 @@
 	QueueTimeout func(target time.Duration) time.Duration
 }
 
+// lossOutcome returns how gateways record a lost answer.
+func (o Options) lossOutcome() dispatch.Outcome {
+	if o.NoLossEjection {
+		return dispatch.Failure
+	}
+	return dispatch.Lost
+}
+
 // Policy chooses engines without regard to memory, as simple balancers do. It receives the number
 // of requests of each prefill and decode engine and returns the indices of the chosen ones.
 type Policy func(rng *rand.Rand, prefill, decode []int) (p, d int)
@@ -179,6 +189,7 @@
 	if s.elapsed()%loadExchangeInterval == 0 {
 		s.exchangeLoads()
 	}
+	s.stepFaults()
 	s.stepPrefills()
 	s.stepDecodes()
 	s.arrive()
@@ -191,7 +202,9 @@
 func (s *simulation) report() {
 	ids := make([]string, len(s.reports))
 	for i, r := range s.reports {
-		ids[i] = r.ID
+		if !s.engines[r.ID].down {
+			ids[i] = r.ID
+		}
 	}
 	for _, g := range s.gateways {
 		g.fleet.NoteHeartbeats(s.now, ids)
@@ -223,7 +236,7 @@
 		}
 		for id, e := range seen {
 			if !s.options.NoFailureSharing {
-				o.Evidence[id] = dispatch.Evidence{Good: e.Good - ownEvidence[id].Good, Bad: e.Bad - ownEvidence[id].Bad, Gateways: e.Gateways - ownEvidence[id].Gateways}
+				o.Evidence[id] = dispatch.Evidence{Good: e.Good - ownEvidence[id].Good, Bad: e.Bad - ownEvidence[id].Bad, Gateways: e.Gateways - ownEvidence[id].Gateways, Lost: e.Lost - ownEvidence[id].Lost}
 			}
 		}
 		g.fleet.SetOthers(s.now, o)
