--- a/control/loads.go
+++ b/control/loads.go
@@ -266,5 +266,6 @@
 	a.Good += sign * b.Good
 	a.Bad += sign * b.Bad
 	a.Witnesses += sign * b.Witnesses
+	a.Lost += sign * b.Lost
 	return a
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -200,6 +200,13 @@
 	ServerReportRefused = define("LP4013", warn, "report of a server refused",
 		"Data received as the report of a server is not used: it can't be read, is of an earlier incarnation than the known one, or states of a known incarnation what only another server can. One line a minute for each server and reason.",
 		"Check what writes at the address. An earlier incarnation whose server is up: its clock was set back between two starts; correct the clock and restart the server.")
+	EngineEjected = define("LP4014", warn, "engine ejected",
+		"An engine lost answers, lost of them in the last seconds at all gateways, because of its connection or its process. It gets no new work for ms milliseconds, twice as long as before if it has lost a probe, and then one probe at a time.",
+		"Check why the engine's process ends or its connections are reset.")
+	EngineProbed = define("LP4015", info, "probe sent to an engine",
+		"This gateway sent a request to an engine that was ejected because it had lost answers.", noAction)
+	EngineBack = define("LP4016", info, "engine back",
+		"The probe at an engine that was ejected because it had lost answers went well; the engine is used as before.", noAction)
 	ServerLeaving = define("LP4007", info, "server leaving",
 		"A backend server is leaving and gets no new work.", noAction)
 	ServerBorrowed = define("LP4011", info, "server borrowed",
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -214,7 +214,7 @@
 func (f *fleet) noteOutcomeLocked(id string, o dispatch.Outcome, took time.Duration) {
 	f.view.NoteOutcome(f.clock.Now(), id, o, took)
 	f.pending.ended = true
-	if o == dispatch.Failure || o == dispatch.Unreachable || o == dispatch.Busy && f.view.Paused(f.clock.Now(), id) {
+	if o == dispatch.Failure || o == dispatch.Lost || o == dispatch.Unreachable || o == dispatch.Busy && f.view.Paused(f.clock.Now(), id) {
 		f.pending.changed = true
 	}
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -198,6 +198,9 @@
 	case misdirected:
 		return dispatch.Neutral
 	}
+	if r.kind == broken && ctx.Err() == nil && wasCutOff(r.err) {
+		return dispatch.Lost
+	}
 	return dispatch.Failure
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -231,6 +231,7 @@
 			for _, s := range g.fleet.sweep(now) {
 				event.ServerPauseEnded.Log(g.log, "server", s.StableName(), "service", s.Service)
 			}
+			g.noteLossChanges(now)
 			g.contents.sweep(now)
 		}
 	}
--- a/gateway/hub.go
+++ b/gateway/hub.go
@@ -41,7 +41,7 @@
 		} else {
 			s.loads[e.Server] = load
 		}
-		seen := dispatch.Evidence{Good: e.Good, Bad: e.Bad, Gateways: e.Witnesses}
+		seen := dispatch.Evidence{Good: e.Good, Bad: e.Bad, Gateways: e.Witnesses, Lost: e.Lost}
 		if seen == (dispatch.Evidence{}) {
 			delete(s.seen, e.Server)
 		} else {
--- a/gateway/load_updates.go
+++ b/gateway/load_updates.go
@@ -51,7 +51,7 @@
 	out := &wire.Loads{Queued: f.queue.Len()}
 	loads, seen := f.view.Loads(), f.view.Evidence(now)
 	for id, e := range seen {
-		f.pending.failures = f.pending.failures || e.Bad > 0
+		f.pending.failures = f.pending.failures || e.Bad > 0 || e.Lost > 0
 		out.List = append(out.List, engineLoad(id, loads[id], e))
 	}
 	for id, l := range loads {
@@ -64,6 +64,6 @@
 
 func engineLoad(id string, l dispatch.Load, e dispatch.Evidence) wire.EngineLoad {
 	return wire.EngineLoad{
-		Server: id, Tokens: l.Tokens, Prefill: l.Prefill, Runs: l.Runs, Held: l.Held, Good: e.Good, Bad: e.Bad, Witnesses: e.Gateways,
+		Server: id, Tokens: l.Tokens, Prefill: l.Prefill, Runs: l.Runs, Held: l.Held, Good: e.Good, Bad: e.Bad, Witnesses: e.Gateways, Lost: e.Lost,
 	}
 }
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -27,7 +27,7 @@
 		if res.kind == answered {
 			res.kind = broken
 		}
-		g.fleet.noteOutcome(s.ID, outcomeOf(ctx, res), 0)
+		g.fleet.noteOutcome(s.ID, outcomeOf(pctx, res), 0)
 		return res
 	}
 	kv, err := g.cfg.Protocol.ParseKV(body)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -74,6 +74,7 @@
 	errEventsMissing = errors.New("gateway: events of the stream are missing")
 	errPartialEvent  = errors.New("gateway: the stream ended within an event")
 	errRunStopped    = errors.New("gateway: the run may have been stopped, so its stream is incomplete")
+	errCallerWrite   = errors.New("gateway: the caller does not read the stream")
 )
 
 // canResume reports whether the stream can continue at another engine after the events that the
@@ -225,9 +226,12 @@
 	}
 	s.setWriteDeadline()
 	if _, err := s.w.Write(data); err != nil {
-		return err
+		return fmt.Errorf("%w: %w", errCallerWrite, err)
 	}
-	return s.control.Flush()
+	if err := s.control.Flush(); err != nil {
+		return fmt.Errorf("%w: %w", errCallerWrite, err)
+	}
+	return nil
 }
 
 // setWriteDeadline bounds the time that the caller may take to read what is written next.
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -94,6 +94,7 @@
 	MemoryRefusals       = counter("ledgepin_memory_refusals_total", "Requests that a gateway refused since its buffers for callers had reached their limit.", "route")
 	OrganisationRequests = counter("ledgepin_organisation_requests_total",
 		"Requests of an organisation with a limit at a gateway, by outcome: taken (accepted), beyond its share (waiting for capacity, since the organisation has its fair share), or over its limit.", "organisation", "outcome")
+	LossEjectedEngines      = gauge("ledgepin_loss_ejected_engines", "Engines that a gateway sends nothing, or only probes, because they have lost answers.", "name")
 	LimitedServers          = gauge("ledgepin_limited_servers", "Servers with a known limit of requests per second.", "name")
 	ServerReports           = counter("ledgepin_server_reports_total", "Answers of any kind to a gateway in which a server reports something about itself, by field: limit, retry_after, leaving, cold.", "service", "field")
 	UnreadableServerReports = counter("ledgepin_server_reports_unread_total", "Answers to a gateway in which a server reports something about itself that can't be read, by field.", "service", "field")
