--- a/replay/engine.go
+++ b/replay/engine.go
@@ -9,6 +9,8 @@
 	req *request
 	// memory is the KV memory that it uses, in tokens, generated the tokens of its answer so far.
 	memory, generated float64
+	// migrating is true while it is being copied to another engine.
+	migrating bool
 }
 
 // engine is a simulated model engine.
@@ -21,6 +23,8 @@
 	runs      []*run
 	// reserved is the memory reserved for prompts that are being prefilled, in tokens.
 	reserved map[*request]float64
+	// preempted are the runs that wait for memory after a preemption.
+	preempted []*run
 }
 
 // memory returns the memory of the active runs and the reservations, in tokens.
@@ -36,11 +40,15 @@
 }
 
 // reserve reserves memory for a prompt and reports whether a slot and enough memory were free.
-func (e *engine) reserve(r *request) bool {
-	if len(e.runs)+len(e.reserved) >= e.pattern.Slots || e.memory()+float64(r.work.Prompt) > float64(e.pattern.KVTokens) {
+func (e *engine) reserve(r *request) bool { return e.reserveTokens(r, float64(r.work.Prompt)) }
+
+// reserveTokens reserves memory for a request and reports whether a slot and enough memory were
+// free.
+func (e *engine) reserveTokens(r *request, tokens float64) bool {
+	if len(e.preempted) > 0 || len(e.runs)+len(e.reserved) >= e.pattern.Slots || e.memory()+tokens > float64(e.pattern.KVTokens) {
 		return false
 	}
-	e.reserved[r] = float64(r.work.Prompt)
+	e.reserved[r] = tokens
 	return true
 }
 
@@ -101,4 +109,17 @@
 	return ended, preempted
 }
 
+// resumePreempted reserves memory for preempted runs, as far as it is free, and returns them.
+// Without PreemptedWait it does so for all.
+func (e *engine) resumePreempted() []*run {
+	var out []*run
+	for len(e.preempted) > 0 && (!e.pattern.PreemptedWait || e.memory()+e.preempted[0].memory <= float64(e.pattern.KVTokens)) {
+		r := e.preempted[0]
+		e.preempted = e.preempted[1:]
+		e.reserved[r.req] = float64(r.req.work.Prompt)
+		out = append(out, r)
+	}
+	return out
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/replay/pattern.go
+++ b/replay/pattern.go
@@ -28,6 +28,11 @@
 	ReadRate   float64 `yaml:"read_rate"`
 	Step       float64 `yaml:"step_ms"`
 	StepPerRun float64 `yaml:"step_per_run_ms"`
+	// Migrates lets runs migrate away from full engines.
+	Migrates bool `yaml:"migrates"`
+	// PreemptedWait lets preempted runs wait without memory until there is enough of it for them.
+	// Otherwise each keeps the memory of its prompt, and its engine preempts further runs.
+	PreemptedWait bool `yaml:"preempted_wait"`
 	// Prompt and Answer are the mean numbers of tokens, Spread is the standard deviation of the
 	// logarithm of the answer (half of it for the prompt), and Hint that of the callers' estimates
 	// of the answer.
@@ -87,7 +92,7 @@
 }
 
 func (p *Pattern) engine() *route.Engine {
-	return &route.Engine{Slots: p.Slots, KVTokens: p.KVTokens, KVHold: time.Second, EventTokens: eventTokens}
+	return &route.Engine{Slots: p.Slots, KVTokens: p.KVTokens, KVHold: time.Second, EventTokens: eventTokens, Migrates: p.Migrates}
 }
 
 // length returns the time in which requests arrive.
--- a/replay/progress.go
+++ b/replay/progress.go
@@ -54,19 +54,24 @@
 			s.finishRun(e, done.req)
 		}
 		for _, preemptedRun := range preempted {
-			// Its prompt is prefilled again at the same engine; its first token counts as late.
+			// Its prompt is prefilled again at the same engine once there is memory for it; its first
+			// token counts as late.
 			s.result.Wasted += int(preemptedRun.memory)
 			s.result.Preempted++
 			preemptedRun.req.firstTokenAt = preemptedRun.req.firstTryAt.Add(s.pattern.Deadline)
-			e.reserved[preemptedRun.req] = float64(preemptedRun.req.work.Prompt)
-			s.transfers = append(s.transfers, transfer{preemptedRun.req, s.now.Add(time.Duration(preemptedRun.memory / s.pattern.ReadRate * float64(time.Millisecond)))})
+			e.preempted = append(e.preempted, preemptedRun)
+		}
+		for _, r := range e.resumePreempted() {
+			s.transfers = append(s.transfers, transfer{r.req, s.now.Add(time.Duration(r.memory / s.pattern.ReadRate * float64(time.Millisecond)))})
 		}
 		for _, r := range e.runs {
 			if generated := int(r.generated); generated-r.req.reserved.Generated >= eventTokens {
 				r.req.reserved, _ = r.req.gateway.fleet.Grow(e.id, r.req.reserved, generated)
+				s.considerMigration(e, r)
 			}
 		}
 	}
+	s.stepMigrations()
 }
 
 // finishRun records a complete answer.
--- a/replay/result.go
+++ b/replay/result.go
@@ -14,6 +14,8 @@
 	// Refused counts the refused tries, Preempted the runs that an engine preempted because its
 	// memory was full.
 	Refused, Preempted int
+	// Migrated counts the migrations of runs to other engines.
+	Migrated int
 	// Wasted counts the prompt tokens that were prefilled in vain or repeatedly.
 	Wasted int
 	// Median and P99 are the 50th and 99th percentile of the time to the first token of the served
@@ -59,7 +61,7 @@
 
 // String returns one line of a table.
 func (r Result) String() string {
-	return fmt.Sprintf("in time %.3f  late %.3f  failed %.3f  refused tries %5d (queued %3.0f ms)  preempted %4d  wasted %7d tokens  first token median %4.0f ms, p99 %5.0f ms",
+	return fmt.Sprintf("in time %.3f  late %.3f  failed %.3f  refused tries %5d (queued %3.0f ms)  preempted %4d  migrated %4d  wasted %7d tokens  first token median %4.0f ms, p99 %5.0f ms",
 		r.InTimeShare(), float64(r.Late)/float64(max(r.Callers, 1)), float64(r.Failed)/float64(max(r.Callers, 1)),
-		r.Refused, milliseconds(r.RefusedWait), r.Preempted, r.Wasted, milliseconds(r.Median), milliseconds(r.P99))
+		r.Refused, milliseconds(r.RefusedWait), r.Preempted, r.Migrated, r.Wasted, milliseconds(r.Median), milliseconds(r.P99))
 }
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -89,6 +89,8 @@
 	// transfers are the requests that start a run later: after the transfer of their KV cache, or
 	// after a prefill that a preemption made necessary.
 	transfers []transfer
+	// migrations are the runs that are being copied to another engine.
+	migrations []migration
 	// retries are the refused requests whose callers send them again.
 	retries     []*request
 	dueArrivals float64
@@ -157,7 +159,7 @@
 		return true
 	}
 	for _, e := range s.engines {
-		if len(e.prompts)+len(e.runs)+len(e.reserved) > 0 {
+		if len(e.prompts)+len(e.runs)+len(e.reserved)+len(e.preempted) > 0 {
 			return true
 		}
 	}
