--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -134,6 +134,8 @@
 	// prefillRates is the rate of the prefill engines of each service, in prompt tokens a
 	// millisecond.
 	prefillRates map[string]float64
+	// tokenTimes is the observed time per generated token of a run, by service.
+	tokenTimes map[string]time.Duration
 }
 
 // SetGroupSize sets the number of servers of a service and role.
--- a/dispatch/draw.go
+++ b/dispatch/draw.go
@@ -36,6 +36,6 @@
 func (f *Fleet) freeSlots(s *Server, w Work, e *route.Engine) float64 {
 	memory := float64(e.KVTokens)
 	atEnd := (MemoryOvercommit*memory - float64(f.reservedTokens(s))) / float64(max(w.finalTokens(), 1))
-	now := (fullLevel*memory - float64(f.currentTokens(s))) / float64(max(w.currentTokens(), 1))
+	now := (f.fullLevel(s, e, 1)*memory - float64(f.currentTokens(s))) / float64(max(w.currentTokens(), 1))
 	return max(min(atEnd, now), 1)
 }
--- a/dispatch/migrate.go
+++ b/dispatch/migrate.go
@@ -15,15 +15,11 @@
 
 // Constants of migration.
 const (
-	// fullLevel is the share of an engine's memory from which on its runs migrate, with an
-	// urgency of minUrgency at first and 1 when it is full. The urgency is the number of runs
-	// that leave while each of them produces one event: the runs belong to many gateways,
-	// which receive each other's loads with a delay of some events.
-	fullLevel  = 0.90
-	minUrgency = 0.25
-	// targetLevel is the largest share of an engine's memory that its current tokens may fill
-	// when a run migrates there.
-	targetLevel = 0.80
+	// initialUrgency is the least urgency of migrations from a full engine. The urgency rises
+	// to 1 until its memory is full. It is the number of runs that leave while each of them
+	// produces one event: the runs belong to many gateways, which receive each other's loads
+	// with a delay of some events.
+	initialUrgency = 0.25
 	// leavingMigrationTime is the time in which runs migrate away from a leaving engine. A
 	// run whose migration fails goes back there, which must happen before the engine accepts
 	// no more.
@@ -54,10 +50,11 @@
 		return Stay
 	}
 	runs, level := s.Own.Runs+s.Others.Runs, float64(f.currentTokens(s))/float64(e.KVTokens)
-	if runs < 2 || level < fullLevel {
+	full := f.fullLevel(s, e, 0)
+	if runs < 2 || level < full {
 		return Stay
 	}
-	urgency := min(max((level-fullLevel)/(1-fullLevel), minUrgency), 1)
+	urgency := min(max((level-full)/(1-full), f.minUrgency(s, e)), 1)
 	if draw*float64(runs) < urgency {
 		return Full
 	}
@@ -75,7 +72,7 @@
 	remaining := Work{Service: w.Service, Regions: w.Regions, Prompt: w.currentTokens(), Expected: max(w.Expected-w.Generated, 0)}
 	byProximity := map[Proximity][]*Server{}
 	f.search(now, w.Service, registry.Decode, func(to *Server) bool {
-		if to.ID == from || !f.eligibleFor(now, to, remaining, nil) || !f.fits(to, remaining, e) || !f.fitsNow(to, remaining, e, targetLevel) {
+		if to.ID == from || !f.eligibleFor(now, to, remaining, nil) || !f.fits(to, remaining, e) || !f.fitsNow(to, remaining, e, f.targetLevel(to, e)) {
 			return false
 		}
 		proximity := f.proximity(s.Zone, to.Zone)
--- a/replay/progress.go
+++ b/replay/progress.go
@@ -80,6 +80,9 @@
 	g.fleet.Release(e.id, r.reserved)
 	g.fleet.NoteOutcome(s.now, e.id, dispatch.Success, s.now.Sub(r.placedAt))
 	g.times.Note(s.now.Sub(r.arrived), max(r.firstTokenAt.Sub(r.placedAt), 0), s.now.Sub(r.firstTokenAt), r.answer)
+	if !s.options.FixedLevel {
+		g.fleet.SetTokenTime(service, g.times.Token)
+	}
 	took := r.firstTokenAt.Sub(r.firstTryAt)
 	s.firstTokenTimes = append(s.firstTokenTimes, took)
 	if took <= s.pattern.Target {
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -64,6 +64,8 @@
 	NoFailureSharing bool
 	// NoFairShare serves queued requests in order of arrival, whichever organisation sends them.
 	NoFairShare bool
+	// FixedLevel lets runs fill the same share of each engine's memory, however fast they grow.
+	FixedLevel bool
 	// QueueTimeout returns how long a request waits for capacity; nil selects ledgepin's queue
 	// timeout.
 	QueueTimeout func(target time.Duration) time.Duration
