--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -264,6 +264,13 @@
 	return f.view.Exclusion(f.clock.Now(), w, e)
 }
 
+// meanFullLevel returns the mean share of the memory of a service's engines that runs may fill.
+func (f *fleet) meanFullLevel(s *route.Service) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.MeanFullLevel(f.clock.Now(), s.Name, s.Engine)
+}
+
 // notePrefill records how long an engine took to prefill a prompt.
 func (f *fleet) notePrefill(id string, took time.Duration, tokens int) {
 	f.mu.Lock()
@@ -371,6 +378,7 @@
 	r := f.runTimes[service]
 	r.Note(total, first, answer, tokens)
 	f.runTimes[service] = r
+	f.view.SetTokenTime(service, r.Token)
 }
 
 // timePerToken returns the recent time per generated token; zero if unknown.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -319,8 +319,15 @@
 	return d
 }
 
-// Collect updates the gauge of held bytes when the metrics are read. It implements the process
+// Collect updates the gauges of held bytes and of full levels when the metrics are read. It implements the process
 // interface of the operator endpoint; the other metrics of a gateway are updated as they change.
 func (g *Gateway) Collect() {
 	metric.HeldBytes.WithLabelValues(g.cfg.Name).Set(float64(g.memory.Held()))
+	if t := g.table.Load(); t != nil {
+		for _, s := range t.Services {
+			if s.Engine != nil {
+				metric.FullLevel.WithLabelValues(g.cfg.Name, s.Name).Set(g.fleet.meanFullLevel(&s))
+			}
+		}
+	}
 }
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"time"
 
@@ -252,7 +253,7 @@
 	if !q.mayHaveRun {
 		r := g.fleet.exclusion(q.work, q.service.Engine)
 		event.NoCapacity.Log(g.log, "id", q.id, "rule", string(r.Rule), "prompt", q.work.Prompt, "expected", q.work.Expected, "engines", r.Engines,
-			"ruled", r.Count, "read_ms", r.MinPrefillTime.Milliseconds(), "queued", r.Queued, "gateways_known", r.Known, "gateways", r.Gateways,
+			"ruled", r.Count, "level", math.Round(100*g.fleet.meanFullLevel(q.service))/100, "read_ms", r.MinPrefillTime.Milliseconds(), "queued", r.Queued, "gateways_known", r.Known, "gateways", r.Gateways,
 			"waited_ms", g.clock.Since(q.arrived).Milliseconds(), "prefills", n.prefills, "decodes", n.decodes)
 		after := g.fleet.retryAfter(q.service.Name, r.MinPrefillTime)
 		if remaining, ok := g.fleet.minPauseRemaining(q.work, registry.Decode); ok {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -91,6 +91,7 @@
 	WastedPromptTokens   = counter("ledgepin_wasted_prompt_tokens_total", "Tokens of prompts that were read and whose answer was not completed, by cause.", "service", "cause")
 	CachedPromptTokens   = counter("ledgepin_kept_prompt_tokens_total", "Tokens of repeated prompts that were placed at an engine that has them cached.", "service")
 	HeldBytes            = gauge("ledgepin_held_bytes", "Bytes that a gateway buffers for callers: bodies, answers and streams.", "name")
+	FullLevel            = gauge("ledgepin_full_level", "Mean share of an engine's memory up to which a gateway places runs, and above which runs migrate away.", "name", "service")
 	MemoryRefusals       = counter("ledgepin_memory_refusals_total", "Requests that a gateway refused since its buffers for callers had reached their limit.", "route")
 	OrganisationRequests = counter("ledgepin_organisation_requests_total",
 		"Requests of an organisation with a limit at a gateway, by outcome: taken (accepted), beyond its share (waiting for capacity, since the organisation has its fair share), or over its limit.", "organisation", "outcome")
