--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -148,6 +148,8 @@
 	// lossChanges are the changes of their use that were not logged yet.
 	losses      map[string]*losses
 	lossChanges []LossChange
+	// tokenTimes is the observed time per generated token of a run, by service.
+	tokenTimes map[string]time.Duration
 }
 
 // SetGroupSize sets the number of servers of a service and role.
--- a/replay/progress.go
+++ b/replay/progress.go
@@ -118,19 +118,24 @@
 			s.finishRun(e, done.req)
 		}
 		for _, preemptedRun := range preempted {
-			// Its prompt is prefilled again at the same engine; its first token counts as late.
+			// Its prompt is prefilled again at the same engine once there is memory for it; its first
+			// token counts as late.
 			s.result.Wasted += int(preemptedRun.memory)
 			s.result.Preempted++
 			preemptedRun.req.firstTokenAt = preemptedRun.req.firstTryAt.Add(s.pattern.Deadline)
-			e.reserved[preemptedRun.req] = float64(preemptedRun.req.work.Prompt)
-			s.transfers = append(s.transfers, transfer{preemptedRun.req, s.now.Add(time.Duration(preemptedRun.memory / s.pattern.ReadRate * float64(time.Millisecond)))})
+			e.preempted = append(e.preempted, preemptedRun)
+		}
+		for _, r := range e.resumePreempted() {
+			s.transfers = append(s.transfers, transfer{r.req, s.now.Add(time.Duration(r.memory / s.pattern.ReadRate * float64(time.Millisecond)))})
 		}
 		for _, r := range e.runs {
 			if generated := int(r.generated); generated-r.req.reserved.Generated >= eventTokens {
 				r.req.reserved, _ = r.req.gateway.fleet.Grow(e.id, r.req.reserved, generated)
+				s.considerMigration(e, r)
 			}
 		}
 	}
+	s.stepMigrations()
 }
 
 // finishRun records a complete answer.
@@ -139,6 +144,9 @@
 	g.fleet.Release(e.id, r.reserved)
 	g.fleet.NoteOutcome(s.now, e.id, dispatch.Success, s.now.Sub(r.placedAt))
 	g.times.Note(s.now.Sub(r.arrived), max(r.firstTokenAt.Sub(r.placedAt), 0), s.now.Sub(r.firstTokenAt), r.answer)
+	if !s.options.FixedLevel {
+		g.fleet.SetTokenTime(service, g.times.Token)
+	}
 	took := r.firstTokenAt.Sub(r.firstTryAt)
 	s.firstTokenTimes = append(s.firstTokenTimes, took)
 	if took <= s.pattern.Target {
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -66,6 +66,8 @@
 	NoLossEjection bool
 	// NoFairShare serves queued requests in order of arrival, whichever organisation sends them.
 	NoFairShare bool
+	// FixedLevel lets runs fill the same share of each engine's memory, however fast they grow.
+	FixedLevel bool
 	// QueueTimeout returns how long a request waits for capacity; nil selects ledgepin's queue
 	// timeout.
 	QueueTimeout func(target time.Duration) time.Duration
@@ -99,6 +101,8 @@
 	// transfers are the requests that start a run later: after the transfer of their KV cache, or
 	// after a prefill that a preemption made necessary.
 	transfers []transfer
+	// migrations are the runs that are being copied to another engine.
+	migrations []migration
 	// retries are the refused requests whose callers send them again.
 	retries     []*request
 	dueArrivals float64
@@ -167,7 +171,7 @@
 		return true
 	}
 	for _, e := range s.engines {
-		if len(e.prompts)+len(e.runs)+len(e.reserved) > 0 {
+		if len(e.prompts)+len(e.runs)+len(e.reserved)+len(e.preempted) > 0 {
 			return true
 		}
 	}
