--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -138,6 +138,8 @@
 	// prefillRates is the rate of the prefill engines of each service, in prompt tokens a
 	// millisecond.
 	prefillRates map[string]float64
+	// headroom is what requests to each service leave free for more urgent ones.
+	headroom map[string]Headroom
 }
 
 // SetGroupSize sets the number of servers of a service and role.
@@ -234,7 +236,7 @@
 
 // NewFleet returns a fleet without servers, for the gateway with the given name in a zone.
 func NewFleet(name, zone string) *Fleet {
-	return &Fleet{gatewayKey: stablehash.Name(name), servers: map[string]*Server{}, incarnations: registry.NewIncarnations(), groupSizes: map[group]int{}, prefillRates: map[string]float64{}, meters: map[string]*ratelimit.Meter{}, pendingLimits: map[string]ratelimit.Observation{}, roundTrips: map[string]time.Duration{}, Zone: zone, Others: OtherGateways{Gateways: 1, Known: 1}}
+	return &Fleet{gatewayKey: stablehash.Name(name), servers: map[string]*Server{}, incarnations: registry.NewIncarnations(), groupSizes: map[group]int{}, prefillRates: map[string]float64{}, headroom: map[string]Headroom{}, meters: map[string]*ratelimit.Meter{}, pendingLimits: map[string]ratelimit.Observation{}, roundTrips: map[string]time.Duration{}, Zone: zone, Others: OtherGateways{Gateways: 1, Known: 1}}
 }
 
 // SetOthers sets what is known about the other gateways, and ejects servers that fail by all
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -29,6 +29,9 @@
 	OverShare bool
 	// Urgency is the rank of the request among those that wait.
 	Urgency route.Urgency
+	// headroom is the share of the engines' memory that the request leaves free for more urgent
+	// ones.
+	headroom float64
 }
 
 // currentTokens returns the size of the KV cache that the request has now.
@@ -150,12 +153,14 @@
 // the queues of many gateways are too short.
 const overShareMax = 0.8
 
-// maxShare returns the share of an engine's capacity that a request may fill.
+// maxShare returns the share of an engine's capacity that a request may fill. What a request
+// over its organisation's share leaves free is enough for more urgent ones too.
 func (f *Fleet) maxShare(w Work) float64 {
+	share := 1 - w.headroom
 	if w.OverShare {
-		return overShareMax
+		share = min(share, overShareMax)
 	}
-	return 1
+	return share
 }
 
 // Reserve reserves capacity for a run at a decode engine.
--- a/dispatch/exclusion.go
+++ b/dispatch/exclusion.go
@@ -36,6 +36,8 @@
 	RuleMemoryNow Rule = "memory now"
 	// RuleMemory: the runs of the engine would fill its memory before their end.
 	RuleMemory Rule = "memory"
+	// RuleHeadroom: the engine has capacity, which is left free for more urgent requests.
+	RuleHeadroom Rule = "headroom"
 	// RuleOtherGateway: the engine has capacity, but other gateways have requests waiting and
 	// this gateway has lost the draw.
 	RuleOtherGateway Rule = "turn"
@@ -68,6 +70,7 @@
 		Rule: RuleNoEngine, Count: map[Rule]int{}, MinPrefillTime: f.minPrefillTime(now, w),
 		Queued: f.Others.Queued, Known: f.Others.Known, Gateways: f.Others.Gateways,
 	}
+	w = f.withHeadroom(w)
 	f.visit(f.group(now, w.Service, registry.Decode), maxChoices, func(s *Server) {
 		out.Engines++
 		out.Count[f.excludingRule(now, s, w, e)]++
@@ -82,7 +85,7 @@
 			out.Count[RulePause]++
 		}
 	}
-	for _, r := range []Rule{RuleRegion, RuleEvacuated, RuleLeaving, RuleCold, RulePause, RuleLimited, RuleBlocked, RuleSlots, RuleMemoryNow, RuleMemory, RuleOtherGateway, RuleLatePrefill} {
+	for _, r := range []Rule{RuleRegion, RuleEvacuated, RuleLeaving, RuleCold, RulePause, RuleLimited, RuleBlocked, RuleSlots, RuleMemoryNow, RuleMemory, RuleHeadroom, RuleOtherGateway, RuleLatePrefill} {
 		if out.Count[r] > 0 {
 			out.Rule = r
 		}
@@ -109,6 +112,11 @@
 		return RuleLimited
 	}
 	if shortage := f.shortage(s, w, e); shortage != "" {
+		urgent := w
+		urgent.headroom = 0
+		if f.fits(s, urgent, e) {
+			return RuleHeadroom
+		}
 		return shortage
 	}
 	if !f.winsDraw(now, s, w, e) {
--- a/dispatch/prefill.go
+++ b/dispatch/prefill.go
@@ -61,6 +61,7 @@
 	prefill := map[string]candidate{}
 	decode := map[string]candidate{}
 	var single candidate
+	w = f.withHeadroom(w)
 	f.searchCached(now, w, registry.Prefill, func(s *Server) bool {
 		if !f.eligibleFor(now, s, w, avoid) {
 			return false
--- a/dispatch/queuetimeout.go
+++ b/dispatch/queuetimeout.go
@@ -77,6 +77,16 @@
 // expectedWait returns the expected time until as many runs have ended as requests wait here
 // and at other gateways, including the next one.
 func (f *Fleet) expectedWait(service string, waiting int, r RunTimes) time.Duration {
+	rate := f.EndRate(service, r)
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(waiting+1) / rate * float64(time.Second))
+}
+
+// EndRate returns the expected number of runs of a service that end per second at all gateways;
+// zero if no run has ended yet.
+func (f *Fleet) EndRate(service string, r RunTimes) float64 {
 	if r.Total <= 0 {
 		return 0
 	}
@@ -90,6 +100,13 @@
 	}
 	// Of a large group this gateway knows a subset.
 	known := len(f.groups[decode]) + f.excluded[decode]
-	total := float64(runs) * float64(max(f.groupSizes[decode], known)) / float64(known)
-	return time.Duration(float64(waiting+1) / total * float64(r.Total))
+	total := float64(runs) * float64(f.groupSize(service, registry.Decode)) / float64(known)
+	return total / r.Total.Seconds()
+}
+
+// groupSize returns the number of servers of a service and role, including servers that this
+// gateway does not work with.
+func (f *Fleet) groupSize(service, role string) int {
+	g := group{service, role}
+	return max(f.groupSizes[g], len(f.groups[g])+f.excluded[g])
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -23,6 +23,10 @@
 	budgets map[string]*dispatch.Budget
 	// runTimes are the recent durations of runs, by service.
 	runTimes map[string]dispatch.RunTimes
+	// engines are the engines of each service that has some. headrooms are the services at which
+	// requests leave capacity free for more urgent ones.
+	engines   map[string]*route.Engine
+	headrooms map[string]bool
 	// queue holds the requests that wait for capacity; placed has the channel on which each gets
 	// its engines.
 	queue   dispatch.Queue
@@ -42,7 +46,7 @@
 	}
 	view := dispatch.NewFleet(name, zone)
 	view.SetRegions(regions)
-	return &fleet{clock: c, view: view, bounds: bounds, budgets: map[string]*dispatch.Budget{}, runTimes: map[string]dispatch.RunTimes{}, paused: pausedServers{logged: map[string]bool{}}, placed: map[*dispatch.QueuedRequest]chan dispatch.Pair{}}
+	return &fleet{clock: c, view: view, bounds: bounds, budgets: map[string]*dispatch.Budget{}, runTimes: map[string]dispatch.RunTimes{}, headrooms: map[string]bool{}, paused: pausedServers{logged: map[string]bool{}}, placed: map[*dispatch.QueuedRequest]chan dispatch.Pair{}}
 }
 
 // budget returns the retry budget of a service. The caller holds f.mu.
@@ -345,13 +349,17 @@
 	f.serveQueue()
 }
 
-// setColdSettings sets how the services of a table treat their cold servers.
-func (f *fleet) setColdSettings(services []route.Service) {
+// setServices sets the engines of the services of a table, and how they treat their cold servers.
+func (f *fleet) setServices(services []route.Service) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := map[string]dispatch.ColdSettings{}
+	f.engines = map[string]*route.Engine{}
 	for _, s := range services {
 		out[s.Name] = dispatch.ColdSettings{Bounded: s.ColdRate > 0, Duration: s.ColdStart}
+		if s.Engine != nil {
+			f.engines[s.Name] = s.Engine
+		}
 	}
 	f.view.SetColdSettings(out)
 }
--- /dev/null
+++ b/gateway/headroom.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/metric"
+)
+
+// updateHeadroom updates the share of the engines' memory that requests leave free for more urgent
+// ones, by the demand of all gateways.
+func (f *fleet) updateHeadroom(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	own := f.demand(now)
+	for service, e := range f.engines {
+		h := f.view.UpdateHeadroom(now, service, e, own, f.runTimes[service])
+		if len(h) > 0 || f.headrooms[service] {
+			showHeadroom(service, h)
+		}
+		f.headrooms[service] = len(h) > 0
+	}
+}
+
+// showHeadroom sets the metric of a service.
+func showHeadroom(service string, h dispatch.Headroom) {
+	metric.HeadroomShare.DeletePartialMatch(prometheus.Labels{"service": service})
+	for _, step := range h {
+		u := step.Urgency
+		metric.HeadroomShare.WithLabelValues(service, strconv.Itoa(u.Organisation), strconv.Itoa(u.Route)).Set(h.For(u))
+	}
+}
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -313,6 +313,7 @@
 			l.updateOthers()
 		}
 		l.mu.Unlock()
+		l.g.fleet.updateHeadroom(now)
 		l.sendLimits(now, hub)
 		if hub == nil {
 			return
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -92,6 +92,7 @@
 	CachedPromptTokens   = counter("ledgepin_kept_prompt_tokens_total", "Tokens of repeated prompts that were placed at an engine that has them cached.", "service")
 	HeldBytes            = gauge("ledgepin_held_bytes", "Bytes that a gateway buffers for callers: bodies, answers and streams.", "name")
 	MemoryRefusals       = counter("ledgepin_memory_refusals_total", "Requests that a gateway refused since its buffers for callers had reached their limit.", "route")
+	HeadroomShare        = gauge("ledgepin_headroom_share", "Share of the memory of decode engines that new requests leave free for more urgent ones, by the priorities of their organisation and route.", "service", "organisation_priority", "priority")
 	OrganisationRequests = counter("ledgepin_organisation_requests_total",
 		"Requests of an organisation with a limit at a gateway, by outcome: taken (accepted), beyond its share (waiting for capacity, since the organisation has its fair share), or over its limit.", "organisation", "outcome")
 	LimitedServers          = gauge("ledgepin_limited_servers", "Servers with a known limit of requests per second.", "name")
