--- a/dispatch/headroom.go
+++ b/dispatch/headroom.go
@@ -95,12 +95,11 @@
 			all[i].Tokens *= f.Others.Gateways
 		}
 	}
-	f.group(now, service, registry.Decode) // rebuilds outdated groups
-	engines := f.groupSize(service, registry.Decode)
 	within := viewAge
-	if rate := f.EndRate(service, r); rate > 0 {
+	if rate := f.EndRate(now, service, r); rate > 0 {
 		within += time.Duration(float64(time.Second) / rate)
 	}
+	engines := f.groupSize(service, registry.Decode)
 	h := NewHeadroom(all, within, float64(engines)*float64(e.KVTokens))
 	if len(h) <= 1 {
 		delete(f.headroom, service) // without two urgencies no request has a more urgent one
--- a/dispatch/queuetimeout.go
+++ b/dispatch/queuetimeout.go
@@ -51,6 +51,12 @@
 	}
 }
 
+// firstEvent returns the time from placement in which a request whose prompt is prefilled in a
+// given time gets its first event, in nearly all cases.
+func (r RunTimes) firstEvent(prefill time.Duration) time.Duration {
+	return max(r.First+deviationFactor*r.FirstDeviation, prefill+milliseconds(handoverCost))
+}
+
 // contendedTimeout is the queue timeout while other requests wait too: a few draws for free
 // slots (see winsDraw), enough for free capacity to be used at once. A request that waited
 // for as long as its target allows would take that capacity from a new one, which has all of
@@ -62,7 +68,7 @@
 // others do, and zero if so many wait before it that it is unlikely to be served in time.
 // ahead is the number of requests that wait at this gateway.
 func (f *Fleet) QueueTimeout(now time.Time, w Work, within time.Duration, ahead int, r RunTimes) time.Duration {
-	first := max(r.First+deviationFactor*r.FirstDeviation, f.minPrefillTime(now, w)+milliseconds(handoverCost))
+	first := r.firstEvent(f.minPrefillTime(now, w))
 	limit := max(within-first, 0)
 	waiting := f.Others.Queued + ahead
 	switch {
@@ -77,7 +83,7 @@
 // expectedWait returns the expected time until as many runs have ended as requests wait here
 // and at other gateways, including the next one.
 func (f *Fleet) expectedWait(service string, waiting int, r RunTimes) time.Duration {
-	rate := f.EndRate(service, r)
+	rate := f.endRate(service, r)
 	if rate <= 0 {
 		return 0
 	}
@@ -86,7 +92,12 @@
 
 // EndRate returns the expected number of runs of a service that end per second at all gateways;
 // zero if no run has ended yet.
-func (f *Fleet) EndRate(service string, r RunTimes) float64 {
+func (f *Fleet) EndRate(now time.Time, service string, r RunTimes) float64 {
+	f.group(now, service, registry.Decode) // rebuilds outdated groups
+	return f.endRate(service, r)
+}
+
+func (f *Fleet) endRate(service string, r RunTimes) float64 {
 	if r.Total <= 0 {
 		return 0
 	}
--- a/dispatch/retryafter.go
+++ b/dispatch/retryafter.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/ledgepin/ledgepin/retryslots"
+)
 
 // Constants of the time after which a caller that found no capacity retries.
 const (
@@ -12,13 +16,13 @@
 	maxRetryRuns = 1.6
 	// initialRunTime is the mean duration of a run until runs have shown it.
 	initialRunTime = 3 * time.Second
-	// minRetryAfter and maxRetryAfter bound the time. Callers honour a Retry-After of up to a
-	// third of their remaining time, which is 4.6 s of the usual 14.
-	minRetryAfter = 500 * time.Millisecond
-	maxRetryAfter = 4500 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound the time.
+	minRetryAfter = retryslots.Earliest
+	maxRetryAfter = retryslots.Latest
 )
 
-// RetryAfter returns the time after which a caller that finds no capacity should retry. run
+// RetryAfter returns the time after which a caller that finds no capacity should retry, without
+// regard to what other callers were told; package retryslots has the times that differ. run
 // is the mean duration of recent runs, zero if none is known; prefill is the shortest time in
 // which the caller's prompt would be prefilled; draw is uniform in [0, 1).
 func RetryAfter(run, prefill time.Duration, draw float64) time.Duration {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/demand"
 	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/retryslots"
 	"github.com/ledgepin/ledgepin/route"
 	"github.com/ledgepin/ledgepin/wire"
 )
@@ -27,13 +28,19 @@
 	// requests leave capacity free for more urgent ones.
 	engines   map[string]*route.Engine
 	headrooms map[string]bool
+	// ranked are the services whose requests differ in urgency, or may differ because there are
+	// organisations.
+	ranked map[string]bool
 	// queue holds the requests that wait for capacity; placed has the channel on which each gets
 	// its engines.
 	queue   dispatch.Queue
 	placed  map[*dispatch.QueuedRequest]chan dispatch.Pair
 	pending pendingLoads
-	// arrivals measures the new requests.
+	// arrivals measures the new requests, trend the change of their rates at all gateways, and
+	// promises has the retry times of rejected callers.
 	arrivals demand.Meter
+	trend    retryslots.Trend
+	promises retryslots.Promises
 	limited  limitedServers
 	paused   pausedServers
 	// updated is closed by the next report of servers; nil if no request waits for it.
@@ -60,13 +67,6 @@
 	return b
 }
 
-// retryAfter returns how long a caller whose request found no capacity should wait before a retry.
-func (f *fleet) retryAfter(service string, read time.Duration) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return dispatch.RetryAfter(f.runTimes[service].Total, read, rand.Float64())
-}
-
 // update applies a report of servers: their states, those that have reported again without a
 // change, and the number of servers. It returns the server incarnations that have ended because a
 // later one replaced them.
@@ -257,7 +257,7 @@
 
 // demand returns what this gateway's callers request. The caller holds f.mu.
 func (f *fleet) demand(now time.Time) []demand.Class {
-	return demand.Add(f.arrivals.List(now), f.queue.Demand())
+	return f.promises.Report(now, demand.Add(f.arrivals.List(now), f.queue.Demand()))
 }
 
 // reserveRetries takes further sends from the retry budget of a service, and reports whether the
@@ -349,19 +349,33 @@
 	f.serveQueue()
 }
 
-// setServices sets the engines of the services of a table, and how they treat their cold servers.
-func (f *fleet) setServices(services []route.Service) {
+// setServices sets the engines of the services of a table, how they treat their cold servers, and
+// whether their requests differ in urgency.
+func (f *fleet) setServices(t *route.Table) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := map[string]dispatch.ColdSettings{}
 	f.engines = map[string]*route.Engine{}
-	for _, s := range services {
+	for _, s := range t.Services {
 		out[s.Name] = dispatch.ColdSettings{Bounded: s.ColdRate > 0, Duration: s.ColdStart}
 		if s.Engine != nil {
 			f.engines[s.Name] = s.Engine
 		}
 	}
 	f.view.SetColdSettings(out)
+	f.ranked = map[string]bool{}
+	priorities := map[string]int{}
+	for i := range t.Routes {
+		for _, w := range t.Routes[i].Services {
+			first, seen := priorities[w.Service]
+			if !seen {
+				priorities[w.Service], first = t.Routes[i].Priority, t.Routes[i].Priority
+			}
+			if t.Routes[i].Priority != first || len(t.Organisations) > 0 {
+				f.ranked[w.Service] = true
+			}
+		}
+	}
 }
 
 // noteConnect records how long a connection to a server took to open.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,7 +133,7 @@
 				close(g.tableReady)
 			}
 			g.limits.setTable(&g.table)
-			g.fleet.setServices(g.table.Load().Services)
+			g.fleet.setServices(g.table.Load())
 			event.SettingsInForce.Log(g.log, "version", t.Version, "routes", len(t.Routes))
 			return
 		}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -252,13 +252,15 @@
 	}
 	if !q.mayHaveRun {
 		r := g.fleet.exclusion(q.work, q.service.Engine)
+		pause, ok := g.fleet.minPauseRemaining(q.work, registry.Decode)
+		if ok {
+			pause = jitter(pause)
+		}
+		rejected := dispatch.Rejected{Work: q.work, Prefill: r.MinPrefillTime, Within: q.route.Target - g.clock.Since(q.arrived)}
+		after, choice := g.fleet.retryAfter(rejected, pause)
 		event.NoCapacity.Log(g.log, "id", q.id, "rule", string(r.Rule), "prompt", q.work.Prompt, "expected", q.work.Expected, "engines", r.Engines,
 			"ruled", r.Count, "read_ms", r.MinPrefillTime.Milliseconds(), "queued", r.Queued, "gateways_known", r.Known, "gateways", r.Gateways,
-			"waited_ms", g.clock.Since(q.arrived).Milliseconds(), "prefills", n.prefills, "decodes", n.decodes)
-		after := g.fleet.retryAfter(q.service.Name, r.MinPrefillTime)
-		if remaining, ok := g.fleet.minPauseRemaining(q.work, registry.Decode); ok {
-			after = max(after, jitter(remaining))
-		}
+			"waited_ms", g.clock.Since(q.arrived).Milliseconds(), "prefills", n.prefills, "decodes", n.decodes, "retry", string(choice))
 		g.refuse(w, q.id, refusal{route: q.route.Name, status: http.StatusServiceUnavailable, reason: "no engine has room", retryAfter: after})
 		return
 	}
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -314,6 +314,7 @@
 		}
 		l.mu.Unlock()
 		l.g.fleet.updateHeadroom(now)
+		l.g.fleet.updateTrend(now)
 		l.sendLimits(now, hub)
 		if hub == nil {
 			return
--- a/retryslots/promises.go
+++ b/retryslots/promises.go
@@ -30,6 +30,9 @@
 
 // Add records that a caller was told to retry after a time.
 func (p *Promises) Add(now time.Time, k demand.Key, after time.Duration) {
+	if after > Latest {
+		return // a longer pause of the servers decides, not their capacity
+	}
 	if p.classes == nil {
 		p.classes = map[demand.Key]*[ticks]promised{}
 	}
@@ -38,7 +41,7 @@
 		c = new([ticks]promised)
 		p.classes[k] = c
 	}
-	n := now.Add(min(after, Latest)).UnixNano() / int64(tick)
+	n := now.Add(after).UnixNano() / int64(tick)
 	x := &c[n%int64(ticks)]
 	if x.tick != n {
 		*x = promised{tick: n}
