--- a/dispatch/draw.go
+++ b/dispatch/draw.go
@@ -34,7 +34,7 @@
 // freeSlots returns the number of requests like w for which an engine has capacity, at least
 // one.
 func (f *Fleet) freeSlots(s *Server, w Work, e *route.Engine) float64 {
-	memory := float64(e.KVTokens)
+	memory := (1 - w.headroom) * float64(e.KVTokens)
 	atEnd := (MemoryOvercommit*memory - float64(f.reservedTokens(s))) / float64(max(w.finalTokens(), 1))
 	now := (fullLevel*memory - float64(f.currentTokens(s))) / float64(max(w.currentTokens(), 1))
 	return max(min(atEnd, now), 1)
--- a/dispatch/exclusion.go
+++ b/dispatch/exclusion.go
@@ -66,11 +66,11 @@
 
 // Exclusion returns the rules that exclude engines for a request.
 func (f *Fleet) Exclusion(now time.Time, w Work, e *route.Engine) Exclusion {
+	w = f.withHeadroom(w)
 	out := Exclusion{
 		Rule: RuleNoEngine, Count: map[Rule]int{}, MinPrefillTime: f.minPrefillTime(now, w),
 		Queued: f.Others.Queued, Known: f.Others.Known, Gateways: f.Others.Gateways,
 	}
-	w = f.withHeadroom(w)
 	f.visit(f.group(now, w.Service, registry.Decode), maxChoices, func(s *Server) {
 		out.Engines++
 		out.Count[f.excludingRule(now, s, w, e)]++
