--- a/metric/metric.go
+++ b/metric/metric.go
@@ -95,6 +95,8 @@
 	HeldBytes            = gauge("ledgepin_held_bytes", "Bytes that a gateway buffers for callers: bodies, answers and streams.", "name")
 	FullLevel            = gauge("ledgepin_full_level", "Mean share of an engine's memory up to which a gateway places runs, and above which runs migrate away.", "name", "service")
 	MemoryRefusals       = counter("ledgepin_memory_refusals_total", "Requests that a gateway refused since its buffers for callers had reached their limit.", "route")
+	HeadroomShare        = gauge("ledgepin_headroom_share", "Share of the memory of decode engines that new requests leave free for more urgent ones, by the priorities of their organisation and route.", "service", "organisation_priority", "priority")
+	RetryTimes           = counter("ledgepin_retry_times_total", "Retry times that a gateway told callers who found no engine, by how they were chosen: in_time (capacity is expected within the objective), free (later), full (none is expected), usual (without regard to other callers).", "service", "choice")
 	OrganisationRequests = counter("ledgepin_organisation_requests_total",
 		"Requests of an organisation with a limit at a gateway, by outcome: taken (accepted), beyond its share (waiting for capacity, since the organisation has its fair share), or over its limit.", "organisation", "outcome")
 	LossEjectedEngines      = gauge("ledgepin_loss_ejected_engines", "Engines that a gateway sends nothing, or only probes, because they have lost answers.", "name")
