--- a/control/engines.go
+++ b/control/engines.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/ledgepin/ledgepin/demand"
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/roles"
@@ -68,6 +69,38 @@
 	return out
 }
 
+// serviceWork returns the work that arrives for the engines of each service, from the demand of
+// all gateways. Services whose gateways don't report work, because they are of an older build or
+// have just started, are missing.
+func (h *hub) serviceWork() map[string]roles.Work {
+	sums := map[string]demand.Class{}
+	for _, c := range h.demandTotals() {
+		s := sums[c.Service]
+		s.Rate += c.Rate
+		s.Tokens += c.Tokens
+		s.PrefillTime += c.PrefillTime
+		s.KVTokens += c.KVTokens
+		sums[c.Service] = s
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[string]roles.Work{}
+	for service, s := range sums {
+		engine, ok := h.engineSpecLocked(service)
+		if !ok || s.PrefillTime <= 0 || s.KVTokens <= 0 || s.Rate <= 0 || s.Tokens <= 0 {
+			continue
+		}
+		requests := float64(s.Rate) / 1000
+		load := wire.EngineLoad{Tokens: s.KVTokens, Runs: int(float64(s.KVTokens) * requests / float64(s.Tokens))}
+		prefill := time.Duration(s.PrefillTime) * time.Microsecond
+		out[service] = roles.Work{
+			Prefill: prefill.Seconds(), Decode: utilization(engine, load),
+			PrefillTime: time.Duration(float64(prefill) / requests), Objective: h.table.Objective(service),
+		}
+	}
+	return out
+}
+
 // utilization returns the fraction of an engine that its runs occupy, of its memory or its
 // slots, whichever is larger.
 func (h *hub) utilization(service string, l wire.EngineLoad) float64 {
@@ -75,6 +108,11 @@
 	if !ok {
 		return 0
 	}
+	return utilization(engine, l)
+}
+
+// utilization returns the capacity that a load occupies, in engines.
+func utilization(engine route.Engine, l wire.EngineLoad) float64 {
 	memory := float64(l.Tokens) / (dispatch.MemoryOvercommit * float64(max(engine.KVTokens, 1)))
 	slots := float64(l.Runs) / float64(max(engine.Slots, 1))
 	return max(memory, slots)
--- a/control/roles.go
+++ b/control/roles.go
@@ -10,6 +10,7 @@
 	"github.com/ledgepin/ledgepin/backend"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/internal/wait"
+	"github.com/ledgepin/ledgepin/metric"
 	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/roles"
 )
@@ -56,6 +57,10 @@
 func (c *Control) planRoles(now time.Time, p *rolePlanning) {
 	fence, ok := c.fence(now)
 	if !ok {
+		if !p.ledSince.IsZero() {
+			metric.RoleWork.Reset()
+			metric.RoleEngines.Reset()
+		}
 		p.ledSince = time.Time{}
 		clear(p.planners)
 		return
@@ -64,12 +69,15 @@
 		p.ledSince = now
 	}
 	mayOrder := fence <= firstTerm || now.Sub(p.ledSince) >= c.cfg.Roles.Lease+leaseMargin
+	work := c.hub.serviceWork()
 	for service, engines := range c.hub.serviceEngines(now) {
 		planner := p.planners[service]
 		if planner == nil {
 			planner = c.newPlanner(fence)
 			p.planners[service] = planner
 		}
+		planner.NoteWork(now, work[service])
+		noteRoles(service, engines, work[service])
 		if !mayOrder {
 			planner.Observe(now, engines)
 			continue
@@ -80,6 +88,18 @@
 	}
 }
 
+// noteRoles sets the metrics of a service's roles.
+func noteRoles(service string, engines []roles.Engine, w roles.Work) {
+	count := map[string]float64{}
+	for _, e := range engines {
+		count[e.Role]++
+	}
+	for role, work := range map[string]float64{registry.Prefill: w.Prefill, registry.Decode: w.Decode} {
+		metric.RoleWork.WithLabelValues(service, role).Set(work)
+		metric.RoleEngines.WithLabelValues(service, role).Set(count[role])
+	}
+}
+
 // newPlanner returns the planner for a leader of a term.
 func (c *Control) newPlanner(term uint64) *roles.Planner {
 	if term > firstTerm {
@@ -109,7 +129,8 @@
 	}
 	status, err := c.sendRoleOrder(pool, s, o)
 	event.RoleOrdered.Log(c.log, "server", s.StableName(), "role", o.Role, "status", status, "error", err, "prefill", o.Prefill,
-		"decode", o.Decode, "prefill_use", o.PrefillUtilization, "decode_use", o.DecodeUtilization, "want", o.WantPrefill)
+		"decode", o.Decode, "prefill_use", o.PrefillUtilization, "decode_use", o.DecodeUtilization, "want", o.WantPrefill,
+		"prefill_work", o.Work.Prefill, "decode_work", o.Work.Decode)
 	if status == http.StatusAccepted || errors.Is(err, errNoAnswer) {
 		c.hub.markAway(s.ID, o.Role, engine.RoleSwitch)
 	}
--- a/demand/sum.go
+++ b/demand/sum.go
@@ -37,6 +37,8 @@
 	c.Rate += sign * o.Rate
 	c.Tokens += sign * o.Tokens
 	c.PromptTokens += sign * o.PromptTokens
+	c.PrefillTime += sign * o.PrefillTime
+	c.KVTokens += sign * o.KVTokens
 	for i, n := range o.Returns {
 		if i == len(c.Returns) {
 			c.Returns = append(c.Returns, 0)
@@ -96,7 +98,8 @@
 		if a.Waiting != b.Waiting || a.WaitingTokens != b.WaitingTokens || a.Before != b.Before || !slices.Equal(a.Returns, b.Returns) {
 			return Waits
 		}
-		if rateChanged(a.Rate, b.Rate) || rateChanged(a.Tokens, b.Tokens) || rateChanged(a.PromptTokens, b.PromptTokens) {
+		if rateChanged(a.Rate, b.Rate) || rateChanged(a.Tokens, b.Tokens) || rateChanged(a.PromptTokens, b.PromptTokens) ||
+			rateChanged(a.PrefillTime, b.PrefillTime) || rateChanged(a.KVTokens, b.KVTokens) {
 			out = Rates
 		}
 	}
--- a/demand/work.go
+++ b/demand/work.go
@@ -31,7 +31,8 @@
 	t.prompt.add(time.Duration(share*float64(took)), float64(prompt))
 }
 
-// NoteAnswer records the time that an engine took for a number of tokens of an answer.
+// NoteAnswer records the time that an engine took for a part of an answer, or for an answer that was
+// expected to have a number of tokens.
 func (t *EngineTimes) NoteAnswer(took time.Duration, tokens int) { t.answer.add(took, float64(tokens)) }
 
 // AddWork sets the work of a class whose rates are set. It sets none while one of the times is not
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -214,7 +214,7 @@
 
 // RoleOrdered is logged when the leader orders an engine without an agent to change its role.
 var RoleOrdered = define("LP4012", info, "engine ordered to another role",
-	"The leader has ordered an engine to read prompts or to generate answers; the line has the balance that led to it.",
+	"The leader has ordered an engine to read prompts or to generate answers; the line has the balance that led to it: the engines that the arriving requests need for each role (prefill_work, decode_work), or, if both are 0, how busy the engines are (prefill_use, decode_use).",
 	"Many of them: the load changes faster than engines can, or engines join and leave often.")
 
 // Events of claims.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -23,6 +23,8 @@
 	budgets map[string]*dispatch.Budget
 	// runTimes are the recent durations of runs, by service.
 	runTimes map[string]dispatch.RunTimes
+	// times are how long engines take, by service.
+	times map[string]*demand.EngineTimes
 	// queue holds the requests that wait for capacity; placed has the channel on which each gets
 	// its engines.
 	queue   dispatch.Queue
@@ -42,7 +44,7 @@
 	}
 	view := dispatch.NewFleet(name, zone)
 	view.SetRegions(regions)
-	return &fleet{clock: c, view: view, bounds: bounds, budgets: map[string]*dispatch.Budget{}, runTimes: map[string]dispatch.RunTimes{}, paused: pausedServers{logged: map[string]bool{}}, placed: map[*dispatch.QueuedRequest]chan dispatch.Pair{}}
+	return &fleet{clock: c, view: view, bounds: bounds, budgets: map[string]*dispatch.Budget{}, runTimes: map[string]dispatch.RunTimes{}, times: map[string]*demand.EngineTimes{}, paused: pausedServers{logged: map[string]bool{}}, placed: map[*dispatch.QueuedRequest]chan dispatch.Pair{}}
 }
 
 // budget returns the retry budget of a service. The caller holds f.mu.
@@ -253,7 +255,9 @@
 
 // demand returns what this gateway's callers request. The caller holds f.mu.
 func (f *fleet) demand(now time.Time) []demand.Class {
-	return demand.Add(f.arrivals.List(now), f.queue.Demand())
+	arrived := f.arrivals.List(now)
+	f.addWork(arrived)
+	return demand.Add(arrived, f.queue.Demand())
 }
 
 // reserveRetries takes further sends from the retry budget of a service, and reports whether the
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -50,6 +50,8 @@
 	// prefills and decodes count the sends that reached an engine of each role.
 	prefills, decodes int
 	migrations        migrationState
+	// paceNoted is set once the pace of the run has been recorded.
+	paceNoted bool
 }
 
 // generate serves a request to a model engine: it reserves memory at a decode engine, has the
@@ -210,6 +212,10 @@
 	if n.decodeReserved == "" {
 		return
 	}
+	if events := n.stream.events; events >= paceEvents && !n.paceNoted {
+		n.paceNoted = true
+		n.g.fleet.notePace(n.q.service.Name, n.g.clock.Since(n.stream.firstAt), (events-1)*n.q.service.Engine.EventTokens)
+	}
 	n.releasePrefill()
 	n.checkMigration()
 	work, reason := n.g.fleet.growReservation(n.decodeReserved, n.q.work, n.q.service.Engine, generated)
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -70,6 +70,8 @@
 	SettingsDegraded    = gauge("ledgepin_settings_degraded", "1 while control has not confirmed the settings.", "name")
 	ControlLeader       = gauge("ledgepin_control_leader", "1 if this control replica is the leader and its lease is valid.", "name")
 	ControlTerm         = gauge("ledgepin_control_term", "Term of this control replica.", "name")
+	RoleWork            = gauge("ledgepin_role_work", "Engines that the arriving requests of a service keep busy (prefill) or fill (decode), including rejected requests, at the leader of control; 0 if gateways do not report it.", "service", "role")
+	RoleEngines         = gauge("ledgepin_role_engines", "Engines of a service by role at the leader of control, those that are changing by their new one.", "service", "role")
 	FleetVersion        = gauge("ledgepin_fleet_version", "Version of the fleet in force at this control replica.", "name")
 	UnreadableData      = counter("ledgepin_unread_total", "Data of a newer build that a control replica could not read: its journal, a committed command, a packet.", "what")
 	LinkBytes           = gauge("ledgepin_link_bytes", "Payload bytes on the open links of a process.", "name", "direction")
--- a/route/route.go
+++ b/route/route.go
@@ -240,6 +240,20 @@
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Objective returns the shortest target of the routes to a service; zero if none has one.
+func (t *Table) Objective(service string) time.Duration {
+	var out time.Duration
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		for _, w := range r.Services {
+			if w.Service == service && w.Weight > 0 && r.Target > 0 && (out == 0 || r.Target < out) {
+				out = r.Target
+			}
+		}
+	}
+	return out
+}
+
 // Pick chooses a service of the route by weight; at is uniformly distributed in [0, 1).
 func (r *Route) Pick(at float64) string {
 	total := 0
