--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -31,6 +31,8 @@
 	// ranked are the services whose requests differ in urgency, or may differ because there are
 	// organisations.
 	ranked map[string]bool
+	// times are how long engines take, by service.
+	times map[string]*demand.EngineTimes
 	// queue holds the requests that wait for capacity; placed has the channel on which each gets
 	// its engines.
 	queue   dispatch.Queue
@@ -53,7 +55,7 @@
 	}
 	view := dispatch.NewFleet(name, zone)
 	view.SetRegions(regions)
-	return &fleet{clock: c, view: view, bounds: bounds, budgets: map[string]*dispatch.Budget{}, runTimes: map[string]dispatch.RunTimes{}, headrooms: map[string]bool{}, paused: pausedServers{logged: map[string]bool{}}, placed: map[*dispatch.QueuedRequest]chan dispatch.Pair{}}
+	return &fleet{clock: c, view: view, bounds: bounds, budgets: map[string]*dispatch.Budget{}, runTimes: map[string]dispatch.RunTimes{}, times: map[string]*demand.EngineTimes{}, headrooms: map[string]bool{}, paused: pausedServers{logged: map[string]bool{}}, placed: map[*dispatch.QueuedRequest]chan dispatch.Pair{}}
 }
 
 // budget returns the retry budget of a service. The caller holds f.mu.
@@ -264,7 +266,9 @@
 
 // demand returns what this gateway's callers request. The caller holds f.mu.
 func (f *fleet) demand(now time.Time) []demand.Class {
-	return f.promises.Report(now, demand.Add(f.arrivals.List(now), f.queue.Demand()))
+	arrived := f.arrivals.List(now)
+	f.addWork(arrived)
+	return f.promises.Report(now, demand.Add(arrived, f.queue.Demand()))
 }
 
 // reserveRetries takes further sends from the retry budget of a service, and reports whether the
