--- a/replay/progress.go
+++ b/replay/progress.go
@@ -149,8 +149,9 @@
 	}
 	took := r.firstTokenAt.Sub(r.firstTryAt)
 	s.firstTokenTimes = append(s.firstTokenTimes, took)
-	if took <= s.pattern.Target {
+	if took <= s.kind(r).Target {
 		s.result.InTime++
+		s.result.Kinds[r.kind].InTime++
 		if r.organisation > 0 {
 			s.result.OthersInTime++
 		}
