--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -52,6 +52,9 @@
 	Hold string
 	// Organisation names the organisation that sent the request, if callers have keys.
 	Organisation string
+	// Priority is the priority of the request, from 0, the most urgent, to 9. Servers assume 5 if
+	// the field is absent.
+	Priority string
 	// Unused are fields that servers read and no gateway sets.
 	Unused []string
 }
@@ -101,7 +104,7 @@
 		RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", Tokens: "X-Tokens", LengthHint: "X-Length-Hint",
 		LastEventID: "Last-Event-Id", PromptParts: "X-Prompt-Parts",
 	},
-	GatewayFields{ExpectInstance: "X-Expect-Instance", Role: "X-Engine-Role", KVSource: "X-KV-Source", Hold: "X-Hold", Organisation: "X-Organisation"},
+	GatewayFields{ExpectInstance: "X-Expect-Instance", Role: "X-Engine-Role", KVSource: "X-KV-Source", Hold: "X-Hold", Organisation: "X-Organisation", Priority: "X-Request-Priority"},
 	ServerFields{Signature: "X-Answer-Signature", NotRun: "X-Not-Run", Cold: "X-Cold-Ms", Limit: "X-Server-Limit", Leaving: "X-Server-Leaving"},
 }
 
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -59,7 +59,12 @@
 
 // sendTo returns the caller's request as it is sent to an engine.
 func (n *generation) sendTo(s *dispatch.Server) backend.Request {
-	return n.q.toServer(&n.g.cfg.Protocol.Headers, s, n.q.remaining(), n.g.fleet.gatewaysPerServer(s))
+	h := &n.g.cfg.Protocol.Headers
+	out := n.q.toServer(h, s, n.q.remaining(), n.g.fleet.gatewaysPerServer(s))
+	if n.q.priority != "" {
+		out.Header.Set(h.Priority, n.q.priority)
+	}
+	return out
 }
 
 // releaseHold releases a hold that has not been used.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -43,6 +43,8 @@
 	charged bool
 	tried   dispatch.Avoid
 	sends   int
+	// priority is what engines are told about the urgency; empty if nothing.
+	priority string
 	// memory is the account of the memory held for the request.
 	memory *membudget.Account
 	// digest identifies its content, once computed.
@@ -141,6 +143,9 @@
 	}
 	if q.service.Engine != nil {
 		q.work = parseWork(h, r.Header, q.service)
+		if p, ok := table.ServerPriority(q.route, q.service.Name); ok {
+			q.priority = strconv.Itoa(p)
+		}
 		q.work.Regions, q.work.Urgency = regions, q.organisation.UrgencyFor(q.route)
 		q.resumed = r.Header.Get(h.LastEventID) != ""
 		if parse := g.cfg.Protocol.ParseParts; parse != nil {
--- a/replay/engine.go
+++ b/replay/engine.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"slices"
 	"time"
 )
 
@@ -79,7 +80,7 @@
 }
 
 // stepRuns generates tokens for a time. It returns the runs that ended, and the runs that were
-// preempted because the memory was full, the newest first.
+// preempted because the memory was full, the newest of the least urgent first.
 func (e *engine) stepRuns(d time.Duration) (ended, preempted []*run) {
 	pace := milliseconds(d) / (e.pattern.Step + e.pattern.StepPerRun*float64(len(e.runs)))
 	var kept []*run
@@ -94,9 +95,15 @@
 	}
 	e.runs = kept
 	for len(e.runs) > 1 && e.memory() > float64(e.pattern.KVTokens) {
-		last := e.runs[len(e.runs)-1]
-		e.runs = e.runs[:len(e.runs)-1]
-		preempted = append(preempted, last)
+		// As servers do that are told the priority of requests, the newest of the least urgent.
+		at := len(e.runs) - 1
+		for i := at - 1; i >= 0; i-- {
+			if e.runs[i].req.work.Urgency.Compare(e.runs[at].req.work.Urgency) > 0 {
+				at = i
+			}
+		}
+		preempted = append(preempted, e.runs[at])
+		e.runs = slices.Delete(e.runs, at, at+1)
 	}
 	return ended, preempted
 }
--- a/route/route.go
+++ b/route/route.go
@@ -128,6 +128,8 @@
 	byHost             map[string][]*Route
 	services           map[string]*Service
 	organisationsByKey map[KeyDigest]*Organisation
+	// prioritized holds the services whose routes have different priorities.
+	prioritized map[string]bool
 }
 
 // Validate returns the first error in the table, with its position.
@@ -197,6 +199,7 @@
 	for _, list := range t.byHost {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
 	}
+	t.indexPriorities()
 	for i := range t.Services {
 		t.services[t.Services[i].Name] = &t.Services[i]
 	}
