--- a/dispatch/prefill.go
+++ b/dispatch/prefill.go
@@ -45,6 +45,8 @@
 	// number of tokens to prefill until then, including its own.
 	PrefillTime  time.Duration
 	QueuedTokens int
+	// Position is the place that the request had among those that waited at other gateways.
+	Position Position
 }
 
 // PrefillServer returns the engine that prefills the prompt.
@@ -89,6 +91,7 @@
 	if out.Decode == nil {
 		return Pair{}, false
 	}
+	out.Position = t.position
 	out.PrefillTime = milliseconds(f.prefillTime(now, out.PrefillServer(), w))
 	out.QueuedTokens = out.PrefillServer().queuedTokens(w)
 	return out, w.MaxPrefillTime <= 0 || out.PrefillTime <= w.MaxPrefillTime
--- a/dispatch/turn.go
+++ b/dispatch/turn.go
@@ -38,6 +38,17 @@
 	Ahead, Behind, Unknown int
 }
 
+// Waiting names what waited at other gateways, for the metrics.
+func (p Position) Waiting() string {
+	switch {
+	case p.Ahead > 0:
+		return "behind"
+	case p.Behind > 0:
+		return "first"
+	}
+	return "none"
+}
+
 // Position returns the place of a request, apart from the requests of its own gateway.
 func (f *Fleet) Position(w Work) Position {
 	var p Position
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -80,8 +80,8 @@
 
 // NoCapacity is logged when no engine of a service accepts a request, with the reason.
 var NoCapacity = define("LP2011", info, "no place for a request",
-	"No engine accepted a request. The deciding rule is named, and ruled counts the engines that each rule excluded: leaving, blocked (failed recently), slots, memory now, memory (before the end of the runs), turn (capacity reserved for another gateway's request), late read (capacity, but the prompt would be read too late). read_ms is the shortest time in which the prompt would be read, queued the requests that wait at other gateways, waited_ms the time since the request arrived; prefills and decodes count the sends that were rejected.",
-	"Many by memory: the service needs more engines, or fewer that read prompts. Many by late read: it needs more that read prompts.")
+	"No engine accepted a request. The deciding rule is named, and ruled counts the engines that each rule excluded: leaving, blocked (failed recently), slots, memory now, memory (before the end of the runs), turn (capacity for requests that come before it at other gateways), late read (capacity, but the prompt would be read too late). read_ms is the shortest time in which the prompt would be read, queued the requests that wait at other gateways. Of these, ahead come before this one (they are more urgent, or their turn is earlier; unknown of them wait at gateways of an older build, which report no urgency) and behind after it; organisation_priority and route_priority are its urgency. waited_ms is the time since the request arrived; prefills and decodes count the sends that were rejected.",
+	"Many by memory: the service needs more engines, or fewer that read prompts. Many by late read: it needs more that read prompts. Many of urgent requests with ahead of zero: the engines are full of runs, whatever their urgency.")
 
 // OverLimit is logged when a request exceeds the limit of its organisation.
 var OverLimit = define("LP2017", info, "over the limit of an organisation",
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -2,12 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/demand"
 	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/metric"
 	"github.com/ledgepin/ledgepin/route"
 	"github.com/ledgepin/ledgepin/wire"
 )
@@ -251,6 +253,19 @@
 	f.arrivals.Add(f.clock.Now(), demand.Key{Service: w.Service, Urgency: w.Urgency}, w.Prompt, w.FinalTokens())
 }
 
+// collectWaiting updates the gauges of the waiting requests.
+func (f *fleet) collectWaiting() {
+	f.mu.Lock()
+	own, others := f.queue.Demand(), f.view.Others.Demand
+	f.mu.Unlock()
+	metric.WaitingRequests.Reset()
+	for where, list := range map[string][]demand.Class{"here": own, "elsewhere": others} {
+		for _, c := range list {
+			metric.WaitingRequests.WithLabelValues(c.Service, strconv.Itoa(c.Organisation), strconv.Itoa(c.Route), where).Set(float64(c.Waiting))
+		}
+	}
+}
+
 // demand returns what this gateway's callers request. The caller holds f.mu.
 func (f *fleet) demand(now time.Time) []demand.Class {
 	return demand.Add(f.arrivals.List(now), f.queue.Demand())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -319,8 +319,9 @@
 	return d
 }
 
-// Collect updates the gauge of held bytes when the metrics are read. It implements the process
+// Collect updates the gauges of held bytes and of waiting requests when the metrics are read. It implements the process
 // interface of the operator endpoint; the other metrics of a gateway are updated as they change.
 func (g *Gateway) Collect() {
+	g.fleet.collectWaiting()
 	metric.HeldBytes.WithLabelValues(g.cfg.Name).Set(float64(g.memory.Held()))
 }
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -253,7 +253,8 @@
 	if !q.mayHaveRun {
 		r := g.fleet.exclusion(q.work, q.service.Engine)
 		event.NoCapacity.Log(g.log, "id", q.id, "rule", string(r.Rule), "prompt", q.work.Prompt, "expected", q.work.Expected, "engines", r.Engines,
-			"ruled", r.Count, "read_ms", r.MinPrefillTime.Milliseconds(), "queued", r.Queued, "gateways_known", r.Known, "gateways", r.Gateways,
+			"ruled", r.Count, "read_ms", r.MinPrefillTime.Milliseconds(), "queued", r.Queued, "ahead", r.Position.Ahead, "behind", r.Position.Behind, "unknown", r.Position.Unknown,
+			"organisation_priority", q.work.Urgency.Organisation, "route_priority", q.work.Urgency.Route, "gateways_known", r.Known, "gateways", r.Gateways,
 			"waited_ms", g.clock.Since(q.arrived).Milliseconds(), "prefills", n.prefills, "decodes", n.decodes)
 		after := g.fleet.retryAfter(q.service.Name, r.MinPrefillTime)
 		if remaining, ok := g.fleet.minPauseRemaining(q.work, registry.Decode); ok {
--- a/gateway/hub_test.go
+++ b/gateway/hub_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/ledgepin/ledgepin/clock"
+	"github.com/ledgepin/ledgepin/demand"
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/wire"
@@ -104,3 +106,36 @@
 	l.peers["b"] = own
 	assert.Equal(t, l.chooseHub(now), "b")
 }
+
+// TestDemandOfSilentReplicaExpires guards against a gateway that goes on waiting for the requests
+// of others after its replica has died: the last list is valid for a second, then the gateway acts
+// as if nothing else waited, and keeps what it knows about reservations. The next replica sends a
+// complete list.
+func TestDemandOfSilentReplicaExpires(t *testing.T) {
+	l := testLinks(map[string]string{"a": "z1", "b": "z2"})
+	report := &wire.Loads{
+		Whole: true, Gateways: 5, Queued: 4, Demand: []demand.Class{{Service: "llm", Waiting: 4}},
+		List: []wire.EngineLoad{{Server: "e", Tokens: 100, Runs: 1}},
+	}
+	l.hub = "a"
+	l.updateLoads("a", report)
+	others := func(at time.Duration) dispatch.OtherGateways {
+		l.others.receivedAt = clock.VM.Now().Add(-at)
+		l.peers["a"].lastReceived = l.others.receivedAt
+		l.updateOthers()
+		return l.g.fleet.view.Others
+	}
+	assert.Equal(t, others(900*time.Millisecond).Queued, 4)
+	assert.Equal(t, len(others(900*time.Millisecond).Demand), 1)
+	expired := others(1100 * time.Millisecond)
+	assert.Assert(t, l.demandExpired && expired.Queued == 0 && expired.Demand == nil)
+	assert.Equal(t, expired.Loads["e"].Tokens, 100)
+	l.peers["a"].lastReceived = clock.VM.Now()
+	assert.Assert(t, !l.expired(clock.VM.Now()), "an unchanged list needs no message but the heartbeat")
+	l.peers["a"].link = nil
+	assert.Assert(t, l.expired(clock.VM.Now()))
+	l.hub = "b"
+	l.updateLoads("b", report)
+	l.updateOthers()
+	assert.Equal(t, l.g.fleet.view.Others.Queued, 4)
+}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/metric"
 	"github.com/ledgepin/ledgepin/route"
 )
 
@@ -53,12 +54,13 @@
 	f.servePlainQueue()
 	f.view.ServeQueue(f.clock.Now(), &f.queue, func(w *dispatch.QueuedRequest, p dispatch.Pair) {
 		decode := *p.Decode
-		out := dispatch.Pair{Decode: &decode, PrefillTime: p.PrefillTime, QueuedTokens: p.QueuedTokens}
+		out := dispatch.Pair{Decode: &decode, PrefillTime: p.PrefillTime, QueuedTokens: p.QueuedTokens, Position: p.Position}
 		if p.Prefill != nil {
 			prefill := *p.Prefill
 			out.Prefill = &prefill
 		}
 		f.pending.changed = true
+		metric.Placements.WithLabelValues(w.Work.Service, p.Position.Waiting()).Inc()
 		f.placed[w] <- out
 		delete(f.placed, w)
 	})
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -89,6 +89,8 @@
 	Migrations           = counter("ledgepin_migrations_total", "Runs to be migrated to another engine with their KV cache, by reason and outcome.", "service", "reason", "outcome")
 	EventsOutOfOrder     = counter("ledgepin_stream_events_out_of_order_total", "Events of streams that engines sent out of order and that were not sent to callers, by verdict: repeated (the caller already has it) or missing (events before it were left out).", "service", "verdict")
 	WastedPromptTokens   = counter("ledgepin_wasted_prompt_tokens_total", "Tokens of prompts that were read and whose answer was not completed, by cause.", "service", "cause")
+	WaitingRequests      = gauge("ledgepin_waiting_requests", "Requests that wait for capacity at an engine, by urgency (the priorities of the organisation and of the route): at this gateway, and at others as control reports them.", "service", "organisation_priority", "route_priority", "where")
+	Placements           = counter("ledgepin_placements_total", "Requests placed at an engine, by what waited at other gateways: nothing (none), only requests that come after it (first), or some that come before it (behind), since there was a slot for each or one remained unused.", "service", "waiting")
 	CachedPromptTokens   = counter("ledgepin_kept_prompt_tokens_total", "Tokens of repeated prompts that were placed at an engine that has them cached.", "service")
 	HeldBytes            = gauge("ledgepin_held_bytes", "Bytes that a gateway buffers for callers: bodies, answers and streams.", "name")
 	MemoryRefusals       = counter("ledgepin_memory_refusals_total", "Requests that a gateway refused since its buffers for callers had reached their limit.", "route")
