--- a/control/demand.go
+++ b/control/demand.go
@@ -37,11 +37,13 @@
 		return
 	}
 	h.demandChanged = false
-	var sum []demand.Class
-	for _, g := range h.gateways {
-		sum = demand.Add(sum, g.demand)
-	}
-	h.ownLoads.demand = sum
+	h.ownLoads.demand = demand.Total(func(yield func([]demand.Class) bool) {
+		for _, g := range h.gateways {
+			if !yield(g.demand) {
+				return
+			}
+		}
+	})
 }
 
 // totalDemand returns what the callers of all gateways request. Callers hold h.mu.
@@ -65,13 +67,14 @@
 type demandShares struct {
 	total []demand.Class
 	// before is the number of waiting requests of this replica's gateways whose turn comes
-	// before that of a gateway, by class.
-	before map[*gatewayState]map[demand.Key]int
-	// peers holds the waiting requests at the gateways of each other replica, and whether that
-	// replica comes before this one.
+	// before that of a gateway, for each class of total; -1 where the gateway has none.
+	before map[*gatewayState][]int
+	// peers holds the waiting requests at the gateways of each other replica.
 	peers []peerDemand
 }
 
+// peerDemand is the demand of a replica's gateways; first reports that the replica comes before
+// this one.
 type peerDemand struct {
 	list  []demand.Class
 	first bool
@@ -80,29 +83,34 @@
 // demandShares returns what the gateways receive about the demand of the others. Callers hold
 // h.mu.
 func (h *hub) demandShares() demandShares {
-	out := demandShares{total: h.totalDemand(), before: map[*gatewayState]map[demand.Key]int{}}
+	out := demandShares{total: h.totalDemand(), before: map[*gatewayState][]int{}}
 	for l, s := range h.peerLoads {
 		out.peers = append(out.peers, peerDemand{list: s.demand, first: baseName(l.Peer.Name) < h.name})
 	}
-	for _, c := range out.total {
+	type waiter struct {
+		gateway       *gatewayState
+		turn, waiting int
+	}
+	var list []waiter
+	for i, c := range out.total {
 		if c.Waiting == 0 {
 			continue
 		}
 		k := c.Key()
-		var waiting []*gatewayState
+		list = list[:0]
 		for _, g := range h.gateways {
-			if _, ok := g.turns[k]; ok {
-				waiting = append(waiting, g)
+			if waiting := demand.Find(g.demand, k).Waiting; waiting > 0 {
+				list = append(list, waiter{g, g.turns[k], waiting})
 			}
 		}
-		slices.SortFunc(waiting, func(a, b *gatewayState) int { return cmp.Compare(a.turns[k], b.turns[k]) })
+		slices.SortFunc(list, func(a, b waiter) int { return cmp.Compare(a.turn, b.turn) })
 		before := 0
-		for _, g := range waiting {
-			if out.before[g] == nil {
-				out.before[g] = map[demand.Key]int{}
+		for _, w := range list {
+			if out.before[w.gateway] == nil {
+				out.before[w.gateway] = slices.Repeat([]int{-1}, len(out.total))
 			}
-			out.before[g][k] = before
-			before += demand.Find(g.demand, k).Waiting
+			out.before[w.gateway][i] = before
+			before += w.waiting
 		}
 	}
 	return out
@@ -112,22 +120,28 @@
 // number of those that a new one would be behind.
 func (s demandShares) others(g *gatewayState) []demand.Class {
 	out := demand.Subtract(s.total, g.demand)
-	for i, c := range out {
-		k := c.Key()
-		turn, waits := s.before[g][k]
-		if !waits {
-			out[i].Before = c.Waiting
+	before, at := s.before[g], 0
+	for i := range out {
+		c := &out[i]
+		if c.Waiting == 0 {
+			continue
+		}
+		for s.total[at].Key() != c.Key() {
+			at++
+		}
+		if before == nil || before[at] < 0 {
+			c.Before = c.Waiting
 			continue
 		}
-		out[i].Before = turn
+		c.Before = before[at]
 		for _, p := range s.peers {
 			// The replicas alternate, so a request at position n of this replica is behind n
 			// requests of each other one.
-			ahead := turn
+			ahead := before[at]
 			if p.first {
 				ahead++
 			}
-			out[i].Before += min(demand.Find(p.list, k).Waiting, ahead)
+			c.Before += min(demand.Find(p.list, c.Key()).Waiting, ahead)
 		}
 	}
 	return out
--- a/demand/meter.go
+++ b/demand/meter.go
@@ -1,7 +1,6 @@
 package demand
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -23,11 +22,6 @@
 	return Key{c.Service, route.Urgency{Organisation: c.Organisation, Route: c.Route}}
 }
 
-// Compare orders keys by service, then by urgency.
-func (k Key) Compare(o Key) int {
-	return cmp.Or(cmp.Compare(k.Service, o.Service), k.Urgency.Compare(o.Urgency))
-}
-
 // class returns an empty class with the key.
 func (k Key) class() Class {
 	return Class{Service: k.Service, Organisation: k.Urgency.Organisation, Route: k.Urgency.Route}
@@ -113,5 +107,5 @@
 }
 
 func sortClasses(list []Class) {
-	slices.SortFunc(list, func(a, b Class) int { return a.Key().Compare(b.Key()) })
+	slices.SortFunc(list, func(a, b Class) int { return a.compare(&b) })
 }
--- a/demand/sum.go
+++ b/demand/sum.go
@@ -1,6 +1,8 @@
 package demand
 
 import (
+	"cmp"
+	"iter"
 	"slices"
 )
 
@@ -8,30 +10,88 @@
 // not added up, since it has a meaning only for one gateway.
 func Add(a, b []Class) []Class { return combine(a, b, 1) }
 
+// Total returns the sums by class of many lists, ordered by key.
+func Total(lists iter.Seq[[]Class]) []Class {
+	var out []Class
+	for list := range lists {
+		for i := range list {
+			c := &list[i]
+			at := slices.IndexFunc(out, func(o Class) bool { return o.compare(c) == 0 })
+			if at < 0 {
+				at = len(out)
+				out = append(out, c.Key().class())
+			}
+			out[at].add(c, 1)
+		}
+	}
+	out = slices.DeleteFunc(out, func(c Class) bool { return c.empty() })
+	sortClasses(out)
+	return out
+}
+
 // Subtract returns a without b, ordered by key, without the classes in which nothing remains.
 func Subtract(a, b []Class) []Class { return combine(a, b, -1) }
 
+// combine merges two lists. Replicas do that for each gateway many times a second.
 func combine(a, b []Class, sign int) []Class {
-	out := make([]Class, 0, len(a)+len(b))
-	for _, c := range a {
-		c.Before, c.Returns = 0, slices.Clone(c.Returns)
-		out = append(out, c)
+	a, b = sorted(a), sorted(b)
+	out := make([]Class, 0, max(len(a), len(b)))
+	keep := func(c Class) {
+		if !c.empty() {
+			out = append(out, c)
+		}
 	}
-	for _, c := range b {
-		i := slices.IndexFunc(out, func(o Class) bool { return o.Key() == c.Key() })
-		if i < 0 {
-			i = len(out)
-			out = append(out, c.Key().class())
+	for len(a) > 0 || len(b) > 0 {
+		order := 0
+		switch {
+		case len(b) == 0:
+			order = -1
+		case len(a) == 0:
+			order = 1
+		default:
+			order = a[0].compare(&b[0])
+		}
+		var c Class
+		if order <= 0 {
+			c, a = a[0], a[1:]
+			c.Before, c.Returns = 0, slices.Clone(c.Returns)
+		} else {
+			c = b[0].Key().class()
+		}
+		if order >= 0 {
+			c.add(&b[0], sign)
+			b = b[1:]
 		}
-		out[i].add(c, sign)
+		keep(c)
 	}
-	out = slices.DeleteFunc(out, func(c Class) bool { return c.empty() })
-	sortClasses(out)
 	return out
 }
 
+// sorted returns a list ordered by key: the list itself if it is already.
+func sorted(list []Class) []Class {
+	for i := 1; i < len(list); i++ {
+		if list[i-1].compare(&list[i]) > 0 {
+			list = slices.Clone(list)
+			sortClasses(list)
+			break
+		}
+	}
+	return list
+}
+
+// compare orders classes by key.
+func (c *Class) compare(o *Class) int {
+	switch {
+	case c.Service != o.Service:
+		return cmp.Compare(c.Service, o.Service)
+	case c.Organisation != o.Organisation:
+		return cmp.Compare(c.Organisation, o.Organisation)
+	}
+	return cmp.Compare(c.Route, o.Route)
+}
+
 // add adds o to c, or subtracts it if sign is negative.
-func (c *Class) add(o Class, sign int) {
+func (c *Class) add(o *Class, sign int) {
 	c.Waiting += sign * o.Waiting
 	c.WaitingTokens += sign * o.WaitingTokens
 	c.Rate += sign * o.Rate
@@ -49,15 +109,16 @@
 }
 
 // empty reports whether a class has nothing to report.
-func (c Class) empty() bool {
+func (c *Class) empty() bool {
 	return c.Waiting == 0 && c.WaitingTokens == 0 && c.Rate == 0 && c.Tokens == 0 && c.PromptTokens == 0 && len(c.Returns) == 0
 }
 
 // Find returns the class with a key, empty if the list has none.
 func Find(list []Class, k Key) Class {
-	for _, c := range list {
-		if c.Key() == k {
-			return c
+	for i := range list {
+		c := &list[i]
+		if c.Route == k.Urgency.Route && c.Organisation == k.Urgency.Organisation && c.Service == k.Service {
+			return *c
 		}
 	}
 	return k.class()
