--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -321,9 +321,10 @@
 	return d
 }
 
-// Collect updates the gauges of held bytes and of full levels when the metrics are read. It implements the process
+// Collect updates the gauges of held bytes, of waiting requests and of full levels when the metrics are read. It implements the process
 // interface of the operator endpoint; the other metrics of a gateway are updated as they change.
 func (g *Gateway) Collect() {
+	g.fleet.collectWaiting()
 	metric.HeldBytes.WithLabelValues(g.cfg.Name).Set(float64(g.memory.Held()))
 	if t := g.table.Load(); t != nil {
 		for _, s := range t.Services {
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -266,7 +266,8 @@
 		rejected := dispatch.Rejected{Work: q.work, Prefill: r.MinPrefillTime, Within: q.route.Target - g.clock.Since(q.arrived)}
 		after, choice := g.fleet.retryAfter(rejected, pause)
 		event.NoCapacity.Log(g.log, "id", q.id, "rule", string(r.Rule), "prompt", q.work.Prompt, "expected", q.work.Expected, "engines", r.Engines,
-			"ruled", r.Count, "level", math.Round(100*g.fleet.meanFullLevel(q.service))/100, "read_ms", r.MinPrefillTime.Milliseconds(), "queued", r.Queued, "gateways_known", r.Known, "gateways", r.Gateways,
+			"ruled", r.Count, "level", math.Round(100*g.fleet.meanFullLevel(q.service))/100, "read_ms", r.MinPrefillTime.Milliseconds(), "queued", r.Queued, "ahead", r.Position.Ahead, "behind", r.Position.Behind, "unknown", r.Position.Unknown,
+			"organisation_priority", q.work.Urgency.Organisation, "route_priority", q.work.Urgency.Route, "gateways_known", r.Known, "gateways", r.Gateways,
 			"waited_ms", g.clock.Since(q.arrived).Milliseconds(), "prefills", n.prefills, "decodes", n.decodes, "retry", string(choice))
 		g.refuse(w, q.id, refusal{route: q.route.Name, status: http.StatusServiceUnavailable, reason: "no engine has room", retryAfter: after})
 		return
