--- a/roles/work.go
+++ b/roles/work.go
@@ -23,6 +23,11 @@
 
 func (w Work) known() bool { return w.Prefill > 0 && w.Decode > 0 }
 
+// requests returns the number of requests that arrive in a time.
+func (w Work) requests(d time.Duration) float64 {
+	return w.Prefill * float64(d) / math.Max(float64(w.PrefillTime), 1)
+}
+
 // capacity returns the multiple of the work that a division of engines can serve.
 func (w Work) capacity(prefill, decode int) float64 {
 	return math.Min(float64(prefill)*w.prefillUtilization(prefill)/w.Prefill, float64(decode)/w.Decode)
@@ -46,6 +51,9 @@
 	workAveragingTime = 30 * time.Second
 	// minLoadTime is how long work must have arrived before the roles follow it.
 	minLoadTime = 2 * time.Second
+	// minRequests is the number of requests that must have arrived before the roles follow them.
+	// The ratio of the work of 60 requests varies by about a tenth.
+	minRequests = 60
 	// maxWorkAge is the age from which work counts as ended. workMemory is the time after
 	// which it is forgotten: until then the utilization doesn't decide, because it contains
 	// the runs of work that has ended.
@@ -56,8 +64,7 @@
 	// roles free.
 	minWorkUtilization = 0.25
 	// minGain is the share by which a change must raise the load that can be served. Each
-	// changed engine costs RoleSwitch of its capacity, and two seconds of 40 requests a
-	// second determine the ratio of the work to about a tenth.
+	// changed engine costs RoleSwitch of its capacity, and the measured ratio varies.
 	minGain = 0.05
 	// reverseInterval is the minimum time between a change and one in the other direction
 	// by the work. In a mix with shorter waves, each wave would cost RoleSwitch of the
@@ -131,7 +138,8 @@
 
 // decides reports whether there is enough work for long enough to determine the roles.
 func (a *arrivingWork) decides(now time.Time, prefill, decode int) bool {
-	if now.Sub(a.at) > maxWorkAge || now.Sub(a.since) < minLoadTime {
+	loaded := now.Sub(a.since)
+	if now.Sub(a.at) > maxWorkAge || loaded < minLoadTime || a.mean.requests(loaded) < minRequests {
 		return false
 	}
 	return math.Max(a.mean.Prefill/float64(max(prefill, 1)), a.mean.Decode/float64(max(decode, 1))) >= minWorkUtilization
