--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -144,8 +144,8 @@
 	// prefillRates is the rate of the prefill engines of each service, in prompt tokens a
 	// millisecond.
 	prefillRates map[string]float64
-	// losses holds the engines that have recently lost answers, by their stable names.
-	// lossChanges are the changes of their use that were not logged yet.
+	// losses holds the servers that have recently lost answers, by their stable names.
+	// lossChanges are the changes of the use of engines among them that were not logged yet.
 	losses      map[string]*losses
 	lossChanges []LossChange
 	// tokenTimes is the observed time per generated token of a run, by service.
--- a/dispatch/evidence.go
+++ b/dispatch/evidence.go
@@ -23,7 +23,8 @@
 	// at which some failed.
 	Good, Bad, Gateways int
 	// Lost counts the answers that the server lost, in all its incarnations, because of its
-	// connection or its process. They count as failed too.
+	// connection or its process, and the connections to a plain server that could not be
+	// opened. They count as failed too.
 	Lost int
 }
 
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -85,8 +85,10 @@
 	if o == Success && !s.alive(now) {
 		f.groups = nil // the groups left it out
 	}
-	if o == Lost {
+	if o == Lost || o == Unreachable && s.Role == "" {
 		f.noteLost(now, s)
+	}
+	if o == Lost {
 		o = Failure
 	}
 	if o == Busy && s.pause.Active(now) {
@@ -157,12 +159,13 @@
 	return s != nil && s.blocked(now)
 }
 
-// Trusted reports whether nothing known about a server suggests that a request sent to it now
-// might get no answer: it accepts work, is neither blocked nor ejected, and no gateway has seen it
-// fail within evidenceTime.
+// Trusted reports whether nothing known about a plain server suggests that a request sent on a kept
+// connection to it now might get no answer: it accepts work, is neither blocked nor ejected, and
+// within evidenceTime no gateway has lost an answer of it or failed to open a connection to it. A
+// complete answer, whatever its status, says nothing against the connection.
 func (f *Fleet) Trusted(now time.Time, id string) bool {
 	s := f.servers[id]
-	return s != nil && s.available(now) && !s.blocked(now) && s.ownEvidence.sum(now).Add(s.OthersSeen).Bad == 0
+	return s != nil && s.Role == "" && s.available(now) && !s.blocked(now) && !s.losses.any(now)
 }
 
 // score returns the expected cost of one more request to a plain server.
--- a/dispatch/lost.go
+++ b/dispatch/lost.go
@@ -18,6 +18,11 @@
 //
 // A lost answer costs its prompt and the time of its caller, an ejection costs capacity while
 // requests wait. So an engine that loses one answer in twenty stays in use.
+//
+// Plain servers are not ejected because of losses. Theirs are counted, together with connections
+// that could not be opened, for Trusted: one in seven requests of a kind there got a complete 500,
+// which says nothing against a kept connection, so that failures of all kinds left hardly any server
+// trusted.
 
 // Constants of lost answers.
 const (
@@ -60,7 +65,8 @@
 )
 
 // losses is what a gateway knows about the answers that a server has lost, in all its
-// incarnations. It exists only for engines that have lost some recently.
+// incarnations. It exists only for servers that have lost some recently. For a plain server, it
+// includes the connections that could not be opened, and phase stays inUse.
 type losses struct {
 	name string
 	// own counts the answers that this gateway has lost there, others those of the other
@@ -131,10 +137,11 @@
 	return n
 }
 
-// noteLost records that an engine lost the answer to a request of this gateway. A server that
-// leaves ends its connections on purpose.
+// noteLost records that a server lost the answer to a request of this gateway, or that no
+// connection to a plain server could be opened. A server that leaves ends its connections on
+// purpose.
 func (f *Fleet) noteLost(now time.Time, s *Server) {
-	if s.Role == "" || s.State == registry.Draining || !s.leavingSince.IsZero() || s.gone && !s.replaced {
+	if s.State == registry.Draining || !s.leavingSince.IsZero() || s.gone && !s.replaced {
 		return
 	}
 	l := f.lossesOf(s)
@@ -144,7 +151,8 @@
 	_, own := l.own.sum(now)
 	l.total = own + l.others
 	l.own.at(now).b++
-	if !l.until.IsZero() || !s.health.lastSuccess.IsZero() || s.OthersSeen.Good > 0 { // it has answered before
+	answered := !l.until.IsZero() || !s.health.lastSuccess.IsZero() || s.OthersSeen.Good > 0
+	if s.Role != "" && answered {
 		l.ownUntil = now.Add(minEjection)
 	}
 	f.updateLosses(now, true)
@@ -196,7 +204,7 @@
 		l.others = 0
 	}
 	for id, e := range f.Others.Evidence {
-		if s := f.servers[id]; s != nil && s.Role != "" && e.Lost > 0 {
+		if s := f.servers[id]; s != nil && e.Lost > 0 {
 			f.lossesOf(s).others += e.Lost
 		}
 	}
@@ -222,7 +230,7 @@
 	}
 }
 
-// updateLossesOf advances the phase of an engine.
+// updateLossesOf updates the losses of a server and advances the phase of an engine.
 func (f *Fleet) updateLossesOf(now time.Time, s *Server, comparable bool) {
 	l := s.losses
 	_, own := l.own.sum(now)
@@ -231,9 +239,12 @@
 	l.total = total
 	if rises {
 		l.lastLoss = now
-		if l.phase == probing && (!l.probeAt.IsZero() || l.baseline == 0) { // not a run from before the ejection
-			f.ejectForLosses(now, l)
-		}
+	}
+	if s.Role == "" {
+		return
+	}
+	if rises && l.phase == probing && (!l.probeAt.IsZero() || l.baseline == 0) { // not a run from before the ejection
+		f.ejectForLosses(now, l)
 	}
 	// The reservations of lost runs end some time after their losses are known.
 	if l.phase == inUse && l.lastLoss.After(l.backAt) && now.Sub(l.lastLoss) < lossSettleTime && total >= minLosses && f.lostShare(now, l) >= minLostShare {
@@ -311,6 +322,15 @@
 	f.noteLossChange(LossChange{Server: l.name, Back: true, For: l.duration})
 }
 
+// any reports whether some gateway has lost an answer within evidenceTime. l may be nil.
+func (l *losses) any(now time.Time) bool {
+	if l == nil {
+		return false
+	}
+	_, own := l.own.sum(now)
+	return own+l.others > 0
+}
+
 // suspected reports whether an engine should not be used as before.
 func (l *losses) suspected(now time.Time) bool { return l.phase != inUse || now.Before(l.ownUntil) }
 
--- a/wire/message.go
+++ b/wire/message.go
@@ -359,7 +359,7 @@
 	Bad       int `cbor:"7,keyasint,omitempty"`
 	Witnesses int `cbor:"8,keyasint,omitempty"`
 	// Lost is the number of recent answers that the server lost, because of its connection or
-	// its process.
+	// its process, and of connections to a plain server that could not be opened.
 	Lost int `cbor:"9,keyasint,omitempty"`
 }
 
