--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -130,7 +130,7 @@
 		return ""
 	}
 	share := f.maxShare(w)
-	if !f.fitsNow(s, w, e, share*f.fullLevel(s, e, 1)) {
+	if !f.fitsLevel(s, w, e, share) {
 		return RuleMemoryNow
 	}
 	if used+float64(w.finalTokens()) > share*MemoryOvercommit*float64(e.KVTokens) {
--- a/dispatch/level.go
+++ b/dispatch/level.go
@@ -28,8 +28,9 @@
 	// migrationStartTime is the time until a run begins to migrate (see minUrgency).
 	migrationStartTime = 200 * time.Millisecond
 	// reliefMargin is the time that a migration takes longer if its first attempt fails: the
-	// run tries again after 150 ms, and finds another target within an event.
-	reliefMargin = 300 * time.Millisecond
+	// run tries again 150 ms later, with its next event, which may take 230 ms. With 300 ms,
+	// engines preempted 7% more runs in replay.
+	reliefMargin = 500 * time.Millisecond
 )
 
 // SetTokenTime sets the observed time per generated token of a run of a service; zero if
@@ -56,6 +57,14 @@
 	return min(max(1-free/float64(e.KVTokens), minFullLevel), maxFullLevel)
 }
 
+// fitsLevel reports whether a request's tokens and the current ones of an engine fill at most a
+// share of the memory up to the full level. The level is only computed if the result depends on it,
+// since a choice looks at many engines.
+func (f *Fleet) fitsLevel(s *Server, w Work, e *route.Engine, share float64) bool {
+	return f.fitsNow(s, w, e, share*minFullLevel) ||
+		f.fitsNow(s, w, e, share*maxFullLevel) && f.fitsNow(s, w, e, share*f.fullLevel(s, e, 1))
+}
+
 // unknownMargin returns the tokens by which the estimate of addUnknown is too low if the unknown
 // gateways have reserved as much as the others.
 func (f *Fleet) unknownMargin(s *Server) float64 {
@@ -63,13 +72,6 @@
 	return (1 - unknownLoadShare) * float64(s.Own.Held+s.Others.Held) * float64(missing) / float64(max(f.Others.Known, 1))
 }
 
-// targetLevel returns the largest share of an engine's memory that its current tokens may fill
-// when a run migrates there: its runs grow until the run has arrived, and for as long again until
-// another migration could relieve it.
-func (f *Fleet) targetLevel(s *Server, e *route.Engine) float64 {
-	return 2*f.fullLevel(s, e, 1) - 1
-}
-
 // minUrgency returns the urgency of migrations at the full level: at least the one at which a run
 // begins to migrate within migrationStartTime.
 func (f *Fleet) minUrgency(s *Server, e *route.Engine) float64 {
--- a/dispatch/migrate.go
+++ b/dispatch/migrate.go
@@ -20,6 +20,10 @@
 	// produces one event: the runs belong to many gateways, which receive each other's loads
 	// with a delay of some events.
 	initialUrgency = 0.25
+	// targetLevel is the largest share of an engine's memory that its current tokens may fill
+	// when a run migrates there. A level that follows the growth too doubled the migrations in
+	// replay and prevented no more preemptions.
+	targetLevel = 0.80
 	// leavingMigrationTime is the time in which runs migrate away from a leaving engine. A
 	// run whose migration fails goes back there, which must happen before the engine accepts
 	// no more.
@@ -72,7 +76,7 @@
 	remaining := Work{Service: w.Service, Regions: w.Regions, Prompt: w.currentTokens(), Expected: max(w.Expected-w.Generated, 0)}
 	byProximity := map[Proximity][]*Server{}
 	f.search(now, w.Service, registry.Decode, func(to *Server) bool {
-		if to.ID == from || !f.eligibleFor(now, to, remaining, nil) || !f.fits(to, remaining, e) || !f.fitsNow(to, remaining, e, f.targetLevel(to, e)) {
+		if to.ID == from || !f.eligibleFor(now, to, remaining, nil) || !f.fits(to, remaining, e) || !f.fitsNow(to, remaining, e, targetLevel) {
 			return false
 		}
 		proximity := f.proximity(s.Zone, to.Zone)
