--- a/gateway/headroom.go
+++ b/gateway/headroom.go
@@ -15,14 +15,18 @@
 func (f *fleet) updateHeadroom(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	own := f.demand(now)
+	own, changed := f.demand(now), false
 	for service, e := range f.engines {
 		h := f.view.UpdateHeadroom(now, service, e, own, f.runTimes[service])
 		if len(h) > 0 || f.headrooms[service] {
 			showHeadroom(service, h)
+			changed = true
 		}
 		f.headrooms[service] = len(h) > 0
 	}
+	if changed {
+		f.serveQueue() // less may be left free than before
+	}
 }
 
 // showHeadroom sets the metric of a service.
