--- a/replay/callers.go
+++ b/replay/callers.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/ledgepin/ledgepin/demand"
 	"github.com/ledgepin/ledgepin/dispatch"
@@ -167,9 +168,21 @@
 // passes before.
 func (s *simulation) refuse(r *request) {
 	s.result.Refused++
-	r.waitUntil = s.now.Add(dispatch.RetryAfter(r.gateway.times.Total, 0, s.rng.Float64()))
+	r.waitUntil = s.now.Add(s.retryAfter(r))
 	if r.tries >= maxTries || r.waitUntil.After(r.firstTryAt.Add(s.pattern.Deadline)) {
 		return
 	}
 	s.retries = append(s.retries, r)
 }
+
+// retryAfter returns the time after which a refused caller is told to retry.
+func (s *simulation) retryAfter(r *request) time.Duration {
+	g, draw := r.gateway, s.rng.Float64()
+	if s.options.RandomRetries || len(s.pattern.Kinds) == 1 {
+		return dispatch.RetryAfter(g.times.Total, 0, draw)
+	}
+	rejected := dispatch.Rejected{Work: r.work, Within: s.kind(r).Target - s.now.Sub(r.firstTryAt)}
+	after, _ := g.fleet.RetryTime(s.now, rejected, g.times, s.ownDemand(g), &g.trend, draw)
+	g.promises.Add(s.now, demand.Key{Service: service, Urgency: r.work.Urgency}, after)
+	return after
+}
--- a/replay/demand.go
+++ b/replay/demand.go
@@ -7,7 +7,7 @@
 // setDemand notes what waits at a gateway and gives it a rank, as a replica of control does: a
 // gateway with a new waiting request, or with one that was placed or refused, goes to the end.
 func (s *simulation) setDemand(g *gateway) {
-	list := demand.Add(g.arrivals.List(s.now), g.queue.Demand())
+	list := s.ownDemand(g)
 	turns := map[demand.Key]int{}
 	for _, c := range list {
 		if c.Waiting == 0 {
@@ -36,3 +36,9 @@
 	}
 	return out
 }
+
+// ownDemand returns what waits at a gateway, what has arrived there, and the retry times that it
+// has stated.
+func (s *simulation) ownDemand(g *gateway) []demand.Class {
+	return g.promises.Report(s.now, demand.Add(g.arrivals.List(s.now), g.queue.Demand()))
+}
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -108,3 +108,23 @@
 	assert.Assert(t, kinds[2] > 0.55, "the least urgent kind starves: %v", kinds)
 	assert.Assert(t, all > 0.73, "%v of all", all)
 }
+
+// TestHeadroomServesUrgentKinds guards against less urgent requests that take each slot before an
+// urgent one arrives. The least urgent kind must keep 0.72 of its share.
+func TestHeadroomServesUrgentKinds(t *testing.T) {
+	p := read(t, "urgency")
+	kinds := func(name string, o replay.Options) [3]float64 {
+		var out [3]float64
+		for o.Seed = range uint64(4) {
+			for i, k := range simulate(t, p, name, o).Kinds {
+				out[i] += k.Share() / 4
+			}
+		}
+		t.Logf("%s: in time by kind %.3f", name, out)
+		return out
+	}
+	without := kinds("without", replay.Options{NoHeadroom: true})
+	with := kinds("with headroom", replay.Options{})
+	assert.Assert(t, with[0] > without[0]+0.01 && with[1] > without[1], "%v and %v", with, without)
+	assert.Assert(t, with[2] > 0.72*without[2], "%v and %v", with, without)
+}
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -10,6 +10,7 @@
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/retryslots"
 	"github.com/ledgepin/ledgepin/route"
 )
 
@@ -57,6 +58,8 @@
 	times    dispatch.RunTimes
 	requests []*request
 	arrivals demand.Meter
+	trend    retryslots.Trend
+	promises retryslots.Promises
 	// turns is the rank of the gateway among those with waiting requests, by class, and demand
 	// what it had waiting at the last exchange.
 	turns  map[demand.Key]int
@@ -70,6 +73,10 @@
 	Policy Policy
 	// NoFailureSharing disables the exchange of failures between gateways.
 	NoFailureSharing bool
+	// NoHeadroom lets requests fill the engines whatever more urgent ones are expected.
+	NoHeadroom bool
+	// RandomRetries states random retry times, without regard to other callers.
+	RandomRetries bool
 	// NoFairShare serves queued requests in order of arrival, whichever organisation sends them.
 	NoFairShare bool
 	// QueueTimeout returns how long a request waits for capacity; nil selects ledgepin's queue
@@ -241,6 +248,10 @@
 			}
 		}
 		g.fleet.SetOthers(s.now, o)
+		if !s.options.NoHeadroom {
+			g.fleet.UpdateHeadroom(s.now, service, s.engineRoute, g.demand, g.times)
+		}
+		g.trend.Add(s.now, sum)
 	}
 }
 
