--- a/retryslots/retryslots.go
+++ b/retryslots/retryslots.go
@@ -53,8 +53,7 @@
 	// Within is the time within which a retry can still be served within the objective; zero or
 	// less if it can't.
 	Within time.Duration
-	// UsualFrom and UsualTo are the times between which callers retry if no capacity is
-	// expected.
+	// UsualFrom and UsualTo are the times between which callers retry if they are late.
 	UsualFrom, UsualTo time.Duration
 }
 
@@ -67,9 +66,12 @@
 // Choose returns the time after which a caller should retry, and whether capacity is expected
 // then. draw is uniform in [0, 1).
 func Choose(s State, c Caller, draw float64) (after time.Duration, free bool) {
-	list := s.free(max(c.NotBefore, Earliest), Latest)
-	if inTime := until(list, c.Within); len(inTime) > 0 {
-		list = inTime
+	from := min(max(c.NotBefore, Earliest), Latest)
+	list := until(s.free(from, Latest), c.Within)
+	if len(list) == 0 {
+		// The caller is late however soon it retries, and would take capacity from less urgent
+		// ones that can be served in time.
+		list = s.free(min(max(from, c.UsualFrom), Latest), Latest)
 	}
 	total := 0.0
 	for _, x := range list {
