--- a/dispatch/draw.go
+++ b/dispatch/draw.go
@@ -9,9 +9,10 @@
 )
 
 // While all requests have the same urgency, or some wait at gateways of a build that reports no
-// urgency, positions are not used (see turn.go), and all gateways learn at the same time that an engine has capacity for one. If each gateway used it, the engine would get many times what
-// it can hold. So each uses it with a probability that admits about as many requests as there
-// are free slots, and draws again after an interval.
+// urgency, positions are not used (see turn.go), and all gateways learn at the same time that an
+// engine has capacity for one request. If each gateway used it, the engine would get many times
+// what it can hold. So each uses it with a probability that admits about as many requests as
+// there are free slots, and draws again after an interval.
 
 // slotDrawInterval is the time for which a draw holds: the time in which gateways learn of
 // each other's reservations.
--- a/dispatch/headroom.go
+++ b/dispatch/headroom.go
@@ -16,8 +16,8 @@
 // queue doesn't help it, since less urgent requests that arrived earlier have been placed already.
 // So less urgent requests leave as much memory free as the more urgent ones are expected to need
 // within the time in which capacity is known to become free. After that time a run has ended, and
-// its capacity goes to the most urgent request that waits. A fixed reserve of 7 to 18% cost the
-// least urgent requests 0.10 to 0.14 of their value.
+// its capacity goes to the most urgent request that waits. A fixed reserve would stay unused
+// while no urgent request arrives, at the expense of the least urgent ones.
 
 const (
 	// viewAge is the age of what a gateway knows about the others: 40 ms between two updates of
--- a/dispatch/level.go
+++ b/dispatch/level.go
@@ -28,8 +28,8 @@
 	// migrationStartTime is the time until a run begins to migrate (see minUrgency).
 	migrationStartTime = 200 * time.Millisecond
 	// reliefMargin is the time that a migration takes longer if its first attempt fails: the
-	// run tries again 150 ms later, with its next event, which may take 230 ms. With 300 ms,
-	// engines preempted 7% more runs in replay.
+	// run tries again 150 ms later, with its next event, which may take 230 ms. A shorter margin
+	// let engines preempt more runs.
 	reliefMargin = 500 * time.Millisecond
 )
 
--- a/dispatch/migrate.go
+++ b/dispatch/migrate.go
@@ -21,8 +21,8 @@
 	// with a delay of some events.
 	initialUrgency = 0.25
 	// targetLevel is the largest share of an engine's memory that its current tokens may fill
-	// when a run migrates there. A level that follows the growth too doubled the migrations in
-	// replay and prevented no more preemptions.
+	// when a run migrates there. A level that follows the growth of runs causes more
+	// migrations and prevents no more preemptions.
 	targetLevel = 0.80
 	// leavingMigrationTime is the time in which runs migrate away from a leaving engine. A
 	// run whose migration fails goes back there, which must happen before the engine accepts
--- a/dispatch/turn.go
+++ b/dispatch/turn.go
@@ -41,8 +41,7 @@
 }
 
 // draws reports whether free slots are drawn at random: also if all requests have the same urgency,
-// since positions then served fewer requests of the replay hot-organisation (0.782 in place of 0.798,
-// 24 seeds).
+// since positions then serve fewer requests in time while one organisation sends a burst.
 func (p Position) draws() bool { return p.Unknown > 0 || !p.Mixed }
 
 // Waiting names what waited at other gateways, for the metrics.
--- a/roles/work.go
+++ b/roles/work.go
@@ -41,8 +41,8 @@
 	// promptVariation is the variance of prompt lengths over the square of their mean.
 	promptVariation = 0.3
 	// maxPrefillUtilization is the utilization of prefill engines at a load that fills the
-	// decode engines. In a burst of 2.4 times load A, prefill engines are then 0.75 busy, so
-	// that prompts don't accumulate while a quarter of the engines fails for 2 s.
+	// decode engines. The rest lets prompts be processed in time while a quarter of the engines
+	// fails for 2 s in a burst.
 	// lowestPrefillUtilization bounds what a short objective can claim.
 	maxPrefillUtilization    = 0.85
 	lowestPrefillUtilization = 0.5
