--- a/dispatch/prefill.go
+++ b/dispatch/prefill.go
@@ -128,6 +128,10 @@
 	return initialPrefillRate
 }
 
+// PrefillRate returns the observed rate of the prefill engines of a service, in prompt tokens a
+// millisecond; zero if no prefill has shown it.
+func (f *Fleet) PrefillRate(service string) float64 { return f.prefillRates[service] }
+
 // queuedTokens returns the number of tokens that an engine has to prefill until it has
 // prefilled a prompt.
 func (s *Server) queuedTokens(w Work) int {
--- a/dispatch/prefill_test.go
+++ b/dispatch/prefill_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/registry"
 )
 
 // TestPrefillEngineChoice checks that a prompt is prefilled where that is done first, and
@@ -99,3 +100,17 @@
 	got = prefillTime()
 	assert.Assert(t, got < 140*time.Millisecond, "engines that prefill faster: %v", got)
 }
+
+// TestPrefillRateIsThatOfEngines guards against an observed rate that falls with the load: half of
+// the prefills share their engine with others and take 2.75 times as long.
+func TestPrefillRateIsThatOfEngines(t *testing.T) {
+	f := dispatch.NewFleet("g", "z")
+	now := time.Unix(1000, 0)
+	f.Update(now, []registry.Server{{ID: "p", Address: "p", Service: "s", Zone: "z", Role: registry.Prefill, State: registry.Ready, Sequence: 1}})
+	assert.Equal(t, f.PrefillRate("s"), 0.0)
+	for range 100 {
+		f.NotePrefill(now, "p", 100*time.Millisecond, 5500)
+		f.NotePrefill(now, "p", 275*time.Millisecond, 5500)
+	}
+	assert.Assert(t, f.PrefillRate("s") > 45, "%v", f.PrefillRate("s"))
+}
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -37,7 +37,7 @@
 	}
 	g.fleet.noteOutcome(s.ID, dispatch.Success, g.clock.Since(started))
 	g.fleet.notePrefill(s.ID, g.clock.Since(started), n.pair.QueuedTokens)
-	g.fleet.notePrefillTime(s.ID, n.q.work, g.clock.Since(started), n.pair.QueuedTokens)
+	g.fleet.noteUncached(s.ID, n.q.work)
 	n.kv, n.kvSource, n.kvReadyAt = kv, *s, g.clock.Now()
 	n.handover = dispatch.Handover{Prefill: s.ID}
 	return res
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -30,16 +30,16 @@
 	f.engineTimes(service).NoteAnswer(took, tokens)
 }
 
-// notePrefillTime records how long a prefill took, with the queued tokens that it includes.
-func (f *fleet) notePrefillTime(id string, w dispatch.Work, took time.Duration, queued int) {
+// noteUncached records how much of a prompt an engine had to process.
+func (f *fleet) noteUncached(id string, w dispatch.Work) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.engineTimes(w.Service).NotePrefill(took, queued, max(w.Prompt-w.Cached[id], 0), w.Prompt)
+	f.engineTimes(w.Service).NotePrefill(max(w.Prompt-w.Cached[id], 0), w.Prompt)
 }
 
 // addWork adds the work of the classes to the demand. The caller holds f.mu.
 func (f *fleet) addWork(list []demand.Class) {
 	for i := range list {
-		f.times[list[i].Service].AddWork(&list[i])
+		f.times[list[i].Service].AddWork(&list[i], f.view.PrefillRate(list[i].Service))
 	}
 }
