--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -172,9 +172,17 @@
 
 // relay relays an engine's stream, and those of the engines to which its run migrates. It returns
 // the last engine and its answer.
+//
+// If a run that was stopped continues without any event, it may have been stopped after its last
+// event, or the engine may have continued after events that the caller did not receive. The order of
+// events doesn't tell which, so the answer is not taken for complete: where the route allows it, a new
+// run is asked for the rest.
 func (n *generation) relay(ctx context.Context, s *dispatch.Server, a *backend.Answer) (*dispatch.Server, *backend.Answer, error) {
-	for {
+	for continued := false; ; continued = true {
 		err := n.stream.relay(a, s)
+		if err == nil && continued && n.stream.fromEvents == 0 {
+			err = errNoEvents
+		}
 		m := n.migrations.take()
 		if m != nil && ctx.Err() != nil {
 			n.g.wg.Go(func() {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -38,6 +38,8 @@
 	// order.
 	from            *dispatch.Server
 	outOfOrderNoted bool
+	// fromEvents is the number of events that this engine has sent, including repeated ones.
+	fromEvents int
 	// firstAt is when the first part arrived, lastAt the newest, and gap is the longest pause
 	// between two.
 	firstAt, lastAt time.Time
@@ -74,6 +76,7 @@
 	errEventsMissing = errors.New("gateway: events of the stream are missing")
 	errPartialEvent  = errors.New("gateway: the stream ended within an event")
 	errRunStopped    = errors.New("gateway: the run may have been stopped, so its stream is incomplete")
+	errNoEvents      = errors.New("gateway: the continued run sent no events, so some may be missing")
 	errCallerWrite   = errors.New("gateway: the caller does not read the stream")
 )
 
@@ -124,7 +127,7 @@
 
 // startFrom prepares the writer for the stream of another engine.
 func (s *streamWriter) startFrom(a *backend.Answer, from *dispatch.Server) {
-	s.from, s.outOfOrderNoted = from, false
+	s.from, s.outOfOrderNoted, s.fromEvents = from, false, 0
 	s.reader.Reset()
 	s.order.SwitchRun()
 	if s.started {
@@ -190,6 +193,9 @@
 // caller.
 func (s *streamWriter) processBlock(block eventstream.Block, raw []byte) error {
 	verdict := s.order.Check(block)
+	if block.Kind == eventstream.Event {
+		s.fromEvents++
+	}
 	if !verdict.Passes() {
 		s.noteOutOfOrder(verdict)
 		if verdict.Decision == eventstream.Missing {
