--- a/soak/check.go
+++ b/soak/check.go
@@ -85,6 +85,7 @@
 	{"links between builds are not refused", checkRefusals},
 	{"each gateway in touch has a table all the time", checkTableAvailable},
 	{"there is a leader", checkLeader},
+	{"urgent requests are served no worse, and others too", checkUrgency},
 	{"no process ends by itself", checkUnexpectedExits},
 }
 
@@ -94,7 +95,7 @@
 		if q.Status != http.StatusOK || q.LeftAt > 0 || q.Kind == Desk { // for Desk see checkEvents
 			continue
 		}
-		stream, complete := q.Kind == Review, ""
+		stream, complete := q.Kind.isStream(), ""
 		if stream {
 			complete = streamAfter(q.Content, 0)
 		}
@@ -126,7 +127,7 @@
 	var out []string
 	n := countRuns(h)
 	for _, q := range h.Requests {
-		if (q.Kind == Checkout || q.Kind == Review) && n[q.ID] > 1 {
+		if q.Kind.runsOnce() && n[q.ID] > 1 {
 			out = append(out, fmt.Sprintf("%s (%s) ran %d times", q.ID, q.Kind, n[q.ID]))
 		}
 	}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -38,7 +38,7 @@
 )
 
 func serviceOf(k RequestKind) string {
-	if k == Review || k == Desk {
+	if k.isStream() {
 		return engineService
 	}
 	return appService
--- a/soak/disturber.go
+++ b/soak/disturber.go
@@ -43,13 +43,19 @@
 	return d.rng.IntN(n)
 }
 
+// routeKind returns the kind of requests of a path.
+func routeKind(path string) RequestKind {
+	kind, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	return RequestKind(kind)
+}
+
 // wrap returns a handler that disturbs requests to next.
 func (d *disturber) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch path := r.URL.Path; {
 		case strings.HasPrefix(path, "/-/kv-move"), strings.HasPrefix(path, "/-/hold-"), r.Method == http.MethodDelete:
 			d.disturbCall(w, r, next)
-		case strings.HasPrefix(path, "/"+string(Desk)+"/"), strings.HasPrefix(path, "/"+string(Review)+"/"):
+		case routeKind(path).isStream():
 			if r.Header.Get(headers.Role) == "" {
 				d.disturbStream(w, r, next)
 				return
--- a/soak/history.go
+++ b/soak/history.go
@@ -16,8 +16,19 @@
 	Rates    RequestKind = "rates"    // may be repeated
 	Review   RequestKind = "review"   // a stream that can't be resumed
 	Desk     RequestKind = "desk"     // a stream that can be resumed
+	// Streams like Review, on routes that are more and less urgent than all others.
+	Urgent     RequestKind = "urgent"
+	Background RequestKind = "background"
 )
 
+// isStream reports whether requests of a kind are answered with a stream of events.
+func (k RequestKind) isStream() bool { return k == Desk || k.runsOnce() && k != Checkout }
+
+// runsOnce reports whether requests of a kind may not be repeated.
+func (k RequestKind) runsOnce() bool {
+	return k == Checkout || k == Review || k == Urgent || k == Background
+}
+
 // Request is a request as its caller observed it.
 type Request struct {
 	ID      string
@@ -36,6 +47,8 @@
 	Content string
 	// Sent and Ended are times since the start of the run.
 	Sent, Ended time.Duration
+	// FirstByte is when the first byte of the body arrived, zero if none did or it was not recorded.
+	FirstByte time.Duration
 	// Status is zero if no answer arrived.
 	Status int
 	Body   string
--- a/soak/load.go
+++ b/soak/load.go
@@ -44,7 +44,7 @@
 )
 
 // deadlines are how long callers wait for complete answers.
-var deadlines = map[RequestKind]time.Duration{Checkout: 3 * time.Second, Rates: 3 * time.Second, Review: 8 * time.Second, Desk: 8 * time.Second}
+var deadlines = map[RequestKind]time.Duration{Checkout: 3 * time.Second, Rates: 3 * time.Second, Review: 8 * time.Second, Desk: 8 * time.Second, Urgent: 8 * time.Second, Background: 8 * time.Second}
 
 // load sends requests of all kinds to all gateways that accept callers.
 type load struct {
@@ -53,11 +53,13 @@
 	rng     *rand.Rand
 	// rateFactor multiplies the request rate.
 	rateFactor atomic.Int64
-	excluded   []atomic.Bool // gateways that are not ready, to which the platform sends no callers
-	clients    []*http.Client
-	wg         sync.WaitGroup
-	lastID     int
-	seed       uint64
+	// pairRate is the number of pairs of requests of different urgency per second.
+	pairRate atomic.Int64
+	excluded []atomic.Bool // gateways that are not ready, to which the platform sends no callers
+	clients  []*http.Client
+	wg       sync.WaitGroup
+	lastID   int
+	seed     uint64
 	// textMarker selects the texts of the events of streams.
 	textMarker string
 	// ended is set once no more requests are sent.
@@ -67,6 +69,7 @@
 func newLoad(cl *cluster, rec *recorder, seed uint64) *load {
 	l := &load{cluster: cl, rec: rec, seed: seed, rng: rand.New(rand.NewPCG(seed, 2)), excluded: make([]atomic.Bool, cl.shape.Gateways)}
 	l.rateFactor.Store(1)
+	l.pairRate.Store(pairsPerSecond)
 	for range cl.shape.Gateways {
 		l.clients = append(l.clients, &http.Client{Transport: &http.Transport{
 			MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: 8 * time.Second,
@@ -145,7 +148,9 @@
 		return 0, "", err
 	}
 	defer resp.Body.Close()
-	body, err := readAll(resp.Body)
+	r := &firstByteReader{Reader: resp.Body, now: l.rec.now}
+	body, err := readAll(r)
+	l.rec.update(func(*History) { q.FirstByte = r.first })
 	return resp.StatusCode, body, err
 }
 
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -16,8 +16,10 @@
 const tableTemplate = `{"version":VERSION,"routes":[
  {"name":"checkout","host":"h","pathPrefix":"/checkout/","kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":300,"service":"app","maxAttempts":1},
  {"name":"rates","host":"h","pathPrefix":"/rates/","kind":"idempotent","timeoutMs":3000,"targetLatencyMs":300,"service":"app","maxAttempts":2},
- {"name":"review","host":"h","pathPrefix":"/review/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":900,"gapTargetMs":500,"service":"llm","maxAttempts":1},
- {"name":"desk","host":"h","pathPrefix":"/desk/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":900,"gapTargetMs":500,"service":"llm","maxAttempts":3,"resumable":true},
+ {"name":"review","host":"h","pathPrefix":"/review/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":900,"gapTargetMs":500,"priority":1,"service":"llm","maxAttempts":1},
+ {"name":"urgent","host":"h","pathPrefix":"/urgent/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":900,"gapTargetMs":500,"priority":0,"service":"llm","maxAttempts":1},
+ {"name":"background","host":"h","pathPrefix":"/background/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":900,"gapTargetMs":500,"priority":2,"service":"llm","maxAttempts":1},
+ {"name":"desk","host":"h","pathPrefix":"/desk/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":900,"gapTargetMs":500,"priority":1,"service":"llm","maxAttempts":3,"resumable":true},
  {"name":"version","host":"h","pathPrefix":"/version-VERSION/","kind":"idempotent","timeoutMs":1000,"targetLatencyMs":300,"service":"SERVICE","maxAttempts":1}],
  "services":[{"name":"app","healthCheck":"/health","maxConnections":200,"coldStartS":COLDSTART,"coldPerS":COLDRATE},
  {"name":"llm","healthCheck":"/health","maxConnections":200,"engine":{"slots":16,"kvTokens":KVTOKENS,"kvHoldS":2,"roleSwitchS":0.5,"stride":STRIDE,"holdMs":2000,"moves":true}}],
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -45,6 +45,7 @@
 	SlowServer       Kind = "slow server"
 	RequestPauses    Kind = "ask for a pause"
 	ReportLeaving    Kind = "say leaving"
+	UrgencyBurst     Kind = "burst of urgencies"
 )
 
 // Planned reports whether a kind is planned work.
@@ -151,6 +152,7 @@
 	out = append(out, limitSteps(seed, length, shape)...)
 	out = append(out, slowSteps(seed, length, shape)...)
 	out = append(out, pauseSteps(seed, length, shape)...)
+	out = append(out, urgencySteps(seed, length)...)
 	slices.SortStableFunc(out, func(a, b Step) int { return int(a.At - b.At) })
 	return out
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -69,6 +69,7 @@
 	wg.Go(func() { cl.watchAll(backgroundCtx) })
 	wg.Go(func() { cl.sendBadReports(loadCtx, o.Seed) })
 	l.wg.Go(func() { l.sendDeadly(loadCtx, o.Seed) })
+	l.wg.Go(func() { l.sendPairs(loadCtx, o.Seed) })
 	f := &faultInjector{cluster: cl, rec: rec, load: l, ops: ops}
 	wg.Go(func() { f.run(loadCtx, plan) })
 	l.run(loadCtx)
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -31,6 +31,7 @@
 		{At: 4500 * time.Millisecond, Kind: BreakStreams, Target: 5, For: 2 * second},
 		{At: 5 * second, Kind: KillServer, Target: 3, For: second},
 		{At: 6 * second, Kind: KillGateway, Target: 1, For: second},
+		{At: 7500 * time.Millisecond, Kind: UrgencyBurst, For: 2500 * time.Millisecond},
 	}
 	h, broken, dir := runShort(t, Options{Length: 13 * time.Second, Plan: plan, PlainTexts: true})
 	s := Summarize(h)
