--- a/soak/check.go
+++ b/soak/check.go
@@ -86,6 +86,7 @@
 	{"each gateway in touch has a table all the time", checkTableAvailable},
 	{"there is a leader", checkLeader},
 	{"urgent requests are served no worse, and others too", checkUrgency},
+	{"streams that may be resumed are", checkResumed},
 	{"no process ends by itself", checkUnexpectedExits},
 }
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -46,6 +46,7 @@
 	RequestPauses    Kind = "ask for a pause"
 	ReportLeaving    Kind = "say leaving"
 	UrgencyBurst     Kind = "burst of urgencies"
+	FlapEngines      Kind = "flap engines"
 )
 
 // Planned reports whether a kind is planned work.
@@ -153,6 +154,7 @@
 	out = append(out, slowSteps(seed, length, shape)...)
 	out = append(out, pauseSteps(seed, length, shape)...)
 	out = append(out, urgencySteps(seed, length)...)
+	out = append(out, flapSteps(seed, length, shape)...)
 	slices.SortStableFunc(out, func(a, b Step) int { return int(a.At - b.At) })
 	return out
 }
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -15,7 +15,7 @@
 // TestShortRun performs a short run with real processes: a graceful stop, a kill of all replicas of
 // control during a change of the table, an invalid table, a server that leaves while a link is
 // reset, and kills of a server and a gateway. Calls and streams of engines are disturbed while
-// callers reconnect.
+// callers reconnect. Two engines go down and up by turns in a burst of requests of different urgency.
 func TestShortRun(t *testing.T) {
 	plan := []Step{
 		{At: 1 * second, Kind: StopGateway, Target: 0},
@@ -31,12 +31,15 @@
 		{At: 4500 * time.Millisecond, Kind: BreakStreams, Target: 5, For: 2 * second},
 		{At: 5 * second, Kind: KillServer, Target: 3, For: second},
 		{At: 6 * second, Kind: KillGateway, Target: 1, For: second},
+		{At: 7 * second, Kind: FlapEngines, Target: 4, For: 3 * second},
 		{At: 7500 * time.Millisecond, Kind: UrgencyBurst, For: 2500 * time.Millisecond},
 	}
 	h, broken, dir := runShort(t, Options{Length: 13 * time.Second, Plan: plan, PlainTexts: true})
 	s := Summarize(h)
+	assert.Assert(t, s.Troubles["flapped"] == 1 && s.Pairs >= minPairs, s.String())
 	assert.Assert(t, s.Served > 100 && s.Tables == 4 && s.Drains == 1 && s.Reconnects > 5 && s.Migrations > 5, s.String())
 
+	t.Log(s)
 	report := filepath.Join(dir, "report.html")
 	assert.NilError(t, WriteReport(report, h, broken))
 	page, err := os.ReadFile(report)
--- a/soak/summary.go
+++ b/soak/summary.go
@@ -22,6 +22,9 @@
 	Reconnects, Migrations int
 	// MaxHeldBytes is the maximum number of bytes that a gateway held for callers.
 	MaxHeldBytes int64
+	// Pairs counts the pairs of requests of different urgency, UrgentInTime and BackgroundInTime
+	// their requests that were answered in time.
+	Pairs, UrgentInTime, BackgroundInTime int
 	// Troubles counts injected disturbances at servers by name.
 	Troubles map[string]int
 }
@@ -41,6 +44,15 @@
 		s.MaxHeldBytes = max(s.MaxHeldBytes, held)
 	}
 	for _, q := range h.Requests {
+		switch {
+		case q.Kind == Urgent && q.inTime():
+			s.UrgentInTime++
+		case q.Kind == Background && q.inTime():
+			s.BackgroundInTime++
+		}
+		if q.Kind == Background {
+			s.Pairs++
+		}
 		if q.LastID != "" {
 			s.Reconnects++
 		}
@@ -74,6 +86,9 @@
 	s.Arrived += o.Arrived
 	s.Reconnects += o.Reconnects
 	s.Migrations += o.Migrations
+	s.Pairs += o.Pairs
+	s.UrgentInTime += o.UrgentInTime
+	s.BackgroundInTime += o.BackgroundInTime
 	for what, n := range o.Troubles {
 		if s.Troubles == nil {
 			s.Troubles = map[string]int{}
@@ -86,8 +101,8 @@
 
 // String returns the counts as text.
 func (s Summary) String() string {
-	return fmt.Sprintf("%s, %d processes, %d steps, %d requests (%d served, %d refused, %d failed, %d left, %d came back), %d arrivals, %d of them moves, %d tables, %d reads, %d probes, %d drains, %.1f MB held, %v",
-		s.Length, s.Processes, s.Steps, s.Requests, s.Served, s.Refused, s.Failed, s.Disconnected, s.Reconnects, s.Arrived, s.Migrations, s.Tables, s.Reads, s.Probes, s.Drains, float64(s.MaxHeldBytes)/1e6, s.Troubles)
+	return fmt.Sprintf("%s, %d processes, %d steps, %d requests (%d served, %d refused, %d failed, %d left, %d came back), %d arrivals, %d of them moves, %d tables, %d reads, %d probes, %d drains, of %d pairs %d urgent and %d background in time, %.1f MB held, %v",
+		s.Length, s.Processes, s.Steps, s.Requests, s.Served, s.Refused, s.Failed, s.Disconnected, s.Reconnects, s.Arrived, s.Migrations, s.Tables, s.Reads, s.Probes, s.Drains, s.Pairs, s.UrgentInTime, s.BackgroundInTime, float64(s.MaxHeldBytes)/1e6, s.Troubles)
 }
 
 // SaveRun saves the logs of a run, its history and the violations in a folder.
