--- a/soak/check.go
+++ b/soak/check.go
@@ -87,6 +87,7 @@
 	{"there is a leader", checkLeader},
 	{"urgent requests are served no worse, and others too", checkUrgency},
 	{"streams that may be resumed are", checkResumed},
+	{"retry times are in bounds and differ", checkRetryTimes},
 	{"no process ends by itself", checkUnexpectedExits},
 }
 
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -16,6 +16,7 @@
 const second = time.Second
 
 const (
+	retryRule   = "retry times are in bounds and differ"
 	eventsRule  = "each event once and in order over all tries"
 	urgencyRule = "urgent requests are served no worse, and others too"
 	tableRule   = "each gateway in touch has a table all the time"
@@ -90,6 +91,9 @@
 	resumed := validHistory()
 	resumed.loseStreams(minLostStreams, 1)
 	assert.Equal(t, fmt.Sprint(Check(resumed)), "[]")
+	spread := validHistory()
+	spread.refuseCallers(minRefusals, "0.5", "1.00", "4.5")
+	assert.Equal(t, fmt.Sprint(Check(spread)), "[]")
 	tests := []struct {
 		rule   string
 		name   string
@@ -278,6 +282,9 @@
 		}},
 		{urgencyRule, "the least urgent kind starves", func(h *History) { h.addPairs(minPairs, minPairs, 0) }},
 		{"streams that may be resumed are", "one of eleven", func(h *History) { h.loseStreams(11, 1) }},
+		{retryRule, "no time", func(h *History) { h.refuseCallers(1, "") }},
+		{retryRule, "a time later than callers wait", func(h *History) { h.refuseCallers(1, "4.6") }},
+		{retryRule, "the same time for all", func(h *History) { h.refuseCallers(minRefusals, "4.4") }},
 		{"no process ends by itself", "an exit", func(h *History) { h.Exits = []string{"gateway-0: exit status 2"} }},
 	}
 	for _, tt := range tests {
@@ -324,6 +331,16 @@
 	}
 }
 
+// refuseCallers adds callers that are refused at the same time and told in turn one of some times.
+func (h *History) refuseCallers(n int, times ...string) {
+	for i := range n {
+		h.Requests = append(h.Requests, Request{
+			ID: fmt.Sprint("refused-", i), Kind: Review, Organisation: "one", Sent: second, Ended: second, Status: 503,
+			Body: noCapacity, RetryAfter: times[i%len(times)],
+		})
+	}
+}
+
 // reportLimit adds a server that reports a limit from 8 s on and receives some requests between 13
 // and 14 s from a gateway that has received the limit.
 func (h *History) reportLimit(rate float64, requests int) {
--- a/soak/desk_caller.go
+++ b/soak/desk_caller.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 )
@@ -87,9 +86,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), remaining+time.Second)
 	defer cancel()
 	resp, err := d.send(ctx, &q, remaining)
-	retryAfter := ""
 	if err == nil {
-		q.Status, retryAfter = resp.StatusCode, resp.Header.Get("Retry-After")
+		q.Status, q.RetryAfter = resp.StatusCode, resp.Header.Get("Retry-After")
 		err = d.readAnswer(&q, resp, cancel)
 		_ = resp.Body.Close()
 	}
@@ -98,8 +96,8 @@
 	case q.Status == http.StatusOK && err == nil, q.Status >= 400 && q.Status < 500 && q.Status != http.StatusTooManyRequests:
 		return false, 0
 	case q.Status == http.StatusServiceUnavailable || q.Status == http.StatusTooManyRequests:
-		seconds, _ := strconv.ParseFloat(retryAfter, 64)
-		return true, min(time.Duration(seconds*float64(time.Second)), time.Until(d.deadline)/3)
+		after, _ := parseRetryAfter(q.RetryAfter)
+		return true, min(after, time.Until(d.deadline)/3)
 	}
 	time.Sleep(time.Duration(d.rng.Float64() * float64(40*time.Millisecond)))
 	return true, 0
--- a/soak/history.go
+++ b/soak/history.go
@@ -52,6 +52,8 @@
 	// Status is zero if no answer arrived.
 	Status int
 	Body   string
+	// RetryAfter is the Retry-After header of a refusal.
+	RetryAfter string
 	// Cut reports that the answer was cut off or that none arrived.
 	Cut bool
 	// Unconnected reports that no connection could be opened.
--- a/soak/load.go
+++ b/soak/load.go
@@ -150,7 +150,7 @@
 	defer resp.Body.Close()
 	r := &firstByteReader{Reader: resp.Body, now: l.rec.now}
 	body, err := readAll(r)
-	l.rec.update(func(*History) { q.FirstByte = r.first })
+	l.rec.update(func(*History) { q.FirstByte, q.RetryAfter = r.first, resp.Header.Get("Retry-After") })
 	return resp.StatusCode, body, err
 }
 
