--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -108,7 +108,7 @@
 // place reserves a prefill and a decode engine.
 func (n *generation) place(ctx context.Context) bool {
 	q := n.q
-	limit := n.g.fleet.queueTimeout(q.work, q.route.Target-n.g.clock.Since(q.arrived))
+	limit := n.g.fleet.queueTimeout(q.work, min(q.route.Target-n.g.clock.Since(q.arrived), q.remaining()))
 	if n.stream.started {
 		limit = q.route.GapTarget
 	}
@@ -121,7 +121,7 @@
 		waiting.Work.OverShare = n.g.limits.overFairShare(q)
 		if !n.stream.started && q.route.Target > 0 {
 			waiting.Until = until
-			waiting.Work.MaxPrefillTime = time.Duration(prefillDeadlineRatio*float64(q.route.Target)) - n.g.clock.Since(q.arrived)
+			waiting.Work.MaxPrefillTime = q.maxPrefillTime()
 		}
 		pair, ok := n.g.fleet.place(ctx, waiting, max(n.g.clock.Until(until), 0))
 		if !ok {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -253,6 +253,17 @@
 	return n, (err == nil || errors.Is(err, strconv.ErrRange)) && n >= 0
 }
 
+// maxPrefillTime returns the time in which the prompt should be prefilled: until the answer would be
+// too late, if it isn't yet, and at most until the deadline. What an engine makes for a caller whose
+// deadline passes meanwhile is made in vain, and nobody frees it.
+func (q *request) maxPrefillTime() time.Duration {
+	out, remaining := time.Duration(prefillDeadlineRatio*float64(q.route.Target))-q.clock.Since(q.arrived), q.remaining()
+	if out <= 0 || remaining < out {
+		return max(remaining, 1)
+	}
+	return out
+}
+
 // remaining returns the time until the deadline of a request.
 func (q *request) remaining() time.Duration { return q.clock.Until(q.deadline) }
 
