--- a/dispatch/lost.go
+++ b/dispatch/lost.go
@@ -81,8 +81,7 @@
 
 	phase lossPhase
 	// until is the end of the last ejection, duration its length, and backAt when the engine was
-	// used as before again. share is the share of lost
-	// answers that led to it.
+	// used as before again. share is the share of lost answers that led to the ejection.
 	until    time.Time
 	duration time.Duration
 	backAt   time.Time
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -321,8 +321,9 @@
 	return d
 }
 
-// Collect updates the gauges of held bytes, of waiting requests and of full levels when the metrics are read. It implements the process
-// interface of the operator endpoint; the other metrics of a gateway are updated as they change.
+// Collect updates the gauges of held bytes, of waiting requests and of full levels when the metrics
+// are read. It implements the process interface of the operator endpoint; the other metrics of a
+// gateway are updated as they change.
 func (g *Gateway) Collect() {
 	g.fleet.collectWaiting()
 	metric.HeldBytes.WithLabelValues(g.cfg.Name).Set(float64(g.memory.Held()))
