--- a/app/dev.go
+++ b/app/dev.go
@@ -230,7 +230,7 @@
 	if i > 0 {
 		listen = "127.0.0.1:0"
 	}
-	addr, err := e.ln.serve(listen, caller.NewServer(caller.Handler(e.proc, d.opts.Log, d.opts.bodyTimeout())))
+	addr, err := e.ln.serveCallers(listen, caller.NewServer(caller.Handler(e.proc, d.opts.Log, d.opts.bodyTimeout())))
 	d.Callers = append(d.Callers, addr)
 	return err
 }
@@ -313,11 +313,14 @@
 }
 
 // Drain drains the entries: they refuse new requests, and Drain waits until the
-// requests in progress have ended or ctx is done.
+// requests in progress are answered or ctx is done.
 func (d *Dev) Drain(ctx context.Context) {
 	for _, e := range d.entries {
 		e.proc.Drain(ctx)
 	}
+	for _, e := range d.entries {
+		e.ln.shutdown(ctx)
+	}
 }
 
 // Close stops all roles and stand-ins at once.
--- /dev/null
+++ b/app/draining_server.go
@@ -0,0 +1,84 @@
+package app
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ledgepin/ledgepin/clock"
+	"github.com/ledgepin/ledgepin/internal/wait"
+)
+
+// drainingServer is an HTTP server whose shutdown waits for requests only. http.Server.Shutdown
+// also waits, for up to 5 s, for connections on which nothing has been sent.
+type drainingServer struct {
+	*http.Server
+
+	mu sync.Mutex
+	// active are the connections with a request that is not answered completely. opened holds the
+	// time at which each connection without a first request was accepted.
+	active map[net.Conn]bool
+	opened map[net.Conn]time.Time
+}
+
+const (
+	// firstRequestTimeout is how long after a connection was accepted its first request may
+	// arrive at a server that shuts down.
+	firstRequestTimeout = time.Second
+	activePollInterval  = 10 * time.Millisecond
+)
+
+func newDrainingServer(srv *http.Server) *drainingServer {
+	s := &drainingServer{Server: srv, active: map[net.Conn]bool{}, opened: map[net.Conn]time.Time{}}
+	srv.ConnState = s.setState
+	return s
+}
+
+// setState records a connection's state. A connection is active until the last byte of the answer
+// has been passed to the operating system, which is after the handler has returned.
+func (s *drainingServer) setState(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.active, c)
+	delete(s.opened, c)
+	switch state {
+	case http.StateNew:
+		s.opened[c] = clock.VM.Now()
+	case http.StateActive:
+		s.active[c] = true
+	}
+}
+
+// busy reports whether a request is in progress or may have been sent.
+func (s *drainingServer) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.opened {
+		if clock.VM.Since(at) < firstRequestTimeout {
+			return true
+		}
+	}
+	return len(s.active) > 0
+}
+
+func (s *drainingServer) activeCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.active)
+}
+
+// shutdown closes the listener and idle connections, and waits until all requests have been
+// answered completely or ctx is done.
+func (s *drainingServer) shutdown(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		for ctx.Err() == nil && s.busy() {
+			wait.For(ctx, activePollInterval)
+		}
+	}()
+	_ = s.Shutdown(ctx)
+}
--- a/app/gateway.go
+++ b/app/gateway.go
@@ -105,7 +105,7 @@
 		return err
 	}
 	var err error
-	p.Callers, err = p.ln.serve(section.Callers, &http.Server{
+	p.Callers, err = p.ln.serveCallers(section.Callers, &http.Server{
 		Handler: p.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: gateway.ConnContext,
 	})
--- a/app/listen.go
+++ b/app/listen.go
@@ -19,23 +19,56 @@
 
 // listeners holds the HTTP servers of a process.
 type listeners struct {
-	log     *slog.Logger
-	tls     *tls.Config
-	servers []*http.Server
-	wg      sync.WaitGroup
+	log *slog.Logger
+	tls *tls.Config
+	// callers are the servers for callers, others those for operators, metrics, readiness checks,
+	// control's API and links.
+	callers, others []*drainingServer
+	wg              sync.WaitGroup
 }
 
-// shutdown closes the listeners and waits until the requests in progress have
-// ended or ctx is done.
+// otherRequestsTimeout is how long a planned stop waits for requests that are not callers'.
+const otherRequestsTimeout = 2 * time.Second
+
+// shutdown closes the listeners and waits until the requests in progress have been answered
+// completely or ctx is done. Operators and readiness checks are served until callers are done.
 func (l *listeners) shutdown(ctx context.Context) {
-	for _, s := range l.servers {
-		_ = s.Shutdown(ctx)
+	shutdownAll(ctx, l.callers)
+	ctx, cancel := context.WithTimeout(ctx, otherRequestsTimeout)
+	defer cancel()
+	shutdownAll(ctx, l.others)
+}
+
+// unanswered returns the number of callers' requests that are not answered completely.
+func (l *listeners) unanswered() int {
+	n := 0
+	for _, s := range l.callers {
+		n += s.activeCount()
 	}
+	return n
+}
+
+func shutdownAll(ctx context.Context, servers []*drainingServer) {
+	var wg sync.WaitGroup
+	for _, s := range servers {
+		wg.Go(func() { s.shutdown(ctx) })
+	}
+	wg.Wait()
+}
+
+// serveCallers runs srv, which serves callers, on a listener at addr and returns the address in
+// use.
+func (l *listeners) serveCallers(addr string, srv *http.Server) (string, error) {
+	return l.listen(addr, &l.callers, srv)
 }
 
 // serve runs srv on a listener at addr and returns the address in use, which has
 // the actual port.
 func (l *listeners) serve(addr string, srv *http.Server) (string, error) {
+	return l.listen(addr, &l.others, srv)
+}
+
+func (l *listeners) listen(addr string, list *[]*drainingServer, srv *http.Server) (string, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		event.ListenFailed.Log(l.log, "address", addr, "error", err)
@@ -45,14 +78,19 @@
 	if l.tls != nil {
 		ln = tls.NewListener(ln, l.tls)
 	}
+	l.run(ln, list, srv)
+	return out, nil
+}
+
+// run runs srv on ln and adds it to a list of servers.
+func (l *listeners) run(ln net.Listener, list *[]*drainingServer, srv *http.Server) {
 	srv.ErrorLog = log.New(connectionLog{l.log}, "", 0)
-	l.servers = append(l.servers, srv)
+	*list = append(*list, newDrainingServer(srv))
 	l.wg.Go(func() {
 		if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			event.ListenFailed.Log(l.log, "address", out, "error", err)
+			event.ListenFailed.Log(l.log, "address", ln.Addr().String(), "error", err)
 		}
 	})
-	return out, nil
 }
 
 // connectionLog writes the messages of an http.Server as events.
@@ -75,7 +113,7 @@
 // close closes all listeners and their connections, and waits for the servers to
 // return.
 func (l *listeners) close() {
-	for _, s := range l.servers {
+	for _, s := range append(l.callers, l.others...) {
 		_ = s.Close()
 	}
 	l.wg.Wait()
--- a/app/run.go
+++ b/app/run.go
@@ -136,7 +136,7 @@
 			return err
 		}
 	}
-	p.Callers, err = p.ln.serve(section.Callers, caller.NewServer(caller.Handler(p.entry, p.log, caller.BodyTimeout)))
+	p.Callers, err = p.ln.serveCallers(section.Callers, caller.NewServer(caller.Handler(p.entry, p.log, caller.BodyTimeout)))
 	return err
 }
 
@@ -164,8 +164,8 @@
 	return err
 }
 
-// Drain drains the roles one after the other and waits for the requests in
-// progress, at most for the drain time of the settings file.
+// Drain drains the roles one after the other and waits until the requests in
+// progress are answered, at most for the drain time of the settings file.
 func (p *Process) Drain(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, p.file.Drain.D())
 	defer cancel()
@@ -178,6 +178,11 @@
 	}
 	if p.gateway != nil {
 		p.drainGateway(ctx)
+		return
+	}
+	p.ln.shutdown(ctx)
+	if n := p.ln.unanswered(); n > 0 {
+		event.DrainTimeout.Log(p.log, "requests", n)
 	}
 }
 
--- a/caller/answer.go
+++ b/caller/answer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/labstack/echo/v4"
@@ -127,7 +128,30 @@
 	}
 	out.Choices = []choice{ch}
 	out.Usage = a.usageCounts()
-	return a.c.JSON(http.StatusOK, out)
+	data, err := json.Marshal(out)
+	if err != nil {
+		return err
+	}
+	return writeBody(a.c, http.StatusOK, echo.MIMEApplicationJSON, data)
+}
+
+// writePieceBytes is how much of a body must be written within writeTimeout.
+const writePieceBytes = 64 << 10
+
+// writeBody writes an answer whose body is complete. A caller that doesn't read is disconnected
+// after writeTimeout, so that it holds up no planned stop.
+func writeBody(c echo.Context, status int, contentType string, body []byte) error {
+	w := c.Response()
+	w.Header().Set(echo.HeaderContentType, contentType)
+	w.WriteHeader(status)
+	rc := http.NewResponseController(w.Writer)
+	for piece := range slices.Chunk(body, writePieceBytes) {
+		_ = rc.SetWriteDeadline(clock.Deadline(writeTimeout))
+		if _, err := w.Write(piece); err != nil {
+			return nil // the caller disconnected or is too slow
+		}
+	}
+	return nil
 }
 
 // writeStream writes the answer as server-sent events. It writes the status with the first
--- a/caller/server.go
+++ b/caller/server.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -106,11 +107,17 @@
 	return k, nil
 }
 
-// readBody reads the complete body, up to MaxBodyBytes bytes.
-func readBody(c echo.Context) ([]byte, error) {
+// readBody reads the complete body, up to MaxBodyBytes bytes. It gives up once draining is done,
+// since the request would be refused.
+func readBody(c echo.Context, draining context.Context) ([]byte, error) {
+	rc := http.NewResponseController(c.Response().Writer)
+	stop := context.AfterFunc(draining, func() { _ = rc.SetReadDeadline(clock.Deadline(0)) })
 	data, err := io.ReadAll(http.MaxBytesReader(c.Response().Writer, c.Request().Body, MaxBodyBytes))
+	stop()
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err != nil && draining.Err() != nil:
+		return nil, fault.New(fault.Draining, fault.StepParse, "", "this entry is draining")
 	case errors.As(err, &tooLarge):
 		return nil, fault.New(fault.PromptTooLong, fault.StepParse, "", fmt.Sprintf("the body exceeds %d bytes", MaxBodyBytes))
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -119,7 +126,7 @@
 		return nil, fault.New(fault.BadRequest, fault.StepParse, "", "the body is incomplete") // the cause would expose socket addresses
 	}
 	// The body is complete; from now on a long wait is for the answer.
-	_ = http.NewResponseController(c.Response().Writer).SetReadDeadline(time.Time{})
+	_ = rc.SetReadDeadline(time.Time{})
 	return data, nil
 }
 
@@ -208,7 +215,7 @@
 	if in.key, err = idempotencyKey(c); err != nil {
 		return in, err
 	}
-	in.body, err = readBody(c)
+	in.body, err = readBody(c, s.entry.Draining())
 	return in, err
 }
 
@@ -229,7 +236,7 @@
 	if err != nil {
 		return err
 	}
-	return c.Blob(ans.Status, ans.Type, ans.Body)
+	return writeBody(c, ans.Status, ans.Type, ans.Body)
 }
 
 // ServicePath returns the path and query with which a service is called. The path
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -42,15 +42,11 @@
 // of the call, which is set for errors, too.
 func (e *Entry) Call(ctx context.Context, c ServiceCall) (*claim.Answer, string, error) {
 	id := NewID()
-	e.mu.Lock()
-	if !e.settingsUsable() {
-		e.mu.Unlock()
-		return nil, id, fault.New(fault.NotReady, fault.StepAdmit, e.cfg.Name, "no confirmed settings yet")
-	}
-	if e.draining {
-		e.mu.Unlock()
-		return nil, id, fault.New(fault.Draining, fault.StepAdmit, e.cfg.Name, "this entry is draining")
+	if err := e.accept(); err != nil {
+		return nil, id, err
 	}
+	defer e.release()
+	e.mu.Lock()
 	tree := e.store.Tree()
 	svc, ok := tree.Fleet.Services[c.Service]
 	e.addStepLocked(id, c, decision.Step{Kind: decision.Arrived, Detail: c.Method + " " + c.Path})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/decision"
 	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/fault"
 	"github.com/ledgepin/ledgepin/placement"
 	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/router"
@@ -83,9 +84,14 @@
 	pendingRecords map[string]*pendingRecord // by attempt
 	// recordTimeout is how long an outcome waits for a majority of the voters: claimTimeout,
 	// except in tests.
-	recordTimeout     time.Duration
-	pendingCalls      map[string]*pendingCall
-	draining          bool
+	recordTimeout time.Duration
+	pendingCalls  map[string]*pendingCall
+	// accepting is the number of calls of Submit and Call that have not returned.
+	accepting int
+	draining  bool
+	// drained is done once the entry refuses new work.
+	drained           context.Context
+	setDrained        context.CancelFunc
 	started           time.Time
 	persistSignal     chan struct{}  // signals that settings must be written to the disk
 	callRecords       *decision.Ring // records of plain calls
@@ -112,6 +118,7 @@
 		borrowed: map[string]time.Time{}, shortages: map[string]time.Time{},
 		holder: quota.NewHolder(), broker: quota.NewBroker(), callRecords: decision.NewRing(maxRecords), persistSignal: make(chan struct{}, 1),
 	}
+	e.drained, e.setDrained = context.WithCancel(context.Background())
 	e.dialer.Log = e.log
 	e.core = router.New(placement.NewView(cfg.Zone, rng), router.Options{
 		Policy: router.DefaultPolicy(), MaxRecords: maxRecords, Name: cfg.Name,
@@ -155,6 +162,7 @@
 	e.mu.Lock()
 	e.draining = true
 	e.core.SetDraining()
+	e.setDrained()
 	e.mu.Unlock()
 	event.Draining.Log(e.log)
 	poll := time.NewTicker(20 * time.Millisecond)
@@ -168,11 +176,45 @@
 	}
 }
 
-// OpenRequests returns the number of requests, calls, claims and outcomes in progress.
+// OpenRequests returns the number of requests, calls, claims and outcomes in progress. An answer
+// that is complete, but not yet written to its caller, isn't counted.
 func (e *Entry) OpenRequests() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.flows) + len(e.pendingCalls) + len(e.pendingClaims) + len(e.pendingRecords)
+	return e.accepting + len(e.flows) + len(e.pendingCalls) + len(e.pendingClaims) + len(e.pendingRecords)
+}
+
+// Draining is done once the entry refuses new work.
+func (e *Entry) Draining() context.Context { return e.drained }
+
+// accept refuses new work of an entry that can't serve it. Otherwise, the work counts as open until
+// release is called.
+func (e *Entry) accept() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.unavailable(); err != nil {
+		return err
+	}
+	e.accepting++
+	return nil
+}
+
+func (e *Entry) release() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.accepting--
+}
+
+// unavailable returns the refusal of new work by an entry that is draining or has no settings; nil
+// if it accepts work. Callers hold the lock.
+func (e *Entry) unavailable() error {
+	if !e.settingsUsable() {
+		return fault.New(fault.NotReady, fault.StepAdmit, e.cfg.Name, "no confirmed settings yet")
+	}
+	if e.draining {
+		return fault.New(fault.Draining, fault.StepAdmit, e.cfg.Name, "this entry is draining")
+	}
+	return nil
 }
 
 // Close stops the entry immediately.
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -150,6 +150,10 @@
 // Submit starts a request. A refusal is returned at once or by the first call of
 // Next.
 func (e *Entry) Submit(ctx context.Context, in ModelRequest) (*Flow, error) {
+	if err := e.accept(); err != nil {
+		return nil, err
+	}
+	defer e.release()
 	id := NewID()
 	c, done, err := e.claimRequest(ctx, in, id)
 	if err != nil || done != nil {
@@ -165,11 +169,8 @@
 }
 
 func (e *Entry) submit(in ModelRequest, id string, c *onceClaim) (*Flow, error) {
-	if !e.settingsUsable() {
-		return nil, fault.New(fault.NotReady, fault.StepAdmit, e.cfg.Name, "no confirmed settings yet")
-	}
-	if e.draining {
-		return nil, fault.New(fault.Draining, fault.StepAdmit, e.cfg.Name, "this entry is draining")
+	if err := e.unavailable(); err != nil {
+		return nil, err
 	}
 	req, limit, err := e.routerRequest(&in)
 	if err != nil {
--- a/entry/once.go
+++ b/entry/once.go
@@ -45,10 +45,6 @@
 func (e *Entry) claimRequest(ctx context.Context, in ModelRequest, id string) (*onceClaim, *Flow, error) {
 	e.mu.Lock()
 	tree := e.store.Tree()
-	if !e.settingsUsable() {
-		e.mu.Unlock()
-		return nil, nil, fault.New(fault.NotReady, fault.StepAdmit, e.cfg.Name, "no confirmed settings yet")
-	}
 	e.mu.Unlock()
 	class := tree.Fleet.Classes[in.Grant.Class]
 	if !class.Once {
