--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,7 +4,9 @@
 	"context"
 	"crypto/tls"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +15,7 @@
 	"github.com/ledgepin/ledgepin/decision"
 	"github.com/ledgepin/ledgepin/engine"
 	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/lease"
 	"github.com/ledgepin/ledgepin/order"
 	"github.com/ledgepin/ledgepin/service"
@@ -146,7 +149,7 @@
 }
 
 // Drain reports to all entries that the server is leaving, and waits until its
-// work has ended or ctx is done.
+// work has ended and its results are sent, or ctx is done.
 func (a *Agent) Drain(ctx context.Context) {
 	a.mu.Lock()
 	a.draining = true
@@ -154,14 +157,24 @@
 	a.mu.Unlock()
 	a.sendHeartbeats()
 	event.ServerLeaving.Log(a.log)
-	poll := time.NewTicker(tickInterval)
-	defer poll.Stop()
+	wait.For(ctx, leaveSettleTime)
 	for ctx.Err() == nil && a.busy() {
-		select {
-		case <-poll.C:
-		case <-ctx.Done():
-		}
+		wait.For(ctx, tickInterval)
 	}
+	for _, l := range a.openLinks() {
+		l.Flush(ctx)
+	}
+}
+
+// leaveSettleTime is the time for which a draining agent refuses new work before it may stop. The
+// outcome of a call that reached no agent is unknown to its entry, so entries must have received
+// the report, and the agent what they sent before.
+const leaveSettleTime = 500 * time.Millisecond
+
+func (a *Agent) openLinks() []*wire.Link {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Collect(maps.Values(a.links))
 }
 
 // leaving reports whether the server accepts no new work. Callers hold the lock.
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -15,6 +15,7 @@
 	"github.com/ledgepin/ledgepin/agent"
 	"github.com/ledgepin/ledgepin/claim"
 	"github.com/ledgepin/ledgepin/engine"
+	"github.com/ledgepin/ledgepin/lease"
 	"github.com/ledgepin/ledgepin/order"
 	"github.com/ledgepin/ledgepin/standin"
 	"github.com/ledgepin/ledgepin/wire"
@@ -30,6 +31,12 @@
 }
 
 func start(t *testing.T, c agent.Config) *peer {
+	t.Helper()
+	p, _ := startAgent(t, c)
+	return p
+}
+
+func startAgent(t *testing.T, c agent.Config) (*peer, *agent.Agent) {
 	t.Helper()
 	c.Log = quiet
 	a := agent.Start(c)
@@ -42,7 +49,7 @@
 	p := &peer{t: t, link: l, in: make(chan *wire.Message, 100)}
 	go func() { _ = l.Run(context.Background(), func(m *wire.Message) { p.in <- m }) }()
 	t.Cleanup(l.Close)
-	return p
+	return p, a
 }
 
 func (p *peer) send(m *wire.Message) { assert.NilError(p.t, p.link.Send(m)) }
@@ -122,3 +129,23 @@
 	newVoter.settings(2, withGroup)
 	assert.Assert(t, newVoter.vote().Cold, "the group may have granted claims before")
 }
+
+// TestStoppingAgentAnswersCalls stops an agent, and sends it a call once it reports that it leaves.
+// It guards against an agent whose link ends before it has answered: the entry can't know that the
+// call didn't run.
+func TestStoppingAgentAnswersCalls(t *testing.T) {
+	s, err := standin.StartService("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(s.Kill)
+	p, a := startAgent(t, agent.Config{Name: "s", Service: s.Addr()})
+	go func() {
+		a.Drain(context.Background())
+		a.Close()
+	}()
+	p.receive(func(m *wire.Message) bool {
+		return m.Heartbeat != nil && m.Heartbeat.Load != nil && m.Heartbeat.Load.Leaving
+	})
+	p.send(&wire.Message{Call: &wire.Call{ID: lease.ID{Req: "late", Attempt: 1}, Method: "POST", Path: "/checkout", Limit: time.Second, Once: true}})
+	answer := p.receive(func(m *wire.Message) bool { return m.Answer != nil }).Answer
+	assert.Assert(t, !answer.Sent && answer.Detail == "leaving", "%+v", answer)
+}
--- a/agent/call.go
+++ b/agent/call.go
@@ -46,10 +46,10 @@
 	if err != nil {
 		out.Detail = fault.From(err).Detail
 	}
+	a.sendAnswer(l, out)
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	delete(a.jobs, m.ID)
-	a.mu.Unlock()
-	a.sendAnswer(l, out)
 }
 
 // evictCalls removes the expired calls if there are many.
--- a/wire/link.go
+++ b/wire/link.go
@@ -60,6 +60,8 @@
 	out  chan []byte
 	done chan struct{}
 	once sync.Once
+	// unsent is the number of queued frames that have not been written.
+	unsent atomic.Int64
 	// The counters measure the control traffic against its budget.
 	sent, received, messages atomic.Int64
 }
@@ -181,10 +183,12 @@
 		return fault.New(fault.LinkLost, fault.StepLink, l.Peer.Name, "the link is closed")
 	default:
 	}
+	l.unsent.Add(1)
 	select {
 	case l.out <- frame:
 		return nil
 	default:
+		l.unsent.Add(-1)
 		l.Close()
 		return fault.New(fault.LinkLost, fault.StepLink, l.Peer.Name, "the send queue is full: the peer does not read")
 	}
@@ -231,12 +235,32 @@
 			if err != nil {
 				return
 			}
+			l.unsent.Add(-1)
 			l.sent.Add(int64(len(frame)))
 			l.messages.Add(1)
 		}
 	}
 }
 
+// flushPollInterval is the interval at which Flush checks for queued frames.
+const flushPollInterval = 2 * time.Millisecond
+
+// Flush waits until all queued frames have been written, the link has ended or ctx is done. Close
+// drops frames that are still queued.
+func (l *Link) Flush(ctx context.Context) {
+	poll := time.NewTicker(flushPollInterval)
+	defer poll.Stop()
+	for l.unsent.Load() > 0 {
+		select {
+		case <-poll.C:
+		case <-l.done:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Close ends the link; it may be called more than once.
 func (l *Link) Close() {
 	l.once.Do(func() {
