--- a/demand/demand.go
+++ b/demand/demand.go
@@ -33,4 +33,6 @@
 	// a time. Both cover only gateways that know how long engines take.
 	PrefillTime int `cbor:"11,keyasint,omitempty"`
 	KVTokens    int `cbor:"12,keyasint,omitempty"`
+	// Served is the number of requests in 1,000 s whose answers were completed.
+	Served int `cbor:"13,keyasint,omitempty"`
 }
--- a/demand/meter.go
+++ b/demand/meter.go
@@ -43,16 +43,27 @@
 	classes map[Key]*[meterBuckets + 1]arrivals
 }
 
-// arrivals counts the arrivals of one interval, by the number of the interval, which begins at
+// arrivals counts the arrivals and the complete answers of one interval, by the number of the interval, which begins at
 // one.
 type arrivals struct {
-	number                       int64
-	requests, tokens, promptSize int
+	number                               int64
+	requests, tokens, promptSize, served int
 }
 
 // Add counts a request that arrives at a time, with the tokens of its prompt and those of the KV
 // cache that it will have at its end.
 func (m *Meter) Add(now time.Time, k Key, prompt, final int) {
+	b := m.bucket(now, k)
+	b.requests++
+	b.tokens += final
+	b.promptSize += prompt
+}
+
+// AddServed counts a request whose answer is complete.
+func (m *Meter) AddServed(now time.Time, k Key) { m.bucket(now, k).served++ }
+
+// bucket returns the counts of the interval of a time.
+func (m *Meter) bucket(now time.Time, k Key) *arrivals {
 	if m.classes == nil {
 		m.start, m.classes = now, map[Key]*[meterBuckets + 1]arrivals{}
 	}
@@ -66,14 +77,12 @@
 	if b.number != number {
 		*b = arrivals{number: number}
 	}
-	b.requests++
-	b.tokens += final
-	b.promptSize += prompt
+	return b
 }
 
 func (m *Meter) number(now time.Time) int64 { return 1 + int64(now.Sub(m.start)/bucketTime) }
 
-// List returns the rates of the classes with arrivals in the last two seconds, ordered by key. It
+// List returns the rates of the classes with arrivals or complete answers in the last two seconds, ordered by key. It
 // forgets the other classes.
 func (m *Meter) List(now time.Time) []Class {
 	if m.classes == nil {
@@ -90,9 +99,10 @@
 				sum.requests += b.requests
 				sum.tokens += b.tokens
 				sum.promptSize += b.promptSize
+				sum.served += b.served
 			}
 		}
-		if sum.requests == 0 {
+		if sum.requests+sum.served == 0 {
 			delete(m.classes, k)
 			continue
 		}
@@ -100,6 +110,7 @@
 		class.Rate = int(float64(perRate*sum.requests) / seconds)
 		class.Tokens = int(float64(sum.tokens) / seconds)
 		class.PromptTokens = int(float64(sum.promptSize) / seconds)
+		class.Served = int(float64(perRate*sum.served) / seconds)
 		out = append(out, class)
 	}
 	sortClasses(out)
--- a/demand/sum.go
+++ b/demand/sum.go
@@ -99,6 +99,7 @@
 	c.PromptTokens += sign * o.PromptTokens
 	c.PrefillTime += sign * o.PrefillTime
 	c.KVTokens += sign * o.KVTokens
+	c.Served += sign * o.Served
 	for i, n := range o.Returns {
 		if i == len(c.Returns) {
 			c.Returns = append(c.Returns, 0)
@@ -112,7 +113,7 @@
 
 // empty reports whether a class has nothing to report.
 func (c *Class) empty() bool {
-	return c.Waiting == 0 && c.WaitingTokens == 0 && c.Rate == 0 && c.Tokens == 0 && c.PromptTokens == 0 && len(c.Returns) == 0
+	return c.Waiting == 0 && c.WaitingTokens == 0 && c.Rate == 0 && c.Tokens == 0 && c.PromptTokens == 0 && c.Served == 0 && len(c.Returns) == 0
 }
 
 // Find returns the class with a key, empty if the list has none.
@@ -160,7 +161,7 @@
 			return Waits
 		}
 		if rateChanged(a.Rate, b.Rate) || rateChanged(a.Tokens, b.Tokens) || rateChanged(a.PromptTokens, b.PromptTokens) ||
-			rateChanged(a.PrefillTime, b.PrefillTime) || rateChanged(a.KVTokens, b.KVTokens) {
+			rateChanged(a.PrefillTime, b.PrefillTime) || rateChanged(a.KVTokens, b.KVTokens) || rateChanged(a.Served, b.Served) {
 			out = Rates
 		}
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -156,6 +156,8 @@
 	tokenTimes map[string]time.Duration
 	// headroom is what requests to each service leave free for more urgent ones.
 	headroom map[string]Headroom
+	// promotions holds how often the classes of requests to each service are served.
+	promotions map[string]*promotion
 }
 
 // SetGroupSize sets the number of servers of a service and role.
@@ -252,7 +254,7 @@
 
 // NewFleet returns a fleet without servers, for the gateway with the given name in a zone.
 func NewFleet(name, zone string) *Fleet {
-	return &Fleet{gatewayKey: stablehash.Name(name), servers: map[string]*Server{}, incarnations: registry.NewIncarnations(), groupSizes: map[group]int{}, prefillRates: map[string]float64{}, losses: map[string]*losses{}, headroom: map[string]Headroom{}, meters: map[string]*ratelimit.Meter{}, pendingLimits: map[string]ratelimit.Observation{}, roundTrips: map[string]time.Duration{}, Zone: zone, Others: OtherGateways{Gateways: 1, Known: 1}}
+	return &Fleet{gatewayKey: stablehash.Name(name), servers: map[string]*Server{}, incarnations: registry.NewIncarnations(), groupSizes: map[group]int{}, prefillRates: map[string]float64{}, losses: map[string]*losses{}, headroom: map[string]Headroom{}, promotions: map[string]*promotion{}, meters: map[string]*ratelimit.Meter{}, pendingLimits: map[string]ratelimit.Observation{}, roundTrips: map[string]time.Duration{}, Zone: zone, Others: OtherGateways{Gateways: 1, Known: 1}}
 }
 
 // SetOthers sets what is known about the other gateways, and ejects servers that fail by all
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -260,11 +260,24 @@
 	f.view.CountRequest(now, service)
 }
 
-// countArrival counts a request that needs an engine, for the demand that gateways share.
-func (f *fleet) countArrival(w dispatch.Work) {
+// countArrival counts a request that needs an engine, for the demand that gateways share. It
+// returns the request as it is to be placed, and whether that is with a higher urgency.
+func (f *fleet) countArrival(w dispatch.Work) (dispatch.Work, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.arrivals.Add(f.clock.Now(), demand.Key{Service: w.Service, Urgency: w.Urgency}, w.Prompt, w.FinalTokens())
+	out, promoted := f.view.Promote(w, random())
+	if promoted {
+		metric.PromotedRequests.WithLabelValues(w.Service, strconv.Itoa(w.Urgency.Organisation), strconv.Itoa(w.Urgency.Route)).Inc()
+	}
+	return out, promoted
+}
+
+// countServed counts a request of a class whose answer is complete.
+func (f *fleet) countServed(class demand.Key) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.arrivals.AddServed(f.clock.Now(), class)
 }
 
 // collectWaiting updates the gauges of the waiting requests.
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/backend"
+	"github.com/ledgepin/ledgepin/demand"
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/metric"
@@ -32,9 +33,13 @@
 // generation is a request to a model engine in progress. The generation of its answer at a decode
 // engine is called a run.
 type generation struct {
-	g    *Gateway
-	q    *request
-	pair dispatch.Pair
+	g *Gateway
+	q *request
+	// class is the class that the request counts for. Its work has another urgency if it was
+	// promoted.
+	class    demand.Key
+	promoted bool
+	pair     dispatch.Pair
 	// decodeReserved is the decode engine whose memory is reserved, prefillReserved the engine that
 	// is reserved for the prefill; empty if none.
 	decodeReserved, prefillReserved string
@@ -60,8 +65,10 @@
 func (g *Gateway) generate(ctx context.Context, w http.ResponseWriter, q *request) {
 	g.streams.Add(1)
 	defer g.streams.Add(-1)
-	g.fleet.countArrival(q.work)
-	n := &generation{g: g, q: q, stream: newStreamWriter(g, w, q)}
+	n := &generation{g: g, q: q, class: demand.Key{Service: q.work.Service, Urgency: q.work.Urgency}, stream: newStreamWriter(g, w, q)}
+	if q.work, n.promoted = g.fleet.countArrival(q.work); n.promoted {
+		q.promote()
+	}
 	n.stream.onTokens = func(tokens int) { n.growReservation(ctx, tokens) }
 	n.stream.reserve = func(bytes int64) error { return reserveMemory(ctx, q.memory, bytes) }
 	defer n.releaseReservations()
@@ -264,11 +271,13 @@
 		if ok {
 			pause = jitter(pause)
 		}
-		rejected := dispatch.Rejected{Work: q.work, Prefill: r.MinPrefillTime, Within: q.route.Target - g.clock.Since(q.arrived)}
+		work := q.work
+		work.Urgency = n.class.Urgency // the retry may not be promoted
+		rejected := dispatch.Rejected{Work: work, Prefill: r.MinPrefillTime, Within: q.route.Target - g.clock.Since(q.arrived)}
 		after, choice := g.fleet.retryAfter(rejected, pause)
 		event.NoCapacity.Log(g.log, "id", q.id, "rule", string(r.Rule), "prompt", q.work.Prompt, "expected", q.work.Expected, "engines", r.Engines,
 			"ruled", r.Count, "level", math.Round(100*g.fleet.meanFullLevel(q.service))/100, "read_ms", r.MinPrefillTime.Milliseconds(), "queued", r.Queued, "ahead", r.Position.Ahead, "behind", r.Position.Behind, "unknown", r.Position.Unknown,
-			"organisation_priority", q.work.Urgency.Organisation, "route_priority", q.work.Urgency.Route, "gateways_known", r.Known, "gateways", r.Gateways,
+			"organisation_priority", q.work.Urgency.Organisation, "route_priority", q.work.Urgency.Route, "promoted", n.promoted, "gateways_known", r.Known, "gateways", r.Gateways,
 			"waited_ms", g.clock.Since(q.arrived).Milliseconds(), "prefills", n.prefills, "decodes", n.decodes, "retry", string(choice))
 		g.refuse(w, q.id, refusal{route: q.route.Name, status: http.StatusServiceUnavailable, reason: "no engine has room", retryAfter: after})
 		return
--- a/gateway/headroom.go
+++ b/gateway/headroom.go
@@ -10,13 +10,14 @@
 	"github.com/ledgepin/ledgepin/metric"
 )
 
-// updateHeadroom updates the share of the engines' memory that requests leave free for more urgent
-// ones, by the demand of all gateways.
-func (f *fleet) updateHeadroom(now time.Time) {
+// updateUrgency updates the share of the engines' memory that requests leave free for more urgent
+// ones, and which requests are promoted, by the demand of all gateways.
+func (f *fleet) updateUrgency(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	own, changed := f.demand(now), false
 	for service, e := range f.engines {
+		f.view.UpdatePromotions(now, service, own)
 		h := f.view.UpdateHeadroom(now, service, e, own, f.runTimes[service])
 		if len(h) > 0 || f.headrooms[service] {
 			showHeadroom(service, h)
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -313,7 +313,7 @@
 			l.updateOthers()
 		}
 		l.mu.Unlock()
-		l.g.fleet.updateHeadroom(now)
+		l.g.fleet.updateUrgency(now)
 		l.g.fleet.updateTrend(now)
 		l.sendLimits(now, hub)
 		if hub == nil {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -155,6 +155,14 @@
 	return q, nil
 }
 
+// promote tells engines the priority by which the request is placed, so that they don't preempt its
+// run in favour of requests that came after it.
+func (q *request) promote() {
+	if own, err := strconv.Atoi(q.priority); err == nil {
+		q.priority = strconv.Itoa(min(own, max(q.work.Urgency.Route, 0)))
+	}
+}
+
 // Times of a gateway that is about to stop.
 const (
 	// A request is accepted only if minTargets times the target of its route and minTime remain.
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -100,6 +100,7 @@
 	FullLevel            = gauge("ledgepin_full_level", "Mean share of an engine's memory up to which a gateway places runs, and above which runs migrate away.", "name", "service")
 	MemoryRefusals       = counter("ledgepin_memory_refusals_total", "Requests that a gateway refused since its buffers for callers had reached their limit.", "route")
 	HeadroomShare        = gauge("ledgepin_headroom_share", "Share of the memory of decode engines that new requests leave free for more urgent ones, by the priorities of their organisation and route.", "service", "organisation_priority", "priority")
+	PromotedRequests     = counter("ledgepin_promoted_requests_total", "Requests placed as if they were of the most urgent class, since requests like them were served less than half as often as all, by the priorities of their organisation and route.", "service", "organisation_priority", "route_priority")
 	RetryTimes           = counter("ledgepin_retry_times_total", "Retry times that a gateway told callers who found no engine, by how they were chosen: in_time (capacity is expected within the objective), free (later), full (none is expected), usual (without regard to other callers).", "service", "choice")
 	OrganisationRequests = counter("ledgepin_organisation_requests_total",
 		"Requests of an organisation with a limit at a gateway, by outcome: taken (accepted), beyond its share (waiting for capacity, since the organisation has its fair share), or over its limit.", "organisation", "outcome")
--- a/replay/callers.go
+++ b/replay/callers.go
@@ -26,6 +26,7 @@
 		estimate := float64(r.answer) * math.Exp(s.pattern.Hint*s.rng.NormFloat64())
 		r.work = dispatch.Work{Service: service, Prompt: s.drawTokens(s.pattern.Prompt, s.pattern.Spread/2), Expected: max(int(hintMargin*estimate), 1)}
 		r.work.Urgency = (*route.Organisation)(nil).UrgencyFor(&route.Route{Priority: s.kind(r).Priority})
+		r.class = demand.Key{Service: service, Urgency: r.work.Urgency}
 		s.submit(r)
 	}
 	pending := s.retries[:0]
@@ -80,7 +81,10 @@
 		return
 	}
 	g := r.gateway
-	g.arrivals.Add(s.now, demand.Key{Service: service, Urgency: r.work.Urgency}, r.work.Prompt, r.work.FinalTokens())
+	g.arrivals.Add(s.now, r.class, r.work.Prompt, r.work.FinalTokens())
+	if r.work.Urgency = r.class.Urgency; len(s.pattern.Kinds) > 1 && !s.options.NoPromotion {
+		r.work, _ = g.fleet.Promote(r.work, s.promotionRNG.Float64())
+	}
 	timeout := g.fleet.QueueTimeout(s.now, r.work, s.kind(r).Target, g.queue.CountAhead(r.work), g.times)
 	if s.options.QueueTimeout != nil {
 		timeout = s.options.QueueTimeout(s.kind(r).Target)
@@ -185,8 +189,10 @@
 	if s.options.RandomRetries || len(s.pattern.Kinds) == 1 {
 		return dispatch.RetryAfter(g.times.Total, 0, draw)
 	}
-	rejected := dispatch.Rejected{Work: r.work, Within: s.kind(r).Target - s.now.Sub(r.firstTryAt)}
+	work := r.work
+	work.Urgency = r.class.Urgency
+	rejected := dispatch.Rejected{Work: work, Within: s.kind(r).Target - s.now.Sub(r.firstTryAt)}
 	after, _ := g.fleet.RetryTime(s.now, rejected, g.times, s.ownDemand(g), &g.trend, draw)
-	g.promises.Add(s.now, demand.Key{Service: service, Urgency: r.work.Urgency}, after)
+	g.promises.Add(s.now, r.class, after)
 	return after
 }
--- a/replay/progress.go
+++ b/replay/progress.go
@@ -147,6 +147,7 @@
 	if !s.options.FixedLevel {
 		g.fleet.SetTokenTime(service, g.times.Token)
 	}
+	g.arrivals.AddServed(s.now, r.class)
 	took := r.firstTokenAt.Sub(r.firstTryAt)
 	s.firstTokenTimes = append(s.firstTokenTimes, took)
 	if took <= s.kind(r).Target {
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -39,7 +39,10 @@
 	// organisation is the number of its organisation; the hot one is 0.
 	organisation int
 	// kind is the index of its kind in the pattern.
-	kind   int
+	kind int
+	// class is the class that it counts for, which differs from the urgency of its work once it is
+	// promoted.
+	class  demand.Key
 	work   dispatch.Work
 	queued *dispatch.QueuedRequest
 	// waitUntil is the end of its queue timeout, or the time of its retry after a refusal.
@@ -78,6 +81,8 @@
 	NoLossEjection bool
 	// NoHeadroom lets requests fill the engines whatever more urgent ones are expected.
 	NoHeadroom bool
+	// NoPromotion leaves requests that are hardly served at their urgency.
+	NoPromotion bool
 	// RandomRetries states random retry times, without regard to other callers.
 	RandomRetries bool
 	// NoFairShare serves queued requests in order of arrival, whichever organisation sends them.
@@ -103,17 +108,19 @@
 
 // simulation is the state of a simulation.
 type simulation struct {
-	pattern     *Pattern
-	options     Options
-	rng         *rand.Rand
-	now         time.Time
-	start       time.Time
-	engineRoute *route.Engine
-	gateways    []*gateway
-	prefill     []*engine
-	decode      []*engine
-	engines     map[string]*engine
-	reports     []registry.Server
+	pattern *Pattern
+	options Options
+	rng     *rand.Rand
+	// promotionRNG is separate, so that a variant without promotions has the same arrivals.
+	promotionRNG *rand.Rand
+	now          time.Time
+	start        time.Time
+	engineRoute  *route.Engine
+	gateways     []*gateway
+	prefill      []*engine
+	decode       []*engine
+	engines      map[string]*engine
+	reports      []registry.Server
 	// transfers are the requests that start a run later: after the transfer of their KV cache, or
 	// after a prefill that a preemption made necessary.
 	transfers []transfer
@@ -142,7 +149,7 @@
 func Play(p Pattern, o Options) Result {
 	start := time.Unix(1_000_000, 0)
 	s := &simulation{
-		pattern: &p, options: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), now: start, start: start,
+		pattern: &p, options: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), promotionRNG: rand.New(rand.NewPCG(o.Seed, 2)), now: start, start: start,
 		engineRoute: p.engine(), engines: map[string]*engine{},
 	}
 	s.shares = quota.NewFairShares()
@@ -269,6 +276,7 @@
 		if !s.options.NoHeadroom {
 			g.fleet.UpdateHeadroom(s.now, service, s.engineRoute, g.demand, g.times)
 		}
+		g.fleet.UpdatePromotions(s.now, service, g.demand)
 		g.trend.Add(s.now, sum)
 		g.fleet.RejectLate(s.now, &g.queue, func(string) dispatch.RunTimes { return g.times }, func(w *dispatch.QueuedRequest) {
 			i := slices.IndexFunc(g.requests, func(r *request) bool { return r.queued == w })
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -281,6 +281,7 @@
 			}
 		}},
 		{urgencyRule, "the least urgent kind starves", func(h *History) { h.addPairs(minPairs, minPairs, 0) }},
+		{urgencyRule, "the least urgent kind is hardly served", func(h *History) { h.addPairs(200, 200, 5) }},
 		{"streams that may be resumed are", "one of eleven", func(h *History) { h.loseStreams(11, 1) }},
 		{retryRule, "no time", func(h *History) { h.refuseCallers(1, "") }},
 		{retryRule, "a time later than callers wait", func(h *History) { h.refuseCallers(1, "4.6") }},
--- a/soak/urgencies.go
+++ b/soak/urgencies.go
@@ -24,6 +24,9 @@
 	// be served better, minPairs the number of pairs from which on it must be served at all.
 	urgencyDeviations = 3
 	minPairs          = 50
+	// minServedRatio is the fraction of the served share of all requests to engines that the
+	// least urgent kind must have.
+	minServedRatio = 0.25
 )
 
 // urgencySteps draws bursts of requests of different urgency, with a random source of its own.
@@ -84,8 +87,9 @@
 }
 
 // checkUrgency checks that urgent requests are answered in time at least as often as background
-// requests, within the tolerance for chance, and that background requests are served at all. Only
-// the pairs of which one request was answered in time tell the kinds apart.
+// requests, within the tolerance for chance, and that background requests are served at all, and a
+// quarter as often as all requests to engines within the same tolerance. Only the pairs of which one
+// request was answered in time tell the kinds apart.
 func checkUrgency(h *History) []string {
 	inTime := map[RequestKind]map[string]bool{Urgent: {}, Background: {}}
 	pairs, served := 0, 0
@@ -112,9 +116,28 @@
 	if pairs >= minPairs && served == 0 {
 		out = append(out, fmt.Sprintf("none of %d background requests was served", pairs))
 	}
+	expected := minServedRatio * servedShare(h) * float64(pairs)
+	if float64(served) < expected-urgencyDeviations*math.Sqrt(expected) {
+		out = append(out, fmt.Sprintf("%d of %d background requests were served, at least %.1f are expected", served, pairs, expected))
+	}
 	return out
 }
 
+// servedShare returns the share of the requests to engines whose answers were complete.
+func servedShare(h *History) float64 {
+	all, served := 0, 0
+	for _, q := range h.Requests {
+		if !q.Kind.isStream() {
+			continue
+		}
+		all++
+		if q.Status == http.StatusOK && !q.Cut {
+			served++
+		}
+	}
+	return float64(served) / float64(max(all, 1))
+}
+
 // countMissing returns how many elements of a are not in b.
 func countMissing(a, b map[string]bool) int {
 	n := 0
