--- a/backend/conn.go
+++ b/backend/conn.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/internal/sock"
 )
 
@@ -34,6 +35,17 @@
 	readBuffer = 8 << 10
 )
 
+// abandon ends a request whose answer is no longer needed. The answer may still be read for a time
+// if that is positive.
+func (c *conn) abandon(linger time.Duration) {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if linger <= 0 || !ok || half.CloseWrite() != nil {
+		_ = c.Close()
+		return
+	}
+	_ = c.SetReadDeadline(clock.Deadline(linger))
+}
+
 // conn is one connection; it carries one request at a time.
 type conn struct {
 	net.Conn
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ledgepin/ledgepin/clock"
@@ -45,6 +46,12 @@
 	// CleanWithin, if positive, allows a kept connection despite NewConnection if its last answer
 	// is at most this old, no exchange with the server has failed since, and it is quiet.
 	CleanWithin time.Duration
+	// Linger is how long the answer is still read after the context has ended: it names what the
+	// server had made by then. The connection is closed for writing at once, which notifies the
+	// server that its work is no longer needed.
+	Linger time.Duration
+	// Begun, if set, is set to true before the request is written.
+	Begun *atomic.Bool
 }
 
 // Identity describes how the answer to a call is distinguished from late second answers to
@@ -153,15 +160,20 @@
 	metric.ServerRequests.WithLabelValues(r.kind(), connection).Inc()
 	c.requestIDs = append(c.requestIDs, r.ID)
 	p.markBusy(r.Server, c)
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	if deadline, ok := ctx.Deadline(); ok {
-		_ = c.SetDeadline(deadline)
+		_ = c.SetWriteDeadline(deadline)
+		_ = c.SetReadDeadline(deadline.Add(r.Linger))
+	}
+	stop := context.AfterFunc(ctx, func() { c.abandon(r.Linger) })
+	if r.Begun != nil {
+		r.Begun.Store(true)
 	}
 	a := &Answer{pool: p, request: r, conn: c, stop: stop, written: make(chan struct{})}
 	sent := clock.VM.Now()
 	resp, err := a.exchange(headers)
 	if err != nil {
-		if len(c.requestIDs) > 1 && (isTimeout(err) || errors.Is(ctx.Err(), context.DeadlineExceeded)) {
+		timedOut := isTimeout(err) && !errors.Is(ctx.Err(), context.Canceled) || errors.Is(ctx.Err(), context.DeadlineExceeded)
+		if len(c.requestIDs) > 1 && timedOut {
 			// All kept connections may be broken without a reset, while new ones work.
 			p.CloseIdle(r.Address)
 		}
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/ledgepin/ledgepin/backend"
@@ -71,6 +72,54 @@
 	return result{kind: answered, status: a.Status, header: a.Header}, body
 }
 
+// lingerTimeout is how long the answer to a call that allocates something is still read after the
+// call has ended: the answer may be on its way.
+const lingerTimeout = 300 * time.Millisecond
+
+// allocate sends a call that allocates something at an engine, and returns its outcome, or false if
+// ctx ends first. In that case the answer is still read for lingerTimeout in the background, and
+// unused is called with the outcome, so that what the engine has made is freed.
+func allocate[T any](ctx context.Context, g *Gateway, r backend.Request, send func(backend.Request) T, unused func(T)) (T, bool) {
+	var begun atomic.Bool
+	r.Linger, r.Begun = lingerTimeout, &begun
+	done := make(chan T, 1)
+	g.wg.Go(func() { done <- send(r) })
+	select {
+	case out := <-done:
+		return out, true
+	case <-ctx.Done():
+	}
+	if !begun.Load() {
+		return <-done, true // it was not sent, and ends with ctx
+	}
+	g.wg.Go(func() { unused(<-done) })
+	var none T
+	return none, false
+}
+
+// exchanged is the outcome of a call with its complete answer.
+type exchanged struct {
+	result result
+	body   []byte
+}
+
+// exchangeAllocating is like exchange, for a call that allocates something. unused is called with
+// the body of a successful answer that comes after ctx has ended.
+func (g *Gateway) exchangeAllocating(ctx context.Context, q *request, s *dispatch.Server, r backend.Request, unused func(body []byte)) (result, []byte) {
+	out, ok := allocate(ctx, g, r, func(r backend.Request) exchanged {
+		res, body := g.exchange(ctx, q, s, r)
+		return exchanged{res, body}
+	}, func(late exchanged) {
+		if late.result.kind == answered && late.result.status == http.StatusOK {
+			unused(late.body)
+		}
+	})
+	if !ok {
+		return result{kind: broken, err: &backend.Error{Sent: true, Cause: ctx.Err()}}, nil
+	}
+	return out.result, out.body
+}
+
 // freeTimeout bounds how long an engine may take to free something unused.
 const freeTimeout = 300 * time.Millisecond
 
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -46,7 +46,12 @@
 		hold, _ := p.ParseHold(body)
 		return hold
 	})
-	res, body := n.g.exchange(hctx, n.q, s, r)
+	server := *s
+	res, body := n.g.exchangeAllocating(hctx, n.q, s, r, func(body []byte) {
+		if hold, err := p.ParseHold(body); err == nil {
+			n.freeInBackground(&server, p.ReleaseHold(hold))
+		}
+	})
 	if res.kind == answered && res.status == http.StatusOK {
 		hold, err := p.ParseHold(body)
 		if err == nil {
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -133,7 +133,7 @@
 // requestCopy has a run copied. If the other engine has no capacity for it but the run was stopped,
 // the answer still has the handle of the copy, because the engine then keeps the run's KV cache.
 // The call outlives the caller's request: the engine makes the copy in any case, and it can only be
-// freed by its handle.
+// freed by its handle. A copy whose handle comes after the call has timed out is freed.
 func (n *generation) requestCopy(ctx context.Context, m *migration, stop bool) (int, backend.KV, error) {
 	limit := firstCopyTimeout
 	switch {
@@ -145,16 +145,39 @@
 	ctx, cancel := n.g.detachedContext(ctx, limit)
 	defer cancel()
 	p := &n.g.cfg.Protocol
-	a, err := n.g.pool.Do(ctx, &p.Headers, n.identifiedCallTo(&m.from, p.CopyRun(n.q.id, m.to.Address, stop), copyCall, func(body []byte) string {
+	r := n.identifiedCallTo(&m.from, p.CopyRun(n.q.id, m.to.Address, stop), copyCall, func(body []byte) string {
 		kv, _ := p.ParseKV(body)
 		return kv.Handle
-	}))
+	})
+	out, ok := allocate(ctx, n.g, r, func(r backend.Request) copyAnswer {
+		return n.sendCopy(ctx, r)
+	}, func(late copyAnswer) {
+		if late.kv.Handle != "" {
+			n.freeInBackground(&m.from, p.FreeKV(late.kv.Handle))
+		}
+	})
+	if !ok {
+		return 0, backend.KV{}, &backend.Error{Sent: true, Cause: ctx.Err()}
+	}
+	return out.status, out.kv, out.err
+}
+
+// copyAnswer is the answer to a call for the copy of a run.
+type copyAnswer struct {
+	status int
+	kv     backend.KV
+	err    error
+}
+
+func (n *generation) sendCopy(ctx context.Context, r backend.Request) copyAnswer {
+	p := &n.g.cfg.Protocol
+	a, err := n.g.pool.Do(ctx, &p.Headers, r)
 	if err != nil {
-		return 0, backend.KV{}, err
+		return copyAnswer{err: err}
 	}
 	body, err := a.ReadAll(maxAnswer)
 	if err != nil {
-		return a.Status, backend.KV{}, err
+		return copyAnswer{status: a.Status, err: err}
 	}
 	kv, err := p.ParseKV(body)
 	switch {
@@ -163,7 +186,7 @@
 	case a.Status != http.StatusOK:
 		err = fmt.Errorf("gateway: copy of a run: status %d", a.Status)
 	}
-	return a.Status, kv, err
+	return copyAnswer{a.Status, kv, err}
 }
 
 // errUnidentifiedCopy: an answer without a handle came over a kept connection. If it was not that
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -19,7 +19,12 @@
 	limit := 2*n.pair.PrefillTime + time.Second
 	pctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	res, body := g.exchange(pctx, n.q, s, r)
+	source := *s
+	res, body := g.exchangeAllocating(pctx, n.q, s, r, func(body []byte) {
+		if kv, err := g.cfg.Protocol.ParseKV(body); err == nil {
+			n.freeInBackground(&source, g.cfg.Protocol.FreeKV(kv.Handle))
+		}
+	})
 	if res.kind != notSent {
 		n.prefills++
 	}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -88,17 +88,34 @@
 	p.mu.Lock()
 	p.conns[in], p.conns[out] = true, true
 	p.mu.Unlock()
+	defer p.closeConns(in, out)
 	la := &lastAnswer{}
-	go p.copy(in, out, func(data []byte) []byte { la.write(data); return data }, true)
-	p.copy(out, in, func(data []byte) []byte {
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		p.copy(in, out, func(data []byte) []byte { la.write(data); return data }, true)
+		p.closeConns(in, out)
+	}()
+	ended := p.copy(out, in, func(data []byte) []byte {
 		if duplicate := la.take(); len(duplicate) > 0 && p.drawDuplicate() {
 			p.countDisturbance("answer that came again")
 			_, _ = in.Write(duplicate)
 		}
 		return data
 	}, false)
+	if half, ok := out.(interface{ CloseWrite() error }); ok && ended {
+		_ = half.CloseWrite()
+		select {
+		case <-answered:
+		case <-time.After(halfCloseTimeout):
+		}
+	}
 }
 
+// halfCloseTimeout is how long a server may still answer after its client has closed the connection
+// for writing.
+const halfCloseTimeout = time.Second
+
 // hold waits while a direction is held back, and for the delay. It returns false once the proxy is
 // closed.
 func (p *proxy) hold(toClient bool) bool {
@@ -114,24 +131,25 @@
 	return !closed
 }
 
-func (p *proxy) copy(to, from net.Conn, transform func([]byte) []byte, toClient bool) {
-	defer p.closeConns(to, from)
+// copy forwards one direction until it ends, and reports whether it was closed in order.
+func (p *proxy) copy(to, from net.Conn, transform func([]byte) []byte, toClient bool) bool {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
 			if !p.hold(toClient) {
-				return
+				return false
 			}
 			if _, err := to.Write(transform(buf[:n])); err != nil {
-				return
+				return false
 			}
 		}
 		if err != nil {
 			if !errors.Is(err, io.EOF) {
 				setReset(to)
+				return false
 			}
-			return
+			return true
 		}
 	}
 }
