--- a/control/hub.go
+++ b/control/hub.go
@@ -189,6 +189,7 @@
 	h.contents.send(h.clock.Now(), l, suspectEndings) // before the table, since a gateway serves as soon as it has one
 	_ = l.Send(&wire.Message{Servers: &wire.Servers{Away: h.awayList(h.clock.Now())}})
 	h.sendEvacuated(l)
+	h.sendLimitObservations(l) // a gateway that was suspended may not know them
 	h.sendTable(l, g, current)
 	h.countSent = false
 }
@@ -231,9 +232,7 @@
 	_ = l.Send(&wire.Message{Servers: h.allServers(h.clock.Now())})
 	_ = l.Send(&wire.Message{Loads: h.sentToPeers.fullMessage()})
 	_ = l.Send(&wire.Message{Use: h.ledger.Snapshot(h.clock.Now())})
-	if observations := h.limitObservations(h.clock.Now()); len(observations) > 0 && l.Version() >= wire.LimitsVersion {
-		_ = l.Send(&wire.Message{Limits: &wire.Limits{Observations: observations}})
-	}
+	h.sendLimitObservations(l)
 }
 
 func (h *hub) removePeer(l *wire.Link) {
--- a/control/limits.go
+++ b/control/limits.go
@@ -148,6 +148,13 @@
 	return out
 }
 
+// sendLimitObservations sends the newest observations of all limits over a link. Callers hold h.mu.
+func (h *hub) sendLimitObservations(l *wire.Link) {
+	if list := h.limitObservations(h.clock.Now()); len(list) > 0 && l.Version() >= wire.LimitsVersion {
+		_ = l.Send(&wire.Message{Limits: &wire.Limits{Observations: list}})
+	}
+}
+
 // setLimit sets the rate that a server accepts now in the broker. Callers hold h.mu.
 func (h *hub) setLimit(now time.Time, id string, k *serverLimit) {
 	s, listed := h.servers.Get(id)
--- a/control/limits_test.go
+++ b/control/limits_test.go
@@ -60,6 +60,18 @@
 	assert.NilError(t, g.link.Send(&wire.Message{Limits: &wire.Limits{Asks: []wire.LimitAsk{{Service: service, Rate: rate}}}}))
 }
 
+// TestConnectingGatewayReceivesLimits checks that a gateway that has just connected, as after it was
+// suspended, is sent all limits at once and not only once it reports its load: its requests go on as
+// soon as it has the table, which is sent last.
+func TestConnectingGatewayReceivesLimits(t *testing.T) {
+	h, list := newLimitHub(t, 1, 3)
+	id, _ := firstEngine(h)
+	list[0].sendLimits(t, 4.1, id)
+	list[0].wait(t, "the limit", func() bool { return list[0].limits[id].Rate == 4.1 })
+	late := connectGateways(t, h, 2)[1]
+	late.wait(t, "the limit", func() bool { return late.limits[id].Rate == 4.1 })
+}
+
 // TestLimitReachesAllGateways checks that a limit that one gateway reports reaches all
 // others at once, and a gateway that connects later; that the role planner excludes the
 // server; and that tokens go to the gateway that has requests.
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -265,6 +265,16 @@
 			h.reportLimit(4.1, 29)
 			h.Limited = append(h.Limited, LimitedArrival{Server: "app-1", Path: "/health", At: 14 * second})
 		}},
+		{"no server gets more than it names", "calls of a gateway that has received the limit", func(h *History) {
+			h.reportLimit(4.1, 29)
+			h.Limited = append(h.Limited, LimitedArrival{Server: "app-1", Sender: gatewayName(0), Named: true, Path: "/health", At: 14 * second})
+		}},
+		{"no server gets more than it names", "calls only", func(h *History) {
+			h.reportLimit(4.1, 30)
+			for i := range h.Limited {
+				h.Limited[i].ID, h.Limited[i].Sender = "", gatewayName(0)
+			}
+		}},
 		{"a server that asks for a pause is left alone", "three requests in a pause", func(h *History) { h.requestPause(3*second, 3) }},
 		{"a server that asks for a pause is left alone", "a shorter pause since", func(h *History) {
 			h.requestPause(3*second, 3)
@@ -401,6 +411,19 @@
 	for name, change := range map[string]func(h *History){
 		"as much as is allowed":                func(h *History) { h.reportLimit(4.1, 29) },
 		"a gateway that has received no limit": func(h *History) { h.reportLimit(4.1, 40); h.Limited[0].At = 13 * second },
+		"calls of a gateway that has received no limit": func(h *History) {
+			h.reportLimit(4.1, 29)
+			for range 10 {
+				h.Limited = append(h.Limited, LimitedArrival{Server: "app-1", Sender: gatewayName(1), Named: true, Path: "/hold", At: 14 * second})
+			}
+		},
+		"calls of a gateway that was paused": func(h *History) {
+			h.reportLimit(4.1, 40)
+			for i := range h.Limited {
+				h.Limited[i].ID, h.Limited[i].Sender = "", gatewayName(0)
+			}
+			h.Outages = append(h.Outages, Outage{Process: gatewayName(0), From: 10 * second, To: 11 * second})
+		},
 		"a gateway that was paused": func(h *History) {
 			h.reportLimit(4.1, 40)
 			h.Outages = append(h.Outages, Outage{Process: gatewayName(0), From: 10 * second, To: 11 * second})
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -263,6 +263,7 @@
 	if err != nil {
 		return err
 	}
+	b.SetSenderLookup(func(remote string) string { return cl.sender(p, remote) })
 	b.Name = srv.name
 	b.SetPoisonRequest(deadlyContent, func() { cl.restartCrashed(srv, b) })
 	cl.markCold(srv, b.ID)
--- a/soak/process.go
+++ b/soak/process.go
@@ -46,6 +46,16 @@
 	onExit func(name string, err error)
 }
 
+// pid returns the ID of the running process; zero if there is none.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.cmd.Process == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // start starts the process and appends its output to the log file.
 func (p *process) start() error {
 	p.mu.Lock()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -21,8 +21,10 @@
 	duplicate        bool
 	countDisturbance func(what string)
 	conns            map[net.Conn]bool
-	closed           bool
-	cond             *sync.Cond
+	// clients are the addresses of the clients by that of the connection to the server.
+	clients map[string]*net.TCPAddr
+	closed  bool
+	cond    *sync.Cond
 }
 
 // newProxy returns a proxy that forwards to target.
@@ -31,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{ln: ln, target: target, countDisturbance: countDisturbance, conns: map[net.Conn]bool{}}
+	p := &proxy{ln: ln, target: target, countDisturbance: countDisturbance, conns: map[net.Conn]bool{}, clients: map[string]*net.TCPAddr{}}
 	p.cond = sync.NewCond(&p.mu)
 	go p.accept()
 	return p, nil
@@ -39,6 +41,14 @@
 
 func (p *proxy) addr() string { return p.ln.Addr().String() }
 
+// client returns the address of the client whose requests come to the server from a remote address;
+// nil if there is none.
+func (p *proxy) client(remote string) *net.TCPAddr {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.clients[remote]
+}
+
 // disturb sets how connections are disturbed.
 func (p *proxy) disturb(holdRequests, holdAnswers bool, delay time.Duration) {
 	p.mu.Lock()
@@ -87,6 +97,9 @@
 	}
 	p.mu.Lock()
 	p.conns[in], p.conns[out] = true, true
+	if client, ok := in.RemoteAddr().(*net.TCPAddr); ok {
+		p.clients[out.LocalAddr().String()] = client
+	}
 	p.mu.Unlock()
 	defer p.closeConns(in, out)
 	la := &lastAnswer{}
@@ -167,5 +180,6 @@
 	for _, c := range conns {
 		_ = c.Close()
 		delete(p.conns, c)
+		delete(p.clients, c.LocalAddr().String())
 	}
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -203,7 +203,7 @@
 				h.Arrivals = append(h.Arrivals, cl.newArrival(b, service, a))
 			}
 			for _, l := range b.LimitRecords() {
-				h.Limited = append(h.Limited, LimitedArrival{Server: b.ID, ID: l.ID, Path: l.Path, Named: len(l.Limits) > 0, At: l.At.Sub(cl.rec.start)})
+				h.Limited = append(h.Limited, LimitedArrival{Server: b.ID, ID: l.ID, Sender: l.Sender, Path: l.Path, Named: len(l.Limits) > 0, At: l.At.Sub(cl.rec.start)})
 			}
 			for _, a := range b.SelfReportRecords() {
 				h.Asked = append(h.Asked, cl.newSelfReportArrival(b, a))
--- a/soak/server_limits.go
+++ b/soak/server_limits.go
@@ -20,6 +20,8 @@
 // LimitedArrival is a request or call that arrived at a server while that reported limits.
 type LimitedArrival struct {
 	Server, ID, Path string
+	// Sender is the gateway that sent a call without an ID; empty if it is not known.
+	Sender string
 	// Named reports whether the answer had a limit.
 	Named bool
 	At    time.Duration
@@ -130,7 +132,8 @@
 
 // checkServerLimits checks that no server receives more than its limit from the gateways that have
 // forwarded an answer with the limit and were neither restarted nor paused since. Calls of the
-// gateways themselves count too; calls of control are reports and orders.
+// gateways themselves count too, from the first one on if their gateway is not known; calls of
+// control are reports and orders.
 func checkServerLimits(h *History) []string {
 	gateways := map[string]string{}
 	for _, q := range h.Requests {
@@ -140,6 +143,9 @@
 	notifiedAt := map[string]map[string]time.Duration{} // by server and gateway
 	for _, a := range h.Limited {
 		g := gateways[a.ID]
+		if a.ID == "" {
+			g = a.Sender
+		}
 		if a.Path == "/-/report" || a.Path == "/-/order" {
 			continue
 		}
@@ -150,7 +156,8 @@
 		if a.Named && !notified {
 			notifiedAt[a.Server][g] = a.At
 		}
-		if a.ID == "" || notified && a.At >= at+limitReactionTime && !h.disturbed(g, a.At, undisturbedTime) {
+		unknown := a.ID == "" && g == ""
+		if unknown || notified && a.At >= at+limitReactionTime && !h.disturbed(g, a.At, undisturbedTime) {
 			arrivals[a.Server] = append(arrivals[a.Server], a.At)
 		}
 	}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -79,6 +79,7 @@
 	// limit returns the limits that an answer states; nil for none.
 	limit        func() []string
 	limitRecords []LimitRecord
+	senderLookup func(remote string) string
 	// selfReport returns what an answer reports about the server; reportRecords are the requests
 	// that arrived since it was first set.
 	selfReport    func(r *http.Request) SelfReport
