--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -267,6 +267,9 @@
 	ProcessSuspended = define("LP6020", warn, "process was suspended",
 		"The process did not run for ms milliseconds, as when its VM is suspended. It opens its links to control again, and new requests wait until it has received the newest settings and evacuations.",
 		"Check the VM if it was not suspended on purpose.")
+	NoTableYet = define("LP6022", warn, "no table yet",
+		"The gateway has started and has no table. replicas has, for each replica of control, how long its link has been open or dialed, and what it has sent about the table: a gateway needs a table, and a replica's confirmation that it is the newest.",
+		"If no link is open, look at the replicas and the network; if no replica confirms, at the election of their leader (LP6001).")
 	NewerPacketFormat = define("LP6016", warn, "packet of a newer build refused",
 		"Another replica sent an entry or a snapshot that this build can't read; it was discarded as a whole. One line a minute for each sender.",
 		"Run the newer build here too.")
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -61,6 +61,9 @@
 	// is being handled.
 	lastTick, resumedAt time.Time
 	current             chan struct{}
+	// startedAt is when the gateway started, missingTableLoggedAt when it last logged that it has
+	// no table.
+	startedAt, missingTableLoggedAt time.Time
 }
 
 type peer struct {
@@ -69,10 +72,17 @@
 	// dialedAt is when the link was dialed, openedAt when it opened, and lastReceived when the
 	// replica last sent a message.
 	dialedAt, openedAt, lastReceived time.Time
+	// failures is the number of failed attempts to open the link since it was last open, and
+	// dialError the last of them.
+	failures  int
+	dialError error
+	// announced is what the replica has sent about the table over the link.
+	announced tableAnnouncement
 }
 
 func newLinks(g *Gateway) *links {
-	l := &links{g: g, peers: map[string]*peer{}, gateways: map[string]int{}, partitioned: map[string]bool{}, rosters: map[string]*registry.Roster{}, usageReceived: make(chan struct{})}
+	l := &links{g: g, peers: map[string]*peer{}, gateways: map[string]int{}, partitioned: map[string]bool{}, rosters: map[string]*registry.Roster{}, usageReceived: make(chan struct{}), startedAt: g.clock.Now()}
+	l.missingTableLoggedAt = l.startedAt
 	l.dialer.Log = g.log
 	g.wg.Go(l.loop)
 	return l
@@ -114,7 +124,7 @@
 // run keeps the link to one replica.
 func (l *links) run(ctx context.Context, address string, p *peer) {
 	for ctx.Err() == nil {
-		dialedAt := l.g.clock.Now()
+		dialedAt := l.noteDial(p)
 		link, err := l.dialer.Dial(ctx, address, l.options())
 		if err == nil {
 			l.setLink(address, p, link, dialedAt)
@@ -124,17 +134,36 @@
 			if ctx.Err() == nil {
 				event.LinkDown.Log(l.g.log, "peer", link.Peer.Name, "why", err)
 			}
+		} else {
+			l.noteDialError(p, err)
 		}
 		wait.For(ctx, redialInterval)
 	}
 }
 
+// noteDial records that a link is being opened, and returns the time.
+func (l *links) noteDial(p *peer) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p.dialedAt = l.g.clock.Now()
+	return p.dialedAt
+}
+
+// noteDialError records that a link could not be opened.
+func (l *links) noteDialError(p *peer, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p.failures++
+	p.dialError = err
+}
+
 // setLink records that the link to a replica, dialed at dialedAt, has opened; or that it has
 // closed, if link is nil.
 func (l *links) setLink(address string, p *peer, link *wire.Link, dialedAt time.Time) {
 	l.mu.Lock()
 	p.link, p.openedAt = link, l.g.clock.Now()
 	p.dialedAt, p.lastReceived = dialedAt, p.openedAt
+	p.failures, p.dialError, p.announced = 0, nil, tableAnnouncement{}
 	if link != nil && l.current != nil && dialedAt.Before(l.resumedAt) {
 		link.Close() // what it carried may predate the suspension
 	}
@@ -150,6 +179,7 @@
 func (l *links) handle(address string, m *wire.Message) {
 	l.noteReceived(address)
 	if m.Routes != nil {
+		l.noteAnnouncement(address, m.Routes)
 		defer l.confirmCurrent(address)
 	}
 	switch {
@@ -304,6 +334,7 @@
 		l.mu.Lock()
 		l.detectSuspension(now)
 		l.lastTick = now
+		l.logMissingTable(now)
 		if now.Sub(heartbeatAt) >= heartbeatInterval {
 			heartbeatAt = now
 			l.sendHeartbeats()
