--- a/app/listen.go
+++ b/app/listen.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -113,7 +114,7 @@
 // close closes all listeners and their connections, and waits for the servers to
 // return.
 func (l *listeners) close() {
-	for _, s := range append(l.callers, l.others...) {
+	for _, s := range slices.Concat(l.callers, l.others) {
 		_ = s.Close()
 	}
 	l.wg.Wait()
--- a/dispatch/promotion.go
+++ b/dispatch/promotion.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/ledgepin/ledgepin/demand"
@@ -126,23 +125,3 @@
 	w.Urgency = p.highest
 	return w, true
 }
-
-// PromotedClass is a class of which some requests are promoted, with the share of them.
-type PromotedClass struct {
-	Urgency route.Urgency
-	Share   float64
-}
-
-// PromotedClasses returns the classes of a service of which requests are promoted, by urgency.
-func (f *Fleet) PromotedClasses(service string) []PromotedClass {
-	var out []PromotedClass
-	if p := f.promotions[service]; p != nil {
-		for u, s := range p.classes {
-			if s.probability > 0 {
-				out = append(out, PromotedClass{u, s.probability})
-			}
-		}
-	}
-	slices.SortFunc(out, func(a, b PromotedClass) int { return a.Urgency.Compare(b.Urgency) })
-	return out
-}
--- a/entry/claims_test.go
+++ b/entry/claims_test.go
@@ -14,6 +14,7 @@
 	"github.com/ledgepin/ledgepin/claim"
 	"github.com/ledgepin/ledgepin/engine"
 	"github.com/ledgepin/ledgepin/entry"
+	"github.com/ledgepin/ledgepin/fault"
 	"github.com/ledgepin/ledgepin/settings"
 	"github.com/ledgepin/ledgepin/wire"
 )
@@ -129,3 +130,17 @@
 	recorded <- struct{}{}
 	assert.NilError(t, <-done)
 }
+
+// TestDrainingEntryClaimsNoKey guards against a draining entry that claims the key of a request
+// before it refuses it: if the entry stops before the voters have released the key, a retry through
+// another entry is refused for as long as the claim is valid.
+func TestDrainingEntryClaimsNoKey(t *testing.T) {
+	t.Parallel()
+	e, _ := startWithVoters(t)
+	e.Drain(t.Context())
+	_, err := e.Submit(t.Context(), entry.ModelRequest{
+		Grant: settings.Grant{Customer: "c", Class: "desk"}, Key: "k", Request: engine.Request{Model: "m", Prompt: "hello"},
+	})
+	assert.Assert(t, fault.Is(err, fault.Draining), "%v", err)
+	assert.Equal(t, e.OpenRequests(), 0, "the key was claimed, and its release is under way")
+}
