--- a/dispatch/selfreport.go
+++ b/dispatch/selfreport.go
@@ -129,10 +129,11 @@
 }
 
 // MinPauseRemaining returns the time until the first server that may serve a request returns
-// from a pause. It returns false if some server is not paused, or if there is no server. A
+// from a pause. It returns zero and false if some server is not paused, or if there is no server. A
 // server that has returned and accepts few requests at first counts with zero.
 func (f *Fleet) MinPauseRemaining(now time.Time, w Work, role string) (time.Duration, bool) {
-	shortest, found := time.Duration(math.MaxInt64), false
+	var shortest time.Duration
+	found := false
 	for _, s := range f.servers {
 		if s.Service != w.Service || s.Role != role || !s.inService(now) || !w.permits(s) {
 			continue
@@ -141,7 +142,9 @@
 		if remaining == 0 && !s.pause.Ramping(now) {
 			return 0, false
 		}
-		shortest, found = min(shortest, remaining), true
+		if !found || remaining < shortest {
+			shortest, found = remaining, true
+		}
 	}
 	return shortest, found
 }
--- a/gateway/evacuated_test.go
+++ b/gateway/evacuated_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -41,6 +42,23 @@
 	h.gateway.updateEvacuated(m)
 }
 
+// TestRetryTimeIsBoundedWithoutEngines refuses a request while all decode engines are evacuated and
+// a server of another service has asked for a pause. It guards against a pause of no engine that is
+// taken for the longest one: callers were told to return after 292 years.
+func TestRetryTimeIsBoundedWithoutEngines(t *testing.T) {
+	h := newHarness(t)
+	h.addInZone("z", "plain", "a", "").SetSelfReport(standin.RejectFor("30"))
+	h.addInZone("z", "llm", "p", registry.Prefill)
+	h.addInZone("y", "llm", "e", registry.Decode)
+	assert.Equal(t, h.send(http.MethodGet, "/rates/1", "rate", "", nil).status, http.StatusServiceUnavailable)
+	h.evacuate(2, "y")
+	got := h.send(http.MethodPost, "/desk/1", "desk", "x", workHeaders)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, seconds >= 0.5 && seconds <= 4.5, "%v", seconds)
+}
+
 // TestEvacuatedZoneGetsNoNewRequests evacuates the gateway's own zone while a stream runs there:
 // the stream ends complete, nothing else reaches the servers of the zone (no request, prompt, hold
 // or query), a late report of an earlier state changes nothing, and the zone serves again after the
