--- a/demand/demand_test.go
+++ b/demand/demand_test.go
@@ -49,3 +49,17 @@
 	sum[0].Waiting = 0
 	assert.Equal(t, demand.Compare(demand.Add(a, b), sum), demand.Waits)
 }
+
+// TestAnswersAreNoDemand checks that a class counts as requested for two seconds after its last
+// arrival, however long its answers take: requests wait differently while urgencies are mixed.
+func TestAnswersAreNoDemand(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	k := demand.Key{Service: "llm"}
+	var m demand.Meter
+	m.Add(start, k, 100, 300)
+	m.AddServed(start.Add(time.Second), k)
+	list := m.List(start.Add(time.Second))
+	assert.Assert(t, len(list) == 1 && list[0].Served == list[0].Rate, "%v", list)
+	m.AddServed(start.Add(4*time.Second), k)
+	assert.Equal(t, len(m.List(start.Add(4*time.Second))), 0)
+}
--- a/demand/meter.go
+++ b/demand/meter.go
@@ -82,7 +82,7 @@
 
 func (m *Meter) number(now time.Time) int64 { return 1 + int64(now.Sub(m.start)/bucketTime) }
 
-// List returns the rates of the classes with arrivals or complete answers in the last two seconds, ordered by key. It
+// List returns the rates of the classes with arrivals in the last two seconds, ordered by key. It
 // forgets the other classes.
 func (m *Meter) List(now time.Time) []Class {
 	if m.classes == nil {
@@ -102,9 +102,11 @@
 				sum.served += b.served
 			}
 		}
-		if sum.requests+sum.served == 0 {
-			delete(m.classes, k)
-			continue
+		if sum.requests == 0 {
+			if sum.served == 0 {
+				delete(m.classes, k)
+			}
+			continue // that answers are completed is no demand
 		}
 		class := k.class()
 		class.Rate = int(float64(perRate*sum.requests) / seconds)
