--- a/demand/meter.go
+++ b/demand/meter.go
@@ -43,8 +43,8 @@
 	classes map[Key]*[meterBuckets + 1]arrivals
 }
 
-// arrivals counts the arrivals and the complete answers of one interval, by the number of the interval, which begins at
-// one.
+// arrivals counts the arrivals and the complete answers of one interval, by the number of the
+// interval, which begins at one.
 type arrivals struct {
 	number                               int64
 	requests, tokens, promptSize, served int
@@ -106,7 +106,7 @@
 			if sum.served == 0 {
 				delete(m.classes, k)
 			}
-			continue // that answers are completed is no demand
+			continue // complete answers alone are no demand
 		}
 		class := k.class()
 		class.Rate = int(float64(perRate*sum.requests) / seconds)
