--- a/control/state_files.go
+++ b/control/state_files.go
@@ -127,7 +127,11 @@
 	defer h.mu.Unlock()
 	for _, s := range m.List {
 		if s.State == registry.Ready {
+			remaining := s.Cold - s.Age // the cold period is counted from the report
 			s.Age = max(serverTTL-restoredServerTTL, 0)
+			if s.Cold = 0; remaining > 0 {
+				s.Cold = s.Age + remaining
+			}
 		}
 		_, _ = h.recordReport(now, s) // a saved report of an earlier incarnation is useless
 	}
