--- a/caller/server.go
+++ b/caller/server.go
@@ -107,8 +107,8 @@
 	return k, nil
 }
 
-// readBody reads the complete body, up to MaxBodyBytes bytes. It gives up once draining is done,
-// since the request would be refused.
+// readBody reads the complete body, up to MaxBodyBytes bytes. It gives up once the entry drains,
+// that is, once the context draining is done, since the request would be refused.
 func readBody(c echo.Context, draining context.Context) ([]byte, error) {
 	rc := http.NewResponseController(c.Response().Writer)
 	stop := context.AfterFunc(draining, func() { _ = rc.SetReadDeadline(clock.Deadline(0)) })
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -89,9 +89,9 @@
 	// accepting is the number of calls of Submit and Call that have not returned.
 	accepting int
 	draining  bool
-	// drained is done once the entry refuses new work.
-	drained           context.Context
-	setDrained        context.CancelFunc
+	// drainBegun is done once the entry refuses new work; beginDrain ends it.
+	drainBegun        context.Context
+	beginDrain        context.CancelFunc
 	started           time.Time
 	persistSignal     chan struct{}  // signals that settings must be written to the disk
 	callRecords       *decision.Ring // records of plain calls
@@ -118,7 +118,7 @@
 		borrowed: map[string]time.Time{}, shortages: map[string]time.Time{},
 		holder: quota.NewHolder(), broker: quota.NewBroker(), callRecords: decision.NewRing(maxRecords), persistSignal: make(chan struct{}, 1),
 	}
-	e.drained, e.setDrained = context.WithCancel(context.Background())
+	e.drainBegun, e.beginDrain = context.WithCancel(context.Background())
 	e.dialer.Log = e.log
 	e.core = router.New(placement.NewView(cfg.Zone, rng), router.Options{
 		Policy: router.DefaultPolicy(), MaxRecords: maxRecords, Name: cfg.Name,
@@ -162,7 +162,7 @@
 	e.mu.Lock()
 	e.draining = true
 	e.core.SetDraining()
-	e.setDrained()
+	e.beginDrain()
 	e.mu.Unlock()
 	event.Draining.Log(e.log)
 	poll := time.NewTicker(20 * time.Millisecond)
@@ -185,7 +185,7 @@
 }
 
 // Draining is done once the entry refuses new work.
-func (e *Entry) Draining() context.Context { return e.drained }
+func (e *Entry) Draining() context.Context { return e.drainBegun }
 
 // accept refuses new work of an entry that can't serve it. Otherwise, the work counts as open until
 // release is called.
