--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -35,6 +35,9 @@
 	LengthHint string
 	// LastEventID is the last event of a stream that the caller has received.
 	LastEventID string
+	// Resumes names the attempt of the caller that brought the first event of a stream which this
+	// request resumes.
+	Resumes string
 	// PromptParts names the parts of the prompt in order, each with its tokens.
 	PromptParts string
 }
@@ -102,7 +105,7 @@
 var DefaultHeaders = Headers{
 	CallerFields{
 		RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", Tokens: "X-Tokens", LengthHint: "X-Length-Hint",
-		LastEventID: "Last-Event-Id", PromptParts: "X-Prompt-Parts",
+		LastEventID: "Last-Event-Id", Resumes: "X-Resumes", PromptParts: "X-Prompt-Parts",
 	},
 	GatewayFields{ExpectInstance: "X-Expect-Instance", Role: "X-Engine-Role", KVSource: "X-KV-Source", Hold: "X-Hold", Organisation: "X-Organisation", Priority: "X-Request-Priority"},
 	ServerFields{Signature: "X-Answer-Signature", NotRun: "X-Not-Run", Cold: "X-Cold-Ms", Limit: "X-Server-Limit", Leaving: "X-Server-Leaving"},
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/ledgepin/ledgepin/registry"
@@ -72,6 +73,7 @@
 	if s.State != r.State || s.Role != r.Role || s.Service != r.Service || s.Zone != r.Zone {
 		f.groups = nil
 	}
+	r.Version = cmp.Or(r.Version, s.Version)
 	s.Server, s.evacuated, s.region = r, f.evacuated[r.Zone], f.regions[r.Zone]
 	s.setCold(reportedAt, r.Cold)
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -100,7 +100,7 @@
 
 // StreamResumed is logged when a stream that broke off is requested again.
 var StreamResumed = define("LP2021", info, "stream resumed",
-	"A stream broke off and is requested again from after the last event that its caller has. last is the ID of that event, resumed says that the caller had a part of the answer before this request, and moved counts how often the run continued at another engine with its KV cache.",
+	"A stream broke off and is requested again from after the last event that its caller has. last is the ID of that event, resumed says that the caller had a part of the answer before this request, and moved counts how often the run continued at another engine with its KV cache. version is the software version of the server that sent the events so far.",
 	"Many from one server: check the server.")
 
 // EventOutOfOrder is logged when an engine sends an event of a stream other than the expected one.
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -111,7 +111,7 @@
 	metric.RouteFirst.WithLabelValues(name).Observe(first.Seconds())
 	metric.RouteMaxGap.WithLabelValues(name).Observe(stream.gap.Seconds())
 	event.RequestDone.Log(n.g.log, "id", n.q.id, "route", name, "status", status, "ms", n.g.clock.Since(n.q.arrived).Milliseconds(),
-		"first_ms", first.Milliseconds(), "gap_ms", stream.gap.Milliseconds(), "prefill", n.kvSource.StableName(), "decode", s.StableName(),
+		"first_ms", first.Milliseconds(), "gap_ms", stream.gap.Milliseconds(), "prefill", n.kvSource.StableName(), "decode", s.StableName(), "version", s.Version, "resumed", n.q.resumed, "resumes", n.q.resumes,
 		"prefill_ms", prefill.Milliseconds(), "rounds", n.prefills, "migrations", n.migrations.count)
 }
 
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -81,7 +81,7 @@
 			q.work.Cached = g.findCached(q)
 		}
 		if n.stream.started {
-			event.StreamResumed.Log(g.log, "id", q.id, "last", n.stream.order.Last(), "resumed", q.resumed, "moved", n.migrations.count, "error", last.err)
+			event.StreamResumed.Log(g.log, "id", q.id, "last", n.stream.order.Last(), "resumed", q.resumed, "version", n.stream.from.Version, "moved", n.migrations.count, "error", last.err)
 		}
 		if round > 0 && !g.narrowRegions(q) || !n.place(ctx) {
 			if round == 0 {
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -328,6 +328,6 @@
 
 func (n *generation) noteMigration(m *migration, outcome string, err error) {
 	metric.Migrations.WithLabelValues(n.q.service.Name, string(m.reason), outcome).Inc()
-	event.RunMigrated.Log(n.g.log, "id", n.q.id, "reason", string(m.reason), "from", m.from.StableName(), "to", m.to.StableName(), "outcome", outcome,
+	event.RunMigrated.Log(n.g.log, "id", n.q.id, "reason", string(m.reason), "from", m.from.StableName(), "to", m.to.StableName(), "from_version", m.from.Version, "to_version", m.to.Version, "outcome", outcome,
 		"stopped", m.stopped, "made", n.q.work.Generated, "last", n.stream.order.Last(), "engine_made", m.kv.Generated, "ms", n.g.clock.Since(m.started).Milliseconds(), "error", err)
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -34,6 +34,8 @@
 	// answer.
 	parts   []route.PromptPart
 	resumed bool
+	// resumes names the caller's attempt that began the answer; empty if the caller does not say.
+	resumes string
 	// chunked is set if the caller reads chunked answers, whose end is explicit.
 	chunked bool
 	// mayHaveRun is set if a server may have worked on the request.
@@ -148,6 +150,7 @@
 		}
 		q.work.Regions, q.work.Urgency = regions, q.organisation.UrgencyFor(q.route)
 		q.resumed = r.Header.Get(h.LastEventID) != ""
+		q.resumes = r.Header.Get(h.Resumes)
 		if parse := g.cfg.Protocol.ParseParts; parse != nil {
 			q.parts = parse(r.Header.Get(h.PromptParts))
 		}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -9,6 +9,7 @@
 package registry
 
 import (
+	"cmp"
 	"sort"
 	"time"
 )
@@ -59,6 +60,9 @@
 	// Cold is how long the server remains cold and can serve fewer requests than usual,
 	// counted from the time of the report (see Age); zero if it is warm.
 	Cold time.Duration `cbor:"13,keyasint,omitempty" json:"cold,omitempty"`
+	// Version is the version of the server's software; empty if it is not reported, or if a peer
+	// of an older build has forwarded the report.
+	Version string `cbor:"14,keyasint,omitempty" json:"version,omitempty"`
 }
 
 // Newest returns the newest incarnation that a report names: the server itself, or the
@@ -208,6 +212,7 @@
 		s = old.server
 		s.State = Gone
 	}
+	s.Version = cmp.Or(s.Version, old.server.Version)
 	cold := s.State == Ready && old.coldEndChanged(now, coldUntil)
 	if s.State == Ready {
 		old.coldUntil = coldUntil
