--- a/compat/version.go
+++ b/compat/version.go
@@ -14,8 +14,11 @@
 	// LeaveReports is the first version whose replicas accept a gateway's report that a
 	// server is leaving. It stores nothing more.
 	LeaveReports = 7
+	// StreamOrigins is the first version whose processes record at which software version
+	// streams began. It stores nothing more.
+	StreamOrigins = 8
 	// Newest is the highest version that this build reads and writes.
-	Newest = LeaveReports
+	Newest = StreamOrigins
 	// NewestStored is the highest version that stores something new. This build raises
 	// the fleet's version no further, so that a downgrade to the previous build remains
 	// possible.
--- a/control/discovery.go
+++ b/control/discovery.go
@@ -194,6 +194,9 @@
 	if m.Contents != nil {
 		c.hub.mergeContents(m.Contents)
 	}
+	if m.Origins != nil {
+		c.hub.mergePeerOrigins(m.Origins)
+	}
 	if m.Limits != nil {
 		c.hub.handlePeerLimits(l, m.Limits)
 	}
--- a/control/hub.go
+++ b/control/hub.go
@@ -98,6 +98,7 @@
 	// ledger accounts what organisations have used of their limits.
 	ledger   *quota.Ledger[*wire.Link]
 	contents contentsState
+	origins  originsState
 	// evacuated are the zones that are being evacuated; its Number is zero before the first
 	// evacuation. evacuationEndedAt is when the evacuation of a zone was finished.
 	evacuated         wire.Evacuated
@@ -169,7 +170,7 @@
 		groupSizes: map[serverGroup]int{}, ownLoads: newLoadSummary(), peerLoads: map[*wire.Link]*loadSummary{}, totalLoads: map[string]wire.EngineLoad{}, changedLoads: map[string]bool{},
 		sentToPeers: newLoadSummary(), changedOwnLoads: map[string]bool{}, localReports: map[string]time.Time{}, updated: map[string]bool{}, rosters: map[*wire.Link]*registry.Roster{},
 		peerUsageAt: map[*wire.Link]time.Time{}, ledger: quota.NewLedger[*wire.Link](c.Now(), bounds),
-		contents: newContents(), evacuationEndedAt: map[string]time.Time{}, unconfirmed: map[string]bool{}, broker: warmup.NewBroker(c.Now()),
+		contents: newContents(), origins: newOrigins(), evacuationEndedAt: map[string]time.Time{}, unconfirmed: map[string]bool{}, broker: warmup.NewBroker(c.Now()),
 		limits: newLimits(c.Now(), ""),
 	}
 }
@@ -190,6 +191,7 @@
 	_ = l.Send(&wire.Message{Servers: &wire.Servers{Away: h.awayList(h.clock.Now())}})
 	h.sendEvacuated(l)
 	h.sendLimitObservations(l) // a gateway that was suspended may not know them
+	h.sendVersionsTo(l)
 	h.sendTable(l, g, current)
 	h.countSent = false
 }
@@ -233,6 +235,7 @@
 	_ = l.Send(&wire.Message{Loads: h.sentToPeers.fullMessage()})
 	_ = l.Send(&wire.Message{Use: h.ledger.Snapshot(h.clock.Now())})
 	h.sendLimitObservations(l)
+	h.sendAllOrigins(l)
 }
 
 func (h *hub) removePeer(l *wire.Link) {
@@ -296,6 +299,7 @@
 	for l, g := range h.gateways {
 		h.sendTable(l, g, current)
 	}
+	h.sendVersions(now) // before the servers that have them
 	h.sendUpdates(now)
 	h.sendSubsets(now)
 	if !h.countSent {
@@ -313,6 +317,7 @@
 	h.sendLoadsToPeers()
 	h.sendUsageToPeers(now)
 	h.sendContents(now)
+	h.sendOriginsToPeers()
 	h.leaseColdServers(now)
 	h.tickLimits(now)
 	if now.Sub(h.loadsAt) >= loadsEvery {
--- a/control/hub_servers.go
+++ b/control/hub_servers.go
@@ -75,6 +75,9 @@
 // h.mu.
 func (h *hub) recordReport(now time.Time, s registry.Server) (changed bool, err error) {
 	updates, err := h.servers.Report(now, s)
+	if err == nil {
+		h.noteVersion(now, s)
+	}
 	for _, n := range updates {
 		h.serversChanged = true
 		if n.Previous != nil && n.Previous.State == registry.Ready {
@@ -285,7 +288,9 @@
 		sizes = append(sizes, wire.GroupSize{Service: k.service, Role: k.role, Size: n})
 	}
 	silent := map[string]bool{}
-	for _, s := range h.servers.List(now) {
+	servers := h.servers.List(now)
+	h.sweepOrigins(now, servers)
+	for _, s := range servers {
 		if s.State == registry.Ready && s.Age > aliveMaxAge {
 			silent[s.ID] = true
 		}
--- a/control/state_files.go
+++ b/control/state_files.go
@@ -54,6 +54,7 @@
 	return []stateFile{
 		{"control.servers", c.hub.restoreServers, c.hub.takeUnsavedServers, c.hub.markServersUnsaved},
 		{"control.contents", c.hub.restoreContents, c.hub.takeUnsavedContents, c.hub.markContentsUnsaved},
+		{"control.versions", c.hub.restoreVersions, c.hub.takeUnsavedVersions, c.hub.markVersionsUnsaved},
 	}
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 
 	"github.com/ledgepin/ledgepin/demand"
 	"github.com/ledgepin/ledgepin/internal/stablehash"
+	"github.com/ledgepin/ledgepin/origin"
 	"github.com/ledgepin/ledgepin/ratelimit"
 	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/selfreport"
@@ -156,6 +157,8 @@
 	tokenTimes map[string]time.Duration
 	// headroom is what requests to each service leave free for more urgent ones.
 	headroom map[string]Headroom
+	// versions are the software versions of the servers of each service.
+	versions origin.Versions
 	// promotions holds how often the classes of requests to each service are served.
 	promotions map[string]*promotion
 }
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -27,6 +27,10 @@
 	// OverShare means that the request's organisation has recently used more than its share.
 	// The request then waits behind the others, and leaves some capacity to them.
 	OverShare bool
+	// Pinned restricts the request to servers of the software version Version, at which its stream
+	// began. Prefill engines are not restricted, since they send no events.
+	Pinned  bool
+	Version string
 	// Urgency is the rank of the request among those that wait.
 	Urgency route.Urgency
 	// headroom is the share of the engines' memory that the request leaves free for more urgent
--- a/dispatch/exclusion.go
+++ b/dispatch/exclusion.go
@@ -20,6 +20,8 @@
 	RuleLeaving Rule = "leaving"
 	// RuleRegion: the engine is in a region in which the request may not be served.
 	RuleRegion Rule = "region"
+	// RuleVersion: the engine has another software version than the one that began the stream.
+	RuleVersion Rule = "version"
 	// RuleCold: the engine has just started, and other gateways already send it as many
 	// requests as it can serve.
 	RuleCold Rule = "cold"
@@ -88,7 +90,7 @@
 			out.Count[RulePause]++
 		}
 	}
-	for _, r := range []Rule{RuleRegion, RuleEvacuated, RuleLeaving, RuleCold, RulePause, RuleLimited, RuleBlocked, RuleSlots, RuleMemoryNow, RuleMemory, RuleHeadroom, RuleOtherGateway, RuleLatePrefill} {
+	for _, r := range []Rule{RuleRegion, RuleVersion, RuleEvacuated, RuleLeaving, RuleCold, RulePause, RuleLimited, RuleBlocked, RuleSlots, RuleMemoryNow, RuleMemory, RuleHeadroom, RuleOtherGateway, RuleLatePrefill} {
 		if out.Count[r] > 0 {
 			out.Rule = r
 		}
@@ -101,8 +103,10 @@
 // prefilled too late.
 func (f *Fleet) excludingRule(now time.Time, s *Server, w Work, e *route.Engine, t *turn) Rule {
 	switch {
-	case !w.permits(s):
+	case !w.permitsRegion(s):
 		return RuleRegion
+	case !w.permitsVersion(s):
+		return RuleVersion
 	case !s.available(now):
 		return RuleLeaving
 	case s.blocked(now) || !f.lossAllows(now, s):
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -42,6 +42,9 @@
 // updateIncarnation applies a report of a server's newest incarnation.
 func (f *Fleet) updateIncarnation(now time.Time, r registry.Server) {
 	reportedAt := now.Add(-r.Age)
+	if r.State != registry.Gone {
+		f.versions.Note(now, r.Service, r.Version)
+	}
 	s := f.servers[r.ID]
 	if s == nil {
 		s = &Server{Server: r, reportedAt: reportedAt, rank: f.rank(r.ID), Others: f.Others.Loads[r.ID], OthersSeen: f.Others.Evidence[r.ID]}
@@ -223,5 +226,6 @@
 		}
 	}
 	f.incarnations.Sweep(now)
+	f.sweepVersions(now)
 	f.sweepLosses(now)
 }
--- a/dispatch/migrate.go
+++ b/dispatch/migrate.go
@@ -73,7 +73,10 @@
 	if s == nil {
 		return nil
 	}
-	remaining := Work{Service: w.Service, Regions: w.Regions, Prompt: w.currentTokens(), Expected: max(w.Expected-w.Generated, 0)}
+	remaining := Work{Service: w.Service, Regions: w.Regions, Pinned: true, Version: s.Version, Prompt: w.currentTokens(), Expected: max(w.Expected-w.Generated, 0)}
+	if s.Version == "" && f.versions.Mixed(w.Service) {
+		return nil
+	}
 	byProximity := map[Proximity][]*Server{}
 	f.search(now, w.Service, registry.Decode, func(to *Server) bool {
 		if to.ID == from || !f.eligibleFor(now, to, remaining, nil) || !f.fits(to, remaining, e) || !f.fitsNow(to, remaining, e, targetLevel) {
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -18,8 +18,8 @@
 }
 
 // Queue holds the requests of one gateway that wait for capacity, in order of urgency;
-// within an urgency, requests of organisations within their share come first, and then the
-// order of arrival counts.
+// within an urgency, streams that are resumed come first, then requests of organisations within
+// their share, and then the order of arrival counts.
 type Queue struct {
 	list []*QueuedRequest
 }
@@ -32,6 +32,9 @@
 func (q *Queue) CountAhead(w Work) int {
 	n := 0
 	for _, r := range q.list {
+		if w.Pinned && (!r.Work.Pinned || r.Work.Version != w.Version) {
+			continue
+		}
 		if r.Work.Service == w.Service && r.Work.Urgency.Compare(w.Urgency) <= 0 {
 			n++
 		}
@@ -78,6 +81,11 @@
 		switch {
 		case urgency != 0:
 			return urgency
+		case a.Work.Pinned != b.Work.Pinned:
+			if b.Work.Pinned {
+				return 1
+			}
+			return -1
 		case a.Work.OverShare && !b.Work.OverShare:
 			return 1
 		}
@@ -94,12 +102,17 @@
 // ServeQueue reserves engines for queued requests as long as the first of the queue finds
 // capacity, and calls placed for each. A request without capacity holds up those behind it,
 // so that a large prompt is not passed over for ever. A request for which there is capacity
-// only at engines that it has tried already holds up none, since it waits for another engine.
+// only at engines that it has tried already holds up none, since it waits for another engine. Nor
+// does a stream that waits for an engine of its version.
 func (f *Fleet) ServeQueue(now time.Time, q *Queue, placed func(r *QueuedRequest, p Pair)) {
 	for at := 0; at < len(q.list); {
 		r := q.list[at]
 		p, ok := f.ChoosePair(now, r.Work, r.Engine, r.Avoid)
 		if !ok {
+			if r.Work.Pinned {
+				at++
+				continue
+			}
 			if len(r.Avoid) == 0 {
 				return
 			}
--- a/dispatch/queuetimeout.go
+++ b/dispatch/queuetimeout.go
@@ -72,6 +72,9 @@
 func (f *Fleet) QueueTimeout(now time.Time, w Work, within time.Duration, ahead int, r RunTimes) time.Duration {
 	first := r.firstEvent(f.minPrefillTime(now, w))
 	limit := max(within-first, 0)
+	if w.Pinned {
+		return f.pinnedQueueTimeout(now, w, limit, ahead, r)
+	}
 	p := f.Position(w)
 	waiting := p.Ahead + ahead
 	switch {
--- a/dispatch/region.go
+++ b/dispatch/region.go
@@ -12,7 +12,11 @@
 }
 
 // permits reports whether a request may be served, and its prompt cached, in a server's
-// region.
+// region, and whether a stream may continue at the server's version.
 func (w Work) permits(s *Server) bool {
+	return w.permitsRegion(s) && w.permitsVersion(s)
+}
+
+func (w Work) permitsRegion(s *Server) bool {
 	return len(w.Regions) == 0 || s.region != "" && slices.Contains(w.Regions, s.region)
 }
--- a/dispatch/turn.go
+++ b/dispatch/turn.go
@@ -58,6 +58,9 @@
 // Position returns the place of a request, apart from the requests of its own gateway.
 func (f *Fleet) Position(w Work) Position {
 	var p Position
+	if w.Pinned {
+		return p // before all others, see version.go
+	}
 	waiting := 0
 	for i := range f.Others.Demand {
 		c := &f.Others.Demand[i]
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -10,6 +10,7 @@
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/metric"
+	"github.com/ledgepin/ledgepin/origin"
 )
 
 // decodeElsewhere continues after a decode engine has not accepted the request: another one takes
@@ -78,6 +79,10 @@
 		return n.nonStreamAnswer(ctx, s, a)
 	}
 	n.migrations.stopped = false
+	g.noteStream(q, s)
+	began := origin.Origin{Service: s.Service, Version: s.Version}
+	g.origins.countOpen(began, 1)
+	defer g.origins.countOpen(began, -1)
 	s, a, err = n.relay(ctx, s, a)
 	if err == nil {
 		g.fleet.noteOutcome(s.ID, dispatch.Success, g.clock.Since(started))
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/ledgepin/ledgepin/demand"
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/metric"
+	"github.com/ledgepin/ledgepin/origin"
 	"github.com/ledgepin/ledgepin/retryslots"
 	"github.com/ledgepin/ledgepin/route"
 	"github.com/ledgepin/ledgepin/wire"
@@ -273,6 +274,45 @@
 	return out, promoted
 }
 
+// versionServed reports whether some server may continue a stream; true for other requests.
+func (f *fleet) versionServed(w dispatch.Work) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.VersionServed(f.clock.Now(), w)
+}
+
+// mixed reports whether the servers of a service have had more than one version recently.
+func (f *fleet) mixed(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Mixed(service)
+}
+
+// soleVersion returns the only version that servers of a service have had recently. It returns
+// false if there was more than one or no server is known yet.
+func (f *fleet) soleVersion(service string) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.SoleVersion(service)
+}
+
+// noteVersions records versions that a replica knows, and reports whether one of them is new.
+func (f *fleet) noteVersions(list []origin.SeenVersion) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.NoteVersions(f.clock.Now(), list)
+}
+
+// newestNamed returns the present incarnation of a server.
+func (f *fleet) newestNamed(name string) (dispatch.Server, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.view.NewestNamed(name); s != nil {
+		return *s, true
+	}
+	return dispatch.Server{}, false
+}
+
 // countServed counts a request of a class whose answer is complete.
 func (f *fleet) countServed(class demand.Key) {
 	f.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,7 @@
 	fleet             *fleet
 	limits            *limits
 	contents          *contents
+	origins           *origins
 	evacuated         evacuatedZones
 	memory            *membudget.Budget
 	// memoryFull limits the log lines about requests refused for lack of memory.
@@ -84,6 +85,9 @@
 	// checkWait is how long a request waits for the check of its previous server: the constant of
 	// that name, except in tests.
 	checkWait time.Duration
+	// inTouch reports whether control has recently been heard from: links.connected, except in
+	// tests.
+	inTouch func() bool
 	// cached holds the prompts that engines keep cached, by service.
 	cachedMu sync.Mutex
 	cached   map[string]*cachedPrompts
@@ -100,7 +104,7 @@
 	g := &Gateway{
 		cfg: cfg, clock: cfg.Clock, log: log, ctx: ctx, cancel: cancel,
 		privateHeaders: cfg.Protocol.Headers.Private(), serverHeaders: canonicalNames(cfg.Protocol.Headers.ForServers()), tableReady: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Clock, cfg.Name, cfg.Zone, cfg.Zones, cfg.Retry), cached: map[string]*cachedPrompts{}, cacheListTimeout: cacheListTimeout,
-		limits: newLimits(cfg.Clock, cfg.Quota), contents: newContents(cfg.Clock, log), checkWait: checkWait,
+		limits: newLimits(cfg.Clock, cfg.Quota), contents: newContents(cfg.Clock, log), origins: newOrigins(cfg.Clock), checkWait: checkWait,
 		memory:        membudget.New(cfg.Memory, callerTimeout, cfg.Clock.Now),
 		memoryFull:    event.Limiter{Interval: memoryFullLogInterval, MaxKeys: 1},
 		unreadReports: event.Limiter{Interval: time.Minute, MaxKeys: maxReportLines},
@@ -110,6 +114,7 @@
 	g.pool.Admit = g.fleet.admit
 	g.pool.OnAnswer = g.noteAnswer
 	g.links = newLinks(g)
+	g.inTouch = g.links.connected
 	g.links.setSeeds(cfg.Seeds)
 	g.wg.Go(g.sweep)
 	event.Started.Log(g.log)
@@ -135,6 +140,7 @@
 			}
 			g.limits.setTable(&g.table)
 			g.fleet.setServices(g.table.Load())
+			g.origins.setTable(g.table.Load())
 			event.SettingsInForce.Log(g.log, "version", t.Version, "routes", len(t.Routes))
 			return
 		}
@@ -145,6 +151,7 @@
 func (g *Gateway) noteRestart(s *dispatch.Server) {
 	event.ServerRestarted.Log(g.log, "server", s.StableName(), "address", s.Address)
 	g.contents.noteRestart(s.ID)
+	g.noteRestartedVersion(s)
 	g.pool.EndIncarnation(s.ID, s.Address)
 }
 
@@ -234,6 +241,7 @@
 			}
 			g.noteLossChanges(now)
 			g.contents.sweep(now)
+			g.origins.sweep(now)
 		}
 	}
 }
@@ -327,6 +335,10 @@
 func (g *Gateway) Collect() {
 	g.fleet.collectWaiting()
 	metric.HeldBytes.WithLabelValues(g.cfg.Name).Set(float64(g.memory.Held()))
+	metric.OpenStreams.Reset()
+	for at, n := range g.origins.openStreams() {
+		metric.OpenStreams.WithLabelValues(at.Service, at.Version).Set(float64(n))
+	}
 	if t := g.table.Load(); t != nil {
 		for _, s := range t.Services {
 			if s.Engine != nil {
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -83,6 +83,9 @@
 		if n.stream.started {
 			event.StreamResumed.Log(g.log, "id", q.id, "last", n.stream.order.Last(), "resumed", q.resumed, "version", n.stream.from.Version, "moved", n.migrations.count, "error", last.err)
 		}
+		if n.stream.started && g.versionUncertain(q) {
+			break
+		}
 		if round > 0 && !g.narrowRegions(q) || !n.place(ctx) {
 			if round == 0 {
 				last = result{kind: notRun}
@@ -121,6 +124,9 @@
 	}
 	until := n.g.clock.Now().Add(limit)
 	for {
+		if !n.g.fleet.versionServed(q.work) {
+			return false
+		}
 		if remaining, ok := n.g.fleet.minPauseRemaining(q.work, registry.Decode); ok && remaining > n.g.clock.Until(until) {
 			return false
 		}
@@ -265,6 +271,10 @@
 		g.refuse(w, q.id, q.refuseContent(remaining))
 		return
 	}
+	if !q.mayHaveRun && !g.fleet.versionServed(q.work) {
+		g.refuse(w, q.id, *q.refuseContinuation(noServerOfVersion))
+		return
+	}
 	if !q.mayHaveRun {
 		r := g.fleet.exclusion(q.work, q.service.Engine)
 		pause, ok := g.fleet.minPauseRemaining(q.work, registry.Decode)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -89,7 +89,8 @@
 		Name: "g", Zone: "z", Protocol: protocol, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Retry: dispatch.Budget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second},
 	})
-	h.gateway.checkWait = 5 * time.Second // so that no test depends on the load of the machine
+	h.gateway.checkWait = 5 * time.Second           // so that no test depends on the load of the machine
+	h.gateway.inTouch = func() bool { return true } // there is no control whose state it could lack
 	t.Cleanup(h.gateway.Close)
 	h.frontend = httptest.NewUnstartedServer(h.gateway)
 	h.frontend.Config.ConnContext = ConnContext
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -174,6 +174,9 @@
 	}
 	l.updateOthers()
 	l.mu.Unlock()
+	if link == nil {
+		l.g.origins.noteLinkDown(address)
+	}
 }
 
 func (l *links) handle(address string, m *wire.Message) {
@@ -213,6 +216,8 @@
 		l.g.contents.merge(m.Contents)
 	case m.Limits != nil:
 		l.updateLimits(address, m.Limits)
+	case m.Origins != nil:
+		l.handleOrigins(address, m.Origins)
 	case m.Loads != nil:
 		l.mu.Lock()
 		l.updateLoads(address, m.Loads)
@@ -357,6 +362,7 @@
 		if list := l.g.contents.unsent(hub); list != nil {
 			_ = hub.Send(&wire.Message{Contents: list})
 		}
+		l.sendOrigins(hub)
 		if used := l.g.limits.takeUnreported(now); used != nil {
 			_ = hub.Send(&wire.Message{Use: &quota.UsageUpdate{Used: used}})
 		}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -12,6 +12,7 @@
 	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/membudget"
+	"github.com/ledgepin/ledgepin/origin"
 	"github.com/ledgepin/ledgepin/poison"
 	"github.com/ledgepin/ledgepin/route"
 )
@@ -34,8 +35,10 @@
 	// answer.
 	parts   []route.PromptPart
 	resumed bool
-	// resumes names the caller's attempt that began the answer; empty if the caller does not say.
-	resumes string
+	// continues is set if the caller asks for the rest of a stream that may be resumed, and resumes
+	// names its attempt that began the stream; empty if the caller does not say.
+	continues bool
+	resumes   string
 	// chunked is set if the caller reads chunked answers, whose end is explicit.
 	chunked bool
 	// mayHaveRun is set if a server may have worked on the request.
@@ -112,8 +115,17 @@
 	if refused := g.identify(table, q, r.Header); refused != nil {
 		return q, refused
 	}
-	q.service = table.Service(q.route.Pick(random()))
-	if q.service == nil {
+	service := q.route.Pick(random())
+	var began origin.Origin
+	if q.route.Kind == route.Stream && q.route.Resumable && r.Header.Get(h.LastEventID) != "" {
+		q.continues, q.resumes = true, r.Header.Get(h.Resumes)
+		var refused *refusal
+		if began, refused = g.resolveOrigin(r.Context(), table, q); refused != nil {
+			return q, refused
+		}
+		service = began.Service
+	}
+	if q.service = table.Service(service); q.service == nil {
 		return q, &notReady
 	}
 	prompt, maxOutput := parseTokens(r.Header.Get(h.Tokens))
@@ -150,11 +162,16 @@
 		}
 		q.work.Regions, q.work.Urgency = regions, q.organisation.UrgencyFor(q.route)
 		q.resumed = r.Header.Get(h.LastEventID) != ""
-		q.resumes = r.Header.Get(h.Resumes)
 		if parse := g.cfg.Protocol.ParseParts; parse != nil {
 			q.parts = parse(r.Header.Get(h.PromptParts))
 		}
 	}
+	if q.continues {
+		q.work.Pinned, q.work.Version = true, began.Version
+		if refused := g.requireVersion(r.Context(), q); refused != nil {
+			return q, refused
+		}
+	}
 	return q, nil
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -257,6 +257,26 @@
 	return out
 }
 
+// Includes reports whether requests of the route may be served by a service.
+func (r *Route) Includes(service string) bool {
+	return slices.ContainsFunc(r.Services, func(w Weight) bool { return w.Service == service && w.Weight > 0 })
+}
+
+// SoleService returns the service that serves all requests of the route; empty if there are several.
+func (r *Route) SoleService() string {
+	sole := ""
+	for _, w := range r.Services {
+		switch {
+		case w.Weight <= 0:
+		case sole != "" && sole != w.Service:
+			return ""
+		default:
+			sole = w.Service
+		}
+	}
+	return sole
+}
+
 // Pick chooses a service of the route by weight; at is uniformly distributed in [0, 1).
 func (r *Route) Pick(at float64) string {
 	total := 0
--- a/wire/hello.go
+++ b/wire/hello.go
@@ -22,10 +22,13 @@
 	// LeavingVersion is the first version whose replicas accept a gateway's report that a server
 	// is leaving.
 	LeavingVersion = 7
+	// OriginsVersion is the first version whose processes record at which software version
+	// streams began.
+	OriginsVersion = 8
 )
 
 // Versions are the versions that this build supports.
-var Versions = compat.Range{Least: BaseVersion, Most: LeavingVersion}
+var Versions = compat.Range{Least: BaseVersion, Most: OriginsVersion}
 
 // maxBuildBytes bounds the name of a build: a module's version with its time and commit has
 // about forty bytes.
--- a/wire/message.go
+++ b/wire/message.go
@@ -70,6 +70,7 @@
 	Evacuated *Evacuated  `cbor:"40,keyasint,omitempty"`
 	Cold      []ColdLease `cbor:"41,keyasint,omitempty"`
 	Limits    *Limits     `cbor:"42,keyasint,omitempty"`
+	Origins   *Origins    `cbor:"43,keyasint,omitempty"`
 }
 
 // Heartbeat keeps the link alive and renews the leases of the link's owner.
