--- a/agent/agent.go
+++ b/agent/agent.go
@@ -89,7 +89,7 @@
 	claimGroup     claimGroupKey
 	models         []string
 	assets         []string
-	role           string
+	role, software string
 	engineOK       bool
 	failedReports  int
 	lastPrefillEnd time.Time // end of the last prefill at the engine
--- a/agent/links.go
+++ b/agent/links.go
@@ -112,7 +112,7 @@
 // sendAssets reports the assets that the engine has loaded to an entry. Callers hold the lock.
 func (a *Agent) sendAssets(l *wire.Link) {
 	_ = l.Send(&wire.Message{Heartbeat: &wire.Heartbeat{
-		Revision: a.store.Revision(), Assets: a.assets, Role: a.role, Told: true,
+		Revision: a.store.Revision(), Assets: a.assets, Role: a.role, Told: true, Software: a.software,
 	}})
 }
 
--- a/agent/recover.go
+++ b/agent/recover.go
@@ -139,12 +139,12 @@
 func (a *Agent) engineReported(load engine.Load, events []engine.CacheEvent) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	changed := !a.engineOK || !slices.Equal(load.Assets, a.assets) || load.Role != a.role
+	changed := !a.engineOK || !slices.Equal(load.Assets, a.assets) || load.Role != a.role || load.Software != a.software
 	if !a.engineOK {
 		event.EngineRecovered.Log(a.log)
 	}
 	a.engineOK, a.failedReports = true, 0
-	a.models, a.assets, a.role = load.Models, load.Assets, load.Role
+	a.models, a.assets, a.role, a.software = load.Models, load.Assets, load.Role, load.Software
 	for _, e := range events {
 		a.cacheSeq = max(a.cacheSeq, e.Seq)
 		if !e.Removed && len(a.cacheHints) < maxCacheHints {
--- a/dispatch/version.go
+++ b/dispatch/version.go
@@ -73,7 +73,7 @@
 	f.group(now, w.Service, registry.Decode) // rebuilds outdated groups
 	rate := f.versionEndRate(w, r)
 	if rate <= 0 {
-		return minRetryAfter
+		return time.Duration((1 + draw) * float64(minRetryAfter))
 	}
 	after := time.Duration((1 + draw) * float64(ahead+1) / rate * float64(time.Second))
 	return min(max(after, minRetryAfter), maxRetryAfter)
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -87,6 +87,8 @@
 	Assets []string `json:"assets"`
 	// Role is the role that the engine serves: prefill or decode.
 	Role string `json:"role"`
+	// Software is the version of the engine's software; empty if it is not reported.
+	Software string `json:"software,omitempty"`
 	// At is when the engine generated the report.
 	At time.Time `json:"at"`
 }
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -153,6 +153,7 @@
 func (e *Entry) handleAgentHeartbeat(now time.Time, a *agentLink, h *wire.Heartbeat) {
 	if h.Told {
 		a.assetsReported, a.assets, a.role = true, h.Assets, h.Role
+		e.core.SetSoftware(a.name, h.Software)
 		e.sendSummary()
 	}
 	if h.Load == nil {
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -17,6 +17,10 @@
 	TBT time.Duration
 	// Avoid is the name of a server that just failed this request, if any.
 	Avoid string
+	// Continues restricts the decode server to the software version Software, since the caller has
+	// tokens that this version generated.
+	Continues bool
+	Software  string
 }
 
 // Candidate is a server that was considered, for the decision record.
@@ -193,6 +197,9 @@
 	exclusion := Exclusion(NoModel)
 	v.sample(v.decode, func(s *Server) {
 		b := s.exclusion(now, q)
+		if b == Eligible && q.Continues && s.software != q.Software {
+			b = OtherVersion
+		}
 		if b == Eligible && s.Free() <= Headroom(false, s.slots, q.Priority) {
 			b = NoSlot
 		}
--- a/placement/server.go
+++ b/placement/server.go
@@ -57,6 +57,7 @@
 type Server struct {
 	ServerConfig
 	models    map[string]bool
+	software  string // version of its software; empty if it is not reported
 	connected bool
 	leaving   bool
 	health    retry.Health
@@ -154,6 +155,7 @@
 	NoSlot       Exclusion = "no free slot"
 	Busy         Exclusion = "prefills ahead"
 	JustFailed   Exclusion = "failed this request before"
+	OtherVersion Exclusion = "another software version than the one that began the stream"
 )
 
 func (s *Server) exclusion(now time.Time, q *Query) Exclusion {
@@ -171,3 +173,6 @@
 	}
 	return Eligible
 }
+
+// Software returns the version of the server's software; empty if it is not reported.
+func (s *Server) Software() string { return s.software }
--- a/placement/view.go
+++ b/placement/view.go
@@ -91,6 +91,23 @@
 	}
 }
 
+// SetSoftware sets the version of a server's software.
+func (v *View) SetSoftware(name, software string) {
+	if s := v.servers[name]; s != nil {
+		s.software = software
+	}
+}
+
+// ServesSoftware reports whether some decode server of a model has a version.
+func (v *View) ServesSoftware(model, software string) bool {
+	for _, s := range v.decode {
+		if s.connected && !s.leaving && s.models[model] && s.software == software {
+			return true
+		}
+	}
+	return false
+}
+
 // Report applies a load report of a server.
 func (v *View) Report(name string, l Load) {
 	s := v.servers[name]
--- a/router/core.go
+++ b/router/core.go
@@ -64,6 +64,7 @@
 	// generated is the number of tokens that the caller has received.
 	generated    int
 	firstTokenAt time.Time
+	software     string // version of the decode server that sent the first token
 	avoid        string // the server that failed the request last
 	refusals     int    // reservations rejected by agents in a row
 	record       *decision.Record
@@ -83,7 +84,7 @@
 func (r *request) query() placement.Query {
 	return placement.Query{
 		Model: r.Model, Priority: r.Priority, Tokens: r.Tokens + r.generated, Prefixes: r.Prefixes,
-		KVBytes: r.KVBytes, TBT: r.TBT, Avoid: r.avoid,
+		KVBytes: r.KVBytes, TBT: r.TBT, Avoid: r.avoid, Continues: r.generated > 0, Software: r.software,
 	}
 }
 
--- a/router/failure.go
+++ b/router/failure.go
@@ -125,6 +125,10 @@
 // budget or its time is exhausted.
 func (c *Core) requeue(now time.Time, r *request, detail string) {
 	c.stopTimer(r)
+	if r.generated > 0 && !c.view.ServesSoftware(r.Model, r.software) {
+		c.fail(now, r, detail+"; no server of the version that began the stream is left")
+		return
+	}
 	if now.After(r.queueExpiry(now)) || !c.budget.Take() {
 		c.fail(now, r, detail)
 		return
@@ -166,6 +170,9 @@
 	return c.takeEffects()
 }
 
+// SetSoftware handles a report of the version of a server's software.
+func (c *Core) SetSoftware(server, software string) { c.view.SetSoftware(server, software) }
+
 // ServerUp handles a new link to a server's agent.
 func (c *Core) ServerUp(now time.Time, server string) []Effect {
 	c.view.SetConnected(server, true)
--- a/router/progress.go
+++ b/router/progress.go
@@ -263,6 +263,7 @@
 	}
 	if r.firstTokenAt.IsZero() {
 		r.firstTokenAt = now
+		r.software = r.decode.server.Software()
 		c.addStep(now, r, decision.Step{Kind: decision.FirstToken, Server: r.decode.server.Name,
 			Detail: now.Sub(r.arrived).Round(time.Millisecond).String() + " after arrival"})
 	}
--- a/soak/bad_reports.go
+++ b/soak/bad_reports.go
@@ -14,7 +14,7 @@
 // unreadableEdits are pairs of a text in a server's report and its replacement. Each makes the
 // report unreadable or invalid.
 var unreadableEdits = [][2]string{
-	{`"state":"ready"`, `"state":"odd"`}, {`"slots":16`, `"slots":"many"`}, {`"slots":16`, `"slots":1e300`}, {`"zone":`, `"place":`}, {`"version":"v1",`, ``},
+	{`"state":"ready"`, `"state":"odd"`}, {`"slots":16`, `"slots":"many"`}, {`"slots":16`, `"slots":1e300`}, {`"zone":`, `"place":`}, {`"version":`, `"edition":`},
 	{`"service":`, "\"serv\xff\":"}, {`"sequence":`, `"sequence":-`}, {`"born":`, `"born":-`}, {`"born":`, `"born":1.`}, {`"address":"127`, `"address":"nowhere-127`},
 	{`}`, ``}, {`{`, `[{`}, {`"coldRemainingMs":`, `"coldRemainingMs":null,"was":`},
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -87,6 +87,7 @@
 	{"there is a leader", checkLeader},
 	{"urgent requests are served no worse, and others too", checkUrgency},
 	{"streams that may be resumed are", checkResumed},
+	{"callers who return for a stream are served", checkReturns},
 	{"retry times are in bounds and differ", checkRetryTimes},
 	{"no process ends by itself", checkUnexpectedExits},
 }
@@ -100,6 +101,9 @@
 		stream, complete := q.Kind.isStream(), ""
 		if stream {
 			complete = streamAfter(q.Content, 0)
+			if second := streamAfter(versionContent(q.Content, secondVersion), 0); strings.HasPrefix(second, q.Body) {
+				complete = second
+			}
 		}
 		switch {
 		case stream && !strings.HasPrefix(complete, q.Body):
--- a/soak/check_events.go
+++ b/soak/check_events.go
@@ -8,8 +8,8 @@
 )
 
 // checkEvents checks the events that callers of resumable streams received over all their attempts:
-// each event arrives once and in order, its text matches its number and the request, and nothing
-// else arrives. An answer that ends as complete has the last event.
+// each event arrives once and in order, its text matches its number, the request and the version of
+// the first event, and nothing else arrives. An answer that ends as complete has the last event.
 func checkEvents(h *History) []string {
 	callers := map[string][]Request{}
 	for _, q := range h.Requests {
@@ -29,7 +29,7 @@
 // checkAttempts checks the attempts of one caller.
 func checkAttempts(attempts []Request) []string {
 	var out []string
-	last := 0
+	last, version := 0, ""
 	for _, q := range attempts {
 		if q.Status != http.StatusOK {
 			continue
@@ -42,25 +42,35 @@
 				out = append(out, fmt.Sprintf("%s: event %q arrived again at %v, expected %d", prefix, e.ID, e.At, last+1))
 			case n != last+1:
 				out = append(out, fmt.Sprintf("%s: event %q arrived at %v, expected %d", prefix, e.ID, e.At, last+1))
-			case e.Text != eventText(q.Content, n):
-				out = append(out, fmt.Sprintf("%s: event %d at %v has another text: %.60q", prefix, n, e.At, e.Text))
+			default:
+				of := matchVersion(q.Content, n, e.Text)
+				if of == "" {
+					out = append(out, fmt.Sprintf("%s: event %d at %v has another text: %.60q", prefix, n, e.At, e.Text))
+				} else if version == "" {
+					version = of
+				} else if of != version {
+					out = append(out, fmt.Sprintf("%s: event %d at %v is of version %s, the stream of version %s", prefix, n, e.At, of, version))
+				}
 			}
 			last = n
 		}
-		out = append(out, checkEnd(q, last, prefix)...)
+		out = append(out, checkEnd(q, last, version, prefix)...)
 	}
 	return out
 }
 
-// checkEnd checks the end of an answer and bytes that belong to no event.
-func checkEnd(q Request, last int, prefix string) []string {
+// checkEnd checks the end of an answer and bytes that belong to no event. version is that of the
+// events before; empty if there are none.
+func checkEnd(q Request, last int, version, prefix string) []string {
 	complete := !q.Cut && q.LeftAt == 0
 	switch tail := q.tail(); {
 	case complete && last != streamEvents:
 		return []string{fmt.Sprintf("%s: ended as complete at %v after event %d of %d and %.40q", prefix, q.Ended, last, streamEvents, tail)}
 	case complete && tail != "":
 		return []string{fmt.Sprintf("%s: ended with %.40q", prefix, tail)}
-	case !strings.HasPrefix(streamAfter(q.Content, last), tail):
+	case !slices.ContainsFunc(engineVersions, func(v string) bool {
+		return (version == "" || v == version) && strings.HasPrefix(streamAfter(versionContent(q.Content, v), last), tail)
+	}):
 		return []string{fmt.Sprintf("%s: received %.40q after event %d", prefix, tail, last)}
 	}
 	return nil
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -117,6 +117,29 @@
 		{eventsRule, "an event of another run", func(h *History) {
 			h.Requests[7].Events[5].Text = eventText("desk q6 "+oddTextMarker, 15)
 		}},
+		{eventsRule, "an event of another version", func(h *History) {
+			q := &h.Requests[7]
+			e := &q.Events[5]
+			e.Text = versionText(secondVersion)(q.Content, eventNumber(e.ID))
+		}},
+		{eventsRule, "an attempt of another version", func(h *History) {
+			q := &h.Requests[7]
+			for i := range q.Events {
+				q.Events[i].Text = versionText(secondVersion)(q.Content, eventNumber(q.Events[i].ID))
+			}
+		}},
+		{"whole and own answer", "events of two versions", func(h *History) {
+			h.Requests[1].Body = strings.TrimSuffix(streamAfter("", 0), streamAfter("", 20)) + streamAfter(versionContent("", secondVersion), 20)
+		}},
+		{"callers who return for a stream are served", "refusals of returning callers", func(h *History) {
+			for n := range 2 * minReturns {
+				q := attemptOf(fmt.Sprintf("q7%d-2", n), 2, 6, 9)
+				q.Caller, q.Events, q.Body, q.Status = fmt.Sprint("q7", n), nil, "", 503
+				first := attemptOf(fmt.Sprintf("q8%d-1", n), 1, 0, 9)
+				first.Caller, first.LastID, first.LeftAt = fmt.Sprint("q8", n), "", 2*second
+				h.Requests = append(h.Requests, q, first)
+			}
+		}},
 		{eventsRule, "an early end that looks complete", func(h *History) {
 			q := &h.Requests[7]
 			q.Events = q.Events[:8]
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -68,6 +68,9 @@
 	proxy     *proxy
 	disturber *disturber
 	leaving   bool
+	// version is the software version of the current incarnation of an engine, nextVersion that of
+	// the next one.
+	version, nextVersion string
 	// startMillis is the start time of the current incarnation in Unix milliseconds.
 	startMillis int64
 	// coldUntil is the time until which the server is cold.
@@ -218,7 +221,7 @@
 		for i := range n {
 			// A soak that runs at the same time may get the address of a server that has ended, so
 			// names must differ between soaks.
-			srv := &server{service: service, role: role, name: fmt.Sprintf("%s-s%d-%d", service, len(cl.servers), os.Getpid()), zone: nearZone}
+			srv := &server{service: service, role: role, name: fmt.Sprintf("%s-s%d-%d", service, len(cl.servers), os.Getpid()), zone: nearZone, nextVersion: firstVersion}
 			if i > 0 && i == n-1 {
 				srv.zone = farZone
 			}
@@ -253,8 +256,11 @@
 		return err
 	}
 	b.SetPace(prefillTime, eventTime, streamEvents)
-	b.SetText(eventText)
-	d := newDisturber(srv.name, cl.incarnations.Load(), cl.rec.countDisturbance)
+	srv.mu.Lock()
+	version := srv.nextVersion
+	srv.mu.Unlock()
+	b.SetText(versionText(version))
+	d := newDisturber(srv.name, version, cl.incarnations.Load(), cl.rec.countDisturbance)
 	b.SetMiddleware(d.wrap)
 	if srv.role == "decode" {
 		b.SetSlots(engineSlots)
@@ -273,7 +279,7 @@
 	cl.zones[b.ID] = srv.zone
 	cl.backendsMu.Unlock()
 	srv.mu.Lock()
-	srv.backend, srv.proxy, srv.disturber, srv.leaving = b, p, d, false
+	srv.backend, srv.proxy, srv.disturber, srv.leaving, srv.version = b, p, d, false, version
 	srv.startMillis = max(time.Now().UnixMilli(), srv.startMillis+1)
 	srv.mu.Unlock()
 	return nil
--- a/soak/desk_caller.go
+++ b/soak/desk_caller.go
@@ -47,6 +47,8 @@
 	deadline     time.Time
 	// lastID is the ID of the last event received.
 	lastID string
+	// began is the ID of the attempt that brought the first event.
+	began string
 }
 
 // runDeskCaller runs a caller with all its attempts.
@@ -137,6 +139,7 @@
 	}
 	if q.LastID != "" {
 		req.Header.Set(headers.LastEventID, q.LastID)
+		req.Header.Set(headers.Resumes, d.began)
 	}
 	resp, err := client.Do(req)
 	if !t.Stop() && err == nil {
@@ -197,6 +200,9 @@
 	r.onEvent = func(e Event) bool {
 		timeout.Reset(d.eventTimeout + d.maxReadPause)
 		q.Events = append(q.Events, e)
+		if d.lastID == "" {
+			d.began = q.ID
+		}
 		d.lastID = e.ID
 		return len(q.Events) < maxEvents
 	}
--- a/soak/disturber.go
+++ b/soak/disturber.go
@@ -16,14 +16,16 @@
 	mu     sync.Mutex
 	rng    *rand.Rand
 	active map[Kind]int
+	// version is the software version of the engine.
+	version string
 	// countDisturbance is called with each disturbance.
 	countDisturbance func(what string)
 }
 
-func newDisturber(name string, incarnation int64, countDisturbance func(what string)) *disturber {
+func newDisturber(name, version string, incarnation int64, countDisturbance func(what string)) *disturber {
 	h := fnv.New64a()
 	_, _ = io.WriteString(h, name)
-	return &disturber{rng: rand.New(rand.NewPCG(h.Sum64(), uint64(incarnation))), active: map[Kind]int{}, countDisturbance: countDisturbance}
+	return &disturber{version: version, rng: rand.New(rand.NewPCG(h.Sum64(), uint64(incarnation))), active: map[Kind]int{}, countDisturbance: countDisturbance}
 }
 
 // add starts or ends a kind of disturbance; several of a kind may overlap.
@@ -142,7 +144,7 @@
 		return
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
-	length := len(streamAfter(string(body), eventNumber(r.Header.Get(headers.LastEventID))))
+	length := len(streamAfter(versionContent(string(body), d.version), eventNumber(r.Header.Get(headers.LastEventID))))
 	sw := &streamWriter{ResponseWriter: w, breakAt: d.drawBreak(length)}
 	switch {
 	case closesEarly:
--- a/soak/fault_injector.go
+++ b/soak/fault_injector.go
@@ -79,6 +79,8 @@
 		f.load.rateFactor.Add(-2)
 	case FlapEngines:
 		f.flapEngines(ctx, step)
+	case RollEngines:
+		f.rollEngines(ctx, step)
 	case UrgencyBurst:
 		f.load.pairRate.Add(burstPairsPerSecond)
 		sleep(ctx, step.For)
@@ -101,7 +103,7 @@
 			out = append(out, controlName(n))
 		}
 		return out
-	case ChangeTable, RaceTables, InvalidTable, EvacuateZone, Burst, UrgencyBurst, FlapEngines, ReportLimit, RequestPauses, SlowReaders:
+	case ChangeTable, RaceTables, InvalidTable, EvacuateZone, Burst, UrgencyBurst, FlapEngines, RollEngines, ReportLimit, RequestPauses, SlowReaders:
 		return []string{string(step.Kind)}
 	}
 	b, _ := f.cluster.servers[step.Target].current()
--- a/soak/heartbeats.go
+++ b/soak/heartbeats.go
@@ -43,10 +43,10 @@
 func (cl *cluster) heartbeatBody(srv *server, state string) string {
 	b, p := srv.current()
 	srv.mu.Lock()
-	startMillis := srv.startMillis
+	startMillis, version := srv.startMillis, srv.version
 	srv.mu.Unlock()
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","coldRemainingMs":%d,"slots":%d,"state":%q,"stage":%q,"sequence":%d,"born":%d}`,
-		srv.service, p.addr(), srv.zone, srv.coldRemaining(), engineSlots, state, b.CurrentRole(), cl.sequence.Add(1), startMillis)
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":%q,"coldRemainingMs":%d,"slots":%d,"state":%q,"stage":%q,"sequence":%d,"born":%d}`,
+		srv.service, p.addr(), srv.zone, version, srv.coldRemaining(), engineSlots, state, b.CurrentRole(), cl.sequence.Add(1), startMillis)
 }
 
 // postHeartbeat sends a report about a server to a replica, and returns the status of the answer,
--- a/wire/message.go
+++ b/wire/message.go
@@ -83,6 +83,8 @@
 	Role   string   `cbor:"4,keyasint,omitempty"`
 	// Told reports that Assets and Role are set, though they may be empty.
 	Told bool `cbor:"5,keyasint,omitempty"`
+	// Software is the version of the engine's software, sent with Assets and Role.
+	Software string `cbor:"6,keyasint,omitempty"`
 }
 
 // Reserve requests a slot from an agent, which answers at once.
