--- a/control/engines.go
+++ b/control/engines.go
@@ -60,7 +60,7 @@
 		if s.Role == "" || s.State != registry.Ready || h.isEvacuated(s.Zone) || h.isLimited(now, s.ID) {
 			continue
 		}
-		e := roles.Engine{ID: s.ID, Zone: s.Zone, Role: s.Role, Busy: h.totalLoads[s.ID].Prefill > 0, Utilization: h.utilization(s.Service, h.totalLoads[s.ID])}
+		e := roles.Engine{ID: s.ID, Zone: s.Zone, Version: s.Version, Role: s.Role, Busy: h.totalLoads[s.ID].Prefill > 0, Utilization: h.utilization(s.Service, h.totalLoads[s.ID])}
 		if a, ok := h.away[s.ID]; ok {
 			e.Role, e.Switching = a.role, true
 		}
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -7,6 +7,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -16,6 +17,8 @@
 // Engine is an engine that accepts requests or is about to.
 type Engine struct {
 	ID, Zone string
+	// Version is the version of its software; empty if unknown.
+	Version string
 	// Role is the role that the engine has, or gets when a change under way is complete.
 	Role string
 	// Switching reports that a change of its role is under way.
@@ -137,8 +140,8 @@
 		case imbalance < -minImbalance && len(prefill) > 1:
 			c.Engine, c.Role = surplus(prefill), registry.Decode
 			prefill, decode = move(prefill, decode, c.Engine)
-		case imbalance > minImbalance && len(out) < maxPrefillChanges && len(decode) > 1 && (p.prefillUtilization >= minPrefillUtilization || float64(len(prefill)) < p.minPrefill(len(prefill)+len(decode))):
-			c.Engine, c.Role = leastUtilized(decode, prefill), registry.Prefill
+		case imbalance > minImbalance && len(out) < maxPrefillChanges && len(spareable(decode)) > 0 && (p.prefillUtilization >= minPrefillUtilization || float64(len(prefill)) < p.minPrefill(len(prefill)+len(decode))):
+			c.Engine, c.Role = leastUtilized(spareable(decode), prefill), registry.Prefill
 			decode, prefill = move(decode, prefill, c.Engine)
 		default:
 			return out
@@ -148,6 +151,16 @@
 	return out
 }
 
+// spareable returns the decode engines that may become prefill engines: all but the last one of each
+// software version, since streams continue only at the version that began them.
+func spareable(decode []Engine) []Engine {
+	count := map[string]int{}
+	for _, e := range decode {
+		count[e.Version]++
+	}
+	return slices.DeleteFunc(slices.Clone(decode), func(e Engine) bool { return count[e.Version] < 2 })
+}
+
 // move moves an engine from one list to the other.
 func move(from, to []Engine, id string) (rest, grown []Engine) {
 	for _, e := range from {
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -209,3 +209,24 @@
 		assert.Assert(t, len(changes) <= 5, "%d of 64 at once", len(changes))
 	}
 }
+
+// TestLastDecodeEngineOfVersionStays guards against an order that leaves streams without an engine of
+// the software version that began them.
+func TestLastDecodeEngineOfVersionStays(t *testing.T) {
+	list := engines(1, 8, 1, 0.5)
+	for i := range list {
+		list[i].Version = "v2"
+	}
+	list[1].Version, list[1].Utilization = "v1", 0.1
+	p, now := roles.Planner{PrefillShare: 0.11}, time.Unix(1000, 0)
+	for range 5 {
+		c, ok := firstChange(&p, &now, list, 20*time.Second)
+		assert.Assert(t, ok && c.Engine != "d0", "%+v", c)
+	}
+	for i := range list {
+		list[i].Version = fmt.Sprint("v", i)
+	}
+	alone := roles.Planner{PrefillShare: 0.11}
+	_, ok := firstChange(&alone, &now, list, 20*time.Second)
+	assert.Assert(t, !ok, "each decode engine is the last of its version")
+}
