--- a/gateway/check_server.go
+++ b/gateway/check_server.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/ledgepin/ledgepin/backend"
@@ -58,6 +60,19 @@
 	return err
 }
 
+// endedUnder returns an error if a server has ended that ended an answer without a length by closing
+// its connection: the end of its process looks the same. A server that can't be reached for another
+// reason may have completed the answer.
+func (g *Gateway) endedUnder(q *request, s *dispatch.Server) error {
+	err := g.checkServer(q, s)
+	if errors.Is(err, errRestarted) || errors.Is(err, syscall.ECONNREFUSED) {
+		return fmt.Errorf("%w: %w", errServerEnded, err)
+	}
+	return nil
+}
+
+var errServerEnded = errors.New("gateway: the server ended, and its answer without a length may be incomplete")
+
 // probe requests the state of an engine, or the health of another server. An open connection alone
 // proves little: a proxy in front of the server may have accepted it.
 func (g *Gateway) probe(q *request, s *dispatch.Server) error {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -137,6 +137,12 @@
 	if err != nil {
 		return g.classifyError(tryCtx, q, &backend.Error{Sent: true, Cause: err})
 	}
+	if !a.Framed && bodyAllowed(q.send.Method, a.Status) {
+		if err := g.endedUnder(q, s); err != nil {
+			body.release(q.memory)
+			return result{kind: broken, err: err}
+		}
+	}
 	if a.Status < http.StatusMultipleChoices && a.Header.Get(h.Signature) == "" {
 		return result{kind: broken, err: errors.New("gateway: success answer without a signature")}
 	}
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -221,6 +221,9 @@
 		if err == nil && n.migrations.stopped && !a.Framed {
 			err = errRunStopped // the stream of a stopped run ends like a complete one
 		}
+		if err == nil && !a.Framed {
+			err = n.g.endedUnder(n.q, s)
+		}
 		if m == nil {
 			return s, a, err
 		}
