--- a/control/hub_test.go
+++ b/control/hub_test.go
@@ -49,6 +49,8 @@
 	limits     map[string]wire.LimitObservation
 	tokens     map[string]int
 	limitBytes int
+	// origins are the messages about the origins of streams.
+	origins []*wire.Origins
 	// fleet is the gateway's view of the servers.
 	fleet *dispatch.Fleet
 }
@@ -94,6 +96,10 @@
 			g.tokens[t.Server] += t.Tokens
 		}
 	}
+	if m.Origins != nil {
+		g.origins = append(g.origins, m.Origins)
+		g.fleet.NoteVersions(clock.VM.Now(), m.Origins.Versions)
+	}
 	if m.Loads != nil {
 		g.queued = m.Loads.Queued
 		for _, e := range m.Loads.List {
@@ -135,6 +141,9 @@
 			if m.Limits != nil {
 				h.handleLimits(l, m.Limits)
 			}
+			if m.Origins != nil {
+				h.handleOrigins(l, m.Origins)
+			}
 		})
 		h.removeGateway(l)
 	}))
