--- a/dispatch/headroom.go
+++ b/dispatch/headroom.go
@@ -112,7 +112,7 @@
 // withHeadroom returns a new request with the share that it leaves free. A stream that continues
 // leaves nothing free, since its caller has received a part of the answer.
 func (f *Fleet) withHeadroom(w Work) Work {
-	if w.Generated == 0 && !w.Pinned {
+	if w.Generated == 0 && !f.restricted(w) {
 		w.headroom = f.headroom[w.Service].For(w.Urgency)
 	}
 	return w
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -109,7 +109,7 @@
 		r := q.list[at]
 		p, ok := f.ChoosePair(now, r.Work, r.Engine, r.Avoid)
 		if !ok {
-			if r.Work.Pinned {
+			if f.restricted(r.Work) {
 				at++
 				continue
 			}
--- a/dispatch/queuetimeout.go
+++ b/dispatch/queuetimeout.go
@@ -72,7 +72,7 @@
 func (f *Fleet) QueueTimeout(now time.Time, w Work, within time.Duration, ahead int, r RunTimes) time.Duration {
 	first := r.firstEvent(f.minPrefillTime(now, w))
 	limit := max(within-first, 0)
-	if w.Pinned {
+	if f.restricted(w) {
 		return f.pinnedQueueTimeout(now, w, limit, ahead, r)
 	}
 	p := f.Position(w)
--- a/dispatch/turn.go
+++ b/dispatch/turn.go
@@ -58,7 +58,7 @@
 // Position returns the place of a request, apart from the requests of its own gateway.
 func (f *Fleet) Position(w Work) Position {
 	var p Position
-	if w.Pinned {
+	if f.restricted(w) {
 		return p // before all others, see version.go
 	}
 	waiting := 0
--- a/dispatch/version.go
+++ b/dispatch/version.go
@@ -10,13 +10,17 @@
 // While the servers of a service are replaced by ones of another software version, streams that
 // are resumed can use a part of them only. Their callers have waited already and have a part of
 // the answer, and there are few of them, so they come before new streams, which can use all
-// servers, and hold up none of these.
+// servers, and hold up none of these. While all servers have one version they wait like others.
 
 // permitsVersion reports whether a stream may continue at a server.
 func (w Work) permitsVersion(s *Server) bool {
 	return !w.Pinned || s.Role == registry.Prefill || s.Version == w.Version
 }
 
+// restricted reports whether a request can use a part of the servers of its service only, because of
+// their software versions.
+func (f *Fleet) restricted(w Work) bool { return w.Pinned && f.versions.Mixed(w.Service) }
+
 // VersionServed reports whether some server may continue a stream, now or after a pause or once it
 // has capacity. A stream of an unknown version continues only if there are no others. If no server
 // of the service is known yet, one may be.
@@ -67,16 +71,20 @@
 }
 
 // PinnedRetryAfter returns the time after which the caller of a resumed stream that found no
-// capacity should retry: once a run has probably ended at the servers of its version, for it and
-// for those that returned before; draw is uniform in [0, 1).
-func (f *Fleet) PinnedRetryAfter(now time.Time, w Work, ahead int, r RunTimes, draw float64) time.Duration {
+// capacity at the servers of its version should retry: once a run has probably ended there, for it
+// and for those that returned before; draw is uniform in [0, 1). It returns false if the request is
+// not restricted to some of the servers.
+func (f *Fleet) PinnedRetryAfter(now time.Time, w Work, ahead int, r RunTimes, draw float64) (time.Duration, bool) {
+	if !f.restricted(w) {
+		return 0, false
+	}
 	f.group(now, w.Service, registry.Decode) // rebuilds outdated groups
 	rate := f.versionEndRate(w, r)
 	if rate <= 0 {
-		return time.Duration((1 + draw) * float64(minRetryAfter))
+		return time.Duration((1 + draw) * float64(minRetryAfter)), true
 	}
 	after := time.Duration((1 + draw) * float64(ahead+1) / rate * float64(time.Second))
-	return min(max(after, minRetryAfter), maxRetryAfter)
+	return min(max(after, minRetryAfter), maxRetryAfter), true
 }
 
 // NoteVersions records versions that servers of a service have had, as reported by a replica. A
--- a/dispatch/version_test.go
+++ b/dispatch/version_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ledgepin/ledgepin/demand"
 	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/route"
 )
@@ -99,3 +100,16 @@
 	f.Update(now, []registry.Server{{ID: "d0", Service: "s", Address: "d0:1", Zone: "z", State: registry.Ready, Role: registry.Decode, Sequence: 7}})
 	assert.Equal(t, f.Get("d0").Version, "v1")
 }
+
+// TestStreamOfSoleVersionWaitsLikeOthers guards against resumed streams that take capacity from more
+// urgent requests of other gateways while all servers have one version.
+func TestStreamOfSoleVersionWaitsLikeOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := versionFleet(now, "v2", "v2")
+	f.SetOthers(now, OtherGateways{Gateways: 2, Known: 2, Queued: 3, Demand: []demand.Class{{Service: "s", Waiting: 3}}})
+	assert.Equal(t, f.Position(pinnedTo("v2")).Ahead, 3)
+	_, ok := f.PinnedRetryAfter(now, pinnedTo("v2"), 0, RunTimes{}, 0)
+	assert.Assert(t, !ok)
+	f.Update(now, []registry.Server{{ID: "d9", Service: "s", Address: "d9:1", Zone: "z", State: registry.Ready, Role: registry.Decode, Version: "v3", Sequence: 1}})
+	assert.Equal(t, f.Position(pinnedTo("v2")).Ahead, 0)
+}
--- a/gateway/retry_time.go
+++ b/gateway/retry_time.go
@@ -16,8 +16,8 @@
 	defer f.mu.Unlock()
 	service, now := q.Work.Service, f.clock.Now()
 	times := f.runTimes[service]
-	if q.Work.Pinned {
-		return max(f.view.PinnedRetryAfter(now, q.Work, f.queue.CountAhead(q.Work), times, rand.Float64()), pause), dispatch.RetryUsual
+	if after, ok := f.view.PinnedRetryAfter(now, q.Work, f.queue.CountAhead(q.Work), times, rand.Float64()); ok {
+		return max(after, pause), dispatch.RetryUsual
 	}
 	after, choice := dispatch.RetryAfter(times.Total, q.Prefill, rand.Float64()), dispatch.RetryUsual
 	if f.ranked[service] {
