--- a/app/draining_server.go
+++ b/app/draining_server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -69,11 +70,40 @@
 	return len(s.active)
 }
 
+// awaitFirstRequests waits until the first request has arrived on each connection that is open now,
+// for firstRequestTimeout at most. From Shutdown on, http.Server closes a connection on which it
+// reads a request without calling the handler.
+func (s *drainingServer) awaitFirstRequests(ctx context.Context) {
+	s.mu.Lock()
+	waiting := maps.Clone(s.opened)
+	s.mu.Unlock()
+	if len(waiting) == 0 {
+		return
+	}
+	for ctx.Err() == nil && s.anyWaiting(waiting) {
+		wait.For(ctx, activePollInterval)
+	}
+	wait.For(ctx, activePollInterval) // until the handler has been called
+}
+
+// anyWaiting reports whether one of some connections may still send its first request.
+func (s *drainingServer) anyWaiting(list map[net.Conn]time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, at := range list {
+		if _, open := s.opened[c]; open && clock.VM.Since(at) < firstRequestTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // shutdown closes the listener and idle connections, and waits until all requests have been
 // answered completely or ctx is done.
 func (s *drainingServer) shutdown(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	s.awaitFirstRequests(ctx)
 	go func() {
 		defer cancel()
 		for ctx.Err() == nil && s.busy() {
