--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -32,11 +32,12 @@
 	tables map[string]*origin.Table // by service
 	// started are the newest streams by the name of their server.
 	started map[string][]startedStream
-	// routeServices are the services by which each route has been served recently; several are
-	// the services that have more than one.
+	// routeServices are the services by which each route has been served recently: routes in place
+	// of services, and services in place of versions. shared are the services of routes that have
+	// had several.
 	routeServices origin.Versions
-	table         *route.Table
 	shared        map[string]bool
+	table         *route.Table
 	// sentTo is the link over which streams were last reported, and sentUpTo the number of changes
 	// of each service's table sent over it.
 	sentTo   *wire.Link
