--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -41,6 +41,11 @@
 
 func (p *proxy) addr() string { return p.ln.Addr().String() }
 
+func (p *proxy) tcpAddr() *net.TCPAddr {
+	a, _ := p.ln.Addr().(*net.TCPAddr)
+	return a
+}
+
 // client returns the address of the client whose requests come to the server from a remote address;
 // nil if there is none.
 func (p *proxy) client(remote string) *net.TCPAddr {
