--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -149,6 +149,9 @@
 	ParseCachedParts func(body []byte) ([]route.PromptPart, error)
 	// ParseParts parses the field PromptParts of a caller; nil if it can't be parsed.
 	ParseParts func(field string) []route.PromptPart
+	// ParsePartIDs parses the IDs of the same field, in order. It skips what it can't read, so that
+	// an invalid part doesn't hide the others. Nil if callers name no parts.
+	ParsePartIDs func(field string) []string
 	// RoleOrder returns the call that changes an engine's role, and Report the
 	// call that requests its state; ParseReport parses the answer.
 	RoleOrder   func(o RoleOrder) Call
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -138,8 +138,8 @@
 
 // ServerCrashed is logged when a server is unreachable or has restarted after a request broke off.
 var ServerCrashed = define("LP2018", warn, "server ended under a request",
-	"A request broke off at a server, and just after that the server was not reachable or had restarted. The content identifies the request: lines with the same content are about the same request, also under other IDs and at other gateways. made is the number of tokens of the answer that were generated.",
-	"One content at several servers with made 0: the request itself may crash them. Many contents at one server: it crashed with all that it ran.")
+	"A request broke off at a server, and just after that the server was not reachable or had restarted. The content identifies the request: lines with the same content are about the same request, also under other IDs and at other gateways. made is the number of tokens of the answer that were generated, ran_ms the time since the request was sent to the server. parts are the first parts of the prompt that other prompts may share, each by its digest.",
+	"One content at several servers with made 0: the request itself may crash them. One part in a line with made 0 for each of several servers: what has that part may crash them. Many contents at one server: it crashed with all that it ran.")
 
 // ContentBlocked is logged when a request content becomes blocked: requests with it are refused.
 var ContentBlocked = define("LP2019", warn, "content blocked",
--- a/gateway/check_server.go
+++ b/gateway/check_server.go
@@ -31,6 +31,7 @@
 // no evidence against the request.
 func (g *Gateway) checkAfterFailure(q *request, s *dispatch.Server, elapsed time.Duration) {
 	generated, failure := q.work.Generated, g.contents.noteInterrupted(q, s.ID, elapsed)
+	parts := describeParts(g.shared(q))
 	done := make(chan struct{})
 	q.checked = done
 	g.wg.Go(func() {
@@ -39,7 +40,7 @@
 		if err == nil || g.ctx.Err() != nil {
 			return
 		}
-		event.ServerCrashed.Log(g.log, "id", q.id, "content", failure.content.String(), "server", s.StableName(), "phase", s.Role, "made", generated, "error", err)
+		event.ServerCrashed.Log(g.log, "id", q.id, "content", failure.content.String(), "server", s.StableName(), "phase", s.Role, "made", generated, "parts", parts, "ran_ms", elapsed.Milliseconds(), "error", err)
 		g.contents.noteCrash(failure, s.ID)
 	})
 }
--- a/gateway/contents.go
+++ b/gateway/contents.go
@@ -26,6 +26,36 @@
 	return q.digest
 }
 
+// maxSharedParts bounds the parts of one prompt that are tracked.
+const maxSharedParts = 256
+
+// shared returns the digests of the parts of a prompt that other prompts may have too: all but the
+// last, which is the caller's own text. Like the content, they are computed only if needed.
+func (g *Gateway) shared(q *request) []poison.Digest {
+	parse := g.cfg.Protocol.ParsePartIDs
+	if q.sharedParts != nil || parse == nil || q.service.Engine == nil {
+		return q.sharedParts
+	}
+	q.sharedParts = []poison.Digest{}
+	ids := parse(q.send.Header.Get(g.cfg.Protocol.Headers.PromptParts))
+	for n := 0; n < min(len(ids)-1, maxSharedParts); n++ {
+		q.sharedParts = append(q.sharedParts, poison.PartDigest(q.service.Name, ids[n]))
+	}
+	return q.sharedParts
+}
+
+// maxLoggedParts bounds the parts in a log line.
+const maxLoggedParts = 8
+
+// describeParts returns digests for a log line.
+func describeParts(list []poison.Digest) []string {
+	out := []string{}
+	for _, d := range list[:min(len(list), maxLoggedParts)] {
+		out = append(out, d.String())
+	}
+	return out
+}
+
 // checkWait is how long a request that may go to another server waits for the check of the previous
 // one. A running server and a closed port both answer within milliseconds; a server that doesn't
 // answer is not waited for.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -59,6 +59,14 @@
 		err := json.Unmarshal(body, &in)
 		return in.Kept, err
 	},
+	ParsePartIDs: func(field string) []string {
+		var out []string
+		for part := range strings.SplitSeq(field, ",") {
+			id, _, _ := strings.Cut(part, ":")
+			out = append(out, id)
+		}
+		return out
+	},
 	ParseParts: func(field string) []route.PromptPart {
 		var out []route.PromptPart
 		for _, part := range strings.Split(field, ",") {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -52,8 +52,10 @@
 	priority string
 	// memory is the account of the memory held for the request.
 	memory *membudget.Account
-	// digest identifies its content, once computed.
-	digest poison.Digest
+	// digest identifies its content, and sharedParts the parts of its prompt that other prompts may
+	// have too, once computed.
+	digest      poison.Digest
+	sharedParts []poison.Digest
 	// checked is closed once the check of the server of the newest send is done; nil if there is no
 	// check.
 	checked chan struct{}
--- a/poison/digest.go
+++ b/poison/digest.go
@@ -23,22 +23,28 @@
 
 // Digest returns the digest of the content.
 func (c Content) Digest() Digest {
+	return digestOf([]byte(c.Organisation), []byte(c.Method), []byte(c.Host), []byte(c.Target), c.Body)
+}
+
+// digestOf returns the digest of some fields. Each is prefixed with its length, so that the end of
+// one field can't pass for the beginning of the next.
+func digestOf(fields ...[]byte) Digest {
 	h := sha256.New()
 	var size [8]byte
-	write := func(part []byte) {
-		// Each field is prefixed with its length, so that the end of one field can't pass for the
-		// beginning of the next.
-		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+	for _, field := range fields {
+		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
 		h.Write(size[:])
-		h.Write(part)
-	}
-	for _, part := range []string{c.Organisation, c.Method, c.Host, c.Target} {
-		write([]byte(part))
+		h.Write(field)
 	}
-	write(c.Body)
 	return Digest(h.Sum(nil)[:len(Digest{})])
 }
 
+// PartDigest returns the digest of a part of a prompt. Services are distinguished, since a part may
+// crash the servers of one and not those of another.
+func PartDigest(service, id string) Digest {
+	return digestOf([]byte("part"), []byte(service), []byte(id))
+}
+
 // logBytes is how many bytes of a digest are logged: enough to distinguish the contents of a day.
 const logBytes = 6
 
--- a/poison/digest_test.go
+++ b/poison/digest_test.go
@@ -26,3 +26,11 @@
 		assert.Assert(t, base.Digest() != other.Digest(), name)
 	}
 }
+
+// TestPartDigestDistinguishesServices guards against crashes of one service that count for another.
+func TestPartDigestDistinguishesServices(t *testing.T) {
+	assert.Equal(t, PartDigest("s", "p"), PartDigest("s", "p"))
+	assert.Assert(t, PartDigest("s", "p") != PartDigest("t", "p"))
+	assert.Assert(t, PartDigest("s", "p") != PartDigest("s", "q"))
+	assert.Assert(t, PartDigest("s", "p") != PartDigest("sp", ""))
+}
