--- a/standin/backend.go
+++ b/standin/backend.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"path"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -89,6 +90,10 @@
 	// poisonBody is the body of a request that crashes the server; onCrash is called then.
 	poisonBody string
 	onCrash    func()
+	// poisonPart reports whether a part of a prompt crashes the server, crashDelay after it has
+	// started the request.
+	poisonPart func(id string) bool
+	crashDelay time.Duration
 	prefill    time.Duration
 	event      time.Duration
 	events     int
@@ -147,8 +152,16 @@
 	b.poisonBody, b.onCrash = body, onCrash
 }
 
-// crash ends the server including the connection of the current request.
-func (b *Backend) crash() {
+// SetPoisonParts makes the server crash some time after it has started to generate an answer to a
+// prompt with a poisonous part, and call onCrash then.
+func (b *Backend) SetPoisonParts(poisonous func(id string) bool, after time.Duration, onCrash func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.poisonPart, b.crashDelay, b.onCrash = poisonous, after, onCrash
+}
+
+// Crash ends the server and the connections of all its requests.
+func (b *Backend) Crash() {
 	b.mu.Lock()
 	onCrash := b.onCrash
 	b.onCrash = nil
@@ -302,17 +315,30 @@
 
 func (b *Backend) faultOf(r *http.Request) Fault {
 	b.mu.Lock()
-	f, poisonBody := b.fault, b.poisonBody
+	f, poisonBody, poisonPart := b.fault, b.poisonBody, b.poisonPart
 	b.mu.Unlock()
 	if poisonBody != "" && BodyOf(r) == poisonBody {
 		return Crash
 	}
+	if poisonPart != nil && slices.ContainsFunc(PartsOf(r.Header.Get(b.headers.PromptParts)), poisonPart) {
+		return Crash
+	}
 	if f == nil {
 		return NoFault
 	}
 	return f(r)
 }
 
+// PartsOf returns the IDs of the parts in a prompt's field.
+func PartsOf(field string) []string {
+	var out []string
+	for part := range strings.SplitSeq(field, ",") {
+		id, _, _ := strings.Cut(part, ":")
+		out = append(out, id)
+	}
+	return out
+}
+
 // fetchKV reports whether an engine accepts a request in its role, and claims the KV cache that
 // the request names, if any.
 func (b *Backend) fetchKV(r *http.Request, role string) (KVCache, bool) {
@@ -357,7 +383,14 @@
 	case LoseAnswer:
 		reset(w)
 	case Crash:
-		b.crash()
+		b.mu.Lock()
+		delay := b.crashDelay
+		b.mu.Unlock()
+		select {
+		case <-time.After(delay):
+			b.Crash()
+		case <-r.Context().Done():
+		}
 	case Hang:
 		<-r.Context().Done()
 	case OtherAnswerFirst:
--- a/standin/copies.go
+++ b/standin/copies.go
@@ -76,7 +76,7 @@
 	}
 	if outcome == CopyThenCrash {
 		_ = http.NewResponseController(w).Flush()
-		b.crash()
+		b.Crash()
 	}
 }
 
