--- a/compat/version.go
+++ b/compat/version.go
@@ -17,8 +17,11 @@
 	// StreamOrigins is the first version whose processes record at which software version
 	// streams began. It stores nothing more.
 	StreamOrigins = 8
+	// PromptParts is the first version whose processes track the parts of prompts that were
+	// running when servers ended. It stores nothing more in the log.
+	PromptParts = 9
 	// Newest is the highest version that this build reads and writes.
-	Newest = StreamOrigins
+	Newest = PromptParts
 	// NewestStored is the highest version that stores something new. This build raises
 	// the fleet's version no further, so that a downgrade to the previous build remains
 	// possible.
--- a/control/contents.go
+++ b/control/contents.go
@@ -31,6 +31,13 @@
 	return contentsState{table: poison.NewTable(), sentUpTo: map[*wire.Link]uint64{}}
 }
 
+// mergeSurvivals merges the survivals that a gateway or another replica reports.
+func (h *hub) mergeSurvivals(list []poison.Survival) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.contents.table.MergeSurvivals(h.clock.Now(), list)
+}
+
 // mergeContents merges the contents that a gateway or another replica reports.
 func (h *hub) mergeContents(list []poison.Record) {
 	h.mu.Lock()
@@ -43,19 +50,33 @@
 func (h *hub) sendContents(now time.Time) {
 	for l, g := range h.gateways {
 		if g.subscribed() {
-			h.contents.send(now, l, suspectEndings)
+			h.contents.sendToGateway(now, l)
 		}
 	}
 	for l := range h.peers {
-		h.contents.send(now, l, 1)
+		h.contents.send(now, l, 1, false)
 	}
 }
 
-// send sends one peer the changes that it has not received, for contents with at least
-// minEndings endings.
-func (c *contentsState) send(now time.Time, l *wire.Link, minEndings int) {
-	list, change := c.table.Since(now, c.sentUpTo[l], minEndings)
+// sendToGateway sends a gateway the changes that it has not received and that may lead to a block.
+func (c *contentsState) sendToGateway(now time.Time, l *wire.Link) {
+	c.send(now, l, suspectEndings, true)
+}
+
+// send sends one peer the changes that it has not received: for contents with at least minEndings
+// endings or a part with several, and the survivals of all parts or only of relevant ones. The
+// survivals come first, so that no part is blocked that is already cleared.
+func (c *contentsState) send(now time.Time, l *wire.Link, minEndings int, relevantOnly bool) {
+	before := c.sentUpTo[l]
+	list, change := c.table.Since(now, before, minEndings)
 	c.sentUpTo[l] = change
+	if l.Version() >= wire.PartsVersion {
+		if survivals := c.table.SurvivalsSince(now, before, relevantOnly); len(survivals) > 0 {
+			_ = l.Send(&wire.Message{Survivals: survivals})
+		}
+	} else {
+		list = poison.WithoutParts(list)
+	}
 	if len(list) > 0 {
 		_ = l.Send(&wire.Message{Contents: list})
 	}
@@ -63,6 +84,7 @@
 
 // restoreContents restores the contents that were saved before the process started.
 func (h *hub) restoreContents(_ time.Time, m *wire.Message) (int, bool) {
+	h.mergeSurvivals(m.Survivals)
 	h.mergeContents(m.Contents)
 	return len(m.Contents), m.Contents != nil
 }
@@ -79,7 +101,7 @@
 	}
 	c.savedUpTo = c.table.Changes()
 	list, _ := c.table.Since(now, 0, 1)
-	return &wire.Message{Contents: list}
+	return &wire.Message{Contents: list, Survivals: c.table.SurvivalsSince(now, 0, false)}
 }
 
 // markContentsUnsaved makes the next attempt save the contents again.
--- a/control/discovery.go
+++ b/control/discovery.go
@@ -194,6 +194,9 @@
 	if m.Contents != nil {
 		c.hub.mergeContents(m.Contents)
 	}
+	if m.Survivals != nil {
+		c.hub.mergeSurvivals(m.Survivals)
+	}
 	if m.Origins != nil {
 		c.hub.mergePeerOrigins(m.Origins)
 	}
--- a/control/hub.go
+++ b/control/hub.go
@@ -187,7 +187,7 @@
 	}
 	h.gateways[l], h.gatewaysByID[g.id] = g, g
 	h.newGateways = append(h.newGateways, l)
-	h.contents.send(h.clock.Now(), l, suspectEndings) // before the table, since a gateway serves as soon as it has one
+	h.contents.sendToGateway(h.clock.Now(), l) // before the table, since a gateway serves as soon as it has one
 	_ = l.Send(&wire.Message{Servers: &wire.Servers{Away: h.awayList(h.clock.Now())}})
 	h.sendEvacuated(l)
 	h.sendLimitObservations(l) // a gateway that was suspended may not know them
--- a/control/links.go
+++ b/control/links.go
@@ -150,6 +150,8 @@
 			c.hub.handleLeaving(m.Servers.List)
 		case m.Contents != nil:
 			c.hub.mergeContents(m.Contents)
+		case m.Survivals != nil:
+			c.hub.mergeSurvivals(m.Survivals)
 		case m.Origins != nil:
 			c.hub.handleOrigins(l, m.Origins)
 		case m.Routes != nil:
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -146,6 +146,19 @@
 	"Three servers have crashed while they ran requests with this content, and it has not completed since. It is refused with 503 at all gateways for ten minutes after the last crash.",
 	"Find the caller by the lines LP2018 with the same content, and what in its request crashes the servers.")
 
+// PartBlocked is logged when a part of prompts becomes blocked, or has ended another server.
+var PartBlocked = define("LP2030", warn, "prompt part blocked",
+	"Servers have ended one after the other (endings of servers in all) under runs that had just begun and had this part of their prompts in common, and no run with it has gone on since. Prompts that have it and the parts in with are refused with 503 at all gateways. After trial_ms single requests try it again.",
+	"Find the requests by the lines LP2018 with the same part, and what in that part of the prompt crashes the servers.")
+
+// PartUnblocked is logged when a part of prompts is no longer blocked.
+var PartUnblocked = define("LP2031", info, "prompt part no longer blocked",
+	"A run with the part has gone on at a server, so that it is cleared of the servers that ended before; or another part explains these, or they are too long ago.", noAction)
+
+// PartTried is logged when a request is let through to try a blocked part of prompts.
+var PartTried = define("LP2032", info, "blocked prompt part tried",
+	"The time for a trial of a blocked part has come, and one request with it is served. If the run goes on, the part is no longer blocked; if the server ends, it is blocked for longer.", noAction)
+
 // ServerRestarted is logged when a server has restarted under the same name.
 var ServerRestarted = define("LP2020", info, "server restarted",
 	"A later incarnation of a server has reported itself, so the earlier one has ended with all its state: its requests broke off, and its connections were closed.", noAction)
--- a/gateway/check_server_test.go
+++ b/gateway/check_server_test.go
@@ -53,6 +53,7 @@
 	t.Helper()
 	h, log := newHarness(t), &testLog{}
 	h.gateway.log = slog.New(slog.NewTextHandler(log, nil))
+	h.gateway.contents.log = h.gateway.log
 	return h, log
 }
 
--- a/gateway/contents.go
+++ b/gateway/contents.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"log/slog"
 	"net/http"
@@ -9,6 +10,7 @@
 
 	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/internal/stablehash"
 	"github.com/ledgepin/ledgepin/poison"
 	"github.com/ledgepin/ledgepin/wire"
 )
@@ -26,42 +28,13 @@
 	return q.digest
 }
 
-// maxSharedParts bounds the parts of one prompt that are tracked.
-const maxSharedParts = 256
-
-// shared returns the digests of the parts of a prompt that other prompts may have too: all but the
-// last, which is the caller's own text. Like the content, they are computed only if needed.
-func (g *Gateway) shared(q *request) []poison.Digest {
-	parse := g.cfg.Protocol.ParsePartIDs
-	if q.sharedParts != nil || parse == nil || q.service.Engine == nil {
-		return q.sharedParts
-	}
-	q.sharedParts = []poison.Digest{}
-	ids := parse(q.send.Header.Get(g.cfg.Protocol.Headers.PromptParts))
-	for n := 0; n < min(len(ids)-1, maxSharedParts); n++ {
-		q.sharedParts = append(q.sharedParts, poison.PartDigest(q.service.Name, ids[n]))
-	}
-	return q.sharedParts
-}
-
-// maxLoggedParts bounds the parts in a log line.
-const maxLoggedParts = 8
-
-// describeParts returns digests for a log line.
-func describeParts(list []poison.Digest) []string {
-	out := []string{}
-	for _, d := range list[:min(len(list), maxLoggedParts)] {
-		out = append(out, d.String())
-	}
-	return out
-}
-
 // checkWait is how long a request that may go to another server waits for the check of the previous
 // one. A running server and a closed port both answer within milliseconds; a server that doesn't
 // answer is not waited for.
 const checkWait = 20 * time.Millisecond
 
-// contentAllowed reports whether the content of a request allows sending it to a server.
+// contentAllowed reports whether the content of a request and the parts of its prompt allow sending it
+// to a server. It waits for the check of the previous server, which may have crashed under it.
 func (g *Gateway) contentAllowed(q *request) bool {
 	if q.checked != nil {
 		select {
@@ -73,23 +46,39 @@
 	return g.contents.blocked(q) == 0
 }
 
-// contents tracks the contents of requests under which servers have crashed. It guards a
-// poison.Table with a lock.
+// contents tracks the contents of requests, and the parts of prompts, under which servers have
+// crashed. It guards a poison.Table with a lock.
 type contents struct {
 	clock *clock.Clock
 	log   *slog.Logger
+	// gateway is the hash of the gateway's name, gateways the number of gateways in the fleet.
+	gateway  uint64
+	gateways func() int
+	// parts returns the parts of a prompt that other prompts may have too.
+	parts func(*request) []poison.Digest
+
 	mu    sync.Mutex
 	table *poison.Table
 	// interrupted holds the requests that were interrupted recently, by server incarnation.
 	interrupted map[string][]interruption
+	// known is what was last logged about each blocked part.
+	known map[poison.Digest]poison.Block
+	// trials are the requests that try blocked parts, and watchers those that wait or are being
+	// prefilled, with the function that ends that.
+	trials   map[poison.Digest]*request
+	watchers map[*request]context.CancelFunc
 	// sentTo is the link over which records were last sent to a replica, and sentUpTo the last
 	// change sent over it.
 	sentTo   *wire.Link
 	sentUpTo uint64
 }
 
-func newContents(c *clock.Clock, log *slog.Logger) *contents {
-	return &contents{clock: c, log: log, table: poison.NewTable(), interrupted: map[string][]interruption{}}
+func newContents(c *clock.Clock, log *slog.Logger, name string) *contents {
+	return &contents{
+		clock: c, log: log, gateway: stablehash.Name(name), gateways: func() int { return 1 }, parts: func(*request) []poison.Digest { return nil },
+		table: poison.NewTable(), interrupted: map[string][]interruption{}, known: map[poison.Digest]poison.Block{},
+		trials: map[poison.Digest]*request{}, watchers: map[*request]context.CancelFunc{},
+	}
 }
 
 // interruption is a request that was interrupted at a server, some time after it was sent.
@@ -97,6 +86,8 @@
 	content poison.Digest
 	at      time.Time
 	elapsed time.Duration
+	// parts are the parts of its prompt, unless its answer was under way.
+	parts []poison.Digest
 }
 
 // crashWindow is how long after an interrupted request a new incarnation of its server shows that
@@ -107,6 +98,9 @@
 // time after it was sent there.
 func (c *contents) noteInterrupted(q *request, server string, elapsed time.Duration) interruption {
 	intr := interruption{content: q.content(), at: c.clock.Now(), elapsed: elapsed}
+	if q.firstEventAt.IsZero() || intr.at.Sub(q.firstEventAt) < beginTime {
+		intr.parts = c.parts(q)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.interrupted[server] = append(c.interrupted[server], intr)
@@ -129,20 +123,26 @@
 
 // noteCrash records that a server crashed under a request that was interrupted there.
 func (c *contents) noteCrash(intr interruption, server string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.table.RecordEnding(c.clock.Now(), intr.content, server, intr.at, intr.elapsed) {
-		event.ContentBlocked.Log(c.log, "content", intr.content.String())
-	}
+	ending := poison.Ending{Server: server, Age: c.clock.Since(intr.at), Ran: intr.elapsed, Underway: len(intr.parts) == 0}
+	c.merge([]poison.Record{{Content: intr.content, Parts: intr.parts, Endings: []poison.Ending{ending}}})
 }
 
-// merge adds the records received from a replica.
+// merge adds records, as those received from a replica.
 func (c *contents) merge(list []poison.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, d := range c.table.Merge(c.clock.Now(), list) {
 		event.ContentBlocked.Log(c.log, "content", d.String())
 	}
+	c.update()
+}
+
+// mergeSurvivals adds the survivals received from a replica.
+func (c *contents) mergeSurvivals(list []poison.Survival) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.MergeSurvivals(c.clock.Now(), list)
+	c.update()
 }
 
 // noteCompleted records that a request has run to completion.
@@ -151,36 +151,46 @@
 	defer c.mu.Unlock()
 	if c.table.Len() > 0 {
 		c.table.Excuse(q.content())
+		c.recordSurvival(q)
 	}
 }
 
-// blocked returns for how long a request is still refused because of its content.
+// blocked returns for how long a request is still refused because of its content or a part of its
+// prompt.
 func (c *contents) blocked(q *request) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.blockedFor(q, false)
+}
+
+// blockedFor is like blocked, and lets the request try blocked parts if their time for that has come
+// and try is set. The caller holds c.mu.
+func (c *contents) blockedFor(q *request, try bool) time.Duration {
 	if c.table.Len() == 0 {
 		return 0
 	}
-	return c.table.BlockedFor(c.clock.Now(), q.content())
+	return max(c.table.BlockedFor(c.clock.Now(), q.content()), c.partsBlockedFor(q, try))
 }
 
-// unsent returns the records that have not yet been sent over a link: all of them if the link is
-// new, since the replica may have restarted.
-func (c *contents) unsent(l *wire.Link) []poison.Record {
+// unsent returns what has not yet been sent over a link: everything if the link is new, since the
+// replica may have restarted.
+func (c *contents) unsent(l *wire.Link) ([]poison.Record, []poison.Survival) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.sentTo != l {
 		c.sentTo, c.sentUpTo = l, 0
 	}
+	survivals := c.table.SurvivalsSince(c.clock.Now(), c.sentUpTo, true)
 	out, sent := c.table.Since(c.clock.Now(), c.sentUpTo, 1)
 	c.sentUpTo = sent
-	return out
+	return out, survivals
 }
 
 func (c *contents) sweep(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.Sweep(now)
+	c.update()
 	for server, list := range c.interrupted {
 		if now.Sub(list[len(list)-1].at) >= crashWindow {
 			delete(c.interrupted, server)
@@ -197,8 +207,8 @@
 // errBlocked ends a request that may not go to another server.
 var errBlocked = errors.New("gateway: the request crashes the servers that run it")
 
-// refuseContent refuses a request because of its content. This attempt has not run, so the caller
-// may send it again once the block has expired.
+// refuseContent refuses a request because of its content or a part of its prompt. This attempt has not
+// run, so the caller may send it again once the block has expired.
 func (q *request) refuseContent(remaining time.Duration) refusal {
-	return refusal{route: q.route.Name, status: http.StatusServiceUnavailable, reason: "the request ends the servers that run it", retryAfter: remaining}
+	return refusal{route: q.route.Name, status: http.StatusServiceUnavailable, reason: "the request, or a part of its prompt, ends the servers that run it", retryAfter: remaining}
 }
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -31,7 +32,7 @@
 		if n.decodes > 0 && !n.g.mayResend(n.q, r, 1) {
 			return r
 		}
-		if r = n.decode(ctx, &s, true); r.kind != notSent {
+		if r = n.decode(ctx, &s, true); r.kind != notSent || errors.Is(r.err, errBlocked) {
 			return r
 		}
 	}
@@ -41,6 +42,9 @@
 // decode has an engine generate the answer and relays it to the caller.
 func (n *generation) decode(ctx context.Context, s *dispatch.Server, withKV bool) result {
 	g, q, h := n.g, n.q, &n.g.cfg.Protocol.Headers
+	if !g.contentAllowed(q) {
+		return result{kind: notSent, err: errBlocked}
+	}
 	started := g.clock.Now()
 	r := n.sendTo(s)
 	if withKV {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -340,6 +340,13 @@
 	return f.promises.Report(now, demand.Add(arrived, f.queue.Demand()))
 }
 
+// gateways returns the number of gateways that share the servers.
+func (f *fleet) gateways() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Others.Gateways
+}
+
 // reserveRetries takes further sends from the retry budget of a service, and reports whether the
 // budget allows them.
 func (f *fleet) reserveRetries(service string, sends int) bool {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -63,6 +63,11 @@
 		}
 		started := g.clock.Now()
 		last.body.release(q.memory)
+		if unsent == 0 && q.sends == 0 && g.contents.blocked(q) > 0 {
+			g.fleet.endRequest(s.ID, dispatch.Neutral, 0)
+			last = result{kind: notSent, err: errBlocked}
+			break
+		}
 		last = g.send(ctx, q, &s)
 		if last.kind == answered && last.status < http.StatusMultipleChoices && q.route.Kind == route.Stream && q.route.Resumable {
 			g.noteStream(q, &s)
@@ -90,6 +95,10 @@
 			break
 		}
 	}
+	if errors.Is(last.err, errBlocked) {
+		g.refuse(w, q.id, q.refuseContent(g.contents.blocked(q)))
+		return
+	}
 	g.conclude(w, q, last)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,7 +104,7 @@
 	g := &Gateway{
 		cfg: cfg, clock: cfg.Clock, log: log, ctx: ctx, cancel: cancel,
 		privateHeaders: cfg.Protocol.Headers.Private(), serverHeaders: canonicalNames(cfg.Protocol.Headers.ForServers()), tableReady: make(chan struct{}), pool: backend.NewPool(), fleet: newFleet(cfg.Clock, cfg.Name, cfg.Zone, cfg.Zones, cfg.Retry), cached: map[string]*cachedPrompts{}, cacheListTimeout: cacheListTimeout,
-		limits: newLimits(cfg.Clock, cfg.Quota), contents: newContents(cfg.Clock, log), origins: newOrigins(cfg.Clock), checkWait: checkWait,
+		limits: newLimits(cfg.Clock, cfg.Quota), contents: newContents(cfg.Clock, log, cfg.Name), origins: newOrigins(cfg.Clock), checkWait: checkWait,
 		memory:        membudget.New(cfg.Memory, callerTimeout, cfg.Clock.Now),
 		memoryFull:    event.Limiter{Interval: memoryFullLogInterval, MaxKeys: 1},
 		unreadReports: event.Limiter{Interval: time.Minute, MaxKeys: maxReportLines},
@@ -115,6 +115,7 @@
 	g.pool.OnAnswer = g.noteAnswer
 	g.links = newLinks(g)
 	g.inTouch = g.links.connected
+	g.contents.parts, g.contents.gateways = g.shared, g.fleet.gateways
 	g.links.setSeeds(cfg.Seeds)
 	g.wg.Go(g.sweep)
 	event.Started.Log(g.log)
@@ -308,6 +309,8 @@
 	Control  []string `json:"control"`
 	// Blocked is the number of contents that are refused because servers crashed under them.
 	Blocked int `json:"blocked_contents"`
+	// BlockedParts are the parts of prompts that are refused for the same reason.
+	BlockedParts []blockedPart `json:"blocked_parts,omitempty"`
 	// HeldBytes is the memory used for callers' requests and answers, in bytes.
 	HeldBytes int64 `json:"held_bytes"`
 	// Evacuated are the availability zones that get no new work.
@@ -320,7 +323,7 @@
 
 // Dump returns the state of the gateway.
 func (g *Gateway) Dump() any {
-	d := Dump{Name: g.cfg.Name, Zone: g.cfg.Zone, Draining: g.draining.Load(), Active: g.active.Load(), Control: g.links.openPeers(), Blocked: g.contents.count(), Evacuated: g.evacuated.list(), HeldBytes: g.memory.Held()}
+	d := Dump{Name: g.cfg.Name, Zone: g.cfg.Zone, Draining: g.draining.Load(), Active: g.active.Load(), Control: g.links.openPeers(), Blocked: g.contents.count(), BlockedParts: g.contents.blockedParts(), Evacuated: g.evacuated.list(), HeldBytes: g.memory.Held()}
 	if t := g.table.Load(); t != nil {
 		d.Version = t.Version
 	}
@@ -335,6 +338,7 @@
 func (g *Gateway) Collect() {
 	g.fleet.collectWaiting()
 	metric.HeldBytes.WithLabelValues(g.cfg.Name).Set(float64(g.memory.Held()))
+	metric.BlockedParts.WithLabelValues(g.cfg.Name).Set(float64(len(g.contents.blockedParts())))
 	metric.OpenStreams.Reset()
 	for at, n := range g.origins.openStreams() {
 		metric.OpenStreams.WithLabelValues(at.Service, at.Version).Set(float64(n))
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -56,6 +56,8 @@
 	// prefills and decodes count the sends that reached an engine of each role.
 	prefills, decodes int
 	migrations        migrationState
+	// survivalNotedAt is when the run last cleared the parts of its prompt.
+	survivalNotedAt time.Time
 	// paceNoted is set once the pace of the run has been recorded.
 	paceNoted bool
 }
@@ -69,7 +71,10 @@
 	if q.work, n.promoted = g.fleet.countArrival(q.work); n.promoted {
 		q.promote()
 	}
-	n.stream.onTokens = func(tokens int) { n.growReservation(ctx, tokens) }
+	n.stream.onTokens = func(tokens int) {
+		n.noteProgress()
+		n.growReservation(ctx, tokens)
+	}
 	n.stream.reserve = func(bytes int64) error { return reserveMemory(ctx, q.memory, bytes) }
 	defer n.releaseReservations()
 	var last result
@@ -118,6 +123,8 @@
 // place reserves a prefill and a decode engine.
 func (n *generation) place(ctx context.Context) bool {
 	q := n.q
+	waitCtx, stop := n.g.contents.watch(ctx, q)
+	defer stop()
 	limit := n.g.fleet.queueTimeout(q.work, min(q.route.Target-n.g.clock.Since(q.arrived), q.remaining()))
 	if n.stream.started {
 		limit = q.route.GapTarget
@@ -136,7 +143,7 @@
 			waiting.Until = until
 			waiting.Work.MaxPrefillTime = q.maxPrefillTime()
 		}
-		pair, ok := n.g.fleet.place(ctx, waiting, max(n.g.clock.Until(until), 0))
+		pair, ok := n.g.fleet.place(waitCtx, waiting, max(n.g.clock.Until(until), 0))
 		if !ok {
 			return false
 		}
@@ -158,7 +165,7 @@
 
 // round has the reserved engines prefill the prompt and generate the answer.
 func (n *generation) round(ctx context.Context) result {
-	n.handover = dispatch.Handover{}
+	n.handover, n.q.firstEventAt = dispatch.Handover{}, time.Time{}
 	if !n.g.contentAllowed(n.q) {
 		return result{kind: notSent, err: errBlocked}
 	}
@@ -167,6 +174,9 @@
 	}
 	r := n.prefill(ctx)
 	n.releasePrefill()
+	if errors.Is(r.err, errBlocked) {
+		return r
+	}
 	if r.kind != answered {
 		n.q.tried[n.pair.Prefill.ID] = true
 		n.g.noteSend(ctx, n.q, n.pair.Prefill, r, n.g.clock.Since(n.reservedAt))
@@ -183,8 +193,9 @@
 	if n.g.fleet.available(n.pair.Decode.ID) {
 		r = n.decode(ctx, n.pair.Decode, true)
 	}
-	switch r.kind {
-	case notRun, notSent, misdirected:
+	switch {
+	case errors.Is(r.err, errBlocked):
+	case r.kind == notRun || r.kind == notSent || r.kind == misdirected:
 		r = n.decodeElsewhere(ctx, r)
 	}
 	if n.handover.AcceptedBy == "" {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -8,6 +8,7 @@
 
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/internal/wait"
+	"github.com/ledgepin/ledgepin/poison"
 	"github.com/ledgepin/ledgepin/quota"
 	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/route"
@@ -214,6 +215,8 @@
 		l.updateUsage(address, m.Use)
 	case m.Contents != nil:
 		l.g.contents.merge(m.Contents)
+	case m.Survivals != nil:
+		l.g.contents.mergeSurvivals(m.Survivals)
 	case m.Limits != nil:
 		l.updateLimits(address, m.Limits)
 	case m.Origins != nil:
@@ -359,9 +362,7 @@
 		if m := l.g.fleet.pendingUpdate(now); m != nil {
 			_ = hub.Send(&wire.Message{Loads: m})
 		}
-		if list := l.g.contents.unsent(hub); list != nil {
-			_ = hub.Send(&wire.Message{Contents: list})
-		}
+		l.sendContents(hub)
 		l.sendOrigins(hub)
 		if used := l.g.limits.takeUnreported(now); used != nil {
 			_ = hub.Send(&wire.Message{Use: &quota.UsageUpdate{Used: used}})
@@ -369,6 +370,20 @@
 	})
 }
 
+// sendContents reports the contents and parts of prompts under which servers have crashed to the hub.
+func (l *links) sendContents(hub *wire.Link) {
+	list, survivals := l.g.contents.unsent(hub)
+	if hub.Version() < wire.PartsVersion {
+		list, survivals = poison.WithoutParts(list), nil
+	}
+	if len(survivals) > 0 {
+		_ = hub.Send(&wire.Message{Survivals: survivals})
+	}
+	if len(list) > 0 {
+		_ = hub.Send(&wire.Message{Contents: list})
+	}
+}
+
 // sendHeartbeats sends a heartbeat on all links. The caller holds l.mu.
 func (l *links) sendHeartbeats() {
 	for _, p := range l.peers {
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -96,7 +96,7 @@
 	if n.q.work.Expected-n.q.work.Generated < minRemainingEvents*engine.EventTokens {
 		return
 	}
-	if !n.g.narrowRegions(n.q) {
+	if !n.g.narrowRegions(n.q) || n.g.contents.blocked(n.q) > 0 {
 		return
 	}
 	to, ok := n.g.fleet.migrationTarget(n.decodeReserved, n.q.work, engine)
@@ -272,7 +272,7 @@
 func (n *generation) continueRun(ctx context.Context, m *migration) (*backend.Answer, error) {
 	err, mayRun := errRunNotCopied, false
 	var a *backend.Answer
-	if m.copied && n.g.fleet.available(m.to.ID) {
+	if m.copied && n.g.fleet.available(m.to.ID) && n.g.contents.blocked(n.q) == 0 {
 		if a, mayRun, err = n.resumeCopy(ctx, m, &m.to); a != nil {
 			n.completeMigration(m)
 			return a, nil
--- a/gateway/prefill.go
+++ b/gateway/prefill.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -17,7 +18,9 @@
 	r.Header.Set(h.Role, registry.Prefill)
 	n.setLastEventID(r.Header)
 	limit := 2*n.pair.PrefillTime + time.Second
-	pctx, cancel := context.WithTimeout(ctx, limit)
+	watchCtx, stop := g.contents.watch(ctx, n.q)
+	defer stop()
+	pctx, cancel := context.WithTimeout(watchCtx, limit)
 	defer cancel()
 	source := *s
 	res, body := g.exchangeAllocating(pctx, n.q, s, r, func(body []byte) {
@@ -28,6 +31,9 @@
 	if res.kind != notSent {
 		n.prefills++
 	}
+	if res.kind != answered && ctx.Err() == nil && errors.Is(pctx.Err(), context.Canceled) {
+		return result{kind: notSent, err: errBlocked}
+	}
 	if res.kind != answered || res.status != http.StatusOK {
 		if res.kind == answered {
 			res.kind = broken
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -56,6 +56,10 @@
 	// have too, once computed.
 	digest      poison.Digest
 	sharedParts []poison.Digest
+	// trials are the blocked parts that the request tries.
+	trials []trial
+	// firstEventAt is when the first event of its newest run arrived, zero if none has.
+	firstEventAt time.Time
 	// checked is closed once the check of the server of the newest send is done; nil if there is no
 	// check.
 	checked chan struct{}
@@ -84,10 +88,11 @@
 		g.refuse(w, q.id, *refused)
 		return
 	}
-	if remaining := g.contents.blocked(q); remaining > 0 {
+	if remaining := g.contents.admit(q); remaining > 0 {
 		g.refuse(w, q.id, q.refuseContent(remaining))
 		return
 	}
+	defer g.contents.end(q)
 	if end := g.finishBy.Load(); end != nil && !q.capDeadline(*end) {
 		g.refuse(w, q.id, q.refuseStopping("the gateway is stopping"))
 		return
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -100,6 +100,8 @@
 	FullLevel            = gauge("ledgepin_full_level", "Mean share of an engine's memory up to which a gateway places runs, and above which runs migrate away.", "name", "service")
 	MemoryRefusals       = counter("ledgepin_memory_refusals_total", "Requests that a gateway refused since its buffers for callers had reached their limit.", "route")
 	HeadroomShare        = gauge("ledgepin_headroom_share", "Share of the memory of decode engines that new requests leave free for more urgent ones, by the priorities of their organisation and route.", "service", "organisation_priority", "priority")
+	BlockedParts         = gauge("ledgepin_blocked_prompt_parts", "Parts of prompts that a gateway refuses since servers have ended under them.", "name")
+	PartTrials           = counter("ledgepin_prompt_part_trials_total", "Requests that were let through to try a blocked part of prompts.", "service")
 	PromotedRequests     = counter("ledgepin_promoted_requests_total", "Requests placed as if they were of the most urgent class, since requests like them were served less than half as often as all, by the priorities of their organisation and route.", "service", "organisation_priority", "route_priority")
 	ResumedStreams       = counter("ledgepin_resumed_streams_total", "Requests for the rest of a stream, by how the software version that began it is known: own (recorded at this gateway), sole (the only version of the service), replica (recorded by control), unknown (the request was refused).", "route", "source")
 	OpenStreams          = gauge("ledgepin_open_streams", "Streams in progress at a gateway, by the software version that generates them.", "service", "version")
--- a/poison/table.go
+++ b/poison/table.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -20,6 +21,8 @@
 	// maxContents bounds the contents of a table: enough for an availability zone of 200 servers
 	// with 50 runs each that loses power. It takes about 3 MB.
 	maxContents = 10_000
+	// maxParts bounds the sum of the parts of all contents. It takes about 5 MB.
+	maxParts = 50_000
 )
 
 // Ending is the ending of one server while it ran a content.
@@ -33,22 +36,30 @@
 	Excused bool `cbor:"3,keyasint,omitempty"`
 	// Ran is how long before the ending the content had been sent to the server.
 	Ran time.Duration `cbor:"4,keyasint,omitempty"`
+	// Underway reports that the run had been generating its answer for some time, so that the parts
+	// of its prompt are not suspected.
+	Underway bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Record holds the endings of one content, as exchanged between tables.
 type Record struct {
 	Content Digest   `cbor:"1,keyasint"`
 	Endings []Ending `cbor:"2,keyasint"`
+	// Parts are the parts of its prompt that other prompts may have too; none if they are not
+	// suspected.
+	Parts []Digest `cbor:"3,keyasint,omitempty"`
 }
 
 // ending is an Ending with absolute times.
 type ending struct {
-	sent, at time.Time
-	excused  bool
+	sent, at          time.Time
+	excused, underway bool
 }
 
 type entry struct {
 	endings map[string]ending
+	// parts are sorted.
+	parts []Digest
 	// change is the number of the table's last change of this entry.
 	change uint64
 }
@@ -56,12 +67,22 @@
 // Table holds the contents that were running when servers ended. It isn't safe for concurrent use.
 type Table struct {
 	contents map[Digest]*entry
+	// parts are the parts of the contents, and partCount the sum of the parts of each content.
+	parts     map[Digest]*part
+	partCount int
+	// blocks are the blocked parts, and explained the part by which each server ended. Both follow
+	// from the rest; judged is set if they are up to date.
+	blocks    map[Digest]*Block
+	explained map[string]Digest
+	judged    bool
 	// changes is the number of changes so far, so that peers get only what is new.
 	changes uint64
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{contents: map[Digest]*entry{}} }
+func NewTable() *Table {
+	return &Table{contents: map[Digest]*entry{}, parts: map[Digest]*part{}}
+}
 
 // Len returns the number of contents in the table.
 func (t *Table) Len() int { return len(t.contents) }
@@ -94,26 +115,36 @@
 func (t *Table) markChanged(e *entry) {
 	t.changes++
 	e.change = t.changes
+	t.judged = false
 }
 
 // Merge adds the records of another table and returns the contents that are blocked by them.
 func (t *Table) Merge(now time.Time, list []Record) []Digest {
 	var blocked []Digest
+	touched := map[Digest]bool{}
 	for _, r := range list {
 		e := t.contents[r.Content]
 		if e == nil {
 			e = &entry{endings: map[string]ending{}}
 		}
-		before := e.blockedFor(now) > 0
-		if e.merge(now, r.Endings) {
+		before := t.blockedFor(now, e) > 0
+		changed := e.merge(now, r.Endings)
+		if len(e.endings) > 0 && t.addParts(r.Content, e, r.Parts) {
+			changed = true
+		}
+		if changed {
 			t.contents[r.Content] = e
 			t.markChanged(e)
 		}
-		if !before && e.blockedFor(now) > 0 {
+		for _, p := range e.parts {
+			touched[p] = true
+		}
+		if !before && t.blockedFor(now, e) > 0 {
 			blocked = append(blocked, r.Content)
 		}
 	}
-	if len(t.contents) > maxContents {
+	t.updateRelevance(touched)
+	for len(t.contents) > maxContents || t.partCount > maxParts {
 		t.shrink()
 	}
 	return blocked
@@ -130,9 +161,9 @@
 		}
 		old, known := e.endings[x.Server]
 		at := now.Add(-x.Age)
-		merged := ending{sent: at.Add(-x.Ran), at: at, excused: x.Excused}
+		merged := ending{sent: at.Add(-x.Ran), at: at, excused: x.Excused, underway: x.Underway}
 		if known {
-			merged = ending{sent: earliest(old.sent, merged.sent), at: earliest(old.at, at), excused: old.excused || x.Excused}
+			merged = ending{sent: earliest(old.sent, merged.sent), at: earliest(old.at, at), excused: old.excused || x.Excused, underway: old.underway && x.Underway}
 		}
 		if merged != old || !known {
 			e.endings[x.Server] = merged
@@ -155,14 +186,14 @@
 	if e == nil {
 		return 0
 	}
-	return e.blockedFor(now)
+	return t.blockedFor(now, e)
 }
 
 // BlockedCount returns how many contents are refused now.
 func (t *Table) BlockedCount(now time.Time) int {
 	n := 0
 	for _, e := range t.contents {
-		if e.blockedFor(now) > 0 {
+		if t.blockedFor(now, e) > 0 {
 			n++
 		}
 	}
@@ -171,59 +202,92 @@
 
 // blockedFor counts the servers that ended one after the other. Runs that overlapped count as one
 // ending: when a rack loses power, a content that many callers had sent at that moment ends with
-// several servers at once.
-func (e *entry) blockedFor(now time.Time) time.Duration {
+// several servers at once. Servers that ended because of a part which the content doesn't have don't
+// count.
+func (t *Table) blockedFor(now time.Time, e *entry) time.Duration {
 	if len(e.endings) < blockThreshold {
 		return 0
 	}
+	t.judge()
 	list := make([]ending, 0, len(e.endings))
-	for _, x := range e.endings {
-		if !x.excused {
+	for server, x := range e.endings {
+		cause, explained := t.explained[server]
+		if !x.excused && (!explained || e.has(cause)) {
 			list = append(list, x)
 		}
 	}
-	slices.SortFunc(list, func(a, b ending) int { return a.at.Compare(b.at) })
-	n, newest := 0, time.Time{}
+	n, newest := successive(list)
+	if n < blockThreshold {
+		return 0
+	}
+	return max(newest.Add(blockDuration).Sub(now), 0)
+}
+
+// successive counts the endings that came one after the other, each of a run that was sent after the
+// previous counted ending. It sorts the list, and returns the time of the last counted ending too.
+func successive(list []ending) (n int, newest time.Time) {
+	slices.SortFunc(list, func(a, b ending) int { return cmp.Or(a.at.Compare(b.at), a.sent.Compare(b.sent)) })
 	for _, x := range list {
 		if x.sent.After(newest) {
 			n, newest = n+1, x.at
 		}
 	}
-	if n < blockThreshold {
-		return 0
-	}
-	return max(newest.Add(blockDuration).Sub(now), 0)
+	return n, newest
 }
 
 // Since returns the records that have changed after change, of contents with at least minEndings
-// endings, and the number of the last change that they cover.
+// endings or a part with several, and the number of the last change that they cover.
 func (t *Table) Since(now time.Time, change uint64, minEndings int) ([]Record, uint64) {
 	if change == t.changes {
 		return nil, change
 	}
 	var out []Record
 	for d, e := range t.contents {
-		if e.change <= change || len(e.endings) < minEndings {
+		if e.change <= change || len(e.endings) < minEndings && !slices.ContainsFunc(e.parts, t.relevant) {
 			continue
 		}
-		r := Record{Content: d}
+		r := Record{Content: d, Parts: e.parts}
 		for _, server := range slices.Sorted(maps.Keys(e.endings)) {
 			x := e.endings[server]
-			r.Endings = append(r.Endings, Ending{Server: server, Age: now.Sub(x.at), Ran: x.at.Sub(x.sent), Excused: x.excused})
+			r.Endings = append(r.Endings, Ending{Server: server, Age: now.Sub(x.at), Ran: x.at.Sub(x.sent), Excused: x.excused, Underway: x.underway})
 		}
 		out = append(out, r)
 	}
 	return out, t.changes
 }
 
-// Sweep removes expired endings.
+// WithoutParts returns the records for a peer that does not track parts.
+func WithoutParts(list []Record) []Record {
+	out := make([]Record, 0, len(list))
+	for _, r := range list {
+		r.Parts, r.Endings = nil, slices.Clone(r.Endings)
+		for n := range r.Endings {
+			r.Endings[n].Underway = false
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// Sweep removes expired endings and survivals.
 func (t *Table) Sweep(now time.Time) {
 	for d, e := range t.contents {
+		before := len(e.endings)
 		maps.DeleteFunc(e.endings, func(_ string, x ending) bool { return now.Sub(x.at) >= endingTTL })
+		if len(e.endings) < before {
+			t.judged = false
+		}
 		if len(e.endings) == 0 {
-			delete(t.contents, d)
+			t.remove(d)
 		}
 	}
+	t.sweepParts(now)
+}
+
+// remove removes a content.
+func (t *Table) remove(d Digest) {
+	t.removeParts(d, t.contents[d])
+	delete(t.contents, d)
 }
 
 // shrink removes a quarter of the contents: those with the fewest endings, and among these the
@@ -237,8 +301,8 @@
 		}
 		return x.newestEnding().Compare(y.newestEnding())
 	})
-	for _, d := range list[:len(list)/4] {
-		delete(t.contents, d)
+	for _, d := range list[:(len(list)+3)/4] {
+		t.remove(d)
 	}
 }
 
--- a/wire/hello.go
+++ b/wire/hello.go
@@ -25,10 +25,13 @@
 	// OriginsVersion is the first version whose processes record at which software version
 	// streams began.
 	OriginsVersion = 8
+	// PartsVersion is the first version whose processes track the parts of prompts that were
+	// running when servers ended.
+	PartsVersion = 9
 )
 
 // Versions are the versions that this build supports.
-var Versions = compat.Range{Least: BaseVersion, Most: OriginsVersion}
+var Versions = compat.Range{Least: BaseVersion, Most: PartsVersion}
 
 // maxBuildBytes bounds the name of a build: a module's version with its time and commit has
 // about forty bytes.
--- a/wire/message.go
+++ b/wire/message.go
@@ -71,6 +71,8 @@
 	Cold      []ColdLease `cbor:"41,keyasint,omitempty"`
 	Limits    *Limits     `cbor:"42,keyasint,omitempty"`
 	Origins   *Origins    `cbor:"43,keyasint,omitempty"`
+	// Survivals clear parts of prompts of the endings of servers.
+	Survivals []poison.Survival `cbor:"44,keyasint,omitempty"`
 }
 
 // Heartbeat keeps the link alive and renews the leases of the link's owner.
