--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -22,9 +22,11 @@
 )
 
 // Trials of blocked parts. Each gateway may try a part from a time of its own on, so that in the whole
-// fleet about one gateway begins in each trialSpacing: by then the others know of a crash.
+// fleet about one gateway begins in each trialSpacing: by then the others know of a crash. In large
+// fleets they are closer, so that none waits longer than maxTrialOffset.
 const (
-	trialSpacing = time.Second
+	trialSpacing   = 3 * time.Second
+	maxTrialOffset = 5 * time.Minute
 	// trialRetry is when a request may come again that is refused while another one tries its part.
 	trialRetry = 2 * time.Second
 )
@@ -122,7 +124,7 @@
 
 // trialOffset returns how much later than others this gateway may try a part.
 func (c *contents) trialOffset(part poison.Digest) time.Duration {
-	window := time.Duration(max(c.gateways()-1, 0)) * trialSpacing
+	window := min(time.Duration(max(c.gateways()-1, 0))*trialSpacing, maxTrialOffset)
 	share := float64(stablehash.Pair(c.gateway, stablehash.Name(string(part[:])))) / (1 << 64)
 	return time.Duration(share * float64(window))
 }
@@ -209,7 +211,7 @@
 
 // recordSurvival records that a request runs on at a server, or has completed. The caller holds c.mu.
 func (c *contents) recordSurvival(q *request) {
-	if c.table.RecordSurvival(c.clock.Now(), c.parts(q)) {
+	if c.table.HasRelevantParts() && c.table.RecordSurvival(c.clock.Now(), c.parts(q)) {
 		c.update()
 	}
 }
@@ -218,9 +220,7 @@
 func (c *contents) noteProgress(q *request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.table.Len() > 0 {
-		c.recordSurvival(q)
-	}
+	c.recordSurvival(q)
 }
 
 // noteProgress records that the run goes on, once it has done so for some time.
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -22,7 +22,7 @@
 	relevantEndings = 2
 	// minTrialDelay is the time from the last ending to the first trial of a blocked part. Each
 	// further ending multiplies it by trialDelayFactor, up to maxTrialDelay.
-	minTrialDelay    = 10 * time.Second
+	minTrialDelay    = 15 * time.Second
 	maxTrialDelay    = 10 * time.Minute
 	trialDelayFactor = 4
 )
@@ -118,9 +118,14 @@
 }
 
 func (t *Table) removeUnused(d Digest) {
-	if p := t.parts[d]; len(p.contents) == 0 && len(p.survived) == 0 {
-		delete(t.parts, d)
+	p := t.parts[d]
+	if len(p.contents) > 0 || len(p.survived) > 0 {
+		return
 	}
+	if p.relevant {
+		t.relevantCount--
+	}
+	delete(t.parts, d)
 }
 
 func (t *Table) sweepParts(now time.Time) {
@@ -134,6 +139,9 @@
 	}
 }
 
+// HasRelevantParts reports whether runs that go on have to be recorded.
+func (t *Table) HasRelevantParts() bool { return t.relevantCount > 0 }
+
 func (t *Table) relevant(d Digest) bool {
 	p := t.parts[d]
 	return p != nil && p.relevant
@@ -152,6 +160,7 @@
 			continue
 		}
 		p.relevant = true
+		t.relevantCount++
 		for _, e := range p.contents {
 			t.markChanged(e)
 		}
--- a/poison/table.go
+++ b/poison/table.go
@@ -68,8 +68,9 @@
 type Table struct {
 	contents map[Digest]*entry
 	// parts are the parts of the contents, and partCount the sum of the parts of each content.
-	parts     map[Digest]*part
-	partCount int
+	// relevantCount is the number of relevant parts.
+	parts                    map[Digest]*part
+	partCount, relevantCount int
 	// blocks are the blocked parts, and explained the part by which each server ended. Both follow
 	// from the rest; judged is set if they are up to date.
 	blocks    map[Digest]*Block
