--- a/soak/check.go
+++ b/soak/check.go
@@ -82,6 +82,7 @@
 	{"no request for a server that says that it leaves", checkReportedLeaving},
 	{"reports that can't be read are not used", checkBadReports},
 	{"a content that ends servers is left alone", checkDeadly},
+	{"a part of prompts that ends servers is left alone", checkPoisonParts},
 	{"links between builds are not refused", checkRefusals},
 	{"each gateway in touch has a table all the time", checkTableAvailable},
 	{"there is a leader", checkLeader},
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -102,6 +102,14 @@
 		{"whole and own answer", "another request's", func(h *History) { h.Requests[0].Body = "answer to q9 by app-1" }},
 		{"whole and own answer", "a short stream that looks complete", func(h *History) { h.Requests[1].Body = streamAfter("", 0)[:100] }},
 		{"whole and own answer", "an event twice", func(h *History) { h.Requests[1].Body = streamAfter("", 0)[:40] + streamAfter("", 0) }},
+		{"a part of prompts that ends servers is left alone", "late crashes", func(h *History) { h.crashByPart(14, 1) }},
+		{"a part of prompts that ends servers is left alone", "sound streams are refused", func(h *History) {
+			for n := range 10 {
+				q := h.Requests[1]
+				q.ID, q.Status, q.Body, q.RetryAfter = fmt.Sprint("refused-", n), http.StatusServiceUnavailable, "the request, or a part of its prompt, ends the servers that run it\n", "5"
+				h.Requests = append(h.Requests, q)
+			}
+		}},
 		{eventsRule, "an event of the previous attempt", func(h *History) {
 			q := attemptOf("q5-2", 2, 6, 9)
 			h.Requests[5].Events, h.Requests[5].Body = q.Events, q.Body
@@ -348,6 +356,20 @@
 	}
 }
 
+// crashByPart adds crashes of engines under one part of prompts, an interval of seconds apart.
+func (h *History) crashByPart(crashes int, interval time.Duration) {
+	for n := range crashes {
+		id := fmt.Sprint(poisonPartPrefix, "0-request-", n)
+		var a Arrival
+		a.ID, a.Service, a.Server, a.Ran, a.At = id, engineService, fmt.Sprint("llm-", 100+n), true, time.Duration(n)*interval*second
+		a.Header = http.Header{}
+		a.Header.Set(headers.PromptParts, partsField([]string{firstPart, poisonPartPrefix + "0"}, id))
+		a.Header.Set(headers.Organisation, "one")
+		h.Arrivals = append(h.Arrivals, a)
+		h.Requests = append(h.Requests, Request{ID: id, Kind: Review, Organisation: "one", Cut: true})
+	}
+}
+
 // loseStreams adds resumable streams that lose their engine, of which some are resumed by their
 // callers.
 func (h *History) loseStreams(lost, resumed int) {
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -272,6 +272,9 @@
 	b.SetSenderLookup(func(remote string) string { return cl.sender(p, remote) })
 	b.Name = srv.name
 	b.SetPoisonRequest(deadlyContent, func() { cl.restartCrashed(srv, b) })
+	if srv.role == "decode" {
+		cl.crashOnPoisonParts(srv, b)
+	}
 	cl.markCold(srv, b.ID)
 	cl.group.Alias(p.addr(), b)
 	cl.backendsMu.Lock()
--- a/soak/desk_caller.go
+++ b/soak/desk_caller.go
@@ -245,6 +245,13 @@
 	req.Header.Set(headers.Organisation, "forged")
 	req.Header.Set(headers.Tokens, fmt.Sprintf("%d,%d", promptTokens, requestTokens-promptTokens))
 	req.Header.Set(headers.LengthHint, fmt.Sprint(q.lengthHint()))
+	if q.Kind.isStream() {
+		parts := q.Parts
+		if parts == nil {
+			parts = promptOf(q)
+		}
+		req.Header.Set(headers.PromptParts, partsField(parts, q.ID))
+	}
 	return req, nil
 }
 
--- a/soak/history.go
+++ b/soak/history.go
@@ -45,6 +45,8 @@
 	Organisation string
 	// Content is the body of the request.
 	Content string
+	// Parts are the parts of its prompt, without the last; nil for those of a sound request.
+	Parts []string
 	// Sent and Ended are times since the start of the run.
 	Sent, Ended time.Duration
 	// FirstByte is when the first byte of the body arrived, zero if none did or it was not recorded.
--- a/soak/run.go
+++ b/soak/run.go
@@ -70,6 +70,11 @@
 	wg.Go(func() { cl.sendBadReports(loadCtx, o.Seed) })
 	l.wg.Go(func() { l.sendDeadly(loadCtx, o.Seed) })
 	l.wg.Go(func() { l.sendPairs(loadCtx, o.Seed) })
+	if o.Production == "" { // a production build may not track parts of prompts
+		for n, p := range drawPoisonParts(o.Seed, o.Length) {
+			l.wg.Go(func() { l.sendPoisonParts(loadCtx, p, o.Seed+uint64(n)) })
+		}
+	}
 	f := &faultInjector{cluster: cl, rec: rec, load: l, ops: ops}
 	wg.Go(func() { f.run(loadCtx, plan) })
 	l.run(loadCtx)
