--- a/control/hub.go
+++ b/control/hub.go
@@ -149,6 +149,8 @@
 	excluded map[string]time.Time
 	// queued is the number of the gateway's requests that wait for capacity.
 	queued int
+	// requests is the number of requests of the gateway's callers in 1,000 s.
+	requests int
 	// demand is what the gateway's callers request, and turns its rank among the gateways of this
 	// replica for each class with waiting requests.
 	demand []demand.Class
@@ -216,6 +218,7 @@
 	if g := h.gateways[l]; g != nil {
 		h.setReserved(g, nil, false)
 		h.setQueued(g, 0)
+		h.setRequests(g, 0)
 		h.setDemand(g, nil)
 		h.limits.broker.Forget(ratelimit.Requester{Name: g.id})
 		delete(h.gatewaysByID, g.id)
--- a/control/loads.go
+++ b/control/loads.go
@@ -17,6 +17,8 @@
 	// gateways is the number of gateways, queued that of their requests that wait for
 	// capacity.
 	gateways, queued int
+	// requests is the number of requests of their callers in 1,000 s.
+	requests int
 	// demand is what their callers request, by service and urgency.
 	demand []demand.Class
 }
@@ -34,13 +36,24 @@
 
 // fullMessage returns the message with all loads.
 func (s *loadSummary) fullMessage() *wire.Loads {
-	out := &wire.Loads{Gateways: s.gateways, Queued: s.queued, Demand: s.demand, Whole: true}
+	out := &wire.Loads{Gateways: s.gateways, Queued: s.queued, Demand: s.demand, Requests: s.requests, Whole: true}
 	for _, e := range s.loads {
 		out.List = append(out.List, e)
 	}
 	return out
 }
 
+// equivalent reports whether a message differs from what was sent last in nothing but loads of
+// engines and small changes of rates.
+func (s *loadSummary) equivalent(m *wire.Loads) bool {
+	return m.Gateways == s.gateways && m.Queued == s.queued && !demand.RateChanged(s.requests, m.Requests) && demand.Compare(s.demand, m.Demand) == demand.Same
+}
+
+// note stores what a message says beside the loads of engines.
+func (s *loadSummary) note(m *wire.Loads) {
+	s.gateways, s.queued, s.requests, s.demand = m.Gateways, m.Queued, m.Requests, m.Demand
+}
+
 // setLoads sets what a gateway has reserved.
 func (h *hub) setLoads(l *wire.Link, m *wire.Loads) {
 	h.mu.Lock()
@@ -52,6 +65,7 @@
 	started := !g.reportsLoads && !m.Ended
 	h.setReserved(g, m.List, !m.Ended)
 	h.setQueued(g, m.Queued)
+	h.setRequests(g, m.Requests)
 	h.setDemand(g, m.Demand)
 	if started {
 		// The gateway may have moved here from another replica, whose updates of its
@@ -68,6 +82,13 @@
 	g.queued = queued
 }
 
+// setRequests sets the number of requests of a gateway's callers in 1,000 s. Callers hold h.mu.
+func (h *hub) setRequests(g *gatewayState, requests int) {
+	requests = max(requests, 0)
+	h.ownLoads.requests += requests - g.requests
+	g.requests = requests
+}
+
 // setReserved replaces what a gateway has reserved. Callers hold h.mu.
 func (h *hub) setReserved(g *gatewayState, list []wire.EngineLoad, reportsLoads bool) {
 	if g.reportsLoads != reportsLoads {
@@ -130,7 +151,7 @@
 		s = &fresh
 		h.peerLoads[l] = s
 	}
-	s.gateways, s.queued, s.demand = m.Gateways, m.Queued, m.Demand
+	s.gateways, s.queued, s.demand, s.requests = m.Gateways, m.Queued, m.Demand, max(m.Requests, 0)
 	for _, e := range m.List {
 		h.addTotalLoad(e.Server, addLoad(e, s.loads[e.Server], -1))
 		s.set(e)
@@ -162,7 +183,7 @@
 // where it has changed. Callers hold h.mu.
 func (h *hub) sendLoadsToPeers() {
 	h.sumDemand()
-	out := &wire.Loads{Gateways: h.ownLoads.gateways, Queued: h.ownLoads.queued, Demand: h.ownLoads.demand}
+	out := &wire.Loads{Gateways: h.ownLoads.gateways, Queued: h.ownLoads.queued, Demand: h.ownLoads.demand, Requests: h.ownLoads.requests}
 	for id := range h.changedOwnLoads {
 		load := h.ownLoads.loads[id]
 		load.Server = id
@@ -172,10 +193,10 @@
 		}
 	}
 	clear(h.changedOwnLoads)
-	if len(out.List) == 0 && out.Gateways == h.sentToPeers.gateways && out.Queued == h.sentToPeers.queued && demand.Compare(h.sentToPeers.demand, out.Demand) == demand.Same {
+	if len(out.List) == 0 && h.sentToPeers.equivalent(out) {
 		return
 	}
-	h.sentToPeers.gateways, h.sentToPeers.queued, h.sentToPeers.demand = out.Gateways, out.Queued, out.Demand
+	h.sentToPeers.note(out)
 	frame, err := wire.Marshal(&wire.Message{Loads: out})
 	if err != nil {
 		return
@@ -185,15 +206,16 @@
 	}
 }
 
-// totals returns the number of all gateways whose loads are known, and that of their
-// requests that wait for capacity. Callers hold h.mu.
-func (h *hub) totals() (gateways, queued int) {
-	gateways, queued = h.ownLoads.gateways, h.ownLoads.queued
+// totals returns the number of all gateways whose loads are known, that of their requests that
+// wait for capacity, and that of their callers' requests in 1,000 s. Callers hold h.mu.
+func (h *hub) totals() (gateways, queued, requests int) {
+	gateways, queued, requests = h.ownLoads.gateways, h.ownLoads.queued, h.ownLoads.requests
 	for _, s := range h.peerLoads {
 		gateways += s.gateways
 		queued += s.queued
+		requests += s.requests
 	}
-	return gateways, queued
+	return gateways, queued, requests
 }
 
 // sendLoads sends each gateway of this replica what the others have reserved on the engines
@@ -201,13 +223,13 @@
 // to all gateways: while the replicas are partitioned, it may have reported itself to other
 // replicas and be in use. Callers hold h.mu.
 func (h *hub) sendLoads() {
-	gateways, queued := h.totals()
+	gateways, queued, requests := h.totals()
 	shares := h.demandShares()
 	for l, g := range h.gateways {
 		if !g.reportsLoads {
 			continue
 		}
-		out := &wire.Loads{Gateways: gateways - 1, Queued: queued - g.queued, Demand: shares.others(g), Whole: g.needsAllLoads}
+		out := &wire.Loads{Gateways: gateways - 1, Queued: queued - g.queued, Requests: requests - g.requests, Demand: shares.others(g), Whole: g.needsAllLoads}
 		if g.needsAllLoads {
 			for id := range h.totalLoads {
 				h.appendLoadUpdate(g, id, out)
@@ -217,8 +239,9 @@
 				h.appendLoadUpdate(g, id, out)
 			}
 		}
-		if g.needsAllLoads || len(out.List) > 0 || out.Gateways != g.sentLoads.gateways || out.Queued != g.sentLoads.queued || demand.Compare(g.sentLoads.demand, out.Demand) != demand.Same {
-			g.needsAllLoads, g.sentLoads.gateways, g.sentLoads.queued, g.sentLoads.demand = false, out.Gateways, out.Queued, out.Demand
+		if g.needsAllLoads || len(out.List) > 0 || !g.sentLoads.equivalent(out) {
+			g.needsAllLoads = false
+			g.sentLoads.note(out)
 			_ = l.Send(&wire.Message{Loads: out})
 		}
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -44,6 +44,8 @@
 	Gateways, Known int
 	// Queued is the number of their requests that wait for capacity.
 	Queued int
+	// Requests is the number of requests of their callers in 1,000 s.
+	Requests int
 	// Demand is what waits there and what has recently arrived, by service and urgency. Requests
 	// that are counted in Queued and not in Demand are of gateways of an older build.
 	Demand []demand.Class
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -24,7 +24,7 @@
 	if c.ContentType != "" {
 		r.Header.Set("Content-Type", c.ContentType)
 	}
-	r.MaxConnections = connectionShare(q.service.MaxConnections, g.fleet.gatewaysPerServer(s))
+	r.MaxConnections = g.fleet.connectionShare(q.service.MaxConnections, s)
 	return r
 }
 
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -46,6 +46,8 @@
 	arrivals demand.Meter
 	trend    retryslots.Trend
 	promises retryslots.Promises
+	// requests measures the rate of all requests.
+	requests demand.Rate
 	limited  limitedServers
 	paused   pausedServers
 	// updated is closed by the next report of servers; nil if no request waits for it.
@@ -257,6 +259,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
+	f.requests.Add(now)
 	f.budget(service).CountRequest(now)
 	f.view.CountRequest(now, service)
 }
@@ -520,9 +523,10 @@
 	return f.view.QueueTimeout(f.clock.Now(), w, within, f.queue.CountAhead(w), f.runTimes[w.Service])
 }
 
-// gatewaysPerServer returns the number of gateways that share a server.
-func (f *fleet) gatewaysPerServer(s *dispatch.Server) int {
+// connectionShare returns how many of a server's connections this gateway may open.
+func (f *fleet) connectionShare(limit int, s *dispatch.Server) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.view.GatewaysPerServer(s.Service, s.Role)
+	load := f.view.LoadShare(f.requests.Read(f.clock.Now()))
+	return dispatch.ConnectionShare(limit, f.view.GatewaysPerServer(s.Service, s.Role), load)
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -128,7 +128,7 @@
 	}
 	tryCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	r := q.toServer(h, s, limit, g.fleet.gatewaysPerServer(s))
+	r := q.toServer(h, s, limit, g.fleet.connectionShare(q.service.MaxConnections, s))
 	r.NewConnection = q.route.Kind == route.Once
 	if r.NewConnection && g.fleet.trusted(s.ID) {
 		r.CleanWithin = cleanTime
--- a/gateway/hub.go
+++ b/gateway/hub.go
@@ -19,6 +19,8 @@
 	gateways int
 	// queued is the number of their requests that wait for capacity.
 	queued int
+	// requests is the number of requests of their callers in 1,000 s.
+	requests int
 	// demand is what waits there and what has recently arrived, by service and urgency.
 	demand []demand.Class
 	// loads are their reservations by engine, and seen the recent outcomes of their requests by
@@ -39,7 +41,7 @@
 	}
 	s := &l.others
 	s.receivedAt = l.g.clock.Now()
-	s.gateways, s.queued, s.demand = m.Gateways, m.Queued, m.Demand
+	s.gateways, s.queued, s.demand, s.requests = m.Gateways, m.Queued, m.Demand, m.Requests
 	for _, e := range m.List {
 		load := dispatch.Load{Tokens: e.Tokens, Prefill: e.Prefill, Runs: e.Runs, Held: e.Held}
 		if load == (dispatch.Load{}) {
@@ -65,7 +67,7 @@
 		queued, list = 0, nil
 	}
 	l.g.fleet.setOthers(dispatch.OtherGateways{
-		Gateways: gateways, Known: min(1+l.others.gateways, gateways), Queued: queued, Demand: list, Loads: maps.Clone(l.others.loads), Evidence: maps.Clone(l.others.seen),
+		Gateways: gateways, Known: min(1+l.others.gateways, gateways), Queued: queued, Demand: list, Requests: l.others.requests, Loads: maps.Clone(l.others.loads), Evidence: maps.Clone(l.others.seen),
 	})
 }
 
--- a/gateway/load_updates.go
+++ b/gateway/load_updates.go
@@ -29,16 +29,18 @@
 	queued   int
 	demand   []demand.Class
 	failures bool
+	// requests is the rate of all requests in it.
+	requests int
 }
 
-// due reports whether an update has to be sent, given the number of requests that wait now and the
-// demand.
-func (p *pendingLoads) due(now time.Time, queued int, list []demand.Class) bool {
+// due reports whether an update has to be sent, given the number of requests that wait now, the demand
+// and the rate of all requests.
+func (p *pendingLoads) due(now time.Time, queued int, list []demand.Class, requests int) bool {
 	passed, change := now.Sub(p.sentAt), demand.Compare(p.demand, list)
 	switch {
 	case p.changed, queued != p.queued, change == demand.Waits:
 		return true
-	case change == demand.Rates && passed >= rateInterval:
+	case (change == demand.Rates || demand.RateChanged(p.requests, requests)) && passed >= rateInterval:
 		return true
 	case p.grown && passed >= progressInterval:
 		return true
@@ -52,11 +54,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list := f.demand(now)
-	if !f.pending.due(now, f.queue.Len(), list) {
+	requests := f.requests.Read(now)
+	if !f.pending.due(now, f.queue.Len(), list, requests) {
 		return nil
 	}
-	f.pending = pendingLoads{sentAt: now, queued: f.queue.Len(), demand: list}
-	out := &wire.Loads{Queued: f.queue.Len(), Demand: list}
+	f.pending = pendingLoads{sentAt: now, queued: f.queue.Len(), demand: list, requests: requests}
+	out := &wire.Loads{Queued: f.queue.Len(), Demand: list, Requests: requests}
 	loads, seen := f.view.Loads(), f.view.Evidence(now)
 	for id, e := range seen {
 		f.pending.failures = f.pending.failures || e.Bad > 0 || e.Lost > 0
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -302,25 +302,14 @@
 // remaining returns the time until the deadline of a request.
 func (q *request) remaining() time.Duration { return q.clock.Until(q.deadline) }
 
-// toServer returns the request as it is sent to one server.
-func (q *request) toServer(h *backend.Headers, s *dispatch.Server, limit time.Duration, sharing int) backend.Request {
+// toServer returns the request as it is sent to one server, over a bounded number of connections.
+func (q *request) toServer(h *backend.Headers, s *dispatch.Server, limit time.Duration, connections int) backend.Request {
 	out := q.send
 	out.Address = s.Address
 	out.Header = q.send.Header.Clone()
 	out.Header.Set(h.Deadline, strconv.FormatInt(max(limit.Milliseconds(), 1), 10))
 	out.Header.Set(h.ExpectInstance, s.StableName())
 	out.Server, out.Admitted = s.ID, true // counted when the server was chosen
-	out.MaxConnections = connectionShare(q.service.MaxConnections, sharing)
+	out.MaxConnections = connections
 	return out
 }
-
-// connectionShare returns how many of a server's connections one gateway may open.
-func connectionShare(limit, sharing int) int {
-	if limit <= 0 {
-		return 0
-	}
-	// Servers still count connections of gateways that have lost power, and accept fewer while
-	// their queue is long.
-	const use = 0.5
-	return max(int(use*float64(limit)/float64(max(sharing, 1))), 1)
-}
--- a/wire/message.go
+++ b/wire/message.go
@@ -345,6 +345,9 @@
 	// Demand is what waits and what has recently arrived, by service and urgency. The list is
 	// always complete and replaces the one sent before. Older builds send and read only Queued.
 	Demand []demand.Class `cbor:"6,keyasint,omitempty"`
+	// Requests is the number of callers' requests of any kind in 1,000 s: a gateway's own, or those of
+	// the gateways in the sums. Older builds do not report it.
+	Requests int `cbor:"7,keyasint,omitempty"`
 }
 
 // EngineLoad is what one or several gateways have reserved at one engine.
