--- a/poison/parts.go
+++ b/poison/parts.go
@@ -147,16 +147,34 @@
 	return p != nil && p.relevant
 }
 
+// endings returns the endings of servers under runs with the part that had just begun, whether or not
+// the part is cleared of them.
+func (p *part) endings() []ending {
+	servers := map[string]ending{}
+	for _, e := range p.contents {
+		for server, x := range e.endings {
+			if x.underway {
+				continue
+			}
+			if old, known := servers[server]; known {
+				x.at, x.sent = earliest(old.at, x.at), latest(old.sent, x.sent)
+			}
+			servers[server] = x
+		}
+	}
+	return slices.Collect(maps.Values(servers))
+}
+
 // updateRelevance marks parts under which several servers have ended one after the other, and all
-// that is known about them as changed.
+// that is known about them as changed. Parts that are cleared of these endings count too: whoever is
+// told of the endings has to know that.
 func (t *Table) updateRelevance(touched map[Digest]bool) {
 	for d := range touched {
 		p := t.parts[d]
 		if p == nil || p.relevant {
 			continue
 		}
-		all := t.suspect(d, func(string) bool { return false })
-		if n, _ := successive(all.endings()); n < relevantEndings {
+		if n, _ := successive(p.endings()); n < relevantEndings {
 			continue
 		}
 		p.relevant = true
@@ -238,22 +256,48 @@
 type suspicion struct {
 	part    Digest
 	servers map[string]ending
-	runs    int
+	// shared are the servers that another part explains, which none of the runs there has.
+	shared map[string]bool
+	runs   int
 	// with are the parts that all runs have, in order.
 	with []Digest
 }
 
-func (s *suspicion) endings() []ending { return slices.Collect(maps.Values(s.servers)) }
+// count returns how many successive endings count against the part. Of those that another part
+// explains, two count as one: either part may have caused them.
+func (s *suspicion) count() int {
+	all, _ := successive(slices.Collect(maps.Values(s.servers)))
+	var own []ending
+	for server, x := range s.servers {
+		if !s.shared[server] {
+			own = append(own, x)
+		}
+	}
+	n, _ := successive(own)
+	return n + (all-n)/2
+}
 
-// suspect returns the suspicion against a part, without the servers for which explained returns true.
-func (t *Table) suspect(d Digest, explained func(server string) bool) *suspicion {
+// suspect returns the suspicion against a part, without the servers that ended under a run which also
+// had the part that explains the ending.
+func (t *Table) suspect(d Digest) *suspicion {
 	p := t.parts[d]
-	s := &suspicion{part: d, servers: map[string]ending{}}
+	s := &suspicion{part: d, servers: map[string]ending{}, shared: map[string]bool{}}
+	explained := map[string]bool{}
+	for _, e := range p.contents {
+		for server := range e.endings {
+			if cause, known := t.explained[server]; known && e.has(cause) {
+				explained[server] = true
+			}
+		}
+	}
 	for _, e := range p.contents {
 		for server, x := range e.endings {
-			if _, survived := p.survived[server]; survived || x.underway || x.excused || explained(server) {
+			if _, survived := p.survived[server]; survived || x.underway || x.excused || explained[server] {
 				continue
 			}
+			if _, known := t.explained[server]; known {
+				s.shared[server] = true
+			}
 			if s.runs == 0 {
 				s.with = e.parts
 			} else {
@@ -278,17 +322,13 @@
 }
 
 // judge determines which parts are blocked, and which servers ended because of them. The part with
-// the most servers comes first. The endings that it explains don't count for the parts after it.
+// the most servers comes first. The endings that it explains count less for the parts after it.
 func (t *Table) judge() {
 	if t.judged {
 		return
 	}
 	t.judged = true
 	t.blocks, t.explained = map[Digest]*Block{}, map[string]Digest{}
-	explained := func(server string) bool {
-		_, known := t.explained[server]
-		return known
-	}
 	var candidates []Digest
 	for d, p := range t.parts {
 		if p.relevant {
@@ -298,8 +338,7 @@
 	for {
 		var list []*suspicion
 		for _, d := range candidates {
-			s := t.suspect(d, explained)
-			if n, _ := successive(s.endings()); n >= blockThreshold {
+			if s := t.suspect(d); s.count() >= blockThreshold {
 				list = append(list, s)
 			}
 		}
@@ -358,9 +397,11 @@
 
 // block blocks a part.
 func (t *Table) block(s *suspicion) {
-	n, newest := successive(s.endings())
+	n, newest := s.count(), time.Time{}
 	for server, x := range s.servers {
-		t.explained[server] = s.part
+		if !s.shared[server] {
+			t.explained[server] = s.part
+		}
 		newest = latest(newest, x.at)
 	}
 	t.blocks[s.part] = &Block{Part: s.part, With: s.with, Endings: n, Servers: len(s.servers), Until: newest.Add(trialDelay(n))}
