--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -14,9 +14,9 @@
 const (
 	// beginTime is how long after its first event a run counts as just begun: a server may still send
 	// an event before it crashes.
-	beginTime = 250 * time.Millisecond
+	beginTime = 100 * time.Millisecond
 	// survivalTime is how long after its first event a run clears the parts of its prompt.
-	survivalTime = 500 * time.Millisecond
+	survivalTime = 300 * time.Millisecond
 	// survivalInterval is the time after which a run may clear them again.
 	survivalInterval = 250 * time.Millisecond
 )
