--- a/standin/backend.go
+++ b/standin/backend.go
@@ -73,7 +73,9 @@
 
 	mu       sync.Mutex
 	arrivals []Arrival
-	fault    func(r *http.Request) Fault
+	// born is the time of its start in Unix milliseconds, as it reports it; zero if it reports none.
+	born  int64
+	fault func(r *http.Request) Fault
 	// middleware wraps the server's handler; text returns the texts of events.
 	middleware func(own http.Handler) http.Handler
 	text       func(body string, n int) string
@@ -144,6 +146,13 @@
 	return b.ID
 }
 
+// SetBorn sets the time of the server's start in Unix milliseconds, which it reports from then on.
+func (b *Backend) SetBorn(millis int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.born = millis
+}
+
 // SetPoisonRequest makes the server crash when it starts a request with the given body, and call
 // onCrash then.
 func (b *Backend) SetPoisonRequest(body string, onCrash func()) {
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -41,7 +41,11 @@
 	case reportPath:
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		_ = json.NewEncoder(w).Encode(map[string]any{"stage": b.Role, "busy": false, "sequence": b.orderCount})
+		report := map[string]any{"stage": b.Role, "busy": false, "sequence": b.orderCount}
+		if b.born != 0 {
+			report["born"] = b.born
+		}
+		_ = json.NewEncoder(w).Encode(report)
 	case orderPath:
 		b.applyOrder(w, body)
 	case KeptPath, platformKeptPath:
