--- /dev/null
+++ b/gateway/confirm_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ledgepin/ledgepin/backend"
+	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/standin"
+)
+
+// reportsStart makes engines report their start, and counts how often they are asked for it.
+func (h *harness) reportsStart(asked *atomic.Int64) {
+	p := &h.gateway.cfg.Protocol
+	p.Report = func() backend.Call { return backend.Call{Method: http.MethodGet, Path: "/-/report"} }
+	p.ParseReport = func(body []byte) (backend.Report, error) {
+		asked.Add(1)
+		var in struct{ Born int64 }
+		err := json.Unmarshal(body, &in)
+		return backend.Report{Born: in.Born}, err
+	}
+}
+
+// addBorn adds an engine that was born at a time, according to its report to control.
+func (h *harness) addBorn(id, role string, born int64) *standin.Backend {
+	h.t.Helper()
+	b, err := h.group.StartBackend("127.0.0.1:0", id, role, backend.DefaultHeaders)
+	assert.NilError(h.t, err)
+	h.t.Cleanup(b.Kill)
+	b.SetBorn(born)
+	h.registerVersion("llm", registry.IncarnationID(id, born), id, b.Addr(), role, "v1", born)
+	return b
+}
+
+// TestContinuedStreamsAskForIncarnation checks that a stream that continues does so only at an engine
+// that is still the one that has reported itself, and that a new stream asks for nothing.
+func TestContinuedStreamsAskForIncarnation(t *testing.T) {
+	h := newHarness(t)
+	var asked atomic.Int64
+	h.reportsStart(&asked)
+	h.addBorn("p1", "prefill", 1000)
+	d := h.addBorn("d1", "decode", 1000)
+	header := func(extra map[string]string) map[string]string {
+		out := withParts("own:1")
+		for k, v := range extra {
+			out[k] = v
+		}
+		return out
+	}
+	assert.Equal(t, h.send("POST", "/desk/1", "first", "x", header(nil)).body, completeStream())
+	assert.Equal(t, asked.Load(), int64(0), "a new stream")
+	rest := header(map[string]string{protocol.Headers.LastEventID: "2", protocol.Headers.Resumes: "first"})
+	assert.Equal(t, h.send("POST", "/desk/1", "second", "x", rest).status, http.StatusOK)
+	assert.Equal(t, asked.Load(), int64(1), "a stream that continues")
+	d.SetBorn(2000)
+	before := runCount(d)
+	assert.Equal(t, h.send("POST", "/desk/1", "third", "x", rest).status, http.StatusServiceUnavailable)
+	assert.Equal(t, runCount(d), before, "a stream that would continue at a restarted engine")
+}
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -45,6 +45,11 @@
 	if !g.contentAllowed(q) {
 		return result{kind: notSent, err: errBlocked}
 	}
+	if err := n.confirmContinuation(ctx, s); err != nil {
+		res := result{kind: notSent, err: err}
+		g.noteSend(ctx, q, s, res, 0)
+		return res
+	}
 	started := g.clock.Now()
 	r := n.sendTo(s)
 	if withKV {
