--- a/router/tick.go
+++ b/router/tick.go
@@ -199,12 +199,15 @@
 func (r *serviceRate) add(tokens int) { r.tokens += float64(tokens) }
 
 // update updates the mean at the end of a window, or resets it if no request
-// waits.
+// waits. The first window begins with the first call.
 func (r *serviceRate) update(now time.Time, waiting bool) {
 	if !waiting {
 		*r = serviceRate{windowStart: now}
 		return
 	}
+	if r.windowStart.IsZero() {
+		r.windowStart = now
+	}
 	elapsed := now.Sub(r.windowStart)
 	if elapsed < rateWindow {
 		return
