--- a/gateway/confirm_test.go
+++ b/gateway/confirm_test.go
@@ -5,10 +5,12 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/ledgepin/ledgepin/backend"
+	"github.com/ledgepin/ledgepin/origin"
 	"github.com/ledgepin/ledgepin/registry"
 	"github.com/ledgepin/ledgepin/standin"
 )
@@ -56,6 +58,15 @@
 	rest := header(map[string]string{protocol.Headers.LastEventID: "2", protocol.Headers.Resumes: "first"})
 	assert.Equal(t, h.send("POST", "/desk/1", "second", "x", rest).status, http.StatusOK)
 	assert.Equal(t, asked.Load(), int64(1), "a stream that continues")
+	key := origin.KeyOf("", "first")
+	h.gateway.origins.markUncertain("d1", time.Time{})
+	_, known, _ := h.gateway.origins.find(key)
+	assert.Assert(t, !known, "a stream that began unconfirmed at a server which restarts")
+	h.gateway.origins = newOrigins(nil)
+	assert.Equal(t, h.send("POST", "/desk/1", "again", "x", rest).status, http.StatusOK)
+	h.gateway.origins.markUncertain("d1", time.Time{})
+	_, known, _ = h.gateway.origins.find(key)
+	assert.Assert(t, known, "a stream that continued at a confirmed incarnation")
 	d.SetBorn(2000)
 	before := runCount(d)
 	assert.Equal(t, h.send("POST", "/desk/1", "third", "x", rest).status, http.StatusServiceUnavailable)
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -45,7 +45,8 @@
 	if !g.contentAllowed(q) {
 		return result{kind: notSent, err: errBlocked}
 	}
-	if err := n.confirmContinuation(ctx, s); err != nil {
+	confirmed, err := n.confirmContinuation(ctx, s)
+	if err != nil {
 		res := result{kind: notSent, err: err}
 		g.noteSend(ctx, q, s, res, 0)
 		return res
@@ -88,7 +89,7 @@
 		return n.nonStreamAnswer(ctx, s, a)
 	}
 	n.migrations.stopped = false
-	g.noteStream(q, s)
+	g.noteStream(q, s, confirmed)
 	began := origin.Origin{Service: s.Service, Version: s.Version}
 	g.origins.countOpen(began, 1)
 	defer g.origins.countOpen(began, -1)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -70,7 +70,7 @@
 		}
 		last = g.send(ctx, q, &s)
 		if last.kind == answered && last.status < http.StatusMultipleChoices && q.route.Kind == route.Stream && q.route.Resumable {
-			g.noteStream(q, &s)
+			g.noteStream(q, &s, false)
 		}
 		g.fleet.endRequest(s.ID, outcomeOf(ctx, last), g.clock.Since(started))
 		g.noteSend(ctx, q, &s, last, g.clock.Since(started))
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -272,7 +272,7 @@
 func (n *generation) continueRun(ctx context.Context, m *migration) (*backend.Answer, error) {
 	err, mayRun := errRunNotCopied, false
 	var a *backend.Answer
-	if m.copied && n.g.fleet.available(m.to.ID) && n.g.contents.blocked(n.q) == 0 && n.confirmContinuation(ctx, &m.to) == nil {
+	if m.copied && n.g.fleet.available(m.to.ID) && n.g.contents.blocked(n.q) == 0 && n.confirmed(ctx, &m.to) {
 		if a, mayRun, err = n.resumeCopy(ctx, m, &m.to); a != nil {
 			n.completeMigration(m)
 			return a, nil
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -73,7 +73,8 @@
 	}
 }
 
-// note records that a server has begun or continued the stream of an attempt.
+// note records that a server has begun or continued the stream of an attempt. server is empty if the
+// incarnation of the server was confirmed, so that the stream stays certain if the server restarts.
 func (o *origins) note(k origin.Key, at origin.Origin, server string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -84,7 +85,9 @@
 		o.tables[at.Service] = t
 	}
 	t.Add(now, k, at)
-	o.started[server] = append(o.started[server], startedStream{at.Service, k, now})
+	if server != "" {
+		o.started[server] = append(o.started[server], startedStream{at.Service, k, now})
+	}
 }
 
 // markUncertain records that a server has restarted with another version some time after it was
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -208,11 +208,15 @@
 const noServerOfVersion = "no server of the version that began the stream is in service"
 
 // noteStream records that a server begins or continues the stream of a request, before any part of
-// it is passed on. From now on the request is bound to the server's version.
-func (g *Gateway) noteStream(q *request, s *dispatch.Server) {
-	at := origin.Origin{Service: s.Service, Version: s.Version}
+// it is passed on. From now on the request is bound to the server's version. confirmed is set if the
+// server has confirmed its incarnation.
+func (g *Gateway) noteStream(q *request, s *dispatch.Server, confirmed bool) {
+	at, name := origin.Origin{Service: s.Service, Version: s.Version}, s.StableName()
+	if confirmed {
+		name = ""
+	}
 	if key, named := q.originKey(); named && q.route.Resumable {
-		g.origins.note(key, at, s.StableName())
+		g.origins.note(key, at, name)
 	}
 	q.work.Pinned, q.work.Version = true, s.Version
 }
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -284,6 +284,7 @@
 	srv.mu.Lock()
 	srv.backend, srv.proxy, srv.disturber, srv.leaving, srv.version = b, p, d, false, version
 	srv.startMillis = max(time.Now().UnixMilli(), srv.startMillis+1)
+	b.SetBorn(srv.startMillis)
 	srv.mu.Unlock()
 	return nil
 }
