--- a/gateway/contents.go
+++ b/gateway/contents.go
@@ -61,8 +61,8 @@
 	table *poison.Table
 	// interrupted holds the requests that were interrupted recently, by server incarnation.
 	interrupted map[string][]interruption
-	// known is what was last logged about each blocked part.
-	known map[poison.Digest]poison.Block
+	// logged are the blocked parts as they were last logged.
+	logged map[poison.Digest]poison.Block
 	// trials are the requests that try blocked parts, and watchers those that wait or are being
 	// prefilled, with the function that ends that.
 	trials   map[poison.Digest]*request
@@ -76,7 +76,7 @@
 func newContents(c *clock.Clock, log *slog.Logger, name string) *contents {
 	return &contents{
 		clock: c, log: log, gateway: stablehash.Name(name), gateways: func() int { return 1 }, parts: func(*request) []poison.Digest { return nil },
-		table: poison.NewTable(), interrupted: map[string][]interruption{}, known: map[poison.Digest]poison.Block{},
+		table: poison.NewTable(), interrupted: map[string][]interruption{}, logged: map[poison.Digest]poison.Block{},
 		trials: map[poison.Digest]*request{}, watchers: map[*request]context.CancelFunc{},
 	}
 }
@@ -210,5 +210,5 @@
 // refuseContent refuses a request because of its content or a part of its prompt. This attempt has not
 // run, so the caller may send it again once the block has expired.
 func (q *request) refuseContent(remaining time.Duration) refusal {
-	return refusal{route: q.route.Name, status: http.StatusServiceUnavailable, reason: "the request, or a part of its prompt, ends the servers that run it", retryAfter: remaining}
+	return refusal{route: q.route.Name, status: http.StatusServiceUnavailable, reason: "the request, or a part of its prompt, ends the servers that run it", retryAfter: jitter(remaining)}
 }
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -144,8 +144,8 @@
 }
 
 // watch returns a context that ends when the request becomes blocked, while it waits or is being
-// prefilled.
-func (c *contents) watch(ctx context.Context, q *request) (context.Context, context.CancelFunc) {
+// prefilled. Until stop is called the request's own goroutine must not compute its digests.
+func (c *contents) watch(ctx context.Context, q *request) (watched context.Context, stop context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	c.mu.Lock()
 	c.watchers[q] = cancel
@@ -161,23 +161,23 @@
 // update logs how the blocked parts have changed, and ends the wait of requests that have become
 // blocked. The caller holds c.mu.
 func (c *contents) update() {
-	if len(c.known) == 0 && !c.table.HasBlocks() {
+	if len(c.logged) == 0 && !c.table.HasBlocks() {
 		return
 	}
 	current, stronger := map[poison.Digest]poison.Block{}, false
 	for _, b := range c.table.Blocks() {
 		current[b.Part] = b
-		if old, known := c.known[b.Part]; !known || old.Endings != b.Endings {
+		if old, logged := c.logged[b.Part]; !logged || old.Endings != b.Endings {
 			stronger = true
 			event.PartBlocked.Log(c.log, "part", b.Part.String(), "with", describeParts(b.With), "endings", b.Endings, "servers", b.Servers, "trial_ms", c.clock.Until(b.Until).Milliseconds())
 		}
 	}
-	for d, old := range c.known {
+	for d, old := range c.logged {
 		if _, blocked := current[d]; !blocked {
 			event.PartUnblocked.Log(c.log, "part", d.String(), "endings", old.Endings)
 		}
 	}
-	c.known = current
+	c.logged = current
 	if !stronger {
 		return
 	}
