--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -289,3 +289,23 @@
 	second := h.sendParts("trial-2", "/review/1", poisonPrompt)
 	assert.Assert(t, first.status == http.StatusOK || second.status == http.StatusOK, "%d %d", first.status, second.status)
 }
+
+// TestRunsUnderWayAreNotSuspected checks that engines which crash under runs that have been going on for
+// some time leave no part blocked.
+func TestRunsUnderWayAreNotSuspected(t *testing.T) {
+	h, log := newLoggedHarness(t)
+	h.add("llm", "p1", "prefill")
+	for n := range 4 {
+		b := h.add("llm", fmt.Sprint("d", n), "decode")
+		b.SetPace(0, 10*time.Millisecond, 100)
+		done := make(chan reply, 1)
+		go func() { done <- h.sendParts(fmt.Sprint("sound-", n), "/review/1", soundPrompt) }()
+		h.waitUntil("the run goes on", func() bool { return b.Running() == 1 })
+		time.Sleep(2 * beginTime)
+		b.Crash()
+		<-done
+		h.waitForCrashes(log, n+1)
+	}
+	assert.Equal(t, len(log.linesOf(event.PartBlocked)), 0)
+	assert.Equal(t, len(h.gateway.contents.blockedParts()), 0)
+}
