--- a/gateway/check_server.go
+++ b/gateway/check_server.go
@@ -31,7 +31,7 @@
 // no evidence against the request.
 func (g *Gateway) checkAfterFailure(q *request, s *dispatch.Server, elapsed time.Duration) {
 	generated, failure := q.work.Generated, g.contents.noteInterrupted(q, s.ID, elapsed)
-	parts := describeParts(g.shared(q))
+	parts := describeParts(g.sharedParts(q))
 	done := make(chan struct{})
 	q.checked = done
 	g.wg.Go(func() {
--- a/gateway/contents.go
+++ b/gateway/contents.go
@@ -134,7 +134,7 @@
 	for _, d := range c.table.Merge(c.clock.Now(), list) {
 		event.ContentBlocked.Log(c.log, "content", d.String())
 	}
-	c.update()
+	c.applyBlocks()
 }
 
 // mergeSurvivals adds the survivals received from a replica.
@@ -142,7 +142,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.MergeSurvivals(c.clock.Now(), list)
-	c.update()
+	c.applyBlocks()
 }
 
 // noteCompleted records that a request has run to completion.
@@ -190,7 +190,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.Sweep(now)
-	c.update()
+	c.applyBlocks()
 	for server, list := range c.interrupted {
 		if now.Sub(list[len(list)-1].at) >= crashWindow {
 			delete(c.interrupted, server)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,7 +115,7 @@
 	g.pool.OnAnswer = g.noteAnswer
 	g.links = newLinks(g)
 	g.inTouch = g.links.connected
-	g.contents.parts, g.contents.gateways = g.shared, g.fleet.gateways
+	g.contents.parts, g.contents.gateways = g.sharedParts, g.fleet.gateways
 	g.links.setSeeds(cfg.Seeds)
 	g.wg.Go(g.sweep)
 	event.Started.Log(g.log)
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -34,10 +34,10 @@
 // maxSharedParts bounds the parts of one prompt that are tracked.
 const maxSharedParts = 256
 
-// shared returns the digests of the parts of a prompt that other prompts may have too: all but the
+// sharedParts returns the digests of the parts of a prompt that other prompts may have too: all but the
 // last, which is the caller's own text. They are distinct and in order. Like the content, they are
 // computed only if needed.
-func (g *Gateway) shared(q *request) []poison.Digest {
+func (g *Gateway) sharedParts(q *request) []poison.Digest {
 	parse := g.cfg.Protocol.ParsePartIDs
 	if q.sharedParts != nil || parse == nil || q.service.Engine == nil {
 		return q.sharedParts
@@ -129,8 +129,8 @@
 	return time.Duration(share * float64(window))
 }
 
-// end ends the trials of a request.
-func (c *contents) end(q *request) {
+// endTrials ends the trials of a request.
+func (c *contents) endTrials(q *request) {
 	if len(q.trials) == 0 {
 		return
 	}
@@ -158,9 +158,9 @@
 	}
 }
 
-// update logs how the blocked parts have changed, and ends the wait of requests that have become
+// applyBlocks logs how the blocked parts have changed, and ends the wait of requests that have become
 // blocked. The caller holds c.mu.
-func (c *contents) update() {
+func (c *contents) applyBlocks() {
 	if len(c.logged) == 0 && !c.table.HasBlocks() {
 		return
 	}
@@ -212,7 +212,7 @@
 // recordSurvival records that a request runs on at a server, or has completed. The caller holds c.mu.
 func (c *contents) recordSurvival(q *request) {
 	if c.table.HasRelevantParts() && c.table.RecordSurvival(c.clock.Now(), c.parts(q)) {
-		c.update()
+		c.applyBlocks()
 	}
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -92,7 +92,7 @@
 		g.refuse(w, q.id, q.refuseContent(remaining))
 		return
 	}
-	defer g.contents.end(q)
+	defer g.contents.endTrials(q)
 	if end := g.finishBy.Load(); end != nil && !q.capDeadline(*end) {
 		g.refuse(w, q.id, q.refuseStopping("the gateway is stopping"))
 		return
--- a/router/first_requests_test.go
+++ b/router/first_requests_test.go
@@ -11,7 +11,7 @@
 )
 
 // TestFirstRequestsAreNotShed checks that an entry which has just started does not refuse some of its
-// first requests for the rate at which its queue is served: it has not measured any yet.
+// first requests for the rate at which its queue is served: it has no rate yet.
 func TestFirstRequestsAreNotShed(t *testing.T) {
 	c := newCore(1, 1)
 	for n := range 8 { // four are started, four wait
