--- a/review/build.sh
+++ b/review/build.sh
@@ -3,3 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 go build -o target/review-1 ./review/1
+go build -o target/review-3 ./review/3
