--- a/review/deployment/deployment.go
+++ b/review/deployment/deployment.go
@@ -318,11 +318,3 @@
 	}
 	return nil, fmt.Errorf("no leader with %d voters within %v", want, limit)
 }
-
-// Pid returns the ID of the process, 0 if it has not been started.
-func (p *Process) Pid() int {
-	if p.cmd == nil {
-		return 0
-	}
-	return p.cmd.Process.Pid
-}
