--- a/review/1/main.go
+++ b/review/1/main.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/review/deployment"
 )
 
@@ -117,7 +118,7 @@
 		return err
 	}
 	d.Note("the disk of %s is lost", lost.Name)
-	dark := time.Now()
+	dark := clock.VM.Now()
 	for _, p := range behind {
 		if err := p.Start(false); err != nil {
 			return err
@@ -127,7 +128,7 @@
 	if err := startAndKill(d, lost); err != nil {
 		return err
 	}
-	time.Sleep(darkTime - time.Since(dark))
+	time.Sleep(darkTime - clock.VM.Since(dark))
 	status(d)
 	for _, p := range rest {
 		if err := p.Start(false); err != nil {
@@ -151,7 +152,7 @@
 		if err := p.Start(false); err != nil {
 			return err
 		}
-		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
+		for end := clock.VM.Now().Add(2 * time.Second); clock.VM.Now().Before(end); {
 			if files, _ := os.ReadDir(p.Data); len(files) > 0 {
 				break
 			}
@@ -196,7 +197,7 @@
 func check(d *deployment.Deployment) int {
 	code, good := deployment.Held, 0
 	wrong := map[string]int{}
-	for end := time.Now().Add(contactTime + time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+	for end := clock.VM.Now().Add(contactTime + time.Second); clock.VM.Now().Before(end); time.Sleep(200 * time.Millisecond) {
 		for _, p := range d.Controls {
 			version, status := p.Version()
 			switch {
--- a/review/deployment/deployment.go
+++ b/review/deployment/deployment.go
@@ -16,6 +16,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/ledgepin/ledgepin/clock"
 )
 
 // Exit codes of a case.
@@ -70,14 +72,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Deployment{Dir: dir, binary: binary, started: time.Now(), record: out}, nil
+	return &Deployment{Dir: dir, binary: binary, started: clock.VM.Now(), record: out}, nil
 }
 
 // Note adds a line to the record.
 func (d *Deployment) Note(format string, args ...any) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	line := fmt.Sprintf("%8.3f s  %s\n", time.Since(d.started).Seconds(), fmt.Sprintf(format, args...))
+	line := fmt.Sprintf("%8.3f s  %s\n", clock.VM.Since(d.started).Seconds(), fmt.Sprintf(format, args...))
 	_, _ = io.WriteString(d.record, line)
 }
 
@@ -246,7 +248,7 @@
 // Put sends a configuration to the replicas in turn until one acknowledges it, for at most some time. It
 // reports whether one did.
 func (d *Deployment) Put(version int, text string, limit time.Duration) bool {
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := clock.VM.Now().Add(limit); clock.VM.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		for _, p := range d.Controls {
 			status, _, err := Call(http.MethodPost, "http://"+p.API+"/-/config/put", text)
 			if err == nil && status == http.StatusOK {
@@ -311,7 +313,7 @@
 
 // WaitVoters waits until a leader has a number of voters.
 func (d *Deployment) WaitVoters(want int, limit time.Duration) (*Process, error) {
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+	for end := clock.VM.Now().Add(limit); clock.VM.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		if leader, voters := d.Leader(); leader != nil && voters == want {
 			return leader, nil
 		}
