--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 go build -o target/review-1 ./review/1
-go build -o target/review-3 ./review/3
+go build -o target/review-2 ./review/2
--- a/review/deployment/server.go
+++ b/review/deployment/server.go
@@ -69,10 +69,10 @@
 	s.d.Note("server %s: has answered request %s with 200", s.ID, id)
 }
 
-// heartbeats reports the server to control about every 300 ms.
+// heartbeats reports the server to control about every heartbeatMs, 1.2 s.
 func (s *Server) heartbeats() {
 	for {
-		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,"sequence":%d}`, s.Service, s.address, s.sequence.Add(1))
+		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":6,"state":"ready","coldRemainingMs":0,"sequence":%d}`, s.Service, s.address, s.sequence.Add(1))
 		for _, p := range s.d.Controls {
 			if status, _, err := Call(http.MethodPost, "http://"+p.API+"/-/instances/"+s.ID+"/heartbeat", body); err == nil && status == http.StatusOK {
 				break
@@ -81,7 +81,7 @@
 		select {
 		case <-s.stop:
 			return
-		case <-time.After(300 * time.Millisecond):
+		case <-time.After(1200 * time.Millisecond):
 		}
 	}
 }
