--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -77,6 +77,10 @@
 	firstSeenAt  []time.Duration
 	leaderOfTerm map[uint64]string
 	proposed     int
+	// sent counts the packets of all replicas.
+	sent int
+	// entriesLost is set if a disk has lost entries.
+	entriesLost bool
 }
 
 type fataler interface {
@@ -166,6 +170,7 @@
 	case f > 0.97:
 		copies = 2
 	}
+	c.sent++
 	for range copies {
 		c.inFlight = append(c.inFlight, inFlightPacket{c.now + time.Duration(c.rng.IntN(30))*time.Millisecond, p})
 	}
@@ -279,6 +284,9 @@
 			continue
 		}
 		leaders = append(leaders, id)
+		if lost := r.node.Status(c.clock(r)).LostEntries; len(lost) > 0 && !c.entriesLost {
+			c.t.Fatalf("%s takes %v for replicas that have lost entries", id, lost)
+		}
 		term := r.node.Term()
 		if c.leaderOfTerm[term] == "" {
 			c.leaderOfTerm[term] = id
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -76,6 +76,11 @@
 // progress is a leader's view of another replica.
 type progress struct {
 	next, match uint64
+	// matchSeq is the round at which match was acknowledged: what the replica says about a later
+	// one, it has said after that.
+	matchSeq uint64
+	// lostEntries is set once the replica has lacked entries that it had acknowledged.
+	lostEntries bool
 	stamp       uint64    // its last stamp, for the next Append
 	ackAt       time.Time // when the newest acknowledged round was sent
 	installing  bool
@@ -312,14 +317,23 @@
 	Failed  bool `json:"failed"`
 	// Lost holds the replicas that are considered to have lost their disks.
 	Lost []string `json:"lost,omitempty"`
+	// LostEntries holds the replicas that have lacked entries which they had acknowledged to this
+	// leader.
+	LostEntries []string `json:"lost_entries,omitempty"`
 }
 
 // Status returns the state of the replica.
 func (n *Node) Status(now time.Time) Status {
+	var lostEntries []string
+	for _, id := range sortedPeers(n.peers) {
+		if n.peers[id].lostEntries {
+			lostEntries = append(lostEntries, id)
+		}
+	}
 	return Status{
 		ID: n.cfg.ID, Role: n.role.String(), Term: n.hard.Term, Leader: n.leader, Commit: n.commit, Applied: n.applied,
 		Last: n.log.lastIndex(), First: n.log.snap.Index + 1, Members: n.members, Pending: n.membersIndex > n.commit,
-		Lease: n.IsLeader(now), Failed: n.failed, Lost: slices.Sorted(maps.Keys(n.lost)),
+		Lease: n.IsLeader(now), Failed: n.failed, Lost: slices.Sorted(maps.Keys(n.lost)), LostEntries: lostEntries,
 	}
 }
 
@@ -333,6 +347,13 @@
 	return now.Sub(p.ackAt)
 }
 
+// HasLostEntries reports whether a replica has lacked entries that it had acknowledged to this
+// leader. It may have lost the record of its votes as well.
+func (n *Node) HasLostEntries(id string) bool {
+	p := n.peers[id]
+	return p != nil && p.lostEntries
+}
+
 // Leader returns the ID of the leader as far as the replica knows; empty if it knows none.
 func (n *Node) Leader() string { return n.leader }
 
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -199,16 +199,15 @@
 	}
 	p.stamp = a.Stamp // not the highest: a follower that has restarted begins with another number
 	if !a.OK {
-		if !p.installing {
-			p.next = max(min(a.Hint+1, p.next-1), p.match+1)
-			n.sendAppend(now, a.From)
-		}
+		n.onRefusal(now, p, a)
 		return
 	}
 	if a.Kind == Installed || a.Index > p.match {
 		p.installing = false
 	}
-	p.match = max(p.match, a.Index)
+	if a.Index > p.match {
+		p.match, p.matchSeq = a.Index, n.seq
+	}
 	p.next = max(p.next, p.match+1)
 	n.advanceCommit(now)
 	if n.role == Leader && p.next <= n.log.lastIndex() {
@@ -216,6 +215,23 @@
 	}
 }
 
+// onRefusal processes the response of a replica that lacks the entry before those of an Append.
+func (n *Node) onRefusal(now time.Time, p *progress, a Packet) {
+	if p.installing {
+		return
+	}
+	if a.Hint < p.match && a.Seq > p.matchSeq {
+		// It no longer holds what it had acknowledged, so it doesn't count until it does again.
+		p.match, p.lostEntries = 0, true
+	}
+	next := max(min(a.Hint+1, p.next-1), p.match+1)
+	if next >= p.next {
+		return // an Append would be refused again; the next heartbeat asks later
+	}
+	p.next = next
+	n.sendAppend(now, a.From)
+}
+
 // advanceCommit commits what a majority of the voters has. Entries of older terms are only
 // committed together with one of the current term.
 func (n *Node) advanceCommit(now time.Time) {
--- a/control/discovery.go
+++ b/control/discovery.go
@@ -43,6 +43,8 @@
 	// the time since a member's last message.
 	caught  func(id string) bool
 	silence func(id string) time.Duration
+	// lostEntries reports whether a voter has lacked entries that it had acknowledged.
+	lostEntries func(id string) bool
 }
 
 // step returns the next membership change, or none. A voter is removed only if a learner
@@ -77,14 +79,19 @@
 }
 
 // voterToRemove returns the voter that a learner replaces: the one that has lost its disk
-// at the learner's address, or else the one with the longest silence. It returns an empty
-// string if there is none.
+// at the learner's address, or else one that has lost entries, or the one with the longest
+// silence. It returns an empty string if there is none.
 func (m *membership) voterToRemove(ready string) string {
 	longestSilence, candidate := voterLostAfter, ""
 	for _, id := range m.members.Voters {
 		if baseName(id) == baseName(ready) {
 			return id
 		}
+	}
+	for _, id := range m.members.Voters {
+		if m.lostEntries(id) {
+			return id
+		}
 		if s := m.silence(id); s > longestSilence && !slices.Contains(m.connected, id) {
 			longestSilence, candidate = s, id
 		}
@@ -100,7 +107,8 @@
 	}
 	m := membership{
 		members: c.node.Status(now).Members, voters: c.cfg.Discovery.Voters, caught: c.node.CaughtUp,
-		silence: func(id string) time.Duration { return c.node.TimeSinceAck(now, id) },
+		silence:     func(id string) time.Duration { return c.node.TimeSinceAck(now, id) },
+		lostEntries: c.node.HasLostEntries,
 	}
 	m.connected = c.joinable()
 	step := m.step()
--- a/control/membership_test.go
+++ b/control/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -45,3 +46,28 @@
 		})
 	}
 }
+
+// TestDiscoveredStep checks which voter is removed where replicas find each other through seeds.
+func TestDiscoveredStep(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		members     consensus.Members
+		connected   []string
+		lostEntries string
+		step        consensus.Change
+	}{
+		{"a learner that is not needed", consensus.Members{Voters: []string{"a", "b", "c"}, Learners: []string{"d"}}, []string{"a", "b", "c", "d"}, "", consensus.Change{}},
+		{"a voter has lost entries", consensus.Members{Voters: []string{"a", "b", "c"}, Learners: []string{"d"}}, []string{"a", "b", "c", "d"}, "b", consensus.Change{Remove: "b"}},
+		{"a voter has lost entries, and no learner is ready", consensus.Members{Voters: []string{"a", "b", "c"}}, []string{"a", "b", "c"}, "b", consensus.Change{}},
+		{"the lost disk of a voter, before its place is taken", consensus.Members{Voters: []string{"a", "b"}, Learners: []string{"b~1"}}, []string{"a", "b~1"}, "", consensus.Change{Promote: "b~1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := membership{
+				members: c.members, connected: c.connected, voters: 3,
+				caught: func(string) bool { return true }, silence: func(string) time.Duration { return 0 },
+				lostEntries: func(id string) bool { return id == c.lostEntries },
+			}
+			assert.Equal(t, m.step(), c.step)
+		})
+	}
+}
