--- a/control/discovery.go
+++ b/control/discovery.go
@@ -55,6 +55,9 @@
 			return consensus.Change{Add: id}
 		}
 	}
+	if id := m.replacedVoter(); id != "" {
+		return consensus.Change{Remove: id}
+	}
 	ready := ""
 	for _, id := range m.members.Learners {
 		if slices.Contains(m.connected, id) && m.caught(id) {
@@ -78,6 +81,22 @@
 	return consensus.Change{}
 }
 
+// replacedVoter returns a voter in whose place another identity votes; empty if there is none. It
+// would only raise the majority.
+func (m *membership) replacedVoter() string {
+	for _, id := range m.connected {
+		if !slices.Contains(m.members.Voters, id) {
+			continue
+		}
+		for _, old := range m.members.Voters {
+			if old != id && baseName(old) == baseName(id) && !slices.Contains(m.connected, old) {
+				return old
+			}
+		}
+	}
+	return ""
+}
+
 // voterToRemove returns the voter that a learner replaces: the one that has lost its disk
 // at the learner's address, or else one that has lost entries, or the one with the longest
 // silence. It returns an empty string if there is none.
--- a/control/membership_test.go
+++ b/control/membership_test.go
@@ -60,6 +60,7 @@
 		{"a voter has lost entries", consensus.Members{Voters: []string{"a", "b", "c"}, Learners: []string{"d"}}, []string{"a", "b", "c", "d"}, "b", consensus.Change{Remove: "b"}},
 		{"a voter has lost entries, and no learner is ready", consensus.Members{Voters: []string{"a", "b", "c"}}, []string{"a", "b", "c"}, "b", consensus.Change{}},
 		{"the lost disk of a voter, before its place is taken", consensus.Members{Voters: []string{"a", "b"}, Learners: []string{"b~1"}}, []string{"a", "b~1"}, "", consensus.Change{Promote: "b~1"}},
+		{"the lost disk of a voter whose place is taken", consensus.Members{Voters: []string{"a", "b", "b~1"}}, []string{"a", "b~1"}, "", consensus.Change{Remove: "b"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			m := membership{
