--- a/control/control.go
+++ b/control/control.go
@@ -19,6 +19,7 @@
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
 	"github.com/ledgepin/ledgepin/fleet"
+	"github.com/ledgepin/ledgepin/internal/diskfile"
 	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/order"
 	"github.com/ledgepin/ledgepin/quota"
@@ -47,8 +48,8 @@
 	TLS *tls.Config
 	// Log receives the replica's events.
 	Log *slog.Logger
-	// OpenFile opens the log file of the journal; nil for a plain file.
-	OpenFile wal.OpenFile
+	// Files is the file system of Dir; nil for that of the operating system.
+	Files diskfile.FS
 	// Discovery is set if replicas find each other through seeds. Members is empty then,
 	// and Name is the link address.
 	Discovery *Discovery
@@ -174,21 +175,21 @@
 		c.wg.Go(c.bootDiscovered)
 		return c, nil
 	}
-	disk, restored, fresh, err := c.openDisk()
+	disk, opened, err := c.openDisk()
 	if err != nil {
 		c.stopIfNewer(err)
 		cancel()
 		return nil, err
 	}
 	c.disk = disk
-	c.wg.Go(func() { c.boot(restored, fresh) })
+	c.wg.Go(func() { c.boot(opened) })
 	return c, nil
 }
 
 // boot determines the identity of the replica, which may have to wait for other replicas,
 // and then joins the group.
-func (c *Control) boot(restored consensus.Restored, fresh bool) {
-	if err := c.restore(restored, fresh); err != nil {
+func (c *Control) boot(opened wal.OpenResult) {
+	if err := c.restore(opened, false); err != nil {
 		event.JournalFailed.Log(c.log, "error", fault.From(err))
 		return
 	}
@@ -204,46 +205,47 @@
 	c.tickLoop()
 }
 
+// files returns the file system of the data folder.
+func (c *Control) files() diskfile.FS {
+	if c.cfg.Files == nil {
+		return diskfile.OS
+	}
+	return c.cfg.Files
+}
+
 // openDisk opens and reads the journal. It returns nil if everything is kept in memory.
-// fresh reports whether the replica has no earlier state.
-func (c *Control) openDisk() (j *wal.Journal, r consensus.Restored, fresh bool, err error) {
+func (c *Control) openDisk() (*wal.Journal, wal.OpenResult, error) {
 	if c.cfg.Dir == "" {
-		return nil, consensus.Restored{}, true, nil
+		return nil, wal.OpenResult{}, nil
 	}
-	j, o, err := wal.OpenChecked(c.cfg.Dir, c.cfg.OpenFile, fleet.CheckSnapshot)
+	j, o, err := wal.OpenChecked(c.cfg.Dir, c.files(), fleet.CheckSnapshot)
 	if err != nil {
 		if !fault.Is(err, fault.JournalNewer) {
 			event.JournalCorrupt.Log(c.log, "error", fault.From(err))
 		}
-		return nil, consensus.Restored{}, false, err
+		return nil, wal.OpenResult{}, err
 	}
 	if o.TruncatedBytes > 0 {
 		event.JournalTorn.Log(c.log, "bytes", o.TruncatedBytes)
 	}
-	return j, o.Restored, o.New, nil
+	return j, o, nil
 }
 
-// restore builds the replica from its disk. A fresh replica starts with the founding
-// membership if it founds the group; otherwise it joins as a learner under an identity that
-// no replica has used before.
-func (c *Control) restore(r consensus.Restored, fresh bool) error {
-	id, err := c.identity(fresh)
+// restore builds the replica from its disk. suspect reports that an earlier write to the disk
+// has failed.
+func (c *Control) restore(opened wal.OpenResult, suspect bool) error {
+	identity, err := c.readIdentity()
+	if err != nil {
+		return err
+	}
+	found := stored{name: c.cfg.Name, identity: identity, recorded: opened.Recorded, restored: opened.Restored}
+	id, r, err := c.establishIdentity(found, suspect)
 	if err != nil {
 		return err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.id = id
-	var first consensus.Members
-	if fresh && id == c.cfg.Name {
-		first.Voters = c.founders()
-		r = consensus.Bootstrap(sortMembers(first))
-		if c.disk != nil {
-			if err := c.disk.SaveSnapshot(r.Snapshot, r.Hard, nil); err != nil {
-				return err
-			}
-		}
-	}
 	return c.rebuild(r)
 }
 
--- a/control/disk.go
+++ b/control/disk.go
@@ -16,11 +16,11 @@
 // bootDiscovered opens the disk and joins the group. If the disk is full or rejects writes
 // at the start, it is tried again, since the replica can join as soon as the disk works.
 func (c *Control) bootDiscovered() {
-	for c.ctx.Err() == nil {
-		disk, restored, fresh, err := c.openDisk()
+	for failed := false; c.ctx.Err() == nil; failed = true {
+		disk, opened, err := c.openDisk()
 		if err == nil {
 			c.setDisk(disk)
-			err = c.restore(restored, fresh)
+			err = c.restore(opened, failed)
 		}
 		if err == nil {
 			break
@@ -88,13 +88,13 @@
 func (c *Control) reopenDisk(now time.Time) {
 	c.diskRetryAt = now.Add(diskRetryEvery)
 	_ = c.disk.Close()
-	disk, restored, _, err := c.openDisk()
+	disk, opened, err := c.openDisk()
 	if err == nil {
 		c.disk = disk
-		err = c.rewriteDisk(restored)
+		err = c.rewriteRecorded(opened)
 	}
 	if err == nil {
-		err = c.rebuild(restored)
+		err = c.rebuild(opened.Restored)
 	}
 	if err != nil {
 		event.JournalFailed.Log(c.log, "error", fault.From(err))
@@ -103,6 +103,15 @@
 	event.JournalRecovered.Log(c.log, "term", c.node.Term())
 }
 
+// rewriteRecorded rewrites a disk that still holds the record of the votes. A replica that has
+// lost it gets another identity, but only at its next start.
+func (c *Control) rewriteRecorded(opened wal.OpenResult) error {
+	if !opened.Recorded && c.disk != nil {
+		return fault.New(fault.JournalBroken, fault.StepJournal, c.cfg.Dir, "the log is gone, and with it the record of the votes")
+	}
+	return c.rewriteDisk(opened.Restored)
+}
+
 // rewriteDisk writes and syncs again what was read: after a failed sync, the files may show
 // data that the disk does not hold.
 func (c *Control) rewriteDisk(r consensus.Restored) error {
--- a/control/identity.go
+++ b/control/identity.go
@@ -12,38 +12,85 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/consensus"
+	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/internal/diskfile"
 	"github.com/ledgepin/ledgepin/internal/wait"
-	"github.com/ledgepin/ledgepin/spread"
 	"github.com/ledgepin/ledgepin/wire"
 )
 
-// identity returns the identity of this replica in the log.
-//
-// A replica that has lost its disk has lost the record of its votes, so it must not take
-// part under its old identity. A replica that starts with an empty disk founds the group
-// under its plain name only if every other founding member reports that it is empty too.
-// Otherwise it gets a new identity and joins as a learner.
-func (c *Control) identity(fresh bool) (string, error) {
-	path := filepath.Join(c.cfg.Dir, "control.identity")
-	if c.cfg.Dir != "" {
-		data, err := os.ReadFile(path)
-		if err == nil {
-			return string(data), nil
+func (c *Control) identityPath() string { return filepath.Join(c.cfg.Dir, "control.identity") }
+
+// readIdentity returns the stored identity of this replica; empty if there is none.
+func (c *Control) readIdentity() (string, error) {
+	if c.cfg.Dir == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(c.identityPath())
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return "", fault.Wrap(err, fault.JournalFailed, fault.StepJournal, c.identityPath())
+	}
+	return string(data), nil
+}
+
+func (c *Control) writeIdentity(id string) error {
+	if c.cfg.Dir == "" {
+		return nil
+	}
+	err := diskfile.WriteFile(c.files(), c.identityPath(), []byte(id))
+	return fault.Wrap(err, fault.JournalFailed, fault.StepJournal, c.identityPath())
+}
+
+// establishIdentity returns the identity of this replica in the log and what it starts with. A
+// replica with an earlier start behind it keeps both. suspect reports that an earlier write to
+// the disk has failed, so that its files may show more than it holds.
+func (c *Control) establishIdentity(found stored, suspect bool) (string, consensus.Restored, error) {
+	action := found.action()
+	switch {
+	case action == keepIdentity && suspect:
+		if err := c.rewriteDisk(found.restored); err != nil {
+			return "", found.restored, err
 		}
-		if !errors.Is(err, fs.ErrNotExist) {
-			return "", fault.Wrap(err, fault.JournalFailed, fault.StepJournal, path)
+		return found.identity, found.restored, c.writeIdentity(found.identity)
+	case action == keepIdentity:
+		return found.identity, found.restored, nil
+	case action == completeFounding:
+		return c.foundGroup(found.restored.Snapshot.Members)
+	case action == startEmpty && found.mayFound() && c.mayBootstrap():
+		return c.foundGroup(consensus.Members{Voters: c.founders()})
+	}
+	return c.joinGroup(found)
+}
+
+// foundGroup prepares the disk of a founder. The identity is written last: without it, the
+// replica has sent nothing, so founding can be completed after the process has ended.
+func (c *Control) foundGroup(first consensus.Members) (string, consensus.Restored, error) {
+	r := consensus.Bootstrap(sortMembers(first))
+	if c.disk != nil {
+		if err := c.disk.SaveSnapshot(r.Snapshot, r.Hard, nil); err != nil {
+			return "", r, err
 		}
 	}
-	id := c.cfg.Name
-	if fresh && !c.mayBootstrap() {
-		id += "~" + randomSuffix()
+	return c.cfg.Name, r, c.writeIdentity(c.cfg.Name)
+}
+
+// joinGroup prepares the disk of a replica that joins under an identity which no replica has used
+// before. The identity is written first: a log with a record under the old identity would make
+// that one valid again.
+func (c *Control) joinGroup(found stored) (string, consensus.Restored, error) {
+	id := c.cfg.Name + "~" + randomSuffix()
+	if found.identity != "" || found.recorded || found.restored.Snapshot.Index > 0 {
+		event.VotesLost.Log(c.log, "old", found.identity, "id", id)
+	}
+	if err := c.writeIdentity(id); err != nil {
+		return "", found.restored, err
 	}
-	if c.cfg.Dir == "" {
-		return id, nil
+	if c.disk != nil && !found.recorded {
+		if err := c.disk.Append(&found.restored.Hard, nil); err != nil {
+			return "", found.restored, err
+		}
 	}
-	err := spread.WriteSynced(path, []byte(id))
-	return id, fault.Wrap(err, fault.JournalFailed, fault.StepJournal, path)
+	return id, found.restored, nil
 }
 
 // mayBootstrap reports whether a replica with an empty disk founds the group. Where
@@ -55,7 +102,6 @@
 	}
 	return c.bootstrapAgreed()
 }
-
 func randomSuffix() string {
 	var b [4]byte
 	_, _ = rand.Read(b[:])
--- a/control/identity_test.go
+++ b/control/identity_test.go
@@ -41,3 +41,46 @@
 		})
 	}
 }
+
+// TestStartActions checks what a replica does with each state of its data folder.
+func TestStartActions(t *testing.T) {
+	founding := consensus.Bootstrap(consensus.Members{Voters: []string{"a", "b", "c"}})
+	others := consensus.Bootstrap(consensus.Members{Voters: []string{"b", "c", "d"}})
+	voted := founding
+	voted.Hard = consensus.Hard{Term: 1, Vote: "b"}
+	snapshotOnly := consensus.Restored{Snapshot: founding.Snapshot}
+	later := consensus.Restored{Snapshot: consensus.Snapshot{Index: 9, Term: 3, Members: founding.Snapshot.Members}}
+	committed := founding
+	committed.Entries = []consensus.Entry{{Index: 2, Term: 2}}
+	tests := []struct {
+		name     string
+		identity string
+		recorded bool
+		restored consensus.Restored
+		want     startAction
+		mayFound bool
+	}{
+		{"an empty folder", "", false, consensus.Restored{}, startEmpty, true},
+		{"a founder's snapshot", "", false, snapshotOnly, completeFounding, true},
+		{"a founder's snapshot and log", "", true, founding, completeFounding, true},
+		{"a founder", "a", true, founding, keepIdentity, true},
+		{"a voter", "a", true, later, keepIdentity, true},
+		{"an identity to join under", "a~1", false, consensus.Restored{}, startEmpty, false},
+		{"a learner", "a~1", true, consensus.Restored{}, keepIdentity, false},
+		{"a founder of an older build without snapshot", "a", false, consensus.Restored{}, startEmpty, true},
+		{"a founder of an older build without log", "a", false, snapshotOnly, startEmpty, true},
+		{"a vote without identity", "", true, voted, joinWithData, true},
+		{"entries without identity", "", true, committed, joinWithData, true},
+		{"a snapshot without identity", "", false, later, joinWithData, true},
+		{"a snapshot without log", "a", false, later, joinWithData, true},
+		{"a founding snapshot without log", "a~1", false, snapshotOnly, joinWithData, false},
+		{"a founding snapshot of other members", "", true, others, joinWithData, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := stored{name: "a", identity: tt.identity, recorded: tt.recorded, restored: tt.restored}
+			assert.Equal(t, s.action(), tt.want)
+			assert.Equal(t, s.mayFound(), tt.mayFound)
+		})
+	}
+}
--- a/control/state_files.go
+++ b/control/state_files.go
@@ -9,9 +9,9 @@
 
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/internal/diskfile"
 	"github.com/ledgepin/ledgepin/internal/wait"
 	"github.com/ledgepin/ledgepin/registry"
-	"github.com/ledgepin/ledgepin/spread"
 	"github.com/ledgepin/ledgepin/wire"
 )
 
@@ -100,7 +100,7 @@
 		}
 		data, err := wire.Marshal(m)
 		if err == nil {
-			err = spread.WriteSynced(filepath.Join(c.cfg.Dir, f.name), data)
+			err = diskfile.WriteFile(c.files(), filepath.Join(c.cfg.Dir, f.name), data)
 		}
 		if err != nil {
 			f.markUnsaved()
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -276,6 +276,9 @@
 		"The disk refused a write or a sync; the replica gave up its vote.", "Replace the disk or free space on it, then restart.")
 	JournalRecovered = define("LP6012", info, "journal recovered",
 		"The disk accepts writes again; the replica takes part with the state on the disk.", noAction)
+	VotesLost = define("LP6023", warn, "record of votes lost",
+		"The data folder lacks the identity of the replica or the record of its votes, as when a part of its files was lost. The replica joins under the new identity id; old is the one that it had.",
+		"Look at the disk. If no group forms since a majority has lost its votes, see OPERATIONS.md, Replacing a control VM.")
 	NewerDataFormat = define("LP6015", fail, "written by a newer build",
 		"The replica holds data that this build can't read. It has stopped, has given up its vote and has changed nothing; it does not recover by itself.",
 		"Run the newer build on this data. To go back permanently, see OPERATIONS.md, Upgrading.")
--- a/spread/file.go
+++ b/spread/file.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 
 	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/internal/diskfile"
 )
 
 // File stores the newest settings of a process in its data folder: 8 bytes of revision and 4
@@ -49,41 +50,5 @@
 	binary.LittleEndian.PutUint64(data, revision)
 	data = append(data, text...)
 	binary.LittleEndian.PutUint32(data[8:], checksum(data))
-	return fault.Wrap(WriteSynced(f.path, data), fault.JournalFailed, fault.StepSettings, f.path)
-}
-
-// WriteSynced replaces the content of a file so that either the old or the new content
-// survives a crash: it writes and syncs a temporary file, renames it and syncs the folder.
-func WriteSynced(path string, data []byte) error {
-	tmpPath := path + ".new"
-	file, err := os.OpenFile(tmpPath, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
-	if err != nil {
-		return err
-	}
-	_, err = file.Write(data)
-	if err == nil {
-		err = file.Sync()
-	}
-	if cerr := file.Close(); err == nil {
-		err = cerr
-	}
-	if err != nil {
-		return err
-	}
-	if err := os.Rename(tmpPath, path); err != nil {
-		return err
-	}
-	return syncDir(filepath.Dir(path))
-}
-
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	err = d.Sync()
-	if cerr := d.Close(); err == nil {
-		err = cerr
-	}
-	return err
+	return fault.Wrap(diskfile.WriteFile(diskfile.OS, f.path, data), fault.JournalFailed, fault.StepSettings, f.path)
 }
--- a/wal/fence.go
+++ b/wal/fence.go
@@ -6,7 +6,7 @@
 	"github.com/ledgepin/ledgepin/compat"
 	"github.com/ledgepin/ledgepin/consensus"
 	"github.com/ledgepin/ledgepin/fault"
-	"github.com/ledgepin/ledgepin/spread"
+	"github.com/ledgepin/ledgepin/internal/diskfile"
 )
 
 // Version returns the fleet version under which the folder was written.
@@ -37,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	if err := spread.WriteSynced(j.snapshotPath(), data); err != nil {
+	if err := diskfile.WriteFile(j.fs, j.snapshotPath(), data); err != nil {
 		return err
 	}
 	j.version = version
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -3,36 +3,20 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
 
 	"github.com/ledgepin/ledgepin/consensus"
 	"github.com/ledgepin/ledgepin/fault"
-	"github.com/ledgepin/ledgepin/spread"
+	"github.com/ledgepin/ledgepin/internal/diskfile"
 )
 
-// File is an open log file. Tests replace it to inject disk failures.
-type File interface {
-	io.Writer
-	Sync() error
-	Truncate(size int64) error
-	Close() error
-}
-
-// OpenFile opens the log file for appending.
-type OpenFile func(path string) (File, error)
-
-func openFile(path string) (File, error) {
-	return os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
-}
-
 // Journal stores the state of one replica in a folder.
 type Journal struct {
 	dir  string
-	open OpenFile
-	file File
+	fs   diskfile.FS
+	file diskfile.File
 	size int64
 	// version is the fleet version of the snapshot file.
 	version int
@@ -46,70 +30,74 @@
 	Restored consensus.Restored
 	// TruncatedBytes is the length of the torn tail that was removed.
 	TruncatedBytes int64
-	// New is set if the folder contained no journal.
-	New bool
+	// Recorded is set if the log holds a record. A replica appends one before it first votes, so
+	// it has lost the record of its votes if there is none.
+	Recorded bool
 }
 
 // Open reads the journal in a folder, which must exist.
 func Open(dir string) (*Journal, OpenResult, error) { return OpenWith(dir, nil) }
 
-// OpenWith is like Open, with another function to open the log file.
-func OpenWith(dir string, open OpenFile) (*Journal, OpenResult, error) {
-	return OpenChecked(dir, open, func([]byte) error { return nil })
+// OpenWith is like Open, with another file system.
+func OpenWith(dir string, files diskfile.FS) (*Journal, OpenResult, error) {
+	return OpenChecked(dir, files, func([]byte) error { return nil })
 }
 
 // OpenChecked is like OpenWith, for callers that can check whether the data of the snapshot is
 // readable. If readable returns an error, OpenChecked fails and leaves the folder unchanged.
-func OpenChecked(dir string, open OpenFile, readable func(data []byte) error) (*Journal, OpenResult, error) {
-	if open == nil {
-		open = openFile
+func OpenChecked(dir string, files diskfile.FS, readable func(data []byte) error) (*Journal, OpenResult, error) {
+	if files == nil {
+		files = diskfile.OS
 	}
-	j := &Journal{dir: dir, open: open}
+	j := &Journal{dir: dir, fs: files}
 	snap, err := j.readSnapshot(readable)
 	if err != nil {
 		return nil, OpenResult{}, err
 	}
 	out := OpenResult{Restored: consensus.Restored{Snapshot: snap}}
 	data, err := os.ReadFile(j.logPath())
-	if errors.Is(err, fs.ErrNotExist) {
-		out.New = snap.Index == 0
-	} else if err != nil {
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return nil, OpenResult{}, fault.Wrap(err, fault.JournalFailed, fault.StepJournal, j.logPath())
 	}
 	intact, err := Replay(data, &out.Restored)
 	if err != nil {
 		return nil, OpenResult{}, j.readError(err, j.logPath())
 	}
+	out.Recorded = intact > 0
 	out.TruncatedBytes = int64(len(data) - intact)
-	if err := j.openLog(int64(intact), out.TruncatedBytes > 0); err != nil {
+	if err := j.openLog(int64(intact)); err != nil {
 		return nil, OpenResult{}, err
 	}
+	if out.TruncatedBytes > 0 {
+		if err := j.truncateTorn(); err != nil {
+			_ = j.file.Close()
+			return nil, OpenResult{}, fault.Wrap(err, fault.JournalFailed, fault.StepJournal, j.logPath())
+		}
+	}
 	return j, out, nil
 }
 
 func (j *Journal) logPath() string      { return filepath.Join(j.dir, "control.log") }
 func (j *Journal) snapshotPath() string { return filepath.Join(j.dir, "control.snapshot") }
 
-// openLog opens the log for appending and truncates a torn tail.
-func (j *Journal) openLog(size int64, truncate bool) error {
-	file, err := j.open(j.logPath())
+// openLog opens the log for appending.
+func (j *Journal) openLog(size int64) error {
+	file, err := j.fs.OpenAppend(j.logPath())
 	if err != nil {
 		return fault.Wrap(err, fault.JournalFailed, fault.StepJournal, j.logPath())
 	}
-	if truncate {
-		err = file.Truncate(size)
-		if err == nil {
-			err = file.Sync()
-		}
-	}
-	if err != nil {
-		_ = file.Close()
-		return fault.Wrap(err, fault.JournalFailed, fault.StepJournal, j.logPath())
-	}
 	j.file, j.size = file, size
 	return nil
 }
 
+// truncateTorn truncates a torn tail of the log.
+func (j *Journal) truncateTorn() error {
+	if err := j.file.Truncate(j.size); err != nil {
+		return err
+	}
+	return j.file.Sync()
+}
+
 // readError returns the error for a file that can't be decoded.
 func (j *Journal) readError(err error, path string) error {
 	if isNewerBuild(err) {
@@ -185,16 +173,16 @@
 	}
 	// The snapshot is written first: a log without its snapshot would be useless, and a
 	// snapshot with an older log is complete.
-	if err := spread.WriteSynced(j.snapshotPath(), snap); err != nil {
+	if err := diskfile.WriteFile(j.fs, j.snapshotPath(), snap); err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
 	if err := j.file.Close(); err != nil {
 		return err
 	}
-	if err := spread.WriteSynced(j.logPath(), logData); err != nil {
+	if err := diskfile.WriteFile(j.fs, j.logPath(), logData); err != nil {
 		return fmt.Errorf("log: %w", err)
 	}
-	return j.openLog(int64(len(logData)), false)
+	return j.openLog(int64(len(logData)))
 }
 
 // Size returns the length of the log in bytes.
