--- a/wal/wal.go
+++ b/wal/wal.go
@@ -45,6 +45,9 @@
 
 // OpenChecked is like OpenWith, for callers that can check whether the data of the snapshot is
 // readable. If readable returns an error, OpenChecked fails and leaves the folder unchanged.
+//
+// What it has read is durable when it returns: an earlier process may have ended between a write
+// and its sync.
 func OpenChecked(dir string, files diskfile.FS, readable func(data []byte) error) (*Journal, OpenResult, error) {
 	if files == nil {
 		files = diskfile.OS
@@ -68,11 +71,9 @@
 	if err := j.openLog(int64(intact)); err != nil {
 		return nil, OpenResult{}, err
 	}
-	if out.TruncatedBytes > 0 {
-		if err := j.truncateTorn(); err != nil {
-			_ = j.file.Close()
-			return nil, OpenResult{}, fault.Wrap(err, fault.JournalFailed, fault.StepJournal, j.logPath())
-		}
+	if err := j.syncRead(out.TruncatedBytes > 0); err != nil {
+		_ = j.file.Close()
+		return nil, OpenResult{}, fault.Wrap(err, fault.JournalFailed, fault.StepJournal, j.logPath())
 	}
 	return j, out, nil
 }
@@ -90,12 +91,18 @@
 	return nil
 }
 
-// truncateTorn truncates a torn tail of the log.
-func (j *Journal) truncateTorn() error {
-	if err := j.file.Truncate(j.size); err != nil {
+// syncRead makes the files that were read durable, after it has truncated a torn tail of the log.
+// Snapshots are synced before they get their name.
+func (j *Journal) syncRead(truncate bool) error {
+	if truncate {
+		if err := j.file.Truncate(j.size); err != nil {
+			return err
+		}
+	}
+	if err := j.file.Sync(); err != nil {
 		return err
 	}
-	return j.file.Sync()
+	return j.fs.SyncDir(j.dir)
 }
 
 // readError returns the error for a file that can't be decoded.
