--- a/backend/conn.go
+++ b/backend/conn.go
@@ -52,6 +52,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// head counts the bytes of a head while one is read; nil otherwise.
+	head *headLimit
 	// idleUntil is the time from which the connection must not be used again.
 	idleUntil time.Time
 	// answeredAt is when its last answer was complete; zero if another exchange with the server
@@ -142,7 +144,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	c := &conn{Conn: raw}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
+	return c, nil
 }
 
 // isQuiet reports whether nothing has arrived on an idle connection: neither its
--- a/engine/client.go
+++ b/engine/client.go
@@ -13,12 +13,16 @@
 	"strings"
 
 	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/internal/boundedhttp"
 )
 
 // Bounds on what an engine may send.
 const (
 	maxBodyBytes = 4 << 20
 	maxLineBytes = 1 << 20
+	// maxQuietBytes bounds what is no chunk between two chunks of a stream, such as comments that
+	// keep the connection alive.
+	maxQuietBytes = 64 << 10
 )
 
 // Client is an Engine over HTTP.
@@ -31,10 +35,7 @@
 
 // NewClient returns a client of the engine at addr, an IP address and port.
 func NewClient(addr string) *Client {
-	// Answers don't name their request: on a kept connection, a late second answer to one
-	// request would be read as the answer to the next.
-	t := &http.Transport{DisableKeepAlives: true}
-	return &Client{addr: addr, http: &http.Client{Transport: t}}
+	return &Client{addr: addr, http: &http.Client{Transport: boundedhttp.NewTransport()}}
 }
 
 // kvTransfer is the KV-transfer object of a request.
@@ -175,14 +176,19 @@
 	if s.end {
 		return Chunk{}, io.EOF
 	}
-	for s.scan.Scan() {
+	quiet := 0
+	for quiet <= maxQuietBytes && s.scan.Scan() {
 		data, ok := strings.CutPrefix(s.scan.Text(), "data: ")
 		if !ok {
+			quiet += len(s.scan.Bytes()) + 1
 			continue
 		}
 		return s.chunk(data)
 	}
 	err := s.scan.Err()
+	if quiet > maxQuietBytes {
+		err = fmt.Errorf("no chunk in %d bytes of the stream", quiet)
+	}
 	if err == nil {
 		err = errors.New("the stream ended before the answer was complete")
 	}
--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -1,6 +1,9 @@
 package eventstream
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // MaxBlockBytes is the maximum size of a block, and of the data that a Reader buffers. An
 // event of some tokens has a few hundred bytes; the limit only keeps a stream without
@@ -8,6 +11,9 @@
 // gateway buffers.
 const MaxBlockBytes = 4 << 20
 
+// ErrTooLong matches every TooLongError.
+var ErrTooLong = errors.New("eventstream: block too long")
+
 // TooLongError reports that a block exceeded Limit bytes without an end. No part of it
 // was returned, and the stream can't be read further.
 type TooLongError struct {
@@ -20,6 +26,9 @@
 	return fmt.Sprintf("eventstream: block exceeds %d bytes", e.Limit)
 }
 
+// Is reports whether target is ErrTooLong.
+func (e *TooLongError) Is(target error) bool { return target == ErrTooLong }
+
 // Reader splits the bytes of one stream into blocks. The zero value is ready for the
 // start of a stream. It is not safe for concurrent use.
 type Reader struct {
--- a/gateway/buffer.go
+++ b/gateway/buffer.go
@@ -76,6 +76,9 @@
 		return errAnswerTooLong
 	}
 	if err := reserveMemory(ctx, memory, size); err != nil {
+		if errors.Is(err, membudget.ErrTooLarge) && a.Length < 0 {
+			return errAnswerTooLong // it may have no end
+		}
 		return err
 	}
 	chunk := make([]byte, size)
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -54,6 +54,11 @@
 
 // exchange sends a call to an engine on behalf of a request, and reads the complete answer.
 func (g *Gateway) exchange(ctx context.Context, q *request, s *dispatch.Server, r backend.Request) (result, []byte) {
+	return g.exchangeUpTo(ctx, q, s, r, backend.MaxCallBytes)
+}
+
+// exchangeUpTo is like exchange, for a call whose answer may have a number of bytes.
+func (g *Gateway) exchangeUpTo(ctx context.Context, q *request, s *dispatch.Server, r backend.Request, limit int64) (result, []byte) {
 	a, err := g.pool.Do(ctx, &g.cfg.Protocol.Headers, r)
 	if err != nil {
 		var be *backend.Error
@@ -65,7 +70,7 @@
 	if res, ok := g.rejected(q, s, a); ok {
 		return res, nil
 	}
-	body, err := a.ReadAll(maxAnswer)
+	body, err := a.ReadAll(limit)
 	if err != nil {
 		return result{kind: broken, err: err}, nil
 	}
@@ -137,7 +142,7 @@
 		ctx, cancel := context.WithTimeout(g.ctx, freeTimeout)
 		defer cancel()
 		if a, err := g.pool.Do(ctx, &g.cfg.Protocol.Headers, r); err == nil {
-			_, _ = a.ReadAll(maxAnswer)
+			_, _ = a.ReadAll(backend.MaxCallBytes)
 		}
 	})
 }
--- a/gateway/check_server.go
+++ b/gateway/check_server.go
@@ -93,6 +93,8 @@
 		return errRestarted
 	case res.kind == notSent && !backend.WithheldByGateway(res.err):
 		return res.err
+	case errors.Is(res.err, backend.ErrTooLong):
+		return nil // a server that sends bytes without end is running
 	case res.kind == broken && backend.WasSent(res.err) && ctx.Err() == nil && !errors.Is(res.err, os.ErrDeadlineExceeded):
 		return res.err // a server that is slow or starts to answer is running
 	case res.kind != answered || s.Role == "" || p.ParseReport == nil:
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -188,7 +188,7 @@
 	if a.Header.Get(h.NotRun) == "" {
 		return result{}, false
 	}
-	_, _ = a.ReadAll(maxAnswer)
+	_, _ = a.ReadAll(backend.MaxCallBytes)
 	return result{kind: notRun, status: a.Status, header: a.Header}, true
 }
 
--- a/gateway/lost.go
+++ b/gateway/lost.go
@@ -8,18 +8,24 @@
 	"syscall"
 	"time"
 
+	"github.com/ledgepin/ledgepin/backend"
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/event"
+	"github.com/ledgepin/ledgepin/eventstream"
 	"github.com/ledgepin/ledgepin/metric"
 )
 
 // cutOffCauses are the errors of an answer that its server, or the network, cut off. The pool closes
 // the connections to an incarnation that has been replaced, which gives net.ErrClosed.
-var cutOffCauses = []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, net.ErrClosed, errPartialEvent}
+var cutOffCauses = []error{
+	io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, net.ErrClosed, errPartialEvent,
+	errEndless, backend.ErrTooLong, eventstream.ErrTooLong,
+}
 
 // wasCutOff reports whether the error of a request that its server had received means that the answer
-// was cut off: by a reset, a close, or the end of the server's process. A timeout, or a caller that
-// doesn't read, shows nothing of that kind, and neither does a run that the gateway has stopped.
+// was cut off: by a reset, a close, or the end of the server's process, or by the gateway because the
+// server sends bytes without end. A timeout, or a caller that doesn't read, shows nothing of that
+// kind, and neither does a run that the gateway has stopped.
 func wasCutOff(err error) bool {
 	if errors.Is(err, errCallerWrite) || errors.Is(err, os.ErrDeadlineExceeded) {
 		return false
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -175,7 +175,7 @@
 	if err != nil {
 		return copyAnswer{err: err}
 	}
-	body, err := a.ReadAll(maxAnswer)
+	body, err := a.ReadAll(backend.MaxCallBytes)
 	if err != nil {
 		return copyAnswer{status: a.Status, err: err}
 	}
--- a/gateway/prompt_cache.go
+++ b/gateway/prompt_cache.go
@@ -87,11 +87,14 @@
 	return out
 }
 
+// maxCachedPartsBytes bounds the list of the prompt parts that an engine has cached.
+const maxCachedPartsBytes = 256 << 10
+
 // listCachedAt queries one engine for the number of tokens that it has cached of each prompt part.
 // If it returns an error, it also returns the parts that could be parsed.
 func (g *Gateway) listCachedAt(ctx context.Context, q *request, s *dispatch.Server) (map[string]int, error) {
 	p := &g.cfg.Protocol
-	res, body := g.exchange(ctx, q, s, g.callTo(q, s, p.ListCachedParts()))
+	res, body := g.exchangeUpTo(ctx, q, s, g.callTo(q, s, p.ListCachedParts()), maxCachedPartsBytes)
 	if res.err != nil {
 		return nil, fmt.Errorf("gateway: list of cached prompts: %w", res.err)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -38,6 +38,10 @@
 	// order.
 	from            *dispatch.Server
 	outOfOrderNoted bool
+	// quietBytes is the length of what came since the last event, droppedBytes that of the events
+	// since the last one that was passed on, and plainBytes that of an answer that is no stream of
+	// events.
+	quietBytes, droppedBytes, plainBytes int
 	// fromEvents is the number of events that this engine has sent, including repeated ones.
 	fromEvents int
 	// firstAt is when the first part arrived, lastAt the newest, and gap is the longest pause
@@ -69,6 +73,11 @@
 	streamBuffer = 8 << 10
 	// callerTimeout is how long a caller may take to read a part of a stream.
 	callerTimeout = 5 * time.Second
+	// maxQuietBytes bounds what is no event between two events, such as comments that keep the
+	// connection alive. A server that sends more sends no answer.
+	maxQuietBytes = 64 << 10
+	// maxDroppedBytes bounds the events that an engine repeats after it has taken over a stream.
+	maxDroppedBytes = 4 << 20
 )
 
 // Errors of incomplete streams.
@@ -77,6 +86,7 @@
 	errPartialEvent  = errors.New("gateway: the stream ended within an event")
 	errRunStopped    = errors.New("gateway: the run may have been stopped, so its stream is incomplete")
 	errNoEvents      = errors.New("gateway: the continued run sent no events, so some may be missing")
+	errEndless       = errors.New("gateway: the server sends more than an answer may have")
 	errCallerWrite   = errors.New("gateway: the caller does not read the stream")
 )
 
@@ -129,6 +139,7 @@
 // startFrom prepares the writer for the stream of another engine.
 func (s *streamWriter) startFrom(a *backend.Answer, from *dispatch.Server) {
 	s.from, s.outOfOrderNoted, s.fromEvents = from, false, 0
+	s.quietBytes, s.droppedBytes = 0, 0
 	s.reader.Reset()
 	s.order.SwitchRun()
 	if s.started {
@@ -161,6 +172,9 @@
 // processPart relays the blocks that a part of the stream completes.
 func (s *streamWriter) processPart(part []byte) error {
 	if s.plain {
+		if s.plainBytes += len(part); s.plainBytes > maxAnswer {
+			return fmt.Errorf("%w: a body of more than %d bytes", errEndless, maxAnswer)
+		}
 		return s.write(part)
 	}
 	s.out = s.out[:0]
@@ -182,6 +196,12 @@
 			return nil
 		}
 		s.sawBlock = true
+		if s.quietBytes += len(block.Raw); block.Kind == eventstream.Event {
+			s.quietBytes = 0
+		}
+		if s.quietBytes > maxQuietBytes {
+			return fmt.Errorf("%w: %d bytes without an event", errEndless, s.quietBytes)
+		}
 		if err := s.processBlock(block, block.Raw); err != nil {
 			return err
 		}
@@ -202,11 +222,15 @@
 		if verdict.Decision == eventstream.Missing {
 			return fmt.Errorf("%w: %v", errEventsMissing, verdict)
 		}
+		if s.droppedBytes += len(raw); s.droppedBytes > maxDroppedBytes {
+			return fmt.Errorf("%w: %d bytes of repeated events", errEndless, s.droppedBytes)
+		}
 		return nil
 	}
 	s.out = append(s.out, raw...)
 	if block.Kind == eventstream.Event {
 		s.events++
+		s.droppedBytes = 0
 	}
 	return nil
 }
--- a/service/service.go
+++ b/service/service.go
@@ -11,6 +11,7 @@
 	"net/http"
 
 	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/internal/boundedhttp"
 )
 
 // MaxBodyBytes is the maximum size of a service's answer in bytes.
@@ -37,9 +38,8 @@
 
 // NewClient returns a client of the service at addr, an IP address and port.
 func NewClient(addr string) *Client {
-	// Each call has its own connection: on a kept one, a late second answer would be read as
-	// the answer to the next call, and a call on a stale connection could be sent again.
-	t := &http.Transport{DisableKeepAlives: true}
+	// A call on a kept connection that is stale could be sent again as well.
+	t := boundedhttp.NewTransport()
 	// Redirects are returned to the caller: following one would turn one call into two.
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{addr: addr, http: &http.Client{Transport: t, CheckRedirect: noRedirect}}
--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -12,6 +12,7 @@
 	"net/http"
 
 	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/internal/boundedhttp"
 )
 
 // State is the state that the platform reports for a VM.
@@ -46,9 +47,7 @@
 
 // NewClient returns a client of the platform at addr, an IP address and port.
 func NewClient(addr string) *Client {
-	// A list doesn't name its request: on a kept connection, a late second list would be
-	// read as the next one.
-	return &Client{addr: addr, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &Client{addr: addr, http: &http.Client{Transport: boundedhttp.NewTransport()}}
 }
 
 // List returns the platform's current list of VMs.
--- a/wire/link.go
+++ b/wire/link.go
@@ -15,6 +15,7 @@
 
 	"github.com/ledgepin/ledgepin/compat"
 	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/internal/boundedhttp"
 	"github.com/ledgepin/ledgepin/internal/sock"
 )
 
@@ -84,7 +85,7 @@
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	scheme := "ws"
-	client := &http.Client{Transport: &http.Transport{TLSClientConfig: o.TLS, DialContext: dial}}
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: o.TLS, DialContext: dial, MaxResponseHeaderBytes: boundedhttp.MaxHeadBytes}}
 	if o.TLS != nil {
 		scheme = "wss"
 	}
