--- a/soak/check.go
+++ b/soak/check.go
@@ -66,6 +66,7 @@
 	{"not run is true", checkNotRun},
 	{"nothing held for a caller gone", checkDisconnected},
 	{"what is held for callers is bounded", checkHeldBytes},
+	{"what servers send fills no gateway", checkResident},
 	{"no cold server gets more than it bears", checkCold},
 	{"no new work for a leaving server", checkDrain},
 	{"no new work for an evacuated zone", checkEvacuations},
--- a/soak/disturber.go
+++ b/soak/disturber.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/ledgepin/ledgepin/standin"
 )
 
 // disturber wraps the handler of an engine and disturbs its calls and streams while it is active.
@@ -16,6 +18,8 @@
 	mu     sync.Mutex
 	rng    *rand.Rand
 	active map[Kind]int
+	// endless draws which endless bytes the server answers a request with; nil for none.
+	endless func() standin.Endless
 	// version is the software version of the engine.
 	version string
 	// countDisturbance is called with each disturbance.
@@ -53,6 +57,11 @@
 
 // wrap returns a handler that disturbs requests to next.
 func (d *disturber) wrap(next http.Handler) http.Handler {
+	return standin.WithEndless(headers, d.drawEndless)(d.disturb(next))
+}
+
+// disturb returns a handler that disturbs calls and streams to next.
+func (d *disturber) disturb(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch path := r.URL.Path; {
 		case strings.HasPrefix(path, "/-/kv-move"), strings.HasPrefix(path, "/-/hold-"), r.Method == http.MethodDelete:
--- a/soak/events.go
+++ b/soak/events.go
@@ -76,6 +76,9 @@
 			return true
 		}
 		e.delivered += len(block) + len("\n\n")
+		if isComment(block) {
+			continue
+		}
 		if !e.onEvent(parseEvent(string(block), e.now())) {
 			e.body = e.body[:e.delivered]
 			return false
--- a/soak/fault_injector.go
+++ b/soak/fault_injector.go
@@ -79,6 +79,8 @@
 		f.load.rateFactor.Add(-2)
 	case FlapEngines:
 		f.flapEngines(ctx, step)
+	case EndlessAnswers:
+		f.answerEndlessly(ctx, step)
 	case RollEngines:
 		f.rollEngines(ctx, step)
 	case UrgencyBurst:
--- a/soak/history.go
+++ b/soak/history.go
@@ -197,6 +197,8 @@
 	// MostHeld is the maximum number of bytes that each gateway held for callers, LeftHeld the
 	// number of bytes that it still held after the end.
 	MostHeld, LeftHeld map[string]int64
+	// MostResident is the largest memory of each gateway's process in bytes.
+	MostResident map[string]int64
 	// Troubles counts the injected disturbances at servers by name, such as refused calls, broken
 	// streams and repeated answers.
 	Troubles map[string]int
--- a/soak/load.go
+++ b/soak/load.go
@@ -150,6 +150,9 @@
 	defer resp.Body.Close()
 	r := &firstByteReader{Reader: resp.Body, now: l.rec.now}
 	body, err := readAll(r)
+	if q.Kind.isStream() {
+		body = dropComments(body)
+	}
 	l.rec.update(func(*History) { q.FirstByte, q.RetryAfter = r.first, resp.Header.Get("Retry-After") })
 	return resp.StatusCode, body, err
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -47,6 +47,7 @@
 	ReportLeaving    Kind = "say leaving"
 	UrgencyBurst     Kind = "burst of urgencies"
 	FlapEngines      Kind = "flap engines"
+	EndlessAnswers   Kind = "endless answers"
 	RollEngines      Kind = "replace engines by the next version"
 )
 
@@ -157,6 +158,7 @@
 	out = append(out, urgencySteps(seed, length)...)
 	out = append(out, flapSteps(seed, length, shape)...)
 	out = append(out, rollSteps(seed, length)...)
+	out = append(out, endlessSteps(seed, length, shape)...)
 	slices.SortStableFunc(out, func(a, b Step) int { return int(a.At - b.At) })
 	return out
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -37,7 +37,7 @@
 func Run(ctx context.Context, o Options) (*History, error) {
 	plan, order, path := o.plan()
 	rec := &recorder{start: time.Now()}
-	rec.h = History{Seed: o.Seed, Length: o.Length, Shape: o.Shape, Plan: plan, Order: order, Path: path, MostHeld: map[string]int64{}, LeftHeld: map[string]int64{}}
+	rec.h = History{Seed: o.Seed, Length: o.Length, Shape: o.Shape, Plan: plan, Order: order, Path: path, MostHeld: map[string]int64{}, LeftHeld: map[string]int64{}, MostResident: map[string]int64{}}
 	cl, err := newCluster(o, rec)
 	if err != nil {
 		return nil, err
--- a/soak/summary.go
+++ b/soak/summary.go
@@ -22,6 +22,8 @@
 	Reconnects, Migrations int
 	// MaxHeldBytes is the maximum number of bytes that a gateway held for callers.
 	MaxHeldBytes int64
+	// MaxResidentBytes is the largest memory of a gateway's process.
+	MaxResidentBytes int64
 	// Pairs counts the pairs of requests of different urgency, UrgentInTime and BackgroundInTime
 	// their requests that were answered in time.
 	Pairs, UrgentInTime, BackgroundInTime int
@@ -40,6 +42,9 @@
 			s.Migrations++
 		}
 	}
+	for _, peak := range h.MostResident {
+		s.MaxResidentBytes = max(s.MaxResidentBytes, peak)
+	}
 	for _, held := range h.MostHeld {
 		s.MaxHeldBytes = max(s.MaxHeldBytes, held)
 	}
@@ -96,13 +101,14 @@
 		s.Troubles[what] += n
 	}
 	s.MaxHeldBytes = max(s.MaxHeldBytes, o.MaxHeldBytes)
+	s.MaxResidentBytes = max(s.MaxResidentBytes, o.MaxResidentBytes)
 	s.Processes = max(s.Processes, o.Processes)
 }
 
 // String returns the counts as text.
 func (s Summary) String() string {
-	return fmt.Sprintf("%s, %d processes, %d steps, %d requests (%d served, %d refused, %d failed, %d left, %d came back), %d arrivals, %d of them moves, %d tables, %d reads, %d probes, %d drains, of %d pairs %d urgent and %d background in time, %.1f MB held, %v",
-		s.Length, s.Processes, s.Steps, s.Requests, s.Served, s.Refused, s.Failed, s.Disconnected, s.Reconnects, s.Arrived, s.Migrations, s.Tables, s.Reads, s.Probes, s.Drains, s.Pairs, s.UrgentInTime, s.BackgroundInTime, float64(s.MaxHeldBytes)/1e6, s.Troubles)
+	return fmt.Sprintf("%s, %d processes, %d steps, %d requests (%d served, %d refused, %d failed, %d left, %d came back), %d arrivals, %d of them moves, %d tables, %d reads, %d probes, %d drains, of %d pairs %d urgent and %d background in time, %.1f MB held, %.0f MB of memory, %v",
+		s.Length, s.Processes, s.Steps, s.Requests, s.Served, s.Refused, s.Failed, s.Disconnected, s.Reconnects, s.Arrived, s.Migrations, s.Tables, s.Reads, s.Probes, s.Drains, s.Pairs, s.UrgentInTime, s.BackgroundInTime, float64(s.MaxHeldBytes)/1e6, float64(s.MaxResidentBytes)/1e6, s.Troubles)
 }
 
 // SaveRun saves the logs of a run, its history and the violations in a folder.
--- a/soak/watch.go
+++ b/soak/watch.go
@@ -26,6 +26,7 @@
 	for n := range cl.callerAddresses {
 		wg.Go(func() { cl.watchTable(ctx, n) })
 		wg.Go(func() { cl.watchHeld(ctx, n) })
+		wg.Go(func() { cl.watchResident(ctx, n) })
 	}
 	wg.Go(func() { cl.watchLeader(ctx) })
 	wg.Wait()
