--- a/caller/answer.go
+++ b/caller/answer.go
@@ -161,11 +161,11 @@
 	started := false
 	for {
 		chunk, err := a.flow.Next(ctx)
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && started {
 			return nil
 		}
 		if err != nil && !started {
-			return err
+			return err // also at an end without a token: nothing written would be an empty success
 		}
 		if err != nil {
 			return a.writeError(err)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -78,7 +78,7 @@
 		g.noteSend(ctx, q, &s, last, g.clock.Since(started))
 		if ctx.Err() == context.Canceled {
 			event.CallerDisconnected.Log(g.log, "id", q.id)
-			return
+			abortAnswer(w, q.chunked) // it may have closed its sending side only, and still read
 		}
 		if last.kind == answered && last.status < http.StatusInternalServerError {
 			break
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -265,7 +265,7 @@
 	g, q := n.g, n.q
 	if errors.Is(ctx.Err(), context.Canceled) {
 		event.CallerDisconnected.Log(g.log, "id", q.id)
-		panic(http.ErrAbortHandler)
+		abortAnswer(w, q.chunked)
 	}
 	if n.stream.started {
 		if last.kind != answered {
