--- a/consensus/node.go
+++ b/consensus/node.go
@@ -296,6 +296,14 @@
 // Entries returns the log after the snapshot, for rewriting the journal.
 func (n *Node) Entries() []Entry { return n.log.from(n.log.snap.Index + 1) }
 
+// LogBytes returns the size of the commands after the snapshot, and that of the snapshot's data.
+func (n *Node) LogBytes() (commands, snapshot int) {
+	for i := range n.log.entries {
+		commands += len(n.log.entries[i].Data)
+	}
+	return commands, len(n.log.snap.Data)
+}
+
 // Hard returns the hard state.
 func (n *Node) Hard() Hard { return n.hard }
 
--- a/control/apply.go
+++ b/control/apply.go
@@ -101,9 +101,11 @@
 	return true
 }
 
-// compact takes a snapshot and cuts the log once the log has reached SnapshotEvery entries.
+// compact takes a snapshot and cuts the log once the log has reached SnapshotEvery entries or
+// SnapshotBytes bytes.
 func (c *Control) compact(index uint64) {
-	if len(c.node.Entries()) < c.cfg.SnapshotEvery {
+	commands, snapshot := c.node.LogBytes()
+	if len(c.node.Entries()) < c.cfg.SnapshotEvery && commands < max(c.cfg.SnapshotBytes, snapshot) {
 		return
 	}
 	data, err := c.state.Snapshot()
--- a/control/control.go
+++ b/control/control.go
@@ -79,6 +79,9 @@
 	Versions compat.Range
 	// SnapshotEvery is the number of entries after which the log is cut.
 	SnapshotEvery int
+	// SnapshotBytes is the size of the entries after which the log is cut as well, or the size of
+	// the last snapshot if that is larger.
+	SnapshotBytes int
 }
 
 // Intervals and timeouts of the replicated log.
@@ -93,6 +96,8 @@
 
 	// DefaultSnapshotEvery is the default number of entries between snapshots.
 	DefaultSnapshotEvery = 1000
+	// DefaultSnapshotBytes is the default size of the entries between snapshots.
+	DefaultSnapshotBytes = 8 << 20
 )
 
 // Control is a control replica.
@@ -162,6 +167,9 @@
 	if cfg.SnapshotEvery == 0 {
 		cfg.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if cfg.SnapshotBytes == 0 {
+		cfg.SnapshotBytes = DefaultSnapshotBytes
+	}
 	c := &Control{
 		cfg: cfg, clock: cfg.Clock, log: cfg.Log.With("role", "control", "name", cfg.Name), epoch: clock.WallTime().UnixNano(),
 		ctx: ctx, cancel: cancel, state: fleet.New(), waiters: map[string][]chan fleet.Result{},
