--- a/gateway/links.go
+++ b/gateway/links.go
@@ -319,7 +319,7 @@
 const tableFetchDelay = 60 * time.Millisecond
 
 // fetchTable requests an announced table from the replica at an address, unless it has arrived from
-// elsewhere meanwhile.
+// elsewhere meanwhile and can be used.
 func (l *links) fetchTable(address string, version uint64) {
 	wait.For(l.g.ctx, tableFetchDelay)
 	l.mu.Lock()
@@ -329,6 +329,9 @@
 		have = l.pendingTable.Version
 	}
 	p := l.peers[address]
+	if p != nil && p.announced.confirmed && l.g.table.Load() == nil {
+		have = 0 // what has arrived is not confirmed, and this replica confirms its table only with it
+	}
 	if have >= version || p == nil || p.link == nil {
 		return
 	}
