--- a/retryslots/retryslots.go
+++ b/retryslots/retryslots.go
@@ -11,6 +11,7 @@
 package retryslots
 
 import (
+	"math"
 	"time"
 )
 
@@ -82,7 +83,21 @@
 	}
 	// Other gateways choose at the same time and see the same free capacity. So the caller gets
 	// one of the first slots at random, as many as there are such callers.
-	return at(list, draw*min(s.Unseen+1, total)), true
+	return timeIn(list, draw*min(s.Unseen+1, total)), true
+}
+
+// timeIn returns a time in the interval of the slot at a position. The capacity of an interval gets
+// free in all of it, so the callers who are told one after the other must not all return at its
+// beginning.
+func timeIn(list []slots, position float64) time.Duration {
+	part := position - math.Floor(position)
+	for _, x := range list {
+		if position < x.count {
+			return x.from + time.Duration(part*float64(x.to-x.from))
+		}
+		position -= x.count
+	}
+	return list[len(list)-1].to
 }
 
 // free returns the intervals between two times in which capacity for at least one caller is
--- a/retryslots/retryslots_test.go
+++ b/retryslots/retryslots_test.go
@@ -199,3 +199,25 @@
 	assert.Equal(t, later.Returns[13]+later.Returns[14], 1)
 	assert.Equal(t, len(p.Report(start.Add(7*time.Second), nil)), 0)
 }
+
+// TestCallersOfOneIntervalAreSpread rejects callers one after the other while no other gateway is known
+// to have promised anything: all of them were told the first hundredths of an interval.
+func TestCallersOfOneIntervalAreSpread(t *testing.T) {
+	const callers = 16
+	most := 0
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		s := retryslots.State{Ends: 80}
+		ticks := map[time.Duration]int{}
+		for range callers {
+			after, free := retryslots.Choose(s, retryslots.Caller{Within: 10 * time.Second}, rng.Float64())
+			assert.Assert(t, free)
+			s.Promised[after/retryslots.Interval]++
+			ticks[after/(50*time.Millisecond)]++
+		}
+		for _, n := range ticks {
+			most = max(most, n)
+		}
+	}
+	assert.Assert(t, most <= callers*2/3, "%d of %d callers are told the same 50 ms", most, callers)
+}
