--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -193,6 +193,23 @@
 	}
 }
 
+// TestEndlessEventBlamesItsEngine checks that an event that needs more memory than a request may hold
+// counts as lost by its engine, and not as a lack of memory.
+func TestEndlessEventBlamesItsEngine(t *testing.T) {
+	h := newHarness(t)
+	h.limitMemory(512 << 10)
+	h.add("llm", "p1", "prefill")
+	h.add("llm", "d1", "decode").SetMiddleware(standin.WithEndless(backend.DefaultHeaders, func(r *http.Request) standin.Endless {
+		if r.URL.Path == "/review/1" {
+			return standin.EndlessEvent
+		}
+		return standin.NotEndless
+	}))
+	got := h.send("POST", "/review/1", "q1", "x", workHeaders)
+	assert.Assert(t, got.truncated || got.status == http.StatusBadGateway, "%d", got.status)
+	assert.Equal(t, h.reportedLost("d1"), 1)
+}
+
 // TestEndlessServersAreAvoided checks that a server that sends bytes without end counts as one that
 // loses its answers.
 func TestEndlessServersAreAvoided(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -13,6 +13,7 @@
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/eventstream"
+	"github.com/ledgepin/ledgepin/membudget"
 	"github.com/ledgepin/ledgepin/metric"
 )
 
@@ -133,7 +134,10 @@
 		return nil
 	}
 	s.reserved += more
-	return s.reserve(more)
+	if err := s.reserve(more); !errors.Is(err, membudget.ErrTooLarge) {
+		return err
+	}
+	return fmt.Errorf("%w: an event of more than %d bytes", errEndless, s.reader.MemoryBytes())
 }
 
 // startFrom prepares the writer for the stream of another engine.
