--- a/gateway/check_server.go
+++ b/gateway/check_server.go
@@ -30,7 +30,7 @@
 // some time after it was sent. A broken connection alone, such as after a reset by the network, is
 // no evidence against the request.
 func (g *Gateway) checkAfterFailure(q *request, s *dispatch.Server, elapsed time.Duration) {
-	generated, failure := q.work.Generated, g.contents.noteInterrupted(q, s.ID, elapsed)
+	generated, failure := q.work.Generated, g.contents.noteInterrupted(q, s, elapsed)
 	parts := describeParts(g.sharedParts(q))
 	done := make(chan struct{})
 	q.checked = done
--- a/gateway/contents.go
+++ b/gateway/contents.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ledgepin/ledgepin/clock"
+	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/event"
 	"github.com/ledgepin/ledgepin/internal/stablehash"
 	"github.com/ledgepin/ledgepin/poison"
@@ -84,6 +85,8 @@
 // interruption is a request that was interrupted at a server, some time after it was sent.
 type interruption struct {
 	content poison.Digest
+	// name is the name of the server.
+	name    string
 	at      time.Time
 	elapsed time.Duration
 	// parts are the parts of its prompt, unless its answer was under way.
@@ -96,14 +99,14 @@
 
 // noteInterrupted records that a request was interrupted now at an incarnation of a server, some
 // time after it was sent there.
-func (c *contents) noteInterrupted(q *request, server string, elapsed time.Duration) interruption {
-	intr := interruption{content: q.content(), at: c.clock.Now(), elapsed: elapsed}
+func (c *contents) noteInterrupted(q *request, s *dispatch.Server, elapsed time.Duration) interruption {
+	intr := interruption{content: q.content(), name: s.StableName(), at: c.clock.Now(), elapsed: elapsed}
 	if q.firstEventAt.IsZero() || intr.at.Sub(q.firstEventAt) < beginTime {
 		intr.parts = c.parts(q)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.interrupted[server] = append(c.interrupted[server], intr)
+	c.interrupted[s.ID] = append(c.interrupted[s.ID], intr)
 	return intr
 }
 
@@ -123,7 +126,7 @@
 
 // noteCrash records that a server crashed under a request that was interrupted there.
 func (c *contents) noteCrash(intr interruption, server string) {
-	ending := poison.Ending{Server: server, Age: c.clock.Since(intr.at), Ran: intr.elapsed, Underway: len(intr.parts) == 0}
+	ending := poison.Ending{Server: server, Age: c.clock.Since(intr.at), Ran: intr.elapsed, Underway: len(intr.parts) == 0, Name: intr.name}
 	c.merge([]poison.Record{{Content: intr.content, Parts: intr.parts, Endings: []poison.Ending{ending}}})
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -354,7 +354,7 @@
 		g.checkAfterFailure(q, s, took)
 	case r.kind == late:
 		// A full server is often late, and a check would occupy one more of its slots.
-		g.contents.noteInterrupted(q, s.ID, took)
+		g.contents.noteInterrupted(q, s, took)
 	}
 }
 
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -18,6 +18,9 @@
 // part only blocks prompts that also have all the parts that were in each of its runs.
 
 const (
+	// repeatedThreshold is the number of successive endings of fewer than blockThreshold servers from
+	// which on a part is blocked all the same: a service may have no more.
+	repeatedThreshold = 5
 	// relevantEndings is the number of successive endings from which on gateways are told of a part.
 	relevantEndings = 2
 	// minTrialDelay is the time from the last ending to the first trial of a blocked part. Each
@@ -277,6 +280,19 @@
 	return n + (all-n)/2
 }
 
+// threshold returns how many successive endings block the part. A server may end again and again for a
+// cause of its own: only endings of different servers are hardly chance.
+func (s *suspicion) threshold() int {
+	names := map[string]bool{}
+	for server, x := range s.servers {
+		names[cmp.Or(x.name, server)] = true
+	}
+	if len(names) < blockThreshold {
+		return repeatedThreshold
+	}
+	return blockThreshold
+}
+
 // suspect returns the suspicion against a part, without the servers that ended under a run which also
 // had the part that explains the ending.
 func (t *Table) suspect(d Digest) *suspicion {
@@ -338,7 +354,7 @@
 	for {
 		var list []*suspicion
 		for _, d := range candidates {
-			if s := t.suspect(d); s.count() >= blockThreshold {
+			if s := t.suspect(d); s.count() >= s.threshold() {
 				list = append(list, s)
 			}
 		}
@@ -404,13 +420,14 @@
 		}
 		newest = latest(newest, x.at)
 	}
-	t.blocks[s.part] = &Block{Part: s.part, With: s.with, Endings: n, Servers: len(s.servers), Until: newest.Add(trialDelay(n))}
+	t.blocks[s.part] = &Block{Part: s.part, With: s.with, Endings: n, Servers: len(s.servers), Until: newest.Add(trialDelay(n - s.threshold()))}
 }
 
-// trialDelay returns the time from the last of n endings to the next trial.
-func trialDelay(n int) time.Duration {
+// trialDelay returns the time from the last ending to the next trial, after a number of endings beyond
+// those that blocked the part.
+func trialDelay(beyond int) time.Duration {
 	out := minTrialDelay
-	for range n - blockThreshold {
+	for range beyond {
 		if out *= trialDelayFactor; out >= maxTrialDelay {
 			return maxTrialDelay
 		}
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -576,3 +576,33 @@
 		h.table.BlocksOf(parts)
 	}
 }
+
+// TestFlappingServersBlockNoPart ends two servers in turn under runs with a part that all prompts
+// share: the part was blocked as if it had ended three servers, and with it all requests.
+func TestFlappingServersBlockNoPart(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		servers []string // by name, in the order in which they end
+		blocked bool
+	}{
+		{"two servers in turn", []string{"a", "b", "a", "b"}, false},
+		{"one server", []string{"a", "a", "a", "a"}, false},
+		{"three servers", []string{"a", "b", "c"}, true},
+		{"the only two servers, for too long", []string{"a", "b", "a", "b", "a"}, true},
+		{"servers whose names are not told", []string{"", "", ""}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table, now := NewTable(), start
+			shared := Digest{9}
+			for n, name := range c.servers {
+				now = now.Add(800 * time.Millisecond)
+				table.Merge(now, []Record{{
+					Content: Digest{1, byte(n)}, Parts: []Digest{shared},
+					Endings: []Ending{{Server: fmt.Sprint("incarnation-", n), Name: name, Ran: 60 * time.Millisecond}},
+				}})
+			}
+			blocked := slices.ContainsFunc(table.Blocks(), func(b Block) bool { return b.Part == shared })
+			assert.Equal(t, blocked, c.blocked)
+		})
+	}
+}
--- a/poison/table.go
+++ b/poison/table.go
@@ -39,6 +39,9 @@
 	// Underway reports that the run had been generating its answer for some time, so that the parts
 	// of its prompt are not suspected.
 	Underway bool `cbor:"5,keyasint,omitempty"`
+	// Name is the name of the server, the same for all its incarnations; empty if the reporter does
+	// not tell it.
+	Name string `cbor:"6,keyasint,omitempty"`
 }
 
 // Record holds the endings of one content, as exchanged between tables.
@@ -54,6 +57,8 @@
 type ending struct {
 	sent, at          time.Time
 	excused, underway bool
+	// name is the name of the server; empty if it is not known.
+	name string
 }
 
 type entry struct {
@@ -162,9 +167,9 @@
 		}
 		old, known := e.endings[x.Server]
 		at := now.Add(-x.Age)
-		merged := ending{sent: at.Add(-x.Ran), at: at, excused: x.Excused, underway: x.Underway}
+		merged := ending{sent: at.Add(-x.Ran), at: at, excused: x.Excused, underway: x.Underway, name: x.Name}
 		if known {
-			merged = ending{sent: earliest(old.sent, merged.sent), at: earliest(old.at, at), excused: old.excused || x.Excused, underway: old.underway && x.Underway}
+			merged = ending{sent: earliest(old.sent, merged.sent), at: earliest(old.at, at), excused: old.excused || x.Excused, underway: old.underway && x.Underway, name: cmp.Or(old.name, x.Name)}
 		}
 		if merged != old || !known {
 			e.endings[x.Server] = merged
@@ -250,7 +255,7 @@
 		r := Record{Content: d, Parts: e.parts}
 		for _, server := range slices.Sorted(maps.Keys(e.endings)) {
 			x := e.endings[server]
-			r.Endings = append(r.Endings, Ending{Server: server, Age: now.Sub(x.at), Ran: x.at.Sub(x.sent), Excused: x.excused, Underway: x.underway})
+			r.Endings = append(r.Endings, Ending{Server: server, Age: now.Sub(x.at), Ran: x.at.Sub(x.sent), Excused: x.excused, Underway: x.underway, Name: x.name})
 		}
 		out = append(out, r)
 	}
@@ -263,7 +268,7 @@
 	for _, r := range list {
 		r.Parts, r.Endings = nil, slices.Clone(r.Endings)
 		for n := range r.Endings {
-			r.Endings[n].Underway = false
+			r.Endings[n].Underway, r.Endings[n].Name = false, ""
 		}
 		out = append(out, r)
 	}
