--- a/retryslots/retryslots.go
+++ b/retryslots/retryslots.go
@@ -25,8 +25,6 @@
 	// third of their remaining time, which is 4.6 s of the usual 14.
 	Earliest = 500 * time.Millisecond
 	Latest   = 4500 * time.Millisecond
-	// fullRange is the width of the range of times if all are full.
-	fullRange = 1500 * time.Millisecond
 	// viewAge is the age of the promises of other gateways.
 	viewAge = 100 * time.Millisecond
 )
@@ -141,8 +139,7 @@
 // spread returns a time for a caller for whom no capacity is expected as long as as many requests
 // arrive as now. It is between the usual times, since a burst lasts for 4 to 5 s, unless more
 // callers were promised these than can be served after it, then earlier. If all times are full,
-// the caller is told one of the last ones: the very last interval always has the fewest promises,
-// and callers who are all told that one return together.
+// the caller is told the one with the fewest promises.
 func (s State) spread(c Caller, draw float64) time.Duration {
 	earliest := min(max(c.NotBefore, Earliest), Latest)
 	from := min(max(c.UsualFrom, earliest), Latest)
@@ -153,12 +150,14 @@
 	if x := s.unpromised(from, to, perInterval); len(x) > 0 {
 		return pick(x, draw)
 	}
-	if x := s.unpromised(earliest, Latest, perInterval); len(x) > 0 {
-		last := x[len(x)-1]
-		return last.from + time.Duration(draw*float64(last.to-last.from))
+	best := Intervals - 1
+	for i := Intervals - 1; time.Duration(i)*Interval >= earliest && s.Promised[best] >= perInterval; i-- {
+		if s.Promised[i] < s.Promised[best] {
+			best = i
+		}
 	}
-	x := max(Latest-fullRange, earliest)
-	return x + time.Duration(draw*float64(Latest-x))
+	x := max(time.Duration(best)*Interval, earliest)
+	return x + time.Duration(draw*float64(time.Duration(best+1)*Interval-x))
 }
 
 // unpromised returns the capacity between two times that is not promised, if an interval has the
