--- a/control/control.go
+++ b/control/control.go
@@ -246,8 +246,8 @@
 	if err != nil {
 		return err
 	}
-	found := stored{name: c.cfg.Name, identity: identity, recorded: opened.Recorded, restored: opened.Restored}
-	id, r, err := c.establishIdentity(found, suspect)
+	onDisk := stored{name: c.cfg.Name, identity: identity, recorded: opened.Recorded, restored: opened.Restored}
+	id, r, err := c.establishIdentity(onDisk, suspect)
 	if err != nil {
 		return err
 	}
--- a/control/first_start.go
+++ b/control/first_start.go
@@ -71,6 +71,6 @@
 		(!s.recorded || s.restored.Hard == firstHard)
 }
 
-// mayFound reports whether a replica with an empty folder may found the group, as far as the
+// mayFoundGroup reports whether a replica with an empty folder may found the group, as far as the
 // folder tells: not if it has been given an identity to join under.
-func (s *stored) mayFound() bool { return s.identity == "" || s.identity == s.name }
+func (s *stored) mayFoundGroup() bool { return s.identity == "" || s.identity == s.name }
--- a/control/identity.go
+++ b/control/identity.go
@@ -44,22 +44,22 @@
 // establishIdentity returns the identity of this replica in the log and what it starts with. A
 // replica with an earlier start behind it keeps both. suspect reports that an earlier write to
 // the disk has failed, so that its files may show more than it holds.
-func (c *Control) establishIdentity(found stored, suspect bool) (string, consensus.Restored, error) {
-	action := found.action()
+func (c *Control) establishIdentity(onDisk stored, suspect bool) (string, consensus.Restored, error) {
+	action := onDisk.action()
 	switch {
 	case action == keepIdentity && suspect:
-		if err := c.rewriteDisk(found.restored); err != nil {
-			return "", found.restored, err
+		if err := c.rewriteDisk(onDisk.restored); err != nil {
+			return "", onDisk.restored, err
 		}
-		return found.identity, found.restored, c.writeIdentity(found.identity)
+		return onDisk.identity, onDisk.restored, c.writeIdentity(onDisk.identity)
 	case action == keepIdentity:
-		return found.identity, found.restored, nil
+		return onDisk.identity, onDisk.restored, nil
 	case action == completeFounding:
-		return c.foundGroup(found.restored.Snapshot.Members)
-	case action == startEmpty && found.mayFound() && c.mayBootstrap():
+		return c.foundGroup(onDisk.restored.Snapshot.Members)
+	case action == startEmpty && onDisk.mayFoundGroup() && c.mayBootstrap():
 		return c.foundGroup(consensus.Members{Voters: c.founders()})
 	}
-	return c.joinGroup(found)
+	return c.joinGroup(onDisk)
 }
 
 // foundGroup prepares the disk of a founder. The identity is written last: without it, the
@@ -77,20 +77,20 @@
 // joinGroup prepares the disk of a replica that joins under an identity which no replica has used
 // before. The identity is written first: a log with a record under the old identity would make
 // that one valid again.
-func (c *Control) joinGroup(found stored) (string, consensus.Restored, error) {
+func (c *Control) joinGroup(onDisk stored) (string, consensus.Restored, error) {
 	id := c.cfg.Name + "~" + randomSuffix()
-	if found.identity != "" || found.recorded || found.restored.Snapshot.Index > 0 {
-		event.VotesLost.Log(c.log, "old", found.identity, "id", id)
+	if onDisk.identity != "" || onDisk.recorded || onDisk.restored.Snapshot.Index > 0 {
+		event.VotesLost.Log(c.log, "old", onDisk.identity, "id", id)
 	}
 	if err := c.writeIdentity(id); err != nil {
-		return "", found.restored, err
+		return "", onDisk.restored, err
 	}
-	if c.disk != nil && !found.recorded {
-		if err := c.disk.Append(&found.restored.Hard, nil); err != nil {
-			return "", found.restored, err
+	if c.disk != nil && !onDisk.recorded {
+		if err := c.disk.Append(&onDisk.restored.Hard, nil); err != nil {
+			return "", onDisk.restored, err
 		}
 	}
-	return id, found.restored, nil
+	return id, onDisk.restored, nil
 }
 
 // mayBootstrap reports whether a replica with an empty disk founds the group. Where
