--- a/control/identity.go
+++ b/control/identity.go
@@ -33,6 +33,7 @@
 	return string(data), nil
 }
 
+// writeIdentity stores the identity of this replica; it does nothing if everything is kept in memory.
 func (c *Control) writeIdentity(id string) error {
 	if c.cfg.Dir == "" {
 		return nil
--- a/standin/endless.go
+++ b/standin/endless.go
@@ -36,7 +36,8 @@
 	EndlessRepeats
 )
 
-// EndlessHeads are the kinds that never reach a body. EndlessStreams are those of a stream of events.
+// EndlessHeads are the kinds with which the answer to the request never reaches its body. EndlessStreams
+// are those of a stream of events.
 var (
 	EndlessHeads   = []Endless{EndlessStatusLine, EndlessField, EndlessFields, EndlessFolds, EndlessInterim, EndlessOther}
 	EndlessStreams = []Endless{EndlessBody, EndlessComments, EndlessBlankLines, EndlessEvent, EndlessRepeats}
