--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -268,3 +268,25 @@
 	assert.Assert(t, next.Load() > requests/4)
 	assert.Assert(t, grown < accounted+requests*perRequest, "the heap grew by %d bytes", grown)
 }
+
+// TestEndlessAnswersToCopies has an engine answer the call for a copy of a run without end.
+func TestEndlessAnswersToCopies(t *testing.T) {
+	for _, kind := range append([]standin.Endless{standin.EndlessBody, standin.EndlessTrailer}, standin.EndlessHeads...) {
+		t.Run(kind.String(), func(t *testing.T) {
+			h := newHarness(t)
+			reads := h.countReads()
+			h.add("llm", "d1", "decode").SetMiddleware(standin.WithEndless(backend.DefaultHeaders, func(*http.Request) standin.Endless { return kind }))
+			s := *h.gateway.fleet.list()[0]
+			n := &generation{g: h.gateway, q: &request{id: "q1", service: h.gateway.awaitTable(t.Context()).Service("llm")}}
+			started := time.Now()
+			got := n.sendCopy(t.Context(), n.identifiedCallTo(&s, protocol.CopyRun("q1", "127.0.0.1:1", true), copyCall, func([]byte) string { return "" }))
+			if kind == standin.EndlessTrailer {
+				assert.ErrorContains(t, got.err, "long trailer") // the bound of net/http
+			} else {
+				assert.ErrorIs(t, got.err, backend.ErrTooLong)
+			}
+			assert.Assert(t, time.Since(started) < tryLimit, "%v", time.Since(started))
+			assert.Assert(t, reads.mostOnConnection() <= endlessBound(kind, backend.MaxCallBytes), "%d bytes read on one connection", reads.mostOnConnection())
+		})
+	}
+}
