--- a/review/4/main.go
+++ b/review/4/main.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/review/cluster"
 )
 
@@ -80,9 +81,9 @@
 		record.Note("other writer: heartbeat of %s to %s: status %d, %v", name, api, status, err)
 	}
 	time.Sleep(time.Second)
-	begun := time.Now()
+	begun := clock.VM.Now()
 	got := ""
-	for time.Since(begun) < readFor && got == "" {
+	for clock.VM.Since(begun) < readFor && got == "" {
 		got = read(c, record)
 		time.Sleep(500 * time.Millisecond)
 	}
@@ -95,7 +96,7 @@
 		record.Note("operator: read back version 2")
 		return cluster.Held, nil
 	case "":
-		record.Note("CONFIG: the configuration does not come, in %.1f s of asking all %d nodes", time.Since(begun).Seconds(), controls)
+		record.Note("CONFIG: the configuration does not come, in %.1f s of asking all %d nodes", clock.VM.Since(begun).Seconds(), controls)
 	default:
 		record.Note("CONFIG: what comes differs from version 2: %q", got)
 	}
--- a/review/cluster/cluster.go
+++ b/review/cluster/cluster.go
@@ -17,6 +17,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/ledgepin/ledgepin/clock"
 )
 
 // Size is the number of processes of each role.
@@ -230,7 +232,7 @@
 
 // Await waits until ok returns true, for limit at most.
 func Await(limit time.Duration, ok func() bool) error {
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
+	for end := clock.VM.Now().Add(limit); clock.VM.Now().Before(end); time.Sleep(30 * time.Millisecond) {
 		if ok() {
 			return nil
 		}
--- a/review/cluster/record.go
+++ b/review/cluster/record.go
@@ -5,6 +5,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/ledgepin/ledgepin/clock"
 )
 
 // Exit codes of a case.
@@ -27,14 +29,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Record{file: file, start: time.Now()}, nil
+	return &Record{file: file, start: clock.VM.Now()}, nil
 }
 
 // Note writes a line with the time since the start.
 func (r *Record) Note(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.file, "%8.3f s  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+	fmt.Fprintf(r.file, "%8.3f s  %s\n", clock.VM.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
 // Close closes the file.
