--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -10,10 +10,13 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/ledgepin/ledgepin/clock"
 	"github.com/ledgepin/ledgepin/metric"
 )
@@ -106,7 +109,7 @@
 // WithheldByGateway reports whether the gateway itself did not send the request, so that err is
 // no evidence about the server.
 func WithheldByGateway(err error) bool {
-	return errors.Is(err, ErrFull) || errors.Is(err, ErrLimited) || errors.Is(err, ErrPaused) || errors.Is(err, ErrEnded)
+	return errors.Is(err, ErrFull) || errors.Is(err, ErrLimited) || errors.Is(err, ErrPaused) || errors.Is(err, ErrEnded) || errors.Is(err, ErrInvalidHead)
 }
 
 // Answer is the answer of a server. Its body must be read to the end or
@@ -145,6 +148,9 @@
 	if err := ctx.Err(); err != nil { // the server would work for no caller
 		return nil, &Error{Cause: fmt.Errorf("%w: %w", ErrEnded, err)}
 	}
+	if err := r.checkHead(); err != nil {
+		return nil, &Error{Cause: err}
+	}
 	if p.Admit != nil {
 		if err := p.Admit(&r); err != nil {
 			return nil, &Error{Cause: err}
@@ -321,6 +327,29 @@
 	return true, nil
 }
 
+// ErrInvalidHead means that a request was not sent because a text in its head holds a control
+// character.
+var ErrInvalidHead = errors.New("backend: a control character in the head of a request")
+
+// checkHead returns an error if a text would end its line of the head. Some texts come from
+// servers: their names, and those of what they keep for a request.
+func (r *Request) checkHead() error {
+	if i := strings.IndexFunc(r.Target, func(c rune) bool { return c <= ' ' || c == 0x7f }); i >= 0 {
+		return fmt.Errorf("%w: request target %q", ErrInvalidHead, r.Target)
+	}
+	if !httpguts.ValidHeaderFieldValue(r.Host) {
+		return fmt.Errorf("%w: host %q", ErrInvalidHead, r.Host)
+	}
+	for name, values := range r.Header {
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return fmt.Errorf("%w: field %s", ErrInvalidHead, name)
+			}
+		}
+	}
+	return nil
+}
+
 // head returns the request line and the header fields.
 func (r *Request) head() []byte {
 	var b bytes.Buffer
