--- a/control/change.go
+++ b/control/change.go
@@ -109,9 +109,9 @@
 		out.OK = true
 		return out, true, nil, nil
 	}
-	data, err := fleet.Encode(change)
+	data, err := encodeChange(change)
 	if err != nil {
-		return Outcome{}, false, nil, fault.Wrap(err, fault.Internal, fault.StepSettings, c.id)
+		return Outcome{}, false, nil, err
 	}
 	w := make(chan fleet.Result, 1)
 	c.waiters[p.ID] = append(c.waiters[p.ID], w)
--- a/control/hub.go
+++ b/control/hub.go
@@ -234,7 +234,7 @@
 	defer h.mu.Unlock()
 	h.peers[l] = true
 	_ = l.Send(&wire.Message{Replicas: h.replicasMessage()})
-	_ = l.Send(&wire.Message{Servers: h.allServers(h.clock.Now())})
+	sendServers(l, h.allServers(h.clock.Now()))
 	_ = l.Send(&wire.Message{Loads: h.sentToPeers.fullMessage()})
 	_ = l.Send(&wire.Message{Use: h.ledger.Snapshot(h.clock.Now())})
 	h.sendLimitObservations(l)
--- a/control/hub_servers.go
+++ b/control/hub_servers.go
@@ -113,7 +113,11 @@
 		}
 	}
 	h.pendingReports = nil
-	if frame, err := wire.Marshal(&wire.Message{Servers: m}); err == nil {
+	for _, part := range serverMessages(m) {
+		frame, err := wire.Marshal(part)
+		if err != nil {
+			continue
+		}
 		for l := range h.peers {
 			_ = l.SendFrame(frame)
 		}
@@ -179,8 +183,34 @@
 			}
 		}
 		if len(m.List) > 0 {
-			_ = l.Send(&wire.Message{Servers: m})
+			sendServers(l, m)
+		}
+	}
+}
+
+// serversPerMessage bounds the servers in one message, so that it fits into a frame with the
+// longest texts that a report may have.
+const serversPerMessage = 1 << 12
+
+// serverMessages splits a message about any number of servers. All fields but List and Dropped are
+// in the last part, since they apply to the servers of all parts.
+func serverMessages(m *wire.Servers) []*wire.Message {
+	var out []*wire.Message
+	rest := *m
+	for len(rest.List) > serversPerMessage || len(rest.Dropped) > serversPerMessage {
+		list, dropped := min(len(rest.List), serversPerMessage), min(len(rest.Dropped), serversPerMessage)
+		if list > 0 {
+			dropped = 0 // a server may be dropped by the message that lists it, not before that
 		}
+		out = append(out, &wire.Message{Servers: &wire.Servers{List: rest.List[:list], Dropped: rest.Dropped[:dropped]}})
+		rest.List, rest.Dropped = rest.List[list:], rest.Dropped[dropped:]
+	}
+	return append(out, &wire.Message{Servers: &rest})
+}
+
+func sendServers(l *wire.Link, m *wire.Servers) {
+	for _, part := range serverMessages(m) {
+		_ = l.Send(part)
 	}
 }
 
@@ -230,7 +260,7 @@
 		}
 	}
 	if len(added)+len(dropped) > 0 {
-		_ = l.Send(&wire.Message{Servers: &wire.Servers{List: added, Dropped: dropped}})
+		sendServers(l, &wire.Servers{List: added, Dropped: dropped})
 	}
 }
 
--- a/control/table.go
+++ b/control/table.go
@@ -72,9 +72,9 @@
 func (c *Control) proposeUnique(now time.Time, what string, change fleet.Change) (string, chan fleet.Result, error) {
 	c.proposals++
 	change.ID = fmt.Sprintf("%s %s %d", what, c.id, c.proposals)
-	data, err := fleet.Encode(change)
+	data, err := encodeChange(change)
 	if err != nil {
-		return "", nil, fault.Wrap(err, fault.Internal, fault.StepSettings, c.id)
+		return "", nil, err
 	}
 	w := make(chan fleet.Result, 1)
 	c.waiters[change.ID] = append(c.waiters[change.ID], w)
--- a/control/unreadable.go
+++ b/control/unreadable.go
@@ -69,6 +69,19 @@
 	return fleet.CheckSnapshot(p.Snapshot.Data)
 }
 
+// encodeChange returns the command for a change. A change that can't be decoded again, for instance
+// because a text of it is not UTF-8, is an error: once committed, it would stop every replica.
+func encodeChange(change fleet.Change) ([]byte, error) {
+	data, err := fleet.Encode(change)
+	if err == nil {
+		err = fleet.CheckCommand(data)
+	}
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadSettings, fault.StepSettings, "operator")
+	}
+	return data, nil
+}
+
 // rejectPacket records that a packet can't be read. The leader that sent it gets no answer;
 // if most replicas can't read it, another replica is elected. Callers hold c.mu.
 func (c *Control) rejectPacket(now time.Time, l *wire.Link, err error) {
--- a/control/upgrade.go
+++ b/control/upgrade.go
@@ -135,9 +135,9 @@
 
 func (c *Control) proposeVersion(now time.Time, version int) (string, error) {
 	id := fmt.Sprint("version ", version)
-	data, err := fleet.Encode(fleet.Change{ID: id, Version: version})
+	data, err := encodeChange(fleet.Change{ID: id, Version: version})
 	if err != nil {
-		return id, fault.Wrap(err, fault.Internal, fault.StepSettings, c.id)
+		return id, err
 	}
 	if _, err := c.node.Propose(now, data); err != nil {
 		return id, c.notLeader()
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -11,6 +11,9 @@
 // replaced; what they had under way has ended.
 func (f *Fleet) Update(now time.Time, list []registry.Server) (ended []*Server) {
 	for _, r := range list {
+		if r.CheckTexts() != nil {
+			continue // a replica of an older build forwards such reports
+		}
 		replaced, err := f.incarnations.Record(now, r.Newest())
 		if old := f.endIncarnation(replaced.ID); old != nil {
 			ended = append(ended, old)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -208,6 +208,12 @@
 		"Replace the older of the two: a build works with those of the two landings before it (docs/OPERATIONS.md, Upgrading).")
 	UnknownFields = define("LP3006", info, "unknown fields",
 		"A peer of a later build sent a kind of message, or a field of one, that this build does not know. It was ignored; each link logs each kind once.", noAction)
+	UnreadableFrame = define("LP3007", warn, "unreadable frame",
+		"A peer sent a frame that can't be decoded or is longer than 16 MiB. It was skipped, and the link stays open; each link logs each kind of message once.",
+		"Compare the builds of the two processes; if they are the same, report the peer's log.")
+	OversizedFrame = define("LP3008", fail, "message too long",
+		"A message is longer than 16 MiB when encoded and was not sent; each link logs each kind once.",
+		"Find out what is that long: many servers that report, or a large configuration.")
 )
 
 // Events of agents and engines.
--- a/fault/catalogue.go
+++ b/fault/catalogue.go
@@ -76,5 +76,6 @@
 	JournalNewer         = code("journal_newer", http.StatusInternalServerError, true, "The data was written by a newer build; the replica does not start, and changes nothing.")
 	JournalFailed        = code("journal_failed", http.StatusInternalServerError, false, "A write or sync to the disk failed; the replica no longer votes.")
 	LinkLost             = code("link_lost", http.StatusBadGateway, false, "The link to the peer closed.")
+	FrameTooLong         = code("frame_too_long", http.StatusInternalServerError, true, "A message is longer than a frame between processes may be; it was not sent.")
 	InvalidConfig        = code("invalid_config", http.StatusUnprocessableEntity, true, "The settings file of the process does not pass the checks.")
 )
--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -41,7 +41,7 @@
 
 // Addr returns an address that nothing listens on. It returns each address once, also among
 // processes that run at the same time.
-func Addr(t *testing.T) string {
+func Addr(t testing.TB) string {
 	t.Helper()
 	addr, err := processPorts.addr()
 	if err != nil {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -118,6 +118,9 @@
 	RefusedServerReports    = counter("ledgepin_server_words_refused_total", "Reports about servers that are not used: unreadable, of an earlier incarnation, or of another server.", "reason")
 	RefusedLinks            = counter("ledgepin_links_refused_total", "Links that were refused because of the first message of the peer, by side that opened it (dialled, accepted) and reason (versions_apart, bad_peer).", "side", "reason")
 	UnknownFields           = counter("ledgepin_unknown_words_total", "Kinds of messages in which a link received a field that this build does not know, by kind: its name, or its number if the kind itself is unknown.", "kind")
+	UnreadableFrames        = counter("ledgepin_unreadable_frames_total", "Frames of a link that were skipped because they could not be decoded or are longer than 16 MiB, by kind: its name, its number if the kind is unknown, or other.", "kind")
+	OversizedFrames         = counter("ledgepin_oversized_frames_total", "Messages that were not sent because their frame is longer than 16 MiB, by kind.", "kind")
+	ReplacedTexts           = counter("ledgepin_replaced_texts_total", "Texts in messages with bytes that are not UTF-8, which were replaced with question marks before the message was sent, by kind.", "kind")
 	DroppedLogLines         = counter("ledgepin_log_lines_dropped_total", "Log lines dropped because the output was not read fast enough.")
 )
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -156,9 +156,12 @@
 // Report stores a report and returns the servers that it changed: first the earlier
 // incarnation that a new one replaces, then the reported one if it is new or differs. An
 // incarnation that has reported Draining or Gone never becomes ready again. Report
-// returns ErrSuperseded or ErrMismatch if the report is rejected. A late report of a
-// known incarnation is not an error.
+// returns ErrInvalidText, ErrSuperseded or ErrMismatch if the report is rejected. A late report
+// of a known incarnation is not an error.
 func (r *Registry) Report(now time.Time, s Server) ([]Update, error) {
+	if err := s.CheckTexts(); err != nil {
+		return nil, err
+	}
 	s = r.Resolve(s)
 	if r.mismatches(s) {
 		return nil, ErrMismatch
--- a/soak/bad_reports.go
+++ b/soak/bad_reports.go
@@ -40,6 +40,29 @@
 	}
 }
 
+// invalidNames are names in the path of a report, as they are written there, that no server can
+// have: processes would not decode them alike, or they would end a field of a request's head.
+var invalidNames = []string{"%FF", "%ED%A0%80", "a%E2%82", "a%FFb", "%FF%2Fb", "a%0Ab", "a%00b", "%EF%BF%BD"}
+
+// sendInvalidNames sends reports and deregistrations under invalid names, which are otherwise valid,
+// to all replicas in turn until the context ends.
+func (cl *cluster) sendInvalidNames(ctx context.Context, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 27))
+	for n := 0; ctx.Err() == nil; n++ {
+		srv, name := cl.servers[r.IntN(len(cl.servers))], invalidNames[r.IntN(len(invalidNames))]
+		state := [...]string{"ready", "draining"}[r.IntN(2)]
+		text, call := cl.heartbeatBody(srv, state), "/heartbeat"
+		if r.IntN(3) == 0 {
+			text, call = "", "/deregister"
+		}
+		status := cl.postReport(ctx, n%len(cl.apiAddresses), name+call, text)
+		cl.rec.update(func(h *History) {
+			h.BadReports = append(h.BadReports, BadReport{name + call + " " + text, status, false})
+		})
+		sleep(ctx, badReportInterval)
+	}
+}
+
 // deadlyInterval is the time between two requests that crash the server that runs them.
 const deadlyInterval = 450 * time.Millisecond
 
--- a/soak/heartbeats.go
+++ b/soak/heartbeats.go
@@ -52,7 +52,13 @@
 // postHeartbeat sends a report about a server to a replica, and returns the status of the answer,
 // or zero if there was none.
 func (cl *cluster) postHeartbeat(ctx context.Context, replica int, name, text string) int {
-	status, _, err := cl.call(ctx, http.MethodPost, "http://"+cl.apiAddresses[replica]+"/-/instances/"+name+"/heartbeat", text)
+	return cl.postReport(ctx, replica, name+"/heartbeat", text)
+}
+
+// postReport sends a server's call to a replica: its path, after that of all servers, begins with the
+// server's name. It returns the status of the answer, or zero if there was none.
+func (cl *cluster) postReport(ctx context.Context, replica int, path, text string) int {
+	status, _, err := cl.call(ctx, http.MethodPost, "http://"+cl.apiAddresses[replica]+"/-/instances/"+path, text)
 	if err != nil {
 		return 0
 	}
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -9,10 +9,11 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/ledgepin/ledgepin/fault"
+	"github.com/ledgepin/ledgepin/metric"
 )
 
 // MaxFrameBytes is the maximum size of one frame in bytes. The largest frames carry prompts and
-// complete settings trees.
+// complete settings trees. Longer frames are neither sent nor read.
 const MaxFrameBytes = 16 << 20
 
 var (
@@ -36,6 +37,8 @@
 		MaxArrayElements:  1 << 20,
 		MaxMapPairs:       1 << 16,
 		ExtraReturnErrors: extra,
+		// One text from outside the fleet must not make a whole frame unreadable.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}
 }
 
@@ -46,11 +49,21 @@
 	return v
 }
 
-// Marshal returns the frame that encodes m.
-func Marshal(m *Message) ([]byte, error) { return encMode.Marshal(m) }
+// Marshal returns the frame that encodes m. Bytes of texts that are not UTF-8 are replaced with
+// question marks.
+func Marshal(m *Message) ([]byte, error) {
+	frame, err := encMode.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	if n := replaceInvalidText(frame); n > 0 {
+		metric.ReplacedTexts.WithLabelValues(kindName(kindOf(frame))).Add(float64(n))
+	}
+	return frame, nil
+}
 
-// Unmarshal decodes one frame received from peer and skips unknown fields. It returns a
-// BadPeer error if the frame is not a Message.
+// Unmarshal decodes one frame received from peer and skips unknown fields. Texts may hold bytes
+// that are not UTF-8. It returns a BadPeer error if the frame is not a Message.
 func Unmarshal(frame []byte, peer string) (*Message, error) {
 	m := &Message{}
 	if err := decMode.Unmarshal(frame, m); err != nil {
--- a/wire/link.go
+++ b/wire/link.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"crypto/tls"
-	"errors"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -54,6 +53,7 @@
 
 	version int
 	reader  reader
+	skipped skippedFrames
 	log     *slog.Logger
 
 	conn *websocket.Conn
@@ -120,7 +120,7 @@
 		_ = conn.CloseNow()
 		return nil, err
 	}
-	conn.SetReadLimit(MaxFrameBytes)
+	conn.SetReadLimit(-1) // readFrame skips longer frames, which the limit would end the link for
 	return l, nil
 }
 
@@ -135,7 +135,7 @@
 	if err := l.conn.Write(ctx, websocket.MessageBinary, frame); err != nil {
 		return fault.Wrap(err, fault.LinkLost, fault.StepLink, addr)
 	}
-	m, err := l.read(ctx, addr)
+	m, err := l.readHello(ctx, addr)
 	if err != nil {
 		return err
 	}
@@ -150,24 +150,9 @@
 // Version returns the protocol version of the link: the highest that both ends support.
 func (l *Link) Version() int { return l.version }
 
-func (l *Link) read(ctx context.Context, peer string) (*Message, error) {
-	kind, frame, err := l.conn.Read(ctx)
-	if errors.Is(err, websocket.ErrMessageTooBig) {
-		return nil, fault.Wrap(err, fault.BadPeer, fault.StepLink, peer)
-	}
-	if err != nil {
-		return nil, fault.Wrap(err, fault.LinkLost, fault.StepLink, peer)
-	}
-	if kind != websocket.MessageBinary {
-		return nil, fault.New(fault.BadPeer, fault.StepLink, peer, "received a text frame, want a binary one")
-	}
-	l.received.Add(int64(len(frame)))
-	l.messages.Add(1)
-	return l.decode(frame, peer)
-}
-
-// Send queues m. It returns a LinkLost error if the link is closed. If the queue is full
-// because the peer does not read, it closes the link.
+// Send queues m. It returns a LinkLost error if the link is closed, and a FrameTooLong error if the
+// frame is longer than MaxFrameBytes. If the queue is full because the peer does not read, it
+// closes the link.
 func (l *Link) Send(m *Message) error {
 	frame, err := Marshal(m)
 	if err != nil {
@@ -179,6 +164,9 @@
 // SendFrame queues a frame that Marshal returned, so that one frame can be sent to
 // many peers.
 func (l *Link) SendFrame(frame []byte) error {
+	if len(frame) > MaxFrameBytes {
+		return l.refuseOversized(frame)
+	}
 	select {
 	case <-l.done:
 		return fault.New(fault.LinkLost, fault.StepLink, l.Peer.Name, "the link is closed")
@@ -212,12 +200,14 @@
 func (l *Link) readLoop(ctx context.Context, handle func(*Message)) error {
 	for {
 		rctx, cancel := context.WithTimeout(ctx, l.idle)
-		m, err := l.read(rctx, l.Peer.Name)
+		m, err := l.read(rctx)
 		cancel()
 		if err != nil {
 			return err
 		}
-		handle(m)
+		if m != nil {
+			handle(m)
+		}
 	}
 }
 
--- a/wire/unknown_test.go
+++ b/wire/unknown_test.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// TestBrokenFramesAreBadPeers checks that a frame that is not a message ends a link, also if
+// TestBrokenFramesAreBadPeers checks that a frame that is not a message is an error, also if
 // it has unknown fields.
 func TestBrokenFramesAreBadPeers(t *testing.T) {
 	read := wire.NewReader()
