--- a/app/calls_test.go
+++ b/app/calls_test.go
@@ -261,3 +261,14 @@
 	assert.Equal(t, n, 61)
 	<-drained
 }
+
+// TestKeysThatAreNotTextAreRefused guards against two keys that other processes receive as the same
+// text: one caller would get the answer of the other.
+func TestKeysThatAreNotTextAreRefused(t *testing.T) {
+	d := startDev(t, app.DevOptions{Entries: 1})
+	for _, key := range []string{"\xff", "\xfe", "a\xe2\x82"} {
+		status, got := post(t, checkoutURL(d, 0), app.DevDeskToken, key, `{"seat":"s"}`)
+		assert.Equal(t, status, http.StatusBadRequest, got)
+	}
+	assert.Equal(t, countCheckouts(d, "s"), 0)
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 
@@ -104,6 +105,9 @@
 	if len(k) > maxKeyBytes {
 		return "", fault.New(fault.BadRequest, fault.StepParse, "", fmt.Sprintf("the Idempotency-Key exceeds %d bytes", maxKeyBytes))
 	}
+	if !utf8.ValidString(k) { // other processes would receive the same text for different keys
+		return "", fault.New(fault.BadRequest, fault.StepParse, "", "the Idempotency-Key is not UTF-8")
+	}
 	return k, nil
 }
 
