--- a/backend/conn.go
+++ b/backend/conn.go
@@ -25,8 +25,8 @@
 	DialTimeout = 300 * time.Millisecond
 	// maxDialTimeout bounds it while the gateway itself is slow.
 	maxDialTimeout = 2 * time.Second
-	// userTimeout is the time after which a connection with unacknowledged bytes counts as
-	// broken.
+	// userTimeout is the time after which a connection counts as broken whose server acknowledges
+	// nothing that was sent. A server may acknowledge bytes and read them later.
 	userTimeout = 1500 * time.Millisecond
 	// defaultIdleTTL is how long an idle connection is kept if the server does not
 	// send a Keep-Alive time.
@@ -144,7 +144,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw}
+	c := &conn{Conn: sock.Checked(raw, userTimeout)}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
 	return c, nil
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -7,6 +7,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/ledgepin/ledgepin/standin"
 )
 
 // Bounds of the rules. They allow for the delays of a shared machine.
@@ -114,6 +116,8 @@
 			out = append(out, fmt.Sprintf("%s received %d bytes of %d that look complete", q.ID, len(q.Body), len(complete)))
 		case !stream && !q.Cut && !strings.HasPrefix(q.Body, "answer to "+q.ID+" by "):
 			out = append(out, fmt.Sprintf("%s received %.80q", q.ID, q.Body))
+		case !stream && !q.Cut && len(q.Body) < standin.LargeAnswerBytes(q.Content):
+			out = append(out, fmt.Sprintf("%s received %d bytes of %d that look complete", q.ID, len(q.Body), standin.LargeAnswerBytes(q.Content)))
 		}
 	}
 	return out
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -100,6 +100,7 @@
 		change func(h *History)
 	}{
 		{"whole and own answer", "another request's", func(h *History) { h.Requests[0].Body = "answer to q9 by app-1" }},
+		{"whole and own answer", "half of a large answer that looks complete", func(h *History) { h.Requests[0].Content = standin.LargeAnswerBody(8000) }},
 		{"whole and own answer", "a short stream that looks complete", func(h *History) { h.Requests[1].Body = streamAfter("", 0)[:100] }},
 		{"whole and own answer", "an event twice", func(h *History) { h.Requests[1].Body = streamAfter("", 0)[:40] + streamAfter("", 0) }},
 		{"a part of prompts that ends servers is left alone", "late crashes", func(h *History) { h.crashByPart(14, 1) }},
--- a/soak/desk_caller.go
+++ b/soak/desk_caller.go
@@ -232,12 +232,13 @@
 // newRequest creates a request of a caller whose deadline is the remaining time away.
 func (l *load) newRequest(ctx context.Context, q *Request, remaining time.Duration) (*http.Request, error) {
 	url := "http://" + l.cluster.callerAddresses[q.Gateway] + "/" + string(q.Kind) + "/x"
+	content := q.Content + strings.Repeat(" ", q.padding)
 	// The custom reader keeps the standard client from retrying the request.
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(strings.NewReader(q.Content)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(strings.NewReader(content)))
 	if err != nil {
 		return nil, err
 	}
-	req.ContentLength = int64(len(q.Content))
+	req.ContentLength = int64(len(content))
 	req.Host = "h"
 	req.Header.Set(headers.RequestID, q.ID)
 	req.Header.Set(headers.Deadline, fmt.Sprint(remaining.Milliseconds()))
--- a/soak/disturber.go
+++ b/soak/disturber.go
@@ -64,6 +64,8 @@
 func (d *disturber) disturb(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch path := r.URL.Path; {
+		case r.ContentLength >= longBodyBytes:
+			d.answerEarly(w, r, next)
 		case strings.HasPrefix(path, "/-/kv-move"), strings.HasPrefix(path, "/-/hold-"), r.Method == http.MethodDelete:
 			d.disturbCall(w, r, next)
 		case routeKind(path).isStream():
--- a/soak/history.go
+++ b/soak/history.go
@@ -31,6 +31,8 @@
 
 // Request is a request as its caller observed it.
 type Request struct {
+	// padding is the number of bytes that the body has in addition to Content.
+	padding int
 	ID      string
 	Kind    RequestKind
 	Gateway int
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -27,7 +27,7 @@
  {"name":"one","apiKeys":["key-one","key-VERSION"],"unit":"token_stream","plainTokens":200},
  {"name":"two","apiKeys":["key-two"],"priority":0,"unit":"token_stream","plainTokens":200,"ratePerS":10000000,"burst":10000000},
  {"name":"hot","apiKeys":["key-hot"],"unit":"token_stream","plainTokens":200,"ratePerS":HOT,"burst":HOT}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":8388608,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
 
 // engineKVTokens is the memory of an engine in tokens, enough for about six runs, so that engines
 // fill up and runs migrate.
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/ledgepin/ledgepin/internal/sock"
 )
 
 // proxy forwards connections to a server on the loopback address and disturbs them on request.
@@ -88,7 +90,7 @@
 		if err != nil {
 			return
 		}
-		go p.forward(in)
+		go p.forward(sock.Checked(in, 0)) // else a reset may reach the server as the end of the stream
 	}
 }
 
@@ -100,6 +102,8 @@
 		_ = in.Close()
 		return
 	}
+	out = sock.Checked(out, 0)
+	setBuffers(in, out)
 	p.mu.Lock()
 	p.conns[in], p.conns[out] = true, true
 	if client, ok := in.RemoteAddr().(*net.TCPAddr); ok {
@@ -108,10 +112,16 @@
 	p.mu.Unlock()
 	defer p.closeConns(in, out)
 	la := &lastAnswer{}
-	answered := make(chan struct{})
+	answered, requested := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(answered)
-		p.copy(in, out, func(data []byte) []byte { la.write(data); return data }, true)
+		if p.copy(in, out, func(data []byte) []byte { la.write(data); return data }, true) {
+			closeWrite(in)
+			select { // the server may still read
+			case <-requested:
+			case <-time.After(maxReadDelay):
+			}
+		}
 		p.closeConns(in, out)
 	}()
 	ended := p.copy(out, in, func(data []byte) []byte {
@@ -121,8 +131,8 @@
 		}
 		return data
 	}, false)
-	if half, ok := out.(interface{ CloseWrite() error }); ok && ended {
-		_ = half.CloseWrite()
+	close(requested)
+	if ended && closeWrite(out) {
 		select {
 		case <-answered:
 		case <-time.After(halfCloseTimeout):
@@ -130,6 +140,15 @@
 	}
 }
 
+// closeWrite ends one side of a connection, and reports whether that is possible.
+func closeWrite(c net.Conn) bool {
+	half, ok := c.(interface{ CloseWrite() error })
+	if ok {
+		_ = half.CloseWrite()
+	}
+	return ok
+}
+
 // halfCloseTimeout is how long a server may still answer after its client has closed the connection
 // for writing.
 const halfCloseTimeout = time.Second
@@ -172,6 +191,16 @@
 	}
 }
 
+// setBuffers bounds the buffers for what a client sends.
+func setBuffers(in, out net.Conn) {
+	if c, ok := in.(interface{ SetReadBuffer(bytes int) error }); ok {
+		_ = c.SetReadBuffer(proxyBuffer)
+	}
+	if c, ok := out.(interface{ SetWriteBuffer(bytes int) error }); ok {
+		_ = c.SetWriteBuffer(proxyBuffer)
+	}
+}
+
 // setReset makes the close of a connection a reset.
 func setReset(c net.Conn) {
 	if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
--- a/soak/run.go
+++ b/soak/run.go
@@ -69,8 +69,9 @@
 	wg.Go(func() { cl.watchAll(backgroundCtx) })
 	wg.Go(func() { cl.sendBadReports(loadCtx, o.Seed) })
 	l.wg.Go(func() { l.sendDeadly(loadCtx, o.Seed) })
-	if o.Production == "" { // control of a production build may stop at such a name
+	if o.Production == "" { // a production build may stop at such a name, or pass on a part of an answer
 		wg.Go(func() { cl.sendInvalidNames(loadCtx, o.Seed) })
+		l.wg.Go(func() { l.sendLongBodies(loadCtx) })
 	}
 	l.wg.Go(func() { l.sendPairs(loadCtx, o.Seed) })
 	if o.Production == "" { // a production build may not track parts of prompts
