--- a/control/origins.go
+++ b/control/origins.go
@@ -32,7 +32,7 @@
 	table    *origin.Table
 	versions origin.Versions
 	// pending is what the own gateways have reported and the other replicas have not received.
-	pending []origin.Batch
+	pending origin.Records
 	// versionsChanged is set if the gateways have not received the versions, versionsSentAt is
 	// when they last have. unsaved is set if the versions have changed since they were saved.
 	versionsChanged, unsaved bool
@@ -62,6 +62,22 @@
 		o.unsaved = true
 	}
 	o.table.Sweep(now)
+	h.settleOrigins(now)
+}
+
+// settleOrigins decides on the streams in doubt by the reports of their servers. Callers hold h.mu.
+func (h *hub) settleOrigins(now time.Time) {
+	t := h.origins.table
+	for _, id := range t.DoubtfulServers() {
+		s, reportedAt, ok := h.servers.Reported(id)
+		if !ok {
+			continue // it has gone without a successor, or has not reported to this replica yet
+		}
+		t.Settle(now, id, func(d origin.Doubt) bool { return d.SettledBy(reportedAt) })
+		if s.Next != 0 {
+			t.MarkDoubtfulAmbiguous(now, id)
+		}
+	}
 }
 
 // sendVersions sends the versions to all gateways and replicas if they have changed, and from
@@ -105,9 +121,9 @@
 	h.sendVersionsTo(l)
 	t := h.origins.table
 	for number := uint64(0); number < t.Changes(); {
-		var list []origin.Batch
-		if list, number = t.Since(number, originsPerMessage); len(list) > 0 {
-			sendOrigins(l, &wire.Message{Origins: &wire.Origins{Began: list}})
+		var list origin.Records
+		if list, number = t.Since(h.clock.Now(), number, originsPerMessage); !list.Empty() {
+			sendOrigins(l, &wire.Message{Origins: wire.OriginsOf(list)})
 		}
 	}
 }
@@ -115,11 +131,11 @@
 // sendOriginsToPeers sends the other replicas what the gateways of this one have reported.
 // Callers hold h.mu.
 func (h *hub) sendOriginsToPeers() {
-	if len(h.origins.pending) == 0 {
+	if h.origins.pending.Empty() {
 		return
 	}
-	m := &wire.Message{Origins: &wire.Origins{Began: h.origins.pending}}
-	h.origins.pending = nil
+	m := &wire.Message{Origins: wire.OriginsOf(h.origins.pending)}
+	h.origins.pending = origin.Records{}
 	for l := range h.peers {
 		sendOrigins(l, m)
 	}
@@ -131,28 +147,49 @@
 	defer h.mu.Unlock()
 	now, o := h.clock.Now(), &h.origins
 	h.mergeVersions(now, m.Versions)
-	if added := o.table.Merge(now, m.Began); len(added) > 0 {
-		list, _ := o.table.Batch(added)
-		o.pending = append(o.pending, list...)
+	if added := o.table.Merge(now, m.Records()); len(added) > 0 {
+		list, _ := o.table.Batch(now, added)
+		o.pending.Append(list)
 	}
 	if len(m.Ask) == 0 {
 		return
 	}
-	found, unknown := o.table.Batch(origin.SplitKeys(m.Ask))
-	for i := range found {
-		h.sendVersionServers(now, l, &found[i])
+	h.settleOrigins(now)
+	found, unknown := o.table.Batch(now, origin.SplitKeys(m.Ask))
+	answer := wire.OriginsOf(found)
+	answer.Unknown = unknown
+	for i := range found.Certain {
+		if b := &found.Certain[i]; !b.Ambiguous {
+			h.sendVersionServers(now, l, b.Service, b.Version)
+		}
+	}
+	for i := range found.Doubtful {
+		b := &found.Doubtful[i]
+		answer.Unknown = append(answer.Unknown, b.Keys...)
+		h.sendDoubtfulServer(l, b.Server)
+		h.sendVersionServers(now, l, b.Service, b.Version)
+	}
+	sendOrigins(l, &wire.Message{Origins: answer})
+}
+
+// sendDoubtfulServer sends a gateway the server that it has to ask about a stream, if that is not in
+// its subset. Callers hold h.mu.
+func (h *hub) sendDoubtfulServer(l *wire.Link, id string) {
+	g := h.gateways[l]
+	if s, ok := h.servers.Get(id); ok && g != nil && g.servers[id].ID == "" {
+		h.assign(g, s)
+		sendServers(l, &wire.Servers{List: []registry.Server{s.Published()}})
 	}
-	sendOrigins(l, &wire.Message{Origins: &wire.Origins{Began: found, Unknown: unknown}})
 }
 
 // sendVersionServers sends a gateway servers at which a stream can continue, if there are none in
 // its subset. Callers hold h.mu.
-func (h *hub) sendVersionServers(now time.Time, l *wire.Link, b *origin.Batch) {
+func (h *hub) sendVersionServers(now time.Time, l *wire.Link, service, version string) {
 	g := h.gateways[l]
 	continues := func(s *registry.Server) bool {
-		return s.Service == b.Service && s.Version == b.Version && s.State == registry.Ready && s.Role != registry.Prefill
+		return s.Service == service && s.Version == version && s.State == registry.Ready && s.Role != registry.Prefill
 	}
-	if g == nil || b.Ambiguous {
+	if g == nil {
 		return
 	}
 	for _, s := range g.servers {
@@ -178,7 +215,7 @@
 	defer h.mu.Unlock()
 	now := h.clock.Now()
 	h.mergeVersions(now, m.Versions)
-	h.origins.table.Merge(now, m.Began)
+	h.origins.table.Merge(now, m.Records())
 }
 
 // mergeVersions merges versions that another process has seen. Callers hold h.mu.
--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -5,14 +5,19 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/ledgepin/ledgepin/dispatch"
+	"github.com/ledgepin/ledgepin/internal/wait"
+	"github.com/ledgepin/ledgepin/origin"
 )
 
 // A server that restarts under its name and address, perhaps with another software version, gets
 // requests for its earlier incarnation until it has reported itself: neither requests nor answers name
-// incarnations. A new stream may begin at either, but one that continues may not.
+// incarnations. A new stream may begin at either, but one that continues may not. The record of a new
+// stream is in doubt until the incarnation that it names has been heard from later. While the servers of
+// a service differ in version, the gateway asks at once; else only if the stream is continued.
 
 // confirmTimeout bounds how long an engine may take to confirm its incarnation.
 const confirmTimeout = 300 * time.Millisecond
@@ -28,6 +33,9 @@
 	if !n.q.continues && !n.stream.started {
 		return false, nil
 	}
+	if s.ID == n.q.confirmedBy && n.g.clock.Since(n.q.confirmedAt) < confirmInterval {
+		return true, nil
+	}
 	confirmed, err = n.g.confirmIncarnation(ctx, n.q, s)
 	if errors.Is(err, errRestarted) {
 		n.g.fleet.markGone(s.ID)
@@ -42,11 +50,18 @@
 	return err == nil
 }
 
-// confirmIncarnation asks an engine for the start of its process. Engines that do not report it are
-// taken for the same.
+// canConfirm reports whether an engine can be asked when its process was started.
+func (g *Gateway) canConfirm(s *dispatch.Server) bool {
+	p := &g.cfg.Protocol
+	return s.Born != 0 && s.Role != "" && p.Report != nil && p.ParseReport != nil
+}
+
+// confirmIncarnation asks an engine for the start of its process. Engines that never report it are
+// taken for the same; one whose answer lacks it, though its heartbeats do not, has not confirmed
+// anything.
 func (g *Gateway) confirmIncarnation(ctx context.Context, q *request, s *dispatch.Server) (confirmed bool, err error) {
 	p := &g.cfg.Protocol
-	if s.Born == 0 || p.Report == nil || p.ParseReport == nil {
+	if !g.canConfirm(s) {
 		return false, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
@@ -63,8 +78,130 @@
 	if err != nil {
 		return false, fmt.Errorf("%w: %w", errUnconfirmed, err)
 	}
+	if report.Born == 0 {
+		return false, errUnconfirmed
+	}
 	if !s.SameIncarnation(report.Born) {
 		return false, errRestarted
 	}
-	return report.Born != 0, nil
+	return true, nil
+}
+
+// confirmInterval is the minimum time between two questions to an engine about new streams.
+const confirmInterval = 100 * time.Millisecond
+
+// confirmations are the engines that are being asked about new streams.
+type confirmations struct {
+	mu sync.Mutex
+	// again maps the IDs of these engines to whether further streams have begun since.
+	again map[string]bool
+}
+
+// begin reports whether an engine has to be asked now; else it is asked again later.
+func (c *confirmations) begin(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, asking := c.again[id]; asking {
+		c.again[id] = true
+		return false
+	}
+	if c.again == nil {
+		c.again = map[string]bool{}
+	}
+	c.again[id] = false
+	return true
+}
+
+// end reports whether an engine has to be asked again; else it is no longer being asked.
+func (c *confirmations) end(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.again[id] {
+		c.again[id] = false
+		return true
+	}
+	delete(c.again, id)
+	return false
+}
+
+// confirmBegun asks an engine in the background whether it is still the incarnation at which streams
+// have begun according to its reports.
+func (g *Gateway) confirmBegun(q *request, s *dispatch.Server) {
+	if g.evacuated.has(s.Zone) || !g.confirmations.begin(s.ID) {
+		return
+	}
+	engine := *s
+	g.wg.Go(func() {
+		for again := true; again && g.ctx.Err() == nil; again = g.confirmations.end(engine.ID) {
+			g.askIncarnation(g.ctx, q, &engine)
+			wait.For(g.ctx, confirmInterval)
+		}
+	})
+}
+
+// askIncarnation asks an engine whether it is still the incarnation at which streams have begun, and
+// records the answer for all that have begun there.
+func (g *Gateway) askIncarnation(ctx context.Context, q *request, s *dispatch.Server) error {
+	asked := g.clock.Now()
+	_, err := g.confirmIncarnation(ctx, q, s)
+	switch {
+	case err == nil:
+		g.origins.settle(s.ID, func(d origin.Doubt) bool { return !d.Begun.After(asked) })
+	case errors.Is(err, errRestarted):
+		g.fleet.markGone(s.ID)
+		g.pool.CloseIdle(s.Address)
+		if g.fleet.mixed(s.Service) {
+			g.origins.markDoubtfulAmbiguous(s.ID)
+		}
+	}
+	return err
+}
+
+// settleOrigins makes the records certain whose servers have been heard from since.
+func (g *Gateway) settleOrigins() {
+	for _, id := range g.origins.doubtfulServers() {
+		if s, ok := g.fleet.incarnation(id); ok {
+			g.origins.settle(id, func(d origin.Doubt) bool { return d.SettledBy(s.ReportedAt()) })
+		}
+	}
+}
+
+// settle reports whether a stream is known to have begun at an origin that is in doubt. It asks the
+// engine in question if its reports don't tell; confirmed is set if the engine has confirmed that it is
+// still the same incarnation.
+func (g *Gateway) settle(ctx context.Context, id string, at origin.Origin, d origin.Doubt) (known, confirmed bool) {
+	s, ok := g.fleet.incarnation(d.Server)
+	if ok && d.SettledBy(s.ReportedAt()) {
+		return true, false
+	}
+	mixed := g.fleet.mixed(at.Service)
+	if !ok || g.fleet.replaced(s.ID) || g.evacuated.has(s.Zone) {
+		return !mixed, false
+	}
+	table := g.table.Load()
+	if table == nil || table.Service(at.Service) == nil {
+		return false, false
+	}
+	err := g.askIncarnation(ctx, &request{id: id, service: table.Service(at.Service)}, &s)
+	return err == nil || !mixed && !errors.Is(err, errRestarted), err == nil
+}
+
+// settleForReturn is settle for the stream of a caller that returns. The engine that has confirmed
+// itself need not do so again when it continues the stream.
+func (g *Gateway) settleForReturn(ctx context.Context, q *request, at origin.Origin, d origin.Doubt) bool {
+	known, confirmed := g.settle(ctx, q.id, at, d)
+	if confirmed {
+		q.confirmedBy, q.confirmedAt = d.Server, g.clock.Now()
+	}
+	return known
+}
+
+// settleWithinAnswer is settle for a stream that is about to continue within its answer. While all
+// servers have one version, nothing is asked.
+func (g *Gateway) settleWithinAnswer(ctx context.Context, q *request, at origin.Origin, d origin.Doubt) bool {
+	if !g.fleet.mixed(at.Service) {
+		return true
+	}
+	known, _ := g.settle(ctx, q.id, at, d)
+	return known
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -307,6 +307,16 @@
 	return f.view.NoteVersions(f.clock.Now(), list)
 }
 
+// incarnation returns a server incarnation by its ID.
+func (f *fleet) incarnation(id string) (dispatch.Server, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.view.Get(id); s != nil {
+		return *s, true
+	}
+	return dispatch.Server{}, false
+}
+
 // newestNamed returns the present incarnation of a server.
 func (f *fleet) newestNamed(name string) (dispatch.Server, bool) {
 	f.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,7 @@
 	limits            *limits
 	contents          *contents
 	origins           *origins
+	confirmations     confirmations
 	evacuated         evacuatedZones
 	memory            *membudget.Budget
 	own               ownLoad
@@ -249,6 +250,7 @@
 			}
 			g.noteLossChanges(now)
 			g.contents.sweep(now)
+			g.settleOrigins()
 			g.origins.sweep(now)
 		}
 	}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -88,7 +88,7 @@
 		if n.stream.started {
 			event.StreamResumed.Log(g.log, "id", q.id, "last", n.stream.order.Last(), "resumed", q.resumed, "version", n.stream.from.Version, "moved", n.migrations.count, "error", last.err)
 		}
-		if n.stream.started && g.versionUncertain(q) {
+		if n.stream.started && !g.versionCertain(ctx, q) {
 			break
 		}
 		if round > 0 && !g.narrowRegions(q) || !n.place(ctx) {
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -111,6 +111,10 @@
 // copyRun copies a run, stops it and copies the rest. It runs concurrently with the stream.
 func (n *generation) copyRun(ctx context.Context, m *migration) {
 	defer close(m.done)
+	if !n.g.versionCertain(ctx, n.q) {
+		m.err = errUnconfirmed
+		return
+	}
 	_, kv, err := n.requestCopy(ctx, m, false)
 	if err != nil {
 		m.err = err
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -64,6 +64,7 @@
 	done            chan struct{}
 	known, recorded bool
 	origin          origin.Origin
+	doubt           origin.Doubt
 }
 
 func newOrigins(c *clock.Clock) *origins {
@@ -79,17 +80,72 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clock.Now()
-	t := o.tables[at.Service]
+	o.tableOf(at.Service).Add(now, k, at)
+	if server != "" {
+		o.started[server] = append(o.started[server], startedStream{at.Service, k, now})
+	}
+}
+
+// noteDoubtful records that a server has begun the stream of an attempt, if it is still the incarnation
+// that its reports named.
+func (o *origins) noteDoubtful(k origin.Key, at origin.Origin, d origin.Doubt) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.tableOf(at.Service).AddDoubtful(o.clock.Now(), k, at, d)
+}
+
+// tableOf returns the table of a service. The caller holds o.mu.
+func (o *origins) tableOf(service string) *origin.Table {
+	t := o.tables[service]
 	if t == nil {
 		t = origin.NewTable(maxOwnOrigins)
-		o.tables[at.Service] = t
+		o.tables[service] = t
 	}
-	t.Add(now, k, at)
-	if server != "" {
-		o.started[server] = append(o.started[server], startedStream{at.Service, k, now})
+	return t
+}
+
+// settle makes certain what is in doubt about a server incarnation, as far as settled allows.
+func (o *origins) settle(server string, settled func(origin.Doubt) bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, t := range o.tables {
+		t.Settle(o.clock.Now(), server, settled)
 	}
 }
 
+// markDoubtfulAmbiguous records that a server incarnation may have ended before the streams began that
+// are in doubt about it.
+func (o *origins) markDoubtfulAmbiguous(server string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, t := range o.tables {
+		t.MarkDoubtfulAmbiguous(o.clock.Now(), server)
+	}
+}
+
+// doubtfulServers returns the server incarnations that records are in doubt about.
+func (o *origins) doubtfulServers() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []string
+	for _, t := range o.tables {
+		out = append(out, t.DoubtfulServers()...)
+	}
+	return out
+}
+
+// findDoubtful returns where an attempt seems to have begun, if its record is in doubt.
+func (o *origins) findDoubtful(k origin.Key) (at origin.Origin, d origin.Doubt, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, t := range o.tables {
+		if at, d, ok = t.FindDoubtful(k); ok {
+			return at, d, true
+		}
+	}
+	return origin.Origin{}, origin.Doubt{}, false
+}
+
 // markUncertain records that a server has restarted with another version some time after it was
 // last known to run. Streams that it has begun or continued since may be of either version.
 func (o *origins) markUncertain(server string, since time.Time) {
@@ -104,7 +160,7 @@
 }
 
 // find returns where an attempt began, and whether it is recorded here. If its version is
-// ambiguous, it is recorded but not known.
+// ambiguous or in doubt, it is recorded but not known.
 func (o *origins) find(k origin.Key) (at origin.Origin, known, recorded bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -185,21 +241,21 @@
 // unsent returns the streams that have not yet been reported over a link: all of them if the link
 // is new, since the replica may have restarted. mixed reports whether the servers of a service
 // differ in version.
-func (o *origins) unsent(l *wire.Link, mixed func(service string) bool) []origin.Batch {
+func (o *origins) unsent(l *wire.Link, mixed func(service string) bool) origin.Records {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.sentTo != l {
 		o.sentTo = l
 		clear(o.sentUpTo)
 	}
-	var out []origin.Batch
+	var out origin.Records
 	for service, t := range o.tables {
 		if o.sentUpTo[service] == t.Changes() || !o.shared[service] && !mixed(service) {
 			continue
 		}
-		var list []origin.Batch
-		list, o.sentUpTo[service] = t.Since(o.sentUpTo[service], originsPerReport)
-		out = append(out, list...)
+		var list origin.Records
+		list, o.sentUpTo[service] = t.Since(o.clock.Now(), o.sentUpTo[service], originsPerReport)
+		out.Append(list)
 	}
 	return out
 }
@@ -224,8 +280,9 @@
 }
 
 // ask asks the given replicas where an attempt began, by calling send for each, and waits until one
-// knows it, all have answered or ctx is done.
-func (o *origins) ask(ctx context.Context, k origin.Key, replicas []string, send func()) (at origin.Origin, known, recorded bool) {
+// knows it, all have answered or ctx is done. A record that is in doubt comes with the doubt, and isn't
+// known.
+func (o *origins) ask(ctx context.Context, k origin.Key, replicas []string, send func()) (at origin.Origin, d origin.Doubt, known, recorded bool) {
 	o.mu.Lock()
 	q := o.questions[k]
 	if q == nil {
@@ -239,9 +296,9 @@
 	send()
 	select {
 	case <-q.done:
-		return q.origin, q.known, q.recorded
+		return q.origin, q.doubt, q.known, q.recorded
 	case <-ctx.Done():
-		return origin.Origin{}, false, false
+		return origin.Origin{}, origin.Doubt{}, false, false
 	}
 }
 
@@ -267,7 +324,18 @@
 			}
 		}
 	}
-	for _, k := range origin.SplitKeys(m.Unknown) {
+	for i := range m.Doubtful {
+		b := &m.Doubtful[i]
+		for _, k := range origin.SplitKeys(b.Keys) {
+			if q := o.questions[k]; q != nil {
+				q.origin, q.recorded = origin.Origin{Service: b.Service, Version: b.Version}, true
+				q.doubt = origin.Doubt{Server: b.Server, Begun: o.clock.Now().Add(-b.Age)}
+				close(q.done)
+				delete(o.questions, k)
+			}
+		}
+	}
+	for _, k := range origin.SplitKeys(m.Unknown) { // after those in doubt, which it contains
 		o.endWaiting(k, replica)
 	}
 }
@@ -298,7 +366,16 @@
 // noteRestartedVersion records that a server incarnation has been replaced by one that may have
 // another version. What has reached the server since its last report may have reached either.
 func (g *Gateway) noteRestartedVersion(s *dispatch.Server) {
-	if newest, ok := g.fleet.newestNamed(s.StableName()); ok && newest.Version == s.Version {
+	g.origins.settle(s.ID, func(d origin.Doubt) bool { return d.SettledBy(s.ReportedAt()) })
+	newest, ok := g.fleet.newestNamed(s.StableName())
+	same := ok && newest.Version == s.Version
+	if same && !g.fleet.mixed(s.Service) {
+		g.origins.settle(s.ID, func(origin.Doubt) bool { return true })
+		return
+	}
+	// Between two incarnations of one version there may have been one of another.
+	g.origins.markDoubtfulAmbiguous(s.ID)
+	if same {
 		return
 	}
 	g.origins.markUncertain(s.StableName(), s.ReportedAt())
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -20,6 +20,14 @@
 
 // request is a request of a caller in progress.
 type request struct {
+	// confirmedBy is the engine incarnation that has confirmed itself when the origin of the stream was
+	// looked for, at confirmedAt.
+	confirmedBy string
+	confirmedAt time.Time
+	// began is where the stream seems to have begun, or was continued last, and doubt what that depends
+	// on.
+	began   origin.Origin
+	doubt   origin.Doubt
 	id      string
 	path    string
 	route   *route.Route
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -85,6 +85,9 @@
 	key, named := q.originKey()
 	for asked := 0; ; asked++ {
 		if named {
+			if at, doubt, ok := g.origins.findDoubtful(key); ok {
+				return at, sourceIf(g.settleForReturn(ctx, q, at, doubt), fromOwn)
+			}
 			if at, known, recorded := g.origins.find(key); recorded {
 				return at, sourceIf(known, fromOwn)
 			}
@@ -94,7 +97,8 @@
 			return at, fromSole
 		}
 		if named {
-			if at, known, recorded := g.askOrigin(ctx, key); recorded {
+			if at, doubt, known, recorded := g.askOrigin(ctx, key); recorded {
+				known = known || doubt.Server != "" && g.settleForReturn(ctx, q, at, doubt)
 				return at, sourceIf(known, fromReplica)
 			}
 		}
@@ -130,10 +134,10 @@
 }
 
 // askOrigin asks the replicas where an attempt began.
-func (g *Gateway) askOrigin(ctx context.Context, k origin.Key) (at origin.Origin, known, recorded bool) {
+func (g *Gateway) askOrigin(ctx context.Context, k origin.Key) (at origin.Origin, d origin.Doubt, known, recorded bool) {
 	addresses, list := g.links.originLinks()
 	if len(list) == 0 {
-		return at, false, false
+		return at, d, false, false
 	}
 	return g.origins.ask(ctx, k, addresses, func() {
 		m := &wire.Message{Origins: &wire.Origins{Ask: k[:]}}
@@ -165,8 +169,8 @@
 	if hub.Version() < wire.OriginsVersion {
 		return
 	}
-	if list := l.g.origins.unsent(hub, l.g.fleet.mixed); len(list) > 0 {
-		_ = hub.Send(&wire.Message{Origins: &wire.Origins{Began: list}})
+	if list := l.g.origins.unsent(hub, l.g.fleet.mixed); !list.Empty() {
+		_ = hub.Send(&wire.Message{Origins: wire.OriginsOf(list)})
 	}
 }
 
@@ -212,19 +216,35 @@
 // server has confirmed its incarnation.
 func (g *Gateway) noteStream(q *request, s *dispatch.Server, confirmed bool) {
 	at, name := origin.Origin{Service: s.Service, Version: s.Version}, s.StableName()
+	q.began, q.doubt = at, origin.Doubt{}
 	if confirmed {
 		name = ""
+	} else if g.canConfirm(s) {
+		q.doubt = origin.Doubt{Server: s.ID, Begun: g.clock.Now()}
 	}
+	q.work.Pinned, q.work.Version = true, s.Version
 	if key, named := q.originKey(); named && q.route.Resumable {
-		g.origins.note(key, at, name)
+		if q.doubt.Server == "" {
+			g.origins.note(key, at, name)
+		} else {
+			g.origins.noteDoubtful(key, at, q.doubt)
+		}
+	}
+	if q.doubt.Server != "" && g.fleet.mixed(s.Service) {
+		g.confirmBegun(q, s)
 	}
-	q.work.Pinned, q.work.Version = true, s.Version
 }
 
-// versionUncertain reports whether it has become uncertain which version sent the events of a
-// stream, because a server has restarted.
-func (g *Gateway) versionUncertain(q *request) bool {
-	key, _ := q.originKey()
-	_, known, recorded := g.origins.find(key)
-	return recorded && !known
+// versionCertain reports whether it is certain which version sent the events of a stream so far, so
+// that it may continue elsewhere.
+func (g *Gateway) versionCertain(ctx context.Context, q *request) bool {
+	if key, named := q.originKey(); named {
+		if at, doubt, ok := g.origins.findDoubtful(key); ok {
+			return g.settleWithinAnswer(ctx, q, at, doubt)
+		}
+		if _, known, recorded := g.origins.find(key); recorded {
+			return known
+		}
+	}
+	return q.doubt.Server == "" || g.settleWithinAnswer(ctx, q, q.began, q.doubt)
 }
--- a/origin/table.go
+++ b/origin/table.go
@@ -51,6 +51,7 @@
 type entry struct {
 	origin    *Origin
 	ambiguous bool
+	doubt     Doubt
 	// number is the number of the entry's last change.
 	number uint64
 }
@@ -70,11 +71,14 @@
 	dropped uint64
 	// origins has each origin once, since many attempts share one.
 	origins map[Origin]*Origin
+	// doubtful are the entries in doubt by the server in question, in the order in which they
+	// came. Some may have changed since.
+	doubtful map[string][]Key
 }
 
 // NewTable returns an empty table that keeps the newest most entries.
 func NewTable(most int) *Table {
-	return &Table{most: most, entries: map[Key]entry{}, origins: map[Origin]*Origin{}}
+	return &Table{most: most, entries: map[Key]entry{}, origins: map[Origin]*Origin{}, doubtful: map[string][]Key{}}
 }
 
 // Len returns the number of entries.
@@ -85,9 +89,9 @@
 func (t *Table) Add(now time.Time, k Key, o Origin) bool {
 	old, known := t.entries[k]
 	switch {
-	case known && (old.ambiguous || *old.origin == o):
+	case known && (old.ambiguous || *old.origin == o && old.doubt.Server == ""):
 		return false
-	case known:
+	case known && *old.origin != o:
 		return t.MarkAmbiguous(now, k)
 	}
 	t.set(now, k, entry{origin: t.intern(o)})
@@ -104,7 +108,7 @@
 	if !known {
 		old.origin = t.intern(Origin{})
 	}
-	old.ambiguous = true
+	old.ambiguous, old.doubt = true, Doubt{}
 	t.set(now, k, old)
 	return true
 }
@@ -140,11 +144,11 @@
 // Changes returns the number of changes so far.
 func (t *Table) Changes() uint64 { return t.dropped + uint64(len(t.changes)) }
 
-// Find returns the origin of an attempt, and whether it is recorded. An ambiguous one is recorded,
-// but not known.
+// Find returns the origin of an attempt, and whether it is recorded. One that is ambiguous or in
+// doubt is recorded, but not known.
 func (t *Table) Find(k Key) (o Origin, known, recorded bool) {
 	e, recorded := t.entries[k]
-	if !recorded || e.ambiguous {
+	if !recorded || e.ambiguous || e.doubt.Server != "" {
 		return Origin{}, false, recorded
 	}
 	return *e.origin, true, true
@@ -152,8 +156,8 @@
 
 // Since returns what has changed after the given number of changes, at most most entries, and the
 // number of changes up to which that is complete.
-func (t *Table) Since(number uint64, most int) ([]Batch, uint64) {
-	var out batches
+func (t *Table) Since(now time.Time, number uint64, most int) (Records, uint64) {
+	out := batches{now: now}
 	number = max(number, t.dropped)
 	for n := 0; number < t.Changes() && n < most; number++ {
 		k := t.changes[number-t.dropped].key
@@ -164,39 +168,62 @@
 		n++
 		out.add(k, e)
 	}
-	return out.list, number
+	return out.records, number
 }
 
 // batches collects entries in batches of the same origin.
 type batches struct {
-	list  []Batch
+	now     time.Time
+	records Records
+	// index has the positions of the batches in their lists.
 	index map[batchOrigin]int
 }
 
 type batchOrigin struct {
 	origin    Origin
 	ambiguous bool
+	server    string
 }
 
 func (b *batches) add(k Key, e entry) {
-	at := batchOrigin{*e.origin, e.ambiguous}
+	at := batchOrigin{*e.origin, e.ambiguous, e.doubt.Server}
 	i, ok := b.index[at]
-	if !ok {
-		if b.index == nil {
-			b.index = map[batchOrigin]int{}
+	if !ok && b.index == nil {
+		b.index = map[batchOrigin]int{}
+	}
+	r := &b.records
+	if at.server == "" {
+		if !ok {
+			i = len(r.Certain)
+			r.Certain = append(r.Certain, Batch{Service: e.origin.Service, Version: e.origin.Version, Ambiguous: e.ambiguous})
+		}
+		r.Certain[i].Keys = AppendKey(r.Certain[i].Keys, k)
+	} else {
+		age := max(b.now.Sub(e.doubt.Begun), 0)
+		if !ok {
+			i = len(r.Doubtful)
+			r.Doubtful = append(r.Doubtful, DoubtfulBatch{Service: e.origin.Service, Version: e.origin.Version, Server: at.server, Age: age})
 		}
-		i = len(b.list)
-		b.index[at] = i
-		b.list = append(b.list, Batch{Service: e.origin.Service, Version: e.origin.Version, Ambiguous: e.ambiguous})
+		r.Doubtful[i].Age = min(r.Doubtful[i].Age, age) // the newest needs the newest report
+		r.Doubtful[i].Keys = AppendKey(r.Doubtful[i].Keys, k)
 	}
-	b.list[i].Keys = AppendKey(b.list[i].Keys, k)
+	b.index[at] = i
 }
 
 // Merge records the origins of another table, and returns the keys that are new.
-func (t *Table) Merge(now time.Time, list []Batch) []Key {
+func (t *Table) Merge(now time.Time, records Records) []Key {
 	var out []Key
-	for i := range list {
-		b := &list[i]
+	for i := range records.Doubtful {
+		b := &records.Doubtful[i]
+		doubt := Doubt{b.Server, now.Add(-min(max(b.Age, 0), Retention))}
+		for _, k := range SplitKeys(b.Keys) {
+			if b.Server != "" && t.AddDoubtful(now, k, Origin{b.Service, b.Version}, doubt) {
+				out = append(out, k)
+			}
+		}
+	}
+	for i := range records.Certain {
+		b := &records.Certain[i]
 		for _, k := range SplitKeys(b.Keys) {
 			if b.Ambiguous && t.MarkAmbiguous(now, k) || !b.Ambiguous && t.Add(now, k, Origin{b.Service, b.Version}) {
 				out = append(out, k)
@@ -207,8 +234,8 @@
 }
 
 // Batch returns the entries of some attempts, and the keys of those that are not recorded.
-func (t *Table) Batch(keys []Key) (found []Batch, unknown []byte) {
-	var out batches
+func (t *Table) Batch(now time.Time, keys []Key) (found Records, unknown []byte) {
+	out := batches{now: now}
 	for _, k := range keys {
 		if e, recorded := t.entries[k]; recorded {
 			out.add(k, e)
@@ -216,7 +243,7 @@
 			unknown = AppendKey(unknown, k)
 		}
 	}
-	return out.list, unknown
+	return out.records, unknown
 }
 
 // Sweep removes the entries that are older than Retention.
@@ -227,4 +254,7 @@
 	if len(t.entries) == 0 {
 		clear(t.origins)
 	}
+	for server := range t.doubtful {
+		t.inDoubt(server)
+	}
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -248,6 +248,15 @@
 	return e.server, true
 }
 
+// Reported returns an incarnation by its ID and the time of its newest report.
+func (r *Registry) Reported(id string) (s Server, at time.Time, ok bool) {
+	e := r.servers[id]
+	if e == nil {
+		return Server{}, time.Time{}, false
+	}
+	return e.server, e.reportedAt, true
+}
+
 // leftRetention is how long a server that is leaving or has left is remembered. An
 // earlier report that arrives late must not restore it.
 const leftRetention = time.Minute
