--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -21,6 +21,7 @@
 	for n.g.clock.Since(n.kvReadyAt) < n.q.service.Engine.KVHold-kvMargin {
 		n.q.tried[n.pair.Decode.ID] = true
 		n.releaseReservations()
+		n.g.links.awaitCurrent(ctx)
 		s, ok := n.g.fleet.reserveDecode(n.q.work, n.q.service.Engine, n.kvSource.Zone, n.q.tried)
 		if !ok {
 			return r
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -60,7 +60,7 @@
 				g.refuseNoServer(w, q)
 				return
 			}
-		} else if s, ok = g.nextServer(q); !ok {
+		} else if s, ok = g.nextServer(ctx, q); !ok {
 			break
 		}
 		started := g.clock.Now()
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -91,6 +91,9 @@
 		if n.stream.started && !g.versionCertain(ctx, q) {
 			break
 		}
+		if round > 0 {
+			g.links.awaitCurrent(ctx)
+		}
 		if round > 0 && !g.narrowRegions(q) || !n.place(ctx) {
 			if round == 0 {
 				last = result{kind: notRun}
--- a/gateway/region.go
+++ b/gateway/region.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"context"
+
 	"github.com/ledgepin/ledgepin/dispatch"
 	"github.com/ledgepin/ledgepin/route"
 )
 
 // nextServer chooses another plain server for a request that was sent before.
-func (g *Gateway) nextServer(q *request) (dispatch.Server, bool) {
+func (g *Gateway) nextServer(ctx context.Context, q *request) (dispatch.Server, bool) {
+	g.links.awaitCurrent(ctx) // the process may have been suspended since the request arrived
 	if !g.narrowRegions(q) {
 		return dispatch.Server{}, false
 	}
