--- a/control/invalid_text_test.go
+++ b/control/invalid_text_test.go
@@ -16,9 +16,11 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/ledgepin/ledgepin/control"
+	"github.com/ledgepin/ledgepin/fault"
 	"github.com/ledgepin/ledgepin/internal/freeport"
 	"github.com/ledgepin/ledgepin/platform"
 	"github.com/ledgepin/ledgepin/registry"
+	"github.com/ledgepin/ledgepin/route"
 	"github.com/ledgepin/ledgepin/wire"
 )
 
@@ -67,6 +69,18 @@
 	}
 }
 
+// TestTooLargeChangesAreRefused guards against a change that fits into no frame: the leader would
+// append it and could replicate neither it nor any later one.
+func TestTooLargeChangesAreRefused(t *testing.T) {
+	c := newCluster(t, 3)
+	c.expectAgreement(1)
+	for _, n := range c.nodes {
+		err := n.proc.PutTable(t.Context(), &route.Table{Version: 2, Source: make([]byte, wire.MaxFrameBytes)})
+		assert.Assert(t, fault.Is(err, fault.BadSettings) || fault.Is(err, fault.NotLeader), "%v", err)
+	}
+	c.expectAgreement(3)
+}
+
 // olderReplica is a replica of an older build that forwards a report with an invalid name to every
 // replica that opens a link to it.
 type olderReplica struct {
--- a/control/unreadable.go
+++ b/control/unreadable.go
@@ -69,10 +69,18 @@
 	return fleet.CheckSnapshot(p.Snapshot.Data)
 }
 
-// encodeChange returns the command for a change. A change that can't be decoded again, for instance
-// because a text of it is not UTF-8, is an error: once committed, it would stop every replica.
+// maxChangeBytes bounds the command for a change. A packet with a longer one may not fit into a frame
+// of a link, and no entry after it could be replicated.
+const maxChangeBytes = wire.MaxFrameBytes / 2
+
+// encodeChange returns the command for a change. A change that can't be replicated is an error: one that
+// can't be decoded again, for instance because a text of it is not UTF-8, would stop every replica once
+// it is committed, and one that is too long would hold up all that follow.
 func encodeChange(change fleet.Change) ([]byte, error) {
 	data, err := fleet.Encode(change)
+	if err == nil && len(data) > maxChangeBytes {
+		err = fmt.Errorf("the change has %d bytes when encoded, at most %d are accepted", len(data), maxChangeBytes)
+	}
 	if err == nil {
 		err = fleet.CheckCommand(data)
 	}
