--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -17,7 +17,7 @@
 // requests for its earlier incarnation until it has reported itself: neither requests nor answers name
 // incarnations. A new stream may begin at either, but one that continues may not. The record of a new
 // stream is in doubt until the incarnation that it names has been heard from later. While the servers of
-// a service differ in version, the gateway asks at once; else only if the stream is continued.
+// a service differ in version, the gateway asks at once; else only if the stream is to be continued.
 
 // confirmTimeout bounds how long an engine may take to confirm its incarnation.
 const confirmTimeout = 300 * time.Millisecond
@@ -196,11 +196,17 @@
 	return known
 }
 
+// soleVersionTimeout bounds how long an engine may take to confirm its incarnation, if only a restart
+// that it reports matters.
+const soleVersionTimeout = 60 * time.Millisecond
+
 // settleWithinAnswer is settle for a stream that is about to continue within its answer. While all
-// servers have one version, nothing is asked.
+// servers have one version, an engine that has just failed does not hold it up.
 func (g *Gateway) settleWithinAnswer(ctx context.Context, q *request, at origin.Origin, d origin.Doubt) bool {
 	if !g.fleet.mixed(at.Service) {
-		return true
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, soleVersionTimeout)
+		defer cancel()
 	}
 	known, _ := g.settle(ctx, q.id, at, d)
 	return known
--- a/gateway/confirm_test.go
+++ b/gateway/confirm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -124,3 +125,29 @@
 		})
 	}
 }
+
+// TestStreamBegunAtRestartedEngineIsNotContinued guards against a stream that begins at an engine which
+// has restarted, as the first one with another version, and is continued within its answer at an engine
+// of the version before, once the first one breaks it.
+func TestStreamBegunAtRestartedEngineIsNotContinued(t *testing.T) {
+	for _, restarted := range []bool{true, false} {
+		t.Run(fmt.Sprint("restarted ", restarted), func(t *testing.T) {
+			h := newHarness(t)
+			var asked atomic.Int64
+			h.reportsStart(&asked)
+			h.addBorn("p1", "prefill", 1000)
+			first := h.addBorn("d1", "decode", 1000)
+			first.SetFault(func(*http.Request) standin.Fault {
+				h.addBorn("d2", "decode", 1000)
+				return standin.CutStream
+			})
+			if restarted {
+				first.SetBorn(2000)
+			}
+			got := h.send("POST", "/desk/1", "first", "x", withParts("own:1"))
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, got.truncated, restarted, "%q", got.body)
+			assert.Equal(t, got.body == completeStream(), !restarted, "%q", got.body)
+		})
+	}
+}
