--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -146,7 +146,7 @@
 	g.noteMayHaveRun(q)
 	body, err := readAnswer(tryCtx, q.memory, a)
 	if err != nil {
-		return g.classifyError(tryCtx, q, &backend.Error{Sent: true, Cause: err})
+		return sentResult(tryCtx, err, g.ownDelay() >= slowDelay)
 	}
 	if !a.Framed && bodyAllowed(q.send.Method, a.Status) {
 		if err := g.endedUnder(q, s); err != nil {
@@ -201,9 +201,15 @@
 	}
 	q.sends++
 	g.noteMayHaveRun(q)
+	return sentResult(ctx, err, slow)
+}
+
+// sentResult returns the result of a send that reached a server and has no complete answer. ownSlow
+// means that the gateway itself is slow.
+func sentResult(ctx context.Context, err error, ownSlow bool) result {
 	// The deadline of the connection may expire before that of the context.
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded) {
-		return result{kind: late, err: err, ownSlow: slow}
+		return result{kind: late, err: err, ownSlow: ownSlow}
 	}
 	return result{kind: broken, err: err}
 }
