--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -130,10 +130,10 @@
 	if g.evacuated.has(s.Zone) || !g.confirmations.begin(s.ID) {
 		return
 	}
-	engine := *s
+	engine, question := *s, &request{id: q.id, service: q.service} // which outlives q and its body
 	g.wg.Go(func() {
 		for again := true; again && g.ctx.Err() == nil; again = g.confirmations.end(engine.ID) {
-			g.askIncarnation(g.ctx, q, &engine)
+			_ = g.askIncarnation(g.ctx, question, &engine)
 			wait.For(g.ctx, confirmInterval)
 		}
 	})
@@ -196,8 +196,8 @@
 	return known
 }
 
-// soleVersionTimeout bounds how long an engine may take to confirm its incarnation, if only a restart
-// that it reports matters.
+// soleVersionTimeout bounds how long an engine may take to confirm its incarnation while all servers have
+// one version: then only an answer that names another start matters.
 const soleVersionTimeout = 60 * time.Millisecond
 
 // settleWithinAnswer is settle for a stream that is about to continue within its answer. While all
