--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -146,7 +146,7 @@
 	g.noteMayHaveRun(q)
 	body, err := readAnswer(tryCtx, q.memory, a)
 	if err != nil {
-		return sentResult(tryCtx, err, g.ownDelay() >= slowDelay)
+		return sentResult(tryCtx, &backend.Error{Sent: true, Cause: err}, g.ownDelay() >= slowDelay)
 	}
 	if !a.Framed && bodyAllowed(q.send.Method, a.Status) {
 		if err := g.endedUnder(q, s); err != nil {
--- a/wire/link.go
+++ b/wire/link.go
@@ -120,7 +120,7 @@
 		_ = conn.CloseNow()
 		return nil, err
 	}
-	conn.SetReadLimit(-1) // readFrame skips longer frames, which the limit would end the link for
+	conn.SetReadLimit(-1) // read skips frames that are too long; the limit would end the link
 	return l, nil
 }
 
