--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -17,7 +17,8 @@
 // requests for its earlier incarnation until it has reported itself: neither requests nor answers name
 // incarnations. A new stream may begin at either, but one that continues may not. The record of a new
 // stream is in doubt until the incarnation that it names has been heard from later. While the servers of
-// a service differ in version, the gateway asks at once; else only if the stream is to be continued.
+// a service differ in version, the gateway asks before it passes the first event on; else only if the stream
+// is to be continued.
 
 // confirmTimeout bounds how long an engine may take to confirm its incarnation.
 const confirmTimeout = 300 * time.Millisecond
@@ -33,7 +34,7 @@
 	if !n.q.continues && !n.stream.started {
 		return false, nil
 	}
-	if s.ID == n.q.confirmedBy && n.g.clock.Since(n.q.confirmedAt) < confirmInterval {
+	if s.ID == n.q.confirmedBy && n.g.clock.Since(n.q.confirmedAt) < confirmationTTL {
 		return true, nil
 	}
 	confirmed, err = n.g.confirmIncarnation(ctx, n.q, s)
@@ -87,8 +88,12 @@
 	return true, nil
 }
 
-// confirmInterval is the minimum time between two questions to an engine about new streams.
-const confirmInterval = 100 * time.Millisecond
+const (
+	// confirmInterval is the minimum time between two questions to an engine about new streams.
+	confirmInterval = 10 * time.Millisecond
+	// confirmationTTL is how long an engine that has confirmed itself for a request need not do so again.
+	confirmationTTL = 100 * time.Millisecond
+)
 
 // confirmations are the engines that are being asked about new streams.
 type confirmations struct {
@@ -97,7 +102,8 @@
 	again map[string]bool
 }
 
-// begin reports whether an engine has to be asked now; else it is asked again later.
+// begin reports whether an engine has to be asked now; else it is asked again later, until end says
+// that no more streams have begun.
 func (c *confirmations) begin(id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -124,19 +130,27 @@
 	return false
 }
 
-// confirmBegun asks an engine in the background whether it is still the incarnation at which streams
-// have begun according to its reports.
-func (g *Gateway) confirmBegun(q *request, s *dispatch.Server) {
-	if g.evacuated.has(s.Zone) || !g.confirmations.begin(s.ID) {
-		return
+// newStreamTimeout bounds how long the first event of a stream waits for its engine to confirm itself.
+const newStreamTimeout = 50 * time.Millisecond
+
+// confirmNewStream asks an engine whose answer to a new stream has begun to arrive whether it is still
+// the incarnation that has reported itself, while the servers of its service differ in version. Other
+// streams that begin there within confirmInterval don't wait; the engine is asked about them later, in
+// the background.
+func (g *Gateway) confirmNewStream(ctx context.Context, q *request, s *dispatch.Server) error {
+	if !g.canConfirm(s) || !g.fleet.mixed(s.Service) || g.evacuated.has(s.Zone) || !g.confirmations.begin(s.ID) {
+		return errUnconfirmed
 	}
 	engine, question := *s, &request{id: q.id, service: q.service} // which outlives q and its body
+	ctx, cancel := context.WithTimeout(ctx, newStreamTimeout)
+	defer cancel()
+	err := g.askIncarnation(ctx, question, &engine)
 	g.wg.Go(func() {
-		for again := true; again && g.ctx.Err() == nil; again = g.confirmations.end(engine.ID) {
+		for wait.For(g.ctx, confirmInterval); g.confirmations.end(engine.ID) && g.ctx.Err() == nil; wait.For(g.ctx, confirmInterval) {
 			_ = g.askIncarnation(g.ctx, question, &engine)
-			wait.For(g.ctx, confirmInterval)
 		}
 	})
+	return err
 }
 
 // askIncarnation asks an engine whether it is still the incarnation at which streams have begun, and
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -90,6 +90,13 @@
 		return n.nonStreamAnswer(ctx, s, a)
 	}
 	n.migrations.stopped = false
+	if !q.continues && !n.stream.started {
+		err := g.confirmNewStream(ctx, q, s)
+		if errors.Is(err, errRestarted) && n.mayBeginElsewhere(s) {
+			return result{kind: broken, err: err} // before the caller gets events of a version that nobody knows
+		}
+		confirmed = err == nil
+	}
 	g.noteStream(q, s, confirmed)
 	began := origin.Origin{Service: s.Service, Version: s.Version}
 	g.origins.countOpen(began, 1)
@@ -107,6 +114,21 @@
 	return res
 }
 
+// mayBeginElsewhere reports whether a stream that has begun at an engine, without an event for the caller
+// yet, may begin at another one, and there is one with capacity.
+func (n *generation) mayBeginElsewhere(s *dispatch.Server) bool {
+	q := n.q
+	if !q.route.Repeatable() || q.sends >= q.route.Attempts {
+		return false
+	}
+	q.tried[s.ID] = true
+	other, ok := n.g.fleet.reserveDecode(q.work, q.service.Engine, n.kvSource.Zone, q.tried)
+	if ok {
+		n.g.fleet.releaseDecode(other.ID, q.work)
+	}
+	return ok
+}
+
 // isStream reports whether an answer is the stream of a run, signed by the engine itself.
 func (g *Gateway) isStream(a *backend.Answer) bool {
 	return a.Status < http.StatusMultipleChoices && a.Header.Get(g.cfg.Protocol.Headers.Signature) != ""
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -230,9 +230,6 @@
 			g.origins.noteDoubtful(key, at, q.doubt)
 		}
 	}
-	if q.doubt.Server != "" && g.fleet.mixed(s.Service) {
-		g.confirmBegun(q, s)
-	}
 }
 
 // versionCertain reports whether it is certain which version sent the events of a stream so far, so
